--- /dev/null
+++ b/call/call.go
@@ -0,0 +1,96 @@
+// Package call holds one caller's request and its outcome as plain data, in
+// the form that every part of the system passes on.
+package call
+
+import (
+	"net/http"
+	"time"
+)
+
+// Kind tells what a call is for.
+type Kind int
+
+// The kinds of calls.
+const (
+	KindChat Kind = iota + 1
+	KindService
+)
+
+// Priority orders calls that wait for the same endpoints.
+type Priority int
+
+// Priorities from first to last. Urgent calls are short ones such as confirm,
+// release, flags and acknowledgements; reports tolerate delay.
+const (
+	PriorityUrgent Priority = iota
+	PriorityChat
+	PriorityReport
+	// Priorities is the number of priorities.
+	Priorities = 3
+)
+
+var priorityNames = [Priorities]string{"urgent", "chat", "report"}
+
+// String gives the name used in documents and headers.
+func (p Priority) String() string {
+	return priorityNames[p]
+}
+
+// ParsePriority reads a name as String gives it.
+func ParsePriority(name string) (Priority, bool) {
+	for i, n := range priorityNames {
+		if n == name {
+			return Priority(i), true
+		}
+	}
+	return 0, false
+}
+
+// Call is one request of a caller, read whole.
+type Call struct {
+	// ID is the request's id, unique per arrival, on the time line and in answers.
+	ID        string
+	Workspace string
+	Kind      Kind
+	// Model or Service names the target.
+	Model   string
+	Service string
+	// Method and Path are what the endpoint is sent; Path keeps its query.
+	Method string
+	Path   string
+	// Header holds only headers that may pass to the endpoint.
+	Header     http.Header
+	Body       []byte
+	Stream     bool
+	Idempotent bool
+	Priority   Priority
+	// Ticket is the caller's ticket for a non-idempotent call.
+	Ticket string
+	// FirstBy and WholeBy are the deadlines of the first token and the whole answer.
+	FirstBy time.Time
+	WholeBy time.Time
+	// PromptTokens is an estimate; MaxTokens bounds the generated tokens.
+	PromptTokens int
+	MaxTokens    int
+	// PrefixHash identifies the prompt prefix for cache affinity; zero means none.
+	PrefixHash uint64
+	// Forwarded is set on a call that came from another VM; it is never forwarded again.
+	Forwarded bool
+	// Origin is the region whose limits were charged, set on a borrowed call.
+	Origin string
+}
+
+// Target names the model or service.
+func (c *Call) Target() string {
+	if c.Kind == KindChat {
+		return c.Model
+	}
+	return c.Service
+}
+
+// Usage is what an answer consumed, in tokens.
+type Usage struct {
+	PromptTokens    int `json:"prompt_tokens"`
+	CachedTokens    int `json:"cached_tokens"`
+	GeneratedTokens int `json:"generated_tokens"`
+}
--- /dev/null
+++ b/result/result.go
@@ -0,0 +1,198 @@
+// Package result numbers every outcome that the system reports. Each code
+// belongs to one class: done, not run, unknown, or refused document or setting.
+package result
+
+import "net/http"
+
+// Code numbers one outcome. Codes are never reused.
+type Code int
+
+// Class says what a caller may conclude from a code.
+type Class string
+
+// The classes. ClassNotRun is certain: nothing ran. ClassUnknown may have run.
+const (
+	ClassDone    Class = "done"
+	ClassNotRun  Class = "not_run"
+	ClassUnknown Class = "unknown"
+	ClassRefused Class = "refused"
+)
+
+// Codes of class done.
+const (
+	Done     Code = 1000
+	Replayed Code = 1001
+)
+
+// Codes of class not run.
+const (
+	BadRequest         Code = 2001
+	Unauthenticated    Code = 2002
+	BodyTooLarge       Code = 2003
+	UnknownTarget      Code = 2004
+	UnknownRoute       Code = 2005
+	MethodNotAllowed   Code = 2006
+	NotInContract      Code = 2007
+	BodyTooSlow        Code = 2008
+	LimitRequests      Code = 2010
+	LimitTokens        Code = 2011
+	LimitSpend         Code = 2012
+	LimitConcurrency   Code = 2013
+	LimitNoShare       Code = 2014
+	LimitBorrow        Code = 2015
+	DeadlineUnmeetable Code = 2020
+	QueueFull          Code = 2021
+	NoEndpoint         Code = 2022
+	DeadlinePassed     Code = 2023
+	NoSurplus          Code = 2024
+	RetryBudget        Code = 2025
+	EndpointRefused    Code = 2026
+	WrongVM            Code = 2030
+	WrongRegion        Code = 2031
+	Stopping           Code = 2032
+	NotReady           Code = 2033
+	PeerUnreachable    Code = 2034
+	TicketRequired     Code = 2040
+	TicketInvalid      Code = 2041
+	TicketExpired      Code = 2042
+	TicketMismatch     Code = 2043
+	RecordsFull        Code = 2044
+)
+
+// Codes of class unknown.
+const (
+	EndpointCut     Code = 3001
+	EndpointTimeout Code = 3002
+	AnswerCrossed   Code = 3003
+	EndpointFailed  Code = 3004
+	ExecutorGone    Code = 3010
+	PeerLost        Code = 3011
+	RecordLost      Code = 3012
+)
+
+// Codes of class refused, for documents and settings.
+const (
+	DocumentSyntax      Code = 4001
+	DocumentUnknown     Code = 4002
+	DocumentFormat      Code = 4003
+	DocumentField       Code = 4004
+	DocumentDuplicate   Code = 4005
+	DocumentTooLarge    Code = 4006
+	DocumentKey         Code = 4007
+	SettingSyntax       Code = 5001
+	SettingUnknownField Code = 5002
+	SettingValue        Code = 5003
+	SettingFile         Code = 5004
+)
+
+// Info describes one code. HTTPStatus is zero where no caller ever sees it.
+type Info struct {
+	Code       Code
+	Name       string
+	Class      Class
+	HTTPStatus int
+	Meaning    string
+	// Advice is what the caller or operator should do.
+	Advice string
+}
+
+// Table lists every code in ascending order.
+var Table = []Info{
+	row(Done, "done", ClassDone, http.StatusOK, "The call ran and this is its whole answer.", "Nothing."),
+	row(Replayed, "replayed", ClassDone, http.StatusOK, "The ticket's call ran before; this is its recorded answer.", "Nothing."),
+
+	row(BadRequest, "bad_request", ClassNotRun, http.StatusBadRequest, "The request is malformed.", "Correct it."),
+	row(Unauthenticated, "unauthenticated", ClassNotRun, http.StatusUnauthorized, "The key is missing, unknown or ended.", "Use a key of the contract."),
+	row(BodyTooLarge, "body_too_large", ClassNotRun, http.StatusRequestEntityTooLarge, "The body is over the bound.", "Send less."),
+	row(UnknownTarget, "unknown_target", ClassNotRun, http.StatusNotFound, "No such model or service.", "Correct the name."),
+	row(UnknownRoute, "unknown_route", ClassNotRun, http.StatusNotFound, "No such path.", "Correct the path."),
+	row(MethodNotAllowed, "method_not_allowed", ClassNotRun, http.StatusMethodNotAllowed, "The path does not take this method.", "Correct the method."),
+	row(NotInContract, "not_in_contract", ClassNotRun, http.StatusForbidden, "The contract does not allow this model or service.", "Ask the operator."),
+	row(BodyTooSlow, "body_too_slow", ClassNotRun, http.StatusRequestTimeout, "The body did not arrive in time.", "Send again."),
+	row(LimitRequests, "limit_requests", ClassNotRun, http.StatusTooManyRequests, "The contract's requests per second are used up.", "Come back at the given time."),
+	row(LimitTokens, "limit_tokens", ClassNotRun, http.StatusTooManyRequests, "The contract's tokens per second are used up.", "Come back at the given time."),
+	row(LimitSpend, "limit_spend", ClassNotRun, http.StatusTooManyRequests, "The contract's spend per hour is used up.", "Come back at the given time."),
+	row(LimitConcurrency, "limit_concurrency", ClassNotRun, http.StatusTooManyRequests, "The contract's calls in flight are all in use.", "Come back when a call has ended."),
+	row(LimitNoShare, "limit_no_share", ClassNotRun, http.StatusServiceUnavailable, "This VM holds no share of the workspace's limit now.", "Use the VMs named."),
+	row(LimitBorrow, "limit_borrow", ClassNotRun, http.StatusTooManyRequests, "The contract's borrowing share is used up.", "Come back at the given time."),
+	row(DeadlineUnmeetable, "deadline_unmeetable", ClassNotRun, http.StatusServiceUnavailable, "The deadline cannot be met now.", "Come back at the given time."),
+	row(QueueFull, "queue_full", ClassNotRun, http.StatusServiceUnavailable, "Too many calls wait already.", "Come back at the given time."),
+	row(NoEndpoint, "no_endpoint", ClassNotRun, http.StatusServiceUnavailable, "No endpoint of the target takes work in an allowed region.", "Come back at the given time."),
+	row(DeadlinePassed, "deadline_passed", ClassNotRun, http.StatusGatewayTimeout, "The deadline passed before the call was sent.", "Send again with a later deadline."),
+	row(NoSurplus, "no_surplus", ClassNotRun, http.StatusServiceUnavailable, "The other region has no surplus.", "Come back at the given time."),
+	row(RetryBudget, "retry_budget", ClassNotRun, http.StatusServiceUnavailable, "The endpoint refused and the retry budget is spent.", "Come back at the given time."),
+	row(EndpointRefused, "endpoint_refused", ClassNotRun, http.StatusServiceUnavailable, "The endpoint refused before running.", "Come back at the given time."),
+	row(WrongVM, "wrong_vm", ClassNotRun, http.StatusMisdirectedRequest, "Another VM serves this workspace.", "Use the VMs named."),
+	row(WrongRegion, "wrong_region", ClassNotRun, http.StatusMisdirectedRequest, "The contract does not allow this region; the body was not read.", "Use the VMs named."),
+	row(Stopping, "stopping", ClassNotRun, http.StatusServiceUnavailable, "This VM is stopping.", "Use the VMs named."),
+	row(NotReady, "not_ready", ClassNotRun, http.StatusServiceUnavailable, "This VM has no configuration yet.", "Use another VM."),
+	row(PeerUnreachable, "peer_unreachable", ClassNotRun, http.StatusServiceUnavailable, "The VM to forward to was not reached; nothing was sent.", "Use the VMs named."),
+	row(TicketRequired, "ticket_required", ClassNotRun, http.StatusPreconditionRequired, "A non-idempotent call needs a ticket; one is enclosed.", "Send again with the ticket."),
+	row(TicketInvalid, "ticket_invalid", ClassNotRun, http.StatusBadRequest, "The ticket is malformed or not genuine.", "Ask for a new ticket."),
+	row(TicketExpired, "ticket_expired", ClassNotRun, http.StatusGone, "The ticket's time is over and it was never used.", "Ask for a new ticket."),
+	row(TicketMismatch, "ticket_mismatch", ClassNotRun, http.StatusConflict, "The ticket was used for another call.", "Ask for a new ticket."),
+	row(RecordsFull, "records_full", ClassNotRun, http.StatusServiceUnavailable, "The VM cannot record one more answer.", "Come back at the given time."),
+
+	row(EndpointCut, "endpoint_cut", ClassUnknown, http.StatusBadGateway, "The endpoint cut the answer short.", "The call may have run; check before a repeat."),
+	row(EndpointTimeout, "endpoint_timeout", ClassUnknown, http.StatusGatewayTimeout, "The deadline passed after the call was sent.", "The call may have run; check before a repeat."),
+	row(AnswerCrossed, "answer_crossed", ClassUnknown, http.StatusBadGateway, "The endpoint answered with another call's answer.", "The call may have run; check before a repeat."),
+	row(EndpointFailed, "endpoint_failed", ClassUnknown, http.StatusBadGateway, "The endpoint failed after the call was sent.", "The call may have run; check before a repeat."),
+	row(ExecutorGone, "executor_gone", ClassUnknown, http.StatusBadGateway, "The ticket's executor is gone.", "The call may have run; check before a repeat."),
+	row(PeerLost, "peer_lost", ClassUnknown, http.StatusBadGateway, "The VM that had the call was lost.", "Send again with the same ticket; without one, check first."),
+	row(RecordLost, "record_lost", ClassUnknown, http.StatusBadGateway, "The call ran or may have run, and its answer is no longer held.", "The call may have run; check before a repeat."),
+
+	row(DocumentSyntax, "document_syntax", ClassRefused, 0, "The document is not JSON with comments.", "Correct the place named."),
+	row(DocumentUnknown, "document_unknown", ClassRefused, 0, "The document has a field that is not known.", "Remove or correct the field."),
+	row(DocumentFormat, "document_format", ClassRefused, 0, "The document's format version is not read by this build.", "Publish the format named."),
+	row(DocumentField, "document_field", ClassRefused, 0, "A field's value is missing or wrong.", "Correct the field named."),
+	row(DocumentDuplicate, "document_duplicate", ClassRefused, 0, "A name stands twice.", "Remove one."),
+	row(DocumentTooLarge, "document_too_large", ClassRefused, 0, "The document is over one megabyte.", "Use more buckets."),
+	row(DocumentKey, "document_key", ClassRefused, 0, "The document's key is not one of the known keys.", "Publish under a known key."),
+	row(SettingSyntax, "setting_syntax", ClassRefused, 0, "The settings file is not JSON with comments.", "Correct the place named."),
+	row(SettingUnknownField, "setting_unknown_field", ClassRefused, 0, "The settings file has a field that is not known.", "Remove or correct the field."),
+	row(SettingValue, "setting_value", ClassRefused, 0, "A setting's value is missing or wrong.", "Correct the field named."),
+	row(SettingFile, "setting_file", ClassRefused, 0, "The settings file cannot be read.", "Correct the path or its rights."),
+}
+
+func row(code Code, name string, class Class, status int, meaning, advice string) Info {
+	return Info{
+		Code:       code,
+		Name:       name,
+		Class:      class,
+		HTTPStatus: status,
+		Meaning:    meaning,
+		Advice:     advice,
+	}
+}
+
+// Lookup gives the description of a code; ok is false for an unknown code.
+func Lookup(code Code) (info Info, ok bool) {
+	info, ok = byCode[code]
+	return info, ok
+}
+
+var byCode = index(Table)
+
+func index(rows []Info) map[Code]Info {
+	m := make(map[Code]Info, len(rows))
+	for _, r := range rows {
+		m[r.Code] = r
+	}
+	return m
+}
+
+// Class gives the code's class, or ClassUnknown for a code that is not in Table.
+func (c Code) Class() Class {
+	if info, ok := byCode[c]; ok {
+		return info.Class
+	}
+	return ClassUnknown
+}
+
+// String gives the code's name.
+func (c Code) String() string {
+	if info, ok := byCode[c]; ok {
+		return info.Name
+	}
+	return "unknown_code"
+}
--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,142 @@
+// Package timeline records what one process did as events in a bounded ring,
+// stamped by a hybrid logical clock so that the rings of many processes merge
+// into one causal order. Events never hold payloads.
+package timeline
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// Stamp is a hybrid logical clock reading: milliseconds since the Unix epoch
+// in the upper 48 bits and a logical counter in the lower 16.
+type Stamp uint64
+
+const logicalBits = 16
+
+// Time gives the physical part of the stamp.
+func (s Stamp) Time() time.Time {
+	return time.UnixMilli(int64(s >> logicalBits))
+}
+
+// Event is one change of state, decision or outcome.
+type Event struct {
+	Stamp Stamp  `json:"stamp"`
+	VM    string `json:"vm"`
+	// Kind is a snake case name such as "call_admitted" or "vm_suspected".
+	Kind      string      `json:"kind"`
+	Request   string      `json:"request,omitempty"`
+	Workspace string      `json:"workspace,omitempty"`
+	Peer      string      `json:"peer,omitempty"`
+	Endpoint  string      `json:"endpoint,omitempty"`
+	Code      result.Code `json:"code,omitempty"`
+	// Detail is short text about the decision, never from a payload.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Options set up a Ring.
+type Options struct {
+	VM string
+	// Capacity is the number of events kept; the oldest are dropped.
+	Capacity int
+	Now      func() time.Time
+}
+
+// Ring is a bounded record of events with its clock. Its methods may be
+// called from any goroutine.
+type Ring struct {
+	mu     sync.Mutex
+	vm     string
+	now    func() time.Time
+	last   Stamp
+	events []Event
+	next   int
+	full   bool
+}
+
+// New makes an empty ring.
+func New(o Options) *Ring {
+	return &Ring{
+		vm:     o.VM,
+		now:    o.Now,
+		events: make([]Event, o.Capacity),
+	}
+}
+
+// Add stamps the event and keeps it. It sets Stamp and VM.
+func (r *Ring) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.Stamp = r.tick()
+	e.VM = r.vm
+	r.events[r.next] = e
+	r.next++
+	if r.next == len(r.events) {
+		r.next = 0
+		r.full = true
+	}
+}
+
+// Stamp gives a new reading to put on an outgoing message.
+func (r *Ring) Stamp() Stamp {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tick()
+}
+
+// Witness moves the clock past a stamp that came with a message.
+func (r *Ring) Witness(s Stamp) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last = max(r.last, s)
+}
+
+func (r *Ring) tick() Stamp {
+	wall := Stamp(r.now().UnixMilli()) << logicalBits
+	r.last = max(r.last+1, wall)
+	return r.last
+}
+
+// Query selects events; empty fields select all.
+type Query struct {
+	Request   string
+	Workspace string
+	From      time.Time
+	To        time.Time
+}
+
+// Select gives the events that match, oldest first.
+func (r *Ring) Select(q Query) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	for _, e := range r.ordered() {
+		if q.matches(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (r *Ring) ordered() []Event {
+	if !r.full {
+		return r.events[:r.next]
+	}
+	return append(append([]Event(nil), r.events[r.next:]...), r.events[:r.next]...)
+}
+
+func (q Query) matches(e Event) bool {
+	if q.Request != "" && q.Request != e.Request {
+		return false
+	}
+	if q.Workspace != "" && q.Workspace != e.Workspace {
+		return false
+	}
+	at := e.Stamp.Time()
+	if !q.From.IsZero() && at.Before(q.From) {
+		return false
+	}
+	return q.To.IsZero() || !at.After(q.To)
+}
