--- /dev/null
+++ b/common/jsonc/check.go
@@ -0,0 +1,163 @@
+package jsonc
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// checker compares a parsed value with a Go type before encoding/json decodes
+// it, because encoding/json gives no place for what it refuses.
+type checker struct {
+	name string
+	data []byte
+}
+
+func (c *checker) checkAs(root *hujson.Value, into any) *Problem {
+	return c.check(root, reflect.TypeOf(into).Elem(), "")
+}
+
+func (c *checker) check(v *hujson.Value, t reflect.Type, pointer string) *Problem {
+	if v.Value.Kind() == 'n' {
+		return c.problem(v, pointer, KindValue, "a value in place of null; leave the field out instead")
+	}
+	if reflect.PointerTo(t).Implements(reflect.TypeFor[json.Unmarshaler]()) {
+		return c.checkLeaf(v, t, pointer)
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		return c.checkObject(v, t, pointer)
+	case reflect.Slice:
+		return c.checkArray(v, t, pointer)
+	default:
+		return c.checkLeaf(v, t, pointer)
+	}
+}
+
+func (c *checker) checkObject(v *hujson.Value, t reflect.Type, pointer string) *Problem {
+	object, ok := v.Value.(*hujson.Object)
+	if !ok {
+		return c.problem(v, pointer, KindValue, "an object")
+	}
+	fields := fieldsOf(t)
+	seen := make(map[string]bool, len(object.Members))
+	for i := range object.Members {
+		member := &object.Members[i]
+		name := member.Name.Value.(hujson.Literal).String()
+		at := pointer + "/" + escape(name)
+		field, known := fields.find(name)
+		if !known {
+			return c.problem(&member.Name, at, KindUnknown, "one of "+fields.names())
+		}
+		if seen[name] {
+			return c.problem(&member.Name, at, KindDuplicate, "each field once")
+		}
+		seen[name] = true
+		if problem := c.check(&member.Value, field, at); problem != nil {
+			return problem
+		}
+	}
+	return nil
+}
+
+func (c *checker) checkArray(v *hujson.Value, t reflect.Type, pointer string) *Problem {
+	array, ok := v.Value.(*hujson.Array)
+	if !ok {
+		return c.problem(v, pointer, KindValue, "a list")
+	}
+	for i := range array.Elements {
+		at := pointer + "/" + strconv.Itoa(i)
+		if problem := c.check(&array.Elements[i], t.Elem(), at); problem != nil {
+			return problem
+		}
+	}
+	return nil
+}
+
+func (c *checker) checkLeaf(v *hujson.Value, t reflect.Type, pointer string) *Problem {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || json.Unmarshal(literal, reflect.New(t).Interface()) != nil {
+		return c.problem(v, pointer, KindValue, wanted(t))
+	}
+	return nil
+}
+
+func (c *checker) problem(v *hujson.Value, pointer string, kind Kind, want string) *Problem {
+	return &Problem{
+		File:  c.name,
+		Line:  lineAt(c.data, v.StartOffset),
+		Field: Field(pointer),
+		Want:  want,
+		Kind:  kind,
+	}
+}
+
+// wanter is a type that says in words which values it takes.
+type wanter interface {
+	Wanted() string
+}
+
+func wanted(t reflect.Type) string {
+	if w, ok := reflect.Zero(t).Interface().(wanter); ok {
+		return w.Wanted()
+	}
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a number"
+	}
+	if t.String() == "time.Time" {
+		return `a time such as "2030-12-31T00:00:00Z"`
+	}
+	return fmt.Sprintf("a %s", t)
+}
+
+// structField is a field of a struct by its name in JSON.
+type structField struct {
+	name  string
+	value reflect.Type
+}
+
+type structFields []structField
+
+func fieldsOf(t reflect.Type) structFields {
+	var fields structFields
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if !f.IsExported() || name == "" || name == "-" {
+			continue
+		}
+		fields = append(fields, structField{
+			name:  name,
+			value: f.Type,
+		})
+	}
+	return fields
+}
+
+func (s structFields) find(name string) (reflect.Type, bool) {
+	for _, f := range s {
+		if f.name == name {
+			return f.value, true
+		}
+	}
+	return nil, false
+}
+
+func (s structFields) names() string {
+	names := make([]string, 0, len(s))
+	for _, f := range s {
+		names = append(names, f.name)
+	}
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/common/jsonc/jsonc.go
@@ -0,0 +1,176 @@
+// Package jsonc decodes JSON with comments into typed values. It is stricter
+// than encoding/json: unknown fields, duplicate fields, nulls and field names
+// in another case are problems, and each problem names its line.
+package jsonc
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxDepth bounds the nesting of objects and arrays, since the parser recurses.
+const MaxDepth = 64
+
+// Kind sorts problems.
+type Kind int
+
+// The kinds of problems.
+const (
+	// KindSyntax is text that is not JSON with comments.
+	KindSyntax Kind = iota + 1
+	// KindUnknown is a field that the type does not have.
+	KindUnknown
+	// KindDuplicate is a field or a name that stands twice.
+	KindDuplicate
+	// KindValue is a value of the wrong type or out of its bounds.
+	KindValue
+)
+
+// Problem says what is wrong in a file, where, and what would be right.
+type Problem struct {
+	File string
+	// Line counts from 1.
+	Line int
+	// Field is a path such as "contracts[0].home"; it is empty for the whole file.
+	Field string
+	Want  string
+	Kind  Kind
+}
+
+// Error gives the file, the line, the field and what would be right.
+func (p *Problem) Error() string {
+	if p.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Want)
+	}
+	return fmt.Sprintf("%s:%d: field %q: %s", p.File, p.Line, p.Field, p.Want)
+}
+
+// Decode reads data as a T. The name is used in problems only.
+func Decode[T any](name string, data []byte) (*T, *Problem) {
+	into := new(T)
+	if problem := DecodeInto(name, data, into); problem != nil {
+		return nil, problem
+	}
+	return into, nil
+}
+
+// DecodeInto reads data into a T that holds defaults; absent fields keep them.
+// After a problem the T is unchanged.
+func DecodeInto[T any](name string, data []byte, into *T) *Problem {
+	root, problem := parse(name, data)
+	if problem != nil {
+		return problem
+	}
+	c := checker{
+		name: name,
+		data: data,
+	}
+	if problem := c.checkAs(root, into); problem != nil {
+		return problem
+	}
+	root.Standardize()
+	if err := json.Unmarshal(root.Pack(), into); err != nil {
+		return c.problem(root, "", KindValue, err.Error())
+	}
+	return nil
+}
+
+// At makes a problem of the value that a JSON pointer names.
+func At(name string, data []byte, pointer string, kind Kind, want string) *Problem {
+	return &Problem{
+		File:  name,
+		Line:  Line(data, pointer),
+		Field: Field(pointer),
+		Want:  want,
+		Kind:  kind,
+	}
+}
+
+// Line gives the line of the value that a JSON pointer names. For an absent
+// value it gives the line of the nearest parent, and 1 when data is no JSON.
+func Line(data []byte, pointer string) int {
+	root, problem := parse("", data)
+	if problem != nil {
+		return 1
+	}
+	for {
+		if v := root.Find(pointer); v != nil {
+			return lineAt(data, v.StartOffset)
+		}
+		pointer = pointer[:strings.LastIndexByte(pointer, '/')]
+	}
+}
+
+// Field gives the path form of a JSON pointer: "/contracts/0/home" becomes
+// "contracts[0].home".
+func Field(pointer string) string {
+	var b strings.Builder
+	for _, part := range strings.Split(strings.TrimPrefix(pointer, "/"), "/") {
+		switch {
+		case isIndex(part):
+			b.WriteString("[" + part + "]")
+		case b.Len() == 0:
+			b.WriteString(unescape(part))
+		default:
+			b.WriteString("." + unescape(part))
+		}
+	}
+	return b.String()
+}
+
+func isIndex(part string) bool {
+	return part != "" && strings.Trim(part, "0123456789") == ""
+}
+
+func escape(name string) string {
+	return strings.NewReplacer("~", "~0", "/", "~1").Replace(name)
+}
+
+func unescape(part string) string {
+	return strings.NewReplacer("~1", "/", "~0", "~").Replace(part)
+}
+
+// parse reads a copy of data, because Standardize writes into what was parsed.
+func parse(name string, data []byte) (*hujson.Value, *Problem) {
+	if offset, deep := tooDeep(data); deep {
+		return nil, &Problem{
+			File: name,
+			Line: lineAt(data, offset),
+			Want: fmt.Sprintf("at most %d levels of nesting", MaxDepth),
+			Kind: KindSyntax,
+		}
+	}
+	root, err := hujson.Parse(bytes.Clone(data))
+	if err != nil {
+		return nil, syntaxProblem(name, err)
+	}
+	return &root, nil
+}
+
+// syntaxProblem takes the line out of the parser's message, the only place it
+// is given in.
+func syntaxProblem(name string, err error) *Problem {
+	var line, column int
+	text := err.Error()
+	if _, scanErr := fmt.Sscanf(text, "hujson: line %d, column %d:", &line, &column); scanErr != nil {
+		line = 1
+	}
+	_, reason, found := strings.Cut(text, fmt.Sprintf("column %d: ", column))
+	if !found {
+		reason = text
+	}
+	return &Problem{
+		File: name,
+		Line: line,
+		Want: "one JSON value with comments: " + reason,
+		Kind: KindSyntax,
+	}
+}
+
+func lineAt(data []byte, offset int) int {
+	return 1 + bytes.Count(data[:min(offset, len(data))], []byte("\n"))
+}
--- a/contract/duration.go
+++ b/contract/duration.go
@@ -1,30 +1,6 @@
 package contract
 
-import (
-	"encoding/json"
-	"time"
-)
+import "github.com/fuchsianotch/fuchsianotch/common/jsonc"
 
-// Duration is a time.Duration written as a string such as "580ms" in documents.
-type Duration struct {
-	time.Duration
-}
-
-// UnmarshalJSON reads the string form. It fails on any other JSON type.
-func (d *Duration) UnmarshalJSON(data []byte) error {
-	var text string
-	if err := json.Unmarshal(data, &text); err != nil {
-		return err
-	}
-	parsed, err := time.ParseDuration(text)
-	if err != nil {
-		return err
-	}
-	d.Duration = parsed
-	return nil
-}
-
-// MarshalJSON writes the string form.
-func (d Duration) MarshalJSON() ([]byte, error) {
-	return json.Marshal(d.String())
-}
+// Duration is a duration written as a string such as "580ms" in documents.
+type Duration = jsonc.Duration
