--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,16 @@
+// Command standin runs the stand-ins that tests put in place of what surrounds
+// the gateway: the platform, model engines, plain services and callers.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("standin", "Stand-ins for the platform, endpoints and callers of fuchsianotch.")
+	platformCommand(app)
+	_, err := app.Parse(os.Args[1:])
+	app.FatalIfError(err, "")
+}
