--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+)
+
+// UnixMilli writes a deadline for a message; the zero time becomes 0.
+func UnixMilli(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// FromUnixMilli reads a deadline of a message; 0 becomes the zero time.
+func FromUnixMilli(ms int64) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(ms)
+}
+
+// CallMessage writes a call for a message.
+func CallMessage(c *call.Call) *peerpb.Call {
+	return &peerpb.Call{
+		Id:            c.ID,
+		Workspace:     c.Workspace,
+		Kind:          uint32(c.Kind),
+		Model:         c.Model,
+		Service:       c.Service,
+		Method:        c.Method,
+		Path:          c.Path,
+		Header:        headerMessage(c.Header),
+		Body:          c.Body,
+		Stream:        c.Stream,
+		Idempotent:    c.Idempotent,
+		Priority:      uint32(c.Priority),
+		Ticket:        c.Ticket,
+		FirstByUnixMs: UnixMilli(c.FirstBy),
+		WholeByUnixMs: UnixMilli(c.WholeBy),
+		PromptTokens:  uint32(c.PromptTokens),
+		MaxTokens:     uint32(c.MaxTokens),
+		PrefixHash:    c.PrefixHash,
+		Origin:        c.Origin,
+	}
+}
+
+func callFromMessage(m *peerpb.Call) *call.Call {
+	return &call.Call{
+		ID:           m.GetId(),
+		Workspace:    m.GetWorkspace(),
+		Kind:         call.Kind(m.GetKind()),
+		Model:        m.GetModel(),
+		Service:      m.GetService(),
+		Method:       m.GetMethod(),
+		Path:         m.GetPath(),
+		Header:       headerFromMessage(m.GetHeader()),
+		Body:         m.GetBody(),
+		Stream:       m.GetStream(),
+		Idempotent:   m.GetIdempotent(),
+		Priority:     min(call.Priority(m.GetPriority()), call.PriorityReport),
+		Ticket:       m.GetTicket(),
+		FirstBy:      FromUnixMilli(m.GetFirstByUnixMs()),
+		WholeBy:      FromUnixMilli(m.GetWholeByUnixMs()),
+		PromptTokens: int(m.GetPromptTokens()),
+		MaxTokens:    int(m.GetMaxTokens()),
+		PrefixHash:   m.GetPrefixHash(),
+		Forwarded:    true,
+		Origin:       m.GetOrigin(),
+	}
+}
+
+func headerMessage(h http.Header) []*peerpb.Header {
+	out := make([]*peerpb.Header, 0, len(h))
+	for name, values := range h {
+		for _, value := range values {
+			out = append(out, &peerpb.Header{
+				Name:  name,
+				Value: value,
+			})
+		}
+	}
+	return out
+}
+
+func headerFromMessage(headers []*peerpb.Header) http.Header {
+	out := make(http.Header, len(headers))
+	for _, h := range headers {
+		out.Add(h.GetName(), h.GetValue())
+	}
+	return out
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+)
+
+// Handlers are what a VM does with each request of its peers.
+type Handlers struct {
+	Heartbeat func(ctx context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error)
+	Documents func(ctx context.Context, in *peerpb.DocumentsRequest) (*peerpb.DocumentsReply, error)
+	Lease     func(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error)
+	HandOver  func(ctx context.Context, in *peerpb.HandOverRequest) (*peerpb.HandOverReply, error)
+	Events    func(ctx context.Context, in *peerpb.EventsRequest) (*peerpb.EventsReply, error)
+	// Forward runs the call and never forwards it again.
+	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
+	// Stamp and Witness keep the time line's clock on forwarded calls.
+	Stamp   func() uint64
+	Witness func(stamp uint64)
+	// CountBytes is told of bytes sent and received; nil means nobody counts.
+	CountBytes func(sent, received int)
+}
+
+// Server answers peers on one listener.
+type Server struct {
+	handlers Handlers
+	drpc     *drpcserver.Server
+}
+
+// NewServer makes a server. It fails only if the protocol cannot be registered.
+func NewServer(h Handlers) (*Server, error) {
+	s := &Server{
+		handlers: h,
+	}
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &service{handlers: h}); err != nil {
+		return nil, err
+	}
+	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+	})
+	return s, nil
+}
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	return s.drpc.Serve(ctx, &countingListener{
+		Listener: ln,
+		count:    s.handlers.CountBytes,
+	})
+}
+
+type countingListener struct {
+	net.Listener
+	count func(sent, received int)
+}
+
+// Accept accepts a connection whose bytes are counted.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countBytes(conn, l.count), nil
+}
+
+// service is the registered implementation.
+type service struct {
+	handlers Handlers
+}
+
+// Heartbeat implements peerpb.DRPCPeerServer.
+func (s *service) Heartbeat(ctx context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+	return s.handlers.Heartbeat(ctx, in)
+}
+
+// Documents implements peerpb.DRPCPeerServer.
+func (s *service) Documents(ctx context.Context, in *peerpb.DocumentsRequest) (*peerpb.DocumentsReply, error) {
+	return s.handlers.Documents(ctx, in)
+}
+
+// Lease implements peerpb.DRPCPeerServer.
+func (s *service) Lease(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+	return s.handlers.Lease(ctx, in)
+}
+
+// HandOver implements peerpb.DRPCPeerServer.
+func (s *service) HandOver(ctx context.Context, in *peerpb.HandOverRequest) (*peerpb.HandOverReply, error) {
+	return s.handlers.HandOver(ctx, in)
+}
+
+// Events implements peerpb.DRPCPeerServer.
+func (s *service) Events(ctx context.Context, in *peerpb.EventsRequest) (*peerpb.EventsReply, error) {
+	return s.handlers.Events(ctx, in)
+}
+
+// Forward implements peerpb.DRPCPeerServer.
+func (s *service) Forward(in *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
+	s.handlers.Witness(in.GetStamp())
+	c := callFromMessage(in.GetCall())
+	outcome := s.handlers.Forward(stream.Context(), in.GetFrom(), c, streamSink(stream))
+	return stream.Send(&peerpb.ForwardReply{
+		Step: &peerpb.ForwardReply_End{
+			End: endMessage(outcome, s.handlers.Stamp()),
+		},
+	})
+}
