--- /dev/null
+++ b/admission/forecast.go
@@ -0,0 +1,169 @@
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/routing"
+)
+
+const (
+	// rateHalf is the time in which a past arrival counts for half.
+	rateHalf = 5 * time.Second
+	// holdWeight is the weight of a new sample in the time a call holds its slot.
+	holdWeight = 0.05
+	// leastDrain is the part of the drain that the lowest priority counts on at least.
+	leastDrain = 0.05
+	// queuedMargin is how far a forecast must miss for a call that waits already.
+	queuedMargin = 0.7
+	// farFuture bounds an expected wait.
+	farFuture = 1000 * time.Hour
+)
+
+// noDeadline stands in for a deadline that was not given.
+var noDeadline = time.Date(9999, time.January, 1, 0, 0, 0, 0, time.UTC)
+
+// demand is the recent demand of each priority.
+type demand struct {
+	// rate is arrivals a second as of rateAt, hold the seconds a call keeps a slot.
+	rate   [call.Priorities]float64
+	rateAt [call.Priorities]time.Time
+	hold   [call.Priorities]float64
+}
+
+func (d *demand) arrived(p call.Priority, now time.Time) {
+	d.rate[p] = d.perSecond(p, now) + math.Ln2/rateHalf.Seconds()
+	d.rateAt[p] = now
+}
+
+// perSecond is the decayed arrival rate.
+func (d *demand) perSecond(p call.Priority, now time.Time) float64 {
+	if d.rate[p] == 0 {
+		return 0
+	}
+	return d.rate[p] * math.Exp2(-float64(now.Sub(d.rateAt[p]))/float64(rateHalf))
+}
+
+func (d *demand) held(p call.Priority, hold time.Duration) {
+	if d.hold[p] == 0 {
+		d.hold[p] = hold.Seconds()
+		return
+	}
+	d.hold[p] += holdWeight * (hold.Seconds() - d.hold[p])
+}
+
+// busy is how many slots calls of the priority keep busy on average.
+func (d *demand) busy(p call.Priority, now time.Time) float64 {
+	return d.perSecond(p, now) * d.hold[p]
+}
+
+// latestStart is the last moment to start for an answer on time.
+func latestStart(r Request, supply routing.Supply) time.Time {
+	prefill := supply.First + perSecond(float64(r.PromptTokens), supply.PrefillPerSecond)
+	answer := perSecond(float64(r.MaxTokens)*supply.AnswerShare, supply.TokensPerSecond)
+	latest := noDeadline
+	if !r.FirstBy.IsZero() && r.FirstBy.Add(-prefill).Before(latest) {
+		latest = r.FirstBy.Add(-prefill)
+	}
+	if !r.WholeBy.IsZero() && r.WholeBy.Add(-prefill-answer).Before(latest) {
+		latest = r.WholeBy.Add(-prefill - answer)
+	}
+	return latest
+}
+
+// allowed says whether a call of the priority may take a free slot.
+func (s *State) allowed(p call.Priority, supply routing.Supply, now time.Time) bool {
+	if p == call.PriorityUrgent {
+		return supply.Free >= 1
+	}
+	reserve := s.reserve(supply, now)
+	if p == call.PriorityChat {
+		return supply.Free >= 1+reserve
+	}
+	return supply.Free >= 1+reserve && float64(s.reports) < s.reportSlots(supply, now)
+}
+
+// reserve is the number of slots kept free for urgent calls.
+func (s *State) reserve(supply routing.Supply, now time.Time) float64 {
+	busy := s.demand.busy(call.PriorityUrgent, now)
+	return min(math.Ceil(busy), math.Floor(supply.Slots/8))
+}
+
+// reportSlots is how many slots reports of this VM may hold.
+func (s *State) reportSlots(supply routing.Supply, now time.Time) float64 {
+	usable := float64(supply.Own) + supply.Free
+	if s.policy != PolicyBackfill {
+		return max(usable*s.reportShare, 1)
+	}
+	before := 0.0
+	for q := range call.PriorityReport {
+		busy := s.demand.busy(q, now)
+		before += busy + math.Sqrt(busy)
+	}
+	return max(usable-before, 1)
+}
+
+// ahead is how many calls a new one of the priority would wait behind.
+func (s *State) ahead(p call.Priority) int {
+	n := 0
+	for q := range p + 1 {
+		n += len(s.waiting[q].entries)
+	}
+	return n
+}
+
+// forecast is the expected wait behind so many calls.
+func (s *State) forecast(ahead int, p call.Priority, supply routing.Supply, now time.Time) time.Duration {
+	drain := max(float64(supply.Own)+supply.Free, 1) / max(supply.Hold.Seconds(), 0.001)
+	rate := drain
+	if s.policy != PolicyFIFO {
+		for q := range p {
+			rate -= s.demand.perSecond(q, now)
+		}
+	}
+	rate = max(rate, leastDrain*drain)
+	return perSecond(float64(ahead+1), rate)
+}
+
+// forecastNew refuses a call that has just come and would start too late.
+func (s *State) forecastNew(id uint64, p call.Priority, supply routing.Supply, now time.Time) {
+	l := &s.waiting[p]
+	at := l.index(id)
+	if at < 0 {
+		return
+	}
+	e := l.entries[at]
+	wait := s.forecast(s.ahead(p)-len(l.entries)+at, p, supply, now)
+	if now.Add(wait).After(e.latest) {
+		l.removeAt(at)
+		s.refuse(e.id, result.DeadlineUnmeetable, s.comeBack(e, supply, now))
+	}
+}
+
+// forecastAll refuses the waiting calls that by now would start too late.
+func (s *State) forecastAll(supply routing.Supply, now time.Time) {
+	before := 0
+	for p := range s.waiting {
+		l := &s.waiting[p]
+		for at := 0; at < len(l.entries); {
+			e := l.entries[at]
+			wait := s.forecast(before+at, e.request.Priority, supply, now)
+			if !now.Add(time.Duration(queuedMargin * float64(wait))).After(latestStart(e.request, supply)) {
+				at++
+				continue
+			}
+			l.removeAt(at)
+			s.refuse(e.id, result.DeadlineUnmeetable, s.comeBack(e, supply, now))
+		}
+		before += len(l.entries)
+	}
+}
+
+func perSecond(amount, rate float64) time.Duration {
+	if rate <= 0 {
+		return farFuture
+	}
+	return time.Duration(min(amount/rate, farFuture.Seconds()) * float64(time.Second))
+}
--- /dev/null
+++ b/routing/endpoint.go
@@ -0,0 +1,186 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+const (
+	// defaultSlots stands in where neither list nor report names the slots.
+	defaultSlots = 32
+	// historyStep and historyLen bound how far back in-flight counts are known.
+	historyStep = 100 * time.Millisecond
+	historyLen  = 32
+	// reportTrust is the age at which a report counts for 1/e of what it did.
+	reportTrust = 3 * time.Second
+	// reportClockSkew is how far ahead of ours an endpoint's clock may be.
+	reportClockSkew = 500 * time.Millisecond
+	// usualWeight is the weight of a new report in the usual load of others.
+	usualWeight = 0.2
+	// biasHalf is the time in which an unconfirmed correction halves.
+	biasHalf = 5 * time.Second
+)
+
+// endpoint is what the pool knows of one endpoint.
+type endpoint struct {
+	fleet.Endpoint
+	unlisted bool
+	// place is the index in Pool.eligible, or -1.
+	place int
+
+	inFlight int
+	history  history
+	// progressAt is when a call last began at the idle endpoint or last ended.
+	progressAt time.Time
+
+	load   Load
+	loadAt time.Time
+	// ownAt are this VM's calls that the load report includes.
+	ownAt int
+	// usual is the smoothed load of other VMs.
+	usual float64
+
+	hold  average
+	speed average
+	// bias is how much later the first token comes than predicted, in seconds.
+	bias   float64
+	biasAt time.Time
+
+	failures int
+	backoff  time.Duration
+	retryAt  time.Time
+	probing  bool
+
+	counted counted
+}
+
+func newEndpoint(listed fleet.Endpoint) *endpoint {
+	return &endpoint{
+		Endpoint: listed,
+		place:    -1,
+	}
+}
+
+// leaves says whether the endpoint gets no new call.
+func (e *endpoint) leaves() bool {
+	return e.unlisted || e.State == fleet.StateLeaving || e.load.Leaving
+}
+
+// ejected says whether the endpoint is in back-off or waits for its probe.
+func (e *endpoint) ejected() bool {
+	return !e.retryAt.IsZero()
+}
+
+// slots prefers the list, which the endpoint cannot get wrong.
+func (e *endpoint) slots() float64 {
+	switch {
+	case e.Slots > 0:
+		return float64(e.Slots)
+	case e.load.Slots > 0:
+		return float64(e.load.Slots)
+	default:
+		return defaultSlots
+	}
+}
+
+// enter counts one more call in flight.
+func (e *endpoint) enter(now time.Time) {
+	e.history.record(e.inFlight, now)
+	if e.inFlight == 0 {
+		e.progressAt = now
+	}
+	e.inFlight++
+}
+
+// leave counts one call less in flight.
+func (e *endpoint) leave(now time.Time) {
+	e.history.record(e.inFlight, now)
+	e.progressAt = now
+	e.inFlight--
+}
+
+// report takes a newer load report; it returns false for an older one.
+func (e *endpoint) report(l Load, now time.Time) bool {
+	if l.At.After(now) {
+		if l.At.Sub(now) > reportClockSkew && !e.load.At.IsZero() {
+			return false
+		}
+		l.At = now
+	}
+	if !l.At.After(e.load.At) {
+		return false
+	}
+	e.load = l
+	e.loadAt = l.At
+	e.ownAt = e.history.at(l.At, e.inFlight)
+	e.usual += usualWeight * (e.seen() - e.usual)
+	return true
+}
+
+// seen is the load of other VMs at the time of the last report.
+func (e *endpoint) seen() float64 {
+	return float64(max(e.load.Running+e.load.Waiting-e.ownAt, 0))
+}
+
+// occupancy estimates the calls at the endpoint now. share is this VM's part of
+// the region's load: other VMs have sent work since the report as this one has.
+func (e *endpoint) occupancy(share float64, now time.Time) float64 {
+	own := float64(e.inFlight)
+	perOwn := 1/share - 1
+	if e.loadAt.IsZero() {
+		return own + own*perOwn
+	}
+	trust := math.Exp(-float64(now.Sub(e.loadAt)) / float64(reportTrust))
+	since := max(own-float64(e.ownAt), 0)
+	recent := e.seen() + since*perOwn
+	old := max(e.usual, own*perOwn)
+	return own + trust*recent + (1-trust)*old
+}
+
+// correction is the decayed bias in seconds.
+func (e *endpoint) correction(now time.Time) float64 {
+	if e.bias == 0 {
+		return 0
+	}
+	return e.bias * math.Exp2(-float64(now.Sub(e.biasAt))/float64(biasHalf))
+}
+
+// stall is how long, in seconds, the endpoint has ended no call although the
+// expected time for one has passed.
+func (e *endpoint) stall(expected float64, now time.Time) float64 {
+	if e.inFlight == 0 {
+		return 0
+	}
+	return max(now.Sub(e.progressAt).Seconds()-expected, 0)
+}
+
+// history remembers how many calls were in flight in the recent past.
+type history struct {
+	counts [historyLen]int32
+	// step is the number of the newest entry.
+	step int64
+}
+
+// record notes the count that held until now.
+func (h *history) record(count int, now time.Time) {
+	step := now.UnixNano() / int64(historyStep)
+	if step-h.step > historyLen {
+		h.step = step - historyLen
+	}
+	for h.step < step {
+		h.step++
+		h.counts[h.step%historyLen] = int32(count)
+	}
+}
+
+// at gives the count at a moment; current is the count now.
+func (h *history) at(moment time.Time, current int) int {
+	step := moment.UnixNano()/int64(historyStep) + 1
+	if step > h.step {
+		return current
+	}
+	step = max(step, h.step-historyLen+1)
+	return int(h.counts[step%historyLen])
+}
--- /dev/null
+++ b/routing/learnt.go
@@ -0,0 +1,201 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+const (
+	// learnWeight is the weight of a new sample in an average.
+	learnWeight = 0.1
+	// biasWeight is the weight of a new sample in an endpoint's correction.
+	biasWeight = 0.3
+	// biasMax bounds a correction, in seconds.
+	biasMax = 30.0
+	// failureBias is added to the correction on a failure, in seconds.
+	failureBias = 0.5
+	// shareWeight is the weight of a report in this VM's share of the load.
+	shareWeight = 0.05
+	// minSpeedTokens is the shortest answer that tells the speed.
+	minSpeedTokens = 8
+	// minPrefillTokens is the shortest cold prompt that tells the prefill rate.
+	minPrefillTokens = 64
+
+	defaultHold    = 1.0
+	defaultSpeed   = 50.0
+	defaultBase    = 0.02
+	defaultPrefill = 4000.0
+	defaultCached  = 0.5
+	defaultLength  = 0.5
+
+	// ejectAfter is how many failures in a row start a back-off.
+	ejectAfter  = 3
+	backoffBase = time.Second
+	backoffMax  = 30 * time.Second
+)
+
+// average is an exponentially weighted mean.
+type average struct {
+	value float64
+	known bool
+}
+
+func (a *average) add(sample, weight float64) {
+	if !a.known {
+		a.value = sample
+		a.known = true
+		return
+	}
+	a.value += weight * (sample - a.value)
+}
+
+func (a *average) or(other float64) float64 {
+	if a.known {
+		return a.value
+	}
+	return other
+}
+
+// learnt is what the pool has learnt over all its endpoints.
+type learnt struct {
+	// hold is the time a call keeps a slot, base the time to the first token with
+	// a warm prefix and no queue, both in seconds.
+	hold average
+	base average
+	// speed is in generated tokens a second for one call, prefill in prompt tokens a second.
+	speed   average
+	prefill average
+	// cached is the part of a prompt that a warm endpoint does not prefill.
+	cached average
+	// length is the part of MaxTokens that answers use.
+	length average
+	// share is this VM's part of the region's load.
+	share float64
+}
+
+func newLearnt() learnt {
+	return learnt{share: 1}
+}
+
+// learnShare takes the own part of one report's load.
+func (l *learnt) learnShare(own, all float64, vms int) {
+	if all <= 0 {
+		return
+	}
+	l.share += shareWeight * (min(own/all, 1) - l.share)
+	l.share = min(max(l.share, 1/float64(vms)), 1)
+}
+
+// learn takes the outcome of a call. Codes that tell nothing of the endpoint
+// are passed over.
+func (p *Pool) learn(e *endpoint, c Choice, o Outcome, now time.Time) {
+	switch o.Code {
+	case result.Done:
+		p.recovered(e)
+		p.answered(e, c, o, now)
+	case result.EndpointRefused, result.EndpointCut, result.EndpointTimeout,
+		result.AnswerCrossed, result.EndpointFailed:
+		p.failed(e, c, now)
+	}
+}
+
+// answered learns from a whole answer.
+func (p *Pool) answered(e *endpoint, c Choice, o Outcome, now time.Time) {
+	if o.FirstAt.IsZero() {
+		e.hold.add(now.Sub(c.At).Seconds(), learnWeight)
+		p.learnt.hold.add(now.Sub(c.At).Seconds(), learnWeight)
+		return
+	}
+	p.learnFirst(e, c, o, now)
+	p.learnService(e, c, o, now)
+}
+
+// learnFirst compares the first token's time with the prediction.
+func (p *Pool) learnFirst(e *endpoint, c Choice, o Outcome, now time.Time) {
+	first := o.FirstAt.Sub(c.At).Seconds()
+	e.correct(first-c.predicted, now)
+	if c.Affine && o.Usage.PromptTokens > 0 {
+		p.learnt.cached.add(float64(o.Usage.CachedTokens)/float64(o.Usage.PromptTokens), learnWeight)
+	}
+	if c.Wait > 0 {
+		return
+	}
+	cold := o.Usage.PromptTokens - o.Usage.CachedTokens
+	base := p.learnt.base.or(defaultBase)
+	if cold >= minPrefillTokens && first > base {
+		p.learnt.prefill.add(float64(cold)/(first-base), learnWeight)
+		return
+	}
+	p.learnt.base.add(first, learnWeight)
+}
+
+// learnService learns how long a call keeps its slot and how fast it generates.
+func (p *Pool) learnService(e *endpoint, c Choice, o Outcome, now time.Time) {
+	decode := now.Sub(o.FirstAt).Seconds()
+	waited := min(c.Wait.Seconds(), o.FirstAt.Sub(c.At).Seconds())
+	hold := decode + o.FirstAt.Sub(c.At).Seconds() - waited
+	e.hold.add(hold, learnWeight)
+	p.learnt.hold.add(hold, learnWeight)
+	if c.maxTokens > 0 && o.Usage.GeneratedTokens > 0 {
+		p.learnt.length.add(min(float64(o.Usage.GeneratedTokens)/float64(c.maxTokens), 1), learnWeight)
+	}
+	if o.Usage.GeneratedTokens < minSpeedTokens || decode <= 0 {
+		return
+	}
+	speed := float64(o.Usage.GeneratedTokens) / decode
+	e.speed.add(speed, learnWeight)
+	p.learnt.speed.add(speed, learnWeight)
+}
+
+// correct moves the endpoint's correction towards an observed error in seconds.
+func (e *endpoint) correct(late float64, now time.Time) {
+	current := e.correction(now)
+	current += biasWeight * (late - current)
+	e.bias = min(max(current, 0), biasMax)
+	e.biasAt = now
+}
+
+// failed counts a failure and starts a back-off after a few of them.
+func (p *Pool) failed(e *endpoint, c Choice, now time.Time) {
+	e.bias = min(e.correction(now)+failureBias, biasMax)
+	e.biasAt = now
+	e.failures++
+	switch {
+	case c.Probe:
+		e.eject(now, p.rand())
+	case e.failures < ejectAfter || e.place < 0:
+	case 2*(len(p.ejected)+1) > len(p.endpoints):
+		// More than half in back-off would say more of this VM than of them.
+	default:
+		p.remove(e)
+		p.ejected = append(p.ejected, e)
+		e.eject(now, p.rand())
+	}
+}
+
+// eject sets the deadline of the back-off, doubled each time, with jitter.
+func (e *endpoint) eject(now time.Time, random uint64) {
+	e.backoff = min(max(2*e.backoff, backoffBase), backoffMax)
+	jitter := time.Duration(random % uint64(e.backoff/4))
+	e.retryAt = now.Add(e.backoff + jitter)
+}
+
+// recovered makes an endpoint eligible again after a success.
+func (p *Pool) recovered(e *endpoint) {
+	e.failures = 0
+	if !e.ejected() {
+		return
+	}
+	e.retryAt = time.Time{}
+	e.backoff = 0
+	for i, other := range p.ejected {
+		if other == e {
+			p.ejected = append(p.ejected[:i], p.ejected[i+1:]...)
+			break
+		}
+	}
+	if !e.leaves() && e.place < 0 {
+		p.admit(e)
+	}
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,227 @@
+// Package routing chooses one endpoint of a model or service for each call,
+// from load reports that lag and from the calls that this VM has in flight.
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// The policies that Options names. PolicyAffinity is the default; the others
+// are baselines to compare it with.
+const (
+	PolicyAffinity      = "affinity"
+	PolicyRoundRobin    = "round_robin"
+	PolicyLeastInFlight = "least_in_flight"
+)
+
+// Options are the settings of a Pool.
+type Options struct {
+	// Policy is one of the constants; empty means PolicyAffinity.
+	Policy string
+	// Rand gives random bits; nil means the runtime's generator.
+	Rand func() uint64
+}
+
+// Load is one load report of an endpoint. It lags behind the truth.
+type Load struct {
+	// At is when the endpoint took the figures.
+	At              time.Time
+	Slots           int
+	Running         int
+	Waiting         int
+	QueuedTokens    int
+	TokensPerSecond float64
+	Leaving         bool
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	// PrefixHash identifies the prompt prefix; zero means none.
+	PrefixHash   uint64
+	PromptTokens int
+	MaxTokens    int
+	Priority     call.Priority
+	// Exclude names endpoints that were tried already; empty strings mean none.
+	Exclude [2]string
+}
+
+// Choice is one call counted in flight at one endpoint. It must be given back
+// by Done exactly once.
+type Choice struct {
+	Endpoint fleet.Endpoint
+	At       time.Time
+	// Wait is the expected time in the endpoint's queue, First the expected time
+	// from sending to the first token, and Service the expected time from the
+	// start of the prefill to the end of the answer.
+	Wait    time.Duration
+	First   time.Duration
+	Service time.Duration
+	// Affine is set when the endpoint is expected to hold the prompt's prefix.
+	Affine bool
+	// Probe is set on the single call that tests an endpoint after its back-off.
+	Probe bool
+
+	state *endpoint
+	// predicted is First in seconds without the correction by observation.
+	predicted float64
+	maxTokens int
+}
+
+// Outcome is what became of a call, as far as routing learns from it.
+type Outcome struct {
+	// Code is zero, or one that is not the endpoint's, when nothing is to be learnt.
+	Code  result.Code
+	Usage call.Usage
+	// Sent is false when nothing reached the endpoint.
+	Sent bool
+	// Canceled is set when the caller left; nothing is learnt from such a call.
+	Canceled bool
+	// FirstAt is when the first token or byte of the answer arrived, if any did.
+	FirstAt time.Time
+}
+
+// Pool holds the endpoints of one target. It is safe for concurrent use.
+type Pool struct {
+	policy string
+	rand   func() uint64
+
+	mu        sync.Mutex
+	vms       int
+	endpoints []*endpoint
+	byID      map[string]*endpoint
+	// eligible are the endpoints that may get calls; ejected are in back-off.
+	eligible []*endpoint
+	ejected  []*endpoint
+	ring     ring
+	next     int
+	learnt   learnt
+	total    total
+}
+
+// New makes an empty Pool. An unknown policy is treated as PolicyAffinity.
+func New(o Options) *Pool {
+	if o.Rand == nil {
+		o.Rand = rand.Uint64
+	}
+	return &Pool{
+		policy: o.Policy,
+		rand:   o.Rand,
+		vms:    1,
+		byID:   map[string]*endpoint{},
+		learnt: newLearnt(),
+	}
+}
+
+// SetVMs says how many VMs of the region choose among the same endpoints.
+func (p *Pool) SetVMs(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.vms = max(n, 1)
+	p.learnt.share = 1 / float64(p.vms)
+}
+
+// SetEndpoints replaces the list. Endpoints that are no longer listed or are
+// leaving get no new call from now on; calls in flight there stay counted.
+func (p *Pool) SetEndpoints(list []fleet.Endpoint, now time.Time) {
+	r := newRing(list)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	byID := make(map[string]*endpoint, len(list))
+	endpoints := make([]*endpoint, 0, len(list))
+	for _, listed := range list {
+		e, ok := p.byID[listed.ID]
+		if !ok || e.Addr != listed.Addr {
+			e = newEndpoint(listed)
+		}
+		e.Endpoint = listed
+		byID[listed.ID] = e
+		endpoints = append(endpoints, e)
+	}
+	for _, old := range p.endpoints {
+		if byID[old.ID] != old {
+			old.unlisted = true
+		}
+	}
+	p.byID = byID
+	p.endpoints = endpoints
+	p.ring = r
+	p.ring.bind(endpoints)
+	p.rebuild(now)
+}
+
+// rebuild sorts all endpoints into eligible and ejected and sums them up.
+func (p *Pool) rebuild(now time.Time) {
+	p.eligible = make([]*endpoint, 0, len(p.endpoints))
+	p.ejected = make([]*endpoint, 0, len(p.endpoints))
+	p.total = total{}
+	for _, e := range p.endpoints {
+		e.counted = counted{}
+		e.place = -1
+		switch {
+		case e.leaves():
+		case e.ejected():
+			p.ejected = append(p.ejected, e)
+		default:
+			p.admit(e)
+		}
+		p.refresh(e, now)
+	}
+}
+
+// Report takes a load report of one endpoint. A report that is not newer than
+// the last one is ignored.
+func (p *Pool) Report(id string, l Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e, ok := p.byID[id]
+	if !ok || !e.report(l, now) {
+		return
+	}
+	p.learnt.learnShare(float64(e.ownAt), float64(l.Running+l.Waiting), p.vms)
+	switch {
+	case e.leaves() && e.place >= 0:
+		p.remove(e)
+	case !e.leaves() && !e.ejected() && e.place < 0:
+		p.admit(e)
+	}
+	p.refresh(e, now)
+}
+
+// Done gives a choice back with its outcome, from which the pool learns.
+func (p *Pool) Done(c Choice, o Outcome, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := c.state
+	if e == nil {
+		return
+	}
+	e.leave(now)
+	if c.Probe {
+		e.probing = false
+	}
+	if !o.Canceled {
+		p.learn(e, c, o, now)
+	}
+	p.refresh(e, now)
+}
+
+// admit makes an endpoint eligible.
+func (p *Pool) admit(e *endpoint) {
+	e.place = len(p.eligible)
+	p.eligible = append(p.eligible, e)
+}
+
+// remove takes an endpoint out of the eligible ones.
+func (p *Pool) remove(e *endpoint) {
+	last := p.eligible[len(p.eligible)-1]
+	p.eligible[e.place] = last
+	last.place = e.place
+	p.eligible = p.eligible[:len(p.eligible)-1]
+	e.place = -1
+}
