Judge documents and settings by one strict validator each

Every VM must reach the same verdict on a document, so contract.Parse depends on the key and the bytes alone, and a refusal names line, field and what would be right. The checks that settings and documents share stand once, in jsonc.Verifier. Format is looked at before unknown fields, so that a later build's document is refused for its format (4003) and not for what is new in it. Nulls are refused and lists without a default must be written, so that an accepted document written anew has the same content; a fuzz target holds that. Routes and seeds of peers are checked as well. The examples of two deployments are parsed by the tests.

--- a/common/jsonc/check.go
+++ b/common/jsonc/check.go
@@ -23,7 +23,7 @@
 
 func (c *checker) check(v *hujson.Value, t reflect.Type, pointer string) *Problem {
 	if v.Value.Kind() == 'n' {
-		return c.problem(v, pointer, KindValue, "a value in place of null; leave the field out instead")
+		return c.problem(v, pointer, KindValue, "a value in place of null")
 	}
 	if reflect.PointerTo(t).Implements(reflect.TypeFor[json.Unmarshaler]()) {
 		return c.checkLeaf(v, t, pointer)
--- a/common/jsonc/jsonc.go
+++ b/common/jsonc/jsonc.go
@@ -174,3 +174,19 @@
 func lineAt(data []byte, offset int) int {
 	return 1 + bytes.Count(data[:min(offset, len(data))], []byte("\n"))
 }
+
+// Peek reads the one value that a JSON pointer names, without a look at the
+// rest. It fails when data is no JSON or the value is absent or no T.
+func Peek[T any](data []byte, pointer string) (value T, ok bool) {
+	root, problem := parse("", data)
+	if problem != nil {
+		return value, false
+	}
+	v := root.Find(pointer)
+	if v == nil {
+		return value, false
+	}
+	v.Standardize()
+	err := json.Unmarshal(v.Pack(), &value)
+	return value, err == nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -30,7 +30,12 @@
 	// PlatformURL is the base URL of the platform's configuration service.
 	PlatformURL string `json:"platform_url"`
 	// PeerKey is a secret that all VMs share; when set, a peer without it is refused.
-	PeerKey string `json:"peer_key"`
+	PeerKey string `json:"peer_key,omitempty"`
+	// PeerRoutes reach VMs under other addresses than the listed ones.
+	PeerRoutes []PeerRoute `json:"peer_routes,omitempty"`
+	// Seeds are "ip:port" of peer fronts to take documents from while the
+	// platform is down and no list is known; may be empty.
+	Seeds []string `json:"seeds,omitempty"`
 	// LogFormat is "text" or "json"; LogLevel is "debug", "info", "warn" or "error".
 	LogFormat string `json:"log_format"`
 	LogLevel  string `json:"log_level"`
@@ -57,6 +62,13 @@
 	EndpointReportEvery jsonc.Duration `json:"endpoint_report_every"`
 }
 
+// PeerRoute is the way to one VM whose listed peer address cannot be reached from here.
+type PeerRoute struct {
+	VM string `json:"vm"`
+	// Addr is "ip:port".
+	Addr string `json:"addr"`
+}
+
 // Limits bound what one caller connection may cost this process.
 type Limits struct {
 	MaxBodyBytes             int `json:"max_body_bytes"`
@@ -174,13 +186,15 @@
 	if problem := jsonc.DecodeInto(name, data, &s); problem != nil {
 		return nil, refuse(problem)
 	}
-	c := check{
-		name: name,
-		data: data,
+	v := verifier{
+		Verifier: jsonc.Verifier{
+			File: name,
+			Data: data,
+		},
 	}
-	c.settings(&s)
-	if c.first != nil {
-		return nil, refuse(c.first)
+	v.settings(&s)
+	if problem := v.Problem(); problem != nil {
+		return nil, refuse(problem)
 	}
 	return &s, nil
 }
