Add the caller stand-in

Load and process tests need a caller that follows the gateway's answers: it remembers entries until good_until, uses the VMs that a refusal names, comes back when told, and repeats an unknown outcome only with its ticket or for a safe method.

A stream is whole only with [DONE] and its blank line; the test cuts a stream after each byte.

--- /dev/null
+++ b/standin/caller/stream_test.go
@@ -0,0 +1,63 @@
+package caller
+
+import (
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+type streamCase struct {
+	Name  string      `json:"name"`
+	Body  string      `json:"body"`
+	Text  string      `json:"text"`
+	Usage call.Usage  `json:"usage"`
+	Whole bool        `json:"whole"`
+	Code  result.Code `json:"code"`
+	Error string      `json:"error"`
+}
+
+func TestStream(t *testing.T) {
+	for _, c := range readTable[streamCase](t, "testdata/stream.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			s := &stream{}
+			err := s.read(strings.NewReader(c.Body))
+			if c.Error == "" {
+				assert.NilError(t, err)
+			} else {
+				assert.ErrorContains(t, err, c.Error)
+			}
+			assert.Equal(t, s.text.String(), c.Text)
+			assert.Equal(t, s.usage, c.Usage)
+			assert.Equal(t, s.whole, c.Whole)
+			if c.Code != 0 {
+				assert.Equal(t, s.failure.Code, c.Code)
+			}
+		})
+	}
+}
+
+// TestTruncatedStream cuts a whole stream after each of its bytes: it never
+// counts as whole.
+func TestTruncatedStream(t *testing.T) {
+	whole := readTable[streamCase](t, "testdata/stream.json")[0].Body
+	for length := range len(whole) {
+		s := &stream{}
+		err := s.read(strings.NewReader(whole[:length]))
+		assert.ErrorIs(t, err, errCut, "after %d of %d bytes", length, len(whole))
+	}
+}
+
+func readTable[T any](t *testing.T, path string) []T {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	var table []T
+	assert.NilError(t, json.Unmarshal(data, &table))
+	return table
+}
--- /dev/null
+++ b/standin/command_call.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/fuchsianotch/fuchsianotch/standin/caller"
+)
+
+// callFlags are the flags of "standin call".
+type callFlags struct {
+	vms            []string
+	key            string
+	model          string
+	system         string
+	message        string
+	maxTokens      int
+	stream         bool
+	service        string
+	method         string
+	path           string
+	body           string
+	ticket         string
+	withTicket     bool
+	idempotencyKey string
+	priority       string
+	within         time.Duration
+	maxTries       int
+}
+
+// callCommand adds "standin call", which sends one call and prints its result
+// as JSON. Any result is a success of the command; its class tells the rest.
+func callCommand(app *kingpin.Application) {
+	f := &callFlags{}
+	command := app.Command("call", "Send one chat completion, or with --service one service call.")
+	command.Flag("vm", "Address of a VM to ask for entries; repeatable.").Required().StringsVar(&f.vms)
+	command.Flag("key", "The workspace's key.").Required().StringVar(&f.key)
+	command.Flag("model", "Model to ask.").StringVar(&f.model)
+	command.Flag("system", "System message, the shared prefix of prompts.").StringVar(&f.system)
+	command.Flag("message", "User message.").StringVar(&f.message)
+	command.Flag("max-tokens", "Bound of generated tokens; 0 leaves it to the model.").IntVar(&f.maxTokens)
+	command.Flag("stream", "Ask for a streamed answer.").BoolVar(&f.stream)
+	command.Flag("service", "Plain service to call.").StringVar(&f.service)
+	command.Flag("method", "Method of a service call.").Default("GET").StringVar(&f.method)
+	command.Flag("path", "Path of a service call, with its query.").Default("/").StringVar(&f.path)
+	command.Flag("body", "Body of a service call.").StringVar(&f.body)
+	command.Flag("ticket", "Ticket to send a service call with.").StringVar(&f.ticket)
+	command.Flag("with-ticket", "Get a ticket before a service call.").BoolVar(&f.withTicket)
+	command.Flag("idempotency-key", "Idempotency-Key of a service call.").StringVar(&f.idempotencyKey)
+	command.Flag("priority", "urgent, chat or report.").EnumVar(&f.priority, "", "urgent", "chat", "report")
+	command.Flag("within", "Time until the deadline; 0 leaves it to the contract.").DurationVar(&f.within)
+	command.Flag("max-tries", "Bound of tries; 0 is the default bound.").IntVar(&f.maxTries)
+	command.Action(func(*kingpin.ParseContext) error {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetEscapeHTML(false)
+		return encoder.Encode(f.send(context.Background()))
+	})
+}
+
+func (f *callFlags) send(ctx context.Context) caller.Result {
+	c := caller.New(caller.Options{
+		VMs:      f.vms,
+		Key:      f.key,
+		MaxTries: f.maxTries,
+	})
+	terms := caller.Terms{
+		Priority: f.priority,
+	}
+	if f.within > 0 {
+		terms.Deadline = time.Now().Add(f.within)
+	}
+	if f.service == "" {
+		return c.Chat(ctx, caller.Chat{
+			Model:     f.model,
+			System:    f.system,
+			Message:   f.message,
+			MaxTokens: f.maxTokens,
+			Stream:    f.stream,
+			Terms:     terms,
+		})
+	}
+	return c.Service(ctx, caller.Service{
+		Service:        f.service,
+		Method:         f.method,
+		Path:           f.path,
+		Body:           []byte(f.body),
+		Ticket:         f.ticket,
+		WithTicket:     f.withTicket,
+		IdempotencyKey: f.idempotencyKey,
+		Terms:          terms,
+	})
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -11,6 +11,7 @@
 func main() {
 	app := kingpin.New("standin", "Stand-ins for the platform, endpoints and callers of fuchsianotch.")
 	platformCommand(app)
+	callCommand(app)
 	_, err := app.Parse(os.Args[1:])
 	app.FatalIfError(err, "")
 }
