--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,242 @@
+// Package metrics counts what one VM does, for the operators' monitoring. No
+// label holds a workspace, a request or anything of a payload; label values come
+// from fixed sets and the platform's regions, so the number of series is bounded.
+package metrics
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+const namespace = "fuchsianotch"
+
+// Direction is the way that control bytes go, as seen from this VM.
+type Direction string
+
+// The directions.
+const (
+	DirectionIn  Direction = "in"
+	DirectionOut Direction = "out"
+)
+
+// Message is a kind of control message between VMs.
+type Message string
+
+// The control messages.
+const (
+	MessageHeartbeat Message = "heartbeat"
+	MessageDocuments Message = "documents"
+	MessageLease     Message = "lease"
+	MessageHandOver  Message = "hand_over"
+	MessageEvents    Message = "events"
+)
+
+// readOK is the outcome of a platform read without an error.
+const readOK = "ok"
+
+// firstTokenBuckets reach from a warm short prompt to a queue of reports, in
+// seconds; answerBuckets from a plain service to a long report.
+var (
+	firstTokenBuckets = prometheus.ExponentialBuckets(0.005, 2, 14)
+	answerBuckets     = prometheus.ExponentialBuckets(0.005, 2, 18)
+)
+
+// Metrics are the counters of one VM in their own registry. Its methods may be
+// called from any goroutine.
+type Metrics struct {
+	registry *prometheus.Registry
+
+	calls      *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	answer     *prometheus.HistogramVec
+	tokens     *prometheus.CounterVec
+	spend      prometheus.Counter
+	sentAway   *prometheus.CounterVec
+	forwards   *prometheus.CounterVec
+	retries    prometheus.Counter
+
+	refused   prometheus.Gauge
+	revision  prometheus.Gauge
+	reachable prometheus.Gauge
+	queue     prometheus.Gauge
+	inFlight  prometheus.Gauge
+
+	controlBytes    *prometheus.CounterVec
+	controlMessages *prometheus.CounterVec
+	platformReads   *prometheus.CounterVec
+}
+
+// New makes metrics that start at zero, with those of the Go runtime and the process.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+
+		calls:      counters("calls_total", "Calls answered to callers.", "code", "class", "kind", "priority"),
+		firstToken: histograms("first_token_seconds", "Time from a call's arrival to its first token.", firstTokenBuckets),
+		answer:     histograms("answer_seconds", "Time from a call's arrival to the end of its whole answer.", answerBuckets),
+		tokens:     counters("tokens_total", "Tokens used by answers.", "kind"),
+		spend:      counter("spend_millionths_total", "Spend settled, in millionths of the currency."),
+		sentAway:   counters("sent_away_total", "Calls sent to another region.", "to"),
+		forwards:   counters("forwards_total", "Calls forwarded to another VM.", "outcome"),
+		retries:    counter("retries_total", "Attempts after the first of a call."),
+
+		refused:   gauge("refused_documents", "Documents refused whose key has no accepted higher revision."),
+		revision:  gauge("documents_revision", "Highest revision of a document seen."),
+		reachable: gauge("vms_reachable", "VMs of the own region that are reached, with this one."),
+		queue:     gauge("queue_length", "Calls that wait for an endpoint."),
+		inFlight:  gauge("in_flight", "Calls being served."),
+
+		controlBytes:    counters("control_bytes_total", "Bytes of control messages between VMs.", "direction"),
+		controlMessages: counters("control_messages_total", "Control messages sent to other VMs.", "kind"),
+		platformReads:   counters("platform_reads_total", "Reads at the platform.", "outcome"),
+	}
+	m.registry.MustRegister(
+		m.calls, m.firstToken, m.answer, m.tokens, m.spend, m.sentAway, m.forwards, m.retries,
+		m.refused, m.revision, m.reachable, m.queue, m.inFlight,
+		m.controlBytes, m.controlMessages, m.platformReads,
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+// Handler serves the metrics in the format that the scraper asks for.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{
+		Registry: m.registry,
+	})
+}
+
+// CallEnded counts one answer to a caller with its times and tokens.
+func (m *Metrics) CallEnded(c *call.Call, o call.Outcome, arrivedAt, now time.Time) {
+	priority := c.Priority.String()
+	m.calls.WithLabelValues(strconv.Itoa(int(o.Code)), string(o.Code.Class()), kindName(c.Kind), priority).Inc()
+	if !o.FirstAt.IsZero() {
+		m.firstToken.WithLabelValues(priority).Observe(o.FirstAt.Sub(arrivedAt).Seconds())
+	}
+	if o.Code.Class() == result.ClassDone {
+		m.answer.WithLabelValues(priority).Observe(now.Sub(arrivedAt).Seconds())
+	}
+	m.used(o.Usage)
+}
+
+// used counts tokens. Cached ones are prompt tokens too.
+func (m *Metrics) used(u call.Usage) {
+	m.tokens.WithLabelValues("prompt").Add(float64(u.PromptTokens))
+	m.tokens.WithLabelValues("cached").Add(float64(u.CachedTokens))
+	m.tokens.WithLabelValues("generated").Add(float64(u.GeneratedTokens))
+}
+
+// Spent counts settled spend in millionths of the currency.
+func (m *Metrics) Spent(millionths float64) {
+	m.spend.Add(millionths)
+}
+
+// SentAway counts a call sent to another region.
+func (m *Metrics) SentAway(region string) {
+	m.sentAway.WithLabelValues(region).Inc()
+}
+
+// Forwarded counts a call forwarded to another VM, by the class of its outcome.
+func (m *Metrics) Forwarded(outcome result.Class) {
+	m.forwards.WithLabelValues(string(outcome)).Inc()
+}
+
+// Retried counts an attempt after the first of a call.
+func (m *Metrics) Retried() {
+	m.retries.Inc()
+}
+
+// SetDocuments sets the number of refused documents and the highest revision seen.
+func (m *Metrics) SetDocuments(refused int, revision uint64) {
+	m.refused.Set(float64(refused))
+	m.revision.Set(float64(revision))
+}
+
+// SetReachable sets the number of VMs of the own region that are reached.
+func (m *Metrics) SetReachable(vms int) {
+	m.reachable.Set(float64(vms))
+}
+
+// SetQueue sets the number of calls that wait for an endpoint.
+func (m *Metrics) SetQueue(calls int) {
+	m.queue.Set(float64(calls))
+}
+
+// AddInFlight changes the number of calls being served, by 1 or -1.
+func (m *Metrics) AddInFlight(calls int) {
+	m.inFlight.Add(float64(calls))
+}
+
+// Control counts bytes of control messages.
+func (m *Metrics) Control(d Direction, bytes int) {
+	m.controlBytes.WithLabelValues(string(d)).Add(float64(bytes))
+}
+
+// ControlMessage counts a control message sent to another VM.
+func (m *Metrics) ControlMessage(kind Message) {
+	m.controlMessages.WithLabelValues(string(kind)).Inc()
+}
+
+// PlatformRead counts a read at the platform by its error, which may be nil.
+func (m *Metrics) PlatformRead(err error) {
+	outcome := readOK
+	if err != nil {
+		outcome = string(platform.KindOutage)
+	}
+	var failed *platform.Error
+	if errors.As(err, &failed) {
+		outcome = string(failed.Kind)
+	}
+	m.platformReads.WithLabelValues(outcome).Inc()
+}
+
+func kindName(k call.Kind) string {
+	if k == call.KindService {
+		return "service"
+	}
+	return "chat"
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	})
+}
+
+func counters(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}, labels)
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	})
+}
+
+func histograms(name, help string, buckets []float64) *prometheus.HistogramVec {
+	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+		Buckets:   buckets,
+	}, []string{"priority"})
+}
--- /dev/null
+++ b/metrics/metrics_test.go
@@ -0,0 +1,131 @@
+package metrics
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+const secret = "tee-time-club"
+
+// used gives metrics with every method called.
+func used() *Metrics {
+	m := New()
+	start := time.Now()
+	m.CallEnded(&call.Call{
+		ID:        secret,
+		Workspace: secret,
+		Kind:      call.KindService,
+		Service:   secret,
+		Path:      secret,
+		Body:      []byte(secret),
+	}, call.Outcome{
+		Code:     result.Done,
+		FirstAt:  start.Add(time.Second),
+		Endpoint: secret,
+		Usage: call.Usage{
+			PromptTokens:    5,
+			CachedTokens:    3,
+			GeneratedTokens: 2,
+		},
+	}, start, start.Add(2*time.Second))
+	m.Spent(40)
+	m.SentAway("b")
+	m.Forwarded(result.ClassUnknown)
+	m.Retried()
+	m.SetDocuments(1, 9)
+	m.SetReachable(4)
+	m.SetQueue(3)
+	m.AddInFlight(2)
+	m.AddInFlight(-1)
+	m.Control(DirectionOut, 100)
+	m.ControlMessage(MessageHeartbeat)
+	m.PlatformRead(nil)
+	m.PlatformRead(errors.New("lost"))
+	m.PlatformRead(fmt.Errorf("watch: %w", &platform.Error{
+		Kind:  platform.KindStale,
+		Cause: errors.New("stale"),
+	}))
+	return m
+}
+
+// series gives each series of the system's own with its value or count.
+func series(t *testing.T, m *Metrics) map[string]float64 {
+	families, err := m.registry.Gather()
+	assert.NilError(t, err)
+	out := make(map[string]float64)
+	for _, f := range families {
+		if !strings.HasPrefix(f.GetName(), namespace) {
+			continue
+		}
+		for _, v := range f.GetMetric() {
+			var labels []string
+			for _, l := range v.GetLabel() {
+				labels = append(labels, l.GetValue())
+			}
+			value := v.GetCounter().GetValue() + v.GetGauge().GetValue() + v.GetHistogram().GetSampleSum()
+			out[f.GetName()+" "+strings.Join(labels, " ")] = value
+		}
+	}
+	return out
+}
+
+func TestSeries(t *testing.T) {
+	assert.DeepEqual(t, series(t, used()), map[string]float64{
+		"fuchsianotch_calls_total done 1000 service urgent": 1,
+		"fuchsianotch_first_token_seconds urgent":           1,
+		"fuchsianotch_answer_seconds urgent":                2,
+		"fuchsianotch_tokens_total prompt":                  5,
+		"fuchsianotch_tokens_total cached":                  3,
+		"fuchsianotch_tokens_total generated":               2,
+		"fuchsianotch_spend_millionths_total ":              40,
+		"fuchsianotch_sent_away_total b":                    1,
+		"fuchsianotch_forwards_total unknown":               1,
+		"fuchsianotch_retries_total ":                       1,
+		"fuchsianotch_refused_documents ":                   1,
+		"fuchsianotch_documents_revision ":                  9,
+		"fuchsianotch_vms_reachable ":                       4,
+		"fuchsianotch_queue_length ":                        3,
+		"fuchsianotch_in_flight ":                           1,
+		"fuchsianotch_control_bytes_total out":              100,
+		"fuchsianotch_control_messages_total heartbeat":     1,
+		"fuchsianotch_platform_reads_total ok":              1,
+		"fuchsianotch_platform_reads_total outage":          1,
+		"fuchsianotch_platform_reads_total stale":           1,
+	})
+}
+
+// TestNothingOfACall proves that no series shows the workspace, the request, the
+// target's path or the payload.
+func TestNothingOfACall(t *testing.T) {
+	for name := range series(t, used()) {
+		assert.Assert(t, !strings.Contains(name, secret), name)
+	}
+}
+
+// TestDocs compares the metrics with their page, both ways.
+func TestDocs(t *testing.T) {
+	page, err := os.ReadFile("../docs/metrics.md")
+	assert.NilError(t, err)
+	documented := regexp.MustCompile(`fuchsianotch_[a-z_]+`).FindAllString(string(page), -1)
+	var names []string
+	for name := range series(t, used()) {
+		names = append(names, strings.Fields(name)[0])
+	}
+	for _, list := range []*[]string{&documented, &names} {
+		slices.Sort(*list)
+		*list = slices.Compact(*list)
+	}
+	assert.DeepEqual(t, documented, names)
+}
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -16,6 +16,11 @@
 
 const logicalBits = 16
 
+// maxSkew is how far ahead of the own clock a witnessed stamp may be. A stamp
+// beyond it comes from a broken clock, which must not spread to all VMs; the
+// order with that VM is lost, the order among the others is kept.
+const maxSkew = time.Hour
+
 // Time gives the physical part of the stamp.
 func (s Stamp) Time() time.Time {
 	return time.UnixMilli(int64(s >> logicalBits))
@@ -39,7 +44,7 @@
 // Options set up a Ring.
 type Options struct {
 	VM string
-	// Capacity is the number of events kept; the oldest are dropped.
+	// Capacity is the number of events kept, at least one; the oldest are dropped.
 	Capacity int
 	Now      func() time.Time
 }
@@ -61,7 +66,7 @@
 	return &Ring{
 		vm:     o.VM,
 		now:    o.Now,
-		events: make([]Event, o.Capacity),
+		events: make([]Event, max(o.Capacity, 1)),
 	}
 }
 
@@ -86,19 +91,27 @@
 	return r.tick()
 }
 
-// Witness moves the clock past a stamp that came with a message.
+// Witness moves the clock past a stamp that came with a message, unless the
+// stamp is more than maxSkew ahead.
 func (r *Ring) Witness(s Stamp) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if s > stampAt(r.now().Add(maxSkew)) {
+		return
+	}
 	r.last = max(r.last, s)
 }
 
 func (r *Ring) tick() Stamp {
-	wall := Stamp(r.now().UnixMilli()) << logicalBits
-	r.last = max(r.last+1, wall)
+	r.last = max(r.last+1, stampAt(r.now()))
 	return r.last
 }
 
+// stampAt gives the first stamp of a millisecond.
+func stampAt(t time.Time) Stamp {
+	return Stamp(t.UnixMilli()) << logicalBits
+}
+
 // Query selects events; empty fields select all.
 type Query struct {
 	Request   string
