Join the parts into a node: control goroutine, fronts, serving pipeline, graceful stop

Cause: the decision packages had nothing that carried a call through them. A refusal by an endpoint that certainly ran nothing frees a ticket; anything else is recorded.

--- /dev/null
+++ b/caller/auth.go
@@ -0,0 +1,96 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/contract"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+const bearerPrefix = "Bearer "
+
+// request is one HTTP request of an authenticated caller.
+type request struct {
+	id       string
+	contract *contract.Contract
+	// bodyRead is set once nothing of the body is left on the connection.
+	bodyRead bool
+	w        http.ResponseWriter
+	r        *http.Request
+}
+
+// authenticated runs a handler for callers whose key is in their contract.
+func (s *Server) authenticated(handle func(*request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		q := &request{
+			id: s.options.NewID(),
+			w:  w,
+			r:  r,
+		}
+		s.setIdentity(q)
+		found, refusal := s.authenticate(r)
+		if refusal != nil {
+			s.refuse(q, refusal)
+			return
+		}
+		q.contract = found
+		handle(q)
+	}
+}
+
+func (s *Server) authenticate(r *http.Request) (*contract.Contract, *result.Refusal) {
+	snapshot := s.options.Snapshot()
+	if !snapshot.Ready() {
+		return nil, result.Refuse(result.NotReady, "VM %s has no configuration yet", s.options.VM)
+	}
+	unauthenticated := result.Refuse(result.Unauthenticated, "the key is missing, unknown or ended; expected Authorization: Bearer <workspace>.<secret>")
+	text, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	if !ok {
+		return nil, unauthenticated
+	}
+	workspace, secret, ok := strings.Cut(text, ".")
+	if !ok {
+		return nil, unauthenticated
+	}
+	found, ok := snapshot.Contract(workspace)
+	if !ok || !admits(found, secret, s.options.Now()) {
+		return nil, unauthenticated
+	}
+	return found, nil
+}
+
+// admits compares against every key in constant time.
+func admits(c *contract.Contract, secret string, now time.Time) bool {
+	sum := sha256.Sum256([]byte(secret))
+	digest := []byte(hex.EncodeToString(sum[:]))
+	admitted := false
+	for _, key := range c.Keys {
+		same := subtle.ConstantTimeCompare(digest, []byte(key.SHA256)) == 1
+		current := key.NotAfter.IsZero() || now.Before(key.NotAfter)
+		admitted = admitted || (same && current)
+	}
+	return admitted
+}
+
+func (s *Server) unknownRoute(w http.ResponseWriter, r *http.Request) {
+	q := &request{
+		id: s.options.NewID(),
+		w:  w,
+		r:  r,
+	}
+	s.setIdentity(q)
+	if isKnownPath(r.URL.Path) {
+		s.refuse(q, result.Refuse(result.MethodNotAllowed, "path %s does not take method %s", r.URL.Path, r.Method))
+		return
+	}
+	s.refuse(q, result.Refuse(result.UnknownRoute, "no such path"))
+}
+
+func isKnownPath(path string) bool {
+	return path == PathChat || path == PathEntries || path == PathTickets
+}
--- /dev/null
+++ b/gateway/main.go
@@ -0,0 +1,80 @@
+// Command gateway is the process that runs on every entry VM.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/fuchsianotch/fuchsianotch/node"
+	"github.com/fuchsianotch/fuchsianotch/settings"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	logFormJSON = "json"
+)
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+func run(args []string, stdout, stderr io.Writer) int {
+	app := kingpin.New("gateway", "The fuchsianotch gateway of one VM.")
+	app.HelpFlag.Short('h')
+	serve := app.Command("serve", "Serve callers, peers and operators until SIGTERM, then stop gracefully.")
+	file := serve.Flag("settings", "Settings file, JSON with comments.").Required().String()
+	check := serve.Flag("check", "Check the settings and exit.").Bool()
+	app.Terminate(nil)
+	if _, err := app.Parse(args); err != nil {
+		fmt.Fprintf(stderr, "gateway: %v; see gateway --help\n", err)
+		return exitUsage
+	}
+	loaded, refusal := settings.Load(*file)
+	if refusal != nil {
+		fmt.Fprintf(stderr, "gateway: %v\n", refusal)
+		return exitUsage
+	}
+	if *check {
+		fmt.Fprintf(stdout, "%s: ok\n", *file)
+		return exitOK
+	}
+	return serveUntilStopped(loaded, stderr)
+}
+
+func serveUntilStopped(s *settings.Settings, stderr io.Writer) int {
+	logger := newLogger(s, stderr)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	n := node.New(node.Options{
+		Settings: s,
+		Logger:   logger,
+	})
+	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		logger.Error("failed", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
+func newLogger(s *settings.Settings, to io.Writer) *slog.Logger {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(s.LogLevel))
+	options := &slog.HandlerOptions{
+		Level: level,
+	}
+	if s.LogFormat == logFormJSON {
+		return slog.New(slog.NewJSONHandler(to, options))
+	}
+	return slog.New(slog.NewTextHandler(to, options))
+}
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,260 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/configuration"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/membership"
+	"github.com/fuchsianotch/fuchsianotch/timeline"
+)
+
+// inboxLength is how many messages may wait for the control goroutine.
+const inboxLength = 256
+
+// message is one event for the control goroutine.
+type message interface {
+	apply(c *control, now time.Time)
+}
+
+// published is what traffic reads. It never changes.
+type published struct {
+	snapshot *configuration.Snapshot
+	view     *membership.View
+	// next is closed when a newer one is published.
+	next chan struct{}
+}
+
+// control owns all control state. Only its goroutine touches members and store.
+type control struct {
+	node      *Node
+	inbox     chan message
+	members   *membership.State
+	store     *configuration.Store
+	relay     *configuration.Relay
+	published atomic.Pointer[published]
+}
+
+func newControl(n *Node) *control {
+	c := &control{
+		node:  n,
+		inbox: make(chan message, inboxLength),
+		members: membership.New(membership.Options{
+			Self:           n.self(),
+			Incarnation:    n.incarnation,
+			HeartbeatEvery: n.heartbeatEvery,
+			LeaseTerm:      n.leaseTerm,
+		}),
+		store: configuration.New(configuration.Options{
+			Now: n.now,
+		}),
+	}
+	now := n.now()
+	c.members.SetReady(false, now)
+	c.publish(now)
+	return c
+}
+
+// heartbeatEvery and leaseTerm are the settings' for a small fleet, and grow
+// with the region as the defaults do.
+func (n *Node) heartbeatEvery(vms int) time.Duration {
+	return max(n.settings.HeartbeatEvery.Duration, membership.DefaultHeartbeatEvery(vms))
+}
+
+func (n *Node) leaseTerm(vms int) time.Duration {
+	return max(n.settings.LeaseTerm.Duration, membership.DefaultLeaseTerm(n.heartbeatEvery(vms)))
+}
+
+// send passes a message to the control goroutine; it is lost when ctx ends first.
+func (c *control) send(ctx context.Context, m message) bool {
+	select {
+	case c.inbox <- m:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask passes a question and waits for its answer.
+func ask[T any](ctx context.Context, c *control, question func(reply chan<- T) message) (T, error) {
+	var zero T
+	reply := make(chan T, 1)
+	if !c.send(ctx, question(reply)) {
+		return zero, ctx.Err()
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+// run takes messages and sends heartbeats when they are due.
+func (c *control) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-c.inbox:
+			m.apply(c, c.node.now())
+		case <-timer.C:
+		}
+		now := c.node.now()
+		c.heartbeats(ctx, now)
+		c.publish(now)
+		timer.Reset(max(c.members.Next(now).Sub(now), time.Millisecond))
+	}
+}
+
+func (c *control) heartbeats(ctx context.Context, now time.Time) {
+	due := c.members.Due(now)
+	if len(due) == 0 {
+		return
+	}
+	beat := c.beat(now)
+	for _, vm := range due {
+		go c.node.heartbeat(ctx, vm, beat)
+	}
+}
+
+// beat is what this VM says about itself now.
+func (c *control) beat(now time.Time) membership.Beat {
+	n := c.node
+	digest := c.store.Digest()
+	b := c.members.Beat(now)
+	b.Stamp = uint64(n.ring.Stamp())
+	b.DocumentsRevision = digest.Revision
+	b.DocumentsHash = digest.Hash
+	b.Load = n.serving.InFlight()
+	b.Surplus = n.pools.surplus(now)
+	for _, a := range n.desk.Adopted(now) {
+		b.Adopted = append(b.Adopted, membership.Adoption{
+			VM:          a.Of.VM,
+			Incarnation: a.Of.Incarnation,
+			Until:       a.Until,
+		})
+	}
+	return b
+}
+
+// publish makes the state visible to traffic, if it changed.
+func (c *control) publish(now time.Time) {
+	before := c.published.Load()
+	after := &published{
+		snapshot: c.store.Snapshot(),
+		view:     c.members.View(now),
+		next:     make(chan struct{}),
+	}
+	if before != nil && before.snapshot == after.snapshot && before.view == after.view {
+		return
+	}
+	c.published.Store(after)
+	if before == nil {
+		return
+	}
+	c.reportChanges(before.view, after.view)
+	close(before.next)
+}
+
+// reportChanges records VMs that were lost or have returned.
+func (c *control) reportChanges(before, after *membership.View) {
+	if before.Revision == after.Revision {
+		return
+	}
+	was := reachability(before)
+	for _, m := range after.Region {
+		if reachable, known := was[m.VM.ID]; known && reachable != m.Reachable {
+			c.reportVM(m)
+		}
+	}
+}
+
+func reachability(v *membership.View) map[string]bool {
+	out := make(map[string]bool, len(v.Region))
+	for _, m := range v.Region {
+		out[m.VM.ID] = m.Reachable
+	}
+	return out
+}
+
+func (c *control) reportVM(m membership.Member) {
+	kind := "vm_lost"
+	if m.Reachable {
+		kind = "vm_reached"
+	}
+	c.node.ring.Add(timeline.Event{
+		Kind: kind,
+		Peer: m.VM.ID,
+	})
+	c.node.log.Info(kind, "peer", m.VM.ID)
+}
+
+// offered are documents or a list from the platform or a peer.
+type offered struct {
+	documents []configuration.Document
+	list      *fleet.List
+	// source is "platform" or the VM that sent them.
+	source string
+	// done gets whether anything was new; nil means nobody waits.
+	done chan<- bool
+}
+
+func (m offered) apply(c *control, now time.Time) {
+	changed := false
+	for _, v := range c.store.Offer(m.documents) {
+		if v.Changed {
+			changed = true
+			c.reportVerdict(v, m.source)
+		}
+	}
+	if m.list != nil && c.store.OfferList(*m.list) {
+		changed = true
+		c.takeList(now)
+	}
+	if changed {
+		c.members.SetReady(c.store.Snapshot().Ready(), now)
+	}
+	if m.done != nil {
+		m.done <- changed
+	}
+}
+
+func (c *control) takeList(now time.Time) {
+	list := c.store.Snapshot().List
+	c.members.SetList(list, now)
+	c.node.pools.setList(list, now)
+	c.node.ring.Add(timeline.Event{
+		Kind: "list_taken",
+	})
+}
+
+func (c *control) reportVerdict(v configuration.Verdict, source string) {
+	e := timeline.Event{
+		Kind:   "document_in_force",
+		Peer:   source,
+		Detail: v.Key,
+	}
+	if v.Refusal != nil {
+		e.Kind = "document_refused"
+		e.Code = v.Refusal.Code
+		c.node.log.Warn("document_refused",
+			"key", v.Key,
+			"revision", v.Revision,
+			"code", int(v.Refusal.Code),
+			"reason", v.Refusal.Message,
+		)
+	}
+	c.node.ring.Add(e)
+}
+
+// left marks this VM as leaving.
+type left struct{}
+
+func (left) apply(c *control, now time.Time) {
+	c.members.Leave(now)
+}
--- /dev/null
+++ b/node/group.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/oklog/run"
+
+	"github.com/fuchsianotch/fuchsianotch/operator"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+)
+
+// addWorker adds a goroutine that runs until the group stops.
+func addWorker(group *run.Group, work func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		return work(ctx)
+	}, func(error) {
+		cancel()
+	})
+}
+
+func (n *Node) addWorkers(group *run.Group) {
+	addWorker(group, n.control.run)
+	addWorker(group, n.watchDocuments)
+	addWorker(group, n.watchList)
+	addWorker(group, n.followSource)
+	addWorker(group, n.pullOnDemand)
+	addWorker(group, n.pools.run)
+}
+
+func (n *Node) addFronts(group *run.Group, f *fronts) error {
+	server, err := peer.NewServer(n.handlers())
+	if err != nil {
+		return err
+	}
+	addWorker(group, func(ctx context.Context) error {
+		return server.Serve(ctx, f.peer)
+	})
+	n.addHTTP(group, f.caller, n.caller.Serve, n.caller.Close)
+	operators := &http.Server{
+		Handler:           operator.New(n.operatorOptions()),
+		ReadHeaderTimeout: n.settings.Limits.HeaderWithin.Duration,
+	}
+	n.addHTTP(group, f.operator, operators.Serve, operators.Close)
+	return nil
+}
+
+func (n *Node) addHTTP(group *run.Group, ln net.Listener, serve func(net.Listener) error, closeAll func() error) {
+	group.Add(func() error {
+		err := serve(ln)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-n.gone
+			return nil
+		}
+		return err
+	}, func(error) {
+		_ = closeAll()
+	})
+}
+
+// addStop adds the goroutine whose end stops the group, once the planned stop is over.
+func (n *Node) addStop(ctx context.Context, group *run.Group) {
+	aborted, abort := context.WithCancel(context.Background())
+	group.Add(func() error {
+		defer close(n.gone)
+		select {
+		case <-ctx.Done():
+			n.stop()
+		case <-aborted.Done():
+		}
+		return nil
+	}, func(error) {
+		abort()
+	})
+}
--- /dev/null
+++ b/serving/run.go
@@ -0,0 +1,221 @@
+package serving
+
+import (
+	"context"
+	"strconv"
+
+	"github.com/fuchsianotch/fuchsianotch/admission"
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/limit"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/retry"
+	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/timeline"
+)
+
+const attemptBase = 36
+
+// sending is called right before a call's first byte goes to an endpoint.
+// Its error, a refusal, stops the call with nothing sent.
+type sending func() error
+
+// run charges the call, serves it here or in a region with surplus, and
+// settles the charge by what was used.
+func (s *Server) run(ctx context.Context, c *call.Call, terms Terms, sink call.Sink, before sending) call.Outcome {
+	reservation, refusal := s.charge(ctx, c, terms)
+	if refusal != nil {
+		return call.Refused(refusal)
+	}
+	outcome := s.attempt(ctx, c, sink, before)
+	if mayBorrow(c, outcome) {
+		outcome = s.borrow(ctx, c, terms, sink, outcome)
+	}
+	s.settle(c, reservation, outcome)
+	return outcome
+}
+
+func (s *Server) settle(c *call.Call, reservation limit.Reservation, outcome call.Outcome) {
+	now := s.options.Now()
+	if outcome.Code.Class() == result.ClassNotRun {
+		s.options.Ledger.Cancel(reservation, now)
+		return
+	}
+	used := Cost(c, outcome.Usage, s.options.Snapshot())
+	s.options.Metrics.Spent(used.Spend)
+	s.options.Ledger.Settle(reservation, used, now)
+}
+
+// progress is what the attempts of one call have come to.
+type progress struct {
+	excluded  [2]string
+	attempts  int
+	delivered int
+	outcome   call.Outcome
+	last      endpoint.Outcome
+}
+
+// attempt serves the call on this region's endpoints. It tries another
+// endpoint only where nothing ran, or where the answer goes on without a seam.
+func (s *Server) attempt(ctx context.Context, c *call.Call, sink call.Sink, before sending) call.Outcome {
+	s.options.Budget.OnRequest()
+	var p progress
+	for {
+		if refusal := s.attemptOnce(ctx, c, sink, before, &p); refusal != nil {
+			return p.refused(refusal)
+		}
+		if p.last.Code.Class() == result.ClassDone || !s.mayRepeat(c, &p) {
+			return p.outcome
+		}
+		if !s.options.Budget.Allow() {
+			return p.budgetSpent()
+		}
+		s.options.Metrics.Retried()
+	}
+}
+
+// attemptOnce sends the call once. A refusal means that it was not sent.
+func (s *Server) attemptOnce(ctx context.Context, c *call.Call, sink call.Sink, before sending, p *progress) *result.Refusal {
+	pool, ok := s.options.Pool(c.Target())
+	if !ok {
+		return result.Refuse(result.NoEndpoint, "no endpoint of %s in region %s", c.Target(), s.options.Region)
+	}
+	slot, refusal := pool.Queue.Admit(ctx, p.admission(c), s.options.Now())
+	if refusal != nil {
+		return refusal
+	}
+	chosen := slot.Choice.Endpoint.ID
+	s.event(c, "call_admitted", timeline.Event{
+		Endpoint: chosen,
+	})
+	out := s.options.Endpoint.Send(ctx, s.newAttempt(c, slot, before, p), endpoint.Sink(sink))
+	pool.Queue.Release(slot, routingOutcome(out), s.options.Now())
+	p.take(out, chosen)
+	s.reportAttempt(c, p)
+	return nil
+}
+
+func (s *Server) newAttempt(c *call.Call, slot admission.Slot, before sending, p *progress) endpoint.Attempt {
+	n := s.attempts.Add(1)
+	return endpoint.Attempt{
+		ID:         c.ID + "." + s.options.VM + "." + strconv.FormatUint(n, attemptBase),
+		AnswerID:   c.ID,
+		Endpoint:   slot.Choice.Endpoint,
+		Call:       c,
+		ResumeFrom: p.delivered,
+		Sending:    before,
+	}
+}
+
+func (s *Server) reportAttempt(c *call.Call, p *progress) {
+	if p.last.Code.Class() == result.ClassDone {
+		return
+	}
+	s.event(c, "attempt_failed", timeline.Event{
+		Endpoint: p.outcome.Endpoint,
+		Code:     p.last.Code,
+	})
+}
+
+func (s *Server) mayRepeat(c *call.Call, p *progress) bool {
+	if p.last.CallerGone {
+		return false
+	}
+	verdict := retry.Decide(retry.Attempt{
+		Code:       p.last.Code,
+		Sent:       p.last.Sent,
+		Idempotent: c.Idempotent,
+		Delivered:  p.delivered > 0,
+		Resumable:  p.last.Resumable,
+		Attempts:   p.attempts,
+		WholeBy:    c.WholeBy,
+	}, s.options.Now())
+	return verdict == retry.VerdictRetry || verdict == retry.VerdictResume
+}
+
+func (p *progress) admission(c *call.Call) admission.Request {
+	return admission.Request{
+		Priority:     c.Priority,
+		FirstBy:      c.FirstBy,
+		WholeBy:      c.WholeBy,
+		PrefixHash:   c.PrefixHash,
+		PromptTokens: c.PromptTokens,
+		MaxTokens:    c.MaxTokens,
+		Exclude:      p.excluded,
+	}
+}
+
+// take adds an attempt's outcome to the call's.
+func (p *progress) take(out endpoint.Outcome, endpointID string) {
+	p.last = out
+	p.excluded[p.attempts%len(p.excluded)] = endpointID
+	p.attempts++
+	p.delivered += out.Delivered
+	usage := p.outcome.Usage
+	usage.PromptTokens += out.Usage.PromptTokens
+	usage.CachedTokens += out.Usage.CachedTokens
+	usage.GeneratedTokens += out.Usage.GeneratedTokens
+	firstAt := p.outcome.FirstAt
+	if firstAt.IsZero() {
+		firstAt = out.FirstAt
+	}
+	p.outcome = call.Outcome{
+		Code:     out.Code,
+		Usage:    usage,
+		FirstAt:  firstAt,
+		Endpoint: endpointID,
+	}
+	p.explain()
+}
+
+// explain gives the outcome its refusal. A call of which an earlier attempt
+// delivered tokens ran, whatever its last attempt came to.
+func (p *progress) explain() {
+	code := p.last.Code
+	if code.Class() == result.ClassDone {
+		return
+	}
+	if code.Class() == result.ClassNotRun && p.delivered > 0 {
+		code = result.EndpointCut
+	}
+	p.outcome.Code = code
+	p.outcome.Refusal = refusalOf(code, p.last)
+}
+
+func refusalOf(code result.Code, out endpoint.Outcome) *result.Refusal {
+	info, _ := result.Lookup(code)
+	refusal := result.Of(out.Err, code)
+	if refusal.Code != code {
+		refusal = result.Refuse(code, "%s", info.Meaning).Because(out.Err)
+	}
+	return refusal.Until(out.ComeBackAt)
+}
+
+// refused is the outcome of a call that could not be sent, or not be gone on with.
+func (p *progress) refused(refusal *result.Refusal) call.Outcome {
+	if p.attempts == 0 {
+		return call.Refused(refusal)
+	}
+	if p.outcome.Code.Class() == result.ClassNotRun {
+		return call.Refused(refusal)
+	}
+	return p.outcome
+}
+
+// budgetSpent is the outcome where another attempt was possible but not allowed.
+func (p *progress) budgetSpent() call.Outcome {
+	if p.outcome.Code.Class() != result.ClassNotRun {
+		return p.outcome
+	}
+	return call.Refused(result.Refuse(result.RetryBudget, "the endpoint refused and the retry budget is spent").Until(p.last.ComeBackAt))
+}
+
+func routingOutcome(out endpoint.Outcome) routing.Outcome {
+	return routing.Outcome{
+		Code:     out.Code,
+		Usage:    out.Usage,
+		Sent:     out.Sent,
+		Canceled: out.CallerGone,
+		FirstAt:  out.FirstAt,
+	}
+}
--- /dev/null
+++ b/serving/serving.go
@@ -0,0 +1,170 @@
+// Package serving carries one call from its arrival to its outcome: it places
+// the call, charges the contract's limits, waits for an endpoint, sends the
+// call, and settles what it used. Callers' calls and forwarded ones take the
+// same way, but a forwarded call has no way that leads to another VM.
+package serving
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/admission"
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/configuration"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/limit"
+	"github.com/fuchsianotch/fuchsianotch/membership"
+	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/retry"
+	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/ticket"
+	"github.com/fuchsianotch/fuchsianotch/timeline"
+)
+
+// Pool is the endpoints of one target in this region, with the queue before them.
+type Pool struct {
+	Endpoints *routing.Pool
+	Queue     *admission.Queue
+}
+
+// Options set up a Server. Every field is required.
+type Options struct {
+	Now    func() time.Time
+	VM     string
+	Region string
+	// Snapshot and View give what the control goroutine published last.
+	Snapshot func() *configuration.Snapshot
+	View     func() *membership.View
+	// Pool finds the pool of a model or service.
+	Pool func(target string) (*Pool, bool)
+	// Forward runs a call on another VM.
+	Forward func(ctx context.Context, vm fleet.VM, c *call.Call, sink call.Sink) call.Outcome
+	// Lease asks a workspace's owner for a part of its limits.
+	Lease func(ctx context.Context, owner fleet.VM, workspace string, want, unused limit.Amounts) (Lease, *result.Refusal)
+	// Borrow chooses a region with surplus; ok is false when the call must stay.
+	Borrow func(c *call.Call, terms Terms) (fleet.VM, bool)
+	// Accept says whether a call of another region may use this region's surplus.
+	Accept func(c *call.Call) *result.Refusal
+
+	Ledger   *limit.Ledger
+	Desk     *ticket.Desk
+	Endpoint *endpoint.Client
+	Budget   *retry.Budget
+	Ring     *timeline.Ring
+	Metrics  *metrics.Metrics
+}
+
+// Lease is a part of a workspace's limits with its end.
+type Lease struct {
+	Granted limit.Amounts
+	Until   time.Time
+}
+
+// Server carries calls. Its methods may be called from any goroutine.
+type Server struct {
+	options  Options
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	attempts atomic.Uint64
+	leases   leaseFlights
+}
+
+// New makes a server.
+func New(o Options) *Server {
+	return &Server{
+		options: o,
+	}
+}
+
+// InFlight is the number of calls being carried.
+func (s *Server) InFlight() int {
+	return int(s.inFlight.Load())
+}
+
+// Stop lets new calls be refused as Stopping. Calls in flight go on.
+func (s *Server) Stop() {
+	s.stopping.Store(true)
+}
+
+// Serve carries a call whose place was decided by Place, and records its outcome.
+func (s *Server) Serve(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	arrivedAt := s.options.Now()
+	outcome := s.carry(ctx, c, place, sink)
+	s.record(c, outcome, arrivedAt)
+	return outcome
+}
+
+func (s *Server) carry(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
+	switch place.Kind {
+	case PlaceForward:
+		return s.forward(ctx, c, place, sink)
+	case PlaceRefuse:
+		return call.Refused(place.Refusal)
+	default:
+		return s.serveHere(ctx, c, place, sink)
+	}
+}
+
+func (s *Server) serveHere(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
+	if c.Origin != "" {
+		return s.serveStranger(ctx, c, sink)
+	}
+	if c.Idempotent {
+		if r := s.refuseNew(); r != nil {
+			return call.Refused(r)
+		}
+		return s.run(ctx, c, place.Terms, sink, nil)
+	}
+	return s.serveTicketed(ctx, c, place.Terms, sink)
+}
+
+// refuseNew refuses a call that has not begun here when the VM is stopping.
+func (s *Server) refuseNew() *result.Refusal {
+	if !s.stopping.Load() {
+		return nil
+	}
+	return result.Refuse(result.Stopping, "VM %s is stopping", s.options.VM)
+}
+
+func (s *Server) forward(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
+	s.event(c, "call_forwarded", timeline.Event{
+		Peer: place.VM.ID,
+	})
+	outcome := s.options.Forward(ctx, place.VM, c, sink)
+	s.options.Metrics.Forwarded(outcome.Code.Class())
+	return outcome
+}
+
+// serveStranger runs a call that another region charged and sent here.
+func (s *Server) serveStranger(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
+	if r := s.refuseNew(); r != nil {
+		return call.Refused(r)
+	}
+	if r := s.options.Accept(c); r != nil {
+		return call.Refused(r)
+	}
+	return s.attempt(ctx, c, sink, nil)
+}
+
+func (s *Server) record(c *call.Call, o call.Outcome, arrivedAt time.Time) {
+	s.event(c, "call_ended", timeline.Event{
+		Endpoint: o.Endpoint,
+		Code:     o.Code,
+	})
+	if c.Forwarded {
+		return
+	}
+	s.options.Metrics.CallEnded(c, o, arrivedAt, s.options.Now())
+}
+
+func (s *Server) event(c *call.Call, kind string, e timeline.Event) {
+	e.Kind = kind
+	e.Request = c.ID
+	e.Workspace = c.Workspace
+	s.options.Ring.Add(e)
+}
