--- a/standin/caller/attempt.go
+++ b/standin/caller/attempt.go
@@ -63,7 +63,7 @@
 		a.Result = a.failed(err, mayBeSent(err, q, sending))
 		return a
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	a.read(response, q)
 	return a
 }
--- a/standin/caller/entries.go
+++ b/standin/caller/entries.go
@@ -104,8 +104,8 @@
 	if i < 0 || i == len(held)-1 {
 		return
 	}
-	moved := slices.Delete(slices.Clone(held), i, i+1)
-	c.entries.held.Entries = append(moved, held[i])
+	// A copy, since calls under way hold the old order.
+	c.entries.held.Entries = slices.Concat(held[:i], held[i+1:], held[i:i+1])
 }
 
 // askedAddrs gives the configured VMs, from another one each time.
@@ -136,7 +136,7 @@
 	if err != nil {
 		return body, err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := readAll(response.Body)
 	if err != nil {
 		return body, err
--- a/standin/platform/platform_test.go
+++ b/standin/platform/platform_test.go
@@ -25,11 +25,12 @@
 		t.Run(file.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := script{
+					t:       t,
 					handler: New(Switches{}).Handler(),
 					beside:  map[string]chan reply{},
 				}
 				for line := range strings.Lines(string(file.Data)) {
-					s.step(t, strings.TrimSpace(line))
+					s.step(strings.TrimSpace(line))
 				}
 			})
 		})
@@ -45,12 +46,14 @@
 
 // script plays the steps that testdata/protocol.txtar describes.
 type script struct {
+	t       *testing.T
 	handler http.Handler
 	last    reply
 	beside  map[string]chan reply
 }
 
-func (s *script) step(t *testing.T, line string) {
+func (s *script) step(line string) {
+	t := s.t
 	t.Helper()
 	word, rest, _ := strings.Cut(line, " ")
 	name, isBeside := strings.CutSuffix(word, "=")
@@ -101,7 +104,7 @@
 	if after, ok := strings.CutPrefix(body, headerIfRevision+"="); ok {
 		ifRevision, body, _ = strings.Cut(after, " ")
 	}
-	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	request := httptest.NewRequestWithContext(s.t.Context(), method, path, strings.NewReader(body))
 	request.Header.Set(headerIfRevision, ifRevision)
 	recorder := httptest.NewRecorder()
 	start := time.Now()
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -18,7 +18,8 @@
 func listenAndServe(address string, serve func(context.Context, net.Listener) error) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	listener, err := net.Listen("tcp", address)
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
