Run the whole path as separate processes

Change: settings examples moved out of the document folders, commands added, readiness waits until the VM may lend its shares.

--- a/node/status.go
+++ b/node/status.go
@@ -28,8 +28,12 @@
 	}
 }
 
+// ready says whether this VM takes callers: it has a configuration, is not
+// stopping, and has been listed for long enough to lend its shares.
 func (n *Node) ready() bool {
-	return n.snapshot().Ready() && !n.stopping.Load()
+	view := n.view()
+	listed := view.ListRevision > 0 && !n.now().Before(view.LendsFrom)
+	return n.snapshot().Ready() && listed && !n.stopping.Load()
 }
 
 func (n *Node) status() operator.Status {
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -93,6 +93,9 @@
 func (s *Server) Serve(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
+	s.event(c, "call_arrived", timeline.Event{
+		Detail: c.Target() + " " + c.Priority.String(),
+	})
 	arrivedAt := s.options.Now()
 	outcome := s.carry(ctx, c, place, sink)
 	s.record(c, outcome, arrivedAt)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -95,7 +95,7 @@
 	_, refusal = Load(large)
 	assert.Equal(t, refusal.Code, result.SettingFile)
 	for _, deployment := range []string{"tesfaye", "planhigion"} {
-		_, refusal = Load(filepath.Join("..", "examples", deployment, "gateway.json"))
+		_, refusal = Load(filepath.Join("..", "examples", deployment+"-vm.json"))
 		assert.Assert(t, refusal == nil, "%v", refusal)
 	}
 }
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -17,6 +17,8 @@
 type Options struct {
 	// VMs are "ip:port" of the caller fronts to ask for entries; at least one.
 	VMs []string
+	// Direct uses VMs as they are given, without asking which to use.
+	Direct bool
 	// Key is "<workspace>.<secret>".
 	Key string
 	// Client is shared by many callers to share its connections; nil makes one.
--- a/standin/caller/entries.go
+++ b/standin/caller/entries.go
@@ -37,6 +37,9 @@
 // Entries gives the VMs to use, best first, and asks for them when those
 // remembered are no longer good.
 func (c *Caller) Entries(ctx context.Context) ([]Entry, error) {
+	if c.options.Direct {
+		return c.direct(), nil
+	}
 	select {
 	case c.entries.lock <- struct{}{}:
 	case <-ctx.Done():
@@ -59,6 +62,17 @@
 	return fresh.Entries, nil
 }
 
+// direct gives the configured VMs without asking.
+func (c *Caller) direct() []Entry {
+	out := make([]Entry, 0, len(c.options.VMs))
+	for _, addr := range c.options.VMs {
+		out = append(out, Entry{
+			Addr: addr,
+		})
+	}
+	return out
+}
+
 // askEntries asks one of the configured VMs, and the next one if that fails.
 func (c *Caller) askEntries(ctx context.Context) (fresh Entries, err error) {
 	err = errNoEntries
--- a/standin/main.go
+++ b/standin/main.go
@@ -12,6 +12,8 @@
 	app := kingpin.New("standin", "Stand-ins for the platform, endpoints and callers of fuchsianotch.")
 	platformCommand(app)
 	callCommand(app)
+	serviceCommand(app)
+	endpointCommand(app)
 	_, err := app.Parse(os.Args[1:])
 	app.FatalIfError(err, "")
 }
--- a/testscripts/rig/rig.go
+++ b/testscripts/rig/rig.go
@@ -141,7 +141,7 @@
 
 func (r *Rig) startEndpoint(region Region, e Endpoints) error {
 	id := fmt.Sprintf("%s%s-%s-%d", e.Model, e.Service, region.Name, len(r.Endpoints))
-	args := []string{"service", "--id", id, "--service", e.Service}
+	args := []string{"service", "--id", id}
 	if e.Model != "" {
 		args = []string{"endpoint", "--id", id, "--model", e.Model, "--slots", strconv.Itoa(e.Slots)}
 	}
