Add the operators' tool and replay of traces

Operators change the system by documents alone, so they need to see beforehand whether one is accepted and afterwards what every VM made of it. notchctl check runs the validator of the VMs; status sorts the VMs by what they hold and ends with 1 when they disagree or one refuses a document; timeline takes a merged time line from the first VM that answers and fills what it cannot reach from the others; entries, replay and codes complete it. The work is in console and replay; console takes its types from operator. Replay repeats the names of the caller protocol instead of importing the server, so that it shows when the server departs from what is published. The page of result codes is written from the table, and tests hold pages of commands, settings and codes to the code. Scripts drive the real binary with files served in place of VMs.

--- a/common/jsonc/check.go
+++ b/common/jsonc/check.go
@@ -6,6 +6,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/tailscale/hujson"
 )
@@ -79,8 +80,9 @@
 }
 
 func (c *checker) checkLeaf(v *hujson.Value, t reflect.Type, pointer string) *Problem {
-	literal, ok := v.Value.(hujson.Literal)
-	if !ok || json.Unmarshal(literal, reflect.New(t).Interface()) != nil {
+	plain := v.Clone()
+	plain.Standardize()
+	if err := json.Unmarshal(plain.Pack(), reflect.New(t).Interface()); err != nil {
 		return c.problem(v, pointer, KindValue, wanted(t))
 	}
 	return nil
@@ -105,6 +107,12 @@
 	if w, ok := reflect.Zero(t).Interface().(wanter); ok {
 		return w.Wanted()
 	}
+	switch t {
+	case reflect.TypeFor[json.Number]():
+		return "a number"
+	case reflect.TypeFor[time.Time]():
+		return `a time such as "2030-12-31T00:00:00Z"`
+	}
 	switch t.Kind() {
 	case reflect.String:
 		return "a string"
@@ -115,9 +123,6 @@
 	case reflect.Float64:
 		return "a number"
 	}
-	if t.String() == "time.Time" {
-		return `a time such as "2030-12-31T00:00:00Z"`
-	}
 	return fmt.Sprintf("a %s", t)
 }
 
--- /dev/null
+++ b/notchctl/command_status.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/fuchsianotch/fuchsianotch/console"
+)
+
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+// asking are the flags of commands that ask VMs.
+type asking struct {
+	vms     *[]string
+	timeout *time.Duration
+	output  *string
+}
+
+func askingFlags(command *kingpin.CmdClause, front string) asking {
+	return asking{
+		vms:     command.Flag("vm", "Address of a VM's "+front+" front, IP number and port; may be repeated.").Required().Strings(),
+		timeout: command.Flag("timeout", "Bound of the whole question.").Default("5s").Duration(),
+		output:  command.Flag("output", "Form of the output.").Default(outputTable).Enum(outputTable, outputJSON),
+	}
+}
+
+func (a asking) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), *a.timeout)
+}
+
+// tableWriter is what can be shown as a table.
+type tableWriter interface {
+	WriteTable(w io.Writer) error
+}
+
+func (a asking) write(stdout io.Writer, value tableWriter) error {
+	if *a.output == outputTable {
+		return value.WriteTable(stdout)
+	}
+	return writeJSON(stdout, value)
+}
+
+func writeJSON(stdout io.Writer, value any) error {
+	encoder := json.NewEncoder(stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
+func newConsole() *console.Client {
+	return console.New(console.Options{
+		HTTP: &http.Client{},
+	})
+}
+
+// statusCommand adds "notchctl status".
+func statusCommand(app *kingpin.Application, stdout io.Writer) {
+	command := app.Command("status", "Show for every VM the revision in force of each document, what was refused and why, its view and its load.")
+	flags := askingFlags(command, "operator")
+	command.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := flags.context()
+		defer cancel()
+		fleet := newConsole().Fleet(ctx, *flags.vms)
+		if err := flags.write(stdout, &fleet); err != nil {
+			return err
+		}
+		return statusError(&fleet)
+	})
+}
+
+func statusError(fleet *console.Fleet) error {
+	switch {
+	case len(fleet.Unreached) > 0:
+		return exit(exitUnreached, "%d VMs were not reached", len(fleet.Unreached))
+	case !fleet.Agreed():
+		return exit(exitFailed, "the VMs do not all hold the same documents, or one refuses a document")
+	}
+	return nil
+}
--- a/result/result.go
+++ b/result/result.go
@@ -87,13 +87,13 @@
 
 // Info describes one code. HTTPStatus is zero where no caller ever sees it.
 type Info struct {
-	Code       Code
-	Name       string
-	Class      Class
-	HTTPStatus int
-	Meaning    string
+	Code       Code   `json:"code"`
+	Name       string `json:"name"`
+	Class      Class  `json:"class"`
+	HTTPStatus int    `json:"http_status"`
+	Meaning    string `json:"meaning"`
 	// Advice is what the caller or operator should do.
-	Advice string
+	Advice string `json:"advice"`
 }
 
 // Table lists every code in ascending order.
