--- a/console/console.go
+++ b/console/console.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return nil, &AnswerError{
 			Addr:   addr,
--- a/console/table.go
+++ b/console/table.go
@@ -100,7 +100,7 @@
 	for i, cell := range cells {
 		cells[i] = strings.Join(strings.FieldsFunc(cell, unicode.IsControl), " ")
 	}
-	fmt.Fprintln(t.w, strings.Join(cells, "\t"))
+	_, _ = fmt.Fprintln(t.w, strings.Join(cells, "\t"))
 }
 
 func (t *table) flush() error {
--- a/notchctl/command_check.go
+++ b/notchctl/command_check.go
@@ -39,10 +39,10 @@
 func checkFile(stdout io.Writer, file, key string, asSettings bool) int {
 	refusal := judge(file, key, asSettings)
 	if refusal == nil {
-		fmt.Fprintf(stdout, "%s: accepted\n", file)
+		_, _ = fmt.Fprintf(stdout, "%s: accepted\n", file)
 		return exitOK
 	}
-	fmt.Fprintf(stdout, "%s: refused: %s\n", file, refusal.Error())
+	_, _ = fmt.Fprintf(stdout, "%s: refused: %s\n", file, refusal.Error())
 	return refused(refusal)
 }
 
--- a/notchctl/command_replay.go
+++ b/notchctl/command_replay.go
@@ -110,9 +110,9 @@
 		return writeJSON(stdout, report)
 	}
 	for _, m := range report.Mismatches {
-		fmt.Fprintf(stdout, "%s:%d: want %s, got %s\n", *f.file, m.Line, m.Want, m.Got)
+		_, _ = fmt.Fprintf(stdout, "%s:%d: want %s, got %s\n", *f.file, m.Line, m.Want, m.Got)
 	}
-	fmt.Fprintf(stdout, "%d steps, %d mismatches, %d unanswered\n", report.Steps, len(report.Mismatches), report.Unanswered)
+	_, _ = fmt.Fprintf(stdout, "%d steps, %d mismatches, %d unanswered\n", report.Steps, len(report.Mismatches), report.Unanswered)
 	return nil
 }
 
--- a/notchctl/main.go
+++ b/notchctl/main.go
@@ -77,11 +77,11 @@
 	}
 	var ended *exitError
 	if !errors.As(err, &ended) {
-		fmt.Fprintf(stderr, "notchctl: %v; see notchctl --help\n", err)
+		_, _ = fmt.Fprintf(stderr, "notchctl: %v; see notchctl --help\n", err)
 		return exitUsage
 	}
 	if ended.message != "" {
-		fmt.Fprintf(stderr, "notchctl: %s\n", ended.message)
+		_, _ = fmt.Fprintf(stderr, "notchctl: %s\n", ended.message)
 	}
 	return ended.code
 }
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -124,9 +124,9 @@
 		switch r.URL.Path {
 		case "/v1/tickets":
 			asked++
-			fmt.Fprintf(w, `{"ticket": "t%d"}`, asked)
+			_, _ = fmt.Fprintf(w, `{"ticket": "t%d"}`, asked)
 		case "/admin/runs":
-			fmt.Fprint(w, `{"runs": {"k": 3}}`)
+			_, _ = fmt.Fprint(w, `{"runs": {"k": 3}}`)
 		default:
 			tickets = append(tickets, r.Header.Get("Fuchsianotch-Ticket"))
 			deadlines = append(deadlines, r.Header.Get("Fuchsianotch-Deadline"))
--- a/replay/runs.go
+++ b/replay/runs.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return nil, merry.Errorf("%s%s answered %s", endpoint, pathRuns, response.Status)
 	}
--- a/replay/send.go
+++ b/replay/send.go
@@ -59,7 +59,7 @@
 			Err: merry.Wrap(err),
 		}
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBodyBytes))
 	if err != nil {
 		return Outcome{
@@ -121,7 +121,7 @@
 	if err != nil {
 		return "", merry.Wrap(err)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
 		return "", merry.Errorf("no ticket: %s", response.Status)
 	}
--- a/result/page.go
+++ b/result/page.go
@@ -46,9 +46,9 @@
 func WriteTable(w io.Writer) error {
 	const gap = 2
 	t := tabwriter.NewWriter(w, 0, 0, gap, ' ', 0)
-	fmt.Fprintln(t, "CODE\tNAME\tCLASS\tHTTP\tMEANING\tADVICE")
+	_, _ = fmt.Fprintln(t, "CODE\tNAME\tCLASS\tHTTP\tMEANING\tADVICE")
 	for _, info := range Table {
-		fmt.Fprintln(t, strings.Join(info.cells(), "\t"))
+		_, _ = fmt.Fprintln(t, strings.Join(info.cells(), "\t"))
 	}
 	return t.Flush()
 }
