Add a load tool with seeded open-loop schedules

The decisions are to be measured against their baselines, which needs the same calls for each of them. The tool draws a Poisson schedule from a seed, with peaks at other hours for each region and a mix for each user, and counts times from the scheduled arrival: a closed loop would have hidden the waits that it measures, and a correction of its histogram afterwards only guesses them. Calls can also go straight to endpoints, for the time that the gateway adds. The record holds cost, tails, codes, doubled runs and the share sent away.

--- /dev/null
+++ b/standin/load/send.go
@@ -0,0 +1,82 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/standin/caller"
+)
+
+// newSenders makes one sender for each region.
+func (r *Run) newSenders() []sender {
+	var out []sender
+	for i := range r.options.Targets.Regions {
+		if r.options.Direct {
+			out = append(out, r.newDirect().send)
+			continue
+		}
+		out = append(out, r.newRegion(&r.options.Targets.Regions[i]).send)
+	}
+	return out
+}
+
+// regionSender sends by one caller for each workspace.
+type regionSender struct {
+	targets *Targets
+	callers []*caller.Caller
+}
+
+func (r *Run) newRegion(region *Region) *regionSender {
+	s := &regionSender{
+		targets: &r.options.Targets,
+	}
+	for _, w := range region.Workspaces {
+		s.callers = append(s.callers, caller.New(caller.Options{
+			VMs:      region.VMs,
+			Direct:   region.AsGiven,
+			Key:      w.Key,
+			Client:   r.options.Client,
+			MaxTries: r.options.MaxTries,
+		}))
+	}
+	return s
+}
+
+func (s *regionSender) send(ctx context.Context, a *Arrival, due time.Time) caller.Result {
+	c := s.callers[a.Workspace]
+	terms := caller.Terms{
+		Deadline: due.Add(a.Kind.Within),
+		Priority: a.Kind.Priority.String(),
+	}
+	if !a.Kind.Service {
+		return c.Chat(ctx, a.chat(s.targets, terms))
+	}
+	return c.Service(ctx, a.service(s.targets, terms))
+}
+
+func (a *Arrival) chat(t *Targets, terms caller.Terms) caller.Chat {
+	return caller.Chat{
+		Model:     t.Model,
+		System:    a.system(),
+		Message:   a.message(),
+		MaxTokens: a.MaxTokens,
+		Stream:    true,
+		Terms:     terms,
+	}
+}
+
+func (a *Arrival) service(t *Targets, terms caller.Terms) caller.Service {
+	s := caller.Service{
+		Service:    t.Service,
+		Method:     a.Kind.Method,
+		Path:       a.path(),
+		WithTicket: a.Kind.Ticket,
+		Terms:      terms,
+	}
+	if a.Kind.Method != http.MethodGet {
+		s.Body = []byte(`{"operation":"` + a.Marker + `"}`)
+		s.IdempotencyKey = a.Marker
+	}
+	return s
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,6 +14,7 @@
 	callCommand(app)
 	serviceCommand(app)
 	endpointCommand(app)
+	loadCommand(app)
 	_, err := app.Parse(os.Args[1:])
 	app.FatalIfError(err, "")
 }
