Name each VM to callers under its listed addresses; scripts of failures

Ruled out: the callers' retries and the list. Change: membership takes its own addresses from the list; documents' waiters wake only on new documents.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -125,6 +125,7 @@
 		}
 		if vm.ID == s.self.ID {
 			selfLive = vm.State == fleet.StateLive
+			s.takeAddresses(vm)
 			continue
 		}
 		p := s.relist(vm, now)
@@ -141,6 +142,14 @@
 	s.revision++
 }
 
+// takeAddresses makes this VM known to callers under the addresses that the
+// platform lists for it, not those that it happens to listen on.
+func (s *State) takeAddresses(listed fleet.VM) {
+	s.self.CallerAddr = listed.CallerAddr
+	s.self.PeerAddr = listed.PeerAddr
+	s.self.OperatorAddr = listed.OperatorAddr
+}
+
 // relist gives the peer for a listed VM. One that moved to another address is a new one.
 func (s *State) relist(vm fleet.VM, now time.Time) *peer {
 	p := s.peers[vm.ID]
--- a/node/control.go
+++ b/node/control.go
@@ -23,7 +23,7 @@
 type published struct {
 	snapshot *configuration.Snapshot
 	view     *membership.View
-	// next is closed when a newer one is published.
+	// next is closed when a newer snapshot is published.
 	next chan struct{}
 }
 
@@ -142,17 +142,21 @@
 	return b
 }
 
-// publish makes the state visible to traffic, if it changed.
+// publish makes the state visible to traffic. Those who wait for documents
+// are woken only when these changed.
 func (c *control) publish(now time.Time) {
 	before := c.published.Load()
 	after := &published{
 		snapshot: c.store.Snapshot(),
 		view:     c.members.View(now),
-		next:     make(chan struct{}),
 	}
-	if before != nil && before.snapshot == after.snapshot && before.view == after.view {
+	if before != nil && before.snapshot == after.snapshot {
+		after.next = before.next
+		c.published.Store(after)
+		c.reportChanges(before.view, after.view)
 		return
 	}
+	after.next = make(chan struct{})
 	c.published.Store(after)
 	if before == nil {
 		return
--- a/testscripts/rig/rig.go
+++ b/testscripts/rig/rig.go
@@ -295,9 +295,18 @@
 	return r.Put("/v1/vms", list)
 }
 
-// Publish publishes a document.
-func (r *Rig) Publish(key string, value []byte) error {
-	return r.put("/v1/values/"+key, value)
+// Publish publishes a document and gives its revision.
+func (r *Rig) Publish(key string, value []byte) (uint64, error) {
+	if err := r.put("/v1/values/"+key, value); err != nil {
+		return 0, err
+	}
+	published, err := GetJSON[publishedValue](r, r.Platform.Listening.Addr, "/v1/values/"+key)
+	return published.Revision, err
+}
+
+// publishedValue is the part of a published value that the rig reads.
+type publishedValue struct {
+	Revision uint64 `json:"revision"`
 }
 
 // Put sends a JSON value to the platform, such as its switches.
--- a/testscripts/scenario/faults.go
+++ b/testscripts/scenario/faults.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,9 +25,9 @@
 	}
 }
 
-// stop LIST stops VMs gracefully, all at once, and fails if one ends in error.
-func stop(w *world, ts *testscript.TestScript, args []string) {
-	need(ts, args, 1, "stop LIST")
+// shutdown LIST stops VMs gracefully, all at once, and fails if one ends in error.
+func shutdown(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 1, "shutdown LIST")
 	var wg sync.WaitGroup
 	errs := make(chan error, len(w.rig.VMs))
 	for _, vm := range w.find(ts, args[0]) {
@@ -81,12 +82,14 @@
 	ts.Check(w.rig.Put("/admin/switches", json.RawMessage(strings.Join(args, " "))))
 }
 
-// publish KEY FILE publishes a document.
+// publish KEY FILE publishes a document and sets REVISION.
 func publish(w *world, ts *testscript.TestScript, args []string) {
 	need(ts, args, 2, "publish KEY FILE")
 	data, err := os.ReadFile(file(ts, args[1]))
 	ts.Check(err)
-	ts.Check(w.rig.Publish(args[0], data))
+	revision, err := w.rig.Publish(args[0], data)
+	ts.Check(err)
+	ts.Setenv("REVISION", strconv.FormatUint(revision, 10))
 }
 
 // inforce KEY REVISION [refused] [vm=LIST] [within=D] waits until the VMs hold
