Keep bodies of refused requests out of a VM's memory

Cause: the front refused a bound workspace at a VM elsewhere without reading the body, but the HTTP server had read up to 4 KiB of it together with the head and read up to 256 KiB more after the answer; a search of the process's memory found the text of a 600-byte body.

Ruled out: Expect: 100-continue alone (callers need not use it), closing at once (the reset may destroy the answer), reading and overwriting (the body would still be received).

Change: a request whose body this VM was not allowed to read is answered on the hijacked connection; the buffered part is overwritten, and the kernel drops the rest (MSG_TRUNC) until the caller ends or 2 s have passed. The request line and headers are still received: they say whose request it is.

Before: residency_body failed at its first case, 1 holder. After: 0 holders for 600 B, 60 kB and 3 MB, chunked, in a later segment, and for a service call; the search still finds an unbound body that was read.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -64,18 +64,22 @@
 	q.w.Header().Set(HeaderVM, s.options.VM)
 }
 
-// refuse answers with the refusal, and closes the connection where the body
-// was left unread, so that nothing of it is read later.
+// refuse answers with the refusal. A body that was not read by then stays
+// unread where it was not decided that this VM may read it.
 func (s *Server) refuse(q *request, r *result.Refusal) {
 	body := ErrorBody{
 		Error: s.errorOf(q, r),
 	}
 	setResult(q.w.Header(), r.Code)
 	s.setRetryAfter(q.w.Header(), r)
-	if q.r.ContentLength != 0 && !q.bodyRead {
+	info, _ := result.Lookup(r.Code)
+	unread := q.r.ContentLength != 0 && !q.bodyRead
+	if unread && !q.mayRead && s.answerUnread(q, info.HTTPStatus, body) {
+		return
+	}
+	if unread {
 		q.w.Header().Set("Connection", "close")
 	}
-	info, _ := result.Lookup(r.Code)
 	writeJSON(q.w, info.HTTPStatus, body)
 }
 
--- a/caller/auth.go
+++ b/caller/auth.go
@@ -18,6 +18,8 @@
 type request struct {
 	id       string
 	contract *contract.Contract
+	// mayRead is set once it was decided that this VM may read the body.
+	mayRead bool
 	// bodyRead is set once nothing of the body is left on the connection.
 	bodyRead bool
 	w        http.ResponseWriter
--- a/caller/read.go
+++ b/caller/read.go
@@ -56,7 +56,9 @@
 	if !idempotent {
 		r.Ticket = q.r.Header.Get(HeaderTicket)
 	}
-	return serving.Place(r, s.options.View(), s.options.Now())
+	place := serving.Place(r, s.options.View(), s.options.Now())
+	q.mayRead = place.Kind != serving.PlaceRefuse
+	return place
 }
 
 // newCall starts a call with what all kinds have in common.
--- a/common/listen/listen.go
+++ b/common/listen/listen.go
@@ -91,6 +91,11 @@
 	leave func()
 }
 
+// NetConn gives the connection without its place.
+func (c *boundConn) NetConn() net.Conn {
+	return c.Conn
+}
+
 // Close closes the connection and frees its place.
 func (c *boundConn) Close() error {
 	c.leave()
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -84,6 +84,7 @@
 		"forwards":  forwards,
 		"pause":     pause,
 		"reached":   reached,
+		"post":      post,
 	}
 }
 
