--- /dev/null
+++ b/configuration/bench_test.go
@@ -0,0 +1,164 @@
+package configuration
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/contract"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// sizes are today's number of workspaces, ten times and a hundred times it.
+var sizes = []int{100, 1_500, 15_000}
+
+const contractsPerBucket = 60
+
+// published gives the bucket documents of so many workspaces at one revision.
+func published(count, buckets int, revision uint64) []Document {
+	texts := make([][]string, buckets)
+	for i := range count {
+		name := fmt.Sprintf("workspace-%d", i)
+		at := contract.BucketOf(name, buckets)
+		texts[at] = append(texts[at], contractText(name, revision))
+	}
+	var docs []Document
+	for i, contracts := range texts {
+		docs = append(docs, Document{
+			Key:      bucketKey(i),
+			Revision: revision + uint64(i),
+			Value:    fmt.Appendf(nil, `{"format": 1, "bucket": %d, "buckets": %d, "contracts": [%s]}`, i, buckets, strings.Join(contracts, ",")),
+		})
+	}
+	return docs
+}
+
+func bucketsFor(count int) int {
+	return max(count/contractsPerBucket, 1)
+}
+
+// BenchmarkApply takes one changed bucket in force and makes the snapshot.
+func BenchmarkApply(b *testing.B) {
+	for _, count := range sizes {
+		for _, buckets := range []int{1, 16, bucketsFor(count)} {
+			if count/buckets > 1500 {
+				continue
+			}
+			b.Run(fmt.Sprintf("workspaces=%d/buckets=%d", count, buckets), func(b *testing.B) {
+				docs := published(count, buckets, 1)
+				s := New(Options{})
+				s.Offer(docs)
+				b.SetBytes(int64(len(docs[0].Value)))
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					d := docs[i%len(docs)]
+					d.Revision = uint64(len(docs) + i + 1)
+					if !s.Offer([]Document{d})[0].Changed {
+						b.Fatal("not taken")
+					}
+					s.Snapshot()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkPublish is BenchmarkApply without the validator: what the store and
+// the snapshot themselves cost.
+func BenchmarkPublish(b *testing.B) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprintf("workspaces=%d", count), func(b *testing.B) {
+			docs := published(count, bucketsFor(count), 1)
+			s := New(Options{
+				Parse: parseOnce(),
+			})
+			s.Offer(docs)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				d := docs[i%len(docs)]
+				d.Revision = uint64(len(docs) + i + 1)
+				s.Offer([]Document{d})
+				s.Snapshot()
+			}
+		})
+	}
+}
+
+// BenchmarkRebucket takes one document of a new number of buckets while the old
+// number's documents are still needed.
+func BenchmarkRebucket(b *testing.B) {
+	buckets := bucketsFor(15_000)
+	s := New(Options{
+		Parse: parseOnce(),
+	})
+	s.Offer(published(15_000, buckets, 1))
+	docs := published(15_000, 2*buckets, 1000)
+	s.Offer(docs[:len(docs)/2+1])
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d := docs[i%(len(docs)/2)]
+		d.Revision = uint64(10_000 + i)
+		s.Offer([]Document{d})
+		s.Snapshot()
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprintf("workspaces=%d", count), func(b *testing.B) {
+			s := New(Options{})
+			s.Offer(published(count, bucketsFor(count), 1))
+			snapshot := s.Snapshot()
+			names := make([]string, count)
+			for i := range names {
+				names[i] = fmt.Sprintf("workspace-%d", i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				if _, ok := snapshot.Contract(names[i%count]); !ok {
+					b.Fatal("not found")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMemory reports what the store holds, and the time from no documents
+// to a whole snapshot.
+func BenchmarkMemory(b *testing.B) {
+	for _, count := range sizes {
+		b.Run(fmt.Sprintf("workspaces=%d", count), func(b *testing.B) {
+			docs := published(count, bucketsFor(count), 1)
+			var s *Store
+			before := heap()
+			for b.Loop() {
+				s = New(Options{
+					Now: time.Now,
+				})
+				s.Offer(docs)
+				s.OfferList(fleet.List{
+					Revision: 1,
+				})
+				s.Snapshot()
+			}
+			b.ReportMetric(float64(heap()-before)/float64(count), "heap-bytes/workspace")
+			raw := 0
+			for _, d := range docs {
+				raw += len(d.Value)
+			}
+			b.ReportMetric(float64(raw)/float64(count), "value-bytes/workspace")
+			runtime.KeepAlive(s)
+			runtime.KeepAlive(docs)
+		})
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/configuration/relay.go
+++ b/configuration/relay.go
@@ -94,7 +94,8 @@
 const (
 	// DutyPull reads nothing at the platform.
 	DutyPull Duty = iota
-	// DutyProbe reads the platform once, above the revision held, without waiting.
+	// DutyProbe reads the platform's values and list once, above the revisions
+	// held, without waiting.
 	DutyProbe
 	// DutyWatch watches the platform, from the revision its own last watch ended at.
 	DutyWatch
@@ -102,7 +103,7 @@
 
 // Periods of a Relay.
 const (
-	probeEvery = 30 * time.Second
+	probeEvery = 10 * time.Second
 	// takeOverFor is how long a VM watches after a probe found the watchers behind.
 	takeOverFor = 2 * time.Minute
 )
--- /dev/null
+++ b/configuration/relay_test.go
@@ -0,0 +1,181 @@
+package configuration
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+func readRows[T any](t *testing.T, name string) []T {
+	data, err := os.ReadFile(name)
+	assert.NilError(t, err)
+	var rows []T
+	assert.NilError(t, json.Unmarshal(data, &rows))
+	return rows
+}
+
+func TestWatchersAndSources(t *testing.T) {
+	type row struct {
+		Name string `json:"name"`
+		Self string `json:"self"`
+		// VMs are "id region data_centre [leaving]".
+		VMs      []string `json:"vms"`
+		Watchers []string `json:"watchers"`
+		Sources  []string `json:"sources"`
+	}
+	for _, row := range readRows[row](t, "testdata/relay.json") {
+		t.Run(row.Name, func(t *testing.T) {
+			var vms []fleet.VM
+			for _, text := range row.VMs {
+				fields := append(strings.Fields(text), "live")
+				vms = append(vms, fleet.VM{
+					ID:         fields[0],
+					Region:     fields[1],
+					DataCentre: fields[2],
+					State:      fleet.State(fields[3]),
+				})
+			}
+			for range len(vms) + 1 {
+				own := slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VM) bool { return vm.DataCentre != "a-1" })
+				assert.DeepEqual(t, Watchers(own), row.Watchers)
+				assert.DeepEqual(t, Sources(row.Self, vms), row.Sources)
+				if len(vms) > 0 {
+					vms = append(vms[1:], vms[0])
+				}
+			}
+		})
+	}
+}
+
+// centre gives n VMs of one data centre and a relay for each.
+func centre(n int) ([]fleet.VM, []*Relay) {
+	random := rand.New(rand.NewPCG(1, uint64(n)))
+	var vms []fleet.VM
+	var relays []*Relay
+	for i := range n {
+		vms = append(vms, fleet.VM{
+			ID:         fmt.Sprintf("a%d", i),
+			DataCentre: "a-1",
+			State:      fleet.StateLive,
+		})
+		relays = append(relays, NewRelay(RelayOptions{
+			Self: vms[i].ID,
+			Rand: random.Uint64,
+		}))
+	}
+	return vms, relays
+}
+
+// TestReadsDoNotGrowWithVMs counts duties over many probe periods.
+func TestReadsDoNotGrowWithVMs(t *testing.T) {
+	const periods = 60
+	for _, n := range []int{1, 2, 3, 8, 40, 100} {
+		vms, relays := centre(n)
+		probes := 0
+		for half := range 2 * periods {
+			now := time.Unix(0, 0).Add(time.Duration(half) * probeEvery / 2)
+			watching := 0
+			for _, r := range relays {
+				switch r.Duty(vms, now) {
+				case DutyWatch:
+					watching++
+				case DutyProbe:
+					probes++
+				}
+				assert.Assert(t, r.Next().IsZero() || r.Next().After(now))
+			}
+			assert.Equal(t, watching, min(n, watchersPerDataCentre))
+		}
+		assert.Assert(t, probes <= periods*3/2, "%d VMs probed %d times in %d periods", n, probes, periods)
+		assert.Assert(t, n <= watchersPerDataCentre || probes >= periods*2/3, "%d VMs probed %d times", n, probes)
+	}
+}
+
+// TestSilentWatchers has two watchers that bring nothing although the platform
+// has news: a probe finds it, that VM watches, and stops after its time.
+func TestSilentWatchers(t *testing.T) {
+	vms, relays := centre(8)
+	now := time.Unix(0, 0)
+	var found *Relay
+	for deadline := now.Add(6 * probeEvery); found == nil; now = now.Add(time.Second) {
+		assert.Assert(t, now.Before(deadline), "not found")
+		for _, r := range relays {
+			if r.Duty(vms, now) == DutyProbe {
+				r.Probed(true, now)
+				found = r
+				break
+			}
+		}
+	}
+	assert.Equal(t, found.Duty(vms, now), DutyWatch)
+	assert.Equal(t, found.Next(), now.Add(takeOverFor-time.Second))
+	assert.Assert(t, found.Duty(vms, now.Add(takeOverFor)) != DutyWatch)
+}
+
+func TestReady(t *testing.T) {
+	type row struct {
+		Name         string   `json:"name"`
+		Platform     []string `json:"platform"`
+		Revision     uint64   `json:"revision"`
+		List         uint64   `json:"list"`
+		Peer         []string `json:"peer"`
+		PeerRevision uint64   `json:"peer_revision"`
+		PeerList     uint64   `json:"peer_list"`
+		Ready        bool     `json:"ready"`
+		InForce      uint64   `json:"in_force"`
+		ListInForce  uint64   `json:"list_in_force"`
+	}
+	for _, row := range readRows[row](t, "testdata/ready.json") {
+		t.Run(row.Name, func(t *testing.T) {
+			for _, peerFirst := range []bool{false, true} {
+				s, peer := New(Options{}), New(Options{})
+				fill(peer, row.Peer, row.PeerRevision, row.PeerList)
+				if peerFirst {
+					pullAll(s, peer)
+					s.OfferList(fleet.List{
+						Revision: row.PeerList,
+					})
+				}
+				fill(s, row.Platform, cmp.Or(row.Revision, 1), row.List)
+				pullAll(s, peer)
+				s.OfferList(fleet.List{
+					Revision: row.PeerList,
+				})
+				snapshot := s.Snapshot()
+				assert.Equal(t, snapshot.Ready(), row.Ready)
+				if !row.Ready {
+					continue
+				}
+				for _, d := range snapshot.Documents {
+					assert.Equal(t, d.InForce, row.InForce, d.Key)
+				}
+				assert.Equal(t, snapshot.List.Revision, row.ListInForce)
+				_, ok := snapshot.Model(fmt.Sprintf("m%d", row.InForce))
+				assert.Assert(t, ok)
+			}
+		})
+	}
+}
+
+func fill(s *Store, keys []string, revision, list uint64) {
+	for _, key := range keys {
+		s.Offer([]Document{written{
+			Key:      key,
+			Revision: revision,
+			Buckets:  1,
+		}.document()})
+	}
+	s.OfferList(fleet.List{
+		Revision: list,
+	})
+}
