--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -27,6 +27,10 @@
 	Wrong int `json:"wrong"`
 	// InTime counts each call once if its whole own answer came in time.
 	InTime int `json:"in_time"`
+	// FirstNotDone and LastNotDone bound the scheduled arrivals, from the start
+	// of the run, of the calls that were not done; zero when all were.
+	FirstNotDone jsonc.Duration `json:"first_not_done"`
+	LastNotDone  jsonc.Duration `json:"last_not_done"`
 	// Retried calls took more than one try; Tries counts all tries.
 	Retried    int         `json:"retried"`
 	Tries      int         `json:"tries"`
--- a/standin/load/tally.go
+++ b/standin/load/tally.go
@@ -101,11 +101,23 @@
 	if c.InTime {
 		t.sums.InTime++
 	}
+	if c.Result.Class != result.ClassDone {
+		t.notDone(c.Arrival.After)
+	}
 	if c.Result.Tries > 1 {
 		t.sums.Retried++
 	}
 }
 
+func (t *tally) notDone(after time.Duration) {
+	if first := &t.sums.FirstNotDone; first.Duration == 0 || after < first.Duration {
+		first.Duration = after
+	}
+	if last := &t.sums.LastNotDone; after > last.Duration {
+		last.Duration = after
+	}
+}
+
 func (g groups) take(name string, c Call) {
 	one, ok := g[name]
 	if !ok {
--- a/testscripts/measure/regions.go
+++ b/testscripts/measure/regions.go
@@ -45,7 +45,7 @@
 	rate := regionLoad * regionReplicas * admissionSlots / (float64(k.MaxTokens) * admissionStep.Seconds() * batchCost) * float64(len(regionNames))
 	r.note("Three regions of %d VMs and %d engines of %d slots; each region's own load is %.0f%% of its slots, %.0f calls a second over all. At %v the region %q loses half or all of its engines by a kill, which the list tells %v later. Counted from %v on.", regionVMs, regionReplicas, admissionSlots, 100*regionLoad, rate, loseAt, hurt, listLag, regionWarmUp)
 	r.note("Links add no delay on loopback; the published 30 ms one way only enters the decision. Every contract lets all its work go to all regions.")
-	t := r.table("Loss of a region's endpoints", "lost", "policy", "sent away", "in time, hurt region", "first p99, hurt, ms", "in time, others", "first p99, others, ms", "cold prefills", "prompt tokens computed", "not run", "unknown")
+	t := r.table("Loss of a region's endpoints", "lost", "policy", "sent away", "in time, hurt region", "first p99, hurt, ms", "in time, worse of the others", "first p99, worse of the others, ms", "cold prefills", "prompt tokens computed", "not run", "unknown")
 	for _, lost := range []struct {
 		name  string
 		count int
@@ -112,30 +112,26 @@
 
 func regionsRow(r *report, t *table, lost, policy string) {
 	name := policy + " " + lost
-	of := func(pick func(load.Latency) float64, own bool) spread {
+	own := func(pick func(load.Latency) float64) spread {
+		return r.over(name, func(rec *load.Record) float64 { return pick(load.Find(rec.Origins, hurt)) })
+	}
+	others := func(pick func(load.Latency) float64, worse func(a, b float64) float64) spread {
 		return r.over(name, func(rec *load.Record) float64 {
-			if own {
-				return pick(load.Find(rec.Origins, hurt))
-			}
-			// The worst of the other regions.
-			worst := pick(load.Find(rec.Origins, regionNames[1]))
-			other := pick(load.Find(rec.Origins, regionNames[2]))
-			if pick(load.Latency{Calls: 1, InTime: 1}) > 0 {
-				return min(worst, other)
-			}
-			return max(worst, other)
+			return worse(pick(load.Find(rec.Origins, regionNames[1])), pick(load.Find(rec.Origins, regionNames[2])))
 		})
 	}
 	first := func(l load.Latency) float64 { return millis(l.First.P99.Duration) }
 	t.row(lost, policy,
 		r.over(name, func(rec *load.Record) float64 { return rec.SentAwayShare }).format("%.3f"),
-		of(shareInTime, true).format("%.3f"),
-		of(first, true).format("%.0f"),
-		of(shareInTime, false).format("%.3f"),
-		of(first, false).format("%.0f"),
+		own(shareInTime).format("%.3f"),
+		own(first).format("%.0f"),
+		others(shareInTime, lower).format("%.3f"),
+		others(first, higher).format("%.0f"),
 		r.over(name, func(rec *load.Record) float64 { return float64(rec.Cold()) }).format("%.0f"),
 		r.over(name, func(rec *load.Record) float64 { return float64(rec.ComputedTokens()) }).format("%.0f"),
 		r.over(name, func(rec *load.Record) float64 { return float64(rec.NotRun) }).format("%.0f"),
 		r.over(name, func(rec *load.Record) float64 { return float64(rec.Unknown) }).format("%.0f"))
 }
 
+func lower(a, b float64) float64  { return min(a, b) }
+func higher(a, b float64) float64 { return max(a, b) }
