Weigh own calls before reports when choosing an endpoint

Cause: the first version took a report, fading over 3 s, as the load of the other VMs. With reports up to 1.3 s old the VMs agreed on the same wrong endpoint, and cold prefills were not counted against the calls behind them.

Change: other VMs' calls are guessed at 0.8 from the own calls in flight (they choose alike, but not at the same moment) and 0.2 from the report; a reported queue counts whole; a cold prefill weighs four times its time; lateness counts above twice the usual one; a slow sample may not change the averages of all by more than four times. A property test found that a call ending at an unlisted endpoint changed the pool's sums; mended.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -6,18 +6,6 @@
 	"github.com/fuchsianotch/fuchsianotch/call"
 )
 
-const (
-	// scanAll is the number of endpoints up to which all are weighed.
-	scanAll = 12
-	// randomDraws is how many others are weighed in a larger pool.
-	randomDraws = 2
-	// extraDraws bounds the further draws while no free slot was found.
-	extraDraws = 6
-	// loadWeight is what a full batch adds to the score, as a part of the hold
-	// time: a fuller batch decodes slower and is fuller than its report says.
-	loadWeight = 0.1
-)
-
 // candidate is one endpoint with its estimates in seconds.
 type candidate struct {
 	state     *endpoint
@@ -25,7 +13,8 @@
 	predicted float64
 	first     float64
 	score     float64
-	affine    bool
+	prefill   float64
+	warm      bool
 }
 
 // Choose picks an endpoint and counts the call in flight there. It returns
@@ -33,26 +22,25 @@
 func (p *Pool) Choose(r Request, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r.home, r.second = p.ring.pair(r.PrefixHash)
 	if e := p.probe(r, now); e != nil {
 		e.probing = true
-		choice := p.choice(p.weigh(e, r, nil, now), r, now)
+		choice := p.take(p.weigh(e, r, now), r, now)
 		choice.Probe = true
-		p.take(e, now)
 		return choice, true
 	}
 	c, ok := p.pick(r, now)
 	if !ok {
 		return Choice{}, false
 	}
-	choice := p.choice(c, r, now)
-	p.take(c.state, now)
-	return choice, true
+	return p.take(c, r, now), true
 }
 
 // Estimate says how long a call would wait and then be served if it were sent now.
 func (p *Pool) Estimate(r Request, now time.Time) (wait, service time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r.home, r.second = p.ring.pair(r.PrefixHash)
 	c, ok := p.pick(r, now)
 	if !ok {
 		return 0, 0
@@ -61,9 +49,12 @@
 	return choice.Wait, choice.Service
 }
 
-func (p *Pool) take(e *endpoint, now time.Time) {
-	e.enter(now)
-	p.refresh(e, now)
+// take counts the call at the candidate.
+func (p *Pool) take(c candidate, r Request, now time.Time) Choice {
+	choice := p.choice(c, r, now)
+	c.state.enter(c.prefill, now)
+	p.refresh(c.state, now)
+	return choice
 }
 
 // probe gives an endpoint whose back-off is over and that no call tests yet.
@@ -99,7 +90,7 @@
 		p.next++
 		e := p.eligible[p.next%len(p.eligible)]
 		if !r.excludes(e) {
-			return p.weigh(e, r, nil, now), true
+			return p.weigh(e, r, now), true
 		}
 	}
 	return candidate{}, false
@@ -117,48 +108,44 @@
 	if best == nil {
 		return candidate{}, false
 	}
-	return p.weigh(best, r, nil, now), true
+	return p.weigh(best, r, now), true
 }
 
 // pickAffinity weighs the two endpoints of the prefix and some others.
 func (p *Pool) pickAffinity(r Request, now time.Time) (candidate, bool) {
-	var first, second *endpoint
-	if r.PrefixHash != 0 {
-		first, second = p.ring.pair(r.PrefixHash)
-	}
 	var best candidate
 	if len(p.eligible) <= scanAll {
-		p.scan(&best, r, first, now)
+		p.scan(&best, r, now)
 		return best, best.state != nil
 	}
-	p.better(&best, first, r, first, now)
-	p.better(&best, second, r, first, now)
+	p.better(&best, r.home, r, now)
+	p.better(&best, r.second, r, now)
 	for i := range randomDraws + extraDraws {
-		if i >= randomDraws && best.wait == 0 {
+		if i >= randomDraws && best.state != nil && best.wait == 0 {
 			break
 		}
-		p.better(&best, p.eligible[p.draw()], r, first, now)
+		p.better(&best, p.eligible[p.draw()], r, now)
 	}
 	if best.state == nil {
-		p.scan(&best, r, first, now)
+		p.scan(&best, r, now)
 	}
 	return best, best.state != nil
 }
 
 // scan weighs all eligible endpoints from a random one on.
-func (p *Pool) scan(best *candidate, r Request, affine *endpoint, now time.Time) {
+func (p *Pool) scan(best *candidate, r Request, now time.Time) {
 	offset := p.draw()
 	for i := range p.eligible {
-		p.better(best, p.eligible[(offset+i)%len(p.eligible)], r, affine, now)
+		p.better(best, p.eligible[(offset+i)%len(p.eligible)], r, now)
 	}
 }
 
 // better replaces best by e if e scores less.
-func (p *Pool) better(best *candidate, e *endpoint, r Request, affine *endpoint, now time.Time) {
-	if e == nil || r.excludes(e) {
+func (p *Pool) better(best *candidate, e *endpoint, r Request, now time.Time) {
+	if e == nil || e.place < 0 || r.excludes(e) {
 		return
 	}
-	c := p.weigh(e, r, affine, now)
+	c := p.weigh(e, r, now)
 	if best.state == nil || c.score < best.score {
 		*best = c
 	}
@@ -169,20 +156,24 @@
 }
 
 // weigh estimates one endpoint for a request.
-func (p *Pool) weigh(e *endpoint, r Request, affine *endpoint, now time.Time) candidate {
+func (p *Pool) weigh(e *endpoint, r Request, now time.Time) candidate {
 	slots := e.slots()
 	occupied := e.occupancy(p.learnt.share, now)
 	hold := e.hold.or(p.learnt.hold.or(defaultHold))
-	wait := max(occupied+1-slots, 0) * hold / slots
-	predicted := wait + p.prefill(r, e == affine)
-	late := max(e.correction(now), e.stall(hold, now))
+	queued := max(occupied+1-slots, e.queued(now), 0)
+	wait := queued * hold / slots
+	warm := e == r.home
+	prefill := p.prefill(r, warm)
+	predicted := wait + e.prefilling(now) + prefill
+	late := max(e.correction(now)-lateSlack*p.learnt.late.or(0), e.stall(hold, now), 0)
 	return candidate{
 		state:     e,
 		wait:      wait,
 		predicted: predicted,
 		first:     predicted + late,
-		score:     predicted + late + loadWeight*hold*occupied/slots,
-		affine:    e == affine,
+		score:     predicted + late + (coldWeight-1)*prefill + loadWeight*hold*occupied/slots,
+		prefill:   prefill,
+		warm:      warm,
 	}
 }
 
@@ -192,7 +183,7 @@
 	if warm {
 		cold *= 1 - p.learnt.cached.or(defaultCached)
 	}
-	return p.learnt.base.or(defaultBase) + cold/p.learnt.prefill.or(defaultPrefill)
+	return p.learnt.base.value + cold/p.learnt.prefill.value
 }
 
 // choice makes the caller's view of a candidate.
@@ -205,9 +196,10 @@
 		Wait:      seconds(c.first - c.predicted + c.wait),
 		First:     seconds(c.first),
 		Service:   seconds(service),
-		Affine:    c.affine,
+		Affine:    c.warm,
 		state:     c.state,
 		predicted: c.predicted,
+		prefix:    r.PrefixHash != 0,
 		maxTokens: r.MaxTokens,
 	}
 }
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -13,8 +13,6 @@
 	// historyStep and historyLen bound how far back in-flight counts are known.
 	historyStep = 100 * time.Millisecond
 	historyLen  = 32
-	// reportTrust is the age at which a report counts for 1/e of what it did.
-	reportTrust = 3 * time.Second
 	// reportClockSkew is how far ahead of ours an endpoint's clock may be.
 	reportClockSkew = 500 * time.Millisecond
 	// usualWeight is the weight of a new report in the usual load of others.
@@ -48,6 +46,10 @@
 	bias   float64
 	biasAt time.Time
 
+	// backlog is the prefill time of own calls as of backlogAt, in seconds.
+	backlog   float64
+	backlogAt time.Time
+
 	failures int
 	backoff  time.Duration
 	retryAt  time.Time
@@ -63,6 +65,13 @@
 	}
 }
 
+// unlist takes the endpoint out of its pool; calls in flight still end at it.
+func (e *endpoint) unlist() {
+	e.unlisted = true
+	e.place = -1
+	e.counted = counted{}
+}
+
 // leaves says whether the endpoint gets no new call.
 func (e *endpoint) leaves() bool {
 	return e.unlisted || e.State == fleet.StateLeaving || e.load.Leaving
@@ -85,8 +94,10 @@
 	}
 }
 
-// enter counts one more call in flight.
-func (e *endpoint) enter(now time.Time) {
+// enter counts one more call in flight, with its prefill time in seconds.
+func (e *endpoint) enter(prefill float64, now time.Time) {
+	e.backlog = e.prefilling(now) + prefill
+	e.backlogAt = now
 	e.history.record(e.inFlight, now)
 	if e.inFlight == 0 {
 		e.progressAt = now
@@ -125,18 +136,31 @@
 }
 
 // occupancy estimates the calls at the endpoint now. share is this VM's part of
-// the region's load: other VMs have sent work since the report as this one has.
+// the region's load. Other VMs' calls are guessed in two ways: by the report,
+// which fades to the usual load, and by the own calls in flight, as the other
+// VMs choose as this one does but not at the same moment.
 func (e *endpoint) occupancy(share float64, now time.Time) float64 {
 	own := float64(e.inFlight)
-	perOwn := 1/share - 1
+	alike := own * (1/share - 1)
 	if e.loadAt.IsZero() {
-		return own + own*perOwn
+		return own + alike
 	}
-	trust := math.Exp(-float64(now.Sub(e.loadAt)) / float64(reportTrust))
-	since := max(own-float64(e.ownAt), 0)
-	recent := e.seen() + since*perOwn
-	old := max(e.usual, own*perOwn)
-	return own + trust*recent + (1-trust)*old
+	trust := math.Exp(-now.Sub(e.loadAt).Seconds() / reportTrust)
+	reported := trust*e.seen() + (1-trust)*e.usual
+	return own + alikeWeight*alike + (1-alikeWeight)*reported
+}
+
+// queued is the reported queue, which is sure at least to have been there.
+func (e *endpoint) queued(now time.Time) float64 {
+	if e.loadAt.IsZero() || e.load.Waiting == 0 {
+		return 0
+	}
+	return float64(e.load.Waiting) * math.Exp(-now.Sub(e.loadAt).Seconds()/reportTrust)
+}
+
+// prefilling is how many seconds of prefill the own calls have queued there.
+func (e *endpoint) prefilling(now time.Time) float64 {
+	return max(e.backlog-now.Sub(e.backlogAt).Seconds(), 0)
 }
 
 // correction is the decayed bias in seconds.
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -9,6 +9,11 @@
 const (
 	// learnWeight is the weight of a new sample in an average.
 	learnWeight = 0.1
+	// sampleBound is how many times slower than the average a sample may count, so
+	// that one bad endpoint does not change what is expected of all.
+	sampleBound = 4
+	// missWeight is the weight of a miss in the cached part of prompts.
+	missWeight = 0.01
 	// biasWeight is the weight of a new sample in an endpoint's correction.
 	biasWeight = 0.3
 	// biasMax bounds a correction, in seconds.
@@ -26,7 +31,7 @@
 	defaultSpeed   = 50.0
 	defaultBase    = 0.02
 	defaultPrefill = 4000.0
-	defaultCached  = 0.5
+	defaultCached  = 0.8
 	defaultLength  = 0.5
 
 	// ejectAfter is how many failures in a row start a back-off.
@@ -70,12 +75,25 @@
 	cached average
 	// length is the part of MaxTokens that answers use.
 	length average
+	// late is how much later than predicted first tokens come on average, in seconds.
+	late average
 	// share is this VM's part of the region's load.
 	share float64
 }
 
 func newLearnt() learnt {
-	return learnt{share: 1}
+	return learnt{
+		prefill: average{
+			value: defaultPrefill,
+			known: true,
+		},
+		base: average{
+			value: defaultBase,
+			known: true,
+		},
+		late:  average{known: true},
+		share: 1,
+	}
 }
 
 // learnShare takes the own part of one report's load.
@@ -115,19 +133,31 @@
 func (p *Pool) learnFirst(e *endpoint, c Choice, o Outcome, now time.Time) {
 	first := o.FirstAt.Sub(c.At).Seconds()
 	e.correct(first-c.predicted, now)
-	if c.Affine && o.Usage.PromptTokens > 0 {
-		p.learnt.cached.add(float64(o.Usage.CachedTokens)/float64(o.Usage.PromptTokens), learnWeight)
-	}
+	p.learnt.late.add(max(first-c.predicted, 0), learnWeight)
+	p.learnCached(c, o)
 	if c.Wait > 0 {
 		return
 	}
 	cold := o.Usage.PromptTokens - o.Usage.CachedTokens
-	base := p.learnt.base.or(defaultBase)
+	base := p.learnt.base.value
 	if cold >= minPrefillTokens && first > base {
-		p.learnt.prefill.add(float64(cold)/(first-base), learnWeight)
+		rate := float64(cold) / (first - base)
+		p.learnt.prefill.add(max(rate, p.learnt.prefill.value/sampleBound), learnWeight)
 		return
 	}
-	p.learnt.base.add(first, learnWeight)
+	p.learnt.base.add(min(first, p.learnt.base.value*sampleBound), learnWeight)
+}
+
+// learnCached learns how much of a prompt a warm endpoint holds. A miss tells
+// little of that, as calls that stay with an endpoint are what makes it warm.
+func (p *Pool) learnCached(c Choice, o Outcome) {
+	switch {
+	case o.Usage.PromptTokens == 0 || !c.prefix:
+	case o.Usage.CachedTokens > 0:
+		p.learnt.cached.add(float64(o.Usage.CachedTokens)/float64(o.Usage.PromptTokens), learnWeight)
+	case c.Affine:
+		p.learnt.cached.add(0, missWeight)
+	}
 }
 
 // learnService learns how long a call keeps its slot and how fast it generates.
--- a/routing/ring.go
+++ b/routing/ring.go
@@ -58,9 +58,10 @@
 	return low
 }
 
-// pair gives the first two different eligible endpoints from hash on; either may be nil.
+// pair gives the first two different eligible endpoints from hash on. Either may
+// be nil; both are for hash zero, which means no prefix.
 func (r *ring) pair(hash uint64) (first, second *endpoint) {
-	if len(r.points) == 0 {
+	if len(r.points) == 0 || hash == 0 {
 		return nil, nil
 	}
 	start := r.search(hash)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -49,6 +49,9 @@
 	Priority     call.Priority
 	// Exclude names endpoints that were tried already; empty strings mean none.
 	Exclude [2]string
+
+	// home and second are the prefix's endpoints, found once for each choice.
+	home, second *endpoint
 }
 
 // Choice is one call counted in flight at one endpoint. It must be given back
@@ -70,6 +73,7 @@
 	state *endpoint
 	// predicted is First in seconds without the correction by observation.
 	predicted float64
+	prefix    bool
 	maxTokens int
 }
 
@@ -145,7 +149,7 @@
 	}
 	for _, old := range p.endpoints {
 		if byID[old.ID] != old {
-			old.unlisted = true
+			old.unlist()
 		}
 	}
 	p.byID = byID
--- a/routing/supply.go
+++ b/routing/supply.go
@@ -71,9 +71,9 @@
 		Free:             p.total.free,
 		Own:              p.total.own,
 		Hold:             seconds(p.learnt.hold.or(defaultHold)),
-		First:            seconds(p.learnt.base.or(defaultBase)),
+		First:            seconds(p.learnt.base.value),
 		TokensPerSecond:  p.learnt.speed.or(defaultSpeed),
-		PrefillPerSecond: p.learnt.prefill.or(defaultPrefill),
+		PrefillPerSecond: p.learnt.prefill.value,
 		AnswerShare:      p.learnt.length.or(defaultLength),
 		RetryAt:          p.retryAt(),
 	}
