Record VMs that leave or are lost, and name a time to come back without a share

Cause: a VM that left and then stopped was never recorded as lost, and a refusal for want of a share named no time. Change: states of the region's VMs are compared on each publication; LimitNoShare names a time.

--- a/node/control.go
+++ b/node/control.go
@@ -165,37 +165,38 @@
 	close(before.next)
 }
 
-// reportChanges records VMs that were lost or have returned.
+// reportChanges records VMs of the region that were lost, have returned or leave.
 func (c *control) reportChanges(before, after *membership.View) {
-	if before.Revision == after.Revision {
-		return
+	was := make(map[string]string, len(before.Region))
+	for _, m := range before.Region {
+		was[m.VM.ID] = stateOf(m)
 	}
-	was := reachability(before)
 	for _, m := range after.Region {
-		if reachable, known := was[m.VM.ID]; known && reachable != m.Reachable {
-			c.reportVM(m)
+		state := stateOf(m)
+		if known, ok := was[m.VM.ID]; ok && known != state {
+			c.reportVM(m.VM.ID, state)
 		}
 	}
 }
 
-func reachability(v *membership.View) map[string]bool {
-	out := make(map[string]bool, len(v.Region))
-	for _, m := range v.Region {
-		out[m.VM.ID] = m.Reachable
+// stateOf names a VM's state for events and logs.
+func stateOf(m membership.Member) string {
+	switch {
+	case !m.Reachable:
+		return "vm_lost"
+	case m.Leaving:
+		return "vm_leaving"
+	default:
+		return "vm_reached"
 	}
-	return out
 }
 
-func (c *control) reportVM(m membership.Member) {
-	kind := "vm_lost"
-	if m.Reachable {
-		kind = "vm_reached"
-	}
+func (c *control) reportVM(id, state string) {
 	c.node.ring.Add(timeline.Event{
-		Kind: kind,
-		Peer: m.VM.ID,
+		Kind: state,
+		Peer: id,
 	})
-	c.node.log.Info(kind, "peer", m.VM.ID)
+	c.node.log.Info(state, "peer", id)
 }
 
 // offered are documents or a list from the platform or a peer.
--- a/serving/charge.go
+++ b/serving/charge.go
@@ -18,10 +18,20 @@
 	tokensPerPrice = 1000
 	// leaseWithin bounds the wait for an owner's answer.
 	leaseWithin = 250 * time.Millisecond
+	// shareWithin is when shares have most likely moved to their new owner.
+	shareWithin = 500 * time.Millisecond
 )
 
 // charge takes the call's estimated cost from the limits of its workspace.
 func (s *Server) charge(ctx context.Context, c *call.Call, terms Terms) (limit.Reservation, *result.Refusal) {
+	reservation, refusal := s.take(ctx, c, terms)
+	if refusal != nil && refusal.ComeBackAt.IsZero() {
+		refusal = refusal.Until(s.options.Now().Add(shareWithin))
+	}
+	return reservation, refusal
+}
+
+func (s *Server) take(ctx context.Context, c *call.Call, terms Terms) (limit.Reservation, *result.Refusal) {
 	view := s.options.View()
 	now := s.options.Now()
 	r := s.limitRequest(c, terms, view, now)
--- a/testscripts/scenario/calls.go
+++ b/testscripts/scenario/calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/standin/caller"
 	"github.com/fuchsianotch/fuchsianotch/testscripts/rig"
 )
@@ -89,7 +90,7 @@
 		if !e.Alive() {
 			continue
 		}
-		body, err := rig.GetJSON[runsBody](w.rig, e.Fleet.Addr, "/admin/runs")
+		body, err := rig.GetJSON[runsBody](w.rig, e.Listening.Addr, "/admin/runs")
 		if err != nil {
 			return nil, err
 		}
@@ -117,13 +118,11 @@
 	return out.String()
 }
 
-// owner WORKSPACE REGION sets OWNER to the workspace's first entry VM, and
+// owner WORKSPACE REGION sets OWNER to the VM that owns the workspace, and
 // OTHER to another VM of the region.
 func owner(w *world, ts *testscript.TestScript, args []string) {
 	need(ts, args, 2, "owner WORKSPACE REGION")
-	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
-	defer cancel()
-	found := w.ownerOf(ts, ctx, args[0], args[1])
+	found := w.ownerOf(args[1], args[0])
 	ts.Setenv("OWNER", found)
 	for _, vm := range w.rig.VMsOf(args[1]) {
 		if vm.Fleet.ID != found {
@@ -132,10 +131,16 @@
 	}
 }
 
-func (w *world) ownerOf(ts *testscript.TestScript, ctx context.Context, workspace, region string) string {
-	entries, err := w.newCaller(ts, workspace, []string{"vm=" + region}).Entries(ctx)
-	ts.Check(err)
-	return entries[0].VM
+// ownerOf ranks the running VMs of the region. What callers are told may be in
+// another order, for a workspace with much traffic.
+func (w *world) ownerOf(region, workspace string) string {
+	var ids []string
+	for _, vm := range w.rig.VMsOf(region) {
+		if vm.Alive() {
+			ids = append(ids, vm.Fleet.ID)
+		}
+	}
+	return entry.Owner(workspace, ids)
 }
 
 // executor WORKSPACE VM takes a ticket from a VM and sets TICKET.
--- /dev/null
+++ b/testscripts/scenario/departure.go
@@ -0,0 +1,84 @@
+package scenario
+
+import (
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fuchsianotch/fuchsianotch/testscripts/rig"
+)
+
+const (
+	// departureEvery is how often an endpoint's count of runs is read.
+	departureEvery = 20 * time.Millisecond
+	// quietFor is how long an endpoint must get no new work to count as left.
+	quietFor = 4 * time.Second
+)
+
+// departureBody is a stand-in's count of all runs.
+type departureBody struct {
+	Total int `json:"total"`
+}
+
+// mark NAME remembers the moment for departed.
+func mark(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 1, "mark NAME")
+	w.marks[args[0]] = time.Now()
+}
+
+// departed ENDPOINT since=NAME within=D waits until an endpoint gets no new
+// work, and prints how long after the mark it got its last. It says late=yes
+// when that is over the bound.
+func departed(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 2, "departed ENDPOINT since=NAME [within=D]")
+	since, ok := w.marks[option(args, "since", "")]
+	if !ok {
+		ts.Fatalf("no mark %q", option(args, "since", ""))
+	}
+	e := w.endpoint(ts, args[0])
+	total := -1
+	last := since
+	runs := 0
+	err := rig.Await(settleWithin, args[0]+" gets no new work", func() bool {
+		body, err := rig.GetJSON[departureBody](w.rig, e.Fleet.Addr, "/admin/runs")
+		if err == nil && body.Total != total {
+			runs += max(body.Total-total, 0)
+			if total < 0 {
+				runs = 0
+			}
+			total = body.Total
+			last = time.Now()
+		}
+		return time.Since(last) >= quietFor
+	})
+	ts.Check(err)
+	after := last.Sub(since)
+	late := "no"
+	if after > duration(ts, args, "within", "5s") {
+		late = "yes"
+	}
+	ts.Logf("last new work of %s at most %s after the mark", args[0], after.Round(10*time.Millisecond))
+	printf(ts, "late=%s runs_after=%d\n", late, runs)
+}
+
+func (w *world) endpoint(ts *testscript.TestScript, id string) *rig.Endpoint {
+	for _, e := range w.rig.Endpoints {
+		if e.Fleet.ID == id {
+			return e
+		}
+	}
+	ts.Fatalf("no endpoint %q", id)
+	return nil
+}
+
+// works ENDPOINT waits until an endpoint has got new work.
+func works(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 1, "works ENDPOINT")
+	e := w.endpoint(ts, args[0])
+	first, err := rig.GetJSON[departureBody](w.rig, e.Fleet.Addr, "/admin/runs")
+	ts.Check(err)
+	ts.Check(rig.Await(settleWithin, args[0]+" gets work", func() bool {
+		body, err := rig.GetJSON[departureBody](w.rig, e.Fleet.Addr, "/admin/runs")
+		return err == nil && body.Total > first.Total
+	}))
+}
--- /dev/null
+++ b/testscripts/scenario/documents.go
@@ -0,0 +1,261 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fuchsianotch/fuchsianotch/common/jsonc"
+	"github.com/fuchsianotch/fuchsianotch/contract"
+	"github.com/fuchsianotch/fuchsianotch/operator"
+	"github.com/fuchsianotch/fuchsianotch/testscripts/rig"
+)
+
+// publishedBucket is a contract bucket with the key it stands under.
+type publishedBucket struct {
+	key      string
+	revision uint64
+	bucket   contract.Bucket
+}
+
+// platformValue is a value as the platform answers it.
+type platformValue struct {
+	Revision uint64 `json:"revision"`
+	Value    string `json:"value"`
+}
+
+// bucketOf reads the published bucket that holds a workspace's contract.
+func (w *world) bucketOf(ts *testscript.TestScript, workspace string) publishedBucket {
+	for i := 0; ; i++ {
+		key := contract.KeyBucketPrefix + strconv.Itoa(i)
+		value, err := rig.GetJSON[platformValue](w.rig, w.rig.Platform.Listening.Addr, "/v1/values/"+key)
+		ts.Check(err)
+		bucket, problem := jsonc.Decode[contract.Bucket](key, []byte(value.Value))
+		if problem != nil {
+			ts.Fatalf("%s: %v", key, problem)
+		}
+		if contract.BucketOf(workspace, bucket.Buckets) == i {
+			return publishedBucket{
+				key:      key,
+				revision: value.Revision,
+				bucket:   *bucket,
+			}
+		}
+	}
+}
+
+// amend WORKSPACE CHANGE... publishes the workspace's contract with changes:
+// bound, removed, without=REGION, requests=N, concurrency=N, within=D (both
+// bounds of an answer), or invalid. It sets KEY and REVISION.
+func amend(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 2, "amend WORKSPACE bound|removed|invalid|without=REGION|requests=N|concurrency=N...")
+	b := w.bucketOf(ts, args[0])
+	b.change(ts, args[0], args[1:])
+	data, err := json.Marshal(b.bucket)
+	ts.Check(err)
+	revision, err := w.rig.Publish(b.key, data)
+	ts.Check(err)
+	ts.Setenv("KEY", b.key)
+	ts.Setenv("REVISION", strconv.FormatUint(revision, 10))
+}
+
+func (b *publishedBucket) change(ts *testscript.TestScript, workspace string, changes []string) {
+	i := slices.IndexFunc(b.bucket.Contracts, func(c contract.Contract) bool { return c.Workspace == workspace })
+	if i < 0 {
+		ts.Fatalf("no contract of %q", workspace)
+	}
+	if slices.Contains(changes, "removed") {
+		b.bucket.Contracts = slices.Delete(b.bucket.Contracts, i, i+1)
+		return
+	}
+	c := &b.bucket.Contracts[i]
+	c.Bound = c.Bound || slices.Contains(changes, "bound")
+	if option(changes, "within", "") != "" {
+		c.Answer.FirstTokenWithin.Duration = duration(ts, changes, "within", "")
+		c.Answer.WholeWithin.Duration = duration(ts, changes, "within", "")
+	}
+	c.Regions = slices.DeleteFunc(c.Regions, func(t contract.RegionTerms) bool {
+		return t.Region == option(changes, "without", "")
+	})
+	for n := range c.Regions {
+		t := &c.Regions[n]
+		t.RequestsPerSecond = float64(number(ts, changes, "requests", fmt.Sprint(int(t.RequestsPerSecond))))
+		t.Concurrency = number(ts, changes, "concurrency", strconv.Itoa(t.Concurrency))
+		if c.Bound {
+			t.BorrowShare = 0
+		}
+		if slices.Contains(changes, "invalid") {
+			t.RequestsPerSecond = -1
+		}
+	}
+}
+
+// race WORKSPACE N [blind] lets N operators publish a change of one contract at
+// once, all on the revision that they read, or blind over each other. It sets
+// KEY and REVISION to what won and prints how many were taken.
+func race(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 2, "race WORKSPACE N [blind]")
+	operators, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	read := w.bucketOf(ts, args[0])
+	statuses := make([]int, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		b := w.bucketOf(ts, args[0])
+		b.change(ts, args[0], []string{fmt.Sprintf("requests=%d", 40+i)})
+		data, err := json.Marshal(b.bucket)
+		ts.Check(err)
+		wg.Go(func() {
+			statuses[i] = w.putIf(read, data, slices.Contains(args, "blind"))
+		})
+	}
+	wg.Wait()
+	taken, conflicts := 0, 0
+	for _, status := range statuses {
+		switch status {
+		case http.StatusOK:
+			taken++
+		case http.StatusConflict:
+			conflicts++
+		}
+	}
+	won := w.bucketOf(ts, args[0])
+	ts.Setenv("KEY", won.key)
+	ts.Setenv("REVISION", strconv.FormatUint(won.revision, 10))
+	printf(ts, "taken=%d conflicts=%d\n", taken, conflicts)
+}
+
+func (w *world) putIf(read publishedBucket, data []byte, blind bool) int {
+	req, err := http.NewRequest(http.MethodPut, "http://"+w.rig.Platform.Listening.Addr+"/v1/values/"+read.key, strings.NewReader(string(data)))
+	if err != nil {
+		return 0
+	}
+	if !blind {
+		req.Header.Set("If-Revision", strconv.FormatUint(read.revision, 10))
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// agree KEY prints how many different pairs of revision in force and refused
+// the running VMs have for a key.
+func agree(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 1, "agree KEY")
+	verdicts := make(map[string]int)
+	for _, vm := range w.rig.VMs {
+		if !vm.Alive() {
+			continue
+		}
+		s, err := w.status(vm)
+		ts.Check(err)
+		for _, d := range s.Documents {
+			if d.Key == args[0] {
+				verdicts[fmt.Sprintf("in_force=%d refused=%d reason=%q", d.InForce, d.Refused, d.Reason)]++
+			}
+		}
+	}
+	for verdict, n := range verdicts {
+		printf(ts, "%d VMs: %s\n", n, verdict)
+	}
+	printf(ts, "verdicts=%d\n", len(verdicts))
+}
+
+// monitorEvery is how often a monitor reads each VM's status.
+const monitorEvery = 20 * time.Millisecond
+
+// monitor watches the revision that each VM has in force for a key.
+type monitor struct {
+	key     string
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	highest map[string]uint64
+	reverts []string
+	reads   int
+}
+
+// startMonitor NAME KEY watches a key on all VMs from now on, also over their
+// restarts.
+func startMonitor(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 2, "monitor NAME KEY")
+	m := &monitor{
+		key:     args[1],
+		stop:    make(chan struct{}),
+		highest: make(map[string]uint64),
+	}
+	w.monitors[args[0]] = m
+	for _, vm := range w.rig.VMs {
+		m.wg.Go(func() { m.watch(w, vm) })
+	}
+	ts.Defer(m.end)
+}
+
+func (m *monitor) end() {
+	select {
+	case <-m.stop:
+	default:
+		close(m.stop)
+	}
+	m.wg.Wait()
+}
+
+func (m *monitor) watch(w *world, vm *rig.VM) {
+	ticker := time.NewTicker(monitorEvery)
+	defer ticker.Stop()
+	id, addr := vm.Fleet.ID, vm.Fleet.OperatorAddr
+	for {
+		select {
+		case <-m.stop:
+			return
+		case <-ticker.C:
+		}
+		if s, err := statusAt(w, addr); err == nil && s.Ready {
+			m.take(id, s)
+		}
+	}
+}
+
+// monitored NAME ends a monitor and prints how often a VM that was ready had a
+// lower revision in force than before.
+func endMonitor(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 1, "monitored NAME")
+	m := w.monitors[args[0]]
+	if m == nil {
+		ts.Fatalf("no monitor %q", args[0])
+	}
+	m.end()
+	for _, line := range m.reverts {
+		ts.Logf("%s", line)
+	}
+	printf(ts, "reads=%d reverts=%d\n", m.reads, len(m.reverts))
+}
+
+func statusAt(w *world, addr string) (operator.Status, error) {
+	return rig.GetJSON[operator.Status](w.rig, addr, "/v1/status")
+}
+
+func (m *monitor) take(vm string, s operator.Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reads++
+	for _, d := range s.Documents {
+		if d.Key != m.key {
+			continue
+		}
+		if d.InForce < m.highest[vm] {
+			m.reverts = append(m.reverts, fmt.Sprintf("%s went from %d to %d", vm, m.highest[vm], d.InForce))
+		}
+		m.highest[vm] = d.InForce
+	}
+}
--- a/testscripts/scenario/held.go
+++ b/testscripts/scenario/held.go
@@ -105,3 +105,26 @@
 	}
 	printf(ts, "forwards=%d\n", n)
 }
+
+// mostforwards prints how many calls were sent from one VM to another since
+// the deployment began, and the most sends of one call, by all time lines.
+func mostForwards(w *world, ts *testscript.TestScript, _ []string) {
+	sends := make(map[string]int)
+	for _, vm := range w.rig.VMs {
+		if !vm.Alive() {
+			continue
+		}
+		t, err := rig.GetJSON[operator.Timeline](w.rig, vm.Fleet.OperatorAddr, "/v1/timeline")
+		ts.Check(err)
+		for _, e := range t.Events {
+			if e.Kind == "call_forwarded" || e.Kind == "call_sent_away" {
+				sends[e.Request]++
+			}
+		}
+	}
+	most := 0
+	for _, n := range sends {
+		most = max(most, n)
+	}
+	printf(ts, "calls=%d most=%d\n", len(sends), most)
+}
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -45,7 +46,9 @@
 		byName:  make(map[string]*world),
 	}
 	out := make(map[string]func(*testscript.TestScript, bool, []string))
-	for name, c := range commands() {
+	all := commands()
+	maps.Copy(all, onceCommands())
+	for name, c := range all {
 		out[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			if neg {
 				ts.Fatalf("%s cannot be negated", name)
@@ -58,42 +61,56 @@
 
 func commands() map[string]command {
 	return map[string]command{
-		"deploy":    deploy,
-		"chat":      chat,
-		"book":      book,
-		"load":      startLoad,
-		"ended":     endLoad,
-		"owner":     owner,
-		"executor":  executor,
-		"crash":     eachVM((*rig.VM).KillProcess),
-		"freeze":    eachVM((*rig.VM).FreezeProcess),
-		"thaw":      eachVM((*rig.VM).ThawProcess),
-		"shutdown":  shutdown,
-		"restart":   restart,
-		"roll":      roll,
-		"cut":       cut,
-		"cutoneway": cutOneWay,
-		"heal":      heal,
-		"platform":  switchPlatform,
-		"publish":   publish,
-		"inforce":   inForce,
-		"leaving":   leaving,
-		"fault":     fault,
-		"runs":      runs,
-		"held":      held,
-		"forwards":  forwards,
-		"pause":     pause,
-		"reached":   reached,
-		"post":      post,
+		"deploy":       deploy,
+		"chat":         chat,
+		"book":         book,
+		"load":         startLoad,
+		"ended":        endLoad,
+		"owner":        owner,
+		"executor":     executor,
+		"crash":        eachVM((*rig.VM).KillProcess),
+		"freeze":       eachVM((*rig.VM).FreezeProcess),
+		"thaw":         eachVM((*rig.VM).ThawProcess),
+		"shutdown":     shutdown,
+		"restart":      restart,
+		"roll":         roll,
+		"cut":          cut,
+		"cutoneway":    cutOneWay,
+		"heal":         heal,
+		"platform":     switchPlatform,
+		"publish":      publish,
+		"inforce":      inForce,
+		"leaving":      leaving,
+		"fault":        fault,
+		"runs":         runs,
+		"held":         held,
+		"forwards":     forwards,
+		"pause":        pause,
+		"reached":      reached,
+		"events":       events,
+		"post":         post,
+		"amend":        amend,
+		"race":         race,
+		"agree":        agree,
+		"monitor":      startMonitor,
+		"monitored":    endMonitor,
+		"mark":         mark,
+		"departed":     departed,
+		"works":        works,
+		"mostforwards": mostForwards,
+		"streams":      streams,
 	}
 }
 
 // world is what one script has running.
 type world struct {
-	options Options
-	rig     *rig.Rig
-	loads   map[string]*load
-	runs    map[string]int
+	options  Options
+	rig      *rig.Rig
+	loads    map[string]*load
+	runs     map[string]int
+	once     onceState
+	monitors map[string]*monitor
+	marks    map[string]time.Time
 }
 
 // deploy NAME [links] [settings...] starts a deployment; a setting is
--- a/testscripts/scenario/worlds.go
+++ b/testscripts/scenario/worlds.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -21,9 +22,11 @@
 		return w
 	}
 	w := &world{
-		options: all.options,
-		loads:   make(map[string]*load),
-		runs:    make(map[string]int),
+		options:  all.options,
+		loads:    make(map[string]*load),
+		runs:     make(map[string]int),
+		monitors: make(map[string]*monitor),
+		marks:    make(map[string]time.Time),
 	}
 	all.byName[name] = w
 	ts.Defer(func() {
