Add the endpoint client and stand-ins for engines and services

The gateway needs answers that are whole and its caller's own. The client matches the head and every chunk to the attempt, holds the opening and the end of a stream back so that what was passed on is always a number of whole tokens, and knows by counting at the connection whether a byte went out. net/http's own resends are ruled out: no GetBody, the idempotency key under a key that net/http doesn't look up, and a connection of its own for each non-idempotent call. A connection that broke while idle is replaced inside the attempt, because nothing was sent on it.

--- /dev/null
+++ b/endpoint/answer.go
@@ -0,0 +1,190 @@
+package endpoint
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// passedHeaders are the headers that go from the endpoint to the caller.
+var passedHeaders = []string{
+	"Cache-Control",
+	"Content-Disposition",
+	"Content-Encoding",
+	"Content-Language",
+	"Content-Type",
+	"Etag",
+	"Expires",
+	"Last-Modified",
+	"Location",
+	headerRequestID,
+}
+
+// keptBytes is the largest buffer that goes back to a pool.
+const keptBytes = 256 << 10
+
+var buffers = sync.Pool{
+	New: func() any { return new(bytes.Buffer) },
+}
+
+func putBuffer(b *bytes.Buffer) {
+	if b.Cap() > keptBytes {
+		return
+	}
+	b.Reset()
+	buffers.Put(b)
+}
+
+func passed(header http.Header) http.Header {
+	h := make(http.Header, len(passedHeaders))
+	for _, name := range passedHeaders {
+		if values := header[name]; len(values) > 0 {
+			h[name] = values
+		}
+	}
+	return h
+}
+
+// receiveWhole reads an answer to its end, checks it, and only then passes it on.
+func (x *exchange) receiveWhole(resp *http.Response) *result.Refusal {
+	if x.attempt.ResumeFrom > 0 {
+		return result.Refuse(result.EndpointFailed, "the endpoint did not resume the stream")
+	}
+	body, _ := buffers.Get().(*bytes.Buffer)
+	defer putBuffer(body)
+	if refusal := x.readWhole(resp, body); refusal != nil {
+		return refusal
+	}
+	data := body.Bytes()
+	if x.attempt.Call.Kind == call.KindChat && resp.StatusCode == http.StatusOK {
+		if refusal := x.checkCompletion(data); refusal != nil {
+			return refusal
+		}
+		data = x.renamed(data)
+	}
+	header := passed(resp.Header)
+	if x.attempt.Call.Method != http.MethodHead {
+		header.Set("Content-Length", strconv.Itoa(len(data)))
+	}
+	if refusal := x.passHead(resp.StatusCode, header); refusal != nil {
+		return refusal
+	}
+	if len(data) == 0 {
+		return nil
+	}
+	return x.passChunk(data)
+}
+
+// readWhole fills body. An answer that shows no length could be cut unseen.
+func (x *exchange) readWhole(resp *http.Response, body *bytes.Buffer) *result.Refusal {
+	hasLength := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	if !hasLength {
+		return result.Refuse(result.EndpointCut, "the answer has neither a length nor an end")
+	}
+	if resp.ContentLength > int64(x.client.maxAnswer) && x.attempt.Call.Method != http.MethodHead {
+		return x.tooLarge()
+	}
+	_, err := body.ReadFrom(io.LimitReader(resp.Body, int64(x.client.maxAnswer)+1))
+	if err != nil {
+		return x.lost(err)
+	}
+	if body.Len() > x.client.maxAnswer {
+		return x.tooLarge()
+	}
+	return nil
+}
+
+func (x *exchange) tooLarge() *result.Refusal {
+	return result.Refuse(result.EndpointFailed, "the answer is over %d bytes", x.client.maxAnswer)
+}
+
+// completion is what is checked of a whole chat answer.
+type completion struct {
+	ID      json.RawMessage    `json:"id"`
+	Choices []completionChoice `json:"choices"`
+	Usage   *usage             `json:"usage"`
+}
+
+type completionChoice struct {
+	FinishReason json.RawMessage `json:"finish_reason"`
+}
+
+// usage is what a chat answer says of its tokens.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	Details          struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+func (x *exchange) checkCompletion(data []byte) *result.Refusal {
+	var c completion
+	if err := json.Unmarshal(data, &c); err != nil {
+		return result.Refuse(result.EndpointFailed, "the answer is malformed").Because(err)
+	}
+	if refusal := x.matchID(c.ID); refusal != nil {
+		return refusal
+	}
+	if len(c.Choices) == 0 {
+		return result.Refuse(result.EndpointCut, "the answer has no choice")
+	}
+	for _, choice := range c.Choices {
+		if !present(choice.FinishReason) {
+			return result.Refuse(result.EndpointCut, "the answer has no finish reason")
+		}
+	}
+	x.use(c.Usage)
+	return nil
+}
+
+// matchID compares the id inside an answer, in its JSON form.
+func (x *exchange) matchID(raw json.RawMessage) *result.Refusal {
+	if !present(raw) {
+		return result.Refuse(result.EndpointFailed, "the answer has no id")
+	}
+	if string(raw) != completionID(x.attempt.ID) {
+		return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
+	}
+	return nil
+}
+
+func completionID(id string) string {
+	return `"chatcmpl-` + id + `"`
+}
+
+// renamed gives the answer the id that the caller knows.
+func (x *exchange) renamed(data []byte) []byte {
+	if x.attempt.AnswerID == "" || x.attempt.AnswerID == x.attempt.ID {
+		return data
+	}
+	own, known := completionID(x.attempt.ID), completionID(x.attempt.AnswerID)
+	return bytes.Replace(data, []byte(own), []byte(known), 1)
+}
+
+// present says whether a JSON value is there and isn't null or an empty string.
+func present(raw json.RawMessage) bool {
+	switch string(raw) {
+	case "", "null", `""`:
+		return false
+	default:
+		return true
+	}
+}
+
+func (x *exchange) use(u *usage) {
+	if u == nil {
+		return
+	}
+	x.outcome.Usage = call.Usage{
+		PromptTokens:    max(u.PromptTokens, 0),
+		CachedTokens:    max(u.Details.CachedTokens, 0),
+		GeneratedTokens: max(u.CompletionTokens-x.attempt.ResumeFrom, 0),
+	}
+}
--- /dev/null
+++ b/endpoint/exchange.go
@@ -0,0 +1,260 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// maxStale is how many connections that broke while idle are given up for one attempt.
+const maxStale = 8
+
+// exchange is one attempt under way.
+type exchange struct {
+	client  *Client
+	ctx     context.Context
+	attempt Attempt
+	sink    Sink
+	track   track
+	outcome Outcome
+	// headed says that Sink.Head was called; sinkFailed that the sink gave an error.
+	headed     bool
+	sinkFailed bool
+	// severalChoices rules resuming out: tokens are counted over one choice only.
+	severalChoices bool
+}
+
+// run sends the request and receives the answer; nil means done.
+func (x *exchange) run() *result.Refusal {
+	if err := x.admit(); err != nil {
+		return notSent(err)
+	}
+	resp, refusal := x.roundTrip()
+	if refusal != nil {
+		return refusal
+	}
+	defer func() { _ = resp.Body.Close() }()
+	x.outcome.Sent = true
+	refusal = x.receive(resp)
+	if refusal != nil && refusal.Code == result.AnswerCrossed {
+		x.track.distrust()
+	}
+	return refusal
+}
+
+// roundTrip sends the request once. A reused connection that broke before any
+// byte went out is replaced by another one; nothing was sent on it.
+func (x *exchange) roundTrip() (*http.Response, *result.Refusal) {
+	transport := x.transport()
+	for tries := 1; ; tries++ {
+		req, refusal := newRequest(x.track.trace(x.ctx), x.attempt)
+		if refusal != nil {
+			return nil, refusal
+		}
+		resp, err := transport.RoundTrip(req)
+		if err == nil {
+			return resp, nil
+		}
+		if x.track.stale() && tries < maxStale && x.ctx.Err() == nil {
+			continue
+		}
+		return nil, x.unanswered(transport, err)
+	}
+}
+
+func (x *exchange) transport() http.RoundTripper {
+	// The gate runs as the first byte goes out, where the transport shows it.
+	x.track.gate = x.sending
+	if x.attempt.Call.Idempotent {
+		return x.client.pooled
+	}
+	return x.client.single
+}
+
+// admit says whether there is still time to send.
+func (x *exchange) admit() error {
+	if err := x.ctx.Err(); err != nil {
+		return err
+	}
+	by := x.attempt.Call.WholeBy
+	if !by.IsZero() && !x.client.now().Before(by) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+func (x *exchange) sending() error {
+	if err := x.admit(); err != nil {
+		return err
+	}
+	if x.attempt.Sending == nil {
+		return nil
+	}
+	return x.attempt.Sending()
+}
+
+// unanswered judges an attempt that got no answer at all.
+func (x *exchange) unanswered(transport http.RoundTripper, err error) *result.Refusal {
+	sent, denied := x.track.abort()
+	if _, ok := transport.(*http.Transport); !ok {
+		sent = true
+	}
+	x.outcome.Sent = sent
+	switch {
+	case sent:
+		return x.lost(err)
+	case denied != nil:
+		return notSent(denied)
+	case x.ctx.Err() != nil:
+		return notSent(x.ctx.Err())
+	default:
+		return result.Refuse(result.EndpointRefused, "the endpoint was not reached").Because(err)
+	}
+}
+
+func notSent(err error) *result.Refusal {
+	var refusal *result.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return result.Refuse(result.DeadlinePassed, "nothing was sent").Because(err)
+}
+
+// lost judges an error after the request went out.
+func (x *exchange) lost(err error) *result.Refusal {
+	if x.ctx.Err() != nil {
+		return result.Refuse(result.EndpointTimeout, "the answer did not end in time").Because(x.ctx.Err())
+	}
+	var netErr net.Error
+	cut := errors.Is(err, io.EOF) ||
+		errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) ||
+		errors.As(err, &netErr)
+	if cut {
+		return result.Refuse(result.EndpointCut, "the connection broke off").Because(err)
+	}
+	return result.Refuse(result.EndpointFailed, "the answer is malformed").Because(err)
+}
+
+// receive judges the head of an answer, and takes the rest.
+func (x *exchange) receive(resp *http.Response) *result.Refusal {
+	if refusal := x.matchHead(resp.Header); refusal != nil {
+		return refusal
+	}
+	x.outcome.Load = loadOf(resp.Header, x.client.now())
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		if resp.Header.Get(headerRun) == runNone {
+			x.outcome.ComeBackAt = retryAfter(resp.Header, x.client.now())
+			return result.Refuse(result.EndpointRefused, "the endpoint refused with status %d", resp.StatusCode)
+		}
+		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
+	}
+	if resp.StatusCode < http.StatusOK {
+		return result.Refuse(result.EndpointFailed, "the endpoint switched protocols")
+	}
+	isStream := x.attempt.Call.Kind == call.KindChat && x.attempt.Call.Stream
+	if isStream && resp.StatusCode == http.StatusOK {
+		return x.receiveStream(resp)
+	}
+	return x.receiveWhole(resp)
+}
+
+// matchHead refuses an answer that isn't marked as this attempt's own. This
+// comes before the status, because a refusal may be crossed as well.
+func (x *exchange) matchHead(header http.Header) *result.Refusal {
+	ids := header.Values(headerRequestID)
+	if len(ids) == 0 {
+		return result.Refuse(result.EndpointFailed, "the answer has no id")
+	}
+	for _, id := range ids {
+		if id != x.attempt.ID {
+			return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
+		}
+	}
+	return nil
+}
+
+// retryAfter reads the header's seconds; zero means none.
+func retryAfter(header http.Header, now time.Time) time.Time {
+	seconds, err := strconv.Atoi(header.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(seconds) * time.Second)
+}
+
+// passHead gives the head to the sink once, and never on a resumed attempt.
+func (x *exchange) passHead(status int, header http.Header) *result.Refusal {
+	if x.headed {
+		return nil
+	}
+	x.headed = true
+	x.outcome.FirstAt = x.client.now()
+	if x.attempt.ResumeFrom > 0 {
+		return nil
+	}
+	return x.sinkError(x.sink.Head(status, header))
+}
+
+func (x *exchange) passChunk(data []byte) *result.Refusal {
+	return x.sinkError(x.sink.Chunk(data))
+}
+
+func (x *exchange) sinkError(err error) *result.Refusal {
+	if err == nil {
+		return nil
+	}
+	x.sinkFailed = true
+	return result.Refuse(result.EndpointTimeout, "the caller went away").Because(err)
+}
+
+// finish completes the outcome.
+func (x *exchange) finish(refusal *result.Refusal) Outcome {
+	o := &x.outcome
+	if refusal == nil {
+		o.Code = result.Done
+		return *o
+	}
+	o.Code = refusal.Code
+	o.Err = refusal
+	o.CallerGone = x.sinkFailed || errors.Is(x.ctx.Err(), context.Canceled)
+	o.Resumable = x.resumable(refusal.Code)
+	if o.Delivered > 0 {
+		o.Usage = call.Usage{
+			PromptTokens:    x.attempt.Call.PromptTokens,
+			GeneratedTokens: o.Delivered,
+		}
+	}
+	return *o
+}
+
+// resumable says whether another endpoint may go on. What was passed on so far
+// is a number of whole tokens, or nothing.
+func (x *exchange) resumable(code result.Code) bool {
+	if x.sinkFailed || x.ctx.Err() != nil {
+		return false
+	}
+	if x.severalChoices && x.outcome.Delivered > 0 {
+		return false
+	}
+	switch code {
+	case result.EndpointRefused:
+		return true
+	case result.EndpointCut, result.EndpointFailed, result.AnswerCrossed:
+		return x.attempt.Call.Idempotent
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/endpoint/load.go
@@ -0,0 +1,87 @@
+package endpoint
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+const (
+	loadPath     = "/v1/load"
+	maxLoadBytes = 64 << 10
+)
+
+// Load is what an endpoint says of itself. It lags behind the truth.
+type Load struct {
+	// At is when it was true, by the endpoint's clock; on an answer, when it arrived.
+	At time.Time `json:"at"`
+	// Slots is how many requests run at once; Running and Waiting are requests now.
+	Slots   int `json:"slots"`
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// QueuedTokens are prompt tokens that wait for prefill. An answer doesn't tell them.
+	QueuedTokens    int     `json:"queued_tokens"`
+	TokensPerSecond float64 `json:"tokens_per_second"`
+	// Leaving endpoints must get no new work.
+	Leaving bool `json:"leaving"`
+}
+
+// Report asks an endpoint for its load. Errors are of the connection, of the
+// status, or of the report's form.
+func (c *Client) Report(ctx context.Context, e fleet.Endpoint) (Load, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr+loadPath, nil)
+	if err != nil {
+		return Load{}, merry.Wrap(err)
+	}
+	resp, err := c.pooled.RoundTrip(req)
+	if err != nil {
+		return Load{}, merry.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Load{}, merry.Errorf("load report of %s: status %d", e.ID, resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadBytes))
+	if err != nil {
+		return Load{}, merry.Wrap(err)
+	}
+	var load Load
+	if err := json.Unmarshal(data, &load); err != nil {
+		return Load{}, merry.Prependf(err, "load report of %s", e.ID)
+	}
+	if load.Slots < 0 || load.Running < 0 || load.Waiting < 0 || load.QueuedTokens < 0 || load.TokensPerSecond < 0 {
+		return Load{}, merry.Errorf("load report of %s: a number is negative", e.ID)
+	}
+	return load, nil
+}
+
+// loadOf reads the load headers of an answer; nil means that there are none.
+func loadOf(header http.Header, now time.Time) *Load {
+	running, err := strconv.Atoi(header.Get("X-Load-Running"))
+	leaving := header.Get("X-Leaving") == "true"
+	if (err != nil || running < 0) && !leaving {
+		return nil
+	}
+	return &Load{
+		At:      now,
+		Slots:   count(header.Get("X-Load-Slots")),
+		Running: max(running, 0),
+		Waiting: count(header.Get("X-Load-Waiting")),
+		Leaving: leaving,
+	}
+}
+
+func count(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
--- /dev/null
+++ b/endpoint/request.go
@@ -0,0 +1,127 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// Headers of the endpoint protocol.
+const (
+	headerRequestID   = "X-Request-Id"
+	headerPriority    = "X-Priority"
+	headerDeadline    = "X-Deadline"
+	headerResumeFrom  = "X-Resume-From"
+	headerResumedFrom = "X-Resumed-From"
+	headerRun         = "X-Run"
+	runNone           = "none"
+)
+
+const (
+	userAgent       = "fuchsianotch"
+	contentTypeJSON = "application/json"
+)
+
+// ownHeaders are set by the client or the transport only.
+var ownHeaders = []string{
+	headerRequestID,
+	headerPriority,
+	headerDeadline,
+	headerResumeFrom,
+	"Connection",
+	"Content-Length",
+	"Expect",
+	"Keep-Alive",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// replayHeaders make net/http believe that a request may be sent twice, if
+// they stand under these keys.
+var replayHeaders = map[string]string{
+	"Idempotency-Key":   "idempotency-key",
+	"X-Idempotency-Key": "x-idempotency-key",
+}
+
+// newRequest builds a request that the transport never sends twice.
+func newRequest(ctx context.Context, a Attempt) (*http.Request, *result.Refusal) {
+	target, err := url.ParseRequestURI(a.Call.Path)
+	if err != nil {
+		return nil, result.Refuse(result.BadRequest, "the path is malformed").Because(err)
+	}
+	target.Scheme = "http"
+	target.Host = a.Endpoint.Addr
+	target.User = nil
+	req, err := http.NewRequestWithContext(ctx, a.Call.Method, target.String(), nil)
+	if err != nil {
+		return nil, result.Refuse(result.BadRequest, "the request is malformed").Because(err)
+	}
+	req.Header = requestHeader(a)
+	setBody(req, a.Call.Body)
+	return req, nil
+}
+
+func requestHeader(a Attempt) http.Header {
+	h := a.Call.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	for _, name := range ownHeaders {
+		h.Del(name)
+	}
+	for name, plain := range replayHeaders {
+		if values, ok := h[name]; ok {
+			delete(h, name)
+			h[plain] = values
+		}
+	}
+	h.Set("User-Agent", userAgent)
+	h.Set(headerRequestID, a.ID)
+	h.Set(headerPriority, strconv.Itoa(int(a.Call.Priority)))
+	if !a.Call.WholeBy.IsZero() {
+		h.Set(headerDeadline, strconv.FormatInt(a.Call.WholeBy.UnixMilli(), 10))
+	}
+	if a.ResumeFrom > 0 {
+		h.Set(headerResumeFrom, strconv.Itoa(a.ResumeFrom))
+	}
+	if a.Call.Kind == call.KindChat {
+		h.Set("Content-Type", contentTypeJSON)
+		h.Del("Accept-Encoding")
+	}
+	return h
+}
+
+// setBody gives the request a body without GetBody, which net/http would need
+// to send it again. Where a method usually lacks a body, the transport probes
+// the empty one and sends none; elsewhere NoBody keeps "Content-Length: 0".
+func setBody(req *http.Request, body []byte) {
+	if len(body) == 0 && !usuallyLacksBody(req.Method) {
+		req.Body = http.NoBody
+		return
+	}
+	req.ContentLength = int64(len(body))
+	req.Body = io.NopCloser(onlyReader{Reader: bytes.NewReader(body)})
+}
+
+// onlyReader hides the other methods of a reader.
+type onlyReader struct {
+	io.Reader
+}
+
+func usuallyLacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions, http.MethodTrace:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/standin/endpoint/encode.go
@@ -0,0 +1,66 @@
+package endpoint
+
+import "strconv"
+
+// Ids, markers and model names hold no characters that JSON escapes: they come
+// from headers, from a word pattern, and from a flag.
+
+func appendOpening(b []byte, id, object, model string) []byte {
+	b = append(b, `{"id":"chatcmpl-`...)
+	b = append(b, id...)
+	b = append(b, `","object":"`...)
+	b = append(b, object...)
+	b = append(b, `","model":"`...)
+	b = append(b, model...)
+	return append(b, `",`...)
+}
+
+func appendText(b []byte, marker string, i int) []byte {
+	if marker == "" {
+		marker = "token"
+	}
+	b = append(b, marker...)
+	b = append(b, '-')
+	b = strconv.AppendInt(b, int64(i), 10)
+	return append(b, ' ')
+}
+
+func appendRole(b []byte) []byte {
+	return append(b, `"choices":[{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}]`...)
+}
+
+func appendToken(b []byte, marker string, i int) []byte {
+	b = append(b, `"choices":[{"index":0,"delta":{"content":"`...)
+	b = appendText(b, marker, i)
+	return append(b, `"},"finish_reason":null}]`...)
+}
+
+func appendFinish(b []byte) []byte {
+	return append(b, `"choices":[{"index":0,"delta":{},"finish_reason":"length"}]`...)
+}
+
+func appendUsage(b []byte, j *job) []byte {
+	b = append(b, `"choices":[],`...)
+	return appendUsageField(b, j)
+}
+
+func appendUsageField(b []byte, j *job) []byte {
+	b = append(b, `"usage":{"prompt_tokens":`...)
+	b = strconv.AppendInt(b, int64(j.promptTokens), 10)
+	b = append(b, `,"completion_tokens":`...)
+	b = strconv.AppendInt(b, int64(j.total), 10)
+	b = append(b, `,"total_tokens":`...)
+	b = strconv.AppendInt(b, int64(j.promptTokens+j.total), 10)
+	b = append(b, `,"prompt_tokens_details":{"cached_tokens":`...)
+	b = strconv.AppendInt(b, int64(j.cachedTokens), 10)
+	return append(b, `}}`...)
+}
+
+func appendMessage(b []byte, marker string, j *job) []byte {
+	b = append(b, `"choices":[{"index":0,"message":{"role":"assistant","content":"`...)
+	for i := range j.total {
+		b = appendText(b, marker, i)
+	}
+	b = append(b, `"},"finish_reason":"length"}],`...)
+	return appendUsageField(b, j)
+}
