Send a ticket's calls to its successor as soon as it has the rights

Cause: after a planned stop a repeat with the ticket of a finished call ended unknown (3010). The successor did not know its own adoptions in its view, so that it sent such calls to the VM that had ended, or gave executor_gone when that VM was back under the same name. The others heard of the adoption a heartbeat later, when the old VM had ended already.

Ruled out: a wrong desk (the records were there), a lost offer (the time line shows hand_over_received accepted).

After a hand-over that was accepted the old VM serves on for two heartbeats and sends its tickets' calls to the successor. Between VMs that both say they hold rights, one that stays and is reached goes first; the order no longer depends on a map.

Before: once_stop failed at its first repeat (code 3010 at the successor). The cost is two heartbeats (1 s by default) for each planned stop.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -61,6 +61,8 @@
 	lendFrom time.Time
 	leaving  bool
 	ready    bool
+	// rights are those that a VM is known at first hand to hold, by its id.
+	rights map[string][]Adoption
 
 	steppedAt time.Time
 	wokeAt    time.Time
--- /dev/null
+++ b/membership/rights_test.go
@@ -0,0 +1,86 @@
+package membership
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// rightsCase says what VM a knows and which VM it asks for a ticket of the
+// first incarnation of VM b; testdata/rights.json holds them.
+type rightsCase struct {
+	Name string `json:"name"`
+	// Beats are what the VMs said of themselves, in order.
+	Beats []rightsBeat `json:"beats"`
+	// Rights names VMs known at first hand to hold the ticket's rights.
+	Rights []string `json:"rights"`
+	// Want is the VM to ask; empty means none.
+	Want string `json:"want"`
+}
+
+type rightsBeat struct {
+	VM          string `json:"vm"`
+	Incarnation uint64 `json:"incarnation"`
+	Leaving     bool   `json:"leaving"`
+	Adopted     bool   `json:"adopted"`
+}
+
+func TestExecutor(t *testing.T) {
+	data, err := os.ReadFile("testdata/rights.json")
+	assert.NilError(t, err)
+	var cases []rightsCase
+	assert.NilError(t, json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, c.test)
+	}
+}
+
+func (c rightsCase) test(t *testing.T) {
+	now := time.Date(2026, time.March, 1, 6, 0, 0, 0, time.UTC)
+	rights := []Adoption{
+		{
+			VM:          "b",
+			Incarnation: 1,
+			Until:       now.Add(time.Minute),
+		},
+	}
+	list := &fleet.List{
+		Revision: 1,
+	}
+	for _, id := range []string{"a", "b", "c", "d"} {
+		list.VMs = append(list.VMs, fleet.VM{
+			ID:     id,
+			Region: "r",
+			State:  fleet.StateLive,
+		})
+	}
+	s := New(Options{
+		Self:        list.VMs[0],
+		Incarnation: 1,
+	})
+	s.SetList(list, now)
+	for _, said := range c.Beats {
+		b := Beat{
+			VM:          said.VM,
+			Incarnation: said.Incarnation,
+			Region:      "r",
+			Ready:       true,
+			Leaving:     said.Leaving,
+		}
+		if said.Adopted {
+			b.Adopted = rights
+		}
+		s.Heard(b, now, now)
+	}
+	for _, vm := range c.Rights {
+		s.SetRights(vm, rights)
+	}
+	vm, ok := s.View(now).Executor("b", 1)
+	assert.Equal(t, vm.ID, c.Want)
+	assert.Equal(t, ok, c.Want != "")
+}
--- a/membership/view.go
+++ b/membership/view.go
@@ -138,25 +138,6 @@
 	return out
 }
 
-func (s *State) adoptions() map[holder]adopter {
-	adopted := make(map[holder]adopter)
-	for _, p := range s.peers {
-		for _, a := range p.beat.Adopted {
-			of := holder{
-				vm:          a.VM,
-				incarnation: a.Incarnation,
-			}
-			if a.Until.After(adopted[of].until) {
-				adopted[of] = adopter{
-					vm:    p.vm,
-					until: a.Until,
-				}
-			}
-		}
-	}
-	return adopted
-}
-
 func (s *State) surpluses() map[string][]Surplus {
 	offers := make(map[string][]Surplus)
 	for _, p := range s.others {
--- a/node/control.go
+++ b/node/control.go
@@ -132,13 +132,7 @@
 	b.DocumentsHash = digest.Hash
 	b.Load = n.serving.InFlight()
 	b.Surplus = n.pools.surplus(now)
-	for _, a := range n.desk.Adopted(now) {
-		b.Adopted = append(b.Adopted, membership.Adoption{
-			VM:          a.Of.VM,
-			Incarnation: a.Of.Incarnation,
-			Until:       a.Until,
-		})
-	}
+	b.Adopted = n.adopted(now)
 	return b
 }
 
@@ -146,6 +140,7 @@
 // are woken only when these changed.
 func (c *control) publish(now time.Time) {
 	before := c.published.Load()
+	c.members.SetRights(c.node.settings.VM, c.node.adopted(now))
 	after := &published{
 		snapshot: c.store.Snapshot(),
 		view:     c.members.View(now),
--- a/node/stop.go
+++ b/node/stop.go
@@ -14,7 +14,8 @@
 
 const (
 	// tellBeats is how many heartbeats are waited for after the VM said that
-	// it leaves, so that its peers tell callers of others.
+	// it leaves, so that its peers tell callers of others, and again after a
+	// hand-over, so that they send its tickets to the successor.
 	tellBeats = 2
 	// idleEvery is how often a stopping VM looks whether its calls have ended.
 	idleEvery = 20 * time.Millisecond
@@ -36,7 +37,9 @@
 	n.sleepUntil(ctx, n.now().Add(tellBeats*n.heartbeatEvery(n.view().VMs)))
 	n.desk.Stop()
 	n.awaitIdle(ctx, n.desk.Idle)
-	n.handOver(ctx)
+	if n.handOver(ctx) {
+		n.sleepUntil(ctx, n.now().Add(tellBeats*n.heartbeatEvery(n.view().VMs)))
+	}
 	n.serving.Stop()
 	n.awaitIdle(ctx, func() bool { return n.serving.InFlight() == 0 })
 	_ = n.caller.Shutdown(ctx)
@@ -58,8 +61,9 @@
 }
 
 // handOver gives the rights on this incarnation's tickets up for good and
-// offers them, with the records, to one successor of the region.
-func (n *Node) handOver(ctx context.Context) {
+// offers them, with the records, to one successor of the region. It reports
+// whether one accepted; calls with the tickets are then sent on to that one.
+func (n *Node) handOver(ctx context.Context) bool {
 	given := n.desk.GiveUp(n.now())
 	candidates := n.successors()
 	var plan ticket.HandOverPlan
@@ -76,6 +80,10 @@
 		Detail: acceptance(plan.Accepted),
 	})
 	n.log.Info("hand_over_ended", "successor", plan.Bound.VM, "accepted", plan.Accepted)
+	if plan.Accepted {
+		n.publishRights(ctx, plan.Bound.VM, given)
+	}
+	return plan.Accepted
 }
 
 // successors are the reachable VMs of the region that stay.
