--- a/ticket/desk.go
+++ b/ticket/desk.go
@@ -215,8 +215,8 @@
 	if !t.GoodUntil.After(c.swept) {
 		return result.Refuse(result.RecordLost, "records of tickets that old were dropped")
 	}
-	if refusal := d.noRights(c); refusal != nil {
-		return refusal
+	if !c.held {
+		return executorGone()
 	}
 	if refusal := c.expired(t.GoodUntil, now); refusal != nil {
 		return refusal
@@ -227,16 +227,6 @@
 	return d.full(now)
 }
 
-func (d *Desk) noRights(c *claim) *result.Refusal {
-	if c.held {
-		return nil
-	}
-	if d.gaveUp && c.key != nil {
-		return result.Refuse(result.Stopping, "this VM gave up the ticket's rights")
-	}
-	return executorGone()
-}
-
 // expired also closes the claim for all tickets as old, so that a clock that
 // is set back cannot make a ticket good that was declared expired.
 func (c *claim) expired(goodUntil, now time.Time) *result.Refusal {
@@ -247,6 +237,8 @@
 	return result.Refuse(result.TicketExpired, "the ticket was good until %s and was never used", goodUntil.UTC().Format(time.RFC3339Nano))
 }
 
+// full gives RecordsFull when there is no room for one more record. A record
+// whose time is not over is never dropped for a new one.
 func (d *Desk) full(now time.Time) *result.Refusal {
 	if d.fits(1, RecordOverhead) {
 		return nil
--- /dev/null
+++ b/ticket/desk_test.go
@@ -0,0 +1,336 @@
+package ticket
+
+import (
+	"fmt"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+// script runs the steps of one case of testdata/desk.json, "command words -> want".
+type script struct {
+	now     time.Time
+	desks   map[string]*Desk
+	tickets map[string]string
+	entries map[string]*Entry
+}
+
+func TestDesk(t *testing.T) {
+	type scripted struct {
+		Name  string   `json:"name"`
+		Steps []string `json:"steps"`
+	}
+	for _, c := range readCase[[]scripted](t, "testdata/desk.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			s := script{
+				now:     epoch,
+				desks:   map[string]*Desk{},
+				tickets: map[string]string{},
+				entries: map[string]*Entry{},
+			}
+			for _, vm := range []string{"a", "b", "c"} {
+				s.start(vm, 1)
+			}
+			for i, line := range c.Steps {
+				command, want, _ := strings.Cut(line, " -> ")
+				assert.Equal(t, s.do(strings.Fields(command)), want, "step %d: %s", i, line)
+			}
+		})
+	}
+}
+
+func (s *script) start(vm string, incarnation uint64) {
+	s.desks[vm] = New(Options{
+		VM:          vm,
+		Incarnation: incarnation,
+		Count:       2,
+		AnswerBytes: 30,
+		Retain:      func(goodUntil time.Time) time.Time { return goodUntil.Add(goodFor) },
+	})
+}
+
+func (s *script) do(words []string) string {
+	name := words[1]
+	desk := s.desks[name]
+	switch words[0] {
+	case "clock":
+		ms, _ := strconv.Atoi(name)
+		s.now = epoch.Add(time.Duration(ms) * time.Millisecond)
+	case "restart":
+		s.start(name, desk.self.Incarnation+1)
+	case "issue":
+		s.tickets[name] = s.desks[words[2]].Issue("w", s.now.Add(goodFor))
+		return "ok"
+	case "forge":
+		t, _ := Parse(s.tickets[words[2]])
+		t.MAC[0]++
+		s.tickets[name] = t.Text()
+	case "begin":
+		return s.begin(words)
+	case "sending":
+		return verdict(s.entries[name].Sending(s.now))
+	case "finish":
+		s.entries[name].Finish(recordOf(words))
+		return "ok"
+	case "abandon":
+		s.entries[name].Abandon()
+		return "ok"
+	case "stop":
+		desk.Stop()
+	case "idle":
+		return fmt.Sprint(desk.Idle())
+	case "give_up":
+		desk.GiveUp(s.now)
+	case "adopt", "copy", "tampered":
+		return fmt.Sprint(s.adopt(words[0], desk, s.desks[words[2]]))
+	case "adopted":
+		return s.adopted(desk)
+	default:
+		return "no such command"
+	}
+	return ""
+}
+
+func (s *script) begin(words []string) string {
+	workspace := "w"
+	if len(words) > 4 {
+		workspace = words[4]
+	}
+	hash, _ := strconv.ParseUint(words[3], 10, 64)
+	step := s.desks[words[2]].Begin(s.tickets[words[1]], workspace, hash, s.now)
+	switch step.Kind {
+	case Run:
+		s.entries[words[1]] = step.Entry
+		return "run"
+	case Wait:
+		return "wait"
+	case Replay:
+		return "replay " + string(step.Record.Body)
+	default:
+		return verdict(step.Refusal)
+	}
+}
+
+func verdict(r *result.Refusal) string {
+	switch {
+	case r == nil:
+		return "ok"
+	case r.ComeBackAt.IsZero():
+		return r.Code.String()
+	default:
+		return fmt.Sprint(r.Code, " ", r.ComeBackAt.Sub(epoch).Milliseconds())
+	}
+}
+
+func recordOf(words []string) Record {
+	r := Record{
+		Body: []byte(strings.Join(words[3:], " ")),
+	}
+	for _, info := range result.Table {
+		if info.Name == words[2] {
+			r.Code = info.Code
+		}
+	}
+	return r
+}
+
+// adopt hands over again what from has given up.
+func (s *script) adopt(how string, to, from *Desk) bool {
+	h := from.GiveUp(s.now).Addressed(to.self)
+	switch how {
+	case "copy":
+		h = h.Copy()
+	case "tampered":
+		h.Rights[0].Key = make([]byte, keyLength)
+	}
+	// Rights stay with the first successor: c is never the one addressed after b.
+	if to == s.desks["c"] && from == s.desks["a"] {
+		h.To = s.desks["b"].self
+	}
+	return to.Adopt(h, s.now)
+}
+
+func (s *script) adopted(d *Desk) string {
+	var out []string
+	for _, a := range d.Adopted(s.now) {
+		out = append(out, fmt.Sprintf("%s.%d until %d", a.Of.VM, a.Of.Incarnation, a.Until.Sub(epoch).Milliseconds()))
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
+func TestHandOverPlan(t *testing.T) {
+	type planned struct {
+		Name       string   `json:"name"`
+		Candidates []string `json:"candidates"`
+		Offers     []string `json:"offers"`
+	}
+	outcomes := map[string]Outcome{
+		"accepted": OfferAccepted,
+		"refused":  OfferRefused,
+		"not_sent": OfferNotSent,
+		"lost":     OfferLost,
+	}
+	for _, c := range readCase[[]planned](t, "testdata/plan.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			var plan HandOverPlan
+			var candidates []Holder
+			for _, vm := range c.Candidates {
+				candidates = append(candidates, Holder{VM: vm})
+			}
+			for _, line := range c.Offers {
+				words := strings.Fields(line)
+				switch words[0] {
+				case "gone":
+					candidates = slices.DeleteFunc(candidates, func(h Holder) bool { return h.VM == words[1] })
+					continue
+				case "back":
+					candidates = append(candidates, Holder{VM: words[1]})
+					continue
+				}
+				offer, ok := plan.Next(candidates)
+				assert.Equal(t, ok, words[0] != "none", line)
+				if !ok {
+					continue
+				}
+				assert.Equal(t, offer, Offer{
+					To:     Holder{VM: words[1]},
+					Rights: words[0] == "rights",
+				}, line)
+				plan = plan.After(offer, outcomes[words[2]])
+			}
+		})
+	}
+}
+
+// TestConcurrentCallers sends one ticket from many goroutines while the desk
+// gives up and a successor adopts; the race detector watches.
+func TestConcurrentCallers(t *testing.T) {
+	a := New(Options{
+		VM: "a",
+	})
+	b := New(Options{
+		VM: "b",
+	})
+	for range 50 {
+		text := a.Issue("w", epoch.Add(goodFor))
+		var runs atomic.Int32
+		var group sync.WaitGroup
+		for i := range 8 {
+			desk := []*Desk{a, b}[i%2]
+			group.Go(func() {
+				s := desk.Begin(text, "w", 1, epoch)
+				for s.Kind == Wait {
+					<-s.Done
+					s = desk.Begin(text, "w", 1, epoch)
+				}
+				if s.Kind == Run && s.Entry.Sending(epoch) == nil {
+					runs.Add(1)
+					s.Entry.Finish(Record{
+						Code: result.Done,
+					})
+				}
+			})
+		}
+		group.Go(func() { b.Adopt(a.GiveUp(epoch).Addressed(b.self), epoch) })
+		group.Wait()
+		assert.Assert(t, runs.Load() <= 1)
+		a = New(Options{
+			VM:          "a",
+			Incarnation: a.self.Incarnation + 1,
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	d := New(Options{
+		VM: "vm-1",
+	})
+	for _, seed := range []string{"", "AQ", "!", strings.Repeat("A", MaxLength+1), d.Issue("w", epoch), d.Issue("", time.UnixMilli(-1))} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		got, refusal := Parse(text)
+		if refusal != nil {
+			assert.Equal(t, refusal.Code, result.TicketInvalid)
+			assert.Equal(t, got, Ticket{})
+			return
+		}
+		assert.Equal(t, got.Text(), text)
+		assert.Assert(t, len(got.VM) <= MaxVM && len(got.Workspace) <= MaxWorkspace && len(text) <= MaxLength)
+	})
+}
+
+func TestLongestNames(t *testing.T) {
+	d := New(Options{
+		VM:          strings.Repeat("v", MaxVM),
+		Incarnation: 1 << 63,
+	})
+	text := d.Issue(strings.Repeat("w", MaxWorkspace), epoch)
+	got, refusal := Parse(text)
+	assert.Assert(t, refusal == nil)
+	assert.Equal(t, got.Holder(), d.self)
+	assert.Assert(t, got.GoodUntil.Equal(epoch))
+	assert.Equal(t, d.Issue(strings.Repeat("w", MaxWorkspace+1), epoch), "")
+}
+
+func BenchmarkIssue(b *testing.B) {
+	d := New(Options{
+		VM: "vm-1",
+	})
+	for b.Loop() {
+		d.Issue("fairway", epoch)
+	}
+}
+
+// BenchmarkRun begins, sends and finishes one call; with so many runs that the
+// records' memory shows in heap-B/record, for an answer of 200 bytes.
+func BenchmarkRun(b *testing.B) {
+	d := New(Options{
+		VM:    "vm-1",
+		Count: 1 << 30,
+		Bytes: 1 << 40,
+	})
+	header := http.Header{
+		"Content-Type": {"application/json"},
+	}
+	texts := make([]string, b.N)
+	for i := range texts {
+		texts[i] = d.Issue("fairway", epoch.Add(goodFor))
+	}
+	before := heapBytes()
+	b.ResetTimer()
+	for _, text := range texts {
+		s := d.Begin(text, "fairway", 1, epoch)
+		s.Entry.Sending(epoch)
+		s.Entry.Finish(Record{
+			Code:   result.Done,
+			Status: http.StatusOK,
+			Header: header,
+			Body:   make([]byte, 200),
+		})
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(heapBytes()-before)/float64(b.N), "heap-B/record")
+	runtime.KeepAlive(texts)
+	b.ReportMetric(float64(d.used)/float64(b.N), "counted-B/record")
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/ticket/entry.go
+++ b/ticket/entry.go
@@ -81,8 +81,8 @@
 }
 
 func (e *Entry) unsendable(now time.Time) *result.Refusal {
-	if refusal := e.desk.noRights(e.claim); refusal != nil {
-		return refusal
+	if !e.claim.held {
+		return result.Refuse(result.Stopping, "this VM gave up the ticket's rights")
 	}
 	return e.claim.expired(e.goodUntil, now)
 }
--- /dev/null
+++ b/ticket/schedule_test.go
@@ -0,0 +1,149 @@
+package ticket
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+var find = flag.Bool("find", false, "search new schedules that break the variants, and write them to testdata")
+
+// TestMain plays more random schedules than rapid's default; -rapid.checks goes before it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.checks", "1000"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// schedule is one file of testdata/schedules. A variant is the desk with one
+// deliberate fault; the schedule must break it as Violation says, and must
+// leave the true desk whole.
+type schedule struct {
+	Variant   string `json:"variant"`
+	Why       string `json:"why"`
+	Violation string `json:"violation"`
+	Steps     []step `json:"steps"`
+}
+
+var stepGenerator = rapid.Custom(func(t *rapid.T) step {
+	s := step{
+		// The steps of a call stand several times, so that calls get through.
+		Op: rapid.SampledFrom([]string{
+			"issue", "ask", "ask", "ask", "advance", "advance", "advance", "advance", "abandon",
+			"kill", "tick", "skew", "stop", "give_up", "offer", "offer", "deliver", "beat",
+		}).Draw(t, "op"),
+	}
+	small := rapid.IntRange(0, 2)
+	switch s.Op {
+	case "ask":
+		s.VM = small.Draw(t, "vm")
+		s.Ticket = rapid.IntRange(0, 3).Draw(t, "ticket")
+		s.Arg = rapid.IntRange(0, 3).Draw(t, "arg")
+	case "advance", "abandon":
+		s.Ask = rapid.IntRange(0, 7).Draw(t, "ask")
+		s.Arg = small.Draw(t, "arg")
+	case "tick":
+		s.Arg = rapid.IntRange(1, 7).Draw(t, "arg")
+	case "skew":
+		s.VM = small.Draw(t, "vm")
+		s.Arg = rapid.IntRange(-8, 8).Draw(t, "arg")
+	case "offer":
+		s.VM = small.Draw(t, "vm")
+		s.Arg = rapid.IntRange(0, offers-1).Draw(t, "arg")
+	case "deliver":
+		s.Arg = small.Draw(t, "arg")
+	default:
+		s.VM = small.Draw(t, "vm")
+	}
+	return s
+})
+
+func play(variant string, steps []step) *world {
+	w := newWorld(variant)
+	for _, s := range steps {
+		w.apply(s)
+	}
+	return w
+}
+
+// TestRandomSchedules lets kills, freezes, stops, hand-overs, lost and delayed
+// messages, clocks that run apart and full records meet in random order.
+func TestRandomSchedules(t *testing.T) {
+	seen := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		w := play("", rapid.SliceOfN(stepGenerator, 40, 120).Draw(t, "steps"))
+		assert.Equal(t, w.violation, "")
+		for name, n := range w.seen {
+			seen[name] += n
+		}
+	})
+	t.Log(seen)
+}
+
+// TestVariants proves that the same check notices each deliberate fault.
+func TestVariants(t *testing.T) {
+	files, err := filepath.Glob("testdata/schedules/*.json")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			s := readCase[schedule](t, file)
+			if *find {
+				s.Steps = searchSteps(t, stepGenerator, s.Steps, func(steps []step) bool { return play(s.Variant, steps).violation == s.Violation })
+				writeCase(t, file, s)
+			}
+			assert.Equal(t, play(s.Variant, s.Steps).violation, s.Violation)
+			assert.Equal(t, play("", s.Steps).violation, "")
+		})
+	}
+}
+
+// searchSteps gives a short schedule that breaks, from the steps there are if they do.
+func searchSteps(t *testing.T, one *rapid.Generator[step], steps []step, breaks func([]step) bool) []step {
+	t.Helper()
+	many := rapid.SliceOfN(one, 80, 80)
+	for seed := range 100_000 {
+		if breaks(steps) {
+			return shrink(steps, breaks)
+		}
+		steps = many.Example(seed)
+	}
+	t.Fatal("no schedule found")
+	return nil
+}
+
+// shrink leaves out steps for as long as the rest still breaks.
+func shrink(steps []step, breaks func([]step) bool) []step {
+	for i := 0; i < len(steps); {
+		shorter := append(append([]step(nil), steps[:i]...), steps[i+1:]...)
+		if breaks(shorter) {
+			steps = shorter
+			i = 0
+		} else {
+			i++
+		}
+	}
+	return steps
+}
+
+func readCase[T any](t *testing.T, file string) T {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	assert.NilError(t, err)
+	var v T
+	assert.NilError(t, json.Unmarshal(data, &v))
+	return v
+}
+
+func writeCase(t *testing.T, file string, v any) {
+	t.Helper()
+	data, err := json.MarshalIndent(v, "", "  ")
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(file, append(data, '\n'), 0o644))
+}
