Prove the bound of lent shares by schedules of faults

A fake fleet of states and ledgers on one fake clock runs random schedules: clean, one-way and overlapping cuts, slow ways, freezes, kills, restarts, replacement beside the old process, planned stops and changes of the list. The shares of a workspace and the calls admitted in any window are held to the bound. Found by search and mended: a VM that slept while the list took it out held its part again on waking; it now lends only a heartbeat interval after it woke, and not while another VM has a newer list. The time to come back was early when an account had been filled past the caller's clock; it counts from the later one.

--- a/limit/account.go
+++ b/limit/account.go
@@ -206,7 +206,7 @@
 		if rate > 0 && lack <= 0 {
 			continue
 		}
-		at := comeBack(lack, rate, now)
+		at := comeBack(lack, rate, a.filledAt)
 		if worst.none() || at.IsZero() || (!worst.at.IsZero() && at.After(worst.at)) {
 			worst = shortage{
 				code:    refusals[d].code,
@@ -226,12 +226,12 @@
 
 // comeBack gives the time at which a bucket has filled up by lack; it is zero
 // when it never will.
-func comeBack(lack, rate float64, now time.Time) time.Time {
+func comeBack(lack, rate float64, filledAt time.Time) time.Time {
 	if rate <= 0 {
 		return time.Time{}
 	}
 	wait := math.Ceil(lack / rate * float64(time.Second))
-	return now.Add(time.Duration(min(wait, float64(farAway))) + 1)
+	return filledAt.Add(time.Duration(min(wait, float64(farAway))) + 1)
 }
 
 // slots gives the calls in flight that a share allows. A fraction is rounded
--- /dev/null
+++ b/limit/fleet_test.go
@@ -0,0 +1,446 @@
+package limit_test
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/contract"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/limit"
+	"github.com/fuchsianotch/fuchsianotch/membership"
+)
+
+const (
+	beatEvery = 100 * time.Millisecond
+	leaseTerm = 3 * beatEvery
+	tickEvery = 10 * time.Millisecond
+	oneWay    = time.Millisecond
+	// driftStep is by how much the clocks of neighbouring VMs differ in rate.
+	driftStep = 0.001
+)
+
+// variant is a way to run the fleet: the real one, or one that is broken on purpose.
+type variant string
+
+const (
+	asBuilt variant = "as_built"
+	// lendAtOnce lends for every new view without regard to loans that are out.
+	lendAtOnce variant = "lend_at_once"
+	// countFromReceipt counts a loan from its arrival, not from the request.
+	countFromReceipt variant = "count_from_receipt"
+	// lendAtStart lends from the first moment of an incarnation.
+	lendAtStart variant = "lend_at_start"
+	// visibleShare takes reachable over listed VMs as the owner's share.
+	visibleShare variant = "visible_share"
+	// forgetPast fills buckets for time in which the share was not held.
+	forgetPast variant = "forget_past"
+	// oneView is not broken: it lends for one view at a time, and waits for all
+	// loans of the earlier view whenever the view changes.
+	oneView variant = "one_view"
+)
+
+// process is one life of a VM's process in the fake fleet.
+type process struct {
+	vm          fleet.VM
+	incarnation uint64
+	drift       float64
+	offset      time.Duration
+	state       *membership.State
+	ledger      *limit.Ledger
+	view        *membership.View
+	thawsAt     time.Duration
+	quietUntil  time.Duration
+	dead        bool
+	// changed says that the view is to be published at the next tick.
+	changed     bool
+	oldView     []string
+	oldViewEnds time.Duration
+}
+
+// network is a fake fleet on a fake clock with one region of entry VMs.
+type network struct {
+	variant   variant
+	policy    string
+	now       time.Duration
+	queue     events
+	sequence  int
+	processes []*process
+	cuts      []cut
+	list      *fleet.List
+	lag       time.Duration
+	terms     contract.RegionTerms
+	names     []string
+	// offered is the number of calls that each process is asked for in a tick; zero means all it admits.
+	offered  func(p *process, workspace string) int
+	admitted func(p *process, workspace string, at time.Duration)
+}
+
+// cut loses all messages one way until a time, or delays them when slow is set.
+type cut struct {
+	from, to string
+	until    time.Duration
+	slow     time.Duration
+}
+
+type event struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].sequence < e[j].sequence)
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	*e = (*e)[:last]
+	return x
+}
+
+func newNetwork(v variant, vms int) *network {
+	n := &network{
+		variant: v,
+		list:    &fleet.List{Revision: 1},
+		names:   []string{"tee-times", "care-reports"},
+		terms: contract.RegionTerms{
+			RequestsPerSecond: 100,
+			TokensPerSecond:   2000,
+		},
+	}
+	for i := range vms {
+		n.list.VMs = append(n.list.VMs, listedVM(vmName(i)))
+	}
+	for _, vm := range n.list.VMs {
+		n.start(vm.ID)
+	}
+	return n
+}
+
+func vmName(i int) string {
+	return string(rune('a' + i))
+}
+
+func listedVM(id string) fleet.VM {
+	return fleet.VM{
+		ID:       id,
+		Region:   "home",
+		PeerAddr: id,
+		State:    fleet.StateLive,
+	}
+}
+
+// start begins a new life of a VM's process, beside any earlier one.
+func (n *network) start(id string) {
+	i := len(n.processes)
+	p := &process{
+		vm:          listedVM(id),
+		incarnation: uint64(1000 + i),
+		drift:       driftStep * float64(i%3-1),
+		offset:      time.Duration(i) * time.Hour,
+		ledger:      limit.New(limit.Options{Policy: n.policy}),
+	}
+	p.state = membership.New(membership.Options{
+		Self:           p.vm,
+		Incarnation:    p.incarnation,
+		HeartbeatEvery: func(int) time.Duration { return beatEvery },
+		LeaseTerm:      func(int) time.Duration { return leaseTerm },
+	})
+	n.processes = append(n.processes, p)
+	listed := p.local(n.now)
+	if n.variant == lendAtStart {
+		listed = listed.Add(-3 * leaseTerm)
+		for at := listed; at.Before(p.local(n.now)); at = at.Add(leaseTerm / 2) {
+			p.state.SetList(n.list, at)
+		}
+	}
+	p.state.SetList(n.list, listed)
+	p.view = p.state.View(p.local(n.now))
+	n.at(n.now+time.Duration(i)*time.Millisecond, func() { n.tick(p) })
+}
+
+// local gives the process's own clock reading.
+func (p *process) local(now time.Duration) time.Time {
+	return time.Unix(1e9, 0).Add(p.offset + now + time.Duration(float64(now)*p.drift))
+}
+
+func (n *network) at(at time.Duration, run func()) {
+	n.sequence++
+	heap.Push(&n.queue, event{
+		at:       at,
+		sequence: n.sequence,
+		run:      run,
+	})
+}
+
+func (n *network) run(until time.Duration) {
+	for len(n.queue) > 0 && n.queue[0].at <= until {
+		e := heap.Pop(&n.queue).(event)
+		n.now = e.at
+		e.run()
+	}
+	n.now = until
+}
+
+// tick runs a process's traffic, then its control state: one that woke late
+// admits by what it last knew.
+func (n *network) tick(p *process) {
+	if p.dead {
+		return
+	}
+	n.at(max(n.now+tickEvery, p.thawsAt), func() { n.tick(p) })
+	if n.now < p.thawsAt {
+		return
+	}
+	if n.now >= p.quietUntil {
+		n.traffic(p)
+	}
+	now := p.local(n.now)
+	for _, vm := range p.state.Due(now) {
+		n.heartbeat(p, vm.ID)
+		p.changed = true
+	}
+	if p.changed {
+		p.view = p.state.View(now)
+		p.changed = false
+	}
+}
+
+func (n *network) traffic(p *process) {
+	for _, w := range n.names {
+		most := 1 << 20
+		if n.offered != nil {
+			most = n.offered(p, w)
+		}
+		for range most {
+			q := p
+			if n.offered != nil {
+				q = n.target(p, w)
+			}
+			_, refusal := q.ledger.Take(n.request(q, w), q.local(n.now))
+			if refusal == nil {
+				n.admitted(q, w, n.now)
+			} else if n.offered == nil {
+				break
+			}
+		}
+	}
+}
+
+func (n *network) request(p *process, workspace string) limit.Request {
+	now := p.local(n.now)
+	held := n.hold(p, workspace, now)
+	return limit.Request{
+		Workspace: workspace,
+		Terms:     n.terms,
+		Share:     held.Share,
+		Since:     held.Since,
+		Base:      held.Base,
+		BaseSince: held.BaseSince,
+		VMs:       len(n.list.VMs),
+		Owner:     true,
+		Cost: limit.Amounts{
+			Requests: 1,
+			Tokens:   20,
+		},
+	}
+}
+
+// hold gives the share as the variant sees it.
+func (n *network) hold(p *process, workspace string, now time.Time) membership.Holding {
+	held := p.view.Hold(workspace, now)
+	switch n.variant {
+	case visibleShare:
+		held = membership.Holding{}
+		if owner, ok := p.view.Owner(workspace); ok && owner.ID == p.vm.ID && p.view.LendsFrom.Before(now) {
+			held.Share = float64(len(p.view.Entries(workspace))) / float64(p.view.VMs)
+			held.Since = time.Unix(0, 0)
+		}
+	case forgetPast:
+		held.Base = held.Share
+		held.Since = time.Unix(0, 0)
+		held.BaseSince = held.Since
+	}
+	return held
+}
+
+func (n *network) heartbeat(p *process, to string) {
+	sentAt := p.local(n.now)
+	beat := p.state.Beat(sentAt)
+	answered := false
+	n.send(p, to, func(q *process) {
+		now := q.local(n.now)
+		q.state.Heard(beat, time.Time{}, now)
+		loan := n.lend(q, p.vm.ID, beat.ViewHash, now)
+		reply := q.state.Beat(now)
+		q.changed = true
+		n.sendBack(q, p, func() {
+			answered = true
+			n.replied(p, to, reply, loan, sentAt)
+		})
+	})
+	n.deliver(p, n.now+beatEvery, func() {
+		if !answered {
+			p.state.Missed(to, p.local(n.now))
+			p.changed = true
+		}
+	})
+}
+
+func (n *network) replied(p *process, from string, reply membership.Beat, loan membership.Loan, sentAt time.Time) {
+	now := p.local(n.now)
+	if n.variant == countFromReceipt {
+		sentAt = now
+	}
+	p.state.Heard(reply, sentAt, now)
+	p.state.Borrowed(from, loan, sentAt, now)
+	p.changed = true
+}
+
+func (n *network) lend(q *process, to string, theirHash uint64, now time.Time) membership.Loan {
+	switch n.variant {
+	case lendAtOnce:
+		ids := viewIDs(q.view)
+		if !slices.Contains(ids, to) || q.view.LendsFrom.After(now) {
+			return membership.Loan{}
+		}
+		return membership.Loan{
+			Term:    leaseTerm,
+			Members: ids,
+		}
+	case oneView:
+		ids := viewIDs(q.view)
+		if !slices.Equal(ids, q.oldView) {
+			if n.now < q.oldViewEnds {
+				return membership.Loan{}
+			}
+			q.oldView = ids
+		}
+		q.oldViewEnds = n.now + leaseTerm + leaseTerm/50
+		return q.state.Lend(to, theirHash, now)
+	default:
+		return q.state.Lend(to, theirHash, now)
+	}
+}
+
+func viewIDs(v *membership.View) []string {
+	var ids []string
+	for _, vm := range v.Entries("any") {
+		ids = append(ids, vm.ID)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// send delivers to the latest process of a VM that the way is open to.
+func (n *network) send(from *process, to string, receive func(q *process)) {
+	for _, q := range slices.Backward(n.processes) {
+		if q.vm.ID != to || q.dead {
+			continue
+		}
+		if delay, ok := n.way(from, q); ok {
+			n.deliver(q, n.now+delay, func() { receive(q) })
+			return
+		}
+	}
+}
+
+func (n *network) sendBack(from, to *process, receive func()) {
+	if delay, ok := n.way(from, to); ok {
+		n.deliver(to, n.now+delay, receive)
+	}
+}
+
+// deliver runs something at a process, once it is not frozen.
+func (n *network) deliver(q *process, at time.Duration, receive func()) {
+	n.at(at, func() {
+		switch {
+		case q.dead:
+		case n.now < q.thawsAt:
+			// Every other process reads its messages after its first tick.
+			n.deliver(q, q.thawsAt+time.Duration(q.incarnation%2)*2*tickEvery, receive)
+		default:
+			receive()
+		}
+	})
+}
+
+// way gives the delay from one process to another; ok is false when it is cut.
+// A process is named by its VM, one that was replaced by its VM and "'".
+func (n *network) way(from, to *process) (delay time.Duration, ok bool) {
+	delay = oneWay
+	for _, c := range n.cuts {
+		if n.now >= c.until || c.from != n.label(from) || c.to != n.label(to) {
+			continue
+		}
+		if c.slow == 0 {
+			return 0, false
+		}
+		delay = max(delay, c.slow)
+	}
+	return delay, true
+}
+
+func (n *network) label(p *process) string {
+	for _, q := range slices.Backward(n.processes) {
+		if q.vm.ID == p.vm.ID {
+			if q == p {
+				return p.vm.ID
+			}
+			return p.vm.ID + "'"
+		}
+	}
+	return ""
+}
+
+// process gives the latest life of a VM's process, or nil.
+func (n *network) process(id string) *process {
+	for _, p := range slices.Backward(n.processes) {
+		if p.vm.ID == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// publish gives a new list to every process, to the i-th after i parts of the lag.
+func (n *network) publish(vms []fleet.VM) {
+	list := &fleet.List{
+		Revision: n.list.Revision + 1,
+		VMs:      vms,
+	}
+	n.list = list
+	for i, p := range n.processes {
+		lag := n.lag * time.Duration(i) / time.Duration(len(n.processes))
+		n.deliver(p, n.now+lag, func() {
+			p.state.SetList(list, p.local(n.now))
+			p.changed = true
+		})
+	}
+}
+
+// shares gives the sum of the shares of a workspace over all running processes.
+func (n *network) shares(workspace string) float64 {
+	sum := 0.0
+	for _, p := range n.processes {
+		if !p.dead && n.now >= p.thawsAt {
+			sum += n.hold(p, workspace, p.local(n.now)).Share
+		}
+	}
+	return sum
+}
+
+func (n *network) describe(workspace string) string {
+	out := ""
+	for _, p := range n.processes {
+		out += fmt.Sprintf(" %s=%.3f", n.label(p), n.hold(p, workspace, p.local(n.now)).Share)
+	}
+	return out
+}
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -186,7 +186,7 @@
 		return !idle
 	}
 	if l.until().Sub(now) < time.Duration(renewPart*float64(LeaseTerm)) {
-		return !idle || l.slotsMax > 0
+		return !idle || l.slotsMax > 0 || l.lots[0].level != levels{} || l.lots[1].level != levels{}
 	}
 	for d, wanted := range l.wanted {
 		if wanted > 0 && l.left(dimension(d)) < renewPart*wanted {
--- /dev/null
+++ b/limit/schedule_test.go
@@ -0,0 +1,165 @@
+package limit_test
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// step is one fault of a schedule. Its text form is
+//
+//	at 1200ms cut a b for 800ms
+type step struct {
+	At   time.Duration
+	Op   string
+	Args []string
+	For  time.Duration
+}
+
+// schedule is a run of the fake fleet with faults.
+type schedule struct {
+	VMs   int
+	Lag   time.Duration
+	Until time.Duration
+	Steps []step
+}
+
+// String gives the text that parseSchedule reads.
+func (s schedule) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "vms %d\nlag %v\nuntil %v\n", s.VMs, s.Lag, s.Until)
+	for _, st := range s.Steps {
+		fmt.Fprintf(&b, "at %v %s", st.At, st.Op)
+		for _, a := range st.Args {
+			fmt.Fprintf(&b, " %s", a)
+		}
+		if st.For > 0 {
+			fmt.Fprintf(&b, " for %v", st.For)
+		}
+		b.WriteByte('\n')
+	}
+	return b.String()
+}
+
+func parseSchedule(text string) (schedule, error) {
+	var s schedule
+	for line := range strings.Lines(text) {
+		words := strings.Fields(line)
+		if len(words) < 2 {
+			continue
+		}
+		var err error
+		switch words[0] {
+		case "vms":
+			s.VMs, err = strconv.Atoi(words[1])
+		case "lag":
+			s.Lag, err = time.ParseDuration(words[1])
+		case "until":
+			s.Until, err = time.ParseDuration(words[1])
+		case "at":
+			err = s.parseStep(words[1:])
+		default:
+			err = fmt.Errorf("unknown line %q", line)
+		}
+		if err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *schedule) parseStep(words []string) error {
+	at, err := time.ParseDuration(words[0])
+	if err != nil {
+		return err
+	}
+	st := step{
+		At:   at,
+		Op:   words[1],
+		Args: words[2:],
+	}
+	if i := slices.Index(words, "for"); i >= 0 {
+		st.Args = words[2:i]
+		if st.For, err = time.ParseDuration(words[i+1]); err != nil {
+			return err
+		}
+	}
+	s.Steps = append(s.Steps, st)
+	return nil
+}
+
+// apply puts the schedule's steps on a network's queue.
+func (s schedule) apply(n *network) {
+	n.lag = s.Lag
+	for _, st := range s.Steps {
+		n.at(st.At, func() { n.fault(st) })
+	}
+}
+
+// fault lets one step happen. A step that names a VM which is not there does nothing.
+func (n *network) fault(st step) {
+	until := n.now + st.For
+	p := n.process(st.Args[0])
+	switch st.Op {
+	case "cut":
+		n.cuts = append(n.cuts, cut{from: st.Args[0], to: st.Args[1], until: until})
+	case "slow":
+		n.cuts = append(n.cuts, cut{from: st.Args[0], to: st.Args[1], until: until, slow: beatEvery * 9 / 10})
+	case "split":
+		n.split(st.Args, until)
+	case "list":
+		n.relist(st.Args)
+	}
+	if p == nil {
+		return
+	}
+	switch st.Op {
+	case "freeze":
+		p.thawsAt = max(p.thawsAt, until)
+	case "quiet":
+		p.quietUntil = max(p.quietUntil, until)
+	case "kill":
+		p.dead = true
+	case "restart":
+		p.dead = true
+		n.start(st.Args[0])
+	case "replace":
+		n.start(st.Args[0])
+	case "leave":
+		p.state.Leave(p.local(n.now))
+		p.view = p.state.View(p.local(n.now))
+	}
+}
+
+// split cuts the VMs named from all others, both ways.
+func (n *network) split(part []string, until time.Duration) {
+	for _, a := range n.processes {
+		for _, b := range n.processes {
+			if slices.Contains(part, a.vm.ID) != slices.Contains(part, b.vm.ID) {
+				n.cuts = append(n.cuts, cut{from: n.label(a), to: n.label(b), until: until})
+			}
+		}
+	}
+}
+
+// relist publishes the VMs named as live; a name with "-" is listed as leaving.
+func (n *network) relist(names []string) {
+	var vms []fleet.VM
+	for _, name := range names {
+		vm := listedVM(strings.TrimSuffix(name, "-"))
+		if strings.HasSuffix(name, "-") {
+			vm.State = fleet.StateLeaving
+		}
+		vms = append(vms, vm)
+	}
+	n.publish(vms)
+	for _, vm := range vms {
+		if n.process(vm.ID) == nil {
+			n.start(vm.ID)
+		}
+	}
+}
--- /dev/null
+++ b/limit/script_test.go
@@ -0,0 +1,215 @@
+package limit
+
+import (
+	"fmt"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/txtar"
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/contract"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// script runs one file of testdata/ledger: each line is a command with
+// key=value arguments, and what it must give after "->".
+type script struct {
+	ledgers map[string]*Ledger
+	policy  string
+	terms   contract.RegionTerms
+	held    map[string]Request
+	open    map[string]Reservation
+	now     time.Time
+}
+
+var epoch = time.Unix(1e9, 0)
+
+func TestLedgerScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/ledger/*.txtar")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, file := range files {
+		archive, err := txtar.ParseFile(file)
+		assert.NilError(t, err)
+		for _, f := range archive.Files {
+			t.Run(f.Name, func(t *testing.T) { runScript(t, string(f.Data)) })
+		}
+	}
+}
+
+func runScript(t *testing.T, text string) {
+	s := &script{
+		ledgers: make(map[string]*Ledger),
+		held:    make(map[string]Request),
+		open:    make(map[string]Reservation),
+		now:     epoch,
+	}
+	for line := range strings.Lines(text) {
+		command, want, _ := strings.Cut(strings.TrimSpace(line), "->")
+		words := strings.Fields(command)
+		if len(words) == 0 {
+			continue
+		}
+		got := s.do(t, words[0], words[1:])
+		assert.Equal(t, got, strings.TrimSpace(want), line)
+	}
+}
+
+// do runs a command; the first argument of most is the VM it happens at.
+func (s *script) do(t *testing.T, name string, words []string) string {
+	args := parseArgs(words)
+	vm := ""
+	if len(words) > 0 {
+		vm = words[0]
+	}
+	l := s.ledger(vm)
+	switch name {
+	case "policy":
+		s.policy = vm
+	case "at":
+		s.now = epoch.Add(duration(vm))
+	case "terms":
+		s.terms = contract.RegionTerms{
+			RequestsPerSecond: args["requests"],
+			TokensPerSecond:   args["tokens"],
+			SpendPerHour:      args["spend"],
+			Concurrency:       int(args["concurrency"]),
+			BorrowShare:       args["borrow"],
+		}
+	case "share":
+		s.held[vm] = held(words[1:], args)
+	case "take":
+		return s.take(l, vm, words[1], args)
+	case "settle":
+		l.Settle(s.open[words[1]], amounts(args), s.now)
+	case "cancel":
+		l.Cancel(s.open[words[1]], s.now)
+	case "want":
+		want, unused, ask := l.Want("ws", s.terms, s.now)
+		return fmt.Sprintf("%v want %s unused %s", ask, text(want), text(unused))
+	case "grant":
+		given, refusal := l.Grant(s.request(vm, words[1]), amounts(args), unused(words), s.now)
+		if refusal != nil {
+			return strconv.Itoa(int(refusal.Code))
+		}
+		return text(given)
+	case "lease":
+		l.AddLease("ws", amounts(args), s.now.Add(LeaseTerm))
+	case "sweep":
+		return strconv.Itoa(l.Sweep(s.now))
+	default:
+		t.Fatalf("unknown command %q", name)
+	}
+	return ""
+}
+
+func (s *script) ledger(vm string) *Ledger {
+	if s.ledgers[vm] == nil {
+		s.ledgers[vm] = New(Options{Policy: s.policy})
+	}
+	return s.ledgers[vm]
+}
+
+func (s *script) request(vm, from string) Request {
+	r := s.held[vm]
+	r.Workspace = "ws"
+	r.Terms = s.terms
+	r.VMs = 4
+	r.From = from
+	return r
+}
+
+func (s *script) take(l *Ledger, vm, id string, args map[string]float64) string {
+	r := s.request(vm, "")
+	r.Cost = amounts(args)
+	reservation, refusal := l.Take(r, s.now)
+	if refusal != nil {
+		return s.refused(l, r, refusal)
+	}
+	s.open[id] = reservation
+	return "ok"
+}
+
+// refused describes a refusal, after a trial on a copy that its time to come
+// back is the first that admits.
+func (s *script) refused(l *Ledger, r Request, refusal *result.Refusal) string {
+	if refusal.ComeBackAt.IsZero() {
+		return strconv.Itoa(int(refusal.Code))
+	}
+	l.apply(&r)
+	probe := *l.shard(r.Workspace).account(r.Workspace)
+	for _, c := range []struct {
+		at   time.Time
+		free bool
+	}{
+		{at: refusal.ComeBackAt.Add(-time.Millisecond)},
+		{at: refusal.ComeBackAt, free: true},
+	} {
+		probe.refill(&r, c.at)
+		if short := probe.shortage(&r, c.at); short.none() != c.free {
+			return fmt.Sprintf("admitted at %v: %v", c.at.Sub(epoch), short.none())
+		}
+	}
+	return fmt.Sprintf("%d at %v", refusal.Code, refusal.ComeBackAt.Sub(epoch).Round(time.Millisecond))
+}
+
+func parseArgs(words []string) map[string]float64 {
+	args := make(map[string]float64)
+	for _, w := range words {
+		key, value, _ := strings.Cut(w, "=")
+		if f, err := strconv.ParseFloat(value, 64); err == nil {
+			args[key] = f
+		}
+	}
+	return args
+}
+
+func amounts(args map[string]float64) Amounts {
+	return Amounts{
+		Requests:    args["requests"],
+		Tokens:      args["tokens"],
+		Spend:       args["spend"],
+		Concurrency: int(args["concurrency"]),
+		Borrowed:    args["borrowed"],
+	}
+}
+
+func unused(words []string) Amounts {
+	args := parseArgs(words)
+	return Amounts{
+		Requests: args["back"],
+	}
+}
+
+func text(a Amounts) string {
+	return fmt.Sprintf("requests=%.4g tokens=%.4g concurrency=%d", a.Requests, a.Tokens, a.Concurrency)
+}
+
+func held(words []string, args map[string]float64) Request {
+	r := Request{
+		Share: args["now"],
+		Base:  args["base"],
+		Owner: args["now"] > 0,
+	}
+	for _, w := range words {
+		switch key, value, _ := strings.Cut(w, "="); key {
+		case "since":
+			r.Since = epoch.Add(duration(value))
+		case "base_since":
+			r.BaseSince = epoch.Add(duration(value))
+		}
+	}
+	return r
+}
+
+func duration(text string) time.Duration {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
--- a/membership/loan.go
+++ b/membership/loan.go
@@ -161,12 +161,23 @@
 
 func (s *State) lend(to holder, now time.Time) (*memberSet, bool) {
 	s.refresh()
-	if !s.selfLive || now.Before(s.lendFrom) {
+	if !s.selfLive || now.Before(s.lendFrom) || s.behind() {
 		return nil, false
 	}
 	return s.lent.lend(to, s.reach, now.Add(withMargin(s.term)), now)
 }
 
+// behind says whether another VM has a newer list. By an old one this VM might
+// lend a part that is no longer its own.
+func (s *State) behind() bool {
+	for _, p := range s.region {
+		if p.beat.ListRevision > s.list.Revision {
+			return true
+		}
+	}
+	return false
+}
+
 // lendToSelf renews the loan of this VM's own share to itself.
 func (s *State) lendToSelf(now time.Time) {
 	members, ok := s.lend(s.holder(), now)
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -72,7 +72,6 @@
 	lent      lender
 	loans     map[string]*loan
 	revision  uint64
-	view      *View
 }
 
 // heldCount is a number of live VMs that an earlier list had, in force until a deadline.
@@ -221,7 +220,9 @@
 }
 
 // step moves the state to now. A process that was stopped for longer than a
-// lease term knows nothing any more: all that it heard is older than the loans it holds.
+// lease term knows nothing any more: all that it heard is older than the loans
+// it holds. It lends again, also to itself, after a heartbeat interval, in which
+// the others tell it whether its list is old.
 func (s *State) step(now time.Time) {
 	if !s.steppedAt.IsZero() && now.Sub(s.steppedAt) > s.term {
 		s.wake(now)
@@ -237,8 +238,16 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *State) wake(now time.Time) {
 	s.wokeAt = now
+	s.lendFrom = later(s.lendFrom, now.Add(s.every))
 	clear(s.loans)
 	for _, p := range s.peers {
 		p.lose()
