Let reports fill what the forecast leaves, and count places by the higher guess

Change: admission counts an endpoint's places by the higher of the two guesses; the drain of the queue is counted from the calls in flight by priority; reports get the smaller of their share and what the forecast demand of urgent and chat calls leaves (policy backfill, now the default of this package).

Urgent calls are still far from alone: the VMs overfill engines between reports. Under lasting overload backfill gives up reports, which priority does not.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -12,16 +12,16 @@
 	"github.com/fuchsianotch/fuchsianotch/routing"
 )
 
-// The policies that Options names. PolicyPriority is the default.
+// The policies that Options names. PolicyBackfill is the default; the others
+// are baselines to compare it with.
 const (
-	// PolicyPriority starts urgent calls before chat and chat before reports, and
-	// bounds the slots that reports hold by a fixed share.
-	PolicyPriority = "priority"
-	// PolicyBackfill bounds the slots that reports hold by the forecast demand of
-	// the calls before them.
+	// PolicyBackfill starts urgent calls before chat and chat before reports, and
+	// lets reports fill the slots that the forecast demand of the others leaves, up
+	// to the report share.
 	PolicyBackfill = "backfill"
-	// PolicyFIFO starts calls as they came and refuses none but by deadline; it
-	// is a baseline.
+	// PolicyPriority is the same with the report share alone.
+	PolicyPriority = "priority"
+	// PolicyFIFO starts calls as they came.
 	PolicyFIFO = "fifo"
 )
 
@@ -30,7 +30,7 @@
 
 // Options are the settings of a Queue.
 type Options struct {
-	// Policy is one of the constants; empty means PolicyPriority.
+	// Policy is one of the constants; empty means PolicyBackfill.
 	Policy string
 	// Length is how many calls may wait; zero means a default.
 	Length int
@@ -62,21 +62,23 @@
 
 // Queue admits calls to the endpoints of one pool. It is safe for concurrent use.
 type Queue struct {
-	now  func() time.Time
-	pool *routing.Pool
+	now func() time.Time
+	// schedule runs a function later.
+	schedule func(d time.Duration, f func())
+	pool     *routing.Pool
 
 	mu      sync.Mutex
 	state   *State
 	lastID  uint64
-	waiters map[uint64]*waiter
-	timer   *time.Timer
-	armed   bool
+	waiters map[uint64]waiter
+	// armed is set while a tick is scheduled.
+	armed bool
 }
 
-// waiter is one call inside Admit.
+// waiter is one call that waits for its answer, which is given once.
 type waiter struct {
 	request Request
-	answer  chan answer
+	answer  func(answer)
 }
 
 // answer is a slot, or a refusal.
@@ -91,10 +93,11 @@
 		o.Now = time.Now
 	}
 	return &Queue{
-		now:     o.Now,
-		pool:    pool,
-		state:   NewState(o),
-		waiters: map[uint64]*waiter{},
+		now:      o.Now,
+		schedule: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
+		pool:     pool,
+		state:    NewState(o),
+		waiters:  map[uint64]waiter{},
 	}
 }
 
@@ -102,25 +105,26 @@
 // be met (2020), the queue is full (2021) or no endpoint takes work (2022), and
 // later as soon as that becomes so. A canceled ctx leaves the queue (2023).
 func (q *Queue) Admit(ctx context.Context, r Request, now time.Time) (Slot, *result.Refusal) {
-	w := &waiter{
+	answers := make(chan answer, 1)
+	id := q.arrive(waiter{
 		request: r,
-		answer:  make(chan answer, 1),
-	}
-	id := q.arrive(w, now)
+		answer:  func(a answer) { answers <- a },
+	}, now)
 	select {
-	case a := <-w.answer:
+	case a := <-answers:
 		return a.slot, a.refusal
 	default:
 	}
 	select {
-	case a := <-w.answer:
+	case a := <-answers:
 		return a.slot, a.refusal
 	case <-ctx.Done():
-		return q.cancel(ctx, id, w)
+		q.cancel(id, answers)
+		return Slot{}, result.Refuse(result.DeadlinePassed, "the caller stopped waiting").Because(ctx.Err())
 	}
 }
 
-func (q *Queue) arrive(w *waiter, now time.Time) uint64 {
+func (q *Queue) arrive(w waiter, now time.Time) uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.lastID++
@@ -136,16 +140,15 @@
 
 // cancel takes a call out of the queue. A place that was given meanwhile is
 // given back unused.
-func (q *Queue) cancel(ctx context.Context, id uint64, w *waiter) (Slot, *result.Refusal) {
+func (q *Queue) cancel(id uint64, answers chan answer) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
 	select {
-	case a := <-w.answer:
-		if a.refusal != nil {
-			return Slot{}, a.refusal
+	case a := <-answers:
+		if a.refusal == nil {
+			q.release(a.slot, routing.Outcome{Canceled: true}, now)
 		}
-		q.release(a.slot, routing.Outcome{Canceled: true}, now)
 	default:
 		delete(q.waiters, id)
 		q.step(Message{
@@ -153,7 +156,6 @@
 			ID:   id,
 		}, now)
 	}
-	return Slot{}, result.Refuse(result.DeadlinePassed, "the caller stopped waiting").Because(ctx.Err())
 }
 
 // Release gives a place back with what became of the call.
@@ -189,29 +191,19 @@
 // step runs the core and carries its actions out.
 func (q *Queue) step(m Message, now time.Time) {
 	m.Supply = q.pool.Supply(now)
-	var failed []uint64
+	var unplaced []uint64
 	for _, a := range q.state.Step(m, now) {
-		w := q.waiters[a.ID]
+		w, ok := q.waiters[a.ID]
 		delete(q.waiters, a.ID)
-		if w == nil {
-			continue
-		}
-		if a.Kind == ActionRefuse {
-			w.answer <- answer{refusal: refusal(a)}
-			continue
-		}
-		choice, ok := q.pool.Choose(w.request.routing(), now)
-		if !ok {
-			failed = append(failed, a.ID)
-			w.answer <- answer{refusal: refusal(Action{Code: result.NoEndpoint})}
-			continue
+		switch {
+		case !ok:
+		case a.Kind == ActionRefuse:
+			w.answer(answer{refusal: refusal(a)})
+		case !q.place(a.ID, w, now):
+			unplaced = append(unplaced, a.ID)
 		}
-		w.answer <- answer{slot: Slot{
-			Choice: choice,
-			id:     a.ID,
-		}}
 	}
-	for _, id := range failed {
+	for _, id := range unplaced {
 		q.step(Message{
 			Kind:   MessageDone,
 			ID:     id,
@@ -221,17 +213,30 @@
 	q.arm()
 }
 
-// arm sets the timer while calls wait.
+// place gives the call an endpoint; it returns false when none is left for it.
+func (q *Queue) place(id uint64, w waiter, now time.Time) bool {
+	choice, ok := q.pool.Choose(w.request.routing(), now)
+	if !ok {
+		w.answer(answer{refusal: refusal(Action{
+			Code:       result.NoEndpoint,
+			ComeBackAt: now.Add(noEndpointRetry),
+		})})
+		return false
+	}
+	w.answer(answer{slot: Slot{
+		Choice: choice,
+		id:     id,
+	}})
+	return true
+}
+
+// arm schedules the next tick while calls wait.
 func (q *Queue) arm() {
 	if q.armed || len(q.waiters) == 0 {
 		return
 	}
 	q.armed = true
-	if q.timer == nil {
-		q.timer = time.AfterFunc(tickEvery, q.tick)
-		return
-	}
-	q.timer.Reset(tickEvery)
+	q.schedule(tickEvery, q.tick)
 }
 
 func (q *Queue) tick() {
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -5,19 +5,22 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
-	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 )
 
 const (
 	// rateHalf is the time in which a past arrival counts for half.
-	rateHalf = 5 * time.Second
+	rateHalf = 20 * time.Second
 	// holdWeight is the weight of a new sample in the time a call holds its slot.
 	holdWeight = 0.05
 	// leastDrain is the part of the drain that the lowest priority counts on at least.
-	leastDrain = 0.05
-	// queuedMargin is how far a forecast must miss for a call that waits already.
+	leastDrain = 0.01
+	// leastHold bounds the time that a call keeps its slot, in seconds.
+	leastHold = 0.001
+	// queuedMargin and reportMargin multiply the forecast for a call that waits
+	// already and for any report, as a forecast of many seconds is often too long.
 	queuedMargin = 0.7
+	reportMargin = 0.3
 	// farFuture bounds an expected wait.
 	farFuture = 1000 * time.Hour
 )
@@ -54,6 +57,15 @@
 	d.hold[p] += holdWeight * (hold.Seconds() - d.hold[p])
 }
 
+// holdOr is the seconds that a call of the priority keeps its slot, or the
+// other value while none has ended.
+func (d *demand) holdOr(p call.Priority, other time.Duration) float64 {
+	if d.hold[p] > 0 {
+		return d.hold[p]
+	}
+	return max(other.Seconds(), leastHold)
+}
+
 // busy is how many slots calls of the priority keep busy on average.
 func (d *demand) busy(p call.Priority, now time.Time) float64 {
 	return d.perSecond(p, now) * d.hold[p]
@@ -82,7 +94,7 @@
 	if p == call.PriorityChat {
 		return supply.Free >= 1+reserve
 	}
-	return supply.Free >= 1+reserve && float64(s.reports) < s.reportSlots(supply, now)
+	return supply.Free >= 1+reserve && float64(s.inFlight[call.PriorityReport]) < s.reportSlots(supply, now)
 }
 
 // reserve is the number of slots kept free for urgent calls.
@@ -94,15 +106,16 @@
 // reportSlots is how many slots reports of this VM may hold.
 func (s *State) reportSlots(supply routing.Supply, now time.Time) float64 {
 	usable := float64(supply.Own) + supply.Free
-	if s.policy != PolicyBackfill {
-		return max(usable*s.reportShare, 1)
+	share := usable * s.reportShare
+	if s.policy == PolicyPriority {
+		return max(share, 1)
 	}
 	before := 0.0
 	for q := range call.PriorityReport {
 		busy := s.demand.busy(q, now)
 		before += busy + math.Sqrt(busy)
 	}
-	return max(usable-before, 1)
+	return max(min(share, usable-before), 1)
 }
 
 // ahead is how many calls a new one of the priority would wait behind.
@@ -116,17 +129,32 @@
 
 // forecast is the expected wait behind so many calls.
 func (s *State) forecast(ahead int, p call.Priority, supply routing.Supply, now time.Time) time.Duration {
-	drain := max(float64(supply.Own)+supply.Free, 1) / max(supply.Hold.Seconds(), 0.001)
-	rate := drain
-	if s.policy != PolicyFIFO {
-		for q := range p {
-			rate -= s.demand.perSecond(q, now)
-		}
-	}
-	rate = max(rate, leastDrain*drain)
+	rate := s.drain(p, supply, now)
 	return perSecond(float64(ahead+1), rate)
 }
 
+// drain is how many waiting calls up to the priority start in a second: one for
+// each call that ends, less those of higher priority still to come. Reports
+// have only the places that reports leave.
+func (s *State) drain(p call.Priority, supply routing.Supply, now time.Time) float64 {
+	ends := 0.0
+	for q, n := range s.inFlight {
+		ends += float64(n) / s.demand.holdOr(call.Priority(q), supply.Hold)
+	}
+	ends = max(ends, 1/max(supply.Hold.Seconds(), leastHold))
+	rate := ends
+	if s.policy == PolicyFIFO {
+		return rate
+	}
+	for q := range p {
+		rate -= s.demand.perSecond(q, now)
+	}
+	if p == call.PriorityReport {
+		rate = min(rate, s.reportSlots(supply, now)/s.demand.holdOr(p, supply.Hold))
+	}
+	return max(rate, leastDrain*ends)
+}
+
 // forecastNew refuses a call that has just come and would start too late.
 func (s *State) forecastNew(id uint64, p call.Priority, supply routing.Supply, now time.Time) {
 	l := &s.waiting[p]
@@ -134,11 +162,9 @@
 	if at < 0 {
 		return
 	}
-	e := l.entries[at]
-	wait := s.forecast(s.ahead(p)-len(l.entries)+at, p, supply, now)
-	if now.Add(wait).After(e.latest) {
-		l.removeAt(at)
-		s.refuse(e.id, result.DeadlineUnmeetable, s.comeBack(e, supply, now))
+	before := s.ahead(p) - len(l.entries)
+	if s.misses(l.entries[at], before+at, 1, supply, now) {
+		s.refuseLate(l.removeAt(at), supply, now)
 	}
 }
 
@@ -148,19 +174,26 @@
 	for p := range s.waiting {
 		l := &s.waiting[p]
 		for at := 0; at < len(l.entries); {
-			e := l.entries[at]
-			wait := s.forecast(before+at, e.request.Priority, supply, now)
-			if !now.Add(time.Duration(queuedMargin * float64(wait))).After(latestStart(e.request, supply)) {
-				at++
+			if s.misses(l.entries[at], before+at, queuedMargin, supply, now) {
+				s.refuseLate(l.removeAt(at), supply, now)
 				continue
 			}
-			l.removeAt(at)
-			s.refuse(e.id, result.DeadlineUnmeetable, s.comeBack(e, supply, now))
+			at++
 		}
 		before += len(l.entries)
 	}
 }
 
+// misses says whether a call behind so many others is expected to start too late.
+func (s *State) misses(e entry, ahead int, margin float64, supply routing.Supply, now time.Time) bool {
+	if e.request.Priority == call.PriorityReport {
+		margin = reportMargin
+	}
+	wait := s.forecast(ahead, e.request.Priority, supply, now)
+	wait = time.Duration(margin * float64(wait))
+	return now.Add(wait).After(latestStart(e.request, supply))
+}
+
 func perSecond(amount, rate float64) time.Duration {
 	if rate <= 0 {
 		return farFuture
--- a/admission/state.go
+++ b/admission/state.go
@@ -67,10 +67,10 @@
 
 	waiting [call.Priorities]line
 	running map[uint64]started
-	// reports is how many of running are reports.
-	reports int
-	demand  demand
-	actions []Action
+	// inFlight counts running by priority.
+	inFlight [call.Priorities]int
+	demand   demand
+	actions  []Action
 }
 
 // started is a call that got a place.
@@ -156,9 +156,7 @@
 		return
 	}
 	delete(s.running, m.ID)
-	if c.priority == call.PriorityReport {
-		s.reports--
-	}
+	s.inFlight[c.priority]--
 	if !m.Unsent {
 		s.demand.held(c.priority, now.Sub(c.at))
 	}
@@ -273,9 +271,7 @@
 		priority: e.request.Priority,
 		at:       now,
 	}
-	if e.request.Priority == call.PriorityReport {
-		s.reports++
-	}
+	s.inFlight[e.request.Priority]++
 	s.actions = append(s.actions, Action{
 		Kind: ActionStart,
 		ID:   e.id,
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -145,9 +145,23 @@
 	if e.loadAt.IsZero() {
 		return own + alike
 	}
+	return own + alikeWeight*alike + (1-alikeWeight)*e.reported(now)
+}
+
+// reported is the other VMs' load by the reports alone.
+func (e *endpoint) reported(now time.Time) float64 {
 	trust := math.Exp(-now.Sub(e.loadAt).Seconds() / reportTrust)
-	reported := trust*e.seen() + (1-trust)*e.usual
-	return own + alikeWeight*alike + (1-alikeWeight)*reported
+	return trust*e.seen() + (1-trust)*e.usual
+}
+
+// taken is how many slots admission must take as full: the higher guess, as a
+// call too many waits at the endpoint where no priority of ours can help it.
+func (e *endpoint) taken(share float64, now time.Time) float64 {
+	occupied := e.occupancy(share, now)
+	if e.loadAt.IsZero() {
+		return occupied
+	}
+	return max(occupied, float64(e.inFlight)+e.reported(now))
 }
 
 // queued is the reported queue, which is sure at least to have been there.
--- a/routing/supply.go
+++ b/routing/supply.go
@@ -53,7 +53,7 @@
 		return
 	}
 	e.counted.slots = e.slots()
-	e.counted.free = math.Round(max(e.slots()-e.occupancy(p.learnt.share, now), 0))
+	e.counted.free = math.Round(max(e.slots()-e.taken(p.learnt.share, now), 0))
 	e.counted.own = e.inFlight
 	p.total.slots += e.counted.slots
 	p.total.free += e.counted.free
