ticket: hand-overs in parts, and two minutes of retention

Cause: a hand-over is one message, and records are bounded by more (64 MiB) than a message between VMs (8 MiB), so a full desk's hand-over could never arrive and its tickets would all end unknown. Ruled out: raising the message bound (every peer could then fill a VM's memory), dropping records (a missing record makes its ticket look unused and run again). Change: HandOver.Parts sends records first as copies without rights; the last part brings the rights, and the receiver takes them only when it has as many records as Rights.Total says.

Without Retain a record went at its ticket's good-until, and every unused ticket as old turned unknown with it; the default is now DefaultRetention after it. Of a call that did not end as done only the code is kept.

--- a/ticket/desk.go
+++ b/ticket/desk.go
@@ -17,6 +17,9 @@
 	DefaultAnswerBytes = 1 << 20
 )
 
+// DefaultRetention is how long a record outlives its ticket's good-until.
+const DefaultRetention = 2 * time.Minute
+
 // RecordOverhead is what a record counts besides its answer, in bytes.
 const RecordOverhead = 640
 
@@ -29,8 +32,8 @@
 	Bytes       int
 	AnswerBytes int
 	// Retain gives the moment until which the record of a ticket is kept, from
-	// the ticket's good-until; nil means no longer than the ticket is good.
-	// It must never go down when its argument goes up.
+	// the ticket's good-until; nil means DefaultRetention after it. It must
+	// never go down when its argument goes up.
 	Retain func(goodUntil time.Time) time.Time
 }
 
@@ -73,7 +76,11 @@
 	// until then or less, and without a record, nobody knows whether it ran.
 	swept time.Time
 	// until is when an adopted claim can be forgotten.
-	until   time.Time
+	until time.Time
+	// total is how many records an incoming claim needs; dropped counts those of
+	// a copy that were swept.
+	total   int
+	dropped int
 	entries map[uint64]*Entry
 }
 
@@ -101,7 +108,7 @@
 		claims: map[Holder]*claim{self: own},
 	}
 	if d.retain == nil {
-		d.retain = func(goodUntil time.Time) time.Time { return goodUntil }
+		d.retain = func(goodUntil time.Time) time.Time { return goodUntil.Add(DefaultRetention) }
 	}
 	return d
 }
@@ -311,6 +318,7 @@
 		e := d.ended[0]
 		e.claim.swept = later(e.claim.swept, e.goodUntil)
 		e.claim.closed = later(e.claim.closed, e.goodUntil)
+		e.claim.dropped++
 		d.drop(e)
 	}
 }
@@ -337,9 +345,10 @@
 
 // Push implements heap.Interface.
 func (h *entryHeap) Push(x any) {
-	e := x.(*Entry)
-	e.index = len(*h)
-	*h = append(*h, e)
+	if e, ok := x.(*Entry); ok {
+		e.index = len(*h)
+		*h = append(*h, e)
+	}
 }
 
 // Pop implements heap.Interface.
--- a/ticket/desk_test.go
+++ b/ticket/desk_test.go
@@ -25,6 +25,7 @@
 	desks   map[string]*Desk
 	tickets map[string]string
 	entries map[string]*Entry
+	given   map[*Desk]HandOver
 }
 
 func TestDesk(t *testing.T) {
@@ -39,6 +40,7 @@
 				desks:   map[string]*Desk{},
 				tickets: map[string]string{},
 				entries: map[string]*Entry{},
+				given:   map[*Desk]HandOver{},
 			}
 			for _, vm := range []string{"a", "b", "c"} {
 				s.start(vm, 1)
@@ -92,8 +94,8 @@
 	case "idle":
 		return fmt.Sprint(desk.Idle())
 	case "give_up":
-		desk.GiveUp(s.now)
-	case "adopt", "copy", "tampered":
+		s.given[desk] = desk.GiveUp(s.now)
+	case "adopt", "copy", "tampered", "parts", "copies", "last":
 		return fmt.Sprint(s.adopt(words[0], desk, s.desks[words[2]]))
 	case "adopted":
 		return s.adopted(desk)
@@ -146,20 +148,38 @@
 	return r
 }
 
-// adopt hands over again what from has given up.
+// adopt hands over what from gave up first. "parts" makes a part of each
+// record; "copies" are all parts but the last, and "last" is that one.
 func (s *script) adopt(how string, to, from *Desk) bool {
-	h := from.GiveUp(s.now).Addressed(to.self)
+	if _, ok := s.given[from]; !ok {
+		s.given[from] = from.GiveUp(s.now)
+	}
+	h := s.given[from].Addressed(to.self)
+	// Rights stay with the first successor: of a's, c gets those addressed to b.
+	if to == s.desks["c"] && from == s.desks["a"] {
+		h.To = s.desks["b"].self
+	}
+	parts := []HandOver{h}
 	switch how {
 	case "copy":
-		h = h.Copy()
+		parts[0] = h.Copy()
 	case "tampered":
-		h.Rights[0].Key = make([]byte, keyLength)
+		parts[0].Rights = slices.Clone(h.Rights)
+		parts[0].Rights[0].Key = make([]byte, keyLength)
+	case "parts":
+		parts = h.Parts(1)
+	case "copies":
+		parts = h.Parts(1)
+		parts = parts[:len(parts)-1]
+	case "last":
+		parts = h.Parts(1)
+		parts = parts[len(parts)-1:]
 	}
-	// Rights stay with the first successor: c is never the one addressed after b.
-	if to == s.desks["c"] && from == s.desks["a"] {
-		h.To = s.desks["b"].self
+	adopted := true
+	for _, part := range parts {
+		adopted = to.Adopt(part, s.now)
 	}
-	return to.Adopt(h, s.now)
+	return adopted
 }
 
 func (s *script) adopted(d *Desk) string {
@@ -314,7 +334,9 @@
 	b.ResetTimer()
 	for _, text := range texts {
 		s := d.Begin(text, "fairway", 1, epoch)
-		s.Entry.Sending(epoch)
+		if refusal := s.Entry.Sending(epoch); refusal != nil {
+			b.Fatal(refusal)
+		}
 		s.Entry.Finish(Record{
 			Code:   result.Done,
 			Status: http.StatusOK,
--- a/ticket/entry.go
+++ b/ticket/entry.go
@@ -139,7 +139,13 @@
 }
 
 // bounded gives the record, or RecordLost in its place when it is too large.
+// Of a call that did not end as done only the code is kept.
 func (d *Desk) bounded(r Record) Record {
+	if r.Code.Class() != result.ClassDone {
+		return Record{
+			Code: r.Code,
+		}
+	}
 	size := r.size()
 	if size <= d.answer && d.used+size <= d.bytes {
 		return r
