Distrust a connection only after a crossed head

TestStorm lost one attempt in two of five runs on a busy machine. net/http returns a connection to its pool before it hands over an answer without a body, so closing the connection of a crossed chunk at its next use could lose the answer of the attempt between. A crossed chunk under the right head says nothing against the connection, so only a crossed head marks it.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -73,14 +73,14 @@
 
 // Write counts before it writes, so that no byte goes out uncounted.
 func (c *connection) Write(p []byte) (int, error) {
+	if c.closed.Load() {
+		return 0, net.ErrClosed
+	}
 	if gate := c.gate.Swap(nil); gate != nil {
 		if err := (*gate)(); err != nil {
 			return 0, err
 		}
 	}
-	if c.closed.Load() {
-		return 0, net.ErrClosed
-	}
 	c.offered.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
@@ -143,9 +143,9 @@
 	}
 }
 
-// distrust keeps the connection from further use. What follows on it may be
-// crossed as well. It may be in another attempt's hands already, which is left
-// to match its own answer.
+// distrust keeps the connection from further use after the head of another
+// attempt's answer: what follows is one answer off as well. The transport closes
+// it with the body, but an answer without a body gave it back to the pool already.
 func (t *track) distrust() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -45,11 +45,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	x.outcome.Sent = true
-	refusal = x.receive(resp)
-	if refusal != nil && refusal.Code == result.AnswerCrossed {
-		x.track.distrust()
-	}
-	return refusal
+	return x.receive(resp)
 }
 
 // roundTrip sends the request once. A reused connection that broke before any
@@ -182,6 +178,7 @@
 	}
 	for _, id := range ids {
 		if id != x.attempt.ID {
+			x.track.distrust()
 			return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
 		}
 	}
