--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -34,10 +34,16 @@
 		_, refusal = q.Admit(ctx, Request{Priority: call.PriorityChat}, time.Now())
 		assert.Equal(t, refusal.Code, result.DeadlinePassed)
 		assert.Equal(t, q.Waiting(), [call.Priorities]int{})
-		q.Release(held, routing.Outcome{Code: result.Done, Sent: true}, time.Now())
+		q.Release(held, routing.Outcome{
+			Code: result.Done,
+			Sent: true,
+		}, time.Now())
 		next, refusal := q.Admit(t.Context(), Request{Priority: call.PriorityReport}, time.Now())
 		assert.Assert(t, refusal == nil)
-		q.Release(next, routing.Outcome{Code: result.Done, Sent: true}, time.Now())
+		q.Release(next, routing.Outcome{
+			Code: result.Done,
+			Sent: true,
+		}, time.Now())
 	})
 }
 
@@ -54,7 +60,10 @@
 			slot, refusal := q.Admit(t.Context(), Request{Priority: call.PriorityChat}, time.Now())
 			assert.Check(t, refusal == nil)
 			given <- time.Since(begin)
-			q.Release(slot, routing.Outcome{Code: result.Done, Sent: true}, time.Now())
+			q.Release(slot, routing.Outcome{
+				Code: result.Done,
+				Sent: true,
+			}, time.Now())
 		}()
 		go func() {
 			_, refusal := q.Admit(t.Context(), Request{
@@ -68,7 +77,10 @@
 		assert.Assert(t, time.Now().Before(begin.Add(4*time.Second)))
 		assert.Assert(t, refusal.ComeBackAt.After(time.Now()))
 		time.Sleep(time.Until(begin.Add(5 * time.Second)))
-		q.Release(held, routing.Outcome{Code: result.Done, Sent: true}, time.Now())
+		q.Release(held, routing.Outcome{
+			Code: result.Done,
+			Sent: true,
+		}, time.Now())
 		assert.Equal(t, <-given, 5*time.Second)
 	})
 }
@@ -97,7 +109,10 @@
 			now := time.Now()
 			slot, refusal := q.Admit(b.Context(), Request{Priority: call.PriorityChat}, now)
 			if refusal == nil {
-				q.Release(slot, routing.Outcome{Code: result.Done, Sent: true}, now)
+				q.Release(slot, routing.Outcome{
+					Code: result.Done,
+					Sent: true,
+				}, now)
 			}
 		}
 	})
--- a/admission/decision_test.go
+++ b/admission/decision_test.go
@@ -36,9 +36,38 @@
 }
 
 var classes = [call.Priorities]class{
-	call.PriorityUrgent: {part: 0.10, prompt: 120, prefix: 100, tokens: 10, more: 10, bound: 32, hold: 0.35, firstBy: 500 * time.Millisecond, wholeBy: 2 * time.Second},
-	call.PriorityChat:   {part: 0.50, prompt: 1100, prefix: 1000, tokens: 20, more: 160, bound: 256, hold: 2, firstBy: 1500 * time.Millisecond, wholeBy: 10 * time.Second},
-	call.PriorityReport: {part: 0.40, prompt: 700, prefix: 600, tokens: 400, more: 800, bound: 1500, hold: 16, wholeBy: 120 * time.Second},
+	call.PriorityUrgent: {
+		part:    0.10,
+		prompt:  120,
+		prefix:  100,
+		tokens:  10,
+		more:    10,
+		bound:   32,
+		hold:    0.35,
+		firstBy: 500 * time.Millisecond,
+		wholeBy: 2 * time.Second,
+	},
+	call.PriorityChat: {
+		part:    0.50,
+		prompt:  1100,
+		prefix:  1000,
+		tokens:  20,
+		more:    160,
+		bound:   256,
+		hold:    2,
+		firstBy: 1500 * time.Millisecond,
+		wholeBy: 10 * time.Second,
+	},
+	call.PriorityReport: {
+		part:    0.40,
+		prompt:  700,
+		prefix:  600,
+		tokens:  400,
+		more:    800,
+		bound:   1500,
+		hold:    16,
+		wholeBy: 120 * time.Second,
+	},
 }
 
 type scene struct {
@@ -54,12 +83,20 @@
 	for _, load := range []float64{0.7, 1, 2} {
 		for _, surge := range []bool{false, true} {
 			for _, policy := range []string{PolicyPriority, PolicyBackfill, PolicyFIFO, policyOpen} {
-				s := scene{policy: policy, load: load, surge: surge}
+				s := scene{
+					policy: policy,
+					load:   load,
+					surge:  surge,
+				}
 				b.Run(fmt.Sprintf("load=%.0f/surge=%v/%s", 100*load, surge, policy), s.benchmark)
 			}
 		}
 	}
-	b.Run("urgent_alone", scene{policy: PolicyPriority, load: 1, alone: true}.benchmark)
+	b.Run("urgent_alone", scene{
+		policy: PolicyPriority,
+		load:   1,
+		alone:  true,
+	}.benchmark)
 }
 
 func (s scene) benchmark(b *testing.B) {
--- a/borrow/borrow.go
+++ b/borrow/borrow.go
@@ -58,6 +58,8 @@
 	MaxTokens    int
 	// Damper limits what leaves; nil means no limit.
 	Damper *Damper
+	// Draw is a random number that spreads calls over offers that are equal.
+	Draw uint64
 }
 
 // Decide names the offer to send the call to. It returns false when the call
@@ -71,31 +73,36 @@
 		return Offer{}, false
 	}
 	best, ok := r.best(offers, now)
-	if !ok {
-		return Offer{}, false
-	}
-	if r.Policy != PolicyAlways && r.Damper != nil && !r.Damper.Allow(best, r.tokens(), now) {
-		return Offer{}, false
+	if !ok || !r.damped() {
+		return best, ok
 	}
-	return best, true
+	return best, r.Damper.Allow(best, r.tokens(), now)
 }
 
-// best gives the offer with the earliest first token among those that serve in time.
+// best gives the offer with the earliest first token among those that serve in
+// time and that the damper leaves open.
 func (r Request) best(offers []Offer, now time.Time) (Offer, bool) {
 	var best Offer
 	found := false
-	for _, o := range offers {
-		if !r.fits(o, now) {
+	for i := range offers {
+		o := offers[(i+int(r.Draw%uint64(len(offers))))%len(offers)]
+		if !r.fits(o, now) || (found && o.delay(r) >= best.delay(r)) {
 			continue
 		}
-		if !found || o.delay(r) < best.delay(r) {
-			best = o
-			found = true
+		if r.damped() && !r.Damper.Open(o, now) {
+			continue
 		}
+		best = o
+		found = true
 	}
 	return best, found
 }
 
+// damped says whether the damper limits the call.
+func (r Request) damped() bool {
+	return r.Policy != PolicyAlways && r.Damper != nil
+}
+
 // fits says whether the offer can be used for the call.
 func (r Request) fits(o Offer, now time.Time) bool {
 	switch {
--- a/borrow/damper.go
+++ b/borrow/damper.go
@@ -8,8 +8,9 @@
 const (
 	// leastFactor bounds the multiplicative decrease.
 	leastFactor = 1.0 / 64
-	// increase is added to the factor for each answer in time.
-	increase = 0.02
+	// increase is added to the factor for each answer in time. The factor may grow
+	// until the whole offer is used, as most of those that may ask do not.
+	increase = 0.1
 	// decrease multiplies the factor on a refusal.
 	decrease = 0.5
 	// burst is how many seconds of the allowed rate may leave at once.
@@ -52,15 +53,19 @@
 	d.asking = max(n, 1)
 }
 
+// Open says whether anything is left of this VM's part of the offer.
+func (d *Damper) Open(o Offer, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fill(o, now).tokens > 0
+}
+
 // Allow takes a call's tokens from this VM's part of the offer. A call may
 // overdraw an unspent part, so that one larger than it can leave at all.
 func (d *Damper) Allow(o Offer, tokens float64, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := d.lending(o, now)
-	rate := o.TokensPerSecond / float64(d.asking) * l.factor
-	l.tokens = min(l.tokens+rate*now.Sub(l.at).Seconds(), rate*burst)
-	l.at = now
+	l := d.fill(o, now)
 	if l.tokens <= 0 {
 		return false
 	}
@@ -68,12 +73,21 @@
 	return true
 }
 
+// fill brings the bucket up to date.
+func (d *Damper) fill(o Offer, now time.Time) *lending {
+	l := d.lending(o, now)
+	rate := o.TokensPerSecond / float64(d.asking) * l.factor
+	l.tokens = min(l.tokens+rate*now.Sub(l.at).Seconds(), rate*burst)
+	l.at = now
+	return l
+}
+
 // Served reports an answer in time from the offering VM.
 func (d *Damper) Served(o Offer, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	l := d.lending(o, now)
-	l.factor = min(l.factor+increase, 1)
+	l.factor = min(l.factor+increase, float64(d.asking))
 }
 
 // Refused reports that the offering VM refused or was late.
--- a/routing/decision_test.go
+++ b/routing/decision_test.go
@@ -82,13 +82,56 @@
 	}
 	for _, size := range [][2]int{{3, 4}, {8, 40}} {
 		for _, load := range []float64{0.7, 0.9, 1.1} {
-			add(scene{vms: size[0], endpoints: size[1], load: load, slow: -1, silent: -1, lying: -1}, "none")
+			add(scene{
+				vms:       size[0],
+				endpoints: size[1],
+				load:      load,
+				slow:      -1,
+				silent:    -1,
+				lying:     -1,
+			}, "none")
 		}
-		add(scene{vms: size[0], endpoints: size[1], load: 0.7, slow: 0, silent: -1, lying: -1}, "slow")
-		add(scene{vms: size[0], endpoints: size[1], load: 0.7, slow: -1, silent: 0, lying: -1}, "silent")
-		add(scene{vms: size[0], endpoints: size[1], load: 0.7, slow: -1, silent: -1, lying: 0}, "lying")
-		add(scene{vms: size[0], endpoints: size[1], load: 0.7, slow: 0, silent: -1, lying: 0}, "slow_lying")
-		add(scene{vms: size[0], endpoints: size[1], load: 0.5, slow: -1, silent: -1, lying: -1, foreign: 0.7}, "foreign")
+		add(scene{
+			vms:       size[0],
+			endpoints: size[1],
+			load:      0.7,
+			slow:      0,
+			silent:    -1,
+			lying:     -1,
+		}, "slow")
+		add(scene{
+			vms:       size[0],
+			endpoints: size[1],
+			load:      0.7,
+			slow:      -1,
+			silent:    0,
+			lying:     -1,
+		}, "silent")
+		add(scene{
+			vms:       size[0],
+			endpoints: size[1],
+			load:      0.7,
+			slow:      -1,
+			silent:    -1,
+			lying:     0,
+		}, "lying")
+		add(scene{
+			vms:       size[0],
+			endpoints: size[1],
+			load:      0.7,
+			slow:      0,
+			silent:    -1,
+			lying:     0,
+		}, "slow_lying")
+		add(scene{
+			vms:       size[0],
+			endpoints: size[1],
+			load:      0.5,
+			slow:      -1,
+			silent:    -1,
+			lying:     -1,
+			foreign:   0.7,
+		}, "foreign")
 	}
 	return all
 }
--- a/routing/enginetest/enginetest.go
+++ b/routing/enginetest/enginetest.go
@@ -65,7 +65,8 @@
 // Run runs all events up to the end.
 func (c *Clock) Run(end time.Time) {
 	for len(c.events) > 0 && !c.events[0].at.After(end) {
-		e := heap.Pop(&c.events).(event)
+		e := c.events[0]
+		heap.Pop(&c.events)
 		c.now = e.at
 		e.run()
 	}
@@ -166,7 +167,8 @@
 	}
 	e.cache[prefix] = e.recent.PushFront(prefix)
 	if e.recent.Len() > e.Prefixes {
-		delete(e.cache, e.recent.Remove(e.recent.Back()).(uint64))
+		oldest, _ := e.recent.Remove(e.recent.Back()).(uint64)
+		delete(e.cache, oldest)
 	}
 	return false
 }
@@ -227,7 +229,12 @@
 
 func (e events) Len() int      { return len(e) }
 func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+
+// Push is for the heap.
+func (e *events) Push(x any) {
+	added, _ := x.(event)
+	*e = append(*e, added)
+}
 
 func (e events) Less(i, j int) bool {
 	if e[i].at.Equal(e[j].at) {
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -71,6 +71,8 @@
 	// speed is in generated tokens a second for one call, prefill in prompt tokens a second.
 	speed   average
 	prefill average
+	// work is the prompt and generated tokens that a slot serves a second.
+	work average
 	// cached is the part of a prompt that a warm endpoint does not prefill.
 	cached average
 	// length is the part of MaxTokens that answers use.
@@ -167,6 +169,9 @@
 	hold := decode + o.FirstAt.Sub(c.At).Seconds() - waited
 	e.hold.add(hold, learnWeight)
 	p.learnt.hold.add(hold, learnWeight)
+	if hold > 0 && o.Usage.PromptTokens > 0 {
+		p.learnt.work.add(float64(o.Usage.PromptTokens+o.Usage.GeneratedTokens)/hold, learnWeight)
+	}
 	if c.maxTokens > 0 && o.Usage.GeneratedTokens > 0 {
 		p.learnt.length.add(min(float64(o.Usage.GeneratedTokens)/float64(c.maxTokens), 1), learnWeight)
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -184,7 +184,11 @@
 				}
 				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 				code := rapid.SampledFrom([]result.Code{result.Done, result.EndpointFailed}).Draw(t, "code")
-				p.Done(flying[0], Outcome{Code: code, Sent: true, FirstAt: now}, now)
+				p.Done(flying[0], Outcome{
+					Code:    code,
+					Sent:    true,
+					FirstAt: now,
+				}, now)
 				flying = flying[1:]
 			},
 			"": func(t *rapid.T) {
@@ -211,7 +215,11 @@
 		allocs := testing.AllocsPerRun(200, func() {
 			c, ok := p.Choose(r, start)
 			assert.Assert(t, ok)
-			p.Done(c, Outcome{Code: result.Done, Sent: true, FirstAt: start}, start)
+			p.Done(c, Outcome{
+				Code:    result.Done,
+				Sent:    true,
+				FirstAt: start,
+			}, start)
 		})
 		assert.Equal(t, allocs, 0.0)
 	}
@@ -226,7 +234,10 @@
 	p.SetVMs(8)
 	p.SetEndpoints(listed(slots, ""), start)
 	for id := range slots {
-		p.Report(id, Load{At: start, Running: 4}, start)
+		p.Report(id, Load{
+			At:      start,
+			Running: 4,
+		}, start)
 	}
 	return p
 }
@@ -245,7 +256,11 @@
 				for pb.Next() {
 					r.PrefixHash += 0x9e3779b97f4a7c15
 					c, _ := p.Choose(r, start)
-					p.Done(c, Outcome{Code: result.Done, Sent: true, FirstAt: start}, start)
+					p.Done(c, Outcome{
+						Code:    result.Done,
+						Sent:    true,
+						FirstAt: start,
+					}, start)
 				}
 			})
 		})
--- a/routing/supply.go
+++ b/routing/supply.go
@@ -22,6 +22,9 @@
 	// of a cold prompt.
 	TokensPerSecond  float64
 	PrefillPerSecond float64
+	// SlotTokensPerSecond is what one busy slot serves, prompt and generated
+	// tokens together.
+	SlotTokensPerSecond float64
 	// AnswerShare is the part of MaxTokens that answers use.
 	AnswerShare float64
 	// RetryAt is when the next endpoint in back-off may be tested by a call;
@@ -66,16 +69,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return Supply{
-		Endpoints:        len(p.eligible),
-		Slots:            p.total.slots,
-		Free:             p.total.free,
-		Own:              p.total.own,
-		Hold:             seconds(p.learnt.hold.or(defaultHold)),
-		First:            seconds(p.learnt.base.value),
-		TokensPerSecond:  p.learnt.speed.or(defaultSpeed),
-		PrefillPerSecond: p.learnt.prefill.value,
-		AnswerShare:      p.learnt.length.or(defaultLength),
-		RetryAt:          p.retryAt(),
+		Endpoints:           len(p.eligible),
+		Slots:               p.total.slots,
+		Free:                p.total.free,
+		Own:                 p.total.own,
+		Hold:                seconds(p.learnt.hold.or(defaultHold)),
+		First:               seconds(p.learnt.base.value),
+		TokensPerSecond:     p.learnt.speed.or(defaultSpeed),
+		PrefillPerSecond:    p.learnt.prefill.value,
+		SlotTokensPerSecond: p.learnt.work.or(defaultSpeed),
+		AnswerShare:         p.learnt.length.or(defaultLength),
+		RetryAt:             p.retryAt(),
 	}
 }
 
