Take load reports from endpoints whose clocks disagree

Cause: a report from a clock more than half a second ahead was dropped, and with it the word that the endpoint is leaving; one from a clock far behind counted as old for ever. A long prompt whose prefix is cached was refused as if it were cold.

Change: reports are ordered by the endpoint's own clock; where the clocks clearly disagree the age is counted from the youngest report. The latest start of a call counts the part of prompts that was prefilled lately (Supply.ColdShare).

Ruled out: counting all ages from the youngest report.

--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -73,7 +73,7 @@
 
 // latestStart is the last moment to start for an answer on time.
 func latestStart(r Request, supply routing.Supply) time.Time {
-	prefill := supply.First + perSecond(float64(r.PromptTokens), supply.PrefillPerSecond)
+	prefill := supply.First + perSecond(float64(r.PromptTokens)*supply.ColdShare, supply.PrefillPerSecond)
 	answer := perSecond(float64(r.MaxTokens)*supply.AnswerShare, supply.TokensPerSecond)
 	latest := noDeadline
 	if !r.FirstBy.IsZero() && r.FirstBy.Add(-prefill).Before(latest) {
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -13,8 +13,12 @@
 	// historyStep and historyLen bound how far back in-flight counts are known.
 	historyStep = 100 * time.Millisecond
 	historyLen  = 32
-	// reportClockSkew is how far ahead of ours an endpoint's clock may be.
-	reportClockSkew = 500 * time.Millisecond
+	// clockStep is how far back a report's time must go for its clock to have been set.
+	clockStep = 10 * time.Second
+	// plausibleLag is how late a report of an endpoint whose clock agrees may be.
+	plausibleLag = 3 * time.Second
+	// skewDrift is how much the clocks may drift apart between two reports.
+	skewDrift = time.Millisecond
 	// usualWeight is the weight of a new report in the usual load of others.
 	usualWeight = 0.2
 	// biasHalf is the time in which an unconfirmed correction halves.
@@ -33,8 +37,10 @@
 	// progressAt is when a call last began at the idle endpoint or last ended.
 	progressAt time.Time
 
-	load   Load
+	load Load
+	// loadAt is the report's time by our clock, skew what our clock is ahead.
 	loadAt time.Time
+	skew   time.Duration
 	// ownAt are this VM's calls that the load report includes.
 	ownAt int
 	// usual is the smoothed load of other VMs.
@@ -114,22 +120,30 @@
 
 // report takes a newer load report; it returns false for an older one.
 func (e *endpoint) report(l Load, now time.Time) bool {
-	if l.At.After(now) {
-		if l.At.Sub(now) > reportClockSkew && !e.load.At.IsZero() {
-			return false
-		}
-		l.At = now
-	}
-	if !l.At.After(e.load.At) {
+	back := e.load.At.Sub(l.At)
+	if back >= 0 && back < clockStep && !e.loadAt.IsZero() {
 		return false
 	}
+	e.loadAt = now.Add(-e.lag(now.Sub(l.At), back >= clockStep))
 	e.load = l
-	e.loadAt = l.At
-	e.ownAt = e.history.at(l.At, e.inFlight)
+	e.ownAt = e.history.at(e.loadAt, e.inFlight)
 	e.usual += usualWeight * (e.seen() - e.usual)
 	return true
 }
 
+// lag is how old a report is. Where the clocks clearly disagree it is how much
+// older it is than the youngest one.
+func (e *endpoint) lag(apparent time.Duration, stepped bool) time.Duration {
+	e.skew += skewDrift
+	if e.loadAt.IsZero() || stepped || apparent < e.skew {
+		e.skew = apparent
+	}
+	if apparent >= 0 && apparent <= plausibleLag {
+		return apparent
+	}
+	return apparent - e.skew
+}
+
 // seen is the load of other VMs at the time of the last report.
 func (e *endpoint) seen() float64 {
 	return float64(max(e.load.Running+e.load.Waiting-e.ownAt, 0))
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -75,6 +75,8 @@
 	work average
 	// cached is the part of a prompt that a warm endpoint does not prefill.
 	cached average
+	// cold is the part of prompts that was prefilled, over all calls.
+	cold average
 	// length is the part of MaxTokens that answers use.
 	length average
 	// late is how much later than predicted first tokens come on average, in seconds.
@@ -153,8 +155,12 @@
 // learnCached learns how much of a prompt a warm endpoint holds. A miss tells
 // little of that, as calls that stay with an endpoint are what makes it warm.
 func (p *Pool) learnCached(c Choice, o Outcome) {
+	if o.Usage.PromptTokens == 0 {
+		return
+	}
+	p.learnt.cold.add(1-float64(o.Usage.CachedTokens)/float64(o.Usage.PromptTokens), learnWeight)
 	switch {
-	case o.Usage.PromptTokens == 0 || !c.prefix:
+	case !c.prefix:
 	case o.Usage.CachedTokens > 0:
 		p.learnt.cached.add(float64(o.Usage.CachedTokens)/float64(o.Usage.PromptTokens), learnWeight)
 	case c.Affine:
--- a/routing/supply.go
+++ b/routing/supply.go
@@ -22,6 +22,8 @@
 	// of a cold prompt.
 	TokensPerSecond  float64
 	PrefillPerSecond float64
+	// ColdShare is the part of prompts that is prefilled.
+	ColdShare float64
 	// SlotTokensPerSecond is what one busy slot serves, prompt and generated
 	// tokens together.
 	SlotTokensPerSecond float64
@@ -78,6 +80,7 @@
 		TokensPerSecond:     p.learnt.speed.or(defaultSpeed),
 		PrefillPerSecond:    p.learnt.prefill.value,
 		SlotTokensPerSecond: p.learnt.work.or(defaultSpeed),
+		ColdShare:           p.learnt.cold.or(1),
 		AnswerShare:         p.learnt.length.or(defaultLength),
 		RetryAt:             p.retryAt(),
 	}
