--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -36,6 +37,8 @@
 	visibleShare variant = "visible_share"
 	// forgetPast fills buckets for time in which the share was not held.
 	forgetPast variant = "forget_past"
+	// acknowledgeAll takes any heartbeat for the acknowledgement of every loan.
+	acknowledgeAll variant = "acknowledge_all"
 	// oneView is not broken: it lends for one view at a time, and waits for all
 	// loans of the earlier view whenever the view changes.
 	oneView variant = "one_view"
@@ -72,6 +75,8 @@
 	lag       time.Duration
 	terms     contract.RegionTerms
 	names     []string
+	// leases lets VMs that are not owners admit by leases.
+	leases bool
 	// offered is the number of calls that each process is asked for in a tick; zero means all it admits.
 	offered  func(p *process, workspace string) int
 	admitted func(p *process, workspace string, at time.Duration)
@@ -221,7 +226,7 @@
 		}
 		for range most {
 			q := p
-			if n.offered != nil {
+			if n.offered != nil && !n.leases {
 				q = n.target(p, w)
 			}
 			_, refusal := q.ledger.Take(n.request(q, w), q.local(n.now))
@@ -231,12 +236,40 @@
 				break
 			}
 		}
+		if n.leases {
+			n.renew(p, w)
+		}
+	}
+}
+
+// renew asks the owner, as the process sees it, for a lease.
+func (n *network) renew(p *process, workspace string) {
+	owner, ok := p.view.Owner(workspace)
+	if !ok || owner.ID == p.vm.ID {
+		return
+	}
+	sentAt := p.local(n.now)
+	want, unused, ask := p.ledger.Want(workspace, n.terms, sentAt)
+	if !ask {
+		return
 	}
+	n.send(p, owner.ID, func(q *process) {
+		r := n.request(q, workspace)
+		r.From = p.vm.ID
+		granted, refusal := q.ledger.Grant(r, want, unused, q.local(n.now))
+		if refusal != nil {
+			return
+		}
+		n.sendBack(q, p, func() {
+			p.ledger.AddLease(workspace, granted, sentAt.Add(limit.LeaseTerm))
+		})
+	})
 }
 
 func (n *network) request(p *process, workspace string) limit.Request {
 	now := p.local(n.now)
 	held := n.hold(p, workspace, now)
+	owner, _ := p.view.Owner(workspace)
 	return limit.Request{
 		Workspace: workspace,
 		Terms:     n.terms,
@@ -245,7 +278,7 @@
 		Base:      held.Base,
 		BaseSince: held.BaseSince,
 		VMs:       len(n.list.VMs),
-		Owner:     true,
+		Owner:     owner.ID == p.vm.ID,
 		Cost: limit.Amounts{
 			Requests: 1,
 			Tokens:   20,
@@ -274,10 +307,12 @@
 func (n *network) heartbeat(p *process, to string) {
 	sentAt := p.local(n.now)
 	beat := p.state.Beat(sentAt)
+	held := p.state.HeldLoan(to)
 	answered := false
 	n.send(p, to, func(q *process) {
 		now := q.local(n.now)
 		q.state.Heard(beat, time.Time{}, now)
+		n.acknowledge(q, p.vm.ID, held)
 		loan := n.lend(q, p.vm.ID, beat.ViewHash, now)
 		reply := q.state.Beat(now)
 		q.changed = true
@@ -294,6 +329,13 @@
 	})
 }
 
+func (n *network) acknowledge(q *process, from string, held uint64) {
+	if n.variant == acknowledgeAll {
+		held = math.MaxUint64
+	}
+	q.state.Acknowledge(from, held)
+}
+
 func (n *network) replied(p *process, from string, reply membership.Beat, loan membership.Loan, sentAt time.Time) {
 	now := p.local(n.now)
 	if n.variant == countFromReceipt {
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -208,20 +208,18 @@
 	return wanted
 }
 
-// surrender takes out of the lease what it holds above the part kept for calls
+// surrender takes out of the lease what is left of the earlier one, which the
+// renewal is to replace, and what the latest holds above the part kept for calls
 // that arrive while the renewal is on its way. An idle VM gives its calls in
 // flight back too.
 func (l *leases) surrender(wanted levels, now time.Time) levels {
-	var back levels
 	l.expire(now)
+	back := l.lots[1].level
+	l.lots[1].level = levels{}
 	for d := range back {
-		keep := keepPart * wanted[d]
-		for i := range l.lots {
-			spare := max(l.lots[i].level[d]-keep, 0)
-			keep -= min(keep, l.lots[i].level[d])
-			l.lots[i].level[d] -= spare
-			back[d] += spare
-		}
+		spare := max(l.lots[0].level[d]-keepPart*wanted[d], 0)
+		l.lots[0].level[d] -= spare
+		back[d] += spare
 	}
 	if l.wanted == (levels{}) && l.inFlight == 0 {
 		l.slotsMax = 0
--- a/limit/property_test.go
+++ b/limit/property_test.go
@@ -12,6 +12,8 @@
 	"github.com/rogpeppe/go-internal/txtar"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/fuchsianotch/fuchsianotch/limit"
 )
 
 const (
@@ -27,7 +29,11 @@
 // all VMs together admit in any window are at most the limit times the window
 // times bound, plus what may be saved up.
 func check(s schedule, v variant, bound float64) string {
-	n := newNetwork(v, s.VMs)
+	return run(newNetwork(v, s.VMs), s, bound, 1)
+}
+
+// run checks a network in which a limit may be saved up for some seconds.
+func run(n *network, s schedule, bound, savedUp float64) string {
 	s.apply(n)
 	breach := ""
 	windows := make(map[string]*window)
@@ -36,7 +42,7 @@
 	}
 	n.admitted = func(_ *process, w string, at time.Duration) {
 		rate := n.terms.RequestsPerSecond * bound * rateBound
-		burst := n.terms.RequestsPerSecond*bound + callCost*float64(len(n.processes))
+		burst := n.terms.RequestsPerSecond*bound*savedUp + callCost*float64(len(n.processes))
 		if over := windows[w].add(rate, at); over > burst && breach == "" {
 			breach = fmt.Sprintf("at %v: %s: %.2f calls over the limit in one window, burst %.2f", at, w, over, burst)
 		}
@@ -170,6 +176,19 @@
 	})
 }
 
+// TestBoundHoldsWithLeases lets VMs that are not owners admit by leases, whose
+// amounts the owner saved up before and which may be used for a lease term.
+func TestBoundHoldsWithLeases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSchedule(t, faults)
+		n := newNetwork(asBuilt, s.VMs)
+		n.leases = true
+		if breach := run(n, s, 1, 1+limit.LeaseTerm.Seconds()); breach != "" {
+			t.Fatalf("%s\n%s", breach, s)
+		}
+	})
+}
+
 // TestCases runs the schedules of testdata. Each names the variants that must
 // breach the bound, so that the check is known to see what it is for.
 func TestCases(t *testing.T) {
@@ -229,6 +248,6 @@
 	}
 	from := calls
 	n.run(7 * time.Second)
-	limit := n.terms.RequestsPerSecond * 5 * float64(len(n.names))
-	assert.Assert(t, math.Abs(float64(calls-from)/limit-1) < 0.02, "%d of %v calls", calls-from, limit)
+	contract := n.terms.RequestsPerSecond * 5 * float64(len(n.names))
+	assert.Assert(t, math.Abs(float64(calls-from)/contract-1) < 0.02, "%d of %v calls", calls-from, contract)
 }
--- a/limit/script_test.go
+++ b/limit/script_test.go
@@ -26,7 +26,7 @@
 	now     time.Time
 }
 
-var epoch = time.Unix(1e9, 0)
+var origin = time.Unix(1e9, 0)
 
 func TestLedgerScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/ledger/*.txtar")
@@ -46,7 +46,7 @@
 		ledgers: make(map[string]*Ledger),
 		held:    make(map[string]Request),
 		open:    make(map[string]Reservation),
-		now:     epoch,
+		now:     origin,
 	}
 	for line := range strings.Lines(text) {
 		command, want, _ := strings.Cut(strings.TrimSpace(line), "->")
@@ -71,7 +71,7 @@
 	case "policy":
 		s.policy = vm
 	case "at":
-		s.now = epoch.Add(duration(vm))
+		s.now = origin.Add(duration(vm))
 	case "terms":
 		s.terms = contract.RegionTerms{
 			RequestsPerSecond: args["requests"],
@@ -151,10 +151,10 @@
 	} {
 		probe.refill(&r, c.at)
 		if short := probe.shortage(&r, c.at); short.none() != c.free {
-			return fmt.Sprintf("admitted at %v: %v", c.at.Sub(epoch), short.none())
+			return fmt.Sprintf("admitted at %v: %v", c.at.Sub(origin), short.none())
 		}
 	}
-	return fmt.Sprintf("%d at %v", refusal.Code, refusal.ComeBackAt.Sub(epoch).Round(time.Millisecond))
+	return fmt.Sprintf("%d at %v", refusal.Code, refusal.ComeBackAt.Sub(origin).Round(time.Millisecond))
 }
 
 func parseArgs(words []string) map[string]float64 {
@@ -198,9 +198,9 @@
 	for _, w := range words {
 		switch key, value, _ := strings.Cut(w, "="); key {
 		case "since":
-			r.Since = epoch.Add(duration(value))
+			r.Since = origin.Add(duration(value))
 		case "base_since":
-			r.BaseSince = epoch.Add(duration(value))
+			r.BaseSince = origin.Add(duration(value))
 		}
 	}
 	return r
--- a/membership/borrow.go
+++ b/membership/borrow.go
@@ -15,6 +15,8 @@
 
 // loan is what one lender lends to this VM.
 type loan struct {
+	// id is the highest number taken; loans with lower ones are never used again.
+	id     uint64
 	sentAt time.Time
 	until  time.Time
 	// epochs are the member sets lent for without a gap, oldest first.
@@ -30,40 +32,69 @@
 // Borrowed takes the loan that answered the heartbeat sent at sentAt.
 func (s *State) Borrowed(from string, l Loan, sentAt, now time.Time) {
 	s.step(now)
-	if l.Term <= 0 || s.leaving || sentAt.Before(s.wokeAt) {
+	if s.leaving || sentAt.Before(s.wokeAt) {
+		return
+	}
+	if l.Term <= 0 {
+		s.askSoon(from, now)
 		return
 	}
 	members := s.resolve(l)
 	if members == nil {
 		return
 	}
-	s.keep(from, members, sentAt, sentAt.Add(l.Term), now)
+	if s.keep(from, members, l.ID, sentAt, sentAt.Add(l.Term), now) {
+		// The lender can lend to new VMs once it knows that the old set is dropped.
+		s.askSoon(from, now)
+	}
 }
 
-// keep records a loan. A reply that was overtaken by a later one is ignored.
-func (s *State) keep(from string, members *memberSet, sentAt, until, now time.Time) {
-	if !now.Before(until) {
+// HeldLoan gives the number of the last loan taken from a VM, to be said on
+// the next heartbeat to it; zero means none.
+func (s *State) HeldLoan(from string) uint64 {
+	if l := s.loans[from]; l != nil {
+		return l.id
+	}
+	return 0
+}
+
+// askSoon hastens the next heartbeat to a lender while owners are changing.
+func (s *State) askSoon(lender string, now time.Time) {
+	p := s.peers[lender]
+	if p == nil || now.Sub(s.changedAt) > holdTerms*s.term {
 		return
 	}
+	p.hasten(now.Add(s.every / hurry))
+}
+
+// keep records a loan, and says whether it is for another member set than the
+// one before. A reply that was overtaken by a later one is ignored.
+func (s *State) keep(from string, members *memberSet, id uint64, sentAt, until, now time.Time) bool {
+	if !now.Before(until) {
+		return false
+	}
 	l := s.loans[from]
 	if l == nil {
 		l = &loan{}
 		s.loans[from] = l
 	}
-	if sentAt.Before(l.sentAt) {
-		return
-	}
 	if !now.Before(l.until) {
 		l.epochs = nil
+		l.id = 0
+	}
+	if sentAt.Before(l.sentAt) || id < l.id {
+		return false
 	}
+	l.id = id
 	l.sentAt = sentAt
 	l.until = until
-	l.extend(members, now)
+	return l.extend(members, now)
 }
 
-func (l *loan) extend(members *memberSet, now time.Time) {
+func (l *loan) extend(members *memberSet, now time.Time) bool {
 	last := len(l.epochs) - 1
-	if last < 0 || l.epochs[last].members.hash != members.hash {
+	changed := last < 0 || l.epochs[last].members.hash != members.hash
+	if changed {
 		// Views that were published share the old slice.
 		l.epochs = append(slices.Clip(l.epochs), epoch{
 			members: members,
@@ -73,6 +104,7 @@
 	for len(l.epochs) > 1 && now.Sub(l.epochs[1].from) > historySpan {
 		l.epochs = l.epochs[1:]
 	}
+	return changed
 }
 
 // resolve gives the loan's member set, which is one of the own recent ones when it was left out.
--- /dev/null
+++ b/membership/catchup_test.go
@@ -0,0 +1,92 @@
+package membership
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// catchUpRow is one row of testdata/catchup.json. The VM itself holds documents
+// up to revision 5 and the list of revision 3.
+type catchUpRow struct {
+	Name      string               `json:"name"`
+	Unlisted  bool                 `json:"unlisted"`
+	Region    map[string]catchUpVM `json:"region"`
+	Others    map[string]catchUpVM `json:"others"`
+	AfterHold bool                 `json:"after_hold"`
+	Want      bool                 `json:"want"`
+}
+
+type catchUpVM struct {
+	Answers   bool   `json:"answers"`
+	Ready     bool   `json:"ready"`
+	Missed    int    `json:"missed"`
+	Documents uint64 `json:"documents"`
+	List      uint64 `json:"list"`
+}
+
+func TestCaughtUp(t *testing.T) {
+	data, err := os.ReadFile("testdata/catchup.json")
+	assert.NilError(t, err)
+	var rows []catchUpRow
+	assert.NilError(t, json.Unmarshal(data, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, func(t *testing.T) {
+			s := newState(vm("a"))
+			now := origin
+			if !row.Unlisted {
+				s.SetList(row.list(), now)
+			}
+			for _, group := range []map[string]catchUpVM{row.Region, row.Others} {
+				for id, p := range group {
+					p.apply(s, id, now)
+				}
+			}
+			if row.AfterHold {
+				now = s.lendFrom
+			}
+			got := s.CaughtUp(Known{
+				DocumentsRevision: 5,
+				ListRevision:      3,
+			}, now)
+			assert.Equal(t, got, row.Want)
+		})
+	}
+}
+
+func (row catchUpRow) list() *fleet.List {
+	list := &fleet.List{
+		Revision: 3,
+		VMs:      []fleet.VM{vm("a")},
+	}
+	for id := range row.Region {
+		list.VMs = append(list.VMs, vm(id))
+	}
+	for id := range row.Others {
+		other := vm(id)
+		other.Region = "elsewhere"
+		list.VMs = append(list.VMs, other)
+	}
+	return list
+}
+
+func (p catchUpVM) apply(s *State, id string, now time.Time) {
+	for i := range p.Missed {
+		s.Missed(id, now.Add(time.Duration(i)*s.every))
+	}
+	if !p.Answers {
+		return
+	}
+	s.Heard(Beat{
+		VM:                id,
+		Incarnation:       7,
+		Ready:             p.Ready,
+		DocumentsRevision: p.Documents,
+		ListRevision:      p.List,
+	}, now, now)
+}
--- a/membership/loan.go
+++ b/membership/loan.go
@@ -11,6 +11,8 @@
 // whose owner among Members is the borrower. It starts when the borrower sent
 // the request. A Term of zero lends nothing.
 type Loan struct {
+	// ID rises with each loan of a lender.
+	ID   uint64
 	Term time.Duration
 	Hash uint64
 	// Members are sorted ids, left out when Hash equals the hash of the request.
@@ -57,40 +59,62 @@
 // holders, and a VM is lent nothing while a loan is out whose set lacks it.
 type lender struct {
 	sets []*lentSet
+	last uint64
 }
 
 type lentSet struct {
 	members *memberSet
-	until   map[holder]time.Time
+	out     map[holder]lentLoan
 }
 
-// lend gives the set to lend for and records the loan; ok is false when
-// nothing may be lent to the holder now.
-func (l *lender) lend(to holder, reach *memberSet, until, now time.Time) (*memberSet, bool) {
+// lentLoan is a loan that is out.
+type lentLoan struct {
+	id    uint64
+	until time.Time
+}
+
+// lend gives the set to lend for and the number of the loan, and records it;
+// ok is false when nothing may be lent to the holder now.
+func (l *lender) lend(to holder, reach *memberSet, until, now time.Time) (members *memberSet, id uint64, ok bool) {
 	l.expire(now)
 	if !reach.has(to.vm) || l.conflicts(to) {
-		return nil, false
+		return nil, 0, false
+	}
+	// Numbers follow the clock, so that they also rise over a restart.
+	l.last = max(l.last+1, uint64(now.UnixNano()))
+	members = l.withHolders(reach)
+	l.record(to, members, lentLoan{
+		id:    l.last,
+		until: until,
+	})
+	return members, l.last, true
+}
+
+// acknowledge ends the holder's loans before one that it says it holds: a
+// borrower drops a loan for good when it takes one with a higher number.
+func (l *lender) acknowledge(h holder, id uint64) {
+	for _, set := range l.sets {
+		if out, ok := set.out[h]; ok && out.id < id {
+			delete(set.out, h)
+		}
 	}
-	members := l.withHolders(reach)
-	l.record(to, members, until)
-	return members, true
 }
 
 func (l *lender) expire(now time.Time) {
 	l.sets = slices.DeleteFunc(l.sets, func(set *lentSet) bool {
-		for h, until := range set.until {
-			if !now.Before(until) {
-				delete(set.until, h)
+		for h, loan := range set.out {
+			if !now.Before(loan.until) {
+				delete(set.out, h)
 			}
 		}
-		return len(set.until) == 0
+		return len(set.out) == 0
 	})
 }
 
 func (l *lender) conflicts(to holder) bool {
 	for _, set := range l.sets {
 		lacks := !set.members.has(to.vm)
-		for h := range set.until {
+		for h := range set.out {
 			if h != to && (lacks || h.vm == to.vm) {
 				return true
 			}
@@ -105,7 +129,7 @@
 		if set.members.hash == reach.hash {
 			continue
 		}
-		for h := range set.until {
+		for h := range set.out {
 			if !reach.has(h.vm) {
 				extra = append(extra, h.vm)
 			}
@@ -117,22 +141,22 @@
 	return newMemberSet(append(extra, reach.ids...))
 }
 
-func (l *lender) record(to holder, members *memberSet, until time.Time) {
+func (l *lender) record(to holder, members *memberSet, loan lentLoan) {
 	i := slices.IndexFunc(l.sets, func(set *lentSet) bool { return set.members.hash == members.hash })
 	if i < 0 {
 		i = len(l.sets)
 		l.sets = append(l.sets, &lentSet{
 			members: members,
-			until:   make(map[holder]time.Time),
+			out:     make(map[holder]lentLoan),
 		})
 	}
-	l.sets[i].until[to] = until
+	l.sets[i].out[to] = loan
 }
 
 // release ends the holder's loans at once; it has said that it uses none any more.
 func (l *lender) release(h holder) {
 	for _, set := range l.sets {
-		delete(set.until, h)
+		delete(set.out, h)
 	}
 }
 
@@ -145,11 +169,12 @@
 	if p == nil || p.requester != p.beat.Incarnation {
 		return Loan{}
 	}
-	members, ok := s.lend(p.beat.holder(), now)
+	members, id, ok := s.lend(p.beat.holder(), now)
 	if !ok {
 		return Loan{}
 	}
 	l := Loan{
+		ID:   id,
 		Term: s.term,
 		Hash: members.hash,
 	}
@@ -159,10 +184,20 @@
 	return l
 }
 
-func (s *State) lend(to holder, now time.Time) (*memberSet, bool) {
+// Acknowledge takes the number of the loan that a VM said it holds from this
+// one, on the heartbeat that was given to Heard just before.
+func (s *State) Acknowledge(from string, id uint64) {
+	p := s.peers[from]
+	if p == nil || p.requester != p.beat.Incarnation {
+		return
+	}
+	s.lent.acknowledge(p.beat.holder(), id)
+}
+
+func (s *State) lend(to holder, now time.Time) (*memberSet, uint64, bool) {
 	s.refresh()
 	if !s.selfLive || now.Before(s.lendFrom) || s.behind() {
-		return nil, false
+		return nil, 0, false
 	}
 	return s.lent.lend(to, s.reach, now.Add(withMargin(s.term)), now)
 }
@@ -180,8 +215,10 @@
 
 // lendToSelf renews the loan of this VM's own share to itself.
 func (s *State) lendToSelf(now time.Time) {
-	members, ok := s.lend(s.holder(), now)
-	if ok {
-		s.keep(s.self.ID, members, now, now.Add(s.term), now)
+	members, id, ok := s.lend(s.holder(), now)
+	if !ok {
+		return
 	}
+	s.keep(s.self.ID, members, id, now, now.Add(s.term), now)
+	s.lent.acknowledge(s.holder(), id)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -65,6 +65,8 @@
 	rights map[string][]Adoption
 
 	steppedAt time.Time
+	// changedAt is when the set of possible owners changed last.
+	changedAt time.Time
 	wokeAt    time.Time
 	dirty     bool
 	reach     *memberSet
@@ -209,9 +211,17 @@
 	s.leaving = true
 	s.lent.release(s.holder())
 	clear(s.loans)
+	s.hasten(now)
 	s.dirty = true
 }
 
+// hasten sends the next heartbeats of the own region at a time, if not earlier.
+func (s *State) hasten(at time.Time) {
+	for _, p := range s.region {
+		p.hasten(at)
+	}
+}
+
 func (s *State) holder() holder {
 	return holder{
 		vm:          s.self.ID,
@@ -368,7 +378,8 @@
 	return b
 }
 
-// refresh computes the set of VMs that this VM takes for possible owners.
+// refresh computes the set of VMs that this VM takes for possible owners. After
+// a change it asks soon for the loans that the others then give.
 func (s *State) refresh() {
 	if !s.dirty {
 		return
@@ -388,6 +399,8 @@
 		return
 	}
 	s.reach = set
+	s.changedAt = s.steppedAt
 	s.remember(set)
+	s.hasten(s.steppedAt.Add(s.every / hurry))
 	s.revision++
 }
--- a/membership/peer.go
+++ b/membership/peer.go
@@ -62,6 +62,7 @@
 	reachable bool
 	replies   int
 	misses    int
+	missedAt  time.Time
 	heardAt   time.Time
 	roundTrip time.Duration
 	next      time.Time
@@ -125,7 +126,13 @@
 	p.beat = b
 }
 
+// miss counts an answer that did not come. Several at about the same time have
+// one cause and count as one.
 func (p *peer) miss(misses int, now time.Time, soon time.Duration) {
+	if misses == 1 && p.misses > 0 && now.Sub(p.missedAt) < soon {
+		return
+	}
+	p.missedAt = now
 	p.replies = 0
 	p.misses += misses
 	if p.misses >= missesToLose {
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -20,6 +20,8 @@
 	state *State
 	now   time.Time
 	beats map[string]Beat
+	// lent are the numbers of the loans given to each VM, in order.
+	lent  map[string][]uint64
 	stamp uint64
 }
 
@@ -43,6 +45,7 @@
 		state: newState(vm("a")),
 		now:   origin,
 		beats: make(map[string]Beat),
+		lent:  make(map[string][]uint64),
 	}
 	for line := range strings.Lines(text) {
 		command, want, _ := strings.Cut(strings.TrimSpace(line), "->")
@@ -106,7 +109,14 @@
 		s.state.Refused(words[0], s.now)
 	case "lend":
 		l := s.state.Lend(words[0], s.state.reach.hash, s.now)
+		s.lent[words[0]] = append(s.lent[words[0]], l.ID)
 		return fmt.Sprintf("%v %s", l.Term, strings.Join(l.Members, " "))
+	case "publish":
+		s.state.View(s.now)
+	case "acknowledge":
+		n, err := strconv.Atoi(words[1])
+		assert.NilError(t, err)
+		s.state.Acknowledge(words[0], s.lent[words[0]][n-1])
 	case "borrow":
 		s.state.Borrowed(words[0], Loan{Term: 300 * time.Millisecond, Members: words[2:]}, at(words[1]), s.now)
 	case "leave":
