Serve only after comparing documents with the peers

Cause: a VM that started while the platform served an older revision took callers as soon as it held any documents. For as long as it took to hear a heartbeat, or longer when peers were slow, it admitted by withdrawn keys and read bodies of a workspace whose contract no longer allowed the region.

Ruled out: relying on the share that a new VM lacks for two lease terms (the body is read before the limit is asked, and an entry VM may serve by a lease), trusting the platform's revision (a stale replica shows an old one as newest), waiting for a fixed time.

Change: membership.CaughtUp - each listed VM of the region has answered and holds nothing newer, or was found out of reach; with none in reach it asks other regions until its hold of two lease terms has passed, so that a VM cut off alone still serves. Until then the front answers not_ready and reads no body, and heartbeats say not ready. The rig gets links to the platform, and its scripts amend, race, monitor and compare documents. The scripts' stale platform now serves a revision below the published one; the one of configuration.txtar did not.

Before: configuration_alone failed, code 2001 (the body was read) where 2033 was due. After: it passes with the scripts for stale, limited and lagging platforms, races, cuts, one-way cuts and loops, each once, three at a time.

--- a/caller/auth.go
+++ b/caller/auth.go
@@ -49,7 +49,7 @@
 
 func (s *Server) authenticate(r *http.Request) (*contract.Contract, *result.Refusal) {
 	snapshot := s.options.Snapshot()
-	if !snapshot.Ready() {
+	if !s.options.Ready() {
 		return nil, result.Refuse(result.NotReady, "VM %s has no configuration yet", s.options.VM)
 	}
 	unauthenticated := result.Refuse(result.Unauthenticated, "the key is missing, unknown or ended; expected Authorization: Bearer <workspace>.<secret>")
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -26,9 +26,11 @@
 
 // Options set up a Server. Every field is required.
 type Options struct {
-	VM       string
-	Now      func() time.Time
-	NewID    func() string
+	VM    string
+	Now   func() time.Time
+	NewID func() string
+	// Ready says that this VM has a configuration to serve by.
+	Ready    func() bool
 	Snapshot func() *configuration.Snapshot
 	View     func() *membership.View
 	// Serve carries a call that was read whole.
--- a/node/control.go
+++ b/node/control.go
@@ -23,6 +23,8 @@
 type published struct {
 	snapshot *configuration.Snapshot
 	view     *membership.View
+	// ready is set once this VM knows the documents that its peers know.
+	ready bool
 	// next is closed when a newer snapshot is published.
 	next chan struct{}
 }
@@ -35,6 +37,8 @@
 	store     *configuration.Store
 	relay     *configuration.Relay
 	published atomic.Pointer[published]
+	// caughtUp is set for good once this VM may serve by its documents.
+	caughtUp bool
 }
 
 func newControl(n *Node) *control {
@@ -140,10 +144,12 @@
 // are woken only when these changed.
 func (c *control) publish(now time.Time) {
 	before := c.published.Load()
+	c.catchUp(now)
 	c.members.SetRights(c.node.settings.VM, c.node.adopted(now))
 	after := &published{
 		snapshot: c.store.Snapshot(),
 		view:     c.members.View(now),
+		ready:    c.caughtUp,
 	}
 	if before != nil && before.snapshot == after.snapshot {
 		after.next = before.next
@@ -160,6 +166,28 @@
 	close(before.next)
 }
 
+// catchUp lets this VM serve once it has a configuration and no peer that it
+// hears has a newer one, so that a stale platform cannot make a VM that was
+// just started serve by documents that others no longer hold.
+func (c *control) catchUp(now time.Time) {
+	if c.caughtUp || !c.store.Snapshot().Ready() {
+		return
+	}
+	digest := c.store.Digest()
+	known := membership.Known{
+		DocumentsRevision: digest.Revision,
+		ListRevision:      digest.ListRevision,
+	}
+	if !c.members.CaughtUp(known, now) {
+		return
+	}
+	c.caughtUp = true
+	c.members.SetReady(true, now)
+	c.node.ring.Add(timeline.Event{
+		Kind: "caught_up",
+	})
+}
+
 // reportChanges records VMs of the region that were lost, have returned or leave.
 func (c *control) reportChanges(before, after *membership.View) {
 	was := make(map[string]string, len(before.Region))
@@ -223,7 +251,6 @@
 	}
 	if changed {
 		snapshot := c.store.Snapshot()
-		c.members.SetReady(snapshot.Ready(), now)
 		c.node.metrics.SetDocuments(countRefused(snapshot), snapshot.Digest.Revision)
 	}
 	if m.done != nil {
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -86,7 +86,7 @@
 // Place never gives PlaceForward to a forwarded call.
 func (n *Node) serveForwarded(ctx context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
 	found, ok := n.snapshot().Contract(c.Workspace)
-	if !ok {
+	if !ok || !n.caughtUp() {
 		return call.Refused(result.Refuse(result.NotReady, "VM %s does not know the workspace", n.settings.VM))
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
--- a/node/node.go
+++ b/node/node.go
@@ -183,6 +183,7 @@
 		VM:          s.VM,
 		Now:         n.now,
 		NewID:       n.newID,
+		Ready:       n.caughtUp,
 		Snapshot:    n.snapshot,
 		View:        n.view,
 		Serve:       n.serving.Serve,
--- a/node/status.go
+++ b/node/status.go
@@ -33,7 +33,12 @@
 func (n *Node) ready() bool {
 	view := n.view()
 	listed := view.ListRevision > 0 && !n.now().Before(view.LendsFrom)
-	return n.snapshot().Ready() && listed && !n.stopping.Load()
+	return n.caughtUp() && listed && !n.stopping.Load()
+}
+
+// caughtUp says whether this VM has a configuration to serve by.
+func (n *Node) caughtUp() bool {
+	return n.control.published.Load().ready
 }
 
 func (n *Node) status() operator.Status {
--- a/testscripts/rig/rig.go
+++ b/testscripts/rig/rig.go
@@ -214,6 +214,9 @@
 		return nil
 	}
 	for _, from := range r.VMs {
+		if err := r.linkPlatform(from); err != nil {
+			return err
+		}
 		for _, to := range r.VMs {
 			if err := r.linkPair(from, to); err != nil {
 				return err
@@ -303,14 +306,16 @@
 
 // Publish publishes a document and gives its revision.
 func (r *Rig) Publish(key string, value []byte) (uint64, error) {
-	if err := r.put("/v1/values/"+key, value); err != nil {
+	answer, err := r.putTo(r.Platform.Listening.Addr, "/v1/values/"+key, value)
+	if err != nil {
 		return 0, err
 	}
-	published, err := GetJSON[publishedValue](r, r.Platform.Listening.Addr, "/v1/values/"+key)
+	var published publishedValue
+	err = json.Unmarshal(answer, &published)
 	return published.Revision, err
 }
 
-// publishedValue is the part of a published value that the rig reads.
+// publishedValue is the platform's answer to a write.
 type publishedValue struct {
 	Revision uint64 `json:"revision"`
 }
@@ -330,20 +335,28 @@
 
 // PutTo sends a body to a path of any stand-in.
 func (r *Rig) PutTo(addr, path string, data []byte) error {
+	_, err := r.putTo(addr, path, data)
+	return err
+}
+
+func (r *Rig) putTo(addr, path string, data []byte) ([]byte, error) {
 	req, err := http.NewRequest(http.MethodPut, "http://"+addr+path, bytes.NewReader(data))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	resp, err := r.http.Do(req)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
 	if resp.StatusCode >= http.StatusMultipleChoices {
-		text, _ := io.ReadAll(resp.Body)
-		return fmt.Errorf("put %s: status %d: %s", path, resp.StatusCode, text)
+		return nil, fmt.Errorf("put %s: status %d: %s", path, resp.StatusCode, text)
 	}
-	return nil
+	return text, nil
 }
 
 // Get reads a path of any process.
--- a/testscripts/scenario/documents.go
+++ b/testscripts/scenario/documents.go
@@ -35,8 +35,7 @@
 func (w *world) bucketOf(ts *testscript.TestScript, workspace string) publishedBucket {
 	for i := 0; ; i++ {
 		key := contract.KeyBucketPrefix + strconv.Itoa(i)
-		value, err := rig.GetJSON[platformValue](w.rig, w.rig.Platform.Listening.Addr, "/v1/values/"+key)
-		ts.Check(err)
+		value := w.readValue(ts, key)
 		bucket, problem := jsonc.Decode[contract.Bucket](key, []byte(value.Value))
 		if problem != nil {
 			ts.Fatalf("%s: %v", key, problem)
@@ -51,9 +50,21 @@
 	}
 }
 
+// readValue reads a value, again when the platform limits its readers.
+func (w *world) readValue(ts *testscript.TestScript, key string) platformValue {
+	var value platformValue
+	ts.Check(rig.Await(settleWithin, "read of "+key, func() bool {
+		var err error
+		value, err = rig.GetJSON[platformValue](w.rig, w.rig.Platform.Listening.Addr, "/v1/values/"+key)
+		return err == nil
+	}))
+	return value
+}
+
 // amend WORKSPACE CHANGE... publishes the workspace's contract with changes:
-// bound, removed, without=REGION, requests=N, concurrency=N, within=D (both
-// bounds of an answer), or invalid. It sets KEY and REVISION.
+// bound, removed, rekeyed (its old key admits nobody), without=REGION, requests=N,
+// concurrency=N, within=D (both bounds of an answer), or invalid. It sets KEY,
+// REVISION and BEFORE.
 func amend(w *world, ts *testscript.TestScript, args []string) {
 	need(ts, args, 2, "amend WORKSPACE bound|removed|invalid|without=REGION|requests=N|concurrency=N...")
 	b := w.bucketOf(ts, args[0])
@@ -63,7 +74,14 @@
 	revision, err := w.rig.Publish(b.key, data)
 	ts.Check(err)
 	ts.Setenv("KEY", b.key)
+	setRevision(ts, revision)
+}
+
+// setRevision sets REVISION to a revision, and BEFORE to the one before it,
+// which a stale platform serves.
+func setRevision(ts *testscript.TestScript, revision uint64) {
 	ts.Setenv("REVISION", strconv.FormatUint(revision, 10))
+	ts.Setenv("BEFORE", strconv.FormatUint(revision-1, 10))
 }
 
 func (b *publishedBucket) change(ts *testscript.TestScript, workspace string, changes []string) {
@@ -84,6 +102,9 @@
 	c.Regions = slices.DeleteFunc(c.Regions, func(t contract.RegionTerms) bool {
 		return t.Region == option(changes, "without", "")
 	})
+	if slices.Contains(changes, "rekeyed") {
+		c.Keys[0].SHA256 = strings.Repeat("0", len(c.Keys[0].SHA256))
+	}
 	for n := range c.Regions {
 		t := &c.Regions[n]
 		t.RequestsPerSecond = float64(number(ts, changes, "requests", fmt.Sprint(int(t.RequestsPerSecond))))
@@ -128,7 +149,7 @@
 	}
 	won := w.bucketOf(ts, args[0])
 	ts.Setenv("KEY", won.key)
-	ts.Setenv("REVISION", strconv.FormatUint(won.revision, 10))
+	setRevision(ts, won.revision)
 	printf(ts, "taken=%d conflicts=%d\n", taken, conflicts)
 }
 
--- a/testscripts/scenario/faults.go
+++ b/testscripts/scenario/faults.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -91,14 +90,14 @@
 	ts.Check(w.rig.Put("/admin/switches", json.RawMessage(strings.Join(args, " "))))
 }
 
-// publish KEY FILE publishes a document and sets REVISION.
+// publish KEY FILE publishes a document and sets REVISION and BEFORE.
 func publish(w *world, ts *testscript.TestScript, args []string) {
 	need(ts, args, 2, "publish KEY FILE")
 	data, err := os.ReadFile(file(ts, args[1]))
 	ts.Check(err)
 	revision, err := w.rig.Publish(args[0], data)
 	ts.Check(err)
-	ts.Setenv("REVISION", strconv.FormatUint(revision, 10))
+	setRevision(ts, revision)
 }
 
 // inforce KEY REVISION [refused] [vm=LIST] [within=D] waits until the VMs hold
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -99,6 +99,10 @@
 		"departed":     departed,
 		"works":        works,
 		"mostforwards": mostForwards,
+		"cutplatform":  cutPlatform,
+		"seeds":        setSeeds,
+		"respawn":      respawn,
+		"bounded":      bounded,
 		"streams":      streams,
 	}
 }
@@ -156,8 +160,12 @@
 		"queue":          &s.Queue.Length,
 		"max_body_bytes": &s.Limits.MaxBodyBytes,
 	}
-	if name == "peer_key" {
-		s.PeerKey = value
+	texts := map[string]*string{
+		"peer_key": &s.PeerKey,
+		"limits":   &s.Policies.Limits,
+	}
+	if t := texts[name]; t != nil {
+		*t = value
 		return
 	}
 	if d := durations[name]; d != nil {
