Acknowledge loans, so that a joining VM owns its workspaces within a heartbeat

Cause: a VM that joins was lent nothing until every loan for the set without it had run out, a full lease term (3 s), and its workspaces had no owner with a share meanwhile. Ruled out: a shorter term alone (it also shortens what a late heartbeat may cost). Weighed: a scheduled switch with loans that start later (two loans on each reply), or numbered loans which the borrower acknowledges on its next heartbeat (chosen); heartbeats are hastened while owners change. The default term falls from 3 s to 1.5 s.

--- a/membership/borrow.go
+++ b/membership/borrow.go
@@ -15,10 +15,14 @@
 
 // loan is what one lender lends to this VM.
 type loan struct {
-	// id is the highest number taken; loans with lower ones are never used again.
+	// id is the number of the loan and lender the incarnation that gave it.
 	id     uint64
+	lender uint64
 	sentAt time.Time
-	until  time.Time
+	// takenAt is when the loan was taken. What was asked for before then and
+	// has a lower number was given earlier, and is never used again.
+	takenAt time.Time
+	until   time.Time
 	// epochs are the member sets lent for without a gap, oldest first.
 	epochs []epoch
 }
@@ -49,13 +53,22 @@
 	}
 }
 
-// HeldLoan gives the number of the last loan taken from a VM, to be said on
-// the next heartbeat to it; zero means none.
+// HeldLoan gives the number of the last loan taken from a VM's present
+// incarnation, to be said on the next heartbeat to it; zero means none.
 func (s *State) HeldLoan(from string) uint64 {
-	if l := s.loans[from]; l != nil {
-		return l.id
+	l := s.loans[from]
+	if l == nil || l.lender != s.lenderOf(from) {
+		return 0
+	}
+	return l.id
+}
+
+// lenderOf gives the incarnation that lends under a VM's id.
+func (s *State) lenderOf(vm string) uint64 {
+	if p := s.peers[vm]; p != nil {
+		return p.beat.Incarnation
 	}
-	return 0
+	return s.incarnation
 }
 
 // askSoon hastens the next heartbeat to a lender while owners are changing.
@@ -80,13 +93,14 @@
 	}
 	if !now.Before(l.until) {
 		l.epochs = nil
-		l.id = 0
 	}
-	if sentAt.Before(l.sentAt) || id < l.id {
+	if sentAt.Before(l.sentAt) || (id < l.id && !sentAt.After(l.takenAt)) {
 		return false
 	}
 	l.id = id
+	l.lender = s.lenderOf(from)
 	l.sentAt = sentAt
+	l.takenAt = now
 	l.until = until
 	return l.extend(members, now)
 }
--- a/membership/loan.go
+++ b/membership/loan.go
@@ -91,8 +91,13 @@
 }
 
 // acknowledge ends the holder's loans before one that it says it holds: a
-// borrower drops a loan for good when it takes one with a higher number.
+// borrower drops a loan for good when it takes one with a higher number. A
+// number above all that were given is an earlier lender's under the same id,
+// whose clock was ahead, and says nothing about this one's loans.
 func (l *lender) acknowledge(h holder, id uint64) {
+	if id > l.last {
+		return
+	}
 	for _, set := range l.sets {
 		if out, ok := set.out[h]; ok && out.id < id {
 			delete(set.out, h)
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -119,6 +119,21 @@
 		s.state.Acknowledge(words[0], s.lent[words[0]][n-1])
 	case "borrow":
 		s.state.Borrowed(words[0], Loan{Term: 300 * time.Millisecond, Members: words[2:]}, at(words[1]), s.now)
+	case "borrow_number":
+		id, err := strconv.ParseUint(words[1], 10, 64)
+		assert.NilError(t, err)
+		l := Loan{
+			ID:      id,
+			Term:    300 * time.Millisecond,
+			Members: words[3:],
+		}
+		s.state.Borrowed(words[0], l, at(words[2]), s.now)
+	case "held":
+		return strconv.FormatUint(s.state.HeldLoan(words[0]), 10)
+	case "acknowledge_number":
+		id, err := strconv.ParseUint(words[1], 10, 64)
+		assert.NilError(t, err)
+		s.state.Acknowledge(words[0], id)
 	case "leave":
 		s.state.Leave(s.now)
 	default:
--- a/node/control.go
+++ b/node/control.go
@@ -122,7 +122,7 @@
 	}
 	beat := c.beat(now)
 	for _, vm := range due {
-		go c.node.heartbeat(ctx, vm, beat)
+		go c.node.heartbeat(ctx, vm, beat, c.members.HeldLoan(vm.ID))
 	}
 }
 
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -42,8 +42,9 @@
 func (n *Node) answerHeartbeat(ctx context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
 	return ask(ctx, n.control, func(reply chan<- *peerpb.HeartbeatReply) message {
 		return beatAsked{
-			beat:  peer.BeatFromMessage(in.GetBeat()),
-			reply: reply,
+			beat:     peer.BeatFromMessage(in.GetBeat()),
+			heldLoan: in.GetHeldLoan(),
+			reply:    reply,
 		}
 	})
 }
@@ -177,10 +178,17 @@
 	}
 }
 
-// adopt takes over what another incarnation gave up.
+// adopt takes over what another incarnation gave up, once all parts are there.
 func (n *Node) adopt(ctx context.Context, in *peerpb.HandOverRequest) (*peerpb.HandOverReply, error) {
 	n.witness(in.GetStamp())
-	h := peer.HandOverFromMessage(in)
+	whole, ok := n.parts.Add(in, n.now())
+	if whole == nil {
+		return &peerpb.HandOverReply{
+			Stamp:    uint64(n.ring.Stamp()),
+			Accepted: ok,
+		}, nil
+	}
+	h := peer.HandOverFromMessage(whole)
 	accepted := n.desk.Adopt(h, n.now())
 	if accepted {
 		n.publishRights(ctx, n.settings.VM, h)
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -18,13 +18,14 @@
 const heartbeatWithin = time.Second
 
 // heartbeat makes one round trip to a VM and tells the control goroutine.
-func (n *Node) heartbeat(ctx context.Context, vm fleet.VM, beat membership.Beat) {
+func (n *Node) heartbeat(ctx context.Context, vm fleet.VM, beat membership.Beat, heldLoan uint64) {
 	sentAt := n.now()
 	trip, cancel := context.WithTimeout(ctx, heartbeatWithin)
 	defer cancel()
 	n.metrics.ControlMessage(metrics.MessageHeartbeat)
 	reply, err := n.peers.Heartbeat(trip, vm, &peerpb.HeartbeatRequest{
-		Beat: peer.BeatMessage(beat),
+		Beat:     peer.BeatMessage(beat),
+		HeldLoan: heldLoan,
 	})
 	if err != nil {
 		n.control.send(ctx, beatMissed{
@@ -71,13 +72,15 @@
 
 // beatAsked is a peer's own heartbeat, which wants an answer.
 type beatAsked struct {
-	beat  membership.Beat
-	reply chan<- *peerpb.HeartbeatReply
+	beat     membership.Beat
+	heldLoan uint64
+	reply    chan<- *peerpb.HeartbeatReply
 }
 
 func (m beatAsked) apply(c *control, now time.Time) {
 	c.node.ring.Witness(timeline.Stamp(m.beat.Stamp))
 	c.members.Heard(m.beat, time.Time{}, now)
+	c.members.Acknowledge(m.beat.VM, m.heldLoan)
 	answer := &peerpb.HeartbeatReply{
 		Beat: peer.BeatMessage(c.beat(now)),
 	}
@@ -100,6 +103,7 @@
 
 func loanMessage(l membership.Loan) *peerpb.Loan {
 	return &peerpb.Loan{
+		Id:       l.ID,
 		TermMs:   uint32(l.Term.Milliseconds()),
 		ViewHash: l.Hash,
 		Members:  l.Members,
@@ -108,6 +112,7 @@
 
 func loanFromMessage(m *peerpb.Loan) membership.Loan {
 	return membership.Loan{
+		ID:      m.GetId(),
 		Term:    time.Duration(m.GetTermMs()) * time.Millisecond,
 		Hash:    m.GetViewHash(),
 		Members: m.GetMembers(),
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,7 @@
 	control  *control
 	pools    *pools
 	desk     *ticket.Desk
+	parts    *peer.Parts
 	ledger   *limit.Ledger
 	serving  *serving.Server
 	caller   *caller.Server
@@ -133,6 +134,7 @@
 		Count:       s.Records.Count,
 		Bytes:       s.Records.Bytes,
 	})
+	n.parts = peer.NewParts(s.Records.Bytes)
 	n.ledger = limit.New(limit.Options{
 		Policy: s.Policies.Limits,
 	})
--- a/node/stop.go
+++ b/node/stop.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/ticket"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
@@ -19,7 +20,7 @@
 	tellBeats = 2
 	// idleEvery is how often a stopping VM looks whether its calls have ended.
 	idleEvery = 20 * time.Millisecond
-	// handOverWithin bounds one offer of a hand-over.
+	// handOverWithin bounds one part of an offer.
 	handOverWithin = 2 * time.Second
 	// handOverOffers bounds the offers in all.
 	handOverOffers = 12
@@ -113,10 +114,26 @@
 	return n.sendHandOver(ctx, vm, h)
 }
 
+// sendHandOver sends the parts of one offer. The receiver adopts nothing before
+// the last one, so that an offer that broke off earlier was certainly not taken.
 func (n *Node) sendHandOver(ctx context.Context, vm fleet.VM, h ticket.HandOver) ticket.Outcome {
+	parts := peer.HandOverParts(h, uint64(n.ring.Stamp()))
+	last := len(parts) - 1
+	for _, part := range parts[:last] {
+		outcome := n.sendPart(ctx, vm, part)
+		if outcome == ticket.OfferLost {
+			return ticket.OfferNotSent
+		}
+		if outcome != ticket.OfferAccepted {
+			return outcome
+		}
+	}
+	return n.sendPart(ctx, vm, parts[last])
+}
+
+func (n *Node) sendPart(ctx context.Context, vm fleet.VM, in *peerpb.HandOverRequest) ticket.Outcome {
 	ctx, cancel := context.WithTimeout(ctx, handOverWithin)
 	defer cancel()
-	in := peer.HandOverMessage(h)
 	in.Stamp = uint64(n.ring.Stamp())
 	n.metrics.ControlMessage(metrics.MessageHandOver)
 	reply, err := n.peers.HandOver(ctx, vm, in)
--- /dev/null
+++ b/peer/parts_test.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/ticket"
+)
+
+// partsCase is an order of arrival; testdata/parts.json holds them. A part is
+// "SENDER OFFER PART/PARTS" and brings one record.
+type partsCase struct {
+	Name     string   `json:"name"`
+	MaxBytes int      `json:"max_bytes"`
+	Parts    []string `json:"parts"`
+	Want     []string `json:"want"`
+}
+
+func TestParts(t *testing.T) {
+	data, err := os.ReadFile("testdata/parts.json")
+	assert.NilError(t, err)
+	var cases []partsCase
+	assert.NilError(t, json.Unmarshal(data, &cases))
+	for _, c := range cases {
+		t.Run(c.Name, c.test)
+	}
+}
+
+func (c partsCase) test(t *testing.T) {
+	if c.MaxBytes == 0 {
+		c.MaxBytes = 1 << 20
+	}
+	now := time.Date(2026, time.March, 1, 6, 0, 0, 0, time.UTC)
+	parts := NewParts(c.MaxBytes)
+	var got []string
+	for _, text := range c.Parts {
+		if text == "sleep" {
+			now = now.Add(keepPartsFor + time.Second)
+			got = append(got, "")
+			continue
+		}
+		in := &peerpb.HandOverRequest{
+			From: &peerpb.Identity{},
+			Rights: []*peerpb.Rights{
+				{
+					Of:      &peerpb.Identity{Vm: "x"},
+					Records: []*peerpb.Record{{Ticket: text}},
+				},
+			},
+		}
+		_, err := fmt.Sscanf(text, "%s %d %d/%d", &in.From.Vm, &in.Offer, &in.Part, &in.Parts)
+		assert.NilError(t, err)
+		got = append(got, describe(parts.Add(in, now)))
+	}
+	assert.DeepEqual(t, got, c.Want)
+}
+
+func describe(whole *peerpb.HandOverRequest, ok bool) string {
+	switch {
+	case !ok:
+		return "refused"
+	case whole == nil:
+		return "kept"
+	default:
+		return fmt.Sprintf("whole %d", len(whole.GetRights()[0].GetRecords()))
+	}
+}
+
+// TestLargeHandOver passes more records than one message holds, and shows that
+// in one message they do not arrive.
+func TestLargeHandOver(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	parts := NewParts(256 << 20)
+	var got ticket.HandOver
+	server, err := NewServer(Handlers{
+		HandOver: func(_ context.Context, in *peerpb.HandOverRequest) (*peerpb.HandOverReply, error) {
+			whole, ok := parts.Add(in, time.Now())
+			if whole != nil {
+				got = HandOverFromMessage(whole)
+			}
+			return &peerpb.HandOverReply{
+				Accepted: ok,
+			}, nil
+		},
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = server.Serve(ctx, ln) }()
+	client := New(Options{})
+	vm := fleet.VM{
+		PeerAddr: ln.Addr().String(),
+	}
+	want := largeHandOver()
+	_, err = client.HandOver(ctx, vm, HandOverMessage(want))
+	assert.Assert(t, err != nil)
+	for _, part := range HandOverParts(want, 1) {
+		reply, err := client.HandOver(ctx, vm, part)
+		assert.NilError(t, err)
+		assert.Assert(t, reply.GetAccepted())
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+func largeHandOver() ticket.HandOver {
+	h := ticket.HandOver{
+		From: ticket.Holder{
+			VM:          "a",
+			Incarnation: 1,
+		},
+		To: ticket.Holder{
+			VM:          "b",
+			Incarnation: 2,
+		},
+	}
+	for of := range 3 {
+		rights := ticket.Rights{
+			Of: ticket.Holder{
+				VM:          "a",
+				Incarnation: uint64(of + 1),
+			},
+			Key: []byte("key"),
+		}
+		for i := range 20 * of {
+			rights.Records = append(rights.Records, ticket.HandedRecord{
+				Ticket: fmt.Sprint(i),
+				Record: ticket.Record{
+					Code: result.Done,
+					Body: make([]byte, 200<<10),
+				},
+			})
+		}
+		h.Rights = append(h.Rights, rights)
+	}
+	return h
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -122,7 +122,7 @@
 		EntriesGoodFor:      within(30 * time.Second),
 		StopWithin:          within(10 * time.Minute),
 		HeartbeatEvery:      within(500 * time.Millisecond),
-		LeaseTerm:           within(3 * time.Second),
+		LeaseTerm:           within(1500 * time.Millisecond),
 		EndpointReportEvery: within(time.Second),
 	}
 }
