Ask the seeds until one answers

Cause: a VM that started in an outage of the platform asked each seed once. If none answered within 5 s - frozen, cut off, or started at the same time - it had no list, took itself for a watcher and never asked again.

Ruled out: a longer wait for one request, which a seed that is down would use up.

--- a/node/follow.go
+++ b/node/follow.go
@@ -68,8 +68,8 @@
 // followSource waits at the best source for anything new, unless this VM
 // watches the platform itself.
 func (n *Node) followSource(ctx context.Context) error {
-	n.seedFromPeers(ctx)
 	for ctx.Err() == nil {
+		n.seedFromPeers(ctx)
 		source, ok := n.source()
 		if !ok {
 			n.sleepUntil(ctx, n.now().Add(dutyEvery))
@@ -163,7 +163,7 @@
 }
 
 // seedFromPeers takes documents from the seeds of the settings while no list
-// is known, as at a start during an outage of the platform.
+// is known, as at a start during an outage of the platform. It asks each once.
 func (n *Node) seedFromPeers(ctx context.Context) {
 	for _, addr := range n.settings.Seeds {
 		if n.snapshot().List != nil {
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -103,6 +103,7 @@
 		"seeds":        setSeeds,
 		"respawn":      respawn,
 		"bounded":      bounded,
+		"told":         tellers,
 		"streams":      streams,
 	}
 }
