Bound how many calls of others an own call stands for

Cause: with 32 VMs one own call stood for 31 others, so an endpoint with a single own call looked full and prefixes left their endpoint.

Change: it stands for at most 7. The benchmark has a size of 32 VMs and 50 endpoints, as of one region in two years.

--- a/routing/decision_test.go
+++ b/routing/decision_test.go
@@ -80,7 +80,7 @@
 			all = append(all, s)
 		}
 	}
-	for _, size := range [][2]int{{3, 4}, {8, 40}} {
+	for _, size := range [][2]int{{3, 4}, {8, 40}, {32, 50}} {
 		for _, load := range []float64{0.7, 0.9, 1.1} {
 			add(scene{
 				vms:       size[0],
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -155,7 +155,7 @@
 // VMs choose as this one does but not at the same moment.
 func (e *endpoint) occupancy(share float64, now time.Time) float64 {
 	own := float64(e.inFlight)
-	alike := own * (1/share - 1)
+	alike := own * min(1/share-1, alikeMost)
 	if e.loadAt.IsZero() {
 		return own + alike
 	}
--- a/routing/weights.go
+++ b/routing/weights.go
@@ -17,6 +17,8 @@
 	// alikeWeight is how far other VMs' calls are guessed from the own ones; the
 	// rest is left to the load report.
 	alikeWeight = 0.8
+	// alikeMost bounds how many calls of others one own call stands for.
+	alikeMost = 7.0
 	// lateSlack is how many times the usual lateness an endpoint may have before
 	// it counts against it.
 	lateSlack = 2.0
