--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -343,7 +343,9 @@
 
 func (n *network) acknowledge(q *process, from string, held uint64) {
 	if n.variant == acknowledgeAll {
-		held = q.lastLoan[from]
+		// A number that was never given acknowledges nothing.
+		q.state.Acknowledge(from, q.lastLoan[from])
+		held = q.lastLoan[from] + 1
 	}
 	q.state.Acknowledge(from, held)
 }
--- a/membership/catchup.go
+++ b/membership/catchup.go
@@ -41,7 +41,7 @@
 			settled = settled && p.lost()
 		case !p.lost():
 			heard = true
-			settled = settled && !(p.beat.Ready && p.knowsMore(k))
+			settled = settled && (!p.beat.Ready || !p.knowsMore(k))
 		}
 	}
 	return heard, settled
