--- a/testscripts/measure/limits.go
+++ b/testscripts/measure/limits.go
@@ -69,6 +69,9 @@
 	r.note("One region of %d VMs and one workspace of %d requests a second, offered %d lookups a second, one try each, for %v; counted after %v, when the first bucket is spent. 1 is the contract.", limitsVMs, limitsRequests, limitsOffered, limitsFor, limitsWarmUp)
 	t := r.table("Admitted over contract", "entry", "policy", "admitted over contract", "refused by limit", "other refusals", "unknown")
 	for _, e := range limitsEntries() {
+		if b.skips(e.name) {
+			continue
+		}
 		for seed := range b.seeds {
 			for _, policy := range settings.LimitsPolicies {
 				if err := b.limitsOnce(ctx, r, e, policy, uint64(seed+1)); err != nil {
--- a/testscripts/measure/main.go
+++ b/testscripts/measure/main.go
@@ -78,6 +78,16 @@
 			help: "Memory and processor time against the number of workspaces.",
 			run:  (*bench).workspaces,
 		},
+		{
+			name: "front",
+			help: "Processor time of calls by their tokens, and of a forward.",
+			run:  (*bench).front,
+		},
+		{
+			name: "fit",
+			help: "Project the spread measurement to a larger fleet.",
+			run:  (*bench).fit,
+		},
 		{
 			name: "days",
 			help: "Both users' mixes over a compressed day with peaks at other hours.",
@@ -93,7 +103,7 @@
 	app.Flag("out", "Folder for records and tables.").Default("docs/measurements").StringVar(&b.out)
 	app.Flag("seeds", "Number of seeds.").Default("3").IntVar(&b.seeds)
 	app.Flag("size", "Number of VMs of a deployment; repeatable.").IntsVar(&b.sizes)
-	app.Flag("only", "Run only the variants that contain this text.").StringVar(&b.only)
+	app.Flag("only", "Run only the loads, entries or losses whose name contains this text.").StringVar(&b.only)
 	for _, e := range experiments() {
 		app.Command(e.name, e.help).Action(func(*kingpin.ParseContext) error {
 			return b.measure(context.Background(), e)
@@ -103,6 +113,19 @@
 	app.FatalIfError(err, "")
 }
 
+// skips says whether the run is limited to other variants.
+func (b *bench) skips(name string) bool {
+	return !strings.Contains(name, b.only)
+}
+
+// file is where an experiment's report goes; a limited run has its own.
+func (b *bench) file(experiment string) string {
+	if b.only != "" {
+		experiment += "-" + strings.ReplaceAll(strings.ReplaceAll(b.only, " ", "-"), "%", "")
+	}
+	return filepath.Join(b.out, experiment)
+}
+
 // measure runs one experiment and writes its report, also a partial one.
 func (b *bench) measure(ctx context.Context, e experiment) error {
 	r := newReport(e, "go run ./testscripts/measure --bin BIN "+strings.Join(flagsOf(os.Args[1:]), " "))
@@ -110,7 +133,7 @@
 	if err != nil {
 		r.note("The run ended early: %v", err)
 	}
-	if writeErr := r.write(filepath.Join(b.out, e.name)); writeErr != nil {
+	if writeErr := r.write(b.file(e.name)); writeErr != nil {
 		return writeErr
 	}
 	return err
--- a/testscripts/measure/regions.go
+++ b/testscripts/measure/regions.go
@@ -59,6 +59,9 @@
 			count: regionReplicas,
 		},
 	} {
+		if b.skips(lost.name) {
+			continue
+		}
 		for seed := range b.seeds {
 			for _, policy := range settings.BorrowingPolicies {
 				rec, err := b.regionsOnce(ctx, policy, lost.count, uint64(seed+1), rate)
--- a/testscripts/measure/routing.go
+++ b/testscripts/measure/routing.go
@@ -59,6 +59,9 @@
 	r.note("One engine adds 20 ms to each chunk, one takes calls and never answers, one reports no load. 100%% is %.0f calls a second: all batches but the silent one's full, every prefix warm.", routingCapacity())
 	t := r.table("Routing", "load", "policy", "first p50, ms", "first p95, ms", "first p99, ms", "in time", "cold prefills", "prompt tokens computed", "not run", "unknown")
 	for _, percent := range []int{70, 90, 110} {
+		if b.skips(fmt.Sprintf("%d%%", percent)) {
+			continue
+		}
 		for seed := range b.seeds {
 			for _, policy := range settings.RoutingPolicies {
 				if err := b.routingOnce(ctx, r, policy, percent, uint64(seed+1)); err != nil {
--- a/testscripts/measure/spread.go
+++ b/testscripts/measure/spread.go
@@ -34,14 +34,14 @@
 		sizes = []int{8, 32, 128}
 	}
 	r.note("One data centre for each region; no calls. Idle figures over %v after %v; in force everywhere is read from the status of every VM each %v, so it counts up to one such round too much.", idleFor, warmIdleFor, forceEvery)
-	idle := r.table("Idle control for each VM", "VMs", "regions", "processor, % of a core", "memory, MiB", "control bytes sent/s", "control bytes taken in/s", "messages sent/s", "platform reads/s over all")
+	idle := r.table("Idle control for each VM", "VMs", "regions", "processor, % of a core", "memory, MiB", "control bytes sent/s", "control bytes taken in/s", "messages sent/s", "platform reads/s, all VMs", "reads/s as the platform counts")
 	change := r.table("A change of one bucket", "VMs", "regions", "in force everywhere, s", "platform reads a change, all VMs", "control bytes taken in, a change and VM")
 	for _, n := range sizes {
 		if err := b.spreadOnce(ctx, r, n); err != nil {
 			return err
 		}
 		at := func(name string) spread { return r.pointsOf(spreadName(n, name)) }
-		r.tables[0].row(fmt.Sprint(n), fmt.Sprint(regionsFor(n)), at("processor").format("%.2f"), at("memory").format("%.1f"), at("bytes out").format("%.0f"), at("bytes in").format("%.0f"), at("messages").format("%.1f"), at("reads").format("%.1f"))
+		r.tables[0].row(fmt.Sprint(n), fmt.Sprint(regionsFor(n)), at("processor").format("%.2f"), at("memory").format("%.1f"), at("bytes out").format("%.0f"), at("bytes in").format("%.0f"), at("messages").format("%.1f"), at("reads").format("%.1f"), at("counted").format("%.1f"))
 		r.tables[1].row(fmt.Sprint(n), fmt.Sprint(regionsFor(n)), at("force").format("%.2f"), at("change reads").format("%.0f"), at("change bytes").format("%.0f"))
 	}
 	_, _ = idle, change
@@ -102,7 +102,15 @@
 	out      float64
 	in       float64
 	messages float64
-	reads    float64
+	// reads are those that the VMs made; counted is what the platform counts for
+	// them, with one a second for each watch that waits.
+	reads   float64
+	counted float64
+}
+
+// platformCounters is the part of the platform's counters that is read here.
+type platformCounters struct {
+	Reads float64 `json:"reads"`
 }
 
 func (w *world) usage() usage {
@@ -110,6 +118,9 @@
 		at:  time.Now(),
 		cpu: cpuOf(w.VMs),
 	}
+	if c, err := rig.GetJSON[platformCounters](w.Rig, w.Platform.Listening.Addr, "/admin/counters"); err == nil {
+		u.counted = c.Reads
+	}
 	for _, vm := range w.VMs {
 		u.memory += resident(vm.PID())
 		_, body, err := w.Get(vm.Fleet.OperatorAddr, "/metrics")
@@ -134,6 +145,7 @@
 		in:       (u.in - before.in) / s,
 		messages: (u.messages - before.messages) / s,
 		reads:    (u.reads - before.reads) / s,
+		counted:  (u.counted - before.counted) / s,
 	}
 }
 
@@ -145,6 +157,7 @@
 	r.point(spreadName(n, "bytes in"), seed, u.in/vms, "bytes/s")
 	r.point(spreadName(n, "messages"), seed, u.messages/vms, "1/s")
 	r.point(spreadName(n, "reads"), seed, u.reads, "1/s")
+	r.point(spreadName(n, "counted"), seed, u.counted, "1/s")
 }
 
 // change publishes a bucket and waits until it is in force on every VM.
