Use the borrowing decision's gate, strangers and draw; take backfill as the default admission

Cause: the node offered surplus without its gate, at the decode speed of one slot (about a tenth of what a slot serves), and asked again whether a call that was just refused could stay. Change: Gate.Offer, SlotTokensPerSecond, calls of other regions counted, a random draw.

--- a/node/away.go
+++ b/node/away.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/borrow"
@@ -19,7 +20,7 @@
 func (p *pools) surplus(now time.Time) []membership.Surplus {
 	var out []membership.Surplus
 	for target, pool := range p.table.Load().byTarget {
-		o := borrow.Surplus(p.borrowState(pool, now), now)
+		o := pool.gate.Offer(p.borrowState(pool, now), now)
 		if o.TokensPerSecond <= 0 {
 			continue
 		}
@@ -42,9 +43,10 @@
 		Target:           pool.target,
 		Slots:            supply.Slots,
 		Free:             supply.Free,
-		TokensPerSecond:  supply.TokensPerSecond,
+		TokensPerSecond:  supply.SlotTokensPerSecond,
 		PrefillPerSecond: supply.PrefillPerSecond,
 		Demand:           pool.demand.peak(now),
+		Strangers:        float64(pool.strangers.Load()),
 		Waiting:          pool.waiting(),
 		Wait:             wait,
 		VMs:              p.node.view().VMs,
@@ -52,18 +54,21 @@
 	}
 }
 
-// accept says whether a call of another region may use this region's surplus.
-func (p *pools) accept(c *call.Call) *result.Refusal {
+// accept lets a call of another region use this region's surplus, or refuses
+// it. The function that it gives must be called once the call has ended.
+func (p *pools) accept(c *call.Call) (func(), *result.Refusal) {
 	now := p.node.now()
 	pool, ok := p.table.Load().byTarget[c.Target()]
 	tokens := float64(c.PromptTokens + c.MaxTokens)
-	if ok && pool.gate.Accept(p.borrowState(pool, now), tokens, now) {
-		return nil
+	if !ok || !pool.gate.Accept(p.borrowState(pool, now), tokens, now) {
+		return nil, result.Refuse(result.NoSurplus, "region %s has no surplus of %s", p.node.settings.Region, c.Target())
 	}
-	return result.Refuse(result.NoSurplus, "region %s has no surplus of %s", p.node.settings.Region, c.Target())
+	pool.strangers.Add(1)
+	return func() { pool.strangers.Add(-1) }, nil
 }
 
-// borrow chooses a VM of another region with surplus for the call.
+// borrow chooses a VM of another region with surplus for a call that this
+// region has just refused.
 func (p *pools) borrow(c *call.Call, terms serving.Terms) (fleet.VM, bool) {
 	now := p.node.now()
 	view := p.node.view()
@@ -84,15 +89,15 @@
 		WholeBy:      c.WholeBy,
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
+		Unavailable:  true,
 		Damper:       p.damper,
+		Draw:         rand.Uint64(),
 	}
 	pool, ok := p.table.Load().byTarget[c.Target()]
 	if !ok {
-		r.Unavailable = true
 		return r
 	}
 	supply := pool.Endpoints.Supply(now)
-	r.Unavailable = supply.Endpoints == 0
 	r.First = supply.First
 	r.LocalWait, r.Service = pool.Endpoints.Estimate(routing.Request{
 		PrefixHash:   c.PrefixHash,
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -46,8 +46,9 @@
 	Lease func(ctx context.Context, owner fleet.VM, workspace string, want, unused limit.Amounts) (Lease, *result.Refusal)
 	// Borrow chooses a region with surplus; ok is false when the call must stay.
 	Borrow func(c *call.Call, terms Terms) (fleet.VM, bool)
-	// Accept says whether a call of another region may use this region's surplus.
-	Accept func(c *call.Call) *result.Refusal
+	// Accept lets a call of another region use this region's surplus; done must
+	// be called once the call has ended.
+	Accept func(c *call.Call) (done func(), refusal *result.Refusal)
 
 	Ledger   *limit.Ledger
 	Desk     *ticket.Desk
@@ -173,9 +174,11 @@
 	if r := s.refuseNew(); r != nil {
 		return call.Refused(r)
 	}
-	if r := s.options.Accept(c); r != nil {
+	done, r := s.options.Accept(c)
+	if r != nil {
 		return call.Refused(r)
 	}
+	defer done()
 	return s.attempt(ctx, c, sink, nil)
 }
 
--- a/settings/policies.go
+++ b/settings/policies.go
@@ -6,7 +6,7 @@
 	LogFormats        = []string{"text", "json"}
 	LogLevels         = []string{"debug", "info", "warn", "error"}
 	RoutingPolicies   = []string{"affinity", "round_robin", "least_in_flight"}
-	AdmissionPolicies = []string{"priority", "backfill", "fifo"}
+	AdmissionPolicies = []string{"backfill", "priority", "fifo"}
 	BorrowingPolicies = []string{"surplus", "never", "always"}
 	LimitsPolicies    = []string{"share", "static_split", "local_bucket"}
 )
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,7 +85,7 @@
 // Queue bounds the calls that wait for one model or service.
 type Queue struct {
 	Length int `json:"length"`
-	// ReportShare is the part of Length, from 0 to 1, that calls of priority report may fill.
+	// ReportShare is the part of the slots, from 0 to 1, that reports may hold under the policy priority.
 	ReportShare float64 `json:"report_share"`
 }
 
