Prove forwarding by a table of what the far VM may do

No message can take the mark of a forwarded call away.

Cause found: an end that says done without any answer was passed on as a whole, empty answer. It is now peer_lost, of class unknown.

Before: the row "done without an answer" fails without the change by its code. After: all rows pass under the race detector.

--- a/peer/forward.go
+++ b/peer/forward.go
@@ -12,6 +12,9 @@
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
+// errNoAnswer marks an end that says done after no answer.
+var errNoAnswer = errors.New("the call is said to be done, and no answer came")
+
 // Forward runs a call on another VM. A VM that was not reached gives
 // PeerUnreachable, of class not run; one lost later gives PeerLost.
 func (c *Client) Forward(ctx context.Context, vm fleet.VM, in *peerpb.ForwardRequest, sink call.Sink, witness func(uint64)) call.Outcome {
@@ -32,6 +35,7 @@
 
 func receive(stream peerpb.DRPCPeer_ForwardClient, vm fleet.VM, sink call.Sink, witness func(uint64)) call.Outcome {
 	var firstAt time.Time
+	headed := false
 	for {
 		reply, err := stream.Recv()
 		if err != nil {
@@ -42,8 +46,12 @@
 		}
 		if end := reply.GetEnd(); end != nil {
 			witness(end.GetStamp())
-			return outcomeFromEnd(end, firstAt)
+			if o := outcomeFromEnd(end, firstAt); headed || o.Code.Class() != result.ClassDone {
+				return o
+			}
+			return call.Refused(lost(vm, errNoAnswer))
 		}
+		headed = headed || reply.GetHead() != nil
 		if err := pass(reply, sink); err != nil {
 			return call.Refused(result.Refuse(result.PeerLost, "the caller has gone").Because(err))
 		}
--- /dev/null
+++ b/peer/forward_test.go
@@ -0,0 +1,246 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// stallWithin is the deadline of the rows that wait for it.
+const stallWithin = 500 * time.Millisecond
+
+// forwardRow is one row of testdata/forwards.json: what the far VM does with a
+// forwarded call, step by step, and what the near one makes of it.
+type forwardRow struct {
+	Name      string   `json:"name"`
+	Steps     []string `json:"steps"`
+	HugeBody  bool     `json:"huge_body"`
+	Refused   bool     `json:"refused"`
+	Garbage   bool     `json:"garbage"`
+	SinkFails bool     `json:"sink_fails"`
+
+	Code   string       `json:"code"`
+	Class  result.Class `json:"class"`
+	Text   string       `json:"text"`
+	Served *bool        `json:"served"`
+}
+
+func TestForward(t *testing.T) {
+	data, err := os.ReadFile("testdata/forwards.json")
+	assert.NilError(t, err)
+	var rows []forwardRow
+	assert.NilError(t, json.Unmarshal(data, &rows))
+	for _, row := range rows {
+		t.Run(row.Name, row.run)
+	}
+}
+
+// farVM is the VM that calls are forwarded to.
+type farVM struct {
+	row    forwardRow
+	conn   atomic.Pointer[net.Conn]
+	served atomic.Pointer[call.Call]
+}
+
+func (row forwardRow) run(t *testing.T) {
+	far := &farVM{
+		row: row,
+	}
+	addr := far.listen(t)
+	if row.Garbage {
+		conn, err := net.Dial("tcp", addr)
+		assert.NilError(t, err)
+		_, err = conn.Write([]byte(strings.Repeat("\xffgarbage", 1000)))
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+	}
+	client := New(Options{})
+	defer func() { _ = client.Close() }()
+	ctx, cancel := context.WithTimeout(t.Context(), row.within())
+	defer cancel()
+	var text strings.Builder
+	outcome := client.Forward(ctx, fleet.VM{
+		ID:       "far",
+		PeerAddr: addr,
+	}, row.request(), row.sink(&text), func(uint64) {})
+	row.check(t, outcome, text.String(), far.served.Load())
+}
+
+func (row forwardRow) within() time.Duration {
+	if len(row.Steps) > 0 && row.Steps[0] == "stall" {
+		return stallWithin
+	}
+	return time.Minute
+}
+
+func (row forwardRow) request() *peerpb.ForwardRequest {
+	m := &peerpb.ForwardRequest{
+		Stamp: 1 << 63,
+		Call: CallMessage(&call.Call{
+			ID:       "id",
+			Kind:     call.Kind(99),
+			Priority: 77,
+			Body:     []byte("body"),
+		}),
+	}
+	if row.HugeBody {
+		m.Call.Body = make([]byte, MaxMessageBytes+1)
+	}
+	return m
+}
+
+func (row forwardRow) sink(text *strings.Builder) call.Sink {
+	return call.Sink{
+		Head: func(int, http.Header) error { return nil },
+		Chunk: func(data []byte) error {
+			if row.SinkFails {
+				return errors.New("gone")
+			}
+			_, err := text.Write(data)
+			return err
+		},
+	}
+}
+
+func (row forwardRow) check(t *testing.T, o call.Outcome, text string, served *call.Call) {
+	if row.Code != "" {
+		assert.Equal(t, o.Code.String(), row.Code)
+	}
+	if row.Class != "" {
+		assert.Equal(t, o.Code.Class(), row.Class)
+	}
+	assert.Equal(t, text, row.Text)
+	if o.Code.Class() != result.ClassDone {
+		assert.Assert(t, o.Refusal != nil)
+	}
+	want := row.Served == nil || *row.Served
+	assert.Equal(t, served != nil, want)
+	if served != nil {
+		assert.Assert(t, served.Forwarded, "no message can take the mark of a forwarded call away")
+		assert.Equal(t, served.Priority, call.PriorityReport)
+	}
+}
+
+// listen serves on a kernel's port, or gives an address that refuses.
+func (f *farVM) listen(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	if f.row.Refused {
+		assert.NilError(t, ln.Close())
+		return ln.Addr().String()
+	}
+	s, err := NewServer(Handlers{
+		Forward: f.forward,
+		Stamp:   func() uint64 { return 1 },
+		Witness: func(uint64) {},
+	})
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		_ = s.Serve(ctx, &rememberingListener{
+			Listener: ln,
+			last:     &f.conn,
+		})
+	}()
+	return ln.Addr().String()
+}
+
+type rememberingListener struct {
+	net.Listener
+	last *atomic.Pointer[net.Conn]
+}
+
+func (l *rememberingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		l.last.Store(&conn)
+	}
+	return conn, err
+}
+
+// forward plays the row's steps; "end" with a name or a number ends otherwise than done.
+func (f *farVM) forward(ctx context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
+	f.served.Store(c)
+	for _, step := range f.row.Steps {
+		name, code, _ := strings.Cut(step, " ")
+		switch name {
+		case "head":
+			_ = sink.Head(http.StatusOK, http.Header{})
+		case "chunk":
+			_ = sink.Chunk([]byte("part"))
+		case "huge":
+			_ = sink.Chunk(make([]byte, MaxMessageBytes+1))
+		case "cut":
+			_ = (*f.conn.Load()).Close()
+		case "stall":
+			<-ctx.Done()
+		case "end":
+			return call.Outcome{
+				Code: codeNamed(code),
+			}
+		}
+	}
+	return call.Outcome{
+		Code: result.Done,
+	}
+}
+
+func codeNamed(name string) result.Code {
+	if name == "" {
+		return result.Done
+	}
+	if n, err := strconv.Atoi(name); err == nil {
+		return result.Code(n)
+	}
+	for _, row := range result.Table {
+		if row.Name == name {
+			return row.Code
+		}
+	}
+	return 0
+}
+
+// FuzzCall reads any call from a message. It must not panic, and the call must
+// count as forwarded and have a known priority.
+func FuzzCall(f *testing.F) {
+	seed, err := proto.Marshal(&peerpb.Call{
+		Id: "id",
+		Header: []*peerpb.Header{
+			{
+				Name:  "Accept",
+				Value: "x",
+			},
+		},
+		Priority:      1 << 31,
+		WholeByUnixMs: -1,
+	})
+	assert.NilError(f, err)
+	f.Add(seed)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m peerpb.Call
+		if proto.Unmarshal(data, &m) != nil {
+			return
+		}
+		c := callFromMessage(&m)
+		assert.Assert(t, c.Forwarded)
+		assert.Assert(t, c.Priority >= 0 && c.Priority < call.Priorities)
+		_ = c.Priority.String()
+	})
+}
