Refuse to forward new calls from a stopping VM

Cause: a stopping VM is no entry VM any more, so calls that still reached it were forwarded, not refused; a caller with a steady load kept it busy until its entries ended (31 s from hand-over to the end). Ruled out: long streams, idle connections, waiting peers (three VMs without load stop in 3.7 s). Change: only calls with a ticket are sent on while stopping.

--- a/serving/serving.go
+++ b/serving/serving.go
@@ -145,7 +145,12 @@
 	return result.Refuse(result.Stopping, "VM %s is stopping", s.options.VM)
 }
 
+// forward sends a call to another VM, once. A stopping VM sends on only what
+// has a ticket: no other VM can say whether that ran.
 func (s *Server) forward(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
+	if r := s.refuseNew(); r != nil && c.Ticket == "" {
+		return call.Refused(r)
+	}
 	s.event(c, "call_forwarded", timeline.Event{
 		Peer: place.VM.ID,
 	})
--- a/testscripts/scenario/events.go
+++ b/testscripts/scenario/events.go
@@ -36,3 +36,11 @@
 		printf(ts, "%s %s %s %s %s %d %s\n", e.Stamp.Time().UTC().Format("15:04:05.000"), e.VM, e.Kind, e.Peer, e.Endpoint, e.Code, e.Detail)
 	}
 }
+
+// logs VM prints the last log lines of a VM, also after it has ended.
+func logs(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 1, "logs VM")
+	for _, vm := range w.find(ts, args[0]) {
+		printf(ts, "%s\n", strings.Join(vm.Log(), "\n"))
+	}
+}
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -89,6 +89,7 @@
 		"pause":        pause,
 		"reached":      reached,
 		"events":       events,
+		"logs":         logs,
 		"post":         post,
 		"amend":        amend,
 		"race":         race,
