--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -105,6 +105,7 @@
 		"respawn":      respawn,
 		"bounded":      bounded,
 		"told":         tellers,
+		"refusedby":    refusedBy,
 		"streams":      streams,
 	}
 }
--- a/testscripts/scenario/told.go
+++ b/testscripts/scenario/told.go
@@ -1,9 +1,14 @@
 package scenario
 
 import (
+	"context"
+	"slices"
 	"strings"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fuchsianotch/fuchsianotch/standin/caller"
+	"github.com/fuchsianotch/fuchsianotch/testscripts/rig"
 )
 
 // told TEXT vm=LIST prints how many VMs tell a text to operators: in their
@@ -28,3 +33,21 @@
 	}
 	printf(ts, "tellers=%d\n", n)
 }
+
+// refusedby WORKSPACE CODES vm=LIST waits until a chat of the workspace is
+// refused with one of the codes, given by name.
+func refusedBy(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 3, "refusedby WORKSPACE CODES vm=LIST")
+	ctx, cancel := context.WithTimeout(context.Background(), callWithin)
+	defer cancel()
+	codes := strings.Split(args[1], ",")
+	c := w.newCaller(ts, args[0], append(args, "once"))
+	ts.Check(rig.Await(settleWithin, "chat refused with "+args[1], func() bool {
+		r := c.Chat(ctx, caller.Chat{
+			Model:     w.model(),
+			Message:   "marker=" + option(args, "mark", "m") + " hello",
+			MaxTokens: 1,
+		})
+		return slices.Contains(codes, r.Code.String())
+	}))
+}
