Mend what the linter found

Cause: unchecked assertions, an unused field and an unused argument of Place. Change: each checked or removed; Place is a function of the view alone. Tests unchanged but for the argument.

--- a/caller/read.go
+++ b/caller/read.go
@@ -56,7 +56,7 @@
 	if !idempotent {
 		r.Ticket = q.r.Header.Get(HeaderTicket)
 	}
-	place := serving.Place(r, s.options.View(), s.options.Now())
+	place := serving.Place(r, s.options.View())
 	q.mayRead = place.Kind != serving.PlaceRefuse
 	return place
 }
--- a/common/jsonc/check.go
+++ b/common/jsonc/check.go
@@ -48,7 +48,11 @@
 	seen := make(map[string]bool, len(object.Members))
 	for i := range object.Members {
 		member := &object.Members[i]
-		name := member.Name.Value.(hujson.Literal).String()
+		literal, ok := member.Name.Value.(hujson.Literal)
+		if !ok {
+			return c.problem(&member.Name, pointer, KindValue, "a field name")
+		}
+		name := literal.String()
 		at := pointer + "/" + escape(name)
 		field, known := fields.find(name)
 		if !known {
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -37,16 +37,16 @@
 	check := serve.Flag("check", "Check the settings and exit.").Bool()
 	app.Terminate(nil)
 	if _, err := app.Parse(args); err != nil {
-		fmt.Fprintf(stderr, "gateway: %v; see gateway --help\n", err)
+		_, _ = fmt.Fprintf(stderr, "gateway: %v; see gateway --help\n", err)
 		return exitUsage
 	}
 	loaded, refusal := settings.Load(*file)
 	if refusal != nil {
-		fmt.Fprintf(stderr, "gateway: %v\n", refusal)
+		_, _ = fmt.Fprintf(stderr, "gateway: %v\n", refusal)
 		return exitUsage
 	}
 	if *check {
-		fmt.Fprintf(stdout, "%s: ok\n", *file)
+		_, _ = fmt.Fprintf(stdout, "%s: ok\n", *file)
 		return exitOK
 	}
 	return serveUntilStopped(loaded, stderr)
--- a/node/control.go
+++ b/node/control.go
@@ -35,7 +35,6 @@
 	inbox     chan message
 	members   *membership.State
 	store     *configuration.Store
-	relay     *configuration.Relay
 	published atomic.Pointer[published]
 	// caughtUp is set for good once this VM may serve by its documents.
 	caughtUp bool
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -97,7 +97,7 @@
 		Ticket:    c.Ticket,
 		Forwarded: true,
 		Borrowed:  c.Origin != "",
-	}, n.view(), n.now())
+	}, n.view())
 	return n.serving.Serve(ctx, c, place, sink)
 }
 
@@ -141,13 +141,17 @@
 	r := serving.LimitRequest(in.GetWorkspace(), terms, n.view(), now)
 	r.From = in.GetFrom().GetVm()
 	granted, refusal := n.ledger.Grant(r, amountsFromMessage(in.GetWant()), amountsFromMessage(in.GetUnused()), now)
+	fillLease(reply, granted, refusal)
+	return reply, nil
+}
+
+func fillLease(reply *peerpb.LeaseReply, granted limit.Amounts, refusal *result.Refusal) {
 	if refusal != nil {
 		reply.Code = uint32(refusal.Code)
-		return reply, nil
+		return
 	}
 	reply.Granted = amountsMessage(granted)
 	reply.TermMs = uint32(limit.LeaseTerm.Milliseconds())
-	return reply, nil
 }
 
 func (n *Node) termsOf(workspace string) (contract.RegionTerms, bool) {
--- a/peer/secure.go
+++ b/peer/secure.go
@@ -33,6 +33,10 @@
 		return nil, err
 	}
 	key := ed25519.NewKeyFromSeed(seed)
+	public, ok := key.Public().(ed25519.PublicKey)
+	if !ok {
+		return nil, errPeerKey
+	}
 	certificate, err := selfSigned(key)
 	if err != nil {
 		return nil, err
@@ -44,7 +48,7 @@
 		// There is no authority to verify against: VerifyConnection compares
 		// the proven key with the derived one instead.
 		InsecureSkipVerify: true,
-		VerifyConnection:   verifyKey(key.Public().(ed25519.PublicKey)),
+		VerifyConnection:   verifyKey(public),
 	}, nil
 }
 
--- a/serving/placement.go
+++ b/serving/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/contract"
 	"github.com/fuchsianotch/fuchsianotch/entry"
@@ -49,7 +48,7 @@
 }
 
 // Place decides where a call is served. It is a pure function of the view.
-func Place(r PlaceRequest, view *membership.View, now time.Time) Placement {
+func Place(r PlaceRequest, view *membership.View) Placement {
 	region := view.Self.Region
 	terms, ok := r.Contract.Terms(region)
 	if !ok {
--- a/serving/placement_test.go
+++ b/serving/placement_test.go
@@ -68,7 +68,7 @@
 		Ticket:    row.ticket(),
 		Forwarded: row.Forwarded,
 		Borrowed:  row.Borrowed,
-	}, placementView(self, reaches), placedAt)
+	}, placementView(self, reaches))
 	switch p.Kind {
 	case PlaceHere:
 		return "here"
@@ -182,13 +182,13 @@
 			Contract:  c,
 			Ticket:    ticketText,
 			Forwarded: forwarded,
-		}, view, placedAt)
+		}, view)
 	},
 	"forgets_that_it_was_forwarded": func(c *contract.Contract, ticketText string, _ bool, view *membership.View) Placement {
 		return Place(PlaceRequest{
 			Contract: c,
 			Ticket:   ticketText,
-		}, view, placedAt)
+		}, view)
 	},
 }
 
--- a/standin/caller/stream.go
+++ b/standin/caller/stream.go
@@ -31,11 +31,15 @@
 
 var lineBuffers = sync.Pool{
 	New: func() any {
-		buffer := make([]byte, lineSize)
-		return &buffer
+		return newLineBuffer()
 	},
 }
 
+func newLineBuffer() *[]byte {
+	buffer := make([]byte, lineSize)
+	return &buffer
+}
+
 // stream collects a streamed chat completion.
 type stream struct {
 	text    strings.Builder
@@ -51,7 +55,10 @@
 // read takes server-sent events until the stream ends. It succeeds only if
 // [DONE] came last, or a well-formed error event.
 func (s *stream) read(r io.Reader) error {
-	buffer := lineBuffers.Get().(*[]byte)
+	buffer, ok := lineBuffers.Get().(*[]byte)
+	if !ok {
+		buffer = newLineBuffer()
+	}
 	defer lineBuffers.Put(buffer)
 	lines := bufio.NewScanner(r)
 	lines.Buffer(*buffer, maxLineSize)
--- a/testscripts/rig/process.go
+++ b/testscripts/rig/process.go
@@ -63,7 +63,7 @@
 	case p.Listening = <-listening:
 		return p, nil
 	case <-p.done:
-		return nil, fmt.Errorf("%s ended before it listened: %v\n%s", name, p.err, p.Log())
+		return nil, fmt.Errorf("%s ended before it listened: %w\n%s", name, p.err, p.Log())
 	case <-time.After(listenWithin):
 		p.Kill()
 		return nil, fmt.Errorf("%s did not listen in time\n%s", name, p.Log())
