--- a/testscripts/measure/main.go
+++ b/testscripts/measure/main.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"runtime"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 )
@@ -22,6 +23,8 @@
 	sizes []int
 	// only limits an experiment to the variants that contain it.
 	only string
+	// rest is how long a deployment rests before its idle figures are taken.
+	rest time.Duration
 }
 
 // experiment measures one kind of decision and gives its report.
@@ -103,6 +106,7 @@
 	app.Flag("out", "Folder for records and tables.").Default("docs/measurements").StringVar(&b.out)
 	app.Flag("seeds", "Number of seeds.").Default("3").IntVar(&b.seeds)
 	app.Flag("size", "Number of VMs of a deployment; repeatable.").IntsVar(&b.sizes)
+	app.Flag("rest", "How long a deployment rests before its idle figures are taken.").Default(warmIdleFor.String()).DurationVar(&b.rest)
 	app.Flag("only", "Run only the loads, entries or losses whose name contains this text.").StringVar(&b.only)
 	for _, e := range experiments() {
 		app.Command(e.name, e.help).Action(func(*kingpin.ParseContext) error {
@@ -123,6 +127,9 @@
 	if b.only != "" {
 		experiment += "-" + strings.ReplaceAll(strings.ReplaceAll(b.only, " ", "-"), "%", "")
 	}
+	if b.rest != warmIdleFor {
+		experiment += "-after-" + b.rest.String()
+	}
 	return filepath.Join(b.out, experiment)
 }
 
--- a/testscripts/measure/spread.go
+++ b/testscripts/measure/spread.go
@@ -33,7 +33,7 @@
 	if len(sizes) == 0 {
 		sizes = []int{8, 32, 128}
 	}
-	r.note("One data centre for each region; no calls. Idle figures over %v after %v; in force everywhere is read from the status of every VM each %v, so it counts up to one such round too much.", idleFor, warmIdleFor, forceEvery)
+	r.note("One data centre for each region; no calls. Idle figures over %v after %v; in force everywhere is read from the status of every VM each %v, so it counts up to one such round too much.", idleFor, b.rest, forceEvery)
 	idle := r.table("Idle control for each VM", "VMs", "regions", "processor, % of a core", "memory, MiB", "control bytes sent/s", "control bytes taken in/s", "messages sent/s", "platform reads/s, all VMs", "reads/s as the platform counts")
 	change := r.table("A change of one bucket", "VMs", "regions", "in force everywhere, s", "platform reads a change, all VMs", "control bytes taken in, a change and VM")
 	for _, n := range sizes {
@@ -81,7 +81,7 @@
 		return err
 	}
 	defer w.close()
-	time.Sleep(warmIdleFor)
+	time.Sleep(b.rest)
 	before := w.usage()
 	time.Sleep(idleFor)
 	idle := w.usage().since(before)
