--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -96,7 +96,7 @@
 		queue:     gauge("queue_length", "Calls that wait for an endpoint."),
 		inFlight:  gauge("in_flight", "Calls being served."),
 
-		controlBytes:    counters("control_bytes_total", "Bytes of control messages between VMs.", "direction"),
+		controlBytes:    counters("control_bytes_total", "Bytes on the connections between VMs, forwarded calls included.", "direction"),
 		controlMessages: counters("control_messages_total", "Control messages sent to other VMs.", "kind"),
 		platformReads:   counters("platform_reads_total", "Reads at the platform.", "outcome"),
 	}
