--- a/testscripts/scenario/outside.go
+++ b/testscripts/scenario/outside.go
@@ -1,11 +1,15 @@
 package scenario
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/fuchsianotch/fuchsianotch/configuration"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
 // cutplatform LIST cuts VMs off from the platform until heal.
@@ -48,3 +52,22 @@
 		ts.Check(w.rig.Restart(vm))
 	}
 }
+
+// watchers REGION sets WATCHERS to the VMs of a region of one data centre that
+// watch the platform when all are in reach, and REST to the others.
+func watchers(w *world, ts *testscript.TestScript, args []string) {
+	need(ts, args, 1, "watchers REGION")
+	var vms []fleet.VM
+	for _, vm := range w.rig.VMsOf(args[0]) {
+		vms = append(vms, vm.Fleet)
+	}
+	watching := configuration.Watchers(vms)
+	var rest []string
+	for _, vm := range vms {
+		if !slices.Contains(watching, vm.ID) {
+			rest = append(rest, vm.ID)
+		}
+	}
+	ts.Setenv("WATCHERS", strings.Join(watching, ","))
+	ts.Setenv("REST", strings.Join(rest, ","))
+}
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -106,6 +106,7 @@
 		"bounded":      bounded,
 		"told":         tellers,
 		"refusedby":    refusedBy,
+		"watchers":     watchers,
 		"streams":      streams,
 	}
 }
