Heed an endpoint's word on its answer that it leaves

Cause: the client of endpoints read the load headers of each answer, and nothing used them. An endpoint that the list did not name as leaving went on getting work until its next load report, whose interval grows with the region's endpoints: 10 s at 100.

Ruled out: taking the whole load of an answer's head as a report. It lacks the queued tokens and the speed that routing estimates with.

Change: an answer that says leaving is reported to the pool; a later load report may take it back.

Before: leaving_answers (reports 30 s apart, platform down) failed, still getting work 30 s later.

--- a/serving/run.go
+++ b/serving/run.go
@@ -93,11 +93,20 @@
 	})
 	out := s.options.Endpoint.Send(ctx, s.newAttempt(c, slot, before, p), endpoint.Sink(sink))
 	pool.Queue.Release(slot, routingOutcome(out), s.options.Now())
+	s.heedLeaving(pool, chosen, out)
 	p.take(out, chosen)
 	s.reportAttempt(c, p)
 	return nil
 }
 
+// heedLeaving takes an endpoint's word on its answer that it leaves, which may
+// come long before its next load report. Its other load is left to the reports.
+func (s *Server) heedLeaving(pool *Pool, endpointID string, out endpoint.Outcome) {
+	if out.Load != nil && out.Load.Leaving {
+		pool.Endpoints.Report(endpointID, routing.Load(*out.Load), s.options.Now())
+	}
+}
+
 func (s *Server) newAttempt(c *call.Call, slot admission.Slot, before sending, p *progress) endpoint.Attempt {
 	n := s.attempts.Add(1)
 	return endpoint.Attempt{
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -154,11 +154,12 @@
 		return
 	}
 	durations := map[string]*jsonc.Duration{
-		"lease_term":       &s.LeaseTerm,
-		"heartbeat_every":  &s.HeartbeatEvery,
-		"ticket_good_for":  &s.TicketGoodFor,
-		"stop_within":      &s.StopWithin,
-		"entries_good_for": &s.EntriesGoodFor,
+		"lease_term":            &s.LeaseTerm,
+		"heartbeat_every":       &s.HeartbeatEvery,
+		"ticket_good_for":       &s.TicketGoodFor,
+		"stop_within":           &s.StopWithin,
+		"entries_good_for":      &s.EntriesGoodFor,
+		"endpoint_report_every": &s.EndpointReportEvery,
 	}
 	numbers := map[string]*int{
 		"records":        &s.Records.Count,
