Leave surplus out of heartbeats within a region

Cause: capacity offered to other regions was sent on every heartbeat, about 38 bytes a target each way, to VMs that cannot use it.

--- a/node/control.go
+++ b/node/control.go
@@ -121,10 +121,18 @@
 	}
 	beat := c.beat(now)
 	for _, vm := range due {
-		go c.node.heartbeat(ctx, vm, beat, c.members.HeldLoan(vm.ID))
+		go c.node.heartbeat(ctx, vm, c.beatFor(beat, vm.Region), c.members.HeldLoan(vm.ID))
 	}
 }
 
+// beatFor leaves out what only other regions need.
+func (c *control) beatFor(b membership.Beat, region string) membership.Beat {
+	if region == c.node.settings.Region {
+		b.Surplus = nil
+	}
+	return b
+}
+
 // beat is what this VM says about itself now.
 func (c *control) beat(now time.Time) membership.Beat {
 	n := c.node
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -82,7 +82,7 @@
 	c.members.Heard(m.beat, time.Time{}, now)
 	c.members.Acknowledge(m.beat.VM, m.heldLoan)
 	answer := &peerpb.HeartbeatReply{
-		Beat: peer.BeatMessage(c.beat(now)),
+		Beat: peer.BeatMessage(c.beatFor(c.beat(now), m.beat.Region)),
 	}
 	if m.beat.Region == c.node.settings.Region {
 		answer.Loan = loanMessage(c.members.Lend(m.beat.VM, m.beat.ViewHash, now))
