--- a/testscripts/scenario/departure.go
+++ b/testscripts/scenario/departure.go
@@ -8,12 +8,8 @@
 	"github.com/fuchsianotch/fuchsianotch/testscripts/rig"
 )
 
-const (
-	// departureEvery is how often an endpoint's count of runs is read.
-	departureEvery = 20 * time.Millisecond
-	// quietFor is how long an endpoint must get no new work to count as left.
-	quietFor = 4 * time.Second
-)
+// quietFor is how long an endpoint must get no new work to count as left.
+const quietFor = 4 * time.Second
 
 // departureBody is a stand-in's count of all runs.
 type departureBody struct {
