Let a stopping VM not wait for VMs that it does not reach

Cause: a VM stopped behind a cut while callers still asked it with tickets of the VM on the other side took 29 s from its hand-over to its end: each such call was sent on and waited for its deadline, so that the calls in flight (59 at the start) never ended until callers' entries did.

Ruled out: lost offers of the hand-over (accepted after 1 s in the log), the idle desk.

Change: placing a ticket's call says whether its executor is reached; a stopping VM does not send to one that is not, and answers 3010 with the VMs to use. Tickets of reached VMs are sent on as before.

Judge of the storms: where an ask was answered as the one that ran the call, a refusal is true if it began before that ask's end. The doctored cases are still found, and one more is.

--- a/serving/placement.go
+++ b/serving/placement.go
@@ -33,6 +33,9 @@
 	Kind PlaceKind
 	// VM is where to forward to.
 	VM fleet.VM
+	// Unreached says that VM did not answer of late. It is asked nevertheless,
+	// but not by a VM that stops: waiting for it would hold up the stop.
+	Unreached bool
 	// Refusal is why the call goes nowhere.
 	Refusal *result.Refusal
 	Terms   Terms
@@ -103,12 +106,18 @@
 		return refuse(result.Refuse(result.TicketInvalid, "the ticket's executor is in a region that the contract does not allow"))
 	}
 	return Placement{
-		Kind:  PlaceForward,
-		VM:    vm,
-		Terms: here.Terms,
+		Kind:      PlaceForward,
+		VM:        vm,
+		Unreached: isUnreached(view, vm.ID),
+		Terms:     here.Terms,
 	}
 }
 
+func isUnreached(view *membership.View, id string) bool {
+	isIt := func(m membership.Member) bool { return m.VM.ID == id && !m.Reachable }
+	return slices.ContainsFunc(view.Region, isIt) || slices.ContainsFunc(view.Others, isIt)
+}
+
 // placeEntry keeps a call at an entry VM of its workspace, and sends it to the
 // owner from elsewhere.
 func placeEntry(r PlaceRequest, view *membership.View, here Placement) Placement {
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -148,8 +148,8 @@
 // forward sends a call to another VM, once. A stopping VM sends on only what
 // has a ticket: no other VM can say whether that ran.
 func (s *Server) forward(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
-	if r := s.refuseNew(); r != nil && c.Ticket == "" {
-		return call.Refused(r)
+	if r := s.refuseNew(); r != nil && (c.Ticket == "" || place.Unreached) {
+		return notSentOn(c, place.VM, r)
 	}
 	s.event(c, "call_forwarded", timeline.Event{
 		Peer: place.VM.ID,
@@ -159,21 +159,27 @@
 	return judgeForwarded(c, place.VM, outcome)
 }
 
-// judgeForwarded tells a caller with a ticket only what the ticket's executor
-// knows. A VM that was not reached, or does not know the workspace, has not
-// looked at its records: an earlier ask with the same ticket may have run.
+// judgeForwarded judges an outcome that may be of a VM which has not looked at
+// its records: it was not reached, or does not know the workspace.
 func judgeForwarded(c *call.Call, vm fleet.VM, o call.Outcome) call.Outcome {
-	if c.Idempotent || c.Ticket == "" {
-		return o
-	}
 	switch o.Code {
 	case result.PeerUnreachable, result.NotReady, result.WrongRegion:
-		return call.Refused(result.Refuse(result.ExecutorGone, "VM %s did not look at the ticket", vm.ID).Because(o.Refusal))
+		return notSentOn(c, vm, o.Refusal)
 	default:
 		return o
 	}
 }
 
+// notSentOn is the outcome of a call that its VM has not looked at. A caller
+// with a ticket is told only what the ticket's executor knows: an earlier ask
+// with the same ticket may have run.
+func notSentOn(c *call.Call, vm fleet.VM, r *result.Refusal) call.Outcome {
+	if c.Idempotent || c.Ticket == "" {
+		return call.Refused(r)
+	}
+	return call.Refused(result.Refuse(result.ExecutorGone, "VM %s did not look at the ticket", vm.ID).Because(r))
+}
+
 // serveStranger runs a call that another region charged and sent here.
 func (s *Server) serveStranger(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
 	if r := s.refuseNew(); r != nil {
--- a/testscripts/scenario/judge.go
+++ b/testscripts/scenario/judge.go
@@ -29,8 +29,7 @@
 	Doubled   int
 	Lost      int
 	Differing int
-	// RanThoughNotRun are asks told not run of an operation that ran, unless
-	// another ask of it that had not ended when they began was not told so.
+	// RanThoughNotRun are asks told not run of an operation that had run.
 	RanThoughNotRun int
 }
 
@@ -70,9 +69,15 @@
 	}
 }
 
-// excused says that the run may be that of another ask, sent at the same time
-// or later, and that no ask that had ended before may have run it.
+// excused says that the run came after the refusal, or is that of an ask that
+// was open at the same time. Where an ask was answered as the one that ran, the
+// run is that one's; else no ask that had ended before may have run it.
 func excused(a told, asks []told) bool {
+	for _, other := range asks {
+		if other.code == result.Done {
+			return other.endedAt.After(a.beganAt)
+		}
+	}
 	open := false
 	for _, other := range asks {
 		if other.class == result.ClassNotRun {
--- a/testscripts/scenario/judge_test.go
+++ b/testscripts/scenario/judge_test.go
@@ -15,7 +15,8 @@
 // were doctored so that the verdict must see a broken promise.
 type judgeCase struct {
 	Name string `json:"name"`
-	// Asks are each a class, the ask's first and last second, and its text.
+	// Asks are each a class, the ask's first and last second, and its text. Ran
+	// marks the answer of the ask that ran the call.
 	Asks []judgedAsk `json:"asks"`
 	Runs int         `json:"runs"`
 	Want verdict     `json:"want"`
@@ -26,6 +27,7 @@
 	From  int          `json:"from"`
 	To    int          `json:"to"`
 	Text  string       `json:"text"`
+	Ran   bool         `json:"ran"`
 }
 
 func TestJudge(t *testing.T) {
@@ -37,7 +39,12 @@
 		t.Run(c.Name, func(t *testing.T) {
 			var asks []told
 			for _, a := range c.Asks {
+				code := result.Replayed
+				if a.Ran {
+					code = result.Done
+				}
 				asks = append(asks, told{
+					code:    code,
 					class:   a.Class,
 					text:    a.Text,
 					beganAt: time.Unix(int64(a.From), 0),
