--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -122,12 +122,13 @@
 		})
 		reply := proto.Size(replyOnWire(0))
 		away := proto.Size(replyOnWire(surpluses))
+		const otherPeers = 2 * sourcesPerRegion
 		for _, n := range []int{3, 8, 32, 100} {
 			b.Run(fmt.Sprintf("surpluses=%d/vms=%d", surpluses, n), func(b *testing.B) {
 				sent := float64((request+reply)*(n-1) + (request+away)*otherPeers)
 				b.ReportMetric(float64(request), "request_bytes")
 				b.ReportMetric(float64(away), "reply_bytes")
-				b.ReportMetric(sent/DefaultHeartbeatEvery(n).Seconds(), "sent_bytes/s")
+				b.ReportMetric(sent/DefaultHeartbeatEvery(n-1+otherPeers).Seconds(), "sent_bytes/s")
 				b.ReportMetric(0, "ns/op")
 			})
 		}
--- a/membership/interval.go
+++ b/membership/interval.go
@@ -5,10 +5,9 @@
 const (
 	// heartbeatLeast is the shortest default interval.
 	heartbeatLeast = 500 * time.Millisecond
-	// heartbeatPerPeer keeps the bytes that a VM sends within about 3 KB/s as its region grows.
-	heartbeatPerPeer = 62 * time.Millisecond
-	// otherPeers are the peers outside the own region, with two other regions.
-	otherPeers = 2 * sourcesPerRegion
+	// heartbeatPerPeer keeps the bytes that a VM sends within about 3 KB/s as
+	// its region and the number of regions grow.
+	heartbeatPerPeer = 75 * time.Millisecond
 	// heartbeatsPerTerm is the default lease term in heartbeats.
 	heartbeatsPerTerm = 3
 	// marginPart is the part of a lease term that a lender waits longer than
@@ -16,9 +15,9 @@
 	marginPart = 50
 )
 
-// DefaultHeartbeatEvery gives the default interval for a region's number of VMs.
-func DefaultHeartbeatEvery(vms int) time.Duration {
-	peers := vms - 1 + otherPeers
+// DefaultHeartbeatEvery gives the default interval for the number of VMs that
+// are sent heartbeats.
+func DefaultHeartbeatEvery(peers int) time.Duration {
 	return max(heartbeatLeast, time.Duration(peers)*heartbeatPerPeer)
 }
 
--- a/membership/list.go
+++ b/membership/list.go
@@ -44,12 +44,30 @@
 	}
 	s.peers = listed
 	s.sortPeers()
-	s.setIntervals(len(s.region) + 1)
+	s.setIntervals(len(s.region) + s.countSources())
 	s.setLive(live, selfLive, now)
 	s.dirty = true
 	s.revision++
 }
 
+// countSources sets how many VMs of each other region are sent heartbeats, and
+// gives their number in all.
+func (s *State) countSources() int {
+	inRegion := make(map[string]int)
+	for _, p := range s.others {
+		inRegion[p.vm.Region]++
+	}
+	s.sources = sourcesPerRegion
+	if len(inRegion) > fewRegions {
+		s.sources = 1
+	}
+	sum := 0
+	for _, vms := range inRegion {
+		sum += min(vms, s.sources)
+	}
+	return sum
+}
+
 // takeAddresses makes this VM known to callers under the addresses that the
 // platform lists for it, not those that it happens to listen on.
 func (s *State) takeAddresses(listed fleet.VM) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -25,26 +25,28 @@
 	// holdTerms are the lease terms for which a change of the list is not
 	// used: neither fewer VMs nor this VM's own place in it.
 	holdTerms = 2
-	// sourcesPerRegion are the VMs of each other region that are sent heartbeats.
+	// sourcesPerRegion are the VMs of each other region that are sent
+	// heartbeats, while there are few other regions; else it is one.
 	sourcesPerRegion = 2
+	fewRegions       = 4
 )
 
 // Options set up a State.
 type Options struct {
 	Self        fleet.VM
 	Incarnation uint64
-	// HeartbeatEvery and LeaseTerm give the intervals for the number of listed
-	// VMs of the own region; nil means the default.
-	HeartbeatEvery func(vms int) time.Duration
-	LeaseTerm      func(vms int) time.Duration
+	// HeartbeatEvery and LeaseTerm give the intervals for the number of VMs that
+	// are sent heartbeats; nil means the default.
+	HeartbeatEvery func(peers int) time.Duration
+	LeaseTerm      func(peers int) time.Duration
 }
 
 // State is what one VM knows about the fleet. It is not safe for concurrent use.
 type State struct {
 	self        fleet.VM
 	incarnation uint64
-	everyFor    func(vms int) time.Duration
-	termFor     func(vms int) time.Duration
+	everyFor    func(peers int) time.Duration
+	termFor     func(peers int) time.Duration
 	every       time.Duration
 	term        time.Duration
 
@@ -54,6 +56,8 @@
 	// holds those of the other regions, by region and then by rank for self.
 	region []*peer
 	others []*peer
+	// sources are the VMs of each other region that are sent heartbeats.
+	sources int
 
 	live     int
 	shrunk   []heldCount
@@ -93,15 +97,15 @@
 		s.everyFor = DefaultHeartbeatEvery
 	}
 	if s.termFor == nil {
-		s.termFor = func(vms int) time.Duration { return DefaultLeaseTerm(s.everyFor(vms)) }
+		s.termFor = func(peers int) time.Duration { return DefaultLeaseTerm(s.everyFor(peers)) }
 	}
 	s.setIntervals(1)
 	return s
 }
 
-func (s *State) setIntervals(vms int) {
-	s.every = s.everyFor(vms)
-	s.term = s.termFor(vms)
+func (s *State) setIntervals(peers int) {
+	s.every = s.everyFor(peers)
+	s.term = s.termFor(peers)
 }
 
 // SetReady says whether this VM has a configuration to serve by; it starts as true.
@@ -208,7 +212,7 @@
 	for _, p := range s.others {
 		if p.vm.Region != region {
 			region = p.vm.Region
-			left = sourcesPerRegion
+			left = s.sources
 			if p.lost() {
 				watched = append(watched, p)
 			}
--- a/membership/view.go
+++ b/membership/view.go
@@ -38,6 +38,8 @@
 	// VMs is the number of listed live VMs of the own region by which a single
 	// share is divided; just after the list shrank it is still the larger number.
 	VMs int
+	// Peers is the number of VMs that are sent heartbeats.
+	Peers int
 	// Leaving is set for good once this VM is stopping.
 	Leaving bool
 	// LendsFrom is when this VM begins to lend after it was started or newly listed.
--- a/node/control.go
+++ b/node/control.go
@@ -62,12 +62,12 @@
 
 // heartbeatEvery and leaseTerm are the settings' for a small fleet, and grow
 // with the region as the defaults do.
-func (n *Node) heartbeatEvery(vms int) time.Duration {
-	return max(n.settings.HeartbeatEvery.Duration, membership.DefaultHeartbeatEvery(vms))
+func (n *Node) heartbeatEvery(peers int) time.Duration {
+	return max(n.settings.HeartbeatEvery.Duration, membership.DefaultHeartbeatEvery(peers))
 }
 
-func (n *Node) leaseTerm(vms int) time.Duration {
-	return max(n.settings.LeaseTerm.Duration, membership.DefaultLeaseTerm(n.heartbeatEvery(vms)))
+func (n *Node) leaseTerm(peers int) time.Duration {
+	return max(n.settings.LeaseTerm.Duration, membership.DefaultLeaseTerm(n.heartbeatEvery(peers)))
 }
 
 // send passes a message to the control goroutine; it is lost when ctx ends first.
@@ -108,8 +108,9 @@
 		case <-timer.C:
 		}
 		now := c.node.now()
-		c.heartbeats(ctx, now)
+		// Traffic sees the view before a heartbeat says which loan is held.
 		c.publish(now)
+		c.heartbeats(ctx, now)
 		timer.Reset(max(c.members.Next(now).Sub(now), time.Millisecond))
 	}
 }
--- a/node/group.go
+++ b/node/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/oklog/run"
 
@@ -12,6 +13,9 @@
 	"github.com/fuchsianotch/fuchsianotch/peer"
 )
 
+// sweepEvery is how often unused accounts are forgotten.
+const sweepEvery = time.Minute
+
 // addWorker adds a goroutine that runs until the group stops.
 func addWorker(group *run.Group, work func(ctx context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -29,6 +33,16 @@
 	addWorker(group, n.followSource)
 	addWorker(group, n.pullOnDemand)
 	addWorker(group, n.pools.run)
+	addWorker(group, n.sweepAccounts)
+}
+
+// sweepAccounts forgets accounts of workspaces that have not called for long.
+func (n *Node) sweepAccounts(ctx context.Context) error {
+	for ctx.Err() == nil {
+		n.sleepUntil(ctx, n.now().Add(sweepEvery))
+		n.ledger.Sweep(n.now())
+	}
+	return nil
 }
 
 func (n *Node) addFronts(group *run.Group, f *fronts) error {
--- a/node/stop.go
+++ b/node/stop.go
@@ -35,11 +35,11 @@
 	n.changeState("stopping")
 	n.stopping.Store(true)
 	n.control.send(ctx, left{})
-	n.sleepUntil(ctx, n.now().Add(tellBeats*n.heartbeatEvery(n.view().VMs)))
+	n.sleepUntil(ctx, n.now().Add(tellBeats*n.heartbeatEvery(n.view().Peers)))
 	n.desk.Stop()
 	n.awaitIdle(ctx, n.desk.Idle)
 	if n.handOver(ctx) {
-		n.sleepUntil(ctx, n.now().Add(tellBeats*n.heartbeatEvery(n.view().VMs)))
+		n.sleepUntil(ctx, n.now().Add(tellBeats*n.heartbeatEvery(n.view().Peers)))
 	}
 	n.serving.Stop()
 	n.awaitIdle(ctx, func() bool { return n.serving.InFlight() == 0 })
--- a/testscripts/measure/fit.go
+++ b/testscripts/measure/fit.go
@@ -16,8 +16,9 @@
 	letterVMs        = 380
 	letterRegions    = 12
 	sourcesPerRegion = 2
+	fewOtherRegions  = 4
 	heartbeatLeast   = 0.5
-	heartbeatPerVM   = 0.062
+	heartbeatPerPeer = 0.075
 )
 
 // fitted is one figure against one quantity that it should follow.
@@ -88,8 +89,12 @@
 // each other region, once an interval that grows with its region.
 func heartbeatsPerSecond(vms, regions float64) float64 {
 	own := vms / regions
-	every := max(heartbeatLeast, heartbeatPerVM*own)
-	return (own - 1 + sourcesPerRegion*(regions-1)) / every
+	sources := sourcesPerRegion
+	if regions-1 > fewOtherRegions {
+		sources = 1
+	}
+	peers := own - 1 + float64(sources)*(regions-1)
+	return peers / max(heartbeatLeast, heartbeatPerPeer*peers)
 }
 
 // line is a fit by least squares.
