Offer by the own mean demand, so that lending does not shrink the offer

Cause: the lending VMs' counters, second by second in "regions" with all endpoints of a region lost: offers to each asking VM began at 12,700 tokens a second and fell to 0 to 4,000 within two seconds and stayed there, with 7 to 18 of 32 slots free. The demand was the peak of 16 s with strangers in it, and the credit for strangers was of the last seconds alone, so each borrowed call raised the peak for 16 s: from 22 to 31 slots at an own mean of 19.

Ruled out: late refusals (calls left with their whole 2 s), the lending side's bucket (1 of 15 calls), own calls that wait (none then), the charge for borrowing.

Change: the mean of 16 s in place of the peak, of the region's busy slots less the strangers in flight at the same moments. Free slots now are judged with strangers in flight added. The gate's decayed rate of strangers is gone. The benchmark's VMs do the same.

The other regions' p99 grows, since strangers take the last free slots.

--- a/borrow/decision_test.go
+++ b/borrow/decision_test.go
@@ -27,12 +27,14 @@
 	warmUp       = 60 * time.Second
 	runFor       = 240 * time.Second
 	holdSeconds  = 2.0
-	promptTokens = 1100
-	prefixTokens = 1000
-	maxTokens    = 256
-	firstWithin  = 1500 * time.Millisecond
-	wholeWithin  = 10 * time.Second
-	target       = "advice"
+	// demandSeconds is the time over which own demand is averaged.
+	demandSeconds = 16
+	promptTokens  = 1100
+	prefixTokens  = 1000
+	maxTokens     = 256
+	firstWithin   = 1500 * time.Millisecond
+	wholeWithin   = 10 * time.Second
+	target        = "advice"
 	// policyUndamped is the decision without the damper and the gate.
 	policyUndamped = "undamped"
 )
@@ -85,8 +87,10 @@
 	damper *borrow.Damper
 	gate   borrow.Gate
 	waits  map[uint64]*job
-	busy   []float64
-	offers map[string]borrow.Offer
+	// own are samples of the region's demand without strangers.
+	own       []float64
+	strangers int
+	offers    map[string]borrow.Offer
 }
 
 // job is one call of a caller.
@@ -96,6 +100,8 @@
 	cameAt       time.Time
 	away         bool
 	refused      func()
+	// ended is set for a stranger that was taken.
+	ended func()
 }
 
 type rig struct {
@@ -200,11 +206,11 @@
 // offer tells the VM's surplus to the VMs of other regions.
 func (r *rig) offer(m *vm) {
 	supply := m.pool.Supply(r.clock.Now())
-	m.busy = append(m.busy, supply.Slots-supply.Free)
-	if len(m.busy) > 5 {
-		m.busy = m.busy[1:]
+	m.own = append(m.own, supply.Slots-supply.Free-float64(m.strangers*vmsPerRegion))
+	if len(m.own) > demandSeconds {
+		m.own = m.own[1:]
 	}
-	o := m.gate.Offer(r.surplus(m), r.clock.Now())
+	o := borrow.Surplus(r.surplus(m), r.clock.Now())
 	o.OneWay = oneWay
 	r.clock.After(oneWay, func() {
 		for _, other := range r.vms {
@@ -219,9 +225,9 @@
 	now := r.clock.Now()
 	supply := m.pool.Supply(now)
 	wait, _ := m.pool.Estimate(routing.Request{}, now)
-	peak := 0.0
-	for _, b := range m.busy {
-		peak = max(peak, b)
+	own := 0.0
+	for _, slots := range m.own {
+		own += slots / float64(len(m.own))
 	}
 	return borrow.State{
 		Region:           fmt.Sprint(m.region),
@@ -231,7 +237,8 @@
 		Free:             supply.Free,
 		TokensPerSecond:  supply.SlotTokensPerSecond,
 		PrefillPerSecond: supply.PrefillPerSecond,
-		Demand:           peak,
+		Demand:           max(own, 0),
+		Strangers:        float64(m.strangers * vmsPerRegion),
 		Waiting:          len(m.waits),
 		Wait:             wait,
 		VMs:              vmsPerRegion,
@@ -340,6 +347,13 @@
 		return
 	}
 	r.clock.After(oneWay, func() { from.damper.Served(offer, r.clock.Now()) })
+	m.strangers++
+	refused := j.refused
+	j.ended = func() { m.strangers-- }
+	j.refused = func() {
+		j.ended()
+		refused()
+	}
 	r.admit(m, j)
 }
 
@@ -373,6 +387,9 @@
 		First:        func() { firstAt = r.clock.Now() },
 		End: func(u call.Usage) {
 			r.count(j, firstAt.Add(back), r.clock.Now().Add(back))
+			if j.away {
+				j.ended()
+			}
 			m.pool.Done(choice, routing.Outcome{
 				Code:    result.Done,
 				Usage:   u,
--- a/borrow/surplus.go
+++ b/borrow/surplus.go
@@ -1,7 +1,6 @@
 package borrow
 
 import (
-	"math"
 	"sync"
 	"time"
 )
@@ -11,8 +10,6 @@
 	reserveShare = 0.1
 	// acceptBurst is how many seconds of the offered rate strangers may use at once.
 	acceptBurst = 1.0
-	// usedHalf is the time in which a past stranger counts for half.
-	usedHalf = 4 * time.Second
 )
 
 // State is what a VM knows of its region's capacity for one target.
@@ -27,8 +24,8 @@
 	// together. PrefillPerSecond is that of a cold prompt.
 	TokensPerSecond  float64
 	PrefillPerSecond float64
-	// Demand is the region's recent demand in slots, its peak of some seconds, and
-	// Strangers the part of it that came from other regions.
+	// Demand is the region's own recent demand in slots, its mean of some seconds,
+	// and Strangers the slots that calls of other regions hold now.
 	Demand    float64
 	Strangers float64
 	// Waiting is how many own calls wait.
@@ -55,7 +52,7 @@
 	if s.Waiting > 0 || !s.Until.After(now) {
 		return o
 	}
-	free := min(s.Free, s.Slots-s.Demand) + s.Strangers - reserveShare*s.Slots
+	free := min(s.Free+s.Strangers, s.Slots-s.Demand) - reserveShare*s.Slots
 	o.TokensPerSecond = max(free, 0) * s.TokensPerSecond / float64(max(s.VMs, 1))
 	return o
 }
@@ -64,49 +61,26 @@
 // concurrent use.
 type Gate struct {
 	mu sync.Mutex
-	// tokens is the bucket of the surplus, used the smoothed rate taken from it.
+	// tokens is the bucket of the surplus.
 	tokens float64
-	used   float64
 	at     time.Time
 }
 
-// Offer gives what the VM offers to other regions now. It fills in Strangers,
-// so that what others use already does not make the offer smaller.
-func (g *Gate) Offer(s State, now time.Time) Offer {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.offer(s, now)
-}
-
-func (g *Gate) offer(s State, now time.Time) Offer {
-	if s.TokensPerSecond > 0 {
-		s.Strangers = g.rate(now) / s.TokensPerSecond * float64(max(s.VMs, 1))
-	}
-	return Surplus(s, now)
-}
-
-// rate is the decayed rate of tokens that strangers use.
-func (g *Gate) rate(now time.Time) float64 {
-	return g.used * math.Exp2(-float64(now.Sub(g.at))/float64(usedHalf))
-}
-
 // Accept says whether a call of another region with so many tokens may enter.
 // State must be of now: own calls that wait or a spent surplus refuse it.
 func (g *Gate) Accept(s State, tokens float64, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	rate := g.offer(s, now).TokensPerSecond
+	rate := Surplus(s, now).TokensPerSecond
 	filled := rate * acceptBurst
 	if !g.at.IsZero() {
 		filled = min(g.tokens+rate*now.Sub(g.at).Seconds(), filled)
 	}
 	g.tokens = filled
-	g.used = g.rate(now)
 	g.at = now
 	if rate <= 0 || g.tokens <= 0 {
 		return false
 	}
 	g.tokens -= tokens
-	g.used += tokens * math.Ln2 / usedHalf.Seconds()
 	return true
 }
--- a/node/away.go
+++ b/node/away.go
@@ -20,7 +20,7 @@
 func (p *pools) surplus(now time.Time) []membership.Surplus {
 	var out []membership.Surplus
 	for target, pool := range p.table.Load().byTarget {
-		o := pool.gate.Offer(p.borrowState(pool, now), now)
+		o := borrow.Surplus(p.borrowState(pool, now), now)
 		if o.TokensPerSecond <= 0 {
 			continue
 		}
@@ -37,6 +37,7 @@
 func (p *pools) borrowState(pool *targetPool, now time.Time) borrow.State {
 	supply := pool.Endpoints.Supply(now)
 	wait, _ := pool.Endpoints.Estimate(routing.Request{}, now)
+	vms := p.node.view().VMs
 	return borrow.State{
 		Region:           p.node.settings.Region,
 		VM:               p.node.settings.VM,
@@ -45,11 +46,11 @@
 		Free:             supply.Free,
 		TokensPerSecond:  supply.SlotTokensPerSecond,
 		PrefillPerSecond: supply.PrefillPerSecond,
-		Demand:           pool.demand.peak(now),
-		Strangers:        float64(pool.strangers.Load()),
+		Demand:           pool.demand.own(vms, now),
+		Strangers:        float64(pool.strangers.Load()) * float64(vms),
 		Waiting:          pool.waiting(),
 		Wait:             wait,
-		VMs:              p.node.view().VMs,
+		VMs:              vms,
 		Until:            now.Add(offerGoodFor),
 	}
 }
@@ -64,7 +65,11 @@
 		return nil, result.Refuse(result.NoSurplus, "region %s has no surplus of %s", p.node.settings.Region, c.Target())
 	}
 	pool.strangers.Add(1)
-	return func() { pool.strangers.Add(-1) }, nil
+	pool.demand.lend(1)
+	return func() {
+		pool.strangers.Add(-1)
+		pool.demand.lend(-1)
+	}, nil
 }
 
 // borrow chooses a VM of another region with surplus for a call that this
