Spread the times at which refused calls may come back

Seen at the engines (asked every 100 ms): batches full, 7.6 of 8 running, 1.4 to 1.7 waiting on average, 10 at most. Each call was tried 5.8 times, as every refusal named a time about 20 ms ahead; a call that came back began a new first-token bound, had less of its deadline left and so went before new calls, and was late by the caller's count.

Ruled out: VMs that fill the same engines between load reports as the main cause.

Change: refused calls are told times one after the other, at the rate that the calls which come anyway leave, a tenth of the drain at least; a call with too little time left by then is told its deadline or later. The arrival rate is corrected for the short time seen, without which it was too low for the first minute.

--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -11,6 +11,8 @@
 const (
 	// rateHalf is the time in which a past arrival counts for half.
 	rateHalf = 20 * time.Second
+	// rateLeast is the time seen that a rate is counted over at least.
+	rateLeast = 2 * time.Second
 	// holdWeight is the weight of a new sample in the time a call holds its slot.
 	holdWeight = 0.05
 	// leastDrain is the part of the drain that the lowest priority counts on at least.
@@ -21,6 +23,8 @@
 	// already and for any report, as a forecast of many seconds is often too long.
 	queuedMargin = 0.7
 	reportMargin = 0.3
+	// comeBackShare is the part of the drain that is promised to refused calls at least.
+	comeBackShare = 0.1
 	// farFuture bounds an expected wait.
 	farFuture = 1000 * time.Hour
 )
@@ -30,6 +34,8 @@
 
 // demand is the recent demand of each priority.
 type demand struct {
+	// since is when the first call came.
+	since time.Time
 	// rate is arrivals a second as of rateAt, hold the seconds a call keeps a slot.
 	rate   [call.Priorities]float64
 	rateAt [call.Priorities]time.Time
@@ -37,18 +43,26 @@
 }
 
 func (d *demand) arrived(p call.Priority, now time.Time) {
-	d.rate[p] = d.perSecond(p, now) + math.Ln2/rateHalf.Seconds()
+	if d.since.IsZero() {
+		d.since = now
+	}
+	d.rate[p] = d.decayed(p, now) + math.Ln2/rateHalf.Seconds()
 	d.rateAt[p] = now
 }
 
-// perSecond is the decayed arrival rate.
-func (d *demand) perSecond(p call.Priority, now time.Time) float64 {
+func (d *demand) decayed(p call.Priority, now time.Time) float64 {
 	if d.rate[p] == 0 {
 		return 0
 	}
 	return d.rate[p] * math.Exp2(-float64(now.Sub(d.rateAt[p]))/float64(rateHalf))
 }
 
+// perSecond is the decayed arrival rate, corrected for the short time seen.
+func (d *demand) perSecond(p call.Priority, now time.Time) float64 {
+	seen := max(now.Sub(d.since), rateLeast)
+	return d.decayed(p, now) / (1 - math.Exp2(-float64(seen)/float64(rateHalf)))
+}
+
 func (d *demand) held(p call.Priority, hold time.Duration) {
 	if d.hold[p] == 0 {
 		d.hold[p] = hold.Seconds()
@@ -155,6 +169,35 @@
 	return max(rate, leastDrain*ends)
 }
 
+// promise is when a refused call may come back: not before at, and one after the
+// other at the rate that new calls leave, so that those who come back do not add
+// to the overload together. One that would have too little of its time left by
+// then is told its deadline or later, and no place is kept for it.
+func (s *State) promise(e entry, at time.Time, supply routing.Supply, now time.Time) time.Time {
+	p := e.request.Priority
+	drain := s.drain(p, supply, now)
+	spare := max(drain-s.demand.perSecond(p, now), comeBackShare*drain)
+	if next := s.promised[p].Add(perSecond(1, spare)); next.After(at) {
+		at = next
+	}
+	r := e.request
+	r.FirstBy = time.Time{}
+	last := latestStart(r, supply)
+	patience := min(e.latest.Sub(e.at), last.Sub(e.at)/2)
+	if at.Add(patience).After(last) {
+		return later(at, r.WholeBy)
+	}
+	s.promised[p] = at
+	return at
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // forecastNew refuses a call that has just come and would start too late.
 func (s *State) forecastNew(id uint64, p call.Priority, supply routing.Supply, now time.Time) {
 	l := &s.waiting[p]
--- a/admission/state.go
+++ b/admission/state.go
@@ -70,6 +70,8 @@
 	// inFlight counts running by priority.
 	inFlight [call.Priorities]int
 	demand   demand
+	// promised is the latest time that a refused call was told to come back at.
+	promised [call.Priorities]time.Time
 	actions  []Action
 }
 
@@ -194,7 +196,8 @@
 		return time.Time{}
 	}
 	wait := s.forecast(s.ahead(e.request.Priority), e.request.Priority, supply, now)
-	return now.Add(max(wait-patience, supply.Hold/time.Duration(max(supply.Slots, 1))))
+	at := now.Add(max(wait-patience, supply.Hold/time.Duration(max(supply.Slots, 1))))
+	return s.promise(e, at, supply, now)
 }
 
 // start gives places to waiting calls while there are any.
@@ -298,7 +301,7 @@
 		for len(l.entries) > 0 && over > 0 {
 			e := l.removeAt(len(l.entries) - 1)
 			wait := s.forecast(s.ahead(e.request.Priority), e.request.Priority, supply, now)
-			s.refuse(e.id, result.QueueFull, now.Add(wait))
+			s.refuse(e.id, result.QueueFull, s.promise(e, now.Add(wait), supply, now))
 			over--
 		}
 	}
