--- a/node/away.go
+++ b/node/away.go
@@ -21,7 +21,7 @@
 	var out []membership.Surplus
 	for target, pool := range p.table.Load().byTarget {
 		o := borrow.Surplus(p.borrowState(pool, now), now)
-		if o.TokensPerSecond <= 0 {
+		if o.TokensPerSecond <= 0 && !p.always() {
 			continue
 		}
 		out = append(out, membership.Surplus{
@@ -55,13 +55,18 @@
 	}
 }
 
+// always says whether strangers are taken and sent whatever is free.
+func (p *pools) always() bool {
+	return p.node.settings.Policies.Borrowing == borrow.PolicyAlways
+}
+
 // accept lets a call of another region use this region's surplus, or refuses
 // it. The function that it gives must be called once the call has ended.
 func (p *pools) accept(c *call.Call) (func(), *result.Refusal) {
 	now := p.node.now()
 	pool, ok := p.table.Load().byTarget[c.Target()]
 	tokens := float64(c.PromptTokens + c.MaxTokens)
-	if !ok || !pool.gate.Accept(p.borrowState(pool, now), tokens, now) {
+	if !ok || (!p.always() && !pool.gate.Accept(p.borrowState(pool, now), tokens, now)) {
 		return nil, result.Refuse(result.NoSurplus, "region %s has no surplus of %s", p.node.settings.Region, c.Target())
 	}
 	pool.strangers.Add(1)
