Read test data and end stand-ins in one place each

Cause: 22 tests read their tables by the same five lines, two ran scripts by the same loop, and two stand-ins ended alike. Change: common/datatest and standin/graceful. Assertions and data are unchanged; all tests of these packages pass.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -3,12 +3,10 @@
 import (
 	"bufio"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -17,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/membership"
@@ -89,10 +88,7 @@
 }
 
 func TestRequests(t *testing.T) {
-	data, err := os.ReadFile("testdata/requests.json")
-	assert.NilError(t, err)
-	var rows []requestRow
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]requestRow](t, "testdata/requests.json")
 	for _, row := range rows {
 		t.Run(row.Name, row.run)
 	}
@@ -276,10 +272,7 @@
 // FuzzChatBody decodes any body. It must not panic, and what it lets through
 // must be within the model's bounds.
 func FuzzChatBody(f *testing.F) {
-	data, err := os.ReadFile("testdata/requests.json")
-	assert.NilError(f, err)
-	var rows []requestRow
-	assert.NilError(f, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]requestRow](f, "testdata/requests.json")
 	for _, row := range rows {
 		f.Add([]byte(row.Body))
 	}
--- a/common/jsonc/jsonc_test.go
+++ b/common/jsonc/jsonc_test.go
@@ -1,13 +1,13 @@
 package jsonc
 
 import (
-	"encoding/json"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 )
 
 type sample struct {
@@ -31,10 +31,7 @@
 }
 
 func TestDecode(t *testing.T) {
-	data, err := os.ReadFile("testdata/problems.json")
-	assert.NilError(t, err)
-	var cases []problemCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
+	cases := datatest.Read[[]problemCase](t, "testdata/problems.json")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			_, problem := Decode[sample]("f", []byte(c.Data))
--- a/configuration/order_test.go
+++ b/configuration/order_test.go
@@ -1,15 +1,14 @@
 package configuration
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/contract"
 )
 
@@ -114,10 +113,7 @@
 // TestOrders offers the documents of each row in every order, all to one VM
 // from the platform, and split between two VMs that then pull from each other.
 func TestOrders(t *testing.T) {
-	data, err := os.ReadFile("testdata/orders.json")
-	assert.NilError(t, err)
-	var rows []order
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]order](t, "testdata/orders.json")
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			var digest Digest
--- a/configuration/relay_test.go
+++ b/configuration/relay_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -13,14 +11,12 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
 func readRows[T any](t *testing.T, name string) []T {
-	data, err := os.ReadFile(name)
-	assert.NilError(t, err)
-	var rows []T
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]T](t, name)
 	return rows
 }
 
--- a/contract/parse_test.go
+++ b/contract/parse_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -62,10 +63,7 @@
 
 func readCases(t *testing.T, path string) []refusedCase {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	assert.NilError(t, err)
-	var cases []refusedCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
+	cases := datatest.Read[[]refusedCase](t, path)
 	return cases
 }
 
--- a/limit/script_test.go
+++ b/limit/script_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/rogpeppe/go-internal/txtar"
-	"gotest.tools/v3/assert"
-
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/contract"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
@@ -29,34 +26,15 @@
 var origin = time.Unix(1e9, 0)
 
 func TestLedgerScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/ledger/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		archive, err := txtar.ParseFile(file)
-		assert.NilError(t, err)
-		for _, f := range archive.Files {
-			t.Run(f.Name, func(t *testing.T) { runScript(t, string(f.Data)) })
+	datatest.Scripts(t, "testdata/ledger/*.txtar", func() datatest.Do {
+		s := &script{
+			ledgers: make(map[string]*Ledger),
+			held:    make(map[string]Request),
+			open:    make(map[string]Reservation),
+			now:     origin,
 		}
-	}
-}
-
-func runScript(t *testing.T, text string) {
-	s := &script{
-		ledgers: make(map[string]*Ledger),
-		held:    make(map[string]Request),
-		open:    make(map[string]Reservation),
-		now:     origin,
-	}
-	for line := range strings.Lines(text) {
-		command, want, _ := strings.Cut(strings.TrimSpace(line), "->")
-		words := strings.Fields(command)
-		if len(words) == 0 {
-			continue
-		}
-		got := s.do(t, words[0], words[1:])
-		assert.Equal(t, got, strings.TrimSpace(want), line)
-	}
+		return s.do
+	})
 }
 
 // do runs a command; the first argument of most is the VM it happens at.
--- a/membership/catchup_test.go
+++ b/membership/catchup_test.go
@@ -1,13 +1,12 @@
 package membership
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
@@ -31,10 +30,7 @@
 }
 
 func TestCaughtUp(t *testing.T) {
-	data, err := os.ReadFile("testdata/catchup.json")
-	assert.NilError(t, err)
-	var rows []catchUpRow
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]catchUpRow](t, "testdata/catchup.json")
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			s := newState(vm("a"))
--- a/membership/rights_test.go
+++ b/membership/rights_test.go
@@ -1,13 +1,12 @@
 package membership
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
@@ -31,10 +30,7 @@
 }
 
 func TestExecutor(t *testing.T) {
-	data, err := os.ReadFile("testdata/rights.json")
-	assert.NilError(t, err)
-	var cases []rightsCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
+	cases := datatest.Read[[]rightsCase](t, "testdata/rights.json")
 	for _, c := range cases {
 		t.Run(c.Name, c.test)
 	}
--- a/membership/script_test.go
+++ b/membership/script_test.go
@@ -2,15 +2,14 @@
 
 import (
 	"fmt"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/rogpeppe/go-internal/txtar"
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
@@ -28,34 +27,15 @@
 var origin = time.Unix(1e9, 0)
 
 func TestScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	assert.NilError(t, err)
-	assert.Assert(t, len(files) > 0)
-	for _, file := range files {
-		archive, err := txtar.ParseFile(file)
-		assert.NilError(t, err)
-		for _, f := range archive.Files {
-			t.Run(f.Name, func(t *testing.T) { runScript(t, string(f.Data)) })
-		}
-	}
-}
-
-func runScript(t *testing.T, text string) {
-	s := &script{
-		state: newState(vm("a")),
-		now:   origin,
-		beats: make(map[string]Beat),
-		lent:  make(map[string][]uint64),
-	}
-	for line := range strings.Lines(text) {
-		command, want, _ := strings.Cut(strings.TrimSpace(line), "->")
-		words := strings.Fields(command)
-		if len(words) == 0 {
-			continue
+	datatest.Scripts(t, "testdata/*.txtar", func() datatest.Do {
+		s := &script{
+			state: newState(vm("a")),
+			now:   origin,
+			beats: make(map[string]Beat),
+			lent:  make(map[string][]uint64),
 		}
-		got := strings.TrimSpace(s.do(t, words[0], words[1:]))
-		assert.Equal(t, got, strings.TrimSpace(want), line)
-	}
+		return s.do
+	})
 }
 
 func newState(self fleet.VM) *State {
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -7,12 +7,12 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
@@ -27,10 +27,7 @@
 		Body     string      `json:"body"`
 		Code     result.Code `json:"code"`
 	}
-	data, err := os.ReadFile("testdata/requests.json")
-	assert.NilError(t, err)
-	var rows []row
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]row](t, "testdata/requests.json")
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) {
 			front := New(Options{
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -17,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -42,10 +41,7 @@
 }
 
 func TestForward(t *testing.T) {
-	data, err := os.ReadFile("testdata/forwards.json")
-	assert.NilError(t, err)
-	var rows []forwardRow
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]forwardRow](t, "testdata/forwards.json")
 	for _, row := range rows {
 		t.Run(row.Name, row.run)
 	}
--- a/peer/parts_test.go
+++ b/peer/parts_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
-	"os"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -28,10 +27,7 @@
 }
 
 func TestParts(t *testing.T) {
-	data, err := os.ReadFile("testdata/parts.json")
-	assert.NilError(t, err)
-	var cases []partsCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
+	cases := datatest.Read[[]partsCase](t, "testdata/parts.json")
 	for _, c := range cases {
 		t.Run(c.Name, c.test)
 	}
--- a/replay/replay_test.go
+++ b/replay/replay_test.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +13,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 )
 
 // answerCase is one answer of a VM, the outcome stated, and what is reported
@@ -42,10 +42,7 @@
 
 func readTable[T any](t *testing.T, path string) []T {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	assert.NilError(t, err)
-	var rows []T
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]T](t, path)
 	return rows
 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -1,14 +1,13 @@
 package retry
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -26,10 +25,7 @@
 }
 
 func TestDecide(t *testing.T) {
-	data, err := os.ReadFile("testdata/decide.json")
-	assert.NilError(t, err)
-	var cases []decideCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
+	cases := datatest.Read[[]decideCase](t, "testdata/decide.json")
 	now := time.Date(2026, time.March, 1, 6, 0, 0, 0, time.UTC)
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
@@ -47,8 +43,9 @@
 				a.WholeBy = now.Add(left)
 			}
 			if c.Needed != "" {
-				a.Needed, err = time.ParseDuration(c.Needed)
+				needed, err := time.ParseDuration(c.Needed)
 				assert.NilError(t, err)
+				a.Needed = needed
 			}
 			assert.Equal(t, Decide(a, now), c.Want)
 		})
--- a/serving/placement_test.go
+++ b/serving/placement_test.go
@@ -1,14 +1,13 @@
 package serving
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/contract"
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
@@ -45,10 +44,7 @@
 }
 
 func TestPlace(t *testing.T) {
-	data, err := os.ReadFile("testdata/placement.json")
-	assert.NilError(t, err)
-	var rows []placementRow
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]placementRow](t, "testdata/placement.json")
 	for _, row := range rows {
 		t.Run(row.Name, func(t *testing.T) { assert.Equal(t, row.place(), row.Want) })
 	}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -30,10 +31,7 @@
 	const path = "testdata/refused.json"
 	accepted, err := os.ReadFile(acceptedPath)
 	assert.NilError(t, err)
-	data, err := os.ReadFile(path)
-	assert.NilError(t, err)
-	var cases []refusedCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
+	cases := datatest.Read[[]refusedCase](t, path)
 	for i := range cases {
 		c := &cases[i]
 		t.Run(c.Name, func(t *testing.T) {
--- a/standin/caller/stream_test.go
+++ b/standin/caller/stream_test.go
@@ -1,14 +1,13 @@
 package caller
 
 import (
-	"encoding/json"
-	"os"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -55,9 +54,6 @@
 
 func readTable[T any](t *testing.T, path string) []T {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	assert.NilError(t, err)
-	var table []T
-	assert.NilError(t, json.Unmarshal(data, &table))
+	table := datatest.Read[[]T](t, path)
 	return table
 }
--- a/standin/endpoint/endpoint_test.go
+++ b/standin/endpoint/endpoint_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	client "github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -88,10 +88,7 @@
 // TestAnswers meets the stand-in with the gateway's client, so that both keep
 // to one protocol.
 func TestAnswers(t *testing.T) {
-	data, err := os.ReadFile("testdata/answers.json")
-	assert.NilError(t, err)
-	var rows []row
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]row](t, "testdata/answers.json")
 	for _, r := range rows {
 		t.Run(r.Name, r.test)
 	}
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/common/jsonc"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/standin/caller"
@@ -21,10 +20,7 @@
 
 func readTable[T any](t *testing.T, path string) []T {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	assert.NilError(t, err)
-	var rows []T
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]T](t, path)
 	return rows
 }
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/standin/graceful"
 )
 
 // Errors of the protocol.
@@ -26,9 +27,6 @@
 	ErrConflict = errors.New("the revision differs from If-Revision")
 )
 
-// stopWithin bounds how long Serve waits for open calls when it ends.
-const stopWithin = 5 * time.Second
-
 // Platform is the state of the stand-in. It is safe for concurrent use.
 type Platform struct {
 	mu       sync.Mutex
@@ -54,17 +52,7 @@
 		ReadHeaderTimeout: maxWait,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
-	stopped := make(chan error, 1)
-	go func() {
-		<-ctx.Done()
-		limit, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopWithin)
-		defer cancel()
-		stopped <- server.Shutdown(limit)
-	}()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return <-stopped
+	return graceful.Serve(ctx, listener, server)
 }
 
 // Load publishes each file DIR/a/b.json under the key a/b, in the order of names.
--- a/standin/service/service_test.go
+++ b/standin/service/service_test.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
@@ -28,10 +28,7 @@
 // TestAnswers meets the stand-in with the gateway's client, so that both keep
 // to one protocol.
 func TestAnswers(t *testing.T) {
-	data, err := os.ReadFile("testdata/answers.json")
-	assert.NilError(t, err)
-	var rows []row
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]row](t, "testdata/answers.json")
 	for _, r := range rows {
 		t.Run(r.Name, r.test)
 	}
--- a/testscripts/scenario/judge_test.go
+++ b/testscripts/scenario/judge_test.go
@@ -1,13 +1,12 @@
 package scenario
 
 import (
-	"encoding/json"
-	"os"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -31,10 +30,7 @@
 }
 
 func TestJudge(t *testing.T) {
-	data, err := os.ReadFile("testdata/judge.json")
-	assert.NilError(t, err)
-	var cases []judgeCase
-	assert.NilError(t, json.Unmarshal(data, &cases))
+	cases := datatest.Read[[]judgeCase](t, "testdata/judge.json")
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
 			var asks []told
--- a/timeline/timeline_test.go
+++ b/timeline/timeline_test.go
@@ -1,7 +1,6 @@
 package timeline
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -13,6 +12,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 )
 
 // TestMain fixes the seed, so that each run has the same verdict.
@@ -25,10 +26,7 @@
 }
 
 func readRows[T any](t *testing.T, name string) []T {
-	data, err := os.ReadFile(name)
-	assert.NilError(t, err)
-	var rows []T
-	assert.NilError(t, json.Unmarshal(data, &rows))
+	rows := datatest.Read[[]T](t, name)
 	return rows
 }
 
