Refuse a call that would start only just in time

A tenth of the drain went to callers who came back, whose first token no longer counts as in time.

Change: a call that comes must have time for 1.3 times its expected wait, and 3% of the drain instead of 10% are kept for callers who come back while calls that come anyway take it all.

--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -19,12 +19,15 @@
 	leastDrain = 0.01
 	// leastHold bounds the time that a call keeps its slot, in seconds.
 	leastHold = 0.001
-	// queuedMargin and reportMargin multiply the forecast for a call that waits
-	// already and for any report, as a forecast of many seconds is often too long.
+	// newMargin, queuedMargin and reportMargin multiply the forecast for a call that
+	// comes, for one that waits already and for any report. A call that would start
+	// only just in time is refused, as in lasting overload a shorter queue loses
+	// nothing; a forecast of many seconds is often too long.
+	newMargin    = 1.3
 	queuedMargin = 0.7
 	reportMargin = 0.3
 	// comeBackShare is the part of the drain that is promised to refused calls at least.
-	comeBackShare = 0.1
+	comeBackShare = 0.03
 	// farFuture bounds an expected wait.
 	farFuture = 1000 * time.Hour
 )
@@ -206,7 +209,7 @@
 		return
 	}
 	before := s.ahead(p) - len(l.entries)
-	if s.misses(l.entries[at], before+at, 1, supply, now) {
+	if s.misses(l.entries[at], before+at, newMargin, supply, now) {
 		s.refuseLate(l.removeAt(at), supply, now)
 	}
 }
