ticket: leave the splitting of hand-overs to peer

Cause: parts of a hand-over stood twice, in ticket and, written at the same time, in peer, which is where message sizes belong and which hands the desk only whole hand-overs.

--- a/ticket/desk.go
+++ b/ticket/desk.go
@@ -76,11 +76,7 @@
 	// until then or less, and without a record, nobody knows whether it ran.
 	swept time.Time
 	// until is when an adopted claim can be forgotten.
-	until time.Time
-	// total is how many records an incoming claim needs; dropped counts those of
-	// a copy that were swept.
-	total   int
-	dropped int
+	until   time.Time
 	entries map[uint64]*Entry
 }
 
@@ -318,7 +314,6 @@
 		e := d.ended[0]
 		e.claim.swept = later(e.claim.swept, e.goodUntil)
 		e.claim.closed = later(e.claim.closed, e.goodUntil)
-		e.claim.dropped++
 		d.drop(e)
 	}
 }
--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -31,12 +31,8 @@
 	Until time.Time
 	// Closed and Swept are good-untils: tickets up to Closed can no longer be
 	// used; of those up to Swept records were dropped.
-	Closed time.Time
-	Swept  time.Time
-	// Total is how many records the taker of the rights must have, from this
-	// hand-over or from its parts that came before as copies. Zero with records
-	// says that all are in this hand-over.
-	Total   int
+	Closed  time.Time
+	Swept   time.Time
 	Records []HandedRecord
 }
 
@@ -124,7 +120,6 @@
 			r.Records = append(r.Records, e.handed())
 		}
 	}
-	r.Total = len(r.Records)
 	slices.SortFunc(r.Records, func(a, b HandedRecord) int { return cmp.Compare(a.Ticket, b.Ticket) })
 	return r
 }
@@ -187,7 +182,6 @@
 		closed:  r.Closed,
 		swept:   r.Swept,
 		until:   r.Until,
-		total:   r.Total,
 		entries: make(map[uint64]*Entry, len(r.Records)),
 	}
 	for _, record := range r.Records {
@@ -213,20 +207,19 @@
 }
 
 func (d *Desk) acceptable(h HandOver, incoming []*claim, now time.Time) bool {
+	records := 0
 	for _, c := range incoming {
 		if c.of == d.self || c.held && !d.mayHold(h, c) {
 			return false
 		}
+		if d.isNew(c, now) {
+			records += len(c.entries)
+		}
 	}
-	if !d.fits(d.missing(incoming, now), 0) {
+	if d.entries+records > d.count {
 		d.dropCopies()
 	}
-	complete := func(c *claim) bool { return !c.held || d.complete(c, now) }
-	return d.fits(d.missing(incoming, now), 0) && all(incoming, complete)
-}
-
-func all(claims []*claim, ok func(*claim) bool) bool {
-	return !slices.ContainsFunc(claims, func(c *claim) bool { return !ok(c) })
+	return d.entries+records <= d.count
 }
 
 // mayHold checks one claim with rights.
@@ -236,66 +229,25 @@
 	return h.To == d.self && same
 }
 
-// isNew says that the claim may bring rights or records which the desk lacks.
+// isNew says that the claim brings rights or records which the desk lacks.
 // Those whose time is over are not taken: they may have been held and forgotten.
 func (d *Desk) isNew(c *claim, now time.Time) bool {
 	if !c.until.After(now) || !c.until.After(d.forgotten) {
 		return false
 	}
 	held := d.claims[c.of]
-	return held == nil || !held.held
-}
-
-// missing counts the records that the desk lacks.
-func (d *Desk) missing(incoming []*claim, now time.Time) int {
-	n := 0
-	for _, c := range incoming {
-		if d.isNew(c, now) {
-			n += len(c.entries) - shared(c, d.claims[c.of])
-		}
-	}
-	return n
-}
-
-// shared counts the records that stand in both claims.
-func shared(c, copied *claim) int {
-	if copied == nil {
-		return 0
-	}
-	n := 0
-	for sequence := range c.entries {
-		if copied.entries[sequence] != nil {
-			n++
-		}
-	}
-	return n
+	return held == nil || c.held && !held.held
 }
 
-// complete says that with this claim every record of the rights is here and
-// genuine: a record that is missing would make its ticket look unused.
-func (d *Desk) complete(c *claim, now time.Time) bool {
-	copied := d.claims[c.of]
-	if !d.isNew(c, now) {
-		return true
-	}
-	if copied == nil {
-		return c.total == 0 || len(c.entries) == c.total
-	}
-	for _, e := range copied.entries {
-		if t, refusal := Parse(e.text); refusal != nil || !t.genuine(c.key) {
-			return false
-		}
-	}
-	return len(c.entries)-shared(c, copied)+len(copied.entries)+copied.dropped == c.total
-}
-
-// take adds a claim to the copies there are; a body that does not fit is left behind.
+// take adds a claim; a body that does not fit is left behind.
 func (d *Desk) take(c *claim, now time.Time) {
 	if !d.isNew(c, now) {
 		return
 	}
-	if copied := d.claims[c.of]; copied != nil {
-		d.merge(c, copied)
+	if before := d.claims[c.of]; before != nil {
+		for _, e := range before.entries {
+			d.drop(e)
+		}
 	}
 	d.claims[c.of] = c
 	for _, e := range c.entries {
@@ -306,20 +258,6 @@
 	}
 }
 
-// merge moves a copy's records to the claim that takes its place.
-func (d *Desk) merge(c, copied *claim) {
-	c.closed = later(c.closed, copied.closed)
-	c.swept = later(c.swept, copied.swept)
-	c.dropped = copied.dropped
-	for sequence, e := range copied.entries {
-		d.drop(e)
-		if c.entries[sequence] == nil {
-			e.claim = c
-			c.entries[sequence] = e
-		}
-	}
-}
-
 // Adopted lists the rights this incarnation holds from others, to be said on
 // heartbeats, and forgets those whose time is over.
 func (d *Desk) Adopted(now time.Time) []Adoption {
