Send a call that finds no surplus to one other lender; prove its one charge

Cause: a call that came back with no surplus was refused for good, though three other VMs might have taken it; in the counters of the lenders one of 10 to 20 came back so.

Change: a second lender after result 2024 alone, which says for certain that nothing ran. The damper has closed the first one by then. Each try takes from the borrowing share and gives it back when nothing ran. TestAway holds that a borrowed call runs once and is charged once, at its origin, and that no third lender is asked.

--- a/borrow/decision_test.go
+++ b/borrow/decision_test.go
@@ -27,6 +27,8 @@
 	warmUp       = 60 * time.Second
 	runFor       = 240 * time.Second
 	holdSeconds  = 2.0
+	// lendersPerCall is as in package serving.
+	lendersPerCall = 2
 	// demandSeconds is the time over which own demand is averaged.
 	demandSeconds = 16
 	promptTokens  = 1100
@@ -99,7 +101,9 @@
 	tokens       int
 	cameAt       time.Time
 	away         bool
-	refused      func()
+	// tries are the lenders that it was sent to.
+	tries   int
+	refused func()
 	// ended is set for a stranger that was taken.
 	ended func()
 }
@@ -340,8 +344,14 @@
 		if j.cameAt.After(r.from) {
 			r.bounced[j.home]++
 		}
-		r.clock.After(oneWay, func() { from.damper.Refused(offer, r.clock.Now()) })
+		r.clock.After(oneWay, func() {
+			from.damper.Refused(offer, r.clock.Now())
+			if j.tries < lendersPerCall {
+				r.leave(from, j)
+			}
+		})
 	}
+	j.tries++
 	if r.policy == borrow.PolicySurplus && !m.gate.Accept(r.surplus(m), promptTokens+maxTokens, r.clock.Now()) {
 		j.refused()
 		return
--- a/serving/away.go
+++ b/serving/away.go
@@ -9,6 +9,9 @@
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
+// lendersPerCall is how many VMs of other regions one call is sent to at most.
+const lendersPerCall = 2
+
 // mayBorrow says whether a call that this region could not serve may go to
 // another one: nothing ran, it did not come from another VM, and it is
 // idempotent, so no ticket ties it to this one.
@@ -24,17 +27,33 @@
 	}
 }
 
-// borrow sends the call to a region with surplus, once. The charge stays with
-// this region's part of the contract. Without such a region the local
-// outcome stands.
+// borrow sends the call to a region with surplus, and once more if that has
+// none by then. The charge stays with this region's part of the contract.
+// Without such a region the last outcome stands.
 func (s *Server) borrow(ctx context.Context, c *call.Call, terms Terms, sink call.Sink, local call.Outcome) call.Outcome {
+	outcome := local
+	for range lendersPerCall {
+		away, ok := s.borrowOnce(ctx, c, terms, sink)
+		if !ok {
+			return outcome
+		}
+		outcome = away
+		if outcome.Code != result.NoSurplus {
+			return outcome
+		}
+	}
+	return outcome
+}
+
+// borrowOnce sends the call away. It returns false if nothing was sent.
+func (s *Server) borrowOnce(ctx context.Context, c *call.Call, terms Terms, sink call.Sink) (call.Outcome, bool) {
 	vm, ok := s.options.Borrow(c, terms)
 	if !ok {
-		return local
+		return call.Outcome{}, false
 	}
 	borrowed, ok := s.chargeBorrowed(c, terms)
 	if !ok {
-		return local
+		return call.Outcome{}, false
 	}
 	away := *c
 	away.Origin = s.options.Region
@@ -45,7 +64,7 @@
 	s.options.Metrics.SentAway(vm.Region)
 	outcome := s.options.Forward(ctx, vm, &away, sink)
 	s.settleBorrowed(borrowed, outcome)
-	return outcome
+	return outcome, true
 }
 
 // chargeBorrowed takes the call's tokens from what the region may borrow.
--- /dev/null
+++ b/serving/away_test.go
@@ -0,0 +1,72 @@
+package serving
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// awayCase is one row of testdata/away.json: VM 0's region has no endpoint, VMs
+// 1 and 2 lend.
+type awayCase struct {
+	Name string `json:"name"`
+	// Refusing are the lenders without surplus.
+	Refusing []int   `json:"refusing"`
+	Share    float64 `json:"share"`
+	Want     string  `json:"want"`
+	// Asked are the lenders that were asked, in turn.
+	Asked []int `json:"asked"`
+	Runs  int   `json:"runs"`
+}
+
+// TestAway holds that a borrowed call runs at most once and is charged only at
+// its origin, once, whatever the lenders say.
+func TestAway(t *testing.T) {
+	for _, c := range datatest.Read[[]awayCase](t, "testdata/away.json") {
+		t.Run(c.Name, func(t *testing.T) { synctest.Test(t, c.test) })
+	}
+}
+
+func (c awayCase) test(t *testing.T) {
+	w := newWorld(t, []string{"stream 5"})
+	w.terms.Region.BorrowShare = c.Share
+	origin := w.processes[0]
+	var asked []int
+	origin.server.options.Pool = func(string) (*Pool, bool) { return nil, false }
+	origin.server.options.Borrow = func(*call.Call, Terms) (fleet.VM, bool) {
+		return w.processes[1+len(asked)%2].vm, true
+	}
+	for i, p := range w.processes {
+		p.server.options.Accept = func(*call.Call) (func(), *result.Refusal) {
+			asked = append(asked, i)
+			if slices.Contains(c.Refusing, i) {
+				return nil, result.Refuse(result.NoSurplus, "none")
+			}
+			return func() {}, nil
+		}
+	}
+	w.ask("a", 0, 0, "chat", false)
+	w.wait.Wait()
+	time.Sleep(time.Minute)
+	w.fake.group.Wait()
+
+	assert.Equal(t, w.asks["a"].outcome.Code.String(), c.Want)
+	assert.DeepEqual(t, asked, c.Asked)
+	assert.Equal(t, w.fake.counted(), c.Runs)
+	usage := w.asks["a"].outcome.Usage
+	cost := Cost(w.newCall("a", "chat"), usage, origin.server.options.Snapshot()).Spend
+	assert.Equal(t, w.spent(origin), cost)
+	assert.Equal(t, cost > 0, c.Runs > 0)
+	for _, p := range w.processes {
+		w.assertAllGivenBack(p)
+		assert.Assert(t, p == origin || w.spent(p) == 0)
+	}
+}
