Leave the owner calls in flight when it grants leases; show how many VMs lend

Ruled out: the shares after a start, which deploy now waits for by the new status fields lenders and of. The rig's files are split by what they do.

--- a/limit/lease.go
+++ b/limit/lease.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/contract"
@@ -327,12 +328,17 @@
 		g.level[d] += given[d]
 	}
 	g.until = now.Add(LeaseTerm + LeaseTerm/marginPart)
-	g.slots = max(min(want.Concurrency, free), 0)
+	g.slots = max(min(want.Concurrency, grantSlots(free)), 0)
 	out := given.amounts()
 	out.Concurrency = g.slots
 	return out
 }
 
+// grantSlots gives the calls in flight that one lease may take of the free ones.
+func grantSlots(free int) int {
+	return int(math.Ceil(grantPart * float64(free)))
+}
+
 // idle says whether nothing is leased in or out, in use or owed.
 func (l *leases) idle(now time.Time) bool {
 	if l == nil {
--- a/membership/holding.go
+++ b/membership/holding.go
@@ -51,6 +51,18 @@
 	stackSets  = 32
 )
 
+// Lenders counts the VMs, with this one, that lend to this VM now. Fewer than
+// View.VMs means that a part of the limits cannot be used through it.
+func (v *View) Lenders(now time.Time) int {
+	n := 0
+	for _, l := range v.holdings.loans {
+		if now.Before(l.until) {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *State) holdings(now time.Time) holdings {
 	h := holdings{
 		self:   entry.Hash(s.self.ID),
--- a/node/status.go
+++ b/node/status.go
@@ -56,6 +56,8 @@
 		View: operator.View{
 			Revision: view.Revision,
 			Region:   membersOf(view),
+			Lenders:  view.Lenders(n.now()),
+			Of:       view.VMs,
 		},
 		Load: operator.Load{
 			InFlight: n.serving.InFlight(),
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -103,6 +103,8 @@
 					Reachable: true,
 				},
 			},
+			Lenders: 3,
+			Of:      4,
 		},
 		Load: Load{
 			InFlight: 2,
--- a/operator/status.go
+++ b/operator/status.go
@@ -32,6 +32,10 @@
 type View struct {
 	Revision uint64   `json:"revision"`
 	Region   []Member `json:"region"`
+	// Lenders are the VMs whose shares of the limits this VM holds now, of so
+	// many by which a limit is divided.
+	Lenders int `json:"lenders"`
+	Of      int `json:"of"`
 }
 
 // Member is one VM of the region.
--- /dev/null
+++ b/testscripts/rig/find.go
@@ -0,0 +1,33 @@
+package rig
+
+// VMsOf gives the VMs of a region.
+func (r *Rig) VMsOf(region string) []*VM {
+	var out []*VM
+	for _, vm := range r.VMs {
+		if vm.Fleet.Region == region {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// VM finds a VM by its id.
+func (r *Rig) VM(id string) *VM {
+	for _, vm := range r.VMs {
+		if vm.Fleet.ID == id {
+			return vm
+		}
+	}
+	return nil
+}
+
+// EndpointsOf gives the endpoints of a model or service.
+func (r *Rig) EndpointsOf(target string) []*Endpoint {
+	var out []*Endpoint
+	for _, e := range r.Endpoints {
+		if e.Fleet.Serves() == target {
+			out = append(out, e)
+		}
+	}
+	return out
+}
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -205,19 +205,25 @@
 	})
 }
 
+// reachesRegion says whether a VM reaches the running VMs of its region and
+// holds their shares of the limits.
 func (w *world) reachesRegion(vm *rig.VM) bool {
 	s, err := w.status(vm)
 	if err != nil {
 		return false
 	}
+	running := 0
 	for _, m := range s.View.Region {
 		other := w.rig.VM(m.VM)
-		alive := other != nil && other.Alive()
-		if m.VM != vm.Fleet.ID && alive && !m.Reachable {
+		if other == nil || !other.Alive() {
+			continue
+		}
+		running++
+		if m.VM != vm.Fleet.ID && !m.Reachable {
 			return false
 		}
 	}
-	return true
+	return s.View.Lenders >= running
 }
 
 // find gives the VMs that a comma-separated list names; a region's name stands
