--- a/gateway/main.go
+++ b/gateway/main.go
@@ -35,7 +35,7 @@
 	serve := app.Command("serve", "Serve callers, peers and operators until SIGTERM, then stop gracefully.")
 	file := serve.Flag("settings", "Settings file, JSON with comments.").Required().String()
 	check := serve.Flag("check", "Check the settings and exit.").Bool()
-	app.Terminate(nil)
+	app.UsageWriter(stdout)
 	if _, err := app.Parse(args); err != nil {
 		_, _ = fmt.Fprintf(stderr, "gateway: %v; see gateway --help\n", err)
 		return exitUsage
