Wait for settled shares in the rig, for demo and scripts alike

Cause: the demo's first call took 4 tries, since the rig returned before shares were lent. Change: AwaitSettled in the rig, in place of its twin in the scenario commands.

--- a/testscripts/rig/rig.go
+++ b/testscripts/rig/rig.go
@@ -104,7 +104,7 @@
 	if err := r.PublishList(); err != nil {
 		return err
 	}
-	return r.AwaitReady(30 * time.Second)
+	return r.AwaitSettled(30 * time.Second)
 }
 
 func (r *Rig) binary(name string) string {
--- a/testscripts/scenario/documents.go
+++ b/testscripts/scenario/documents.go
@@ -191,7 +191,7 @@
 		if !vm.Alive() {
 			continue
 		}
-		s, err := w.status(vm)
+		s, err := w.rig.Status(vm)
 		ts.Check(err)
 		for _, d := range s.Documents {
 			if d.Key == args[0] {
--- a/testscripts/scenario/faults.go
+++ b/testscripts/scenario/faults.go
@@ -46,7 +46,7 @@
 	for _, vm := range w.find(ts, args[0]) {
 		ts.Check(w.rig.Restart(vm))
 	}
-	ts.Check(w.awaitViews(settleWithin))
+	ts.Check(w.rig.AwaitSettled(settleWithin))
 }
 
 // rekey VM SECRET starts a VM that has ended with another peer key.
@@ -62,7 +62,7 @@
 	for _, vm := range w.rig.VMs {
 		ts.Check(vm.Stop())
 		ts.Check(w.rig.Restart(vm))
-		ts.Check(w.awaitViews(settleWithin))
+		ts.Check(w.rig.AwaitSettled(settleWithin))
 	}
 }
 
@@ -81,7 +81,7 @@
 // heal ends every cut and waits until all VMs reach each other.
 func heal(w *world, ts *testscript.TestScript, _ []string) {
 	w.rig.HealAll()
-	ts.Check(w.awaitViews(settleWithin))
+	ts.Check(w.rig.AwaitSettled(settleWithin))
 }
 
 // platform {"outage":true} sets the platform's switches.
@@ -123,7 +123,7 @@
 }
 
 func (w *world) holds(vm *rig.VM, key, reason string, refused bool) bool {
-	s, err := w.status(vm)
+	s, err := w.rig.Status(vm)
 	if err != nil {
 		return false
 	}
@@ -145,10 +145,6 @@
 	return n
 }
 
-func (w *world) status(vm *rig.VM) (operator.Status, error) {
-	return rig.GetJSON[operator.Status](w.rig, vm.Fleet.OperatorAddr, "/v1/status")
-}
-
 // leaving NAME marks a VM or an endpoint as leaving in the published list.
 func leaving(w *world, ts *testscript.TestScript, args []string) {
 	need(ts, args, 1, "leaving NAME")
@@ -199,7 +195,7 @@
 	vm := w.find(ts, args[0])[0]
 	want := args[2] == "yes"
 	err := rig.Await(settleWithin, strings.Join(args, " "), func() bool {
-		s, err := w.status(vm)
+		s, err := w.rig.Status(vm)
 		if err != nil {
 			return false
 		}
--- a/testscripts/scenario/once.go
+++ b/testscripts/scenario/once.go
@@ -110,7 +110,7 @@
 	want := number(ts, []string{"n=" + args[1]}, "n", "")
 	vm := w.find(ts, args[0])[0]
 	ts.Check(rig.Await(settleWithin, strings.Join(args, " ")+" in flight", func() bool {
-		s, err := w.status(vm)
+		s, err := w.rig.Status(vm)
 		return err == nil && s.Load.InFlight == want
 	}))
 }
@@ -215,14 +215,14 @@
 	vms = slices.DeleteFunc(slices.Clone(vms), func(vm *rig.VM) bool { return !vm.Alive() })
 	before := make(map[string]uint64)
 	for _, vm := range vms {
-		s, err := w.status(vm)
+		s, err := w.rig.Status(vm)
 		ts.Check(err)
 		before[vm.Fleet.ID] = s.ListRevision
 	}
 	ts.Check(w.rig.PublishList())
 	ts.Check(rig.Await(settleWithin, "the list everywhere", func() bool {
 		for _, vm := range vms {
-			if s, err := w.status(vm); err != nil || s.ListRevision <= before[vm.Fleet.ID] {
+			if s, err := w.rig.Status(vm); err != nil || s.ListRevision <= before[vm.Fleet.ID] {
 				return false
 			}
 		}
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -22,8 +22,6 @@
 )
 
 const (
-	// startWithin bounds the start of a deployment.
-	startWithin = 30 * time.Second
 	// settleWithin bounds the wait for a state that a script asks for.
 	settleWithin = 30 * time.Second
 	secretOf     = ".example-secret-of-"
@@ -145,7 +143,6 @@
 	ts.Check(err)
 	w.rig = r
 	ts.Defer(r.Close)
-	ts.Check(w.awaitViews(startWithin))
 }
 
 func adjust(ts *testscript.TestScript, s *settings.Settings, arg string) {
@@ -189,43 +186,6 @@
 	ts.Fatalf("unknown setting %q", name)
 }
 
-// awaitViews waits until every running VM reaches all others of its region,
-// and callers of every region are told of all of them.
-func (w *world) awaitViews(within time.Duration) error {
-	if err := w.rig.AwaitReady(within); err != nil {
-		return err
-	}
-	return rig.Await(within, "every VM reaches its region", func() bool {
-		for _, vm := range w.rig.VMs {
-			if vm.Alive() && !w.reachesRegion(vm) {
-				return false
-			}
-		}
-		return true
-	})
-}
-
-// reachesRegion says whether a VM reaches the running VMs of its region and
-// holds their shares of the limits.
-func (w *world) reachesRegion(vm *rig.VM) bool {
-	s, err := w.status(vm)
-	if err != nil {
-		return false
-	}
-	running := 0
-	for _, m := range s.View.Region {
-		other := w.rig.VM(m.VM)
-		if other == nil || !other.Alive() {
-			continue
-		}
-		running++
-		if m.VM != vm.Fleet.ID && !m.Reachable {
-			return false
-		}
-	}
-	return s.View.Lenders >= running
-}
-
 // find gives the VMs that a comma-separated list names; a region's name stands
 // for all of its VMs.
 func (w *world) find(ts *testscript.TestScript, list string) []*rig.VM {
