--- a/node/away.go
+++ b/node/away.go
@@ -68,12 +68,8 @@
 	if !ok || (!p.always() && !pool.gate.Accept(p.borrowState(pool, now), tokens, now)) {
 		return nil, result.Refuse(result.NoSurplus, "region %s has no surplus of %s", p.node.settings.Region, c.Target())
 	}
-	pool.strangers.Add(1)
 	pool.demand.lend(1)
-	return func() {
-		pool.strangers.Add(-1)
-		pool.demand.lend(-1)
-	}, nil
+	return func() { pool.demand.lend(-1) }, nil
 }
 
 // borrow chooses a VM of another region with surplus for a call that this
--- a/node/pools.go
+++ b/node/pools.go
@@ -43,8 +43,6 @@
 	target string
 	demand *demand
 	gate   *borrow.Gate
-	// strangers are the calls of other regions in flight.
-	strangers atomic.Int64
 }
 
 func newPools(n *Node, client *endpoint.Client) *pools {
