Judge refusals by the time at which a call ran; read a VM's address before it may restart

(1) The judge of once_storm_split blamed an ask told not run that came after one that was lost on the way (3011) and before the one that ran (3004): without the time of the run it could not tell them apart. (2) The monitor of documents read a VM's address in its own goroutine while a restart wrote it, a race that marked ten scripts. Ruled out: the gateway (the operation ran once, in the later ask). Change: the service stand-in tells when each operation's first run began; an ask is contradicted if the run began before it, or if no other ask was open then. The address is read before the goroutine starts.

--- a/standin/fault/run.go
+++ b/standin/fault/run.go
@@ -24,8 +24,10 @@
 // Report is the answer to GET /admin/runs.
 type Report struct {
 	// Runs counts by operation; more than one is doubled work.
-	Runs  map[string]int `json:"runs"`
-	Total int            `json:"total"`
+	Runs map[string]int `json:"runs"`
+	// FirstRuns are the times at which each operation's first run began.
+	FirstRuns map[string]time.Time `json:"first_runs"`
+	Total     int                  `json:"total"`
 	// RunsLeaving counts the runs begun while leaving; LastLeaving is the last one's time.
 	RunsLeaving int       `json:"runs_leaving"`
 	LastLeaving time.Time `json:"last_leaving,omitzero"`
@@ -45,7 +47,10 @@
 // NewRuns makes an empty count.
 func NewRuns() *Runs {
 	return &Runs{
-		report: Report{Runs: make(map[string]int)},
+		report: Report{
+			Runs:      make(map[string]int),
+			FirstRuns: make(map[string]time.Time),
+		},
 	}
 }
 
@@ -53,6 +58,9 @@
 func (r *Runs) Begin(operation string, isLeaving bool) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.report.Runs[operation] == 0 {
+		r.report.FirstRuns[operation] = time.Now()
+	}
 	r.report.Runs[operation]++
 	r.report.Total++
 	if isLeaving {
@@ -91,5 +99,6 @@
 	defer r.mu.Unlock()
 	report := r.report
 	report.Runs = maps.Clone(report.Runs)
+	report.FirstRuns = maps.Clone(report.FirstRuns)
 	return report
 }
--- a/testscripts/scenario/calls.go
+++ b/testscripts/scenario/calls.go
@@ -78,29 +78,49 @@
 	return "/acknowledge/"
 }
 
-// runsBody is a stand-in's count of runs by operation.
+// runsBody is a stand-in's count of runs by operation, with the times of the
+// first ones.
 type runsBody struct {
-	Runs map[string]int `json:"runs"`
+	Runs      map[string]int       `json:"runs"`
+	FirstRuns map[string]time.Time `json:"first_runs"`
 }
 
 // runsOf counts the runs of each operation at all services.
 func (w *world) runsOf() (map[string]int, error) {
-	total := make(map[string]int)
+	all, err := w.allRuns()
+	return all.Runs, err
+}
+
+// allRuns sums up the runs at all services.
+func (w *world) allRuns() (runsBody, error) {
+	total := runsBody{
+		Runs:      make(map[string]int),
+		FirstRuns: make(map[string]time.Time),
+	}
 	for _, e := range w.rig.EndpointsOf(w.service()) {
 		if !e.Alive() {
 			continue
 		}
 		body, err := rig.GetJSON[runsBody](w.rig, e.Listening.Addr, "/admin/runs")
 		if err != nil {
-			return nil, err
-		}
-		for operation, n := range body.Runs {
-			total[operation] += n
+			return total, err
 		}
+		total.add(body)
 	}
 	return total, nil
 }
 
+func (b *runsBody) add(other runsBody) {
+	for operation, n := range other.Runs {
+		b.Runs[operation] += n
+	}
+	for operation, at := range other.FirstRuns {
+		if first, ok := b.FirstRuns[operation]; !ok || at.Before(first) {
+			b.FirstRuns[operation] = at
+		}
+	}
+}
+
 // runs OPERATION prints how often the services ran an operation.
 func runs(w *world, ts *testscript.TestScript, args []string) {
 	need(ts, args, 1, "runs OPERATION")
--- a/testscripts/scenario/documents.go
+++ b/testscripts/scenario/documents.go
@@ -230,7 +230,9 @@
 	}
 	w.monitors[args[0]] = m
 	for _, vm := range w.rig.VMs {
-		m.wg.Go(func() { m.watch(w, vm) })
+		// Read here: a restart writes them while the watch goes on.
+		id, addr := vm.Fleet.ID, vm.Fleet.OperatorAddr
+		m.wg.Go(func() { m.watch(w, id, addr) })
 	}
 	ts.Defer(m.end)
 }
@@ -244,10 +246,9 @@
 	m.wg.Wait()
 }
 
-func (m *monitor) watch(w *world, vm *rig.VM) {
+func (m *monitor) watch(w *world, id, addr string) {
 	ticker := time.NewTicker(monitorEvery)
 	defer ticker.Stop()
-	id, addr := vm.Fleet.ID, vm.Fleet.OperatorAddr
 	for {
 		select {
 		case <-m.stop:
--- a/testscripts/scenario/judge.go
+++ b/testscripts/scenario/judge.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -33,8 +34,9 @@
 	RanThoughNotRun int
 }
 
-// judge adds one operation with all of its asks and its count of runs.
-func (v *verdict) judge(asks []told, runs int) {
+// judge adds one operation with all of its asks, its count of runs, and the
+// time at which the first one began.
+func (v *verdict) judge(asks []told, runs int, ranAt time.Time) {
 	v.Operations++
 	v.Asks += len(asks)
 	if runs > 1 {
@@ -49,7 +51,7 @@
 			texts[a.text] = true
 		case result.ClassNotRun:
 			v.NotRun++
-			if runs > 0 && !excused(a, asks) {
+			if runs > 0 && !excused(a, asks, ranAt) {
 				v.RanThoughNotRun++
 			}
 		default:
@@ -69,24 +71,17 @@
 	}
 }
 
-// excused says that the run came after the refusal, or is that of an ask that
-// was open at the same time. Where an ask was answered as the one that ran, the
-// run is that one's; else no ask that had ended before may have run it.
-func excused(a told, asks []told) bool {
-	for _, other := range asks {
-		if other.code == result.Done {
-			return other.endedAt.After(a.beganAt)
-		}
+// excused says that the run is not that of the refused ask: it began after the
+// ask did, and another ask was open when it began. One that ended unknown may
+// run its call later still.
+func excused(a told, asks []told, ranAt time.Time) bool {
+	if ranAt.Before(a.beganAt) {
+		return false
 	}
-	open := false
-	for _, other := range asks {
-		if other.class == result.ClassNotRun {
-			continue
-		}
-		if !other.endedAt.After(a.beganAt) {
+	return slices.ContainsFunc(asks, func(other told) bool {
+		if other.class == result.ClassNotRun || ranAt.Before(other.beganAt) {
 			return false
 		}
-		open = true
-	}
-	return open
+		return other.class == result.ClassUnknown || !other.endedAt.Before(ranAt)
+	})
 }
--- a/testscripts/scenario/judge_test.go
+++ b/testscripts/scenario/judge_test.go
@@ -14,11 +14,12 @@
 // were doctored so that the verdict must see a broken promise.
 type judgeCase struct {
 	Name string `json:"name"`
-	// Asks are each a class, the ask's first and last second, and its text. Ran
-	// marks the answer of the ask that ran the call.
+	// Asks are each a class, the ask's first and last second, and its text.
 	Asks []judgedAsk `json:"asks"`
 	Runs int         `json:"runs"`
-	Want verdict     `json:"want"`
+	// RanAt is the second at which the first run began.
+	RanAt int     `json:"ran_at"`
+	Want  verdict `json:"want"`
 }
 
 type judgedAsk struct {
@@ -26,7 +27,6 @@
 	From  int          `json:"from"`
 	To    int          `json:"to"`
 	Text  string       `json:"text"`
-	Ran   bool         `json:"ran"`
 }
 
 func TestJudge(t *testing.T) {
@@ -35,12 +35,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			var asks []told
 			for _, a := range c.Asks {
-				code := result.Replayed
-				if a.Ran {
-					code = result.Done
-				}
 				asks = append(asks, told{
-					code:    code,
 					class:   a.Class,
 					text:    a.Text,
 					beganAt: time.Unix(int64(a.From), 0),
@@ -48,7 +43,7 @@
 				})
 			}
 			var got verdict
-			got.judge(asks, c.Runs)
+			got.judge(asks, c.Runs, time.Unix(int64(c.RanAt), 0))
 			c.Want.Operations = 1
 			c.Want.Asks = len(asks)
 			assert.DeepEqual(t, got, c.Want)
--- a/testscripts/scenario/storm.go
+++ b/testscripts/scenario/storm.go
@@ -106,12 +106,13 @@
 	}
 	s.cancel()
 	s.wg.Wait()
-	runs, err := w.runsOf()
+	all, err := w.allRuns()
 	ts.Check(err)
+	runs := all.Runs
 	var v verdict
 	for operation, asks := range s.asks {
 		before := v
-		v.judge(asks, runs[operation])
+		v.judge(asks, runs[operation], all.FirstRuns[operation])
 		if v.Doubled != before.Doubled || v.RanThoughNotRun != before.RanThoughNotRun || v.Lost != before.Lost {
 			ts.Logf("%s ran %d times: %s", operation, runs[operation], describe(asks))
 		}
