--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -143,6 +143,23 @@
 	ts.Check(err)
 	w.rig = r
 	ts.Defer(r.Close)
+	w.setAddresses(ts)
+}
+
+// setAddresses sets CALLER_id, OPERATOR_id and ENDPOINT_id to the addresses of
+// each VM and endpoint, for commands that a script runs itself.
+func (w *world) setAddresses(ts *testscript.TestScript) {
+	for _, vm := range w.rig.VMs {
+		ts.Setenv("CALLER_"+variable(vm.Fleet.ID), vm.Fleet.CallerAddr)
+		ts.Setenv("OPERATOR_"+variable(vm.Fleet.ID), vm.Fleet.OperatorAddr)
+	}
+	for _, e := range w.rig.Endpoints {
+		ts.Setenv("ENDPOINT_"+variable(e.Fleet.ID), e.Fleet.Addr)
+	}
+}
+
+func variable(id string) string {
+	return strings.ReplaceAll(id, "-", "_")
 }
 
 func adjust(ts *testscript.TestScript, s *settings.Settings, arg string) {
