--- a/testscripts/rig/vm.go
+++ b/testscripts/rig/vm.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/settings"
@@ -26,8 +28,23 @@
 // ThawProcess lets the VM's process go on.
 func (vm *VM) ThawProcess() { vm.Thaw() }
 
+// vmsMade numbers the VMs of this process.
+var vmsMade atomic.Uint32
+
+// ownAddress gives a VM a loopback address of its own, so that nobody else
+// takes its ports while it is being replaced.
+func ownAddress() string {
+	const (
+		firstNet = 16
+		nets     = 200
+		octet    = 256
+	)
+	n := vmsMade.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", firstNet+os.Getpid()%nets, n/octet%octet, n%octet)
+}
+
 func (r *Rig) newVM(region Region, id string) *VM {
-	const portOfKernel = "127.0.0.1:0"
+	portOfKernel := ownAddress() + ":0"
 	s := settings.Default()
 	s.VM = id
 	s.Region = region.Name
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -266,7 +266,8 @@
 	ts.Check(err)
 }
 
-// newCaller makes a caller of a workspace from the options vm= and direct.
+// newCaller makes a caller of a workspace from the options vm=, direct, once
+// and tries=.
 func (w *world) newCaller(ts *testscript.TestScript, workspace string, args []string) *caller.Caller {
 	vms := w.rig.VMs
 	if list := option(args, "vm", ""); list != "" {
@@ -280,6 +281,9 @@
 	if slices.Contains(args, "once") {
 		o.MaxTries = 1
 	}
+	if tries := number(ts, args, "tries", "0"); tries > 0 {
+		o.MaxTries = tries
+	}
 	return caller.New(o)
 }
 
