--- a/caller/caller.go
+++ b/caller/caller.go
@@ -13,7 +13,6 @@
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/membership"
 	"github.com/fuchsianotch/fuchsianotch/serving"
-	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
 // Paths of the caller front.
@@ -39,7 +38,6 @@
 	IssueTicket func(workspace string, goodUntil time.Time) string
 	// Stopping says that this VM takes no new callers.
 	Stopping func() bool
-	Ring     *timeline.Ring
 	Bounds   Bounds
 }
 
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -21,7 +21,6 @@
 	"github.com/fuchsianotch/fuchsianotch/membership"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/serving"
-	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
 const (
@@ -147,10 +146,6 @@
 		},
 		IssueTicket: func(workspace string, _ time.Time) string { return "t-" + workspace },
 		Stopping:    func() bool { return row.Stopping },
-		Ring: timeline.New(timeline.Options{
-			VM:  "a0",
-			Now: time.Now,
-		}),
 		Bounds: Bounds{
 			MaxBodyBytes:             maxBody,
 			MaxHeaderBytes:           maxHeader,
--- a/node/node.go
+++ b/node/node.go
@@ -9,7 +9,6 @@
 	"crypto/tls"
 	"encoding/binary"
 	"log/slog"
-	"math/big"
 	"net"
 	"strconv"
 	"sync/atomic"
@@ -72,7 +71,9 @@
 	caller   *caller.Server
 
 	// pulls names VMs whose heartbeats showed other documents.
-	pulls    chan string
+	pulls chan string
+	// idPrefix begins every request id of this incarnation.
+	idPrefix string
 	ids      atomic.Uint64
 	stopping atomic.Bool
 	// gone is closed when the planned stop is over.
@@ -94,6 +95,7 @@
 		pulls:       make(chan string, 1),
 		gone:        make(chan struct{}),
 	}
+	n.idPrefix = strconv.FormatUint(n.incarnation, idAlphabet) + "-"
 	if o.Settings.PeerKey != "" {
 		secured, err := peer.TLS(o.Settings.PeerKey)
 		if err != nil {
@@ -191,7 +193,6 @@
 		Serve:       n.serving.Serve,
 		IssueTicket: n.desk.Issue,
 		Stopping:    n.stopping.Load,
-		Ring:        n.ring,
 		Bounds: caller.Bounds{
 			MaxBodyBytes:             s.Limits.MaxBodyBytes,
 			MaxHeaderBytes:           s.Limits.MaxHeaderBytes,
@@ -214,8 +215,7 @@
 
 // newID makes a request id that no other VM and no other life of this one makes.
 func (n *Node) newID() string {
-	prefix := new(big.Int).SetUint64(n.incarnation).Text(idAlphabet)
-	return prefix + "-" + strconv.FormatUint(n.ids.Add(1), idAlphabet)
+	return n.idPrefix + strconv.FormatUint(n.ids.Add(1), idAlphabet)
 }
 
 func (n *Node) snapshot() *configuration.Snapshot {
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -114,7 +114,6 @@
 	options  Options
 	rig      *rig.Rig
 	loads    map[string]*load
-	runs     map[string]int
 	once     onceState
 	monitors map[string]*monitor
 	amended  map[string]publishedBucket
--- a/testscripts/scenario/worlds.go
+++ b/testscripts/scenario/worlds.go
@@ -24,7 +24,6 @@
 	w := &world{
 		options:  all.options,
 		loads:    make(map[string]*load),
-		runs:     make(map[string]int),
 		monitors: make(map[string]*monitor),
 		amended:  make(map[string]publishedBucket),
 		marks:    make(map[string]time.Time),
