Do not take a VM for lost because a caller left

Cause: a forwarded call whose caller leaves ends with PeerLost, and the VM asked was then counted as having missed a heartbeat; two such callers between heartbeats made a healthy VM unreachable. Also, the report used the call's own deadline and could be dropped once that had passed. Change: nothing is reported once the caller's context has ended, and the report uses that context.

--- a/node/handlers.go
+++ b/node/handlers.go
@@ -64,15 +64,14 @@
 
 // forward runs a call on another VM and tells the control goroutine of a lost one.
 func (n *Node) forward(ctx context.Context, vm fleet.VM, c *call.Call, sink call.Sink) call.Outcome {
-	ctx, cancel := context.WithDeadline(ctx, c.WholeBy.Add(forwardGrace))
+	trip, cancel := context.WithDeadline(ctx, c.WholeBy.Add(forwardGrace))
 	defer cancel()
-	out := n.peers.Forward(ctx, vm, &peerpb.ForwardRequest{
+	out := n.peers.Forward(trip, vm, &peerpb.ForwardRequest{
 		From:  n.identity(),
 		Stamp: uint64(n.ring.Stamp()),
 		Call:  peer.CallMessage(c),
 	}, sink, n.witness)
-	switch out.Code {
-	case result.PeerUnreachable, result.PeerLost:
+	if isPeerLost(ctx, out.Code) {
 		n.control.send(ctx, beatMissed{
 			vm: vm.ID,
 		})
@@ -83,6 +82,15 @@
 	return out
 }
 
+// isPeerLost says whether a forward's code speaks of the VM asked. Once the
+// caller has left and ended its ctx, the call ends whatever the VM does.
+func isPeerLost(ctx context.Context, code result.Code) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	return code == result.PeerUnreachable || code == result.PeerLost
+}
+
 // serveForwarded runs a call that another VM sent. It cannot forward again:
 // Place never gives PlaceForward to a forwarded call.
 func (n *Node) serveForwarded(ctx context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
