--- a/admission/admission.go
+++ b/admission/admission.go
@@ -23,6 +23,9 @@
 	PolicyPriority = "priority"
 	// PolicyFIFO starts calls as they came.
 	PolicyFIFO = "fifo"
+	// PolicyEngine starts every call at once and leaves the order to the
+	// endpoints' own queues, which know the calls of all VMs.
+	PolicyEngine = "engine"
 )
 
 // tickEvery is how often a queue with waiting calls is looked at again.
@@ -66,6 +69,7 @@
 	// schedule runs a function later.
 	schedule func(d time.Duration, f func())
 	pool     *routing.Pool
+	policy   string
 
 	mu      sync.Mutex
 	state   *State
@@ -96,6 +100,7 @@
 		now:      o.Now,
 		schedule: func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		pool:     pool,
+		policy:   o.Policy,
 		state:    NewState(o),
 		waiters:  map[uint64]waiter{},
 	}
@@ -105,6 +110,9 @@
 // be met (2020), the queue is full (2021) or no endpoint takes work (2022), and
 // later as soon as that becomes so. A canceled ctx leaves the queue (2023).
 func (q *Queue) Admit(ctx context.Context, r Request, now time.Time) (Slot, *result.Refusal) {
+	if q.policy == PolicyEngine {
+		return q.admitNow(r, now)
+	}
 	answers := make(chan answer, 1)
 	id := q.arrive(waiter{
 		request: r,
@@ -124,6 +132,20 @@
 	}
 }
 
+// admitNow starts a call at once, if an endpoint takes work.
+func (q *Queue) admitNow(r Request, now time.Time) (Slot, *result.Refusal) {
+	choice, ok := q.pool.Choose(r.routing(), now)
+	if !ok {
+		return Slot{}, refusal(Action{
+			Code:       result.NoEndpoint,
+			ComeBackAt: now.Add(noEndpointRetry),
+		})
+	}
+	return Slot{
+		Choice: choice,
+	}, nil
+}
+
 func (q *Queue) arrive(w waiter, now time.Time) uint64 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -160,6 +182,10 @@
 
 // Release gives a place back with what became of the call.
 func (q *Queue) Release(s Slot, o routing.Outcome, now time.Time) {
+	if q.policy == PolicyEngine {
+		q.pool.Done(s.Choice, o, now)
+		return
+	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.release(s, o, now)
--- a/call/call.go
+++ b/call/call.go
@@ -14,6 +14,8 @@
 const (
 	KindChat Kind = iota + 1
 	KindService
+	// KindRouted is a call whose target and terms follow from a published route.
+	KindRouted
 )
 
 // Priority orders calls that wait for the same endpoints.
@@ -78,6 +80,8 @@
 	Forwarded bool
 	// Origin is the region whose limits were charged, set on a borrowed call.
 	Origin string
+	// Routed is set on calls of KindRouted only.
+	Routed *Routed
 }
 
 // Target names the model or service.
--- /dev/null
+++ b/call/routed.go
@@ -0,0 +1,81 @@
+package call
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PromptPart is one part of a prompt. Prompts that begin with the same parts
+// share what an engine keeps of them.
+type PromptPart struct {
+	ID     uint64
+	Tokens int
+}
+
+// Routed is what a call carries whose terms follow from a published route
+// and not from a workspace's contract.
+type Routed struct {
+	// Host is the host that the caller named.
+	Host string
+	// Route is the route's name, and Version that of the table it is from.
+	Route   string
+	Version uint64
+	// Rank orders calls at an engine, 0 first.
+	Rank int
+	// MaxAttempts bounds the endpoints that may run the call.
+	MaxAttempts int
+	// Resumable says that a broken stream may go on at another endpoint.
+	Resumable bool
+	// Homes are the regions that may serve the call; none means all.
+	Homes []string
+	// Parts are the parts of the prompt in order; the last is the call's own.
+	Parts []PromptPart
+	// CallerBy is when the caller stops waiting; WholeBy may be earlier.
+	CallerBy time.Time
+	// ResumeAfter is the id of the last event that the caller has of a stream.
+	ResumeAfter string
+	// Repeated is set when an attempt of the call was made on another VM.
+	Repeated bool
+}
+
+// Allows says whether the call may be served in a region.
+func (r *Routed) Allows(region string) bool {
+	if len(r.Homes) == 0 {
+		return true
+	}
+	for _, home := range r.Homes {
+		if home == region {
+			return true
+		}
+	}
+	return false
+}
+
+// SharedPrefix hashes all parts but the call's own, for cache affinity; zero
+// means that the prompt shares nothing.
+func SharedPrefix(parts []PromptPart) uint64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range parts[:len(parts)-1] {
+		var id [8]byte
+		for i := range id {
+			id[i] = byte(p.ID >> (8 * i))
+		}
+		// A Digest never fails to write.
+		_, _ = d.Write(id[:])
+	}
+	return d.Sum64()
+}
+
+// Answer is a whole answer that is held back until it is decided whether
+// another attempt follows.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
--- /dev/null
+++ b/common/worker/worker.go
@@ -0,0 +1,29 @@
+// Package worker adds goroutines to run groups that stop together.
+package worker
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/run"
+)
+
+// Add adds a goroutine that runs until the group stops.
+func Add(group *run.Group, work func(ctx context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group.Add(func() error {
+		return work(ctx)
+	}, func(error) {
+		cancel()
+	})
+}
+
+// SleepUntil waits for a moment or the end of ctx.
+func SleepUntil(ctx context.Context, now, at time.Time) {
+	timer := time.NewTimer(at.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/discovery/discovery.go
@@ -0,0 +1,203 @@
+// Package discovery turns what the store publishes into what a VM acts on: the
+// table of routes, which never goes back, the endpoints that take new work,
+// and the data centres that are evacuated. It is pure control state: time
+// comes in as an argument.
+package discovery
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/route"
+)
+
+// Change is one decoded item. Exactly one of the pointers is set.
+type Change struct {
+	Key     string
+	Removed bool
+	// Table is a newer configuration.
+	Table *route.Table
+	// Endpoint is an endpoint's entry; on a removal only its id is set.
+	Endpoint *Endpoint
+	// Evacuated names a data centre that gets no new work until the removal.
+	Evacuated string
+}
+
+// Endpoint is one endpoint's entry.
+type Endpoint struct {
+	fleet.Endpoint
+	// ColdFor is how long the endpoint stays cold from when the entry was written.
+	ColdFor time.Duration
+	// Remaining is how long a leaving endpoint still runs; zero means unknown.
+	Remaining time.Duration
+}
+
+// Options set up a State.
+type Options struct {
+	// Grace is how long an entry that lapsed around an outage of the store may
+	// stay away before its endpoint counts as gone.
+	Grace time.Duration
+}
+
+// State is what a VM knows from the store. It is not safe for concurrent use.
+type State struct {
+	grace     time.Duration
+	table     *route.Table
+	endpoints map[string]*known
+	evacuated map[string]bool
+	// away is set while the store cannot be read; settled is when entries that
+	// lapsed during its last outage must be back.
+	away    bool
+	settled time.Time
+}
+
+// known is an endpoint with its deadlines.
+type known struct {
+	fleet.Endpoint
+	coldUntil time.Time
+	// goneAt is set while the entry is missing.
+	goneAt time.Time
+	// endsAt is when a leaving endpoint stops, if it said so.
+	endsAt time.Time
+}
+
+// New makes an empty State.
+func New(o Options) *State {
+	return &State{
+		grace:     o.Grace,
+		endpoints: make(map[string]*known),
+		evacuated: make(map[string]bool),
+	}
+}
+
+// StoreLost records that the store could not be read, and says whether that is new.
+func (s *State) StoreLost() bool {
+	was := s.away
+	s.away = true
+	return !was
+}
+
+// StoreBack records a successful read. It is to be called before the changes
+// that the read brought are taken. It says whether the store was lost before.
+func (s *State) StoreBack(now time.Time) bool {
+	if !s.away {
+		return false
+	}
+	s.away = false
+	s.settled = now.Add(s.grace)
+	return true
+}
+
+// Take applies one change and says whether it made a difference.
+func (s *State) Take(c Change, now time.Time) bool {
+	switch {
+	case c.Table != nil:
+		return s.takeTable(c.Table)
+	case c.Evacuated != "":
+		was := s.evacuated[c.Evacuated]
+		s.evacuated[c.Evacuated] = !c.Removed
+		return was == c.Removed
+	case c.Endpoint != nil && c.Removed:
+		return s.remove(c.Endpoint.ID, now)
+	case c.Endpoint != nil:
+		s.put(*c.Endpoint, now)
+		return true
+	default:
+		return false
+	}
+}
+
+// takeTable takes a table only if it is newer, whoever sent it.
+func (s *State) takeTable(t *route.Table) bool {
+	if s.table != nil && t.Version <= s.table.Version {
+		return false
+	}
+	s.table = t
+	return true
+}
+
+func (s *State) put(e Endpoint, now time.Time) {
+	k := &known{
+		Endpoint: e.Endpoint,
+	}
+	if e.ColdFor > 0 {
+		k.coldUntil = now.Add(e.ColdFor)
+	}
+	if e.Remaining > 0 {
+		k.endsAt = now.Add(e.Remaining)
+	}
+	s.endpoints[e.ID] = k
+}
+
+// remove takes an entry's removal. Around an outage of the store it may mean
+// that the endpoint could not renew it, so it is given time to come back.
+func (s *State) remove(id string, now time.Time) bool {
+	k, ok := s.endpoints[id]
+	if !ok {
+		return false
+	}
+	switch {
+	case s.away:
+		k.goneAt = now.Add(s.grace)
+	case now.Before(s.settled):
+		k.goneAt = s.settled
+	default:
+		delete(s.endpoints, id)
+	}
+	return true
+}
+
+// Step forgets the endpoints whose time is over.
+func (s *State) Step(now time.Time) {
+	for id, k := range s.endpoints {
+		if !k.goneAt.IsZero() && !now.Before(k.goneAt) {
+			delete(s.endpoints, id)
+		}
+	}
+}
+
+// Next is when Step or the endpoints' states change by themselves; zero means never.
+func (s *State) Next(now time.Time) time.Time {
+	var next time.Time
+	for _, k := range s.endpoints {
+		for _, at := range []time.Time{k.goneAt, k.coldUntil} {
+			if at.After(now) && (next.IsZero() || at.Before(next)) {
+				next = at
+			}
+		}
+	}
+	return next
+}
+
+// Table is the newest table, nil while none is known.
+func (s *State) Table() *route.Table {
+	return s.table
+}
+
+// Ready is an endpoint that takes new work, cold ones only at a low rate.
+type Ready struct {
+	fleet.Endpoint
+	// ColdUntil is zero for a warm endpoint.
+	ColdUntil time.Time
+}
+
+// Endpoints gives the endpoints that take new work, by id.
+func (s *State) Endpoints(now time.Time) []Ready {
+	out := make([]Ready, 0, len(s.endpoints))
+	for _, k := range s.endpoints {
+		if k.State != fleet.StateLive || s.evacuated[k.DataCentre] {
+			continue
+		}
+		r := Ready{
+			Endpoint: k.Endpoint,
+		}
+		if k.coldUntil.After(now) {
+			r.ColdUntil = k.coldUntil
+		}
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b Ready) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
--- /dev/null
+++ b/endpoint/dialect.go
@@ -0,0 +1,87 @@
+package endpoint
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+)
+
+// Dialect is how the endpoints of routed calls spell what goes with a request
+// and an answer. It holds names and formats only.
+type Dialect struct {
+	// SetHeader sets the headers of an attempt that are not the caller's.
+	SetHeader func(h http.Header, t Terms)
+	// ReadHead reads what an answer's head says besides its status.
+	ReadHead func(status int, h http.Header, now time.Time) Head
+	// ReportPath is where an endpoint tells its load, DecodeReport reads the answer.
+	ReportPath   string
+	DecodeReport func(data []byte, now time.Time) (Load, error)
+}
+
+// Terms are what an attempt tells the endpoint.
+type Terms struct {
+	// Instance is the endpoint's id: another one at its address refuses.
+	Instance string
+	// WholeBy is when the endpoint may stop working.
+	WholeBy time.Time
+	Now     time.Time
+	// Rank orders requests in the endpoint's queue, 0 first.
+	Rank int
+	// ResumeAfter is the id of the last event that the caller has.
+	ResumeAfter string
+}
+
+// Head is what an answer's head says.
+type Head struct {
+	// ID is the attempt's id, empty where the answer names none.
+	ID string
+	// NotRun is the endpoint's word that it did not run the request, and
+	// OtherInstance that the address belongs to another endpoint now.
+	NotRun        bool
+	OtherInstance bool
+	// Signed says that the answer has the endpoint's signature.
+	Signed bool
+	// Leaving says that the endpoint gets no more requests on this connection.
+	Leaving bool
+	// ComeBackAt is when a refusing endpoint asks to be tried again.
+	ComeBackAt time.Time
+}
+
+// routedHeader gives the headers of a routed attempt.
+func (c *Client) routedHeader(a Attempt) http.Header {
+	h := a.Call.Header.Clone()
+	if h == nil {
+		h = make(http.Header)
+	}
+	resume := a.ResumeAfter
+	if resume == "" {
+		resume = a.Call.Routed.ResumeAfter
+	}
+	c.dialect.SetHeader(h, Terms{
+		Instance:    a.Endpoint.ID,
+		WholeBy:     callerBy(a.Call),
+		Now:         c.now(),
+		Rank:        a.Call.Routed.Rank,
+		ResumeAfter: resume,
+	})
+	if _, ok := h["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		h["User-Agent"] = nil
+	}
+	for name, plain := range replayHeaders {
+		if values, ok := h[name]; ok {
+			delete(h, name)
+			h[plain] = values
+		}
+	}
+	return h
+}
+
+func callerBy(c *call.Call) time.Time {
+	by := c.WholeBy
+	if !c.Routed.CallerBy.IsZero() && c.Routed.CallerBy.Before(by) {
+		by = c.Routed.CallerBy
+	}
+	return by
+}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -27,6 +27,9 @@
 	Now func() time.Time
 	// MaxAnswer bounds one answer, in bytes; zero means DefaultMaxAnswer.
 	MaxAnswer int
+	// Dialect is that of the endpoints of routed calls; it may be left out where
+	// there are none.
+	Dialect Dialect
 }
 
 // Client sends calls to endpoints. It is safe for concurrent use.
@@ -36,6 +39,7 @@
 	single    http.RoundTripper
 	now       func() time.Time
 	maxAnswer int
+	dialect   Dialect
 }
 
 // New makes a client.
@@ -43,6 +47,7 @@
 	c := &Client{
 		now:       o.Now,
 		maxAnswer: o.MaxAnswer,
+		dialect:   o.Dialect,
 	}
 	if c.now == nil {
 		c.now = time.Now
@@ -66,6 +71,9 @@
 	// ResumeFrom is the number of generated tokens that earlier attempts
 	// passed on. Above zero, Sink.Head isn't called again.
 	ResumeFrom int
+	// ResumeAfter is the same for a routed stream: the id of the last event that
+	// earlier attempts passed on.
+	ResumeAfter string
 	// Sending, if set, is called once right before the first byte goes out.
 	// Its error stops the attempt with nothing sent.
 	Sending func() error
@@ -106,6 +114,15 @@
 	// CallerGone says that the caller's side ended the attempt, so that the
 	// endpoint is not to blame.
 	CallerGone bool
+	// LastEvent is the id of the last event that this attempt passed on.
+	LastEvent string
+	// Held is an own failure of the endpoint, to be passed on if no other
+	// attempt follows.
+	Held *call.Answer
+	// OtherInstance says that the address belongs to another endpoint now, and
+	// Leaving that the endpoint closes the connection after this answer.
+	OtherInstance bool
+	Leaving       bool
 }
 
 // Send makes one attempt and passes the answer on. It returns when the answer
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -53,7 +53,7 @@
 func (x *exchange) roundTrip() (*http.Response, *result.Refusal) {
 	transport := x.transport()
 	for tries := 1; ; tries++ {
-		req, refusal := newRequest(x.track.trace(x.ctx), x.attempt)
+		req, refusal := x.client.newRequest(x.track.trace(x.ctx), x.attempt)
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -71,7 +71,7 @@
 func (x *exchange) transport() http.RoundTripper {
 	// The gate runs as the first byte goes out, where the transport shows it.
 	x.track.gate = x.sending
-	if x.attempt.Call.Idempotent {
+	if x.attempt.Call.Idempotent || x.attempt.Call.Kind == call.KindRouted {
 		return x.client.pooled
 	}
 	return x.client.single
@@ -144,6 +144,9 @@
 
 // receive judges the head of an answer, and takes the rest.
 func (x *exchange) receive(resp *http.Response) *result.Refusal {
+	if x.attempt.Call.Kind == call.KindRouted {
+		return x.receiveRouted(resp)
+	}
 	if refusal := x.matchHead(resp.Header); refusal != nil {
 		return refusal
 	}
@@ -201,7 +204,7 @@
 	}
 	x.headed = true
 	x.outcome.FirstAt = x.client.now()
-	if x.attempt.ResumeFrom > 0 {
+	if x.attempt.ResumeFrom > 0 || x.attempt.ResumeAfter != "" {
 		return nil
 	}
 	return x.sinkError(x.sink.Head(status, header))
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -31,12 +31,17 @@
 	TokensPerSecond float64 `json:"tokens_per_second"`
 	// Leaving endpoints must get no new work.
 	Leaving bool `json:"leaving"`
+	// CacheUsed is the memory of running requests and CacheTokens all of it, in
+	// tokens; zero where the endpoint does not say.
+	CacheUsed   int `json:"-"`
+	CacheTokens int `json:"-"`
 }
 
 // Report asks an endpoint for its load. Errors are of the connection, of the
 // status, or of the report's form.
 func (c *Client) Report(ctx context.Context, e fleet.Endpoint) (Load, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr+loadPath, nil)
+	path, decode := c.reportForm()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr+path, nil)
 	if err != nil {
 		return Load{}, merry.Wrap(err)
 	}
@@ -52,8 +57,8 @@
 	if err != nil {
 		return Load{}, merry.Wrap(err)
 	}
-	var load Load
-	if err := json.Unmarshal(data, &load); err != nil {
+	load, err := decode(data, c.now())
+	if err != nil {
 		return Load{}, merry.Prependf(err, "load report of %s", e.ID)
 	}
 	if load.Slots < 0 || load.Running < 0 || load.Waiting < 0 || load.QueuedTokens < 0 || load.TokensPerSecond < 0 {
@@ -62,6 +67,20 @@
 	return load, nil
 }
 
+// reportForm gives the path and the form of load reports.
+func (c *Client) reportForm() (string, func(data []byte, now time.Time) (Load, error)) {
+	if c.dialect.DecodeReport != nil {
+		return c.dialect.ReportPath, c.dialect.DecodeReport
+	}
+	return loadPath, decodeLoad
+}
+
+func decodeLoad(data []byte, _ time.Time) (Load, error) {
+	var load Load
+	err := json.Unmarshal(data, &load)
+	return load, err
+}
+
 // loadOf reads the load headers of an answer; nil means that there are none.
 func loadOf(header http.Header, now time.Time) *Load {
 	running, err := strconv.Atoi(header.Get("X-Load-Running"))
--- a/endpoint/request.go
+++ b/endpoint/request.go
@@ -53,7 +53,10 @@
 }
 
 // newRequest builds a request that the transport never sends twice.
-func newRequest(ctx context.Context, a Attempt) (*http.Request, *result.Refusal) {
+func (c *Client) newRequest(ctx context.Context, a Attempt) (*http.Request, *result.Refusal) {
+	if a.Call.Kind == call.KindRouted {
+		return c.newRouted(ctx, a)
+	}
 	target, err := url.ParseRequestURI(a.Call.Path)
 	if err != nil {
 		return nil, result.Refuse(result.BadRequest, "the path is malformed").Because(err)
@@ -70,6 +73,20 @@
 	return req, nil
 }
 
+// newRouted builds the request of a routed call: method, path, host and body
+// are the caller's to the byte.
+func (c *Client) newRouted(ctx context.Context, a Attempt) (*http.Request, *result.Refusal) {
+	req, err := http.NewRequestWithContext(ctx, a.Call.Method, "http://"+a.Endpoint.Addr, nil)
+	if err != nil {
+		return nil, result.Refuse(result.BadRequest, "the request is malformed").Because(err)
+	}
+	req.URL.Opaque = a.Call.Path
+	req.Host = a.Call.Routed.Host
+	req.Header = c.routedHeader(a)
+	setBody(req, a.Call.Body)
+	return req, nil
+}
+
 func requestHeader(a Attempt) http.Header {
 	h := a.Call.Header.Clone()
 	if h == nil {
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -14,7 +14,9 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/fuchsianotch/fuchsianotch/node"
+	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/settings"
+	"github.com/fuchsianotch/fuchsianotch/site"
 )
 
 // Exit codes.
@@ -33,13 +35,21 @@
 	app := kingpin.New("gateway", "The fuchsianotch gateway of one VM.")
 	app.HelpFlag.Short('h')
 	serve := app.Command("serve", "Serve callers, peers and operators until SIGTERM, then stop gracefully.")
-	file := serve.Flag("settings", "Settings file, JSON with comments.").Required().String()
+	file := serve.Flag("settings", "Settings file, JSON with comments.").String()
+	onPlatform := serve.Flag("platform", "Serve the routes of the platform whose settings file the environment names, instead of contracts.").Bool()
 	check := serve.Flag("check", "Check the settings and exit.").Bool()
 	app.UsageWriter(stdout)
 	if _, err := app.Parse(args); err != nil {
 		_, _ = fmt.Fprintf(stderr, "gateway: %v; see gateway --help\n", err)
 		return exitUsage
 	}
+	if *onPlatform {
+		return servePlatform(*check, stdout, stderr)
+	}
+	if *file == "" {
+		_, _ = fmt.Fprintln(stderr, "gateway: --settings or --platform is required; see gateway --help")
+		return exitUsage
+	}
 	loaded, refusal := settings.Load(*file)
 	if refusal != nil {
 		_, _ = fmt.Fprintf(stderr, "gateway: %v\n", refusal)
@@ -71,6 +81,31 @@
 	return exitOK
 }
 
+// servePlatform serves the routes that the platform publishes.
+func servePlatform(check bool, stdout, stderr io.Writer) int {
+	deployment, refusal := platform.LoadDeployment()
+	if refusal != nil {
+		_, _ = fmt.Fprintf(stderr, "gateway: %v\n", refusal)
+		return exitUsage
+	}
+	if check {
+		_, _ = fmt.Fprintln(stdout, "ok")
+		return exitOK
+	}
+	logger := slog.New(slog.NewJSONHandler(stdout, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	n := site.New(site.Options{
+		Deployment: deployment,
+		Logger:     logger,
+	})
+	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		logger.Error("failed", "error", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 func newLogger(s *settings.Settings, to io.Writer) *slog.Logger {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(s.LogLevel))
--- a/node/documents.go
+++ b/node/documents.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/membership"
@@ -167,10 +168,5 @@
 
 // sleepUntil waits for a moment or the end of ctx.
 func (n *Node) sleepUntil(ctx context.Context, at time.Time) {
-	timer := time.NewTimer(at.Sub(n.now()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	worker.SleepUntil(ctx, n.now(), at)
 }
--- a/node/group.go
+++ b/node/group.go
@@ -9,6 +9,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/operator"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 )
@@ -16,24 +17,14 @@
 // sweepEvery is how often unused accounts are forgotten.
 const sweepEvery = time.Minute
 
-// addWorker adds a goroutine that runs until the group stops.
-func addWorker(group *run.Group, work func(ctx context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	group.Add(func() error {
-		return work(ctx)
-	}, func(error) {
-		cancel()
-	})
-}
-
 func (n *Node) addWorkers(group *run.Group) {
-	addWorker(group, n.control.run)
-	addWorker(group, n.watchDocuments)
-	addWorker(group, n.watchList)
-	addWorker(group, n.followSource)
-	addWorker(group, n.pullOnDemand)
-	addWorker(group, n.pools.run)
-	addWorker(group, n.sweepAccounts)
+	worker.Add(group, n.control.run)
+	worker.Add(group, n.watchDocuments)
+	worker.Add(group, n.watchList)
+	worker.Add(group, n.followSource)
+	worker.Add(group, n.pullOnDemand)
+	worker.Add(group, n.pools.run)
+	worker.Add(group, n.sweepAccounts)
 }
 
 // sweepAccounts forgets accounts of workspaces that have not called for long.
@@ -50,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	addWorker(group, func(ctx context.Context) error {
+	worker.Add(group, func(ctx context.Context) error {
 		return server.Serve(ctx, f.peer)
 	})
 	n.addHTTP(group, f.caller, n.caller.Serve, n.caller.Close)
--- a/node/node.go
+++ b/node/node.go
@@ -175,12 +175,21 @@
 		Ledger:   n.ledger,
 		Desk:     n.desk,
 		Endpoint: client,
-		Budget:   retry.New(retryShare),
+		Budget:   n.newBudget(),
 		Ring:     n.ring,
 		Metrics:  n.metrics,
 	})
 }
 
+// newBudget is one budget for the calls of all targets.
+func (n *Node) newBudget() serving.Budget {
+	budget := retry.New(retryShare)
+	return serving.Budget{
+		OnRequest: func(string) { budget.OnRequest() },
+		Allow:     func(string) bool { return budget.Allow() },
+	}
+}
+
 func (n *Node) newCaller() *caller.Server {
 	s := n.settings
 	return caller.New(caller.Options{
--- a/peer/message.go
+++ b/peer/message.go
@@ -26,7 +26,7 @@
 
 // CallMessage writes a call for a message.
 func CallMessage(c *call.Call) *peerpb.Call {
-	return &peerpb.Call{
+	m := &peerpb.Call{
 		Id:            c.ID,
 		Workspace:     c.Workspace,
 		Kind:          uint32(c.Kind),
@@ -47,10 +47,14 @@
 		PrefixHash:    c.PrefixHash,
 		Origin:        c.Origin,
 	}
+	if c.Routed != nil {
+		putRouted(m, c, time.Now())
+	}
+	return m
 }
 
 func callFromMessage(m *peerpb.Call) *call.Call {
-	return &call.Call{
+	c := &call.Call{
 		ID:           m.GetId(),
 		Workspace:    m.GetWorkspace(),
 		Kind:         call.Kind(m.GetKind()),
@@ -72,6 +76,10 @@
 		Forwarded:    true,
 		Origin:       m.GetOrigin(),
 	}
+	if c.Kind == call.KindRouted {
+		takeRouted(c, m, time.Now())
+	}
+	return c
 }
 
 func headerMessage(h http.Header) []*peerpb.Header {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -92,6 +92,16 @@
 	return c.client(ctx, vm).HandOver(ctx, in)
 }
 
+// Gossip exchanges what both VMs know of the members.
+func (c *Client) Gossip(ctx context.Context, vm fleet.VM, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	return c.client(ctx, vm).Gossip(ctx, in)
+}
+
+// Published asks a VM for what it holds of the store.
+func (c *Client) Published(ctx context.Context, vm fleet.VM, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
+	return c.client(ctx, vm).Published(ctx, in)
+}
+
 // Events asks a VM for a part of its time line.
 func (c *Client) Events(ctx context.Context, vm fleet.VM, in *peerpb.EventsRequest) (*peerpb.EventsReply, error) {
 	return c.client(ctx, vm).Events(ctx, in)
--- a/peer/server.go
+++ b/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 
 	"storj.io/drpc/drpcmux"
@@ -19,6 +20,10 @@
 	Lease     func(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error)
 	HandOver  func(ctx context.Context, in *peerpb.HandOverRequest) (*peerpb.HandOverReply, error)
 	Events    func(ctx context.Context, in *peerpb.EventsRequest) (*peerpb.EventsReply, error)
+	// Gossip and Published are for fleets that find each other and share what
+	// they read of the store.
+	Gossip    func(ctx context.Context, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error)
+	Published func(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error)
 	// Forward runs the call and never forwards it again.
 	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
 	// Stamp and Witness keep the time line's clock on forwarded calls.
@@ -84,29 +89,63 @@
 
 // Heartbeat implements peerpb.DRPCPeerServer.
 func (s *service) Heartbeat(ctx context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatReply, error) {
+	if s.handlers.Heartbeat == nil {
+		return nil, errNotServed
+	}
 	return s.handlers.Heartbeat(ctx, in)
 }
 
 // Documents implements peerpb.DRPCPeerServer.
 func (s *service) Documents(ctx context.Context, in *peerpb.DocumentsRequest) (*peerpb.DocumentsReply, error) {
+	if s.handlers.Documents == nil {
+		return nil, errNotServed
+	}
 	return s.handlers.Documents(ctx, in)
 }
 
 // Lease implements peerpb.DRPCPeerServer.
 func (s *service) Lease(ctx context.Context, in *peerpb.LeaseRequest) (*peerpb.LeaseReply, error) {
+	if s.handlers.Lease == nil {
+		return nil, errNotServed
+	}
 	return s.handlers.Lease(ctx, in)
 }
 
 // HandOver implements peerpb.DRPCPeerServer.
 func (s *service) HandOver(ctx context.Context, in *peerpb.HandOverRequest) (*peerpb.HandOverReply, error) {
+	if s.handlers.HandOver == nil {
+		return nil, errNotServed
+	}
 	return s.handlers.HandOver(ctx, in)
 }
 
 // Events implements peerpb.DRPCPeerServer.
 func (s *service) Events(ctx context.Context, in *peerpb.EventsRequest) (*peerpb.EventsReply, error) {
+	if s.handlers.Events == nil {
+		return nil, errNotServed
+	}
 	return s.handlers.Events(ctx, in)
 }
 
+// Gossip implements peerpb.DRPCPeerServer.
+func (s *service) Gossip(ctx context.Context, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	if s.handlers.Gossip == nil {
+		return nil, errNotServed
+	}
+	return s.handlers.Gossip(ctx, in)
+}
+
+// Published implements peerpb.DRPCPeerServer.
+func (s *service) Published(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
+	if s.handlers.Published == nil {
+		return nil, errNotServed
+	}
+	return s.handlers.Published(ctx, in)
+}
+
+// errNotServed answers a request that this kind of deployment has no use for.
+var errNotServed = errors.New("not served by this deployment")
+
 // Forward implements peerpb.DRPCPeerServer.
 func (s *service) Forward(in *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
 	s.handlers.Witness(in.GetStamp())
--- a/result/result.go
+++ b/result/result.go
@@ -22,6 +22,8 @@
 const (
 	Done     Code = 1000
 	Replayed Code = 1001
+	// FailurePassed is an endpoint's own failure, passed on as it is.
+	FailurePassed Code = 1002
 )
 
 // Codes of class not run.
@@ -100,6 +102,7 @@
 var Table = []Info{
 	row(Done, "done", ClassDone, http.StatusOK, "The call ran and this is its whole answer.", "Nothing."),
 	row(Replayed, "replayed", ClassDone, http.StatusOK, "The ticket's call ran before; this is its recorded answer.", "Nothing."),
+	row(FailurePassed, "failure_passed", ClassDone, http.StatusOK, "The call ran and this is the endpoint's own failure, as it gave it.", "Read the endpoint's status."),
 
 	row(BadRequest, "bad_request", ClassNotRun, http.StatusBadRequest, "The request is malformed.", "Correct it."),
 	row(Unauthenticated, "unauthenticated", ClassNotRun, http.StatusUnauthorized, "The key is missing, unknown or ended.", "Use a key of the contract."),
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -62,6 +62,8 @@
 	Resumable bool
 	// Attempts is how often the call was tried, this one included.
 	Attempts int
+	// MaxAttempts bounds Attempts; zero means the default of three.
+	MaxAttempts int
 	// WholeBy is the deadline, zero for none; Needed is the least time for another try.
 	WholeBy time.Time
 	Needed  time.Duration
@@ -98,7 +100,7 @@
 		return VerdictFinal
 	case !notRun && !a.Idempotent:
 		return VerdictUnsafe
-	case a.Attempts >= maxAttempts:
+	case a.Attempts >= a.most():
 		return VerdictAttempts
 	case !a.WholeBy.IsZero() && now.Add(a.Needed).After(a.WholeBy):
 		return VerdictTooLate
@@ -110,3 +112,10 @@
 		return VerdictRetry
 	}
 }
+
+func (a Attempt) most() int {
+	if a.MaxAttempts > 0 {
+		return a.MaxAttempts
+	}
+	return maxAttempts
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,152 @@
+// Package route holds the table of routes that operators publish: which
+// service a request goes to, within which time, how often, and in which
+// regions. It is pure data with lookups.
+package route
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be repeated.
+type Kind string
+
+// The kinds of routes.
+const (
+	KindIdempotent    Kind = "idempotent"
+	KindNonIdempotent Kind = "non_idempotent"
+	KindStream        Kind = "stream"
+)
+
+// Route is the terms of the requests of one host under one path prefix. Its
+// times are relative to a request's arrival; whoever takes the request turns
+// them into deadlines.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout bounds a request's whole time, Objective is the time by which the
+	// first byte earns full credit, Gap the longest pause between events that is
+	// still on time. Zero means none.
+	Timeout   time.Duration
+	Objective time.Duration
+	Gap       time.Duration
+	// Rank is the priority, 0 first.
+	Rank int
+	// Shares split the requests between services by weight.
+	Shares []Share
+	// MaxAttempts bounds the endpoints that may run one request.
+	MaxAttempts int
+	// HasPrompts says that requests name the parts of their prompts.
+	HasPrompts bool
+	// Resumable says that a broken stream may go on at another endpoint.
+	Resumable bool
+	// Homes are the regions that may serve the requests; none means all.
+	Homes []string
+}
+
+// Share is one service's part of a route.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is what the operators say of the endpoints of one service.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections bounds the connections of all callers to one endpoint.
+	MaxConnections int
+	// ColdFor is how long an endpoint is cold after its start, and
+	// ColdPerSecond how many requests a second it then bears.
+	ColdFor       time.Duration
+	ColdPerSecond float64
+	// IsEngine says that the endpoints are model engines, which report their load.
+	IsEngine bool
+	// CacheTokens is an engine's memory, in tokens.
+	CacheTokens int
+}
+
+// Limits bound what a caller's connection may cost; zero means no bound.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderWithin   time.Duration
+	IdleWithin     time.Duration
+}
+
+// Table is all routes of one version. It never changes once it is made.
+type Table struct {
+	Version  uint64
+	Limits   Limits
+	byHost   map[string][]Route
+	services map[string]Service
+}
+
+// New makes a table.
+func New(version uint64, routes []Route, services []Service, limits Limits) *Table {
+	t := &Table{
+		Version:  version,
+		Limits:   limits,
+		byHost:   make(map[string][]Route),
+		services: make(map[string]Service, len(services)),
+	}
+	for _, r := range routes {
+		host := normalHost(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for _, s := range services {
+		t.services[s.Name] = s
+	}
+	return t
+}
+
+// Match finds the route of a host with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	list := t.byHost[normalHost(host)]
+	for i := range list {
+		if strings.HasPrefix(path, list[i].Prefix) {
+			return &list[i], true
+		}
+	}
+	return nil, false
+}
+
+// normalHost gives a host without its port, in lower case.
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Service gives what is known of a service.
+func (t *Table) Service(name string) (Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
+}
+
+// Pick draws a service by the weights; it is empty where no share has weight.
+func (r *Route) Pick(draw uint64) string {
+	sum := 0
+	for _, s := range r.Shares {
+		sum += max(s.Weight, 0)
+	}
+	if sum == 0 {
+		return ""
+	}
+	left := int(draw % uint64(sum))
+	for _, s := range r.Shares {
+		left -= max(s.Weight, 0)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return ""
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -49,6 +49,19 @@
 	return choice.Wait, choice.Service
 }
 
+// Expect says how long a call's first token would take if it were sent now; ok
+// is false when no endpoint takes work.
+func (p *Pool) Expect(r Request, now time.Time) (first time.Duration, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r.home, r.second = p.ring.pair(r.PrefixHash)
+	c, ok := p.pick(r, now)
+	if !ok {
+		return 0, false
+	}
+	return p.choice(c, r, now).First, true
+}
+
 // take counts the call at the candidate.
 func (p *Pool) take(c candidate, r Request, now time.Time) Choice {
 	choice := p.choice(c, r, now)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -38,6 +38,10 @@
 	QueuedTokens    int
 	TokensPerSecond float64
 	Leaving         bool
+	// CacheUsed and CacheTokens are the engine's memory in tokens; zero where
+	// the endpoint does not say.
+	CacheUsed   int
+	CacheTokens int
 }
 
 // Request is what the choice depends on.
--- /dev/null
+++ b/serving/routed.go
@@ -0,0 +1,132 @@
+package serving
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/timeline"
+)
+
+// placesPerCall bounds the VMs, this one included, that look at one routed call.
+const placesPerCall = 3
+
+// serveRouted serves a call whose terms follow from its route, here or in
+// another region. One that came from another VM is served here or not at all.
+func (s *Server) serveRouted(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
+	if r := s.refuseNew(); r != nil {
+		return call.Refused(r.Until(s.options.Now().Add(shareWithin)))
+	}
+	if c.Forwarded {
+		return s.attempt(ctx, c, sink, nil)
+	}
+	seen := &passed{
+		sink: sink,
+	}
+	var tried []string
+	var outcome call.Outcome
+	for len(tried) < placesPerCall {
+		vm, away, refusal := s.options.PlaceRouted(c, tried)
+		if refusal != nil {
+			return unlessTried(outcome, tried, refusal)
+		}
+		if !away {
+			vm = fleet.VM{
+				ID: s.options.VM,
+			}
+			outcome = s.attempt(ctx, c, seen.tracked(), nil)
+		} else {
+			outcome = s.sendAway(ctx, c, vm, seen.tracked())
+		}
+		tried = append(tried, vm.ID)
+		if ctx.Err() != nil || !seen.mayMove(c, outcome) {
+			return outcome
+		}
+		c = seen.moved(c, outcome)
+	}
+	return outcome
+}
+
+// unlessTried gives the outcome of the last place that looked at the call.
+func unlessTried(o call.Outcome, tried []string, r *result.Refusal) call.Outcome {
+	if len(tried) == 0 {
+		return call.Refused(r)
+	}
+	return o
+}
+
+func (s *Server) sendAway(ctx context.Context, c *call.Call, vm fleet.VM, sink call.Sink) call.Outcome {
+	s.event(c, "call_sent_away", timeline.Event{
+		Peer:   vm.ID,
+		Detail: vm.Region,
+	})
+	s.options.Metrics.SentAway(vm.Region)
+	return s.options.Forward(ctx, vm, c, sink)
+}
+
+// passed is what the caller has of an answer.
+type passed struct {
+	sink      call.Sink
+	headed    bool
+	lastEvent string
+}
+
+func (p *passed) tracked() call.Sink {
+	return call.Sink{
+		Head: func(status int, header http.Header) error {
+			if p.headed {
+				return p.goesOn(status, header)
+			}
+			p.headed = true
+			return p.sink.Head(status, header)
+		},
+		Chunk: func(data []byte) error {
+			if id := endpoint.LastEventID(data); id != "" {
+				p.lastEvent = id
+			}
+			return p.sink.Chunk(data)
+		},
+	}
+}
+
+// errSeam says that what follows is no continuation of what the caller has.
+var errSeam = errors.New("the answer does not continue the stream")
+
+// goesOn refuses any head after the first but that of a stream that goes on.
+func (p *passed) goesOn(status int, header http.Header) error {
+	if status != http.StatusOK || header.Get("Content-Length") != "" {
+		return errSeam
+	}
+	return nil
+}
+
+// mayMove says whether a call may go to another place after an outcome: it did
+// not run there, or it may run again and the caller can be given the rest.
+func (p *passed) mayMove(c *call.Call, o call.Outcome) bool {
+	switch o.Code {
+	case result.EndpointRefused, result.NoEndpoint, result.PeerUnreachable, result.Stopping, result.NotReady, result.DeadlineUnmeetable, result.QueueFull:
+		return !p.headed || c.Routed.Resumable
+	case result.PeerLost, result.EndpointCut:
+		return c.Idempotent && (!p.headed || (c.Routed.Resumable && p.lastEvent != ""))
+	default:
+		return false
+	}
+}
+
+// moved is the call as the next place gets it.
+func (p *passed) moved(c *call.Call, o call.Outcome) *call.Call {
+	next := *c
+	routed := *c.Routed
+	next.Routed = &routed
+	if p.lastEvent != "" {
+		routed.ResumeAfter = p.lastEvent
+	}
+	if o.Code.Class() != result.ClassNotRun || o.Code == result.EndpointRefused {
+		routed.Repeated = true
+	}
+	return &next
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -16,6 +16,10 @@
 
 const attemptBase = 36
 
+// maxRefused is how many endpoints may refuse one routed call before its caller
+// is told: more seldom find a place and use up the repeats of others.
+const maxRefused = 2
+
 // sending is called right before a call's first byte goes to an endpoint.
 // Its error, a refusal, stops the call with nothing sent.
 type sending func() error
@@ -48,9 +52,15 @@
 
 // progress is what the attempts of one call have come to.
 type progress struct {
-	excluded  [2]string
-	attempts  int
+	excluded [2]string
+	attempts int
+	// sends are the attempts of which a byte went out; refused are those of
+	// them that certainly did not run.
+	sends     int
+	refused   int
 	delivered int
+	// lastEvent is the id of the last event that the caller has of a routed stream.
+	lastEvent string
 	// uncertain is the last code of class unknown that an attempt ended with,
 	// zero while none did.
 	uncertain result.Code
@@ -61,22 +71,51 @@
 // attempt serves the call on this region's endpoints. It tries another
 // endpoint only where nothing ran, or where the answer goes on without a seam.
 func (s *Server) attempt(ctx context.Context, c *call.Call, sink call.Sink, before sending) call.Outcome {
-	s.options.Budget.OnRequest()
 	var p progress
+	if !s.countFirst(c) {
+		return p.budgetSpent()
+	}
 	for {
 		if refusal := s.attemptOnce(ctx, c, sink, before, &p); refusal != nil {
-			return p.refused(refusal)
+			return s.end(&p, sink, p.refusedAs(refusal))
 		}
 		if p.last.Code.Class() == result.ClassDone || !s.mayRepeat(c, &p) {
-			return p.outcome
+			return s.end(&p, sink, p.outcome)
 		}
-		if !s.options.Budget.Allow() {
-			return p.budgetSpent()
+		if p.last.Sent && !s.options.Budget.Allow(c.Target()) {
+			return s.end(&p, sink, p.budgetSpent())
 		}
 		s.options.Metrics.Retried()
 	}
 }
 
+// countFirst counts a call's first attempt. That of a call which another VM
+// has sent to an endpoint already is one more, and may not be allowed.
+func (s *Server) countFirst(c *call.Call) bool {
+	if c.Routed != nil && c.Routed.Repeated {
+		return s.options.Budget.Allow(c.Target())
+	}
+	s.options.Budget.OnRequest(c.Target())
+	return true
+}
+
+// end passes an endpoint's own failure on where no other attempt follows.
+func (s *Server) end(p *progress, sink call.Sink, o call.Outcome) call.Outcome {
+	held := p.last.Held
+	if held == nil || o.Code.Class() == result.ClassDone || p.delivered > 0 {
+		return o
+	}
+	if err := sink.Head(held.Status, held.Header); err != nil {
+		return o
+	}
+	if err := sink.Chunk(held.Body); err != nil {
+		return o
+	}
+	o.Code = result.FailurePassed
+	o.Refusal = nil
+	return o
+}
+
 // attemptOnce sends the call once. A refusal means that it was not sent.
 func (s *Server) attemptOnce(ctx context.Context, c *call.Call, sink call.Sink, before sending, p *progress) *result.Refusal {
 	pool, ok := s.options.Pool(c.Target())
@@ -108,6 +147,9 @@
 }
 
 func (s *Server) newAttempt(c *call.Call, slot admission.Slot, before sending, p *progress) endpoint.Attempt {
+	if c.Kind == call.KindRouted {
+		return routedAttempt(c, slot, p)
+	}
 	n := s.attempts.Add(1)
 	return endpoint.Attempt{
 		ID:         c.ID + "." + s.options.VM + "." + strconv.FormatUint(n, attemptBase),
@@ -119,6 +161,17 @@
 	}
 }
 
+// routedAttempt gives the attempt the caller's own id: one try of a client has
+// one id, also where it is sent twice.
+func routedAttempt(c *call.Call, slot admission.Slot, p *progress) endpoint.Attempt {
+	return endpoint.Attempt{
+		ID:          c.ID,
+		Endpoint:    slot.Choice.Endpoint,
+		Call:        c,
+		ResumeAfter: p.lastEvent,
+	}
+}
+
 func (s *Server) reportAttempt(c *call.Call, p *progress) {
 	if p.last.Code.Class() == result.ClassDone {
 		return
@@ -133,7 +186,7 @@
 	if p.last.CallerGone {
 		return false
 	}
-	verdict := s.decide(retry.Attempt{
+	a := retry.Attempt{
 		Code:       p.last.Code,
 		Sent:       p.last.Sent,
 		Idempotent: c.Idempotent,
@@ -141,7 +194,11 @@
 		Resumable:  p.last.Resumable,
 		Attempts:   p.attempts,
 		WholeBy:    c.WholeBy,
-	}, s.options.Now())
+	}
+	if c.Kind == call.KindRouted {
+		a.Attempts, a.MaxAttempts = p.routedAttempts(c)
+	}
+	verdict := s.decide(a, s.options.Now())
 	return verdict == retry.VerdictRetry || verdict == retry.VerdictResume
 }
 
@@ -157,12 +214,31 @@
 	}
 }
 
+// routedAttempts gives how often a routed call was tried and may be tried. The
+// route bounds the endpoints that may have run it; those that certainly have
+// not are bounded besides.
+func (p *progress) routedAttempts(c *call.Call) (attempts, most int) {
+	if p.refused > maxRefused {
+		return p.attempts, p.attempts
+	}
+	return p.attempts - p.refused, c.Routed.MaxAttempts
+}
+
 // take adds an attempt's outcome to the call's.
 func (p *progress) take(out endpoint.Outcome, endpointID string) {
 	p.last = out
 	p.excluded[p.attempts%len(p.excluded)] = endpointID
 	p.attempts++
+	if out.Sent {
+		p.sends++
+	}
+	if !out.Sent || out.Code.Class() == result.ClassNotRun {
+		p.refused++
+	}
 	p.delivered += out.Delivered
+	if out.LastEvent != "" {
+		p.lastEvent = out.LastEvent
+	}
 	if out.Code.Class() == result.ClassUnknown {
 		p.uncertain = out.Code
 	}
@@ -206,8 +282,8 @@
 	return refusal.Until(out.ComeBackAt)
 }
 
-// refused is the outcome of a call that could not be sent, or not be gone on with.
-func (p *progress) refused(refusal *result.Refusal) call.Outcome {
+// refusedAs is the outcome of a call that could not be sent, or not be gone on with.
+func (p *progress) refusedAs(refusal *result.Refusal) call.Outcome {
 	if p.attempts == 0 {
 		return call.Refused(refusal)
 	}
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -30,7 +30,21 @@
 	Queue     *admission.Queue
 }
 
-// Options set up a Server. Every field is required.
+// Budget bounds how often calls of one target are sent again.
+type Budget struct {
+	// OnRequest counts a call's first attempt.
+	OnRequest func(target string)
+	// Allow takes one more attempt from the budget, if there is one.
+	Allow func(target string) bool
+}
+
+// PlaceRouted decides where a routed call is served: here if ok is false, or on
+// a VM of another region. A refusal means nowhere. tried are the VMs that did
+// not look at the call.
+type PlaceRouted func(c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal)
+
+// Options set up a Server. Every field is required, but for those that only
+// calls under contracts or only routed calls need.
 type Options struct {
 	Now    func() time.Time
 	VM     string
@@ -49,11 +63,13 @@
 	// Accept lets a call of another region use this region's surplus; done must
 	// be called once the call has ended.
 	Accept func(c *call.Call) (done func(), refusal *result.Refusal)
+	// PlaceRouted is for routed calls only.
+	PlaceRouted PlaceRouted
 
 	Ledger   *limit.Ledger
 	Desk     *ticket.Desk
 	Endpoint *endpoint.Client
-	Budget   *retry.Budget
+	Budget   Budget
 	Ring     *timeline.Ring
 	Metrics  *metrics.Metrics
 }
@@ -125,6 +141,9 @@
 }
 
 func (s *Server) serveHere(ctx context.Context, c *call.Call, place Placement, sink call.Sink) call.Outcome {
+	if c.Kind == call.KindRouted {
+		return s.serveRouted(ctx, c, sink)
+	}
 	if c.Origin != "" {
 		return s.serveStranger(ctx, c, sink)
 	}
--- a/serving/world_test.go
+++ b/serving/world_test.go
@@ -133,7 +133,7 @@
 				},
 			},
 		}),
-		Budget: retry.New(1),
+		Budget: budgetOf(retry.New(1)),
 		Ring: timeline.New(timeline.Options{
 			VM:       p.vm.ID,
 			Capacity: 64,
@@ -322,3 +322,11 @@
 	assert.Check(w.t, refusal == nil, "a call in flight was not given back: %v", refusal)
 	p.ledger.Cancel(reservation, now)
 }
+
+// budgetOf is one budget for the calls of all targets.
+func budgetOf(b *retry.Budget) Budget {
+	return Budget{
+		OnRequest: func(string) { b.OnRequest() },
+		Allow:     func(string) bool { return b.Allow() },
+	}
+}
--- /dev/null
+++ b/site/control.go
@@ -0,0 +1,222 @@
+package site
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/borrow"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/roster"
+	"github.com/fuchsianotch/fuchsianotch/route"
+)
+
+const (
+	// inboxLength is how many messages may wait for the control goroutine.
+	inboxLength = 256
+	// gossipEvery is the interval between two exchanges: with two misses, a
+	// suspicion of three intervals and the ways between regions, a lost VM counts
+	// as dead after about 3 s.
+	gossipEvery = 500 * time.Millisecond
+	// loadGoodFor is how long a region's word about its load is used.
+	loadGoodFor = 4 * time.Second
+)
+
+// message is one event for the control goroutine.
+type message func(c *control, now time.Time)
+
+// picture is what traffic reads. It never changes.
+type picture struct {
+	table     *route.Table
+	endpoints []discovery.Ready
+	members   *roster.Picture
+	// loads are those of other regions by their own word, by service.
+	loads map[string][]regionLoad
+	// revision is the store's revision that this VM holds.
+	revision uint64
+}
+
+// regionLoad is a region's load with the end of its use.
+type regionLoad struct {
+	borrow.Load
+	until time.Time
+}
+
+// control owns all control state. Only its goroutine touches it.
+type control struct {
+	node      *Node
+	inbox     chan message
+	roster    *roster.Roster
+	mirror    *discovery.Mirror
+	discovery *discovery.State
+	loads     map[loadKey]regionLoad
+	published atomic.Pointer[picture]
+	// endpointsAt is when the endpoints change by themselves.
+	endpointsAt time.Time
+	changed     bool
+}
+
+type loadKey struct {
+	region  string
+	service string
+}
+
+func newControl(n *Node) *control {
+	c := &control{
+		node:  n,
+		inbox: make(chan message, inboxLength),
+		roster: roster.New(roster.Options{
+			Self:        n.self(),
+			Incarnation: n.incarnation,
+			Seeds:       n.deployment.Seeds,
+			Every:       gossipEvery,
+			Rand:        rand.Uint64,
+		}),
+		mirror: discovery.NewMirror(),
+		discovery: discovery.New(discovery.Options{
+			Grace: n.deployment.Bounds.LapseWithin,
+		}),
+		loads: make(map[loadKey]regionLoad),
+	}
+	c.published.Store(&picture{
+		members: c.roster.Picture(),
+	})
+	return c
+}
+
+func (c *control) picture() *picture {
+	return c.published.Load()
+}
+
+// send passes a message to the control goroutine; it is lost when ctx ends first.
+func (c *control) send(ctx context.Context, m message) bool {
+	select {
+	case c.inbox <- m:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ask passes a question and waits for its answer.
+func ask[T any](ctx context.Context, c *control, question func(c *control, now time.Time) T) (T, error) {
+	var zero T
+	reply := make(chan T, 1)
+	sent := c.send(ctx, func(c *control, now time.Time) {
+		reply <- question(c, now)
+	})
+	if !sent {
+		return zero, ctx.Err()
+	}
+	select {
+	case answer := <-reply:
+		return answer, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
+
+// run takes messages and exchanges rumors when that is due.
+func (c *control) run(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-c.inbox:
+			m(c, c.node.now())
+		case <-timer.C:
+		}
+		now := c.node.now()
+		for _, target := range c.roster.Step(now) {
+			go c.node.exchange(ctx, target, c.message(target.Full, now))
+		}
+		c.publish(now)
+		timer.Reset(max(c.next(now).Sub(now), time.Millisecond))
+	}
+}
+
+// next is when the state changes by itself.
+func (c *control) next(now time.Time) time.Time {
+	next := c.roster.Next(now)
+	if !c.endpointsAt.IsZero() && c.endpointsAt.Before(next) {
+		return c.endpointsAt
+	}
+	return next
+}
+
+// publish makes the state visible to traffic.
+func (c *control) publish(now time.Time) {
+	if !c.endpointsAt.IsZero() && !now.Before(c.endpointsAt) {
+		c.changed = true
+	}
+	c.discovery.Step(now)
+	c.endpointsAt = c.discovery.Next(now)
+	before := c.picture()
+	after := &picture{
+		table:     c.discovery.Table(),
+		endpoints: before.endpoints,
+		loads:     c.loadsByService(now),
+		revision:  c.mirror.Revision(),
+	}
+	c.roster.SetReady(after.table != nil && !c.node.leaving.Load())
+	after.members = c.roster.Picture()
+	if c.changed {
+		after.endpoints = c.discovery.Endpoints(now)
+	}
+	c.published.Store(after)
+	if c.changed || len(before.members.Members) != len(after.members.Members) {
+		c.node.pools.update(after, now)
+	}
+	c.changed = false
+	c.reportChanges(before, after)
+}
+
+func (c *control) loadsByService(now time.Time) map[string][]regionLoad {
+	out := make(map[string][]regionLoad)
+	for key, load := range c.loads {
+		if !now.Before(load.until) {
+			delete(c.loads, key)
+			continue
+		}
+		out[key.service] = append(out[key.service], load)
+	}
+	return out
+}
+
+// reportChanges logs what this VM believes differently.
+func (c *control) reportChanges(before, after *picture) {
+	if before.table != after.table {
+		c.node.log.Info("configuration_taken", "version", after.table.Version, "revision", after.revision)
+	}
+	was := make(map[string]roster.Member, len(before.members.Members))
+	for _, m := range before.members.Members {
+		was[m.VM.ID] = m
+	}
+	for _, m := range after.members.Members {
+		old, known := was[m.VM.ID]
+		if !known || old.Reachable != m.Reachable || old.Ready != m.Ready || old.Incarnation != m.Incarnation {
+			c.node.log.Info("member_changed", "peer", m.VM.ID, "incarnation", m.Incarnation, "reachable", m.Reachable, "ready", m.Ready)
+		}
+		delete(was, m.VM.ID)
+	}
+	for id, m := range was {
+		c.node.log.Info("member_lost", "peer", id, "incarnation", m.Incarnation)
+	}
+}
+
+// take applies changes of the store, wherever they came from.
+func (c *control) take(items []discovery.Item, now time.Time) {
+	for _, item := range items {
+		change, err := c.node.decoder.Decode(item)
+		if err != nil {
+			c.node.log.Warn("item_refused", "key", item.Key, "revision", item.Revision, "reason", err.Error())
+			continue
+		}
+		if c.discovery.Take(change, now) {
+			c.changed = true
+		}
+	}
+}
--- /dev/null
+++ b/site/gossip.go
@@ -0,0 +1,200 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/borrow"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/roster"
+)
+
+const (
+	// exchangeWithin bounds one exchange: the way there and back between regions
+	// with a new connection, several times over.
+	exchangeWithin = time.Second
+	// pullWithin bounds the pull of what a peer holds of the store.
+	pullWithin = 2 * time.Second
+	// pullAfter is how long this VM's own read may lag behind a peer's before it
+	// asks the peer: both are told at nearly the same time.
+	pullAfter = 300 * time.Millisecond
+)
+
+// message is this VM's side of an exchange.
+func (c *control) message(full bool, now time.Time) *peerpb.GossipMessage {
+	m := &peerpb.GossipMessage{
+		From:              rumorMessage(c.roster.Self()),
+		Hash:              c.roster.Hash(),
+		PublishedRevision: c.mirror.Revision(),
+		Loads:             c.node.pools.loads(now),
+	}
+	if full {
+		for _, r := range c.roster.Rumors() {
+			m.Rumors = append(m.Rumors, rumorMessage(r))
+		}
+	}
+	return m
+}
+
+// exchange sends this VM's message to a target and takes the answer.
+func (n *Node) exchange(ctx context.Context, target roster.Target, m *peerpb.GossipMessage) {
+	trip, cancel := context.WithTimeout(ctx, exchangeWithin)
+	defer cancel()
+	reply, err := n.peers.Gossip(trip, target.VM, m)
+	n.control.send(ctx, func(c *control, now time.Time) {
+		if err != nil {
+			c.missed(target.VM, err, now)
+			return
+		}
+		c.heard(ctx, reply, now)
+	})
+}
+
+// missed records that a VM did not answer.
+func (c *control) missed(vm fleet.VM, err error, now time.Time) {
+	if vm.ID == "" {
+		return
+	}
+	if errors.Is(err, peer.ErrDial) && errors.Is(err, syscall.ECONNREFUSED) {
+		c.roster.Refused(vm.ID, now)
+		return
+	}
+	c.roster.Missed(vm.ID, now)
+}
+
+func (c *control) heard(ctx context.Context, m *peerpb.GossipMessage, now time.Time) {
+	rumors := make([]roster.Rumor, 0, len(m.GetRumors()))
+	for _, r := range m.GetRumors() {
+		rumors = append(rumors, rumorFromMessage(r))
+	}
+	from := rumorFromMessage(m.GetFrom())
+	c.roster.Heard(from, m.GetHash(), rumors, now)
+	c.takeLoads(from.VM.Region, m.GetLoads(), now)
+	if m.GetPublishedRevision() > c.mirror.Revision() {
+		go c.node.pullSoon(ctx, from.VM, m.GetPublishedRevision())
+	}
+}
+
+func (c *control) takeLoads(region string, loads []*peerpb.RegionLoad, now time.Time) {
+	if region == c.node.deployment.Region {
+		return
+	}
+	for _, l := range loads {
+		key := loadKey{
+			region:  region,
+			service: l.GetService(),
+		}
+		c.loads[key] = regionLoad{
+			Load: borrow.Load{
+				Region:    region,
+				Endpoints: int(l.GetEndpoints()),
+				First:     time.Duration(l.GetWaitMs()) * time.Millisecond,
+			},
+			until: now.Add(loadGoodFor),
+		}
+	}
+}
+
+// answerGossip takes a peer's message and gives this VM's.
+func (n *Node) answerGossip(ctx context.Context, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	return ask(ctx, n.control, func(c *control, now time.Time) *peerpb.GossipMessage {
+		c.heard(context.WithoutCancel(ctx), in, now)
+		return c.message(in.GetHash() != c.roster.Hash(), now)
+	})
+}
+
+// pullSoon asks a peer for what it holds of the store, unless this VM's own
+// read brings it soon.
+func (n *Node) pullSoon(ctx context.Context, vm fleet.VM, revision uint64) {
+	time.Sleep(pullAfter)
+	after := n.control.picture().revision
+	if after >= revision {
+		return
+	}
+	trip, cancel := context.WithTimeout(ctx, pullWithin)
+	defer cancel()
+	reply, err := n.peers.Published(trip, vm, &peerpb.PublishedRequest{
+		AfterRevision: after,
+	})
+	if err != nil {
+		n.log.Warn("pull_failed", "peer", vm.ID, "reason", err.Error())
+		return
+	}
+	got := read{
+		items:    itemsFromMessage(reply.GetItems()),
+		revision: reply.GetRevision(),
+		whole:    reply.GetWhole(),
+	}
+	n.control.send(trip, func(c *control, now time.Time) {
+		c.take(c.merge(got), now)
+	})
+}
+
+// published answers a peer with what this VM holds of the store.
+func (n *Node) published(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
+	return ask(ctx, n.control, func(c *control, _ time.Time) *peerpb.PublishedReply {
+		items, whole := c.mirror.Since(in.GetAfterRevision())
+		reply := &peerpb.PublishedReply{
+			Revision: c.mirror.Revision(),
+			Whole:    whole,
+		}
+		for _, item := range items {
+			reply.Items = append(reply.Items, &peerpb.PublishedItem{
+				Key:      item.Key,
+				Revision: item.Revision,
+				Value:    item.Value,
+				Removed:  item.Removed,
+			})
+		}
+		return reply
+	})
+}
+
+func itemsFromMessage(list []*peerpb.PublishedItem) []discovery.Item {
+	out := make([]discovery.Item, 0, len(list))
+	for _, i := range list {
+		out = append(out, discovery.Item{
+			Key:      i.GetKey(),
+			Revision: i.GetRevision(),
+			Value:    i.GetValue(),
+			Removed:  i.GetRemoved(),
+		})
+	}
+	return out
+}
+
+func rumorMessage(r roster.Rumor) *peerpb.Rumor {
+	return &peerpb.Rumor{
+		Vm:          r.VM.ID,
+		Incarnation: r.Incarnation,
+		Version:     r.Version,
+		State:       uint32(r.State),
+		Ready:       r.Ready,
+		Region:      r.VM.Region,
+		DataCentre:  r.VM.DataCentre,
+		CallerAddr:  r.VM.CallerAddr,
+		PeerAddr:    r.VM.PeerAddr,
+	}
+}
+
+func rumorFromMessage(m *peerpb.Rumor) roster.Rumor {
+	return roster.Rumor{
+		VM: fleet.VM{
+			ID:         m.GetVm(),
+			Region:     m.GetRegion(),
+			DataCentre: m.GetDataCentre(),
+			CallerAddr: m.GetCallerAddr(),
+			PeerAddr:   m.GetPeerAddr(),
+			State:      fleet.StateLive,
+		},
+		Incarnation: m.GetIncarnation(),
+		Version:     m.GetVersion(),
+		State:       roster.State(m.GetState()),
+		Ready:       m.GetReady(),
+	}
+}
--- /dev/null
+++ b/site/place.go
@@ -0,0 +1,163 @@
+package site
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/borrow"
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/roster"
+	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/serving"
+)
+
+// wayBetweenRegions stands in for the time there and back to a region, until
+// it is measured.
+const wayBetweenRegions = 160 * time.Millisecond
+
+// forwardGrace is how much longer than a call's own deadline a forward is
+// waited for, so that the far VM's outcome arrives rather than a timeout.
+const forwardGrace = 250 * time.Millisecond
+
+// serve carries a caller's call.
+func (n *Node) serve(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
+	return n.serving.Serve(ctx, c, serving.Placement{
+		Kind: serving.PlaceHere,
+	}, sink)
+}
+
+// place decides where a call is served.
+func (n *Node) place(c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal) {
+	now := n.now()
+	pic := n.control.picture()
+	region, ok := borrow.Place(borrow.PlaceRequest{
+		Own:        n.ownLoad(c, now),
+		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
+		Others:     n.otherLoads(c, pic, tried),
+		FirstBy:    c.FirstBy,
+	}, now)
+	if !ok {
+		return vm, false, result.Refuse(result.NoEndpoint, "no region takes calls of %s", c.Service).Until(borrow.ComeBack(now))
+	}
+	if region == n.deployment.Region {
+		return vm, false, nil
+	}
+	vms := reachableIn(pic.members.Members, region, tried)
+	return vms[rand.IntN(len(vms))], true, nil
+}
+
+// ownLoad is what this region expects of the call.
+func (n *Node) ownLoad(c *call.Call, now time.Time) borrow.Load {
+	load := borrow.Load{
+		Region: n.deployment.Region,
+	}
+	pool, ok := n.pools.find(c.Target())
+	if !ok {
+		return load
+	}
+	first, ok := pool.Endpoints.Expect(routing.Request{
+		PrefixHash:   c.PrefixHash,
+		PromptTokens: c.PromptTokens,
+		MaxTokens:    c.MaxTokens,
+		Priority:     c.Priority,
+	}, now)
+	if !ok {
+		return load
+	}
+	load.Endpoints = pool.Endpoints.Supply(now).Endpoints
+	load.First = first
+	return load
+}
+
+// otherLoads are those of the regions that may serve the call and have a VM in reach.
+func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string) []borrow.Load {
+	var out []borrow.Load
+	for _, l := range pic.loads[c.Target()] {
+		if !c.Routed.Allows(l.Region) || len(reachableIn(pic.members.Members, l.Region, tried)) == 0 {
+			continue
+		}
+		load := l.Load
+		load.Way = wayBetweenRegions
+		out = append(out, load)
+	}
+	return out
+}
+
+// reachableIn gives the VMs of a region that take calls, but for those tried.
+func reachableIn(members []roster.Member, region string, tried []string) []fleet.VM {
+	var out []fleet.VM
+	for _, m := range members {
+		if m.VM.Region == region && m.Reachable && m.Ready && !slices.Contains(tried, m.VM.ID) {
+			out = append(out, m.VM)
+		}
+	}
+	return out
+}
+
+func entriesIn(members []roster.Member, region string) []string {
+	var out []string
+	for _, vm := range reachableIn(members, region, nil) {
+		out = append(out, vm.CallerAddr)
+	}
+	return out
+}
+
+// forward runs a call on another VM and tells the control goroutine of a lost one.
+func (n *Node) forward(ctx context.Context, vm fleet.VM, c *call.Call, sink call.Sink) call.Outcome {
+	trip, cancel := context.WithDeadline(ctx, c.WholeBy.Add(forwardGrace))
+	defer cancel()
+	out := n.peers.Forward(trip, vm, &peerpb.ForwardRequest{
+		From: n.identity(),
+		Call: peer.CallMessage(c),
+	}, sink, func(uint64) {})
+	if ctx.Err() == nil && out.Code == result.PeerUnreachable {
+		n.control.send(ctx, func(c *control, now time.Time) {
+			c.missed(vm, out.Refusal, now)
+		})
+	}
+	return out
+}
+
+func (n *Node) identity() *peerpb.Identity {
+	return &peerpb.Identity{
+		Vm:          n.deployment.VM,
+		Incarnation: n.incarnation,
+		Region:      n.deployment.Region,
+	}
+}
+
+// handlers are this VM's answers to its peers.
+func (n *Node) handlers() peer.Handlers {
+	return peer.Handlers{
+		Gossip:    n.answerGossip,
+		Published: n.published,
+		Forward:   n.serveForwarded,
+		Stamp:     func() uint64 { return 0 },
+		Witness:   func(uint64) {},
+	}
+}
+
+// serveForwarded runs a call that another VM sent. A newer table than the
+// sender's may have moved its route, so the call then goes where that says.
+func (n *Node) serveForwarded(ctx context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
+	table := n.control.picture().table
+	if c.Kind != call.KindRouted || table == nil || !c.Routed.Allows(n.deployment.Region) {
+		return call.Refused(result.Refuse(result.NotReady, "VM %s does not serve the call", n.deployment.VM))
+	}
+	if table.Version > c.Routed.Version {
+		found, ok := table.Match(c.Routed.Host, c.Path)
+		if !ok || found.Pick(rand.Uint64()) == "" {
+			return call.Refused(result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM))
+		}
+		c.Service = found.Pick(rand.Uint64())
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
+	defer cancel()
+	return n.serve(ctx, c, sink)
+}
--- /dev/null
+++ b/site/pools.go
@@ -0,0 +1,212 @@
+package site
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/admission"
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/retry"
+	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/serving"
+)
+
+const (
+	// reportEvery is the interval at which each engine is asked for its load,
+	// which it tells some 100 ms late.
+	reportEvery = 700 * time.Millisecond
+	// reportWithin bounds one question.
+	reportWithin = time.Second
+	// usualPrompt is the prompt, in tokens, for which a region tells others its
+	// time to the first token.
+	usualPrompt = 1000
+)
+
+// pools are the endpoints of this region by service. The control goroutine
+// updates them; traffic reads an immutable table.
+type pools struct {
+	node  *Node
+	table atomic.Pointer[poolTable]
+	// steadyAt is when the number of VMs known last changed.
+	steadyAt atomic.Int64
+}
+
+type poolTable struct {
+	byService map[string]*pool
+	// engines report their load.
+	engines []fleet.Endpoint
+	vms     int
+}
+
+type pool struct {
+	serving.Pool
+	budget *retry.Window
+}
+
+func newPools(n *Node) *pools {
+	p := &pools{
+		node: n,
+	}
+	p.table.Store(&poolTable{
+		byService: make(map[string]*pool),
+	})
+	return p
+}
+
+// update takes the endpoints and members of a picture.
+func (p *pools) update(pic *picture, now time.Time) {
+	before := p.table.Load()
+	after := &poolTable{
+		byService: make(map[string]*pool),
+		vms:       p.countVMs(pic),
+	}
+	warm := make(map[string][]fleet.Endpoint)
+	for _, e := range pic.endpoints {
+		if e.Region != p.node.deployment.Region {
+			continue
+		}
+		if after.byService[e.Service] == nil {
+			after.byService[e.Service] = p.poolOf(before, e.Service)
+		}
+		if !e.ColdUntil.IsZero() {
+			continue
+		}
+		warm[e.Service] = append(warm[e.Service], e.Endpoint)
+		if p.isEngine(pic, e.Service) {
+			after.engines = append(after.engines, e.Endpoint)
+		}
+	}
+	for service, old := range before.byService {
+		if after.byService[service] == nil {
+			after.byService[service] = old
+		}
+	}
+	for service, pool := range after.byService {
+		pool.Endpoints.SetEndpoints(warm[service], now)
+		if after.vms != before.vms {
+			pool.Endpoints.SetVMs(after.vms)
+		}
+	}
+	p.table.Store(after)
+}
+
+func (p *pools) isEngine(pic *picture, service string) bool {
+	if pic.table == nil {
+		return false
+	}
+	s, ok := pic.table.Service(service)
+	return ok && s.IsEngine
+}
+
+// countVMs counts the VMs of this region, which choose among the same endpoints.
+func (p *pools) countVMs(pic *picture) int {
+	n := 0
+	for _, m := range pic.members.Members {
+		if m.VM.Region == p.node.deployment.Region {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+func (p *pools) poolOf(before *poolTable, service string) *pool {
+	if old := before.byService[service]; old != nil {
+		return old
+	}
+	endpoints := routing.New(routing.Options{})
+	return &pool{
+		Pool: serving.Pool{
+			Endpoints: endpoints,
+			Queue: admission.New(admission.Options{
+				Policy: admission.PolicyEngine,
+				Now:    p.node.now,
+			}, endpoints),
+		},
+		budget: p.newWindow(),
+	}
+}
+
+func (p *pools) newWindow() *retry.Window {
+	bounds := p.node.deployment.Bounds
+	return retry.NewWindow(retry.WindowOptions{
+		Ratio:  bounds.RetryRatio,
+		Slack:  bounds.RetrySlack,
+		Length: bounds.RetryWindow,
+		VMs:    func() int { return p.node.control.picture().members.Most },
+		Now:    p.node.now,
+	})
+}
+
+// budget bounds the repeats to each service.
+func (p *pools) budget() serving.Budget {
+	return serving.Budget{
+		OnRequest: func(service string) {
+			if pool := p.table.Load().byService[service]; pool != nil {
+				pool.budget.OnRequest()
+			}
+		},
+		Allow: func(service string) bool {
+			pool := p.table.Load().byService[service]
+			return pool != nil && pool.budget.Allow()
+		},
+	}
+}
+
+// find gives the pool of a service of this region.
+func (p *pools) find(service string) (*serving.Pool, bool) {
+	pool, ok := p.table.Load().byService[service]
+	if !ok {
+		return nil, false
+	}
+	return &pool.Pool, true
+}
+
+// loads tells other regions how this one can serve each service.
+func (p *pools) loads(now time.Time) []*peerpb.RegionLoad {
+	var out []*peerpb.RegionLoad
+	for service, pool := range p.table.Load().byService {
+		first, ok := pool.Endpoints.Expect(routing.Request{
+			PromptTokens: usualPrompt,
+		}, now)
+		endpoints := 0
+		if ok {
+			endpoints = pool.Endpoints.Supply(now).Endpoints
+		}
+		out = append(out, &peerpb.RegionLoad{
+			Service:   service,
+			Endpoints: uint32(endpoints),
+			WaitMs:    uint32(first.Milliseconds()),
+		})
+	}
+	return out
+}
+
+// run asks the engines for their load, one after the other.
+func (p *pools) run(ctx context.Context) error {
+	for next := 0; ctx.Err() == nil; next++ {
+		table := p.table.Load()
+		every := reportEvery
+		if count := len(table.engines); count > 0 {
+			go p.report(ctx, table, table.engines[next%count])
+			every /= time.Duration(count)
+		}
+		worker.SleepUntil(ctx, p.node.now(), p.node.now().Add(every))
+	}
+	return nil
+}
+
+func (p *pools) report(ctx context.Context, table *poolTable, e fleet.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, reportWithin)
+	defer cancel()
+	load, err := p.node.client.Report(ctx, e)
+	if err != nil {
+		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
+		return
+	}
+	if pool := table.byService[e.Service]; pool != nil {
+		pool.Endpoints.Report(e.ID, routing.Load(load), p.node.now())
+	}
+}
--- /dev/null
+++ b/site/site.go
@@ -0,0 +1,311 @@
+// Package site is one VM's process on a platform that publishes routes: the
+// control goroutine with the members and what the store holds, the fronts, and
+// the pools of endpoints. Calls are carried by the same serving core as those
+// under contracts. All parts run as one group and stop together.
+package site
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"log/slog"
+	"math"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/run"
+
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/route"
+	"github.com/fuchsianotch/fuchsianotch/serving"
+	"github.com/fuchsianotch/fuchsianotch/timeline"
+)
+
+const (
+	// timelineEvents bounds the ring of events: some seconds of the calls of a
+	// small VM, at about 150 bytes each.
+	timelineEvents = 2048
+	// headerWithin and idleWithin bound a caller's connection. Callers may reuse
+	// one that was idle for most of the published time, which comes only later.
+	headerWithin   = 5 * time.Second
+	idleWithin     = 75 * time.Second
+	maxHeaderBytes = 64 << 10
+	// entriesGoodFor is how long a caller may use an answer: a VM that stops or
+	// is lost gets no new connection after that.
+	entriesGoodFor = time.Second
+	// storeReplyWithin bounds a reply of the store, which answers in milliseconds.
+	storeReplyWithin = 1500 * time.Millisecond
+	// memoryShare is the part of the VM's memory at which the garbage collector
+	// works harder; the rest is for stacks, buffers of sockets and the C library.
+	memoryShare = 0.6
+	// collectAt is the growth, in percent, after which garbage is collected. The
+	// live heap is some megabytes, so collecting often costs little.
+	collectAt = 50
+)
+
+// Options set up a Node. Every field but Now is required.
+type Options struct {
+	Deployment *platform.Deployment
+	Logger     *slog.Logger
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Node is one VM's process.
+type Node struct {
+	deployment  *platform.Deployment
+	log         *slog.Logger
+	now         func() time.Time
+	incarnation uint64
+
+	ring    *timeline.Ring
+	metrics *metrics.Metrics
+	store   *platform.Store
+	decoder platform.Decoder
+	peers   *peer.Client
+	client  *endpoint.Client
+	pools   *pools
+	serving *serving.Server
+	control *control
+	callers *http.Server
+
+	leaving atomic.Bool
+	// gone is closed when the planned stop is over.
+	gone chan struct{}
+}
+
+// New makes a node that does not listen yet.
+func New(o Options) *Node {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	d := o.Deployment
+	n := &Node{
+		deployment:  d,
+		log:         o.Logger,
+		now:         o.Now,
+		incarnation: newIncarnation(o.Now()),
+		metrics:     metrics.New(),
+		decoder: platform.Decoder{
+			Regions: d.Regions,
+		},
+		gone: make(chan struct{}),
+	}
+	n.ring = timeline.New(timeline.Options{
+		VM:       d.VM,
+		Capacity: timelineEvents,
+		Now:      n.now,
+	})
+	n.store = platform.NewStore(platform.StoreOptions{
+		URL:         d.StoreURL,
+		ReplyWithin: storeReplyWithin,
+		Now:         n.now,
+	})
+	n.peers = peer.New(peer.Options{
+		Dial: dialPeer,
+	})
+	n.client = endpoint.New(endpoint.Options{
+		Now:     n.now,
+		Dialect: platform.Dialect(),
+	})
+	n.control = newControl(n)
+	n.pools = newPools(n)
+	n.serving = n.newServing()
+	n.callers = n.newCallers()
+	limitMemory(d.MemoryBytes)
+	return n
+}
+
+// newIncarnation numbers this life of the process: later lives have higher
+// numbers, and two that start at the same time differ.
+func newIncarnation(now time.Time) uint64 {
+	var b [2]byte
+	// Read never fails.
+	_, _ = rand.Read(b[:])
+	return uint64(now.UnixMilli())<<16 | uint64(binary.LittleEndian.Uint16(b[:]))
+}
+
+func limitMemory(bytes int64) {
+	debug.SetGCPercent(collectAt)
+	if bytes > 0 {
+		debug.SetMemoryLimit(int64(math.Round(float64(bytes) * memoryShare)))
+	}
+}
+
+// peerDialWithin bounds a connection to another VM: one trip there and back
+// between the most distant regions, and a lost packet.
+const peerDialWithin = 700 * time.Millisecond
+
+func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout: peerDialWithin,
+	}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+func (n *Node) newServing() *serving.Server {
+	return serving.New(serving.Options{
+		Now:         n.now,
+		VM:          n.deployment.VM,
+		Region:      n.deployment.Region,
+		Pool:        n.pools.find,
+		Forward:     n.forward,
+		PlaceRouted: n.place,
+		Endpoint:    n.client,
+		Budget:      n.pools.budget(),
+		Ring:        n.ring,
+		Metrics:     n.metrics,
+	})
+}
+
+func (n *Node) newCallers() *http.Server {
+	ingress := platform.NewIngress(platform.IngressOptions{
+		Now:    n.now,
+		Log:    n.log,
+		Match:  n.match,
+		Limits: n.limits,
+		Draw:   mathrand.Uint64,
+		Serve:  n.serve,
+	})
+	return &http.Server{
+		Handler:           ingress,
+		ReadHeaderTimeout: headerWithin,
+		IdleTimeout:       idleWithin,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
+	}
+}
+
+// match finds the terms of a request in the table in force.
+func (n *Node) match(host, path string) (*route.Route, uint64, *result.Refusal) {
+	table := n.control.picture().table
+	if table == nil {
+		return nil, 0, result.Refuse(result.NotReady, "no configuration is known yet").Until(n.now().Add(notReadyFor))
+	}
+	found, ok := table.Match(host, path)
+	if !ok {
+		return nil, 0, result.Refuse(result.UnknownRoute, "no route begins the path")
+	}
+	return found, table.Version, nil
+}
+
+// notReadyFor is when a VM without a configuration may be asked again: a read
+// of the store takes milliseconds.
+const notReadyFor = 300 * time.Millisecond
+
+func (n *Node) limits() route.Limits {
+	table := n.control.picture().table
+	if table == nil {
+		return route.Limits{}
+	}
+	return table.Limits
+}
+
+// ready says whether this VM takes calls.
+func (n *Node) ready() bool {
+	return !n.leaving.Load() && n.control.picture().table != nil
+}
+
+// entries gives the addresses of the VMs of a client's region that take calls,
+// or those of this region where none of the client's is known.
+func (n *Node) entries(region, _ string) []string {
+	members := n.control.picture().members
+	if out := entriesIn(members.Members, region); len(out) > 0 {
+		return out
+	}
+	return entriesIn(members.Members, n.deployment.Region)
+}
+
+// Run listens and serves until ctx ends, and then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	var group run.Group
+	if err := n.addFronts(&group); err != nil {
+		return err
+	}
+	worker.Add(&group, n.control.run)
+	worker.Add(&group, n.readStore)
+	worker.Add(&group, n.pools.run)
+	n.addStop(ctx, &group)
+	n.log.Info("started",
+		"vm", n.deployment.VM,
+		"region", n.deployment.Region,
+		"incarnation", n.incarnation,
+	)
+	return group.Run()
+}
+
+func (n *Node) addFronts(group *run.Group) error {
+	server, err := peer.NewServer(n.handlers())
+	if err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", n.deployment.PeerAddr)
+	if err != nil {
+		return err
+	}
+	worker.Add(group, func(ctx context.Context) error {
+		return server.Serve(ctx, peers)
+	})
+	directory := &http.Server{
+		Handler: platform.NewDirectory(platform.DirectoryOptions{
+			Entries: n.entries,
+			GoodFor: min(entriesGoodFor, max(n.deployment.Bounds.EntriesGoodFor, time.Second)),
+		}),
+		ReadHeaderTimeout: headerWithin,
+	}
+	checks := &http.Server{
+		Handler:           platform.NewReady(n.ready),
+		ReadHeaderTimeout: headerWithin,
+	}
+	for _, front := range []struct {
+		addr   string
+		server *http.Server
+	}{
+		{addr: n.deployment.CallerAddr, server: n.callers},
+		{addr: n.deployment.EntryAddr, server: directory},
+		{addr: n.deployment.ReadyAddr, server: checks},
+	} {
+		ln, err := net.Listen("tcp", front.addr)
+		if err != nil {
+			return err
+		}
+		n.addHTTP(group, ln, front.server)
+	}
+	return nil
+}
+
+func (n *Node) addHTTP(group *run.Group, ln net.Listener, server *http.Server) {
+	group.Add(func() error {
+		err := server.Serve(ln)
+		if errors.Is(err, http.ErrServerClosed) {
+			<-n.gone
+			return nil
+		}
+		return err
+	}, func(error) {
+		_ = server.Close()
+	})
+}
+
+// self is this VM as others are to reach it.
+func (n *Node) self() fleet.VM {
+	return fleet.VM{
+		ID:         n.deployment.VM,
+		Region:     n.deployment.Region,
+		DataCentre: n.deployment.DataCentre,
+		CallerAddr: n.deployment.CallerAddr,
+		PeerAddr:   n.deployment.PeerAddr,
+		State:      fleet.StateLive,
+	}
+}
--- /dev/null
+++ b/site/store.go
@@ -0,0 +1,105 @@
+package site
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/platform"
+)
+
+const (
+	// watchFor is how long one watch waits. A store that falls silent says
+	// nothing, so this bounds how long its return goes unnoticed.
+	watchFor = 2500 * time.Millisecond
+	// watchPause gathers changes that come together into one reply.
+	watchPause = 50 * time.Millisecond
+	// Pauses after a failed read. The longest keeps within the time in which a
+	// change must be in force after the store's return.
+	leastPause = 200 * time.Millisecond
+	mostPause  = time.Second
+)
+
+// read is what one read of the store brought.
+type read struct {
+	items    []discovery.Item
+	revision uint64
+	// whole says that items are all that there are.
+	whole bool
+}
+
+// readStore follows the store until ctx ends.
+func (n *Node) readStore(ctx context.Context) error {
+	pause := leastPause
+	whole := true
+	for ctx.Err() == nil {
+		got, err := n.readOnce(ctx, whole)
+		if errors.Is(err, platform.ErrHistoryLost) {
+			n.log.Info("store_history_lost", "revision", n.control.picture().revision)
+			whole = true
+			continue
+		}
+		if err != nil {
+			n.storeLost(ctx, err)
+			worker.SleepUntil(ctx, n.now(), n.now().Add(pause))
+			pause = min(2*pause, mostPause)
+			continue
+		}
+		pause = leastPause
+		whole = false
+		n.takeRead(ctx, got)
+		if len(got.items) > 0 {
+			worker.SleepUntil(ctx, n.now(), n.now().Add(watchPause))
+		}
+	}
+	return nil
+}
+
+func (n *Node) readOnce(ctx context.Context, whole bool) (read, error) {
+	if whole {
+		items, revision, err := n.store.All(ctx, platform.Everything)
+		return read{
+			items:    items,
+			revision: revision,
+			whole:    true,
+		}, err
+	}
+	after := n.control.picture().revision
+	items, revision, err := n.store.Changes(ctx, platform.Everything, after, n.now().Add(watchFor))
+	return read{
+		items:    items,
+		revision: revision,
+	}, err
+}
+
+// takeRead gives a read to the control goroutine and waits until it is taken.
+func (n *Node) takeRead(ctx context.Context, got read) {
+	// An error means that ctx ended.
+	_, _ = ask(ctx, n.control, func(c *control, now time.Time) bool {
+		if c.discovery.StoreBack(now) {
+			n.log.Info("store_back", "revision", got.revision)
+		}
+		c.take(c.merge(got), now)
+		return true
+	})
+}
+
+func (c *control) merge(got read) []discovery.Item {
+	if got.whole {
+		return c.mirror.Replace(got.items, got.revision)
+	}
+	return c.mirror.Apply(got.items, got.revision)
+}
+
+func (n *Node) storeLost(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n.control.send(ctx, func(c *control, _ time.Time) {
+		if c.discovery.StoreLost() {
+			n.log.Warn("store_lost", "reason", err.Error(), "revision", c.mirror.Revision())
+		}
+	})
+}
