--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// SetGrace changes the grace for entries that lapse from now on.
+func (s *State) SetGrace(grace time.Duration) {
+	s.grace = grace
+}
+
 // StoreLost records that the store could not be read, and says whether that is new.
 func (s *State) StoreLost() bool {
 	was := s.away
--- a/gateway/main.go
+++ b/gateway/main.go
@@ -14,9 +14,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/fuchsianotch/fuchsianotch/node"
-	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/settings"
-	"github.com/fuchsianotch/fuchsianotch/site"
 )
 
 // Exit codes.
@@ -81,31 +79,6 @@
 	return exitOK
 }
 
-// servePlatform serves the routes that the platform publishes.
-func servePlatform(check bool, stdout, stderr io.Writer) int {
-	deployment, refusal := platform.LoadDeployment()
-	if refusal != nil {
-		_, _ = fmt.Fprintf(stderr, "gateway: %v\n", refusal)
-		return exitUsage
-	}
-	if check {
-		_, _ = fmt.Fprintln(stdout, "ok")
-		return exitOK
-	}
-	logger := slog.New(slog.NewJSONHandler(stdout, nil))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	n := site.New(site.Options{
-		Deployment: deployment,
-		Logger:     logger,
-	})
-	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
-		logger.Error("failed", "error", err)
-		return exitFailed
-	}
-	return exitOK
-}
-
 func newLogger(s *settings.Settings, to io.Writer) *slog.Logger {
 	var level slog.Level
 	_ = level.UnmarshalText([]byte(s.LogLevel))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -120,15 +120,18 @@
 		members: make(map[string]*member),
 		most:    1,
 	}
-	for _, seed := range o.Seeds {
-		if seed != o.Self.PeerAddr {
-			r.seeds = append(r.seeds, seed)
-		}
-	}
+	r.SetSeeds(o.Seeds)
 	r.rehash()
 	return r
 }
 
+// SetSeeds replaces the seeds.
+func (r *Roster) SetSeeds(seeds []string) {
+	r.seeds = slices.DeleteFunc(slices.Clone(seeds), func(seed string) bool {
+		return seed == r.self.VM.PeerAddr
+	})
+}
+
 // SetReady says whether this VM takes calls.
 func (r *Roster) SetReady(ready bool) {
 	if r.self.Ready == ready {
--- a/site/pools.go
+++ b/site/pools.go
@@ -130,7 +130,7 @@
 }
 
 func (p *pools) newWindow() *retry.Window {
-	bounds := p.node.deployment.Bounds
+	bounds := p.node.bounds.Load()
 	return retry.NewWindow(retry.WindowOptions{
 		Ratio:  bounds.RetryRatio,
 		Slack:  bounds.RetrySlack,
--- a/site/site.go
+++ b/site/site.go
@@ -80,6 +80,8 @@
 	control *control
 	callers *http.Server
 
+	// bounds are those of the settings in force; they may change while the process runs.
+	bounds  atomic.Pointer[platform.Bounds]
 	leaving atomic.Bool
 	// gone is closed when the planned stop is over.
 	gone chan struct{}
@@ -102,6 +104,7 @@
 		},
 		gone: make(chan struct{}),
 	}
+	n.bounds.Store(&d.Bounds)
 	n.ring = timeline.New(timeline.Options{
 		VM:       d.VM,
 		Capacity: timelineEvents,
@@ -227,6 +230,18 @@
 	return entriesIn(members.Members, n.deployment.Region)
 }
 
+// Reload takes settings that changed while the process runs. The VM's place and
+// the addresses it listens on stay as they were at its start.
+func (n *Node) Reload(ctx context.Context, d *platform.Deployment) {
+	n.bounds.Store(&d.Bounds)
+	n.store.SetURL(d.StoreURL)
+	n.control.send(ctx, func(c *control, _ time.Time) {
+		c.roster.SetSeeds(d.Seeds)
+		c.discovery.SetGrace(d.Bounds.LapseWithin)
+	})
+	n.log.Info("reloaded", "seeds", len(d.Seeds), "store", d.StoreURL)
+}
+
 // Run listens and serves until ctx ends, and then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	var group run.Group
@@ -260,7 +275,7 @@
 	directory := &http.Server{
 		Handler: platform.NewDirectory(platform.DirectoryOptions{
 			Entries: n.entries,
-			GoodFor: min(entriesGoodFor, max(n.deployment.Bounds.EntriesGoodFor, time.Second)),
+			GoodFor: entriesGoodFor,
 		}),
 		ReadHeaderTimeout: headerWithin,
 	}
--- a/site/stop.go
+++ b/site/stop.go
@@ -38,7 +38,7 @@
 // stop ends the process gracefully: it tells peers and callers to go
 // elsewhere, and lets the calls in flight end.
 func (n *Node) stop() {
-	within := n.deployment.Bounds.StopWithin
+	within := n.bounds.Load().StopWithin
 	if within <= 0 {
 		within = defaultStopWithin
 	}
