Fetch shared parts of prompts between engines, and weigh what other VMs have queued

Change: known prefixes per engine, fetch from one that was sent them, other VMs' prefill counted by their part of the load, other regions weighed from a quarter of the objective on.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -51,10 +51,13 @@
 	FirstBy      time.Time
 	WholeBy      time.Time
 	PrefixHash   uint64
+	Prefixes     []routing.Prefix
 	PromptTokens int
 	MaxTokens    int
 	// Exclude names endpoints that were tried already.
 	Exclude [2]string
+	// Again lets one of them be tried again where no other takes work.
+	Again bool
 }
 
 // Slot is a place at an endpoint. It must be given back by Release exactly once.
@@ -275,10 +278,12 @@
 func (r Request) routing() routing.Request {
 	return routing.Request{
 		PrefixHash:   r.PrefixHash,
+		Prefixes:     r.Prefixes,
 		PromptTokens: r.PromptTokens,
 		MaxTokens:    r.MaxTokens,
 		Priority:     r.Priority,
 		Exclude:      r.Exclude,
+		Again:        r.Again,
 	}
 }
 
--- a/borrow/place.go
+++ b/borrow/place.go
@@ -5,7 +5,7 @@
 const (
 	// nearEnough is the part of the time to the objective within which the own
 	// region is used whatever others offer: the way there costs bytes.
-	nearEnough = 0.5
+	nearEnough = 0.25
 	// comeBackAfter is when a call that no region can serve may try again.
 	comeBackAfter = 500 * time.Millisecond
 )
--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -30,6 +30,8 @@
 	Rank int
 	// ResumeAfter is the id of the last event that the caller has.
 	ResumeAfter string
+	// FetchFrom is the address of an engine that holds more of the prompt.
+	FetchFrom string
 }
 
 // Head is what an answer's head says.
@@ -64,6 +66,7 @@
 		Now:         c.now(),
 		Rank:        a.Call.Routed.Rank,
 		ResumeAfter: resume,
+		FetchFrom:   a.FetchFrom,
 	})
 	if _, ok := h["User-Agent"]; !ok {
 		// An empty value keeps net/http from adding its own.
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -74,6 +74,8 @@
 	// ResumeAfter is the same for a routed stream: the id of the last event that
 	// earlier attempts passed on.
 	ResumeAfter string
+	// FetchFrom is the address of an engine that holds more of the prompt.
+	FetchFrom string
 	// Sending, if set, is called once right before the first byte goes out.
 	// Its error stops the attempt with nothing sent.
 	Sending func() error
--- /dev/null
+++ b/routing/cache.go
@@ -0,0 +1,170 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+)
+
+const (
+	// cacheGoodFor is how long a prefix counts as held after its last use. Under
+	// load an engine needs the memory for other requests before that is over.
+	cacheGoodFor = 20 * time.Second
+	// cacheShare is the part of an engine's memory that is taken to hold shared
+	// prefixes; running requests need the rest.
+	cacheShare = 0.5
+	// defaultCacheTokens stands in where an engine does not tell its memory.
+	defaultCacheTokens = 200_000
+	// fetchLeast is how many tokens a fetch from another engine must save: the
+	// question costs some milliseconds, the reading of as many tokens no more.
+	fetchLeast = 256
+	// fetchedPart is what a fetched token costs of one that is read. An engine
+	// reads some 50 tokens a millisecond, and some 5,000 come over the link.
+	fetchedPart = 0.1
+)
+
+// Prefix is the beginning of a prompt up to the end of one shared part.
+type Prefix struct {
+	Hash uint64
+	// Tokens counts from the prompt's beginning.
+	Tokens int
+}
+
+// Prefixes gives the beginnings that a prompt shares with others: up to the end
+// of each part but the last, which is the call's own.
+func Prefixes(parts []call.PromptPart) []Prefix {
+	if len(parts) < 2 {
+		return nil
+	}
+	out := make([]Prefix, 0, len(parts)-1)
+	tokens := 0
+	for i := range parts[:len(parts)-1] {
+		tokens += parts[i].Tokens
+		out = append(out, Prefix{
+			Hash:   call.SharedPrefix(parts[:i+2]),
+			Tokens: tokens,
+		})
+	}
+	return out
+}
+
+// cache is what an engine is taken to hold: the prefixes of calls that were
+// sent there, the least recently used dropped first.
+type cache struct {
+	held   map[uint64]*heldPrefix
+	tokens int
+}
+
+type heldPrefix struct {
+	// tokens are those beyond the prefix before it.
+	tokens int
+	usedAt time.Time
+}
+
+// touch records that a call with these prefixes was sent.
+func (c *cache) touch(prefixes []Prefix, limit int, now time.Time) {
+	if c.held == nil {
+		c.held = make(map[uint64]*heldPrefix)
+	}
+	before := 0
+	for _, p := range prefixes {
+		h := c.held[p.Hash]
+		if h == nil {
+			h = &heldPrefix{
+				tokens: p.Tokens - before,
+			}
+			c.held[p.Hash] = h
+			c.tokens += h.tokens
+		}
+		h.usedAt = now
+		before = p.Tokens
+	}
+	for c.tokens > limit && len(c.held) > len(prefixes) {
+		c.dropOldest()
+	}
+}
+
+func (c *cache) dropOldest() {
+	var oldest uint64
+	var at time.Time
+	for hash, h := range c.held {
+		if at.IsZero() || h.usedAt.Before(at) {
+			oldest = hash
+			at = h.usedAt
+		}
+	}
+	c.tokens -= c.held[oldest].tokens
+	delete(c.held, oldest)
+}
+
+// warm gives how many tokens from the prompt's beginning are held.
+func (c *cache) warm(prefixes []Prefix, now time.Time) int {
+	tokens := 0
+	for _, p := range prefixes {
+		h := c.held[p.Hash]
+		if h == nil || now.Sub(h.usedAt) > cacheGoodFor {
+			break
+		}
+		tokens = p.Tokens
+	}
+	return tokens
+}
+
+// cacheLimit is how many tokens of shared prefixes the engine is taken to hold.
+func (e *endpoint) cacheLimit() int {
+	tokens := e.load.CacheTokens
+	if tokens <= 0 {
+		tokens = defaultCacheTokens
+	}
+	return int(float64(tokens) * cacheShare)
+}
+
+// source gives the engine from which another one may fetch the most of a
+// prompt, with the tokens that it holds; nil where none is known. The prompt's
+// home on the ring is the one that all VMs of the region agree on.
+func (p *Pool) source(home *endpoint, prefixes []Prefix, now time.Time) (*endpoint, int) {
+	if home != nil {
+		if tokens := home.cache.warm(prefixes, now); tokens > 0 {
+			return home, tokens
+		}
+	}
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		e := p.holders[prefixes[i].Hash]
+		if e == nil || e.unlisted {
+			continue
+		}
+		if tokens := e.cache.warm(prefixes[:i+1], now); tokens > 0 {
+			return e, tokens
+		}
+	}
+	return nil, 0
+}
+
+// hold records that an engine is sent a call with these prefixes.
+func (p *Pool) hold(e *endpoint, prefixes []Prefix, now time.Time) {
+	if len(prefixes) == 0 {
+		return
+	}
+	e.cache.touch(prefixes, e.cacheLimit(), now)
+	for _, prefix := range prefixes {
+		p.holders[prefix.Hash] = e
+	}
+	if len(p.holders) > holdersMost {
+		p.forgetHolders(now)
+	}
+}
+
+// holdersMost bounds the index of prefixes; over it those no longer held are dropped.
+const holdersMost = 16_384
+
+func (p *Pool) forgetHolders(now time.Time) {
+	for hash, e := range p.holders {
+		h := e.cache.held[hash]
+		if e.unlisted || h == nil || now.Sub(h.usedAt) > cacheGoodFor {
+			delete(p.holders, hash)
+		}
+	}
+	if len(p.holders) > holdersMost {
+		clear(p.holders)
+	}
+}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -15,6 +15,10 @@
 	score     float64
 	prefill   float64
 	warm      bool
+	// cached are the tokens of the prompt that need not be read, of which fetched
+	// come from another engine.
+	cached  int
+	fetched int
 }
 
 // Choose picks an endpoint and counts the call in flight there. It returns
@@ -22,7 +26,7 @@
 func (p *Pool) Choose(r Request, now time.Time) (Choice, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r.home, r.second = p.ring.pair(r.PrefixHash)
+	p.locate(&r, now)
 	if e := p.probe(r, now); e != nil {
 		e.probing = true
 		choice := p.take(p.weigh(e, r, now), r, now)
@@ -30,6 +34,10 @@
 		return choice, true
 	}
 	c, ok := p.pick(r, now)
+	if !ok && r.Again {
+		r.Exclude = [2]string{}
+		c, ok = p.pick(r, now)
+	}
 	if !ok {
 		return Choice{}, false
 	}
@@ -40,7 +48,7 @@
 func (p *Pool) Estimate(r Request, now time.Time) (wait, service time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r.home, r.second = p.ring.pair(r.PrefixHash)
+	p.locate(&r, now)
 	c, ok := p.pick(r, now)
 	if !ok {
 		return 0, 0
@@ -54,7 +62,7 @@
 func (p *Pool) Expect(r Request, now time.Time) (first time.Duration, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r.home, r.second = p.ring.pair(r.PrefixHash)
+	p.locate(&r, now)
 	c, ok := p.pick(r, now)
 	if !ok {
 		return 0, false
@@ -62,10 +70,17 @@
 	return p.choice(c, r, now).First, true
 }
 
+// locate finds what the choice needs to know of the prompt.
+func (p *Pool) locate(r *Request, now time.Time) {
+	r.home, r.second = p.ring.pair(r.PrefixHash)
+	r.source, r.fetchable = p.source(r.home, r.Prefixes, now)
+}
+
 // take counts the call at the candidate.
 func (p *Pool) take(c candidate, r Request, now time.Time) Choice {
 	choice := p.choice(c, r, now)
 	c.state.enter(c.prefill, now)
+	p.hold(c.state, r.Prefixes, now)
 	p.refresh(c.state, now)
 	return choice
 }
@@ -131,6 +146,7 @@
 		p.scan(&best, r, now)
 		return best, best.state != nil
 	}
+	p.better(&best, r.source, r, now)
 	p.better(&best, r.home, r, now)
 	p.better(&best, r.second, r, now)
 	for i := range randomDraws + extraDraws {
@@ -176,8 +192,12 @@
 	queued := max(occupied+1-slots, e.queued(now), 0)
 	wait := queued * hold / slots
 	warm := e == r.home
+	cached, fetched := e.cached(r, now)
 	prefill := p.prefill(r, warm)
-	predicted := wait + e.prefilling(now) + prefill
+	if len(r.Prefixes) > 0 {
+		prefill = p.read(r, cached, fetched)
+	}
+	predicted := wait + e.prefilling(p.learnt.share, now) + prefill
 	late := max(e.correction(now)-lateSlack*p.learnt.late.or(0), e.stall(hold, now), 0)
 	return candidate{
 		state:     e,
@@ -187,9 +207,32 @@
 		score:     predicted + late + (coldWeight-1)*prefill + loadWeight*hold*occupied/slots,
 		prefill:   prefill,
 		warm:      warm,
+		cached:    cached,
+		fetched:   fetched,
 	}
 }
 
+// cached gives how many tokens of the prompt the endpoint need not read, and how
+// many of them it has to fetch.
+func (e *endpoint) cached(r Request, now time.Time) (cached, fetched int) {
+	own := e.cache.warm(r.Prefixes, now)
+	if e == r.home && len(r.Prefixes) > 0 {
+		// Other VMs send such prompts there too.
+		own = r.Prefixes[len(r.Prefixes)-1].Tokens
+	}
+	if r.source == nil || r.source == e || r.fetchable < own+fetchLeast {
+		return own, 0
+	}
+	return r.fetchable, r.fetchable - own
+}
+
+// read is the expected time to the first token of a prompt whose parts are
+// known, in seconds.
+func (p *Pool) read(r Request, cached, fetched int) float64 {
+	tokens := float64(max(r.PromptTokens-cached, 0)) + fetchedPart*float64(fetched)
+	return p.learnt.base.value + tokens/p.learnt.prefill.value
+}
+
 // prefill is the expected time from the start of a call to its first token, in seconds.
 func (p *Pool) prefill(r Request, warm bool) float64 {
 	cold := float64(r.PromptTokens)
@@ -203,7 +246,13 @@
 func (p *Pool) choice(c candidate, r Request, now time.Time) Choice {
 	speed := c.state.speed.or(p.learnt.speed.or(defaultSpeed))
 	service := c.predicted - c.wait + p.answerTokens(r)/speed
+	fetchFrom := ""
+	if c.fetched > 0 {
+		fetchFrom = r.source.Addr
+	}
 	return Choice{
+		FetchFrom: fetchFrom,
+		Cached:    c.cached,
 		Endpoint:  c.state.Endpoint,
 		At:        now,
 		Wait:      seconds(c.first - c.predicted + c.wait),
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -62,6 +62,7 @@
 	probing  bool
 
 	counted counted
+	cache   cache
 }
 
 func newEndpoint(listed fleet.Endpoint) *endpoint {
@@ -102,7 +103,7 @@
 
 // enter counts one more call in flight, with its prefill time in seconds.
 func (e *endpoint) enter(prefill float64, now time.Time) {
-	e.backlog = e.prefilling(now) + prefill
+	e.backlog = e.ownPrefilling(now) + prefill
 	e.backlogAt = now
 	e.history.record(e.inFlight, now)
 	if e.inFlight == 0 {
@@ -186,8 +187,16 @@
 	return float64(e.load.Waiting) * math.Exp(-now.Sub(e.loadAt).Seconds()/reportTrust)
 }
 
-// prefilling is how many seconds of prefill the own calls have queued there.
-func (e *endpoint) prefilling(now time.Time) float64 {
+// prefilling is how many seconds of prefill are queued there: those of the own
+// calls, and as many for other VMs' as their part of the load says.
+func (e *endpoint) prefilling(share float64, now time.Time) float64 {
+	own := e.ownPrefilling(now)
+	return own + alikeWeight*own*min(1/share-1, alikeMost)
+}
+
+// ownPrefilling is how many seconds of prefill the own calls have queued there.
+// The engine works it off together with that of other VMs' calls.
+func (e *endpoint) ownPrefilling(now time.Time) float64 {
 	return max(e.backlog-now.Sub(e.backlogAt).Seconds(), 0)
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -47,15 +47,25 @@
 // Request is what the choice depends on.
 type Request struct {
 	// PrefixHash identifies the prompt prefix; zero means none.
-	PrefixHash   uint64
+	PrefixHash uint64
+	// Prefixes are the beginnings of the prompt that others share, shortest
+	// first, where the caller names them.
+	Prefixes     []Prefix
 	PromptTokens int
 	MaxTokens    int
 	Priority     call.Priority
 	// Exclude names endpoints that were tried already; empty strings mean none.
 	Exclude [2]string
+	// Again lets an excluded endpoint be chosen where no other takes work: the
+	// call ran there and failed by itself, which the next run may not.
+	Again bool
 
 	// home and second are the prefix's endpoints, found once for each choice.
 	home, second *endpoint
+	// source is the engine that holds most of the prompt, and fetchable how many
+	// tokens; both are found once for each choice.
+	source    *endpoint
+	fetchable int
 }
 
 // Choice is one call counted in flight at one endpoint. It must be given back
@@ -71,6 +81,11 @@
 	Service time.Duration
 	// Affine is set when the endpoint is expected to hold the prompt's prefix.
 	Affine bool
+	// FetchFrom is the address of an engine that holds more of the prompt; empty
+	// where none is worth asking.
+	FetchFrom string
+	// Cached is how many of the prompt's tokens need not be read.
+	Cached int
 	// Probe is set on the single call that tests an endpoint after its back-off.
 	Probe bool
 
@@ -110,6 +125,8 @@
 	next     int
 	learnt   learnt
 	total    total
+	// holders gives the engine that was last sent each prefix.
+	holders map[uint64]*endpoint
 }
 
 // New makes an empty Pool. An unknown policy is treated as PolicyAffinity.
@@ -118,11 +135,12 @@
 		o.Rand = rand.Uint64
 	}
 	return &Pool{
-		policy: o.Policy,
-		rand:   o.Rand,
-		vms:    1,
-		byID:   map[string]*endpoint{},
-		learnt: newLearnt(),
+		policy:  o.Policy,
+		rand:    o.Rand,
+		vms:     1,
+		byID:    map[string]*endpoint{},
+		learnt:  newLearnt(),
+		holders: map[uint64]*endpoint{},
 	}
 }
 
--- a/routing/weights.go
+++ b/routing/weights.go
@@ -13,7 +13,7 @@
 	loadWeight = 0.2
 	// coldWeight multiplies the prefill time in the score, as it also delays the
 	// other calls of the endpoint.
-	coldWeight = 4.0
+	coldWeight = 10.0
 	// alikeWeight is how far other VMs' calls are guessed from the own ones; the
 	// rest is left to the load report.
 	alikeWeight = 0.8
--- a/serving/run.go
+++ b/serving/run.go
@@ -131,7 +131,7 @@
 		Endpoint: chosen,
 	})
 	out := s.options.Endpoint.Send(ctx, s.newAttempt(c, slot, before, p), endpoint.Sink(sink))
-	pool.Queue.Release(slot, routingOutcome(out), s.options.Now())
+	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
 	s.heedLeaving(pool, chosen, out)
 	p.take(out, chosen)
 	s.reportAttempt(c, p)
@@ -169,6 +169,7 @@
 		Endpoint:    slot.Choice.Endpoint,
 		Call:        c,
 		ResumeAfter: p.lastEvent,
+		FetchFrom:   slot.Choice.FetchFrom,
 	}
 }
 
@@ -203,7 +204,7 @@
 }
 
 func (p *progress) admission(c *call.Call) admission.Request {
-	return admission.Request{
+	r := admission.Request{
 		Priority:     c.Priority,
 		FirstBy:      c.FirstBy,
 		WholeBy:      c.WholeBy,
@@ -211,7 +212,12 @@
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
 		Exclude:      p.excluded,
+		Again:        p.last.Held != nil,
 	}
+	if c.Routed != nil {
+		r.Prefixes = routing.Prefixes(c.Routed.Parts)
+	}
+	return r
 }
 
 // routedAttempts gives how often a routed call was tried and may be tried. The
@@ -301,10 +307,16 @@
 	return call.Refused(result.Refuse(result.RetryBudget, "the endpoint refused and the retry budget is spent").Until(p.last.ComeBackAt))
 }
 
-func routingOutcome(out endpoint.Outcome) routing.Outcome {
+// routingOutcome is what routing learns from. The endpoints of routed calls do
+// not tell what they read, so that is taken from the choice.
+func routingOutcome(out endpoint.Outcome, chosen routing.Choice) routing.Outcome {
+	usage := out.Usage
+	if usage.PromptTokens > 0 && usage.CachedTokens == 0 {
+		usage.CachedTokens = min(chosen.Cached, usage.PromptTokens)
+	}
 	return routing.Outcome{
 		Code:     out.Code,
-		Usage:    out.Usage,
+		Usage:    usage,
 		Sent:     out.Sent,
 		Canceled: out.CallerGone,
 		FirstAt:  out.FirstAt,
--- a/site/place.go
+++ b/site/place.go
@@ -63,6 +63,7 @@
 	}
 	first, ok := pool.Endpoints.Expect(routing.Request{
 		PrefixHash:   c.PrefixHash,
+		Prefixes:     routing.Prefixes(c.Routed.Parts),
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
 		Priority:     c.Priority,
