Log the decisions on each request, without making any wait

Cause: a request that ran out of time could not be explained from outside. Change: a trail of lines per request, written when it fails or is in the sample; lines go through a bounded ring, and what is dropped is counted.

--- a/call/call.go
+++ b/call/call.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/logs"
 )
 
 // Kind tells what a call is for.
@@ -82,6 +84,8 @@
 	Origin string
 	// Routed is set on calls of KindRouted only.
 	Routed *Routed
+	// Trail takes the log lines about the call; it may be nil.
+	Trail *logs.Trail
 }
 
 // Target names the model or service.
--- a/gateway/platform.go
+++ b/gateway/platform.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/logs"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/site"
 )
@@ -19,6 +20,18 @@
 // without a signal. One look reads about a kilobyte.
 const settingsEvery = 2 * time.Second
 
+// sampleEvery is of how many requests that go well one is logged.
+const sampleEvery = 100
+
+// logsWithin bounds the writing of the last lines.
+const logsWithin = 200 * time.Millisecond
+
+func closeLogs(lines *logs.Writer) {
+	ctx, cancel := context.WithTimeout(context.Background(), logsWithin)
+	defer cancel()
+	lines.Close(ctx)
+}
+
 // servePlatform serves the routes that the platform publishes, until it is
 // stopped. SIGHUP makes it read its settings again at once.
 func servePlatform(check bool, stdout, stderr io.Writer) int {
@@ -34,12 +47,17 @@
 	// Taken first, so that an early signal does not end the process.
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
-	logger := slog.New(slog.NewJSONHandler(stdout, nil))
+	lines := logs.New(logs.Options{
+		To: stdout,
+	})
+	defer closeLogs(lines)
+	logger := lines.Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	n := site.New(site.Options{
-		Deployment: deployment,
-		Logger:     logger,
+		Deployment:  deployment,
+		Logger:      logger,
+		SampleEvery: sampleEvery,
 	})
 	go followSettings(ctx, n, deployment, hangUps, logger)
 	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -246,6 +246,10 @@
 func (p *Pool) choice(c candidate, r Request, now time.Time) Choice {
 	speed := c.state.speed.or(p.learnt.speed.or(defaultSpeed))
 	service := c.predicted - c.wait + p.answerTokens(r)/speed
+	var reportAge time.Duration
+	if !c.state.loadAt.IsZero() {
+		reportAge = now.Sub(c.state.loadAt)
+	}
 	fetchFrom := ""
 	if c.fetched > 0 {
 		fetchFrom = r.source.Addr
@@ -253,6 +257,7 @@
 	return Choice{
 		FetchFrom: fetchFrom,
 		Cached:    c.cached,
+		ReportAge: reportAge,
 		Endpoint:  c.state.Endpoint,
 		At:        now,
 		Wait:      seconds(c.first - c.predicted + c.wait),
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -86,6 +86,8 @@
 	FetchFrom string
 	// Cached is how many of the prompt's tokens need not be read.
 	Cached int
+	// ReportAge is how old the endpoint's last load report was; zero without one.
+	ReportAge time.Duration
 	// Probe is set on the single call that tests an endpoint after its back-off.
 	Probe bool
 
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -64,6 +64,7 @@
 		Peer:   vm.ID,
 		Detail: vm.Region,
 	})
+	traceAway(c, vm)
 	s.options.Metrics.SentAway(vm.Region)
 	return s.options.Forward(ctx, vm, c, sink)
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"strconv"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
@@ -83,6 +84,7 @@
 			return s.end(&p, sink, p.outcome)
 		}
 		if p.last.Sent && !s.options.Budget.Allow(c.Target()) {
+			c.Trail.Fail("repeat_refused", slog.String("service", c.Target()))
 			return s.end(&p, sink, p.budgetSpent())
 		}
 		s.options.Metrics.Retried()
@@ -126,6 +128,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	traceChoice(c, slot, p)
 	chosen := slot.Choice.Endpoint.ID
 	s.event(c, "call_admitted", timeline.Event{
 		Endpoint: chosen,
@@ -177,6 +180,7 @@
 	if p.last.Code.Class() == result.ClassDone {
 		return
 	}
+	traceAttempt(c, p)
 	s.event(c, "attempt_failed", timeline.Event{
 		Endpoint: p.outcome.Endpoint,
 		Code:     p.last.Code,
@@ -200,6 +204,7 @@
 		a.Attempts, a.MaxAttempts = p.routedAttempts(c)
 	}
 	verdict := s.decide(a, s.options.Now())
+	traceVerdict(c, a, verdict)
 	return verdict == retry.VerdictRetry || verdict == retry.VerdictResume
 }
 
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -119,6 +119,7 @@
 		Detail: c.Target() + " " + c.Priority.String(),
 	})
 	arrivedAt := s.options.Now()
+	traceArrival(c, arrivedAt)
 	outcome := s.carry(ctx, c, place, sink)
 	s.record(c, outcome, arrivedAt)
 	return outcome
@@ -213,6 +214,7 @@
 }
 
 func (s *Server) record(c *call.Call, o call.Outcome, arrivedAt time.Time) {
+	traceEnd(c, o, arrivedAt, s.options.Now())
 	s.event(c, "call_ended", timeline.Event{
 		Endpoint: o.Endpoint,
 		Code:     o.Code,
--- /dev/null
+++ b/serving/trace.go
@@ -0,0 +1,109 @@
+package serving
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/admission"
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/retry"
+)
+
+// The lines about one call. docs/logs.md lists them with their fields.
+
+func milliseconds(name string, d time.Duration) slog.Attr {
+	return slog.Int64(name, d.Milliseconds())
+}
+
+func traceArrival(c *call.Call, now time.Time) {
+	if c.Routed == nil {
+		return
+	}
+	c.Trail.Add("call_arrived",
+		slog.String("service", c.Target()),
+		slog.String("route", c.Routed.Route),
+		slog.Uint64("version", c.Routed.Version),
+		slog.Int("rank", c.Routed.Rank),
+		slog.Bool("forwarded", c.Forwarded),
+		slog.Bool("idempotent", c.Idempotent),
+		milliseconds("first_in_ms", c.FirstBy.Sub(now)),
+		milliseconds("whole_in_ms", c.WholeBy.Sub(now)),
+		slog.Int("prompt_tokens", c.PromptTokens),
+	)
+}
+
+func traceChoice(c *call.Call, slot admission.Slot, p *progress) {
+	choice := slot.Choice
+	c.Trail.Add("endpoint_chosen",
+		slog.String("endpoint", choice.Endpoint.ID),
+		slog.Int("attempt", p.attempts+1),
+		milliseconds("expected_first_ms", choice.First),
+		milliseconds("expected_wait_ms", choice.Wait),
+		milliseconds("report_age_ms", choice.ReportAge),
+		slog.Int("cached_tokens", choice.Cached),
+		slog.String("fetch_from", choice.FetchFrom),
+		slog.Bool("probe", choice.Probe),
+	)
+}
+
+func traceAttempt(c *call.Call, p *progress) {
+	c.Trail.Fail("attempt_failed",
+		slog.String("endpoint", p.outcome.Endpoint),
+		slog.Int("attempt", p.attempts),
+		slog.Int("code", int(p.last.Code)),
+		slog.Bool("sent", p.last.Sent),
+		slog.Int("events", p.last.Delivered),
+		slog.Bool("caller_gone", p.last.CallerGone),
+		slog.String("reason", reasonOf(p.last.Err)),
+	)
+}
+
+func reasonOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func traceVerdict(c *call.Call, a retry.Attempt, verdict retry.Verdict) {
+	c.Trail.Add("repeat_decided",
+		slog.String("verdict", string(verdict)),
+		slog.Int("attempts", a.Attempts),
+		slog.Int("most", a.MaxAttempts),
+	)
+}
+
+func traceAway(c *call.Call, vm fleet.VM) {
+	c.Trail.Add("call_sent_away",
+		slog.String("peer", vm.ID),
+		slog.String("region", vm.Region),
+		slog.String("after_event", c.Routed.ResumeAfter),
+	)
+}
+
+func traceEnd(c *call.Call, o call.Outcome, arrivedAt, now time.Time) {
+	if c.Routed == nil {
+		return
+	}
+	attrs := []slog.Attr{
+		slog.Int("code", int(o.Code)),
+		slog.String("endpoint", o.Endpoint),
+		milliseconds("took_ms", now.Sub(arrivedAt)),
+	}
+	if !o.FirstAt.IsZero() {
+		attrs = append(attrs, milliseconds("first_ms", o.FirstAt.Sub(arrivedAt)))
+	}
+	if o.Code == result.Done {
+		c.Trail.Add("call_ended", attrs...)
+		return
+	}
+	if o.Refusal != nil {
+		attrs = append(attrs, slog.String("reason", o.Refusal.Message))
+		if !o.Refusal.ComeBackAt.IsZero() {
+			attrs = append(attrs, milliseconds("come_back_in_ms", o.Refusal.ComeBackAt.Sub(now)))
+		}
+	}
+	c.Trail.Fail("call_ended", attrs...)
+}
--- a/site/place.go
+++ b/site/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/fuchsianotch/fuchsianotch/borrow"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/logs"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -27,19 +29,27 @@
 
 // serve carries a caller's call.
 func (n *Node) serve(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
+	c.Trail = logs.NewTrail(n.log, c.ID, n.sampled())
 	return n.serving.Serve(ctx, c, serving.Placement{
 		Kind: serving.PlaceHere,
 	}, sink)
 }
 
+// sampled draws the requests that are logged though they go well.
+func (n *Node) sampled() bool {
+	return n.sampleEvery > 0 && rand.IntN(n.sampleEvery) == 0
+}
+
 // place decides where a call is served.
 func (n *Node) place(c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal) {
 	now := n.now()
 	pic := n.control.picture()
+	own := n.ownLoad(c, now)
+	others := n.otherLoads(c, pic, tried)
 	region, ok := borrow.Place(borrow.PlaceRequest{
-		Own:        n.ownLoad(c, now),
+		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
-		Others:     n.otherLoads(c, pic, tried),
+		Others:     others,
 		FirstBy:    c.FirstBy,
 	}, now)
 	if !ok {
@@ -48,10 +58,27 @@
 	if region == n.deployment.Region {
 		return vm, false, nil
 	}
+	tracePlace(c, own, others, region)
 	vms := reachableIn(pic.members.Members, region, tried)
 	return vms[rand.IntN(len(vms))], true, nil
 }
 
+// tracePlace logs what sent a call to another region.
+func tracePlace(c *call.Call, own borrow.Load, others []borrow.Load, region string) {
+	var chosen borrow.Load
+	for _, o := range others {
+		if o.Region == region {
+			chosen = o
+		}
+	}
+	c.Trail.Add("region_chosen",
+		slog.String("region", region),
+		slog.Int("own_endpoints", own.Endpoints),
+		slog.Int64("own_first_ms", own.First.Milliseconds()),
+		slog.Int64("other_first_ms", (chosen.First+chosen.Way).Milliseconds()),
+	)
+}
+
 // ownLoad is what this region expects of the call.
 func (n *Node) ownLoad(c *call.Call, now time.Time) borrow.Load {
 	load := borrow.Load{
--- a/site/site.go
+++ b/site/site.go
@@ -58,6 +58,8 @@
 type Options struct {
 	Deployment *platform.Deployment
 	Logger     *slog.Logger
+	// SampleEvery is of how many requests that go well one is logged; zero means none.
+	SampleEvery int
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -66,6 +68,7 @@
 type Node struct {
 	deployment  *platform.Deployment
 	log         *slog.Logger
+	sampleEvery int
 	now         func() time.Time
 	incarnation uint64
 
@@ -96,6 +99,7 @@
 	n := &Node{
 		deployment:  d,
 		log:         o.Logger,
+		sampleEvery: o.SampleEvery,
 		now:         o.Now,
 		incarnation: newIncarnation(o.Now()),
 		metrics:     metrics.New(),
