Learn the time for a token by the load, and do not blame endpoints for their answers

Cause: the end of long answers was not foreseen (101 events in 10 s), and each 500 of a plain service added 0.5 s to what its endpoint was expected to take, so that calls with an objective of 400 ms left their region.

--- a/call/routed.go
+++ b/call/routed.go
@@ -36,6 +36,8 @@
 	CallerBy time.Time
 	// ResumeAfter is the id of the last event that the caller has of a stream.
 	ResumeAfter string
+	// EventTokens is how many generated tokens one event of the stream holds.
+	EventTokens int
 	// Repeated is set when an attempt of the call was made on another VM.
 	Repeated bool
 }
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -133,6 +133,7 @@
 // endRelay ends a stream that ended between two events.
 func (x *exchange) endRelay(resp *http.Response) *result.Refusal {
 	x.outcome.Usage.PromptTokens = x.attempt.Call.PromptTokens
+	x.outcome.Usage.GeneratedTokens = x.outcome.Delivered * x.attempt.Call.Routed.EventTokens
 	if refusal := x.passHead(resp.StatusCode, endToEnd(resp.Header)); refusal != nil {
 		return refusal
 	}
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -26,6 +26,7 @@
 	m.CallerInMs = leftMilli(r.CallerBy, now)
 	m.ResumeAfter = r.ResumeAfter
 	m.RepeatedBefore = r.Repeated
+	m.EventTokens = uint32(r.EventTokens)
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, &peerpb.PromptPart{
 			Id:     p.ID,
@@ -56,6 +57,7 @@
 		CallerBy:    deadlineIn(m.GetCallerInMs(), now),
 		ResumeAfter: m.GetResumeAfter(),
 		Repeated:    m.GetRepeatedBefore(),
+		EventTokens: int(m.GetEventTokens()),
 	}
 	for _, p := range m.GetParts() {
 		c.Routed.Parts = append(c.Routed.Parts, call.PromptPart{
--- a/route/route.go
+++ b/route/route.go
@@ -68,6 +68,8 @@
 	IsEngine bool
 	// CacheTokens is an engine's memory, in tokens.
 	CacheTokens int
+	// EventTokens is how many generated tokens one event of a stream holds.
+	EventTokens int
 }
 
 // Limits bound what a caller's connection may cost; zero means no bound.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -19,6 +19,8 @@
 	// come from another engine.
 	cached  int
 	fetched int
+	// occupied are the calls at the endpoint with this one.
+	occupied float64
 }
 
 // Choose picks an endpoint and counts the call in flight there. It returns
@@ -57,17 +59,36 @@
 	return choice.Wait, choice.Service
 }
 
-// Expect says how long a call's first token would take if it were sent now; ok
-// is false when no endpoint takes work.
-func (p *Pool) Expect(r Request, now time.Time) (first time.Duration, ok bool) {
+// Expectation is what a call that is sent now may expect.
+type Expectation struct {
+	// First is the time to the first token.
+	First time.Duration
+	// Token is the time for each generated token.
+	Token time.Duration
+	// Answer is how many tokens are expected to be generated.
+	Answer float64
+}
+
+// Whole is the time to the end of the answer.
+func (e Expectation) Whole() time.Duration {
+	return e.First + time.Duration(e.Answer*float64(e.Token))
+}
+
+// Expect says what a call that is sent now may expect; ok is false when no
+// endpoint takes work.
+func (p *Pool) Expect(r Request, now time.Time) (e Expectation, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.locate(&r, now)
 	c, ok := p.pick(r, now)
 	if !ok {
-		return 0, false
+		return Expectation{}, false
 	}
-	return p.choice(c, r, now).First, true
+	return Expectation{
+		First:  p.choice(c, r, now).First,
+		Token:  seconds(p.pace(c)),
+		Answer: p.answerTokens(r),
+	}, true
 }
 
 // locate finds what the choice needs to know of the prompt.
@@ -209,6 +230,7 @@
 		warm:      warm,
 		cached:    cached,
 		fetched:   fetched,
+		occupied:  occupied + 1,
 	}
 }
 
@@ -244,8 +266,7 @@
 
 // choice makes the caller's view of a candidate.
 func (p *Pool) choice(c candidate, r Request, now time.Time) Choice {
-	speed := c.state.speed.or(p.learnt.speed.or(defaultSpeed))
-	service := c.predicted - c.wait + p.answerTokens(r)/speed
+	service := c.predicted - c.wait + p.answerTokens(r)*p.pace(c)
 	var reportAge time.Duration
 	if !c.state.loadAt.IsZero() {
 		reportAge = now.Sub(c.state.loadAt)
@@ -266,11 +287,20 @@
 		Affine:    c.warm,
 		state:     c.state,
 		predicted: c.predicted,
+		occupied:  c.occupied,
 		prefix:    r.PrefixHash != 0,
 		maxTokens: r.MaxTokens,
 	}
 }
 
+// pace is the expected time for one generated token, in seconds.
+func (p *Pool) pace(c candidate) float64 {
+	if each, ok := p.learnt.pace.at(c.occupied); ok {
+		return each
+	}
+	return 1 / c.state.speed.or(p.learnt.speed.or(defaultSpeed))
+}
+
 // answerTokens is the expected number of generated tokens, of which the bound
 // is often far too high.
 func (p *Pool) answerTokens(r Request) float64 {
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -20,6 +20,9 @@
 	biasMax = 30.0
 	// failureBias is added to the correction on a failure, in seconds.
 	failureBias = 0.5
+	// answeredBias is added instead where the endpoint answered with a failure of
+	// its own: of a service with 14% of such answers no endpoint is worse for it.
+	answeredBias = 0.02
 	// shareWeight is the weight of a report in this VM's share of the load.
 	shareWeight = 0.05
 	// minSpeedTokens is the shortest answer that tells the speed.
@@ -83,6 +86,45 @@
 	late average
 	// share is this VM's part of the region's load.
 	share float64
+	// pace is the time for one generated token by the calls at the endpoint.
+	pace line
+}
+
+const (
+	// lineForget is the weight that each sample takes from those before it: some
+	// hundred answers, a few seconds of a region under load.
+	lineForget = 0.01
+	// lineLeast is how far the samples must spread, in calls squared, for a slope.
+	lineLeast = 4.0
+)
+
+// line is a straight line through samples (x, y), the later ones weighing more.
+type line struct {
+	weight, x, y, xx, xy float64
+}
+
+func (l *line) add(x, y float64) {
+	keep := 1 - lineForget
+	l.weight = l.weight*keep + 1
+	l.x = l.x*keep + x
+	l.y = l.y*keep + y
+	l.xx = l.xx*keep + x*x
+	l.xy = l.xy*keep + x*y
+}
+
+// at gives y for an x, never below zero; it is the mean where the samples do
+// not spread enough, or would give a falling line. ok is false without samples.
+func (l *line) at(x float64) (y float64, ok bool) {
+	if l.weight < 1 {
+		return 0, false
+	}
+	meanX, meanY := l.x/l.weight, l.y/l.weight
+	spread := l.xx/l.weight - meanX*meanX
+	slope := 0.0
+	if spread > lineLeast {
+		slope = max((l.xy/l.weight-meanX*meanY)/spread, 0)
+	}
+	return max(meanY+slope*(x-meanX), 0), true
 }
 
 func newLearnt() learnt {
@@ -118,7 +160,7 @@
 		p.answered(e, c, o, now)
 	case result.EndpointRefused, result.EndpointCut, result.EndpointTimeout,
 		result.AnswerCrossed, result.EndpointFailed:
-		p.failed(e, c, now)
+		p.failed(e, c, o, now)
 	}
 }
 
@@ -185,6 +227,7 @@
 		return
 	}
 	speed := float64(o.Usage.GeneratedTokens) / decode
+	p.learnt.pace.add((c.occupied+e.occupancy(p.learnt.share, now))/2, 1/speed)
 	e.speed.add(speed, learnWeight)
 	p.learnt.speed.add(speed, learnWeight)
 }
@@ -198,8 +241,12 @@
 }
 
 // failed counts a failure and starts a back-off after a few of them.
-func (p *Pool) failed(e *endpoint, c Choice, now time.Time) {
-	e.bias = min(e.correction(now)+failureBias, biasMax)
+func (p *Pool) failed(e *endpoint, c Choice, o Outcome, now time.Time) {
+	bias := failureBias
+	if o.Answered {
+		bias = answeredBias
+	}
+	e.bias = min(e.correction(now)+bias, biasMax)
 	e.biasAt = now
 	e.failures++
 	switch {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -94,6 +94,8 @@
 	state *endpoint
 	// predicted is First in seconds without the correction by observation.
 	predicted float64
+	// occupied are the calls at the endpoint, this one included.
+	occupied  float64
 	prefix    bool
 	maxTokens int
 }
@@ -107,6 +109,9 @@
 	Sent bool
 	// Canceled is set when the caller left; nothing is learnt from such a call.
 	Canceled bool
+	// Answered is set when the endpoint ran the call and answered with a failure
+	// of its own, which may be the call's fault as well.
+	Answered bool
 	// FirstAt is when the first token or byte of the answer arrived, if any did.
 	FirstAt time.Time
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -324,6 +324,7 @@
 		Usage:    usage,
 		Sent:     out.Sent,
 		Canceled: out.CallerGone,
+		Answered: out.Held != nil,
 		FirstAt:  out.FirstAt,
 	}
 }
--- a/site/control.go
+++ b/site/control.go
@@ -40,6 +40,8 @@
 // regionLoad is a region's load with the end of its use.
 type regionLoad struct {
 	borrow.Load
+	// token is the time for each generated token there.
+	token time.Duration
 	until time.Time
 }
 
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -93,8 +93,9 @@
 			Load: borrow.Load{
 				Region:    region,
 				Endpoints: int(l.GetEndpoints()),
-				First:     time.Duration(l.GetWaitMs()) * time.Millisecond,
+				First:     time.Duration(l.GetFirstMs()) * time.Millisecond,
 			},
+			token: time.Duration(l.GetTokenUs()) * time.Microsecond,
 			until: now.Add(loadGoodFor),
 		}
 	}
--- a/site/place.go
+++ b/site/place.go
@@ -51,6 +51,7 @@
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
 		Others:     others,
 		FirstBy:    c.FirstBy,
+		WholeBy:    c.WholeBy,
 	}, now)
 	if !ok {
 		return vm, false, result.Refuse(result.NoEndpoint, "no region takes calls of %s", c.Service).Until(borrow.ComeBack(now))
@@ -75,6 +76,8 @@
 		slog.String("region", region),
 		slog.Int("own_endpoints", own.Endpoints),
 		slog.Int64("own_first_ms", own.First.Milliseconds()),
+		slog.Int64("own_whole_ms", own.Whole.Milliseconds()),
+		slog.Int64("other_whole_ms", (chosen.Whole+chosen.Way).Milliseconds()),
 		slog.Int64("other_first_ms", (chosen.First+chosen.Way).Milliseconds()),
 	)
 }
@@ -88,7 +91,7 @@
 	if !ok {
 		return load
 	}
-	first, ok := pool.Endpoints.Expect(routing.Request{
+	expected, ok := pool.Endpoints.Expect(routing.Request{
 		PrefixHash:   c.PrefixHash,
 		Prefixes:     routing.Prefixes(c.Routed.Parts),
 		PromptTokens: c.PromptTokens,
@@ -99,12 +102,14 @@
 		return load
 	}
 	load.Endpoints = pool.Endpoints.Supply(now).Endpoints
-	load.First = first
+	load.First = expected.First
+	load.Whole = expected.Whole()
 	return load
 }
 
 // otherLoads are those of the regions that may serve the call and have a VM in reach.
 func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string) []borrow.Load {
+	answer := float64(c.MaxTokens)
 	var out []borrow.Load
 	for _, l := range pic.loads[c.Target()] {
 		if !c.Routed.Allows(l.Region) || len(reachableIn(pic.members.Members, l.Region, tried)) == 0 {
@@ -112,6 +117,7 @@
 		}
 		load := l.Load
 		load.Way = wayBetweenRegions
+		load.Whole = load.First + time.Duration(answer*float64(l.token))
 		out = append(out, load)
 	}
 	return out
--- a/site/pools.go
+++ b/site/pools.go
@@ -168,7 +168,7 @@
 func (p *pools) loads(now time.Time) []*peerpb.RegionLoad {
 	var out []*peerpb.RegionLoad
 	for service, pool := range p.table.Load().byService {
-		first, ok := pool.Endpoints.Expect(routing.Request{
+		expected, ok := pool.Endpoints.Expect(routing.Request{
 			PromptTokens: usualPrompt,
 		}, now)
 		endpoints := 0
@@ -178,7 +178,8 @@
 		out = append(out, &peerpb.RegionLoad{
 			Service:   service,
 			Endpoints: uint32(endpoints),
-			WaitMs:    uint32(first.Milliseconds()),
+			FirstMs:   uint32(expected.First.Milliseconds()),
+			TokenUs:   uint32(expected.Token.Microseconds()),
 		})
 	}
 	return out
--- a/site/site.go
+++ b/site/site.go
@@ -195,16 +195,16 @@
 }
 
 // match finds the terms of a request in the table in force.
-func (n *Node) match(host, path string) (*route.Route, uint64, *result.Refusal) {
+func (n *Node) match(host, path string) (*route.Route, *route.Table, *result.Refusal) {
 	table := n.control.picture().table
 	if table == nil {
-		return nil, 0, result.Refuse(result.NotReady, "no configuration is known yet").Until(n.now().Add(notReadyFor))
+		return nil, nil, result.Refuse(result.NotReady, "no configuration is known yet").Until(n.now().Add(notReadyFor))
 	}
 	found, ok := table.Match(host, path)
 	if !ok {
-		return nil, 0, result.Refuse(result.UnknownRoute, "no route begins the path")
+		return nil, nil, result.Refuse(result.UnknownRoute, "no route begins the path")
 	}
-	return found, table.Version, nil
+	return found, table, nil
 }
 
 // notReadyFor is when a VM without a configuration may be asked again: a read
