--- a/borrow/place.go
+++ b/borrow/place.go
@@ -8,8 +8,19 @@
 	// the way to them costs bytes. Estimates are too low when load rises.
 	nearEnough  = 0.25
 	wholeEnough = 0.35
-	// comeBackAfter is when a call that no region can serve may try again.
+	// comeBackAfter is when a call for which no endpoint takes work may try again.
 	comeBackAfter = 500 * time.Millisecond
+	// An engine that reads prompts without a pause gives each of its streams one
+	// token for each piece that it reads: some 50 ms in place of 6, and none of
+	// them ends in time. So calls are refused before that, those of the lowest
+	// rank first: at these parts of the deadline by the expected end.
+	refuseLow    = 0.7
+	refuseMiddle = 1.0
+	refuseHigh   = 1.3
+	// A refused call may come back within these parts of the time it has left;
+	// callers use a third at the most.
+	comeBackLeast = 0.15
+	comeBackMost  = 0.33
 )
 
 // Load is how a region can serve one service, by its own word.
@@ -35,20 +46,45 @@
 	// FirstBy is the objective and WholeBy the deadline; zero means none.
 	FirstBy time.Time
 	WholeBy time.Time
+	// Rank is the call's priority, 0 first.
+	Rank int
+}
+
+// refuseAt is the part of the deadline from which the call is refused.
+func (r PlaceRequest) refuseAt() float64 {
+	switch r.Rank {
+	case 0:
+		return refuseHigh
+	case 1:
+		return refuseMiddle
+	default:
+		return refuseLow
+	}
+}
+
+// Placement is the answer of Place.
+type Placement struct {
+	// Region is empty when none takes work.
+	Region string
+	// Overloaded says that the call would end too late in every region.
+	Overloaded bool
 }
 
 // Place chooses the region in which a call is served: the own one while it is
 // expected to answer well within the objective and the deadline, and else the
-// one that uses up the least of them. It returns false when none takes work.
-func Place(r PlaceRequest, now time.Time) (region string, ok bool) {
-	best, least := "", 0.0
+// one that uses up the least of them.
+func Place(r PlaceRequest, now time.Time) Placement {
+	best, least, end := "", 0.0, 0.0
 	if r.OwnAllowed && r.Own.Endpoints > 0 {
 		best = r.Own.Region
 		first, whole := r.used(r.Own, now)
 		if first <= nearEnough && whole <= wholeEnough {
-			return best, true
+			return Placement{
+				Region: best,
+			}
 		}
 		least = max(first, whole)
+		end = whole
 	}
 	for _, o := range r.Others {
 		if o.Endpoints == 0 {
@@ -58,9 +94,13 @@
 		if used := max(first, whole); best == "" || used < least {
 			best = o.Region
 			least = used
+			end = whole
 		}
 	}
-	return best, best != ""
+	return Placement{
+		Region:     best,
+		Overloaded: best != "" && end > r.refuseAt(),
+	}
 }
 
 // used gives the parts of the times to the objective and to the deadline that
@@ -76,7 +116,15 @@
 	return takes.Seconds() / max(by.Sub(now).Seconds(), time.Millisecond.Seconds())
 }
 
-// ComeBack is when a call that no region took may try again.
+// ComeBack is when a call for which no endpoint takes work may try again.
 func ComeBack(now time.Time) time.Time {
 	return now.Add(comeBackAfter)
 }
+
+// ComeBackLater is when a call that was refused for overload may try again,
+// spread by a random number from 0 to 1.
+func ComeBackLater(wholeBy, now time.Time, draw float64) time.Time {
+	left := wholeBy.Sub(now)
+	share := comeBackLeast + (comeBackMost-comeBackLeast)*draw
+	return now.Add(time.Duration(float64(left) * share))
+}
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -76,6 +76,9 @@
 	ResumeAfter string
 	// FetchFrom is the address of an engine that holds more of the prompt.
 	FetchFrom string
+	// Paced, if set, is told of the time between two pieces of a routed stream,
+	// with the tokens of the later one.
+	Paced func(gap time.Duration, tokens int)
 	// Sending, if set, is called once right before the first byte goes out.
 	// Its error stops the attempt with nothing sent.
 	Sending func() error
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -108,6 +109,7 @@
 	reader, _ := eventRelays.Get().(*eventRelay)
 	reader.reader.Reset(resp.Body)
 	defer reader.release()
+	var lastAt time.Time
 	for {
 		event, err := reader.next(x.client.maxAnswer)
 		if errors.Is(err, io.EOF) {
@@ -127,9 +129,19 @@
 		}
 		x.outcome.Delivered++
 		x.outcome.LastEvent = event.id
+		lastAt = x.paced(lastAt)
 	}
 }
 
+// paced tells how long the stream took for one event, and gives the time of this one.
+func (x *exchange) paced(lastAt time.Time) time.Time {
+	now := x.client.now()
+	if x.attempt.Paced != nil && !lastAt.IsZero() {
+		x.attempt.Paced(now.Sub(lastAt), x.attempt.Call.Routed.EventTokens)
+	}
+	return now
+}
+
 // endRelay ends a stream that ended between two events.
 func (x *exchange) endRelay(resp *http.Response) *result.Refusal {
 	x.outcome.Usage.PromptTokens = x.attempt.Call.PromptTokens
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -86,7 +86,7 @@
 	}
 	return Expectation{
 		First:  p.choice(c, r, now).First,
-		Token:  seconds(p.pace(c)),
+		Token:  seconds(p.pace(c, now)),
 		Answer: p.answerTokens(r),
 	}, true
 }
@@ -266,7 +266,7 @@
 
 // choice makes the caller's view of a candidate.
 func (p *Pool) choice(c candidate, r Request, now time.Time) Choice {
-	service := c.predicted - c.wait + p.answerTokens(r)*p.pace(c)
+	service := c.predicted - c.wait + p.answerTokens(r)*p.pace(c, now)
 	var reportAge time.Duration
 	if !c.state.loadAt.IsZero() {
 		reportAge = now.Sub(c.state.loadAt)
@@ -294,7 +294,10 @@
 }
 
 // pace is the expected time for one generated token, in seconds.
-func (p *Pool) pace(c candidate) float64 {
+func (p *Pool) pace(c candidate, now time.Time) float64 {
+	if c.state.livePace.known && now.Sub(c.state.livePaceAt) <= livePaceFor {
+		return c.state.livePace.value
+	}
 	if each, ok := p.learnt.pace.at(c.occupied); ok {
 		return each
 	}
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -48,6 +48,9 @@
 
 	hold  average
 	speed average
+	// livePace is the time for one token, in seconds, of streams under way.
+	livePace   average
+	livePaceAt time.Time
 	// bias is how much later the first token comes than predicted, in seconds.
 	bias   float64
 	biasAt time.Time
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -30,6 +30,12 @@
 	// minPrefillTokens is the shortest cold prompt that tells the prefill rate.
 	minPrefillTokens = 64
 
+	// livePaceWeight is the weight of one event of a stream in an engine's present
+	// pace: some twenty events, which a busy engine sends in about a second.
+	livePaceWeight = 0.05
+	// livePaceFor is how long the present pace is used after the last event.
+	livePaceFor = 1500 * time.Millisecond
+
 	defaultHold    = 1.0
 	defaultSpeed   = 50.0
 	defaultBase    = 0.02
@@ -210,6 +216,21 @@
 	}
 }
 
+// Paced learns from a stream under way: so many tokens came within a gap.
+func (p *Pool) Paced(c Choice, gap time.Duration, tokens int, now time.Time) {
+	if c.state == nil || tokens <= 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	each := gap.Seconds() / float64(tokens)
+	if now.Sub(c.state.livePaceAt) > livePaceFor {
+		c.state.livePace = average{}
+	}
+	c.state.livePace.add(each, livePaceWeight)
+	c.state.livePaceAt = now
+}
+
 // learnService learns how long a call keeps its slot and how fast it generates.
 func (p *Pool) learnService(e *endpoint, c Choice, o Outcome, now time.Time) {
 	decode := now.Sub(o.FirstAt).Seconds()
--- a/serving/run.go
+++ b/serving/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"strconv"
+	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
@@ -133,7 +134,11 @@
 	s.event(c, "call_admitted", timeline.Event{
 		Endpoint: chosen,
 	})
-	out := s.options.Endpoint.Send(ctx, s.newAttempt(c, slot, before, p), endpoint.Sink(sink))
+	attempt := s.newAttempt(c, slot, before, p)
+	attempt.Paced = func(gap time.Duration, tokens int) {
+		pool.Endpoints.Paced(slot.Choice, gap, tokens, s.options.Now())
+	}
+	out := s.options.Endpoint.Send(ctx, attempt, endpoint.Sink(sink))
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
 	s.heedLeaving(pool, chosen, out)
 	p.take(out, chosen)
--- a/site/place.go
+++ b/site/place.go
@@ -46,14 +46,21 @@
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
 	others := n.otherLoads(c, pic, tried)
-	region, ok := borrow.Place(borrow.PlaceRequest{
+	placed := borrow.Place(borrow.PlaceRequest{
 		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
 		Others:     others,
 		FirstBy:    c.FirstBy,
 		WholeBy:    c.WholeBy,
+		Rank:       c.Routed.Rank,
 	}, now)
-	if !ok {
+	region := placed.Region
+	if placed.Overloaded && len(tried) == 0 {
+		tracePlace(c, own, others, region)
+		return vm, false, result.Refuse(result.DeadlineUnmeetable, "no region is expected to end the answer in time").
+			Until(borrow.ComeBackLater(c.WholeBy, now, rand.Float64()))
+	}
+	if region == "" {
 		return vm, false, result.Refuse(result.NoEndpoint, "no region takes calls of %s", c.Service).Until(borrow.ComeBack(now))
 	}
 	if region == n.deployment.Region {
