--- a/borrow/place.go
+++ b/borrow/place.go
@@ -14,9 +14,9 @@
 	// token for each piece that it reads: some 50 ms in place of 6, and none of
 	// them ends in time. So calls are refused before that, those of the lowest
 	// rank first: at these parts of the deadline by the expected end.
-	refuseLow    = 0.7
-	refuseMiddle = 1.0
-	refuseHigh   = 1.3
+	refuseLow    = 1.0
+	refuseMiddle = 1.4
+	refuseHigh   = 2.0
 	// A refused call may come back within these parts of the time it has left;
 	// callers use a third at the most.
 	comeBackLeast = 0.15
