--- a/routing/choose.go
+++ b/routing/choose.go
@@ -63,7 +63,7 @@
 type Expectation struct {
 	// First is the time to the first token.
 	First time.Duration
-	// Token is the time for each generated token.
+	// Token is the time for each generated token; zero while it is not known.
 	Token time.Duration
 	// Answer is how many tokens are expected to be generated.
 	Answer float64
@@ -84,9 +84,10 @@
 	if !ok {
 		return Expectation{}, false
 	}
+	each, _ := p.knownPace(c, now)
 	return Expectation{
 		First:  p.choice(c, r, now).First,
-		Token:  seconds(p.pace(c, now)),
+		Token:  seconds(each),
 		Answer: p.answerTokens(r),
 	}, true
 }
@@ -295,15 +296,20 @@
 
 // pace is the expected time for one generated token, in seconds.
 func (p *Pool) pace(c candidate, now time.Time) float64 {
-	if c.state.livePace.known && now.Sub(c.state.livePaceAt) <= livePaceFor {
-		return c.state.livePace.value
-	}
-	if each, ok := p.learnt.pace.at(c.occupied); ok {
+	if each, ok := p.knownPace(c, now); ok {
 		return each
 	}
 	return 1 / c.state.speed.or(p.learnt.speed.or(defaultSpeed))
 }
 
+// knownPace is false while nothing was learnt, as after a start.
+func (p *Pool) knownPace(c candidate, now time.Time) (each float64, ok bool) {
+	if c.state.livePaced >= livePaceLeast && now.Sub(c.state.livePaceAt) <= livePaceFor {
+		return c.state.livePace.value, true
+	}
+	return p.learnt.pace.at(c.occupied)
+}
+
 // answerTokens is the expected number of generated tokens, of which the bound
 // is often far too high.
 func (p *Pool) answerTokens(r Request) float64 {
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -51,6 +51,8 @@
 	// livePace is the time for one token, in seconds, of streams under way.
 	livePace   average
 	livePaceAt time.Time
+	// livePaced is how many events it was learnt from.
+	livePaced int
 	// bias is how much later the first token comes than predicted, in seconds.
 	bias   float64
 	biasAt time.Time
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -33,6 +33,8 @@
 	// livePaceWeight is the weight of one event of a stream in an engine's present
 	// pace: some twenty events, which a busy engine sends in about a second.
 	livePaceWeight = 0.05
+	// livePaceLeast is from how many events on the pace is used.
+	livePaceLeast = 10
 	// livePaceFor is how long the present pace is used after the last event.
 	livePaceFor = 1500 * time.Millisecond
 
@@ -226,7 +228,9 @@
 	each := gap.Seconds() / float64(tokens)
 	if now.Sub(c.state.livePaceAt) > livePaceFor {
 		c.state.livePace = average{}
+		c.state.livePaced = 0
 	}
+	c.state.livePaced++
 	c.state.livePace.add(each, livePaceWeight)
 	c.state.livePaceAt = now
 }
