--- a/borrow/place.go
+++ b/borrow/place.go
@@ -13,10 +13,11 @@
 	// An engine that reads prompts without a pause gives each of its streams one
 	// token for each piece that it reads: some 50 ms in place of 6, and none of
 	// them ends in time. So calls are refused before that, those of the lowest
-	// rank first: at these parts of the deadline by the expected end.
-	refuseLow    = 1.0
-	refuseMiddle = 1.4
-	refuseHigh   = 2.0
+	// rank first: from these parts of the deadline by the expected end on, and all
+	// at twice as much. A share that grows keeps the load from swinging.
+	refuseLow    = 0.8
+	refuseMiddle = 1.2
+	refuseHigh   = 1.7
 	// A refused call may come back within these parts of the time it has left;
 	// callers use a third at the most.
 	comeBackLeast = 0.15
@@ -48,9 +49,18 @@
 	WholeBy time.Time
 	// Rank is the call's priority, 0 first.
 	Rank int
+	// Draw is a random number from 0 to 1.
+	Draw float64
 }
 
-// refuseAt is the part of the deadline from which the call is refused.
+// refuses says whether a call that ends at such a part of the time to its
+// deadline is refused.
+func (r PlaceRequest) refuses(end float64) bool {
+	from := r.refuseAt()
+	return (end-from)/from > r.Draw
+}
+
+// refuseAt is the part of the deadline from which calls are refused.
 func (r PlaceRequest) refuseAt() float64 {
 	switch r.Rank {
 	case 0:
@@ -99,7 +109,7 @@
 	}
 	return Placement{
 		Region:     best,
-		Overloaded: best != "" && end > r.refuseAt(),
+		Overloaded: best != "" && r.refuses(end),
 	}
 }
 
--- a/site/place.go
+++ b/site/place.go
@@ -53,6 +53,7 @@
 		FirstBy:    c.FirstBy,
 		WholeBy:    c.WholeBy,
 		Rank:       c.Routed.Rank,
+		Draw:       rand.Float64(),
 	}, now)
 	region := placed.Region
 	if placed.Overloaded && len(tried) == 0 {
