Ask each engine by one VM, and read the store by two VMs of a region

Cause: probes and calls to the store grew with the VMs (largest prices on the grown sites). Change: reports travel with the rumors of a region; readers by rank, the others pull what readers tell them of; lapsed entries get their time to come back there too.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -95,6 +95,21 @@
 	return true
 }
 
+// Settling gives how long entries that lapsed in an outage may still come back.
+func (s *State) Settling(now time.Time) time.Duration {
+	if s.away {
+		return s.grace
+	}
+	return max(s.settled.Sub(now), 0)
+}
+
+// SettleUntil takes that time from another VM, from which removals come.
+func (s *State) SettleUntil(at time.Time) {
+	if at.After(s.settled) {
+		s.settled = at
+	}
+}
+
 // Take applies one change and says whether it made a difference.
 func (s *State) Take(c Change, now time.Time) bool {
 	switch {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -54,6 +54,8 @@
 	State       State
 	// Ready says that the member takes calls.
 	Ready bool
+	// TurnedAway says that the member cannot read the store.
+	TurnedAway bool
 }
 
 // newer says whether r replaces what is held.
@@ -142,6 +144,16 @@
 	r.rehash()
 }
 
+// SetTurnedAway says whether this VM cannot read the store.
+func (r *Roster) SetTurnedAway(away bool) {
+	if r.self.TurnedAway == away {
+		return
+	}
+	r.self.TurnedAway = away
+	r.self.Version++
+	r.rehash()
+}
+
 // Leave marks this VM as stopping, for good.
 func (r *Roster) Leave() {
 	r.self.State = StateLeft
@@ -269,6 +281,23 @@
 	}
 }
 
+// Spread gives a few random members of the own region, to be told of something new.
+func (r *Roster) Spread(count int) []Target {
+	var near []*member
+	for _, m := range r.sorted() {
+		if m.VM.Region == r.self.VM.Region && m.State == StateAlive {
+			near = append(near, m)
+		}
+	}
+	var out []Target
+	for range min(count, len(near)) {
+		i := int(r.rand() % uint64(len(near)))
+		out = append(out, r.target(near[i]))
+		near = slices.Delete(near, i, i+1)
+	}
+	return out
+}
+
 // far gives one random living member of each other region.
 func (r *Roster) far() []Target {
 	byRegion := make(map[string][]*member)
@@ -454,8 +483,9 @@
 	VM          fleet.VM
 	Incarnation uint64
 	// Reachable is false for suspected members too.
-	Reachable bool
-	Ready     bool
+	Reachable  bool
+	Ready      bool
+	TurnedAway bool
 }
 
 // Picture is what traffic reads. It never changes.
@@ -478,6 +508,7 @@
 		Incarnation: r.self.Incarnation,
 		Reachable:   r.self.State == StateAlive,
 		Ready:       r.self.Ready,
+		TurnedAway:  r.self.TurnedAway,
 	})
 	for _, m := range r.members {
 		if m.State >= StateDead {
@@ -488,6 +519,7 @@
 			Incarnation: m.Incarnation,
 			Reachable:   m.State == StateAlive && m.misses < missesToSuspect,
 			Ready:       m.Ready,
+			TurnedAway:  m.TurnedAway,
 		})
 	}
 	slices.SortFunc(p.Members, func(a, b Member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
--- a/site/control.go
+++ b/site/control.go
@@ -133,7 +133,7 @@
 		}
 		now := c.node.now()
 		for _, target := range c.roster.Step(now) {
-			go c.node.exchange(ctx, target, c.message(target.Full, now))
+			go c.node.exchange(ctx, target, c.message(target.VM.Region, target.Full, now))
 		}
 		c.publish(now)
 		timer.Reset(max(c.next(now).Sub(now), time.Millisecond))
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -26,12 +26,16 @@
 )
 
 // message is this VM's side of an exchange.
-func (c *control) message(full bool, now time.Time) *peerpb.GossipMessage {
+func (c *control) message(region string, full bool, now time.Time) *peerpb.GossipMessage {
 	m := &peerpb.GossipMessage{
 		From:              rumorMessage(c.roster.Self()),
 		Hash:              c.roster.Hash(),
 		PublishedRevision: c.mirror.Revision(),
-		Loads:             c.node.pools.loads(now),
+	}
+	if region == c.node.deployment.Region {
+		m.Reports = c.node.pools.heldReports(now)
+	} else {
+		m.Loads = c.node.pools.loads(now)
 	}
 	if full {
 		for _, r := range c.roster.Rumors() {
@@ -75,6 +79,7 @@
 	from := rumorFromMessage(m.GetFrom())
 	c.roster.Heard(from, m.GetHash(), rumors, now)
 	c.takeLoads(from.VM.Region, m.GetLoads(), now)
+	c.node.pools.takeReports(m.GetReports(), now)
 	if m.GetPublishedRevision() > c.mirror.Revision() {
 		go c.node.pullSoon(ctx, from.VM, m.GetPublishedRevision())
 	}
@@ -105,14 +110,16 @@
 func (n *Node) answerGossip(ctx context.Context, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
 	return ask(ctx, n.control, func(c *control, now time.Time) *peerpb.GossipMessage {
 		c.heard(context.WithoutCancel(ctx), in, now)
-		return c.message(in.GetHash() != c.roster.Hash(), now)
+		return c.message(in.GetFrom().GetRegion(), in.GetHash() != c.roster.Hash(), now)
 	})
 }
 
 // pullSoon asks a peer for what it holds of the store, unless this VM's own
 // read brings it soon.
 func (n *Node) pullSoon(ctx context.Context, vm fleet.VM, revision uint64) {
-	time.Sleep(pullAfter)
+	if n.isReader() {
+		time.Sleep(pullAfter)
+	}
 	after := n.control.picture().revision
 	if after >= revision {
 		return
@@ -132,17 +139,34 @@
 		whole:    reply.GetWhole(),
 	}
 	n.control.send(trip, func(c *control, now time.Time) {
-		c.take(c.merge(got), now)
+		c.discovery.SettleUntil(now.Add(time.Duration(reply.GetSettlingMs()) * time.Millisecond))
+		c.takeNew(ctx, c.merge(got), now)
 	})
 }
 
+// spreadTo is how many VMs of the region are told of a change at once: the
+// rumor then reaches 30 of them in three steps of a few milliseconds.
+const spreadTo = 2
+
+// takeNew takes changes and tells some others of the region that there are any.
+func (c *control) takeNew(ctx context.Context, items []discovery.Item, now time.Time) {
+	if len(items) == 0 {
+		return
+	}
+	c.take(items, now)
+	for _, target := range c.roster.Spread(spreadTo) {
+		go c.node.exchange(ctx, target, c.message(target.VM.Region, target.Full, now))
+	}
+}
+
 // published answers a peer with what this VM holds of the store.
 func (n *Node) published(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
-	return ask(ctx, n.control, func(c *control, _ time.Time) *peerpb.PublishedReply {
+	return ask(ctx, n.control, func(c *control, now time.Time) *peerpb.PublishedReply {
 		items, whole := c.mirror.Since(in.GetAfterRevision())
 		reply := &peerpb.PublishedReply{
-			Revision: c.mirror.Revision(),
-			Whole:    whole,
+			Revision:   c.mirror.Revision(),
+			Whole:      whole,
+			SettlingMs: uint32(c.discovery.Settling(now).Milliseconds()),
 		}
 		for _, item := range items {
 			reply.Items = append(reply.Items, &peerpb.PublishedItem{
@@ -176,6 +200,7 @@
 		Version:     r.Version,
 		State:       uint32(r.State),
 		Ready:       r.Ready,
+		TurnedAway:  r.TurnedAway,
 		Region:      r.VM.Region,
 		DataCentre:  r.VM.DataCentre,
 		CallerAddr:  r.VM.CallerAddr,
@@ -197,5 +222,6 @@
 		Version:     m.GetVersion(),
 		State:       roster.State(m.GetState()),
 		Ready:       m.GetReady(),
+		TurnedAway:  m.GetTurnedAway(),
 	}
 }
--- a/site/pools.go
+++ b/site/pools.go
@@ -1,12 +1,10 @@
 package site
 
 import (
-	"context"
 	"sync/atomic"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
-	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -15,11 +13,6 @@
 )
 
 const (
-	// reportEvery is the interval at which each engine is asked for its load,
-	// which it tells some 100 ms late.
-	reportEvery = 700 * time.Millisecond
-	// reportWithin bounds one question.
-	reportWithin = time.Second
 	// usualPrompt is the prompt, in tokens, for which a region tells others its
 	// time to the first token.
 	usualPrompt = 1000
@@ -28,10 +21,9 @@
 // pools are the endpoints of this region by service. The control goroutine
 // updates them; traffic reads an immutable table.
 type pools struct {
-	node  *Node
-	table atomic.Pointer[poolTable]
-	// steadyAt is when the number of VMs known last changed.
-	steadyAt atomic.Int64
+	node    *Node
+	reports reports
+	table   atomic.Pointer[poolTable]
 }
 
 type poolTable struct {
@@ -50,6 +42,7 @@
 	p := &pools{
 		node: n,
 	}
+	p.reports.held = make(map[string]heldReport)
 	p.table.Store(&poolTable{
 		byService: make(map[string]*pool),
 	})
@@ -184,30 +177,3 @@
 	}
 	return out
 }
-
-// run asks the engines for their load, one after the other.
-func (p *pools) run(ctx context.Context) error {
-	for next := 0; ctx.Err() == nil; next++ {
-		table := p.table.Load()
-		every := reportEvery
-		if count := len(table.engines); count > 0 {
-			go p.report(ctx, table, table.engines[next%count])
-			every /= time.Duration(count)
-		}
-		worker.SleepUntil(ctx, p.node.now(), p.node.now().Add(every))
-	}
-	return nil
-}
-
-func (p *pools) report(ctx context.Context, table *poolTable, e fleet.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, reportWithin)
-	defer cancel()
-	load, err := p.node.client.Report(ctx, e)
-	if err != nil {
-		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
-		return
-	}
-	if pool := table.byService[e.Service]; pool != nil {
-		pool.Endpoints.Report(e.ID, routing.Load(load), p.node.now())
-	}
-}
--- /dev/null
+++ b/site/reports.go
@@ -0,0 +1,143 @@
+package site
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/entry"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/routing"
+)
+
+const (
+	// reportEvery is the interval at which one VM of the region asks an engine
+	// for its load, which it tells some 100 ms late.
+	reportEvery = 500 * time.Millisecond
+	// reportWithin bounds one question.
+	reportWithin = time.Second
+	// reportGoodFor is how long a report is passed on to other VMs.
+	reportGoodFor = 1200 * time.Millisecond
+	// reportNewer is by how much a report must be newer to be taken from
+	// another VM: its age grows by the way between the two.
+	reportNewer = 50 * time.Millisecond
+)
+
+// reports are the engines' latest loads, asked by this VM or heard from others
+// of the region. So each engine is asked by one VM, however many there are.
+type reports struct {
+	mu   sync.Mutex
+	held map[string]heldReport
+}
+
+type heldReport struct {
+	service string
+	load    routing.Load
+}
+
+// run asks the engines for which this VM ranks first, one after the other.
+func (p *pools) run(ctx context.Context) error {
+	for next := 0; ctx.Err() == nil; next++ {
+		engines := p.ownEngines()
+		every := reportEvery
+		if count := len(engines); count > 0 {
+			go p.askReport(ctx, engines[next%count])
+			every /= time.Duration(count)
+		}
+		worker.SleepUntil(ctx, p.node.now(), p.node.now().Add(every))
+	}
+	return nil
+}
+
+// ownEngines are those that this VM asks.
+func (p *pools) ownEngines() []fleet.Endpoint {
+	vms := p.regionVMs()
+	var out []fleet.Endpoint
+	for _, e := range p.table.Load().engines {
+		ranked := entry.Rank(e.ID, vms)
+		if len(ranked) == 0 || ranked[0].ID == p.node.deployment.VM {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func (p *pools) regionVMs() []fleet.VM {
+	var vms []fleet.VM
+	for _, m := range p.node.control.picture().members.Members {
+		if m.VM.Region == p.node.deployment.Region && m.Reachable {
+			vms = append(vms, m.VM)
+		}
+	}
+	return vms
+}
+
+func (p *pools) askReport(ctx context.Context, e fleet.Endpoint) {
+	ctx, cancel := context.WithTimeout(ctx, reportWithin)
+	defer cancel()
+	load, err := p.node.client.Report(ctx, e)
+	if err != nil {
+		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
+		return
+	}
+	p.takeReport(e.ID, heldReport{
+		service: e.Service,
+		load:    routing.Load(load),
+	})
+}
+
+// takeReport keeps a report if it is newer than the one held.
+func (p *pools) takeReport(id string, r heldReport) {
+	p.reports.mu.Lock()
+	old, ok := p.reports.held[id]
+	fresh := !ok || r.load.At.Sub(old.load.At) > reportNewer
+	if fresh {
+		p.reports.held[id] = r
+	}
+	p.reports.mu.Unlock()
+	if pool := p.table.Load().byService[r.service]; fresh && pool != nil {
+		pool.Endpoints.Report(id, r.load, p.node.now())
+	}
+}
+
+// heldReports are the recent ones, for another VM of the region.
+func (p *pools) heldReports(now time.Time) []*peerpb.EngineReport {
+	p.reports.mu.Lock()
+	defer p.reports.mu.Unlock()
+	var out []*peerpb.EngineReport
+	for id, r := range p.reports.held {
+		age := now.Sub(r.load.At)
+		if age > reportGoodFor {
+			delete(p.reports.held, id)
+			continue
+		}
+		out = append(out, &peerpb.EngineReport{
+			Endpoint:    id,
+			Service:     r.service,
+			AgeMs:       uint32(max(age.Milliseconds(), 0)),
+			Running:     uint32(r.load.Running),
+			Waiting:     uint32(r.load.Waiting),
+			CacheUsed:   uint32(r.load.CacheUsed),
+			CacheTokens: uint32(r.load.CacheTokens),
+		})
+	}
+	return out
+}
+
+// takeReports takes what another VM of the region has heard.
+func (p *pools) takeReports(list []*peerpb.EngineReport, now time.Time) {
+	for _, m := range list {
+		p.takeReport(m.GetEndpoint(), heldReport{
+			service: m.GetService(),
+			load: routing.Load{
+				At:          now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+				Running:     int(m.GetRunning()),
+				Waiting:     int(m.GetWaiting()),
+				CacheUsed:   int(m.GetCacheUsed()),
+				CacheTokens: int(m.GetCacheTokens()),
+			},
+		})
+	}
+}
--- a/site/store.go
+++ b/site/store.go
@@ -7,6 +7,8 @@
 
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/entry"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 )
 
@@ -35,6 +37,10 @@
 	pause := leastPause
 	whole := true
 	for ctx.Err() == nil {
+		if !n.isReader() {
+			worker.SleepUntil(ctx, n.now(), n.now().Add(dutyEvery))
+			continue
+		}
 		got, err := n.readOnce(ctx, whole)
 		if errors.Is(err, platform.ErrHistoryLost) {
 			n.log.Info("store_history_lost", "revision", n.control.picture().revision)
@@ -81,11 +87,45 @@
 		if c.discovery.StoreBack(now) {
 			n.log.Info("store_back", "revision", got.revision)
 		}
-		c.take(c.merge(got), now)
+		c.roster.SetTurnedAway(false)
+		c.takeNew(ctx, c.merge(got), now)
 		return true
 	})
 }
 
+// readersPerRegion are the VMs of each region that follow the store; the others
+// hear of changes from them. Two, so that one that is lost is not missed.
+const readersPerRegion = 2
+
+// isReader says whether this VM follows the store itself: by rank among those
+// of its region that the store does not turn away. A VM that knows nothing yet reads too.
+func (n *Node) isReader() bool {
+	pic := n.control.picture()
+	if pic.table == nil {
+		return true
+	}
+	var vms []fleet.VM
+	for _, m := range pic.members.Members {
+		isSelf := m.VM.ID == n.deployment.VM
+		if m.VM.Region == n.deployment.Region && (isSelf || (m.Reachable && !m.TurnedAway)) {
+			vms = append(vms, m.VM)
+		}
+	}
+	ranked := entry.Rank(readersRank, vms)
+	for _, vm := range ranked[:min(readersPerRegion, len(ranked))] {
+		if vm.ID == n.deployment.VM {
+			return true
+		}
+	}
+	return false
+}
+
+// readersRank is what the VMs of a region are ranked for.
+const readersRank = "readers"
+
+// dutyEvery is how often a VM that does not read looks whether it has to.
+const dutyEvery = 250 * time.Millisecond
+
 func (c *control) merge(got read) []discovery.Item {
 	if got.whole {
 		return c.mirror.Replace(got.items, got.revision)
@@ -98,6 +138,7 @@
 		return
 	}
 	n.control.send(ctx, func(c *control, _ time.Time) {
+		c.roster.SetTurnedAway(true)
 		if c.discovery.StoreLost() {
 			n.log.Warn("store_lost", "reason", err.Error(), "revision", c.mirror.Revision())
 		}
