--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,105 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/route"
+)
+
+type schedule struct {
+	Name    string
+	Steps   []step
+	Want    []string
+	Version uint64
+}
+
+type step struct {
+	Put, In, State, Cold string
+	Remove               string
+	Store                string
+	Wait                 string
+	Evacuate             string
+	TakeBack             string `json:"take_back"`
+	Table                uint64
+	OtherKey             bool `json:"other_key"`
+}
+
+func TestSchedules(t *testing.T) {
+	for _, c := range datatest.Read[[]schedule](t, "testdata/schedules.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			s := New(Options{Grace: 2 * time.Second})
+			for _, step := range c.Steps {
+				now = play(t, s, step, now)
+				s.Step(now)
+			}
+			got := []string{}
+			for _, e := range s.Endpoints(now) {
+				name := e.ID
+				if !e.ColdUntil.IsZero() {
+					name += " cold"
+				}
+				got = append(got, name)
+			}
+			assert.DeepEqual(t, got, c.Want)
+			if c.Version > 0 {
+				assert.Equal(t, s.Table().Version, c.Version)
+			}
+		})
+	}
+}
+
+func play(t *testing.T, s *State, step step, now time.Time) time.Time {
+	t.Helper()
+	switch {
+	case step.Put != "":
+		s.Take(Change{Endpoint: endpointOf(t, step)}, now)
+	case step.Remove != "":
+		s.Take(Change{Removed: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Remove}}}, now)
+	case step.Store == "lost":
+		s.StoreLost()
+	case step.Store == "back":
+		s.StoreBack(now)
+	case step.Evacuate != "":
+		s.Take(Change{Evacuated: step.Evacuate}, now)
+	case step.TakeBack != "":
+		s.Take(Change{Evacuated: step.TakeBack, Removed: true}, now)
+	case step.Table > 0:
+		s.Take(Change{Table: route.New(step.Table, nil, nil, route.Limits{})}, now)
+	case step.OtherKey:
+		s.Take(Change{Key: "other", Removed: true}, now)
+	case step.Wait != "":
+		return now.Add(duration(t, step.Wait))
+	}
+	return now
+}
+
+func endpointOf(t *testing.T, step step) *Endpoint {
+	t.Helper()
+	e := &Endpoint{
+		Endpoint: fleet.Endpoint{
+			ID:         step.Put,
+			DataCentre: step.In,
+			State:      fleet.StateLive,
+		},
+	}
+	if step.State != "" {
+		e.State = fleet.State(step.State)
+	}
+	if step.Cold != "" {
+		e.ColdFor = duration(t, step.Cold)
+	}
+	return e
+}
+
+func duration(t *testing.T, text string) time.Duration {
+	t.Helper()
+	d, err := time.ParseDuration(text)
+	assert.NilError(t, err)
+	return d
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,40 @@
+package route
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+)
+
+func TestMatch(t *testing.T) {
+	data := datatest.Read[struct {
+		Routes []Route
+		Cases  []struct{ Host, Path, Want string }
+	}](t, "testdata/match.json")
+	table := New(1, data.Routes, nil, Limits{})
+	for _, c := range data.Cases {
+		t.Run(c.Host+c.Path, func(t *testing.T) {
+			got := ""
+			if r, ok := table.Match(c.Host, c.Path); ok {
+				got = r.Name
+			}
+			assert.Equal(t, got, c.Want)
+		})
+	}
+}
+
+// TestPick holds that a split follows the weights, and that a share without
+// weight gets nothing.
+func TestPick(t *testing.T) {
+	r := Route{
+		Shares: []Share{{Service: "a", Weight: 90}, {Service: "none"}, {Service: "b", Weight: 10}},
+	}
+	counts := make(map[string]int)
+	for draw := range uint64(1000) {
+		counts[r.Pick(draw)]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 900, "b": 100})
+	assert.Equal(t, (&Route{}).Pick(1), "")
+}
