--- /dev/null
+++ b/endpoint/relay_test.go
@@ -0,0 +1,183 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+type relayCase struct {
+	Name   string
+	Answer string
+	// End is what the endpoint does then: "close", "reset", or nothing.
+	End           string
+	Resume        string
+	Code          result.Code
+	Status        int
+	Body          string
+	Header        map[string]string
+	Events        int
+	LastEvent     string `json:"last_event"`
+	OtherInstance bool   `json:"other_instance"`
+	Held          int
+}
+
+// testDialect has names of its own, so that none is built into the client.
+var testDialect = Dialect{
+	SetHeader: func(h http.Header, t Terms) {
+		h.Set("Instance", t.Instance)
+		if t.ResumeAfter != "" {
+			h.Set("Resume", t.ResumeAfter)
+		}
+	},
+	ReadHead: func(status int, h http.Header, _ time.Time) Head {
+		return Head{
+			ID:            h.Get("Attempt"),
+			NotRun:        h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
+			OtherInstance: status == http.StatusMisdirectedRequest,
+			Signed:        h.Get("Signed") != "",
+		}
+	},
+}
+
+func TestRelay(t *testing.T) {
+	for _, c := range datatest.Read[[]relayCase](t, "testdata/relay.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			answer := strings.ReplaceAll(c.Answer, "Attempt: ID", "Attempt: attempt-1")
+			addr := serveRaw(t, answer, c.End)
+			status, body := 0, ""
+			header := http.Header{}
+			out := newRelayClient(t).Send(t.Context(), routedCall(addr, c.Resume), Sink{
+				Head: func(s int, h http.Header) error {
+					status = s
+					header = h.Clone()
+					return nil
+				},
+				Chunk: func(data []byte) error {
+					body += string(data)
+					return nil
+				},
+			})
+			assert.Equal(t, out.Code, c.Code, "%v", out.Err)
+			assert.Equal(t, status, c.Status)
+			assert.Equal(t, body, c.Body)
+			assert.Equal(t, out.Delivered, c.Events)
+			assert.Equal(t, out.LastEvent, c.LastEvent)
+			assert.Equal(t, out.OtherInstance, c.OtherInstance)
+			for name, value := range c.Header {
+				assert.Equal(t, header.Get(name), value)
+			}
+			if c.Held > 0 {
+				assert.Equal(t, out.Held.Status, c.Held)
+			}
+		})
+	}
+}
+
+func newRelayClient(t *testing.T) *Client {
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return New(Options{
+		Client:  &http.Client{Transport: transport},
+		Dialect: testDialect,
+	})
+}
+
+func routedCall(addr, resume string) Attempt {
+	return Attempt{
+		ID: "attempt-1",
+		Endpoint: fleet.Endpoint{
+			ID:   "e-1",
+			Addr: addr,
+		},
+		Call: &call.Call{
+			ID:      "attempt-1",
+			Kind:    call.KindRouted,
+			Method:  http.MethodPost,
+			Path:    "/a%2Fb/?q=%20x",
+			Body:    []byte("body"),
+			WholeBy: time.Now().Add(time.Minute),
+			Routed: &call.Routed{
+				Host: "h.example",
+			},
+		},
+		ResumeAfter: resume,
+	}
+}
+
+// serveRaw answers one request with raw bytes.
+func serveRaw(t *testing.T, answer, end string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		body := make([]byte, req.ContentLength)
+		_, _ = req.Body.Read(body)
+		_, _ = conn.Write([]byte(answer))
+		finish(conn, end)
+	}()
+	return ln.Addr().String()
+}
+
+func finish(conn net.Conn, end string) {
+	switch end {
+	case "close":
+		_ = conn.Close()
+	case "reset":
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			// The bytes before must have arrived, or the reset overtakes them.
+			time.Sleep(50 * time.Millisecond)
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// TestRoutedRequest holds that a request reaches the endpoint as the caller
+// sent it, with the terms in the dialect's headers.
+func TestRoutedRequest(t *testing.T) {
+	got := make(chan string, 1)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		data := make([]byte, 4096)
+		n, _ := conn.Read(data)
+		got <- string(data[:n])
+		_ = conn.Close()
+	}()
+	a := routedCall(ln.Addr().String(), "7")
+	a.Call.Header = http.Header{"X-Kept": {"1"}}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	newRelayClient(t).Send(ctx, a, Sink{})
+	text := <-got
+	for _, want := range []string{"POST /a%2Fb/?q=%20x HTTP/1.1\r\n", "Host: h.example\r\n", "X-Kept: 1\r\n", "Instance: e-1\r\n", "Resume: 7\r\n", "Content-Length: 4\r\n"} {
+		assert.Assert(t, strings.Contains(text, want), "%q lacks %q", text, want)
+	}
+	assert.Assert(t, !strings.Contains(text, "User-Agent"), text)
+}
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -101,16 +101,26 @@
 // run writes line after line, and now and then how many were dropped.
 func (w *Writer) run() {
 	defer close(w.done)
+	// The count does not go through the ring, which may be full or closed.
+	direct := slog.New(slog.NewJSONHandler(w.to, nil))
 	var told int64
 	var tellAt time.Time
 	for line := range w.lines {
 		// There is nowhere to report that standard output is gone.
 		_, _ = w.to.Write(line)
-		dropped := w.dropped.Load()
-		if now := time.Now(); dropped != told && now.After(tellAt) {
-			w.logger.Warn("lines_dropped", "lines", dropped-told)
-			told = dropped
+		if now := time.Now(); now.After(tellAt) {
+			told = w.tell(direct, told)
 			tellAt = now.Add(dropEvery)
 		}
 	}
+	w.tell(direct, told)
+}
+
+// tell logs how many lines were dropped since the last time.
+func (w *Writer) tell(direct *slog.Logger, told int64) int64 {
+	dropped := w.dropped.Load()
+	if dropped != told {
+		direct.Warn("lines_dropped", "lines", dropped-told)
+	}
+	return dropped
 }
--- /dev/null
+++ b/routing/cache_test.go
@@ -0,0 +1,112 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+func parts(own uint64) []call.PromptPart {
+	return []call.PromptPart{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 4500}, {ID: own, Tokens: 1000}}
+}
+
+// TestPrefixes holds that the own part is no prefix that others share, and that
+// the longest prefix has the hash that places it on the ring.
+func TestPrefixes(t *testing.T) {
+	got := Prefixes(parts(9))
+	assert.Equal(t, len(got), 2)
+	assert.Equal(t, got[0].Tokens, 500)
+	assert.Equal(t, got[1].Tokens, 5000)
+	assert.Equal(t, got[1].Hash, call.SharedPrefix(parts(10)))
+	assert.Equal(t, len(Prefixes(parts(9)[2:])), 0)
+}
+
+// TestFetch holds that an engine which lacks a prefix fetches it from one that
+// was sent it, and never from one that was not.
+func TestFetch(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := New(Options{Rand: func() uint64 { return 0 }})
+	list := []fleet.Endpoint{
+		{ID: "a", Addr: "addr-a", State: fleet.StateLive},
+		{ID: "b", Addr: "addr-b", State: fleet.StateLive},
+	}
+	p.SetEndpoints(list, now)
+	r := Request{
+		PrefixHash:   call.SharedPrefix(parts(9)),
+		Prefixes:     Prefixes(parts(9)),
+		PromptTokens: 6000,
+	}
+	first, ok := p.Choose(r, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, first.FetchFrom, "")
+	assert.Equal(t, first.Cached, 5000)
+
+	again, ok := p.Choose(r, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, again.Endpoint.ID, first.Endpoint.ID)
+	assert.Equal(t, again.FetchFrom, "")
+
+	r.Exclude = [2]string{first.Endpoint.ID}
+	other, ok := p.Choose(r, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, other.FetchFrom, first.Endpoint.Addr)
+	assert.Equal(t, other.Cached, 5000)
+}
+
+// TestCacheForgets holds that a cache keeps within its bound, and that old
+// prefixes no longer count.
+func TestCacheForgets(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	var c cache
+	for i := range uint64(50) {
+		c.touch([]Prefix{{Hash: i + 1, Tokens: 100}}, 1000, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	assert.Equal(t, c.tokens, 1000)
+	assert.Equal(t, c.warm([]Prefix{{Hash: 50, Tokens: 100}}, now), 100)
+	assert.Equal(t, c.warm([]Prefix{{Hash: 1, Tokens: 100}}, now), 0)
+	assert.Equal(t, c.warm([]Prefix{{Hash: 50, Tokens: 100}}, now.Add(time.Minute)), 0)
+}
+
+// TestLine holds that a line through noisy samples is found, and never falls.
+func TestLine(t *testing.T) {
+	var l line
+	_, ok := l.at(1)
+	assert.Assert(t, !ok)
+	for i := range 400 {
+		x := float64(i % 40)
+		l.add(x, 2.6+0.12*x)
+	}
+	y, ok := l.at(20)
+	assert.Assert(t, ok)
+	assert.Assert(t, y > 4.9 && y < 5.1, y)
+	var falling line
+	for i := range 100 {
+		falling.add(float64(i%40), -float64(i%40))
+	}
+	low, _ := falling.at(0)
+	high, _ := falling.at(100)
+	assert.Equal(t, low, high)
+}
+
+// TestPaceKnown holds that nothing is said of the pace before it was learnt, and
+// that the present one goes first.
+func TestPaceKnown(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := New(Options{})
+	p.SetEndpoints([]fleet.Endpoint{{ID: "a", State: fleet.StateLive}}, now)
+	choice, _ := p.Choose(Request{}, now)
+	expected, ok := p.Expect(Request{MaxTokens: 100}, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, expected.Whole(), expected.First)
+	for range livePaceLeast {
+		p.Paced(choice, 90*time.Millisecond, 9, now)
+	}
+	expected, _ = p.Expect(Request{MaxTokens: 100}, now)
+	assert.Equal(t, expected.Token, 10*time.Millisecond)
+	later, _ := p.Expect(Request{MaxTokens: 100}, now.Add(livePaceFor+time.Millisecond))
+	assert.Equal(t, later.Token, time.Duration(0))
+}
