--- a/gateway/main.go
+++ b/gateway/main.go
@@ -45,7 +45,7 @@
 		return servePlatform(*check, stdout, stderr)
 	}
 	if *file == "" {
-		_, _ = fmt.Fprintln(stderr, "gateway: --settings or --platform is required; see gateway --help")
+		_, _ = fmt.Fprintln(stderr, "gateway: required flag --settings or --platform not provided, try --help")
 		return exitUsage
 	}
 	loaded, refusal := settings.Load(*file)
--- /dev/null
+++ b/standin/replica/replica.go
@@ -0,0 +1,256 @@
+// Package replica is a stand-in for the platform's endpoints of routed calls:
+// it answers streams and whole bodies, refuses what is for another instance,
+// tells its load, and fails on demand. It tells an observer of each run.
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Headers of the published protocol.
+const (
+	headerAttempt   = "X-Fuchsianotch-Attempt-Id"
+	headerSignature = "X-Fuchsianotch-Response-Stamp"
+	headerInstance  = "X-Fuchsianotch-Expect-Instance"
+	headerNotRun    = "X-Fuchsianotch-Not-Executed"
+	headerLastEvent = "Last-Event-Id"
+)
+
+// StreamPath begins the paths that are answered by a stream.
+const StreamPath = "/stream/"
+
+// Fault is how a replica fails one request.
+type Fault int
+
+// The faults.
+const (
+	FaultNone Fault = iota
+	// FaultError runs and answers 500; FaultReset runs and resets the connection;
+	// FaultCut breaks off within the answer; FaultShed refuses before it runs;
+	// FaultUnsigned answers without a signature; FaultExtra sends a second answer.
+	FaultError
+	FaultReset
+	FaultCut
+	FaultShed
+	FaultUnsigned
+	FaultExtra
+	// Faults is the number of faults.
+	Faults
+)
+
+// Run is one request that a replica began to work on, or refused.
+type Run struct {
+	Replica string
+	Attempt string
+	Path    string
+	From    string
+	At      time.Time
+	Refused bool
+}
+
+// Options set up a Replica.
+type Options struct {
+	ID      string
+	Service string
+	Zone    string
+	// Events is how many events a stream has, EventEvery the time between two,
+	// and Work the time of a whole answer.
+	Events     int
+	EventEvery time.Duration
+	Work       time.Duration
+	// Fault decides how a request fails; nil means not at all.
+	Fault func() Fault
+	// Observe is told of each request.
+	Observe func(Run)
+}
+
+// Replica is one running stand-in.
+type Replica struct {
+	Options
+	Addr string
+
+	server *http.Server
+	mu     sync.Mutex
+	active int
+}
+
+// Start serves on an address.
+func Start(o Options, addr string) (*Replica, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	r := &Replica{
+		Options: o,
+		Addr:    ln.Addr().String(),
+	}
+	r.server = &http.Server{
+		Handler:           http.HandlerFunc(r.serve),
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+	go func() { _ = r.server.Serve(ln) }()
+	return r, nil
+}
+
+// Crash ends it at once, with all its connections.
+func (r *Replica) Crash() {
+	_ = r.server.Close()
+}
+
+// Entry is what it writes to the store.
+func (r *Replica) Entry(state string, coldFor time.Duration) map[string]any {
+	return map[string]any{
+		"Service":    r.Service,
+		"Addr":       r.Addr,
+		"Zone":       r.Zone,
+		"Version":    "v1",
+		"Slots":      64,
+		"State":      state,
+		"ColdLeftMs": coldFor.Milliseconds(),
+	}
+}
+
+func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == "/report" {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		_, _ = fmt.Fprintf(w, `{"Stage":"hybrid","Queued":0,"Active":%d,"KvUsed":%d,"KvTotal":300000}`, r.active, 1000*r.active)
+		return
+	}
+	id := req.Header.Get(headerAttempt)
+	w.Header().Set(headerAttempt, id)
+	if expected := req.Header.Get(headerInstance); expected != r.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	fault := FaultNone
+	if r.Fault != nil {
+		fault = r.Fault()
+	}
+	run := Run{
+		Replica: r.ID,
+		Attempt: id,
+		Path:    req.URL.Path,
+		From:    req.RemoteAddr,
+		At:      time.Now(),
+		Refused: fault == FaultShed,
+	}
+	r.Observe(run)
+	if fault == FaultShed {
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		return
+	}
+	r.enter(1)
+	defer r.enter(-1)
+	if fault != FaultUnsigned {
+		w.Header().Set(headerSignature, "stamp."+r.ID+"."+id)
+	}
+	r.answer(w, req, id, fault)
+}
+
+func (r *Replica) enter(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.active += n
+}
+
+func (r *Replica) answer(w http.ResponseWriter, req *http.Request, id string, fault Fault) {
+	if len(req.URL.Path) >= len(StreamPath) && req.URL.Path[:len(StreamPath)] == StreamPath {
+		r.stream(w, req, id, fault)
+		return
+	}
+	wait(req.Context(), r.Work)
+	body := Body(id)
+	switch fault {
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	case FaultError:
+		w.WriteHeader(http.StatusInternalServerError)
+	case FaultCut:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+10))
+	case FaultExtra:
+		_ = extra(w, id)
+		return
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// Body is the answer to an attempt.
+func Body(id string) string {
+	return "answer to " + id
+}
+
+// Event is one event of the answer to an attempt.
+func Event(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", number, id, number)
+}
+
+// extra answers, and sends a second answer that belongs to nobody.
+func extra(w http.ResponseWriter, id string) error {
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	conn, _, err := hijacker.Hijack()
+	if err != nil {
+		return err
+	}
+	body := Body(id)
+	stale := Body("nobody")
+	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: stamp\r\nContent-Length: %d\r\n\r\n%s"+
+		"HTTP/1.1 200 OK\r\n%s: nobody\r\n%s: stamp\r\nContent-Length: %d\r\n\r\n%s",
+		headerAttempt, id, headerSignature, len(body), body,
+		headerAttempt, headerSignature, len(stale), stale)
+	time.AfterFunc(time.Second, func() { _ = conn.Close() })
+	return err
+}
+
+// stream goes on after the event that the caller has.
+func (r *Replica) stream(w http.ResponseWriter, req *http.Request, id string, fault Fault) {
+	from := 0
+	if last := req.Header.Get(headerLastEvent); last != "" {
+		from, _ = strconv.Atoi(last)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	if fault == FaultError {
+		w.Header().Set("Content-Type", "text/plain")
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	flush := http.NewResponseController(w).Flush
+	for number := from + 1; number <= r.Events; number++ {
+		if req.Context().Err() != nil {
+			return
+		}
+		event := Event(id, number)
+		if (fault == FaultCut || fault == FaultReset) && number > r.Events/2 {
+			_, _ = io.WriteString(w, event[:len(event)/2])
+			_ = flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, event)
+		_ = flush()
+		wait(req.Context(), r.EventEvery)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/testscripts/soak/main.go
@@ -0,0 +1,105 @@
+// Command soak runs the real gateways as separate processes, injects faults
+// from outside them by a seeded schedule, and checks the promises from what
+// clients and endpoints see. It ends only the processes that it started.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("soak", "Play random faults against real gateways and check the promises.")
+	seed := app.Flag("seed", "The first seed.").Default("1").Uint64()
+	count := app.Flag("count", "How many seeds, one after the other.").Default("1").Int()
+	long := app.Flag("for", "How long faults are injected for each seed.").Default("30s").Duration()
+	vms := app.Flag("vms", "VMs in each region.").Default("2").Int()
+	clients := app.Flag("clients", "Clients in all.").Default("18").Int()
+	keep := app.Flag("keep", "Folder for the logs of seeds that fail.").Default("soak-logs").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	gateway, err := buildGateway()
+	app.FatalIfError(err, "build")
+	defer func() { _ = os.RemoveAll(filepath.Dir(gateway)) }()
+	failed := 0
+	for i := range *count {
+		report, err := playSeed(ctx, *keep, Options{
+			Gateway: gateway,
+			Seed:    *seed + uint64(i),
+			Regions: 3,
+			VMs:     *vms,
+			Engines: 2,
+			Clients: *clients,
+			For:     *long,
+		})
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			failed++
+			break
+		}
+		fmt.Printf("seed %d: %d requests, %.3f served, faults %v, %d violations\n",
+			report.Seed, report.Attempts, report.Served, report.Faults, len(report.Violations))
+		for _, v := range report.Violations[:min(len(report.Violations), 10)] {
+			fmt.Printf("  %s: %s\n", v.Check, v.Detail)
+		}
+		if len(report.Violations) > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		fmt.Printf("%d seeds failed; schedules and logs are in %s\n", failed, *keep)
+		os.Exit(1)
+	}
+}
+
+// buildGateway builds the program under test into a folder of its own.
+func buildGateway() (string, error) {
+	dir, err := os.MkdirTemp("", "fuchsianotch-soak")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "gateway")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/fuchsianotch/fuchsianotch/gateway").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w\n%s", err, out)
+	}
+	return path, nil
+}
+
+// playSeed plays one seed and keeps its schedule and logs if it fails.
+func playSeed(ctx context.Context, keep string, o Options) (*Report, error) {
+	dir, err := os.MkdirTemp("", fmt.Sprintf("soak-%d-", o.Seed))
+	if err != nil {
+		return nil, err
+	}
+	schedule, err := os.Create(filepath.Join(dir, "schedule.log"))
+	if err != nil {
+		return nil, err
+	}
+	o.Dir = dir
+	o.Out = schedule
+	report, err := Run(ctx, o)
+	_ = schedule.Close()
+	if err == nil && len(report.Violations) == 0 {
+		return report, os.RemoveAll(dir)
+	}
+	kept := filepath.Join(keep, fmt.Sprintf("seed-%d-%d", o.Seed, time.Now().Unix()))
+	if keepErr := os.MkdirAll(keep, 0o755); keepErr != nil {
+		return report, keepErr
+	}
+	if copyErr := os.CopyFS(kept, os.DirFS(dir)); copyErr != nil {
+		return report, copyErr
+	}
+	_ = os.RemoveAll(dir)
+	return report, err
+}
--- /dev/null
+++ b/testscripts/soak/soak.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	streamEvents = 12
+	readyWithin  = 20 * time.Second
+	// recoverWithin is when most is to be served again after all were killed.
+	recoverWithin = 12 * time.Second
+	// recoveredShare is the part that must be served then.
+	recoveredShare = 0.9
+)
+
+// Report is what a run came to.
+type Report struct {
+	Seed       uint64
+	Attempts   int
+	Served     float64
+	Faults     map[string]int
+	Violations []Violation
+}
+
+// Run plays one seed: faults under load, a planned stop of every VM in a calm
+// fleet, and a kill of all at once.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	w, err := newWorld(o)
+	if w != nil {
+		defer w.close()
+	}
+	if err != nil {
+		return nil, err
+	}
+	w.ledger.published()
+	if err := w.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var clients sync.WaitGroup
+	var number atomic.Int64
+	for i := range o.Clients {
+		c := w.newClient(regionName(i%o.Regions), &number)
+		clients.Go(func() { c.run(load) })
+	}
+	from := time.Now()
+	w.inject(ctx)
+	w.rollAll(ctx)
+	recovered := w.killAll(ctx)
+	stop()
+	clients.Wait()
+	served, sent := w.ledger.served(from, time.Now())
+	report := &Report{
+		Seed:       o.Seed,
+		Attempts:   sent,
+		Served:     served,
+		Faults:     w.ledger.faults,
+		Violations: w.ledger.check(),
+	}
+	if recovered < recoveredShare {
+		report.Violations = append(report.Violations, Violation{
+			Check:  "recovery",
+			Detail: fmt.Sprintf("%.2f were served %v after all VMs were killed", recovered, recoverWithin),
+		})
+	}
+	return report, ctx.Err()
+}
+
+// awaitReady waits until each VM says that it takes requests.
+func (w *world) awaitReady(ctx context.Context) error {
+	end := time.Now().Add(readyWithin)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		if !slices.ContainsFunc(w.vms, func(v *vm) bool { return !v.ready() }) {
+			return nil
+		}
+		sleepFor(ctx, 100*time.Millisecond)
+	}
+	return errNotReady
+}
+
+func (v *vm) ready() bool {
+	probe := http.Client{
+		Timeout: time.Second,
+	}
+	resp, err := probe.Get("http://" + v.ip + ":8141/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// rollAll stops and starts every VM in turn, with nothing else going on. No
+// request may be cut by it.
+func (w *world) rollAll(ctx context.Context) {
+	sleepFor(ctx, calmFor)
+	from := time.Now()
+	for i := range w.vms {
+		if err := w.stopAndStart(ctx, draw{vm: i}); err != nil {
+			fmt.Fprintf(w.Out, "roll: %v\n", err)
+		}
+		sleepFor(ctx, time.Second)
+	}
+	sleepFor(ctx, time.Second)
+	w.ledger.stops(from)
+}
+
+// killAll kills every VM at once, starts them again, and gives the share that is
+// served after the time for recovery.
+func (w *world) killAll(ctx context.Context) float64 {
+	for _, v := range w.vms {
+		v.signal(syscall.SIGKILL)
+	}
+	for _, v := range w.vms {
+		v.await(5 * time.Second)
+	}
+	sleepFor(ctx, restartAfter)
+	for _, v := range w.vms {
+		if err := w.startVM(v); err != nil {
+			fmt.Fprintf(w.Out, "restart: %v\n", err)
+		}
+	}
+	back := time.Now()
+	w.ledger.disturb(back.Add(-time.Second))
+	sleepFor(ctx, recoverWithin+3*time.Second)
+	share, _ := w.ledger.served(back.Add(recoverWithin), time.Now().Add(-time.Second))
+	return share
+}
+
+func (l *ledger) published() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.versions = append(l.versions, time.Now())
+}
+
+func (l *ledger) stops(from time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = append(l.stopped, span{from: from, to: time.Now()})
+}
--- /dev/null
+++ b/testscripts/soak/soak_test.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/standin/replica"
+)
+
+// TestSeed plays a short schedule of the real programs.
+func TestSeed(t *testing.T) {
+	gateway, err := buildGateway()
+	assert.NilError(t, err)
+	defer func() { _ = os.RemoveAll(filepath.Dir(gateway)) }()
+	dir := t.TempDir()
+	out, err := os.Create(filepath.Join(dir, "schedule.log"))
+	assert.NilError(t, err)
+	defer func() { _ = out.Close() }()
+	report, err := Run(t.Context(), Options{
+		Gateway: gateway,
+		Dir:     dir,
+		Seed:    1,
+		Regions: 3,
+		VMs:     2,
+		Engines: 2,
+		Clients: 6,
+		For:     10 * time.Second,
+		Out:     out,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, report.Attempts > 100, report.Attempts)
+	for _, v := range report.Violations {
+		t.Errorf("%s: %s", v.Check, v.Detail)
+	}
+}
+
+// TestChecksCanFail holds that each check finds a run that breaks its promise.
+func TestChecksCanFail(t *testing.T) {
+	now := time.Now()
+	ran := func(id, path, on string, after time.Duration) replica.Run {
+		return replica.Run{Attempt: id, Path: path, Replica: on, At: now.Add(after)}
+	}
+	for _, c := range []struct {
+		check string
+		make  func(l *ledger)
+	}{
+		{check: "runs_once", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/post/x"}}
+			l.runs = []replica.Run{ran("a", "/post/x", "i", 0), ran("a", "/post/x", "j", 0)}
+		}},
+		{check: "promise_of_not_run", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x", status: 503}}
+			l.runs = []replica.Run{ran("a", "/get/x", "i", time.Second)}
+		}},
+		{check: "whole_own_answers", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x", wrong: "another body"}}
+		}},
+		{check: "leaving_endpoints", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x"}}
+			l.drained["i"] = now
+			l.runs = []replica.Run{ran("a", "/get/x", "i", appliesWithin+time.Second)}
+		}},
+		{check: "cold_endpoints", make: func(l *ledger) {
+			l.cold("i", now, now.Add(time.Minute))
+			for n := range 6 {
+				id := string(rune('a' + n))
+				l.attempts = append(l.attempts, attempt{id: id, path: "/get/x"})
+				l.runs = append(l.runs, ran(id, "/get/x", "i", time.Duration(n)*100*time.Millisecond))
+			}
+		}},
+		{check: "repeat_budget", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x", service: "s", sentAt: now}}
+			for range 60 {
+				l.runs = append(l.runs, ran("a", "/get/x", "i", time.Second))
+			}
+		}},
+		{check: "configuration", make: func(l *ledger) {
+			l.versions = []time.Time{now, now.Add(time.Second)}
+			l.attempts = []attempt{{id: "a", path: "/v2/x", status: 404, sentAt: now.Add(20 * time.Second), endedAt: now.Add(21 * time.Second)}}
+		}},
+		{check: "planned_stop", make: func(l *ledger) {
+			l.stopped = []span{{from: now, to: now.Add(time.Minute)}}
+			l.attempts = []attempt{{id: "a", path: "/get/x", closed: true, sentAt: now.Add(time.Second), endedAt: now.Add(2 * time.Second)}}
+			l.runs = []replica.Run{ran("a", "/get/x", "i", 0)}
+		}},
+		{check: "unasked", make: func(l *ledger) {
+			l.runs = []replica.Run{ran("b", "/get/x", "i", 0)}
+		}},
+	} {
+		t.Run(c.check, func(t *testing.T) {
+			l := newLedger()
+			c.make(l)
+			got := l.check()
+			assert.Assert(t, len(got) == 1 && got[0].Check == c.check, "%v", got)
+		})
+	}
+}
