--- a/gateway/main.go
+++ b/gateway/main.go
@@ -33,7 +33,7 @@
 	app := kingpin.New("gateway", "The fuchsianotch gateway of one VM.")
 	app.HelpFlag.Short('h')
 	serve := app.Command("serve", "Serve callers, peers and operators until SIGTERM, then stop gracefully.")
-	file := serve.Flag("settings", "Settings file, JSON with comments.").String()
+	file := serve.Flag("settings", "Settings file, JSON with comments; with --platform it may be left out.").String()
 	onPlatform := serve.Flag("platform", "Serve the routes of the platform whose settings file the environment names, instead of contracts.").Bool()
 	check := serve.Flag("check", "Check the settings and exit.").Bool()
 	app.UsageWriter(stdout)
@@ -42,7 +42,7 @@
 		return exitUsage
 	}
 	if *onPlatform {
-		return servePlatform(*check, stdout, stderr)
+		return servePlatform(*file, *check, stdout, stderr)
 	}
 	if *file == "" {
 		_, _ = fmt.Fprintln(stderr, "gateway: required flag --settings or --platform not provided, try --help")
--- a/gateway/platform.go
+++ b/gateway/platform.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/logs"
 	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/settings"
 	"github.com/fuchsianotch/fuchsianotch/site"
 )
 
@@ -20,9 +21,6 @@
 // without a signal. One look reads about a kilobyte.
 const settingsEvery = 2 * time.Second
 
-// sampleEvery is of how many requests that go well one is logged.
-const sampleEvery = 100
-
 // logsWithin bounds the writing of the last lines.
 const logsWithin = 200 * time.Millisecond
 
@@ -34,12 +32,17 @@
 
 // servePlatform serves the routes that the platform publishes, until it is
 // stopped. SIGHUP makes it read its settings again at once.
-func servePlatform(check bool, stdout, stderr io.Writer) int {
+func servePlatform(file string, check bool, stdout, stderr io.Writer) int {
 	deployment, refusal := platform.LoadDeployment()
 	if refusal != nil {
 		_, _ = fmt.Fprintf(stderr, "gateway: %v\n", refusal)
 		return exitUsage
 	}
+	own, refusal := settings.LoadPlatform(file)
+	if refusal != nil {
+		_, _ = fmt.Fprintf(stderr, "gateway: %v\n", refusal)
+		return exitUsage
+	}
 	if check {
 		_, _ = fmt.Fprintln(stdout, "ok")
 		return exitOK
@@ -47,17 +50,23 @@
 	// Taken first, so that an early signal does not end the process.
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
+	var level slog.Level
+	// The settings were checked, so the name is known.
+	_ = level.UnmarshalText([]byte(own.LogLevel))
 	lines := logs.New(logs.Options{
-		To: stdout,
+		To:    stdout,
+		Lines: own.LogLines,
+		Level: level,
 	})
 	defer closeLogs(lines)
 	logger := lines.Logger()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	n := site.New(site.Options{
-		Deployment:  deployment,
-		Logger:      logger,
-		SampleEvery: sampleEvery,
+		Deployment: deployment,
+		Logger:     logger,
+		Settings:   own,
+		Dropped:    lines.Dropped,
 	})
 	go followSettings(ctx, n, deployment, hangUps, logger)
 	if err := n.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -74,6 +74,12 @@
 	controlBytes    *prometheus.CounterVec
 	controlMessages *prometheus.CounterVec
 	platformReads   *prometheus.CounterVec
+
+	members   *prometheus.GaugeVec
+	endpoints *prometheus.GaugeVec
+	version   prometheus.Gauge
+	age       prometheus.Gauge
+	linesLost prometheus.Counter
 }
 
 // New makes metrics that start at zero, with those of the Go runtime and the process.
@@ -99,11 +105,18 @@
 		controlBytes:    counters("control_bytes_total", "Bytes on the connections between VMs, forwarded calls included.", "direction"),
 		controlMessages: counters("control_messages_total", "Control messages sent to other VMs.", "kind"),
 		platformReads:   counters("platform_reads_total", "Reads at the platform.", "outcome"),
+
+		members:   gauges("members", "VMs known, by state and region.", "state", "region"),
+		endpoints: gauges("endpoints", "Endpoints of the own region, by state.", "state"),
+		version:   gauge("routes_version", "Version of the table of routes in force."),
+		age:       gauge("published_age_seconds", "Time since this VM last knew that it holds what the store holds."),
+		linesLost: counter("log_lines_dropped_total", "Log lines dropped as the ring was full."),
 	}
 	m.registry.MustRegister(
 		m.calls, m.firstToken, m.answer, m.tokens, m.spend, m.sentAway, m.forwards, m.retries,
 		m.refused, m.revision, m.reachable, m.queue, m.inFlight,
 		m.controlBytes, m.controlMessages, m.platformReads,
+		m.members, m.endpoints, m.version, m.age, m.linesLost,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -201,11 +214,48 @@
 	m.platformReads.WithLabelValues(outcome).Inc()
 }
 
+// SetMembers replaces the numbers of VMs by region, those reached and those suspected.
+func (m *Metrics) SetMembers(reached, suspected map[string]int) {
+	m.members.Reset()
+	for region, count := range reached {
+		m.members.WithLabelValues("reached", region).Set(float64(count))
+	}
+	for region, count := range suspected {
+		m.members.WithLabelValues("suspected", region).Set(float64(count))
+	}
+}
+
+// SetEndpoints sets the numbers of the own region's endpoints that take work,
+// warm and cold.
+func (m *Metrics) SetEndpoints(warm, cold int) {
+	m.endpoints.WithLabelValues("warm").Set(float64(warm))
+	m.endpoints.WithLabelValues("cold").Set(float64(cold))
+}
+
+// SetRoutes sets the version of the table in force.
+func (m *Metrics) SetRoutes(version uint64) {
+	m.version.Set(float64(version))
+}
+
+// SetPublishedAge sets how long ago this VM knew that it holds what the store holds.
+func (m *Metrics) SetPublishedAge(age time.Duration) {
+	m.age.Set(age.Seconds())
+}
+
+// LinesDropped counts log lines that were dropped.
+func (m *Metrics) LinesDropped(lines int64) {
+	m.linesLost.Add(float64(lines))
+}
+
 func kindName(k call.Kind) string {
-	if k == call.KindService {
+	switch k {
+	case call.KindService:
 		return "service"
+	case call.KindRouted:
+		return "routed"
+	default:
+		return "chat"
 	}
-	return "chat"
 }
 
 func counter(name, help string) prometheus.Counter {
@@ -232,6 +282,14 @@
 	})
 }
 
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	}, labels)
+}
+
 func histograms(name, help string, buckets []float64) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace,
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -51,6 +51,11 @@
 	m.AddInFlight(-1)
 	m.Control(DirectionOut, 100)
 	m.ControlMessage(MessageHeartbeat)
+	m.SetMembers(map[string]int{"a": 2}, map[string]int{"a": 1})
+	m.SetEndpoints(3, 1)
+	m.SetRoutes(7)
+	m.SetPublishedAge(time.Second)
+	m.LinesDropped(2)
 	m.PlatformRead(nil)
 	m.PlatformRead(errors.New("lost"))
 	m.PlatformRead(fmt.Errorf("watch: %w", &platform.Error{
@@ -103,6 +108,13 @@
 		"fuchsianotch_platform_reads_total ok":              1,
 		"fuchsianotch_platform_reads_total outage":          1,
 		"fuchsianotch_platform_reads_total stale":           1,
+		"fuchsianotch_endpoints cold":                       1,
+		"fuchsianotch_endpoints warm":                       3,
+		"fuchsianotch_log_lines_dropped_total ":             2,
+		"fuchsianotch_members a reached":                    2,
+		"fuchsianotch_members a suspected":                  1,
+		"fuchsianotch_published_age_seconds ":               1,
+		"fuchsianotch_routes_version ":                      7,
 	})
 }
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -51,6 +51,13 @@
 	v.Duration("/endpoint_report_every", s.EndpointReportEvery, minInterval, maxInterval)
 }
 
+func (v *verifier) platform(s *Platform) {
+	v.OneOf("/log_level", s.LogLevel, LogLevels)
+	v.Whole("/log_sample_every", s.LogSampleEvery, 0, maxCount)
+	v.Whole("/log_lines", s.LogLines, 1, maxLogLines)
+	v.Whole("/metrics_port", s.MetricsPort, 0, maxPort)
+}
+
 func (v *verifier) limits(l *Limits) {
 	v.Whole("/limits/max_body_bytes", l.MaxBodyBytes, 1, maxBytes)
 	v.Whole("/limits/max_header_bytes", l.MaxHeaderBytes, minHeaderBytes, maxBytes)
--- /dev/null
+++ b/settings/platform.go
@@ -0,0 +1,72 @@
+package settings
+
+import (
+	"os"
+
+	"github.com/fuchsianotch/fuchsianotch/common/jsonc"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// Platform is what an operator may set for a process whose place and bounds
+// the platform's own settings file gives.
+type Platform struct {
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `json:"log_level"`
+	// LogSampleEvery is of how many requests that go well one is logged; zero means none.
+	LogSampleEvery int `json:"log_sample_every"`
+	// LogLines is the length of the ring between the requests and the log.
+	LogLines int `json:"log_lines"`
+	// MetricsPort is where /metrics is served, at the VM's address; zero means nowhere.
+	MetricsPort int `json:"metrics_port"`
+}
+
+// Bounds of these settings.
+const (
+	maxLogLines = 1 << 20
+	maxPort     = 65_535
+)
+
+// DefaultPlatform gives the settings with every default.
+func DefaultPlatform() Platform {
+	return Platform{
+		LogLevel:       "info",
+		LogSampleEvery: 100,
+		LogLines:       4096,
+	}
+}
+
+// LoadPlatform reads and checks a file; an empty path gives the defaults. The
+// codes are 5001 to 5004.
+func LoadPlatform(path string) (*Platform, *result.Refusal) {
+	if path == "" {
+		s := DefaultPlatform()
+		return &s, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Refuse(result.SettingFile, "%s: want a file that can be read: %v", path, err).Because(err)
+	}
+	return ParsePlatform(path, data)
+}
+
+// ParsePlatform checks settings that are in memory; the name is used in messages.
+func ParsePlatform(name string, data []byte) (*Platform, *result.Refusal) {
+	if len(data) > MaxBytes {
+		return nil, result.Refuse(result.SettingFile, "%s: want at most %d bytes", name, MaxBytes)
+	}
+	s := DefaultPlatform()
+	if problem := jsonc.DecodeInto(name, data, &s); problem != nil {
+		return nil, refuse(problem)
+	}
+	v := verifier{
+		Verifier: jsonc.Verifier{
+			File: name,
+			Data: data,
+		},
+	}
+	v.platform(&s)
+	if problem := v.Problem(); problem != nil {
+		return nil, refuse(problem)
+	}
+	return &s, nil
+}
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -80,6 +80,9 @@
 	c.roster.Heard(from, m.GetHash(), rumors, now)
 	c.takeLoads(from.VM.Region, m.GetLoads(), now)
 	c.node.pools.takeReports(m.GetReports(), now)
+	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
+		c.node.current()
+	}
 	if m.GetPublishedRevision() > c.mirror.Revision() {
 		go c.node.pullSoon(ctx, from.VM, m.GetPublishedRevision())
 	}
--- a/site/place.go
+++ b/site/place.go
@@ -37,7 +37,8 @@
 
 // sampled draws the requests that are logged though they go well.
 func (n *Node) sampled() bool {
-	return n.sampleEvery > 0 && rand.IntN(n.sampleEvery) == 0
+	every := n.settings.LogSampleEvery
+	return every > 0 && rand.IntN(every) == 0
 }
 
 // place decides where a call is served.
--- a/site/site.go
+++ b/site/site.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/serving"
+	"github.com/fuchsianotch/fuchsianotch/settings"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
@@ -58,8 +60,10 @@
 type Options struct {
 	Deployment *platform.Deployment
 	Logger     *slog.Logger
-	// SampleEvery is of how many requests that go well one is logged; zero means none.
-	SampleEvery int
+	// Settings are our own.
+	Settings *settings.Platform
+	// Dropped gives how many log lines were dropped so far; nil means none.
+	Dropped func() int64
 	// Now is the clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -68,7 +72,8 @@
 type Node struct {
 	deployment  *platform.Deployment
 	log         *slog.Logger
-	sampleEvery int
+	settings    *settings.Platform
+	dropped     func() int64
 	now         func() time.Time
 	incarnation uint64
 
@@ -86,6 +91,10 @@
 	// bounds are those of the settings in force; they may change while the process runs.
 	bounds  atomic.Pointer[platform.Bounds]
 	leaving atomic.Bool
+	// currentAt is when this VM last knew that it holds what the store holds, in
+	// nanoseconds since the epoch, and droppedTold the dropped lines counted so far.
+	currentAt   atomic.Int64
+	droppedTold atomic.Int64
 	// gone is closed when the planned stop is over.
 	gone chan struct{}
 }
@@ -99,7 +108,8 @@
 	n := &Node{
 		deployment:  d,
 		log:         o.Logger,
-		sampleEvery: o.SampleEvery,
+		settings:    o.Settings,
+		dropped:     o.Dropped,
 		now:         o.Now,
 		incarnation: newIncarnation(o.Now()),
 		metrics:     metrics.New(),
@@ -264,6 +274,29 @@
 	return group.Run()
 }
 
+// front is one HTTP server with its address.
+type front struct {
+	addr   string
+	server *http.Server
+}
+
+// metricsFront serves the metrics, with what is measured only when asked.
+func (n *Node) metricsFront(port int) front {
+	mux := http.NewServeMux()
+	handler := n.metrics.Handler()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		n.measure()
+		handler.ServeHTTP(w, r)
+	})
+	return front{
+		addr: net.JoinHostPort(n.deployment.IP, strconv.Itoa(port)),
+		server: &http.Server{
+			Handler:           mux,
+			ReadHeaderTimeout: headerWithin,
+		},
+	}
+}
+
 func (n *Node) addFronts(group *run.Group) error {
 	server, err := peer.NewServer(n.handlers())
 	if err != nil {
@@ -287,14 +320,15 @@
 		Handler:           platform.NewReady(n.ready),
 		ReadHeaderTimeout: headerWithin,
 	}
-	for _, front := range []struct {
-		addr   string
-		server *http.Server
-	}{
+	fronts := []front{
 		{addr: n.deployment.CallerAddr, server: n.callers},
 		{addr: n.deployment.EntryAddr, server: directory},
 		{addr: n.deployment.ReadyAddr, server: checks},
-	} {
+	}
+	if port := n.settings.MetricsPort; port > 0 {
+		fronts = append(fronts, n.metricsFront(port))
+	}
+	for _, front := range fronts {
 		ln, err := net.Listen("tcp", front.addr)
 		if err != nil {
 			return err
--- a/site/store.go
+++ b/site/store.go
@@ -42,6 +42,7 @@
 			continue
 		}
 		got, err := n.readOnce(ctx, whole)
+		n.metrics.PlatformRead(err)
 		if errors.Is(err, platform.ErrHistoryLost) {
 			n.log.Info("store_history_lost", "revision", n.control.picture().revision)
 			whole = true
@@ -55,6 +56,7 @@
 		}
 		pause = leastPause
 		whole = false
+		n.current()
 		n.takeRead(ctx, got)
 		if len(got.items) > 0 {
 			worker.SleepUntil(ctx, n.now(), n.now().Add(watchPause))
