Share within a region which engine was sent which prompt part; weigh other regions by the expected answer

Cause: with 20 VMs a region, a VM sends a prefix every 22 s and knew no source to fetch from; other regions' ends were estimated with the bound on tokens, twice what is usual.

--- a/borrow/place.go
+++ b/borrow/place.go
@@ -34,6 +34,8 @@
 	Whole     time.Duration
 	// Way is the time there and back.
 	Way time.Duration
+	// Answer is how many tokens are expected to be generated, by the own region.
+	Answer float64
 }
 
 // PlaceRequest is a call that may be served in several regions.
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -56,8 +56,9 @@
 }
 
 type heldPrefix struct {
-	// tokens are those beyond the prefix before it.
+	// tokens are those beyond the prefix before it, length all to the end of it.
 	tokens int
+	length int
 	usedAt time.Time
 }
 
@@ -72,6 +73,7 @@
 		if h == nil {
 			h = &heldPrefix{
 				tokens: p.Tokens - before,
+				length: p.Tokens,
 			}
 			c.held[p.Hash] = h
 			c.tokens += h.tokens
@@ -99,15 +101,13 @@
 
 // warm gives how many tokens from the prompt's beginning are held.
 func (c *cache) warm(prefixes []Prefix, now time.Time) int {
-	tokens := 0
-	for _, p := range prefixes {
-		h := c.held[p.Hash]
-		if h == nil || now.Sub(h.usedAt) > cacheGoodFor {
-			break
+	for i := len(prefixes) - 1; i >= 0; i-- {
+		h := c.held[prefixes[i].Hash]
+		if h != nil && now.Sub(h.usedAt) <= cacheGoodFor {
+			return prefixes[i].Tokens
 		}
-		tokens = p.Tokens
 	}
-	return tokens
+	return 0
 }
 
 // cacheLimit is how many tokens of shared prefixes the engine is taken to hold.
@@ -154,6 +154,57 @@
 	}
 }
 
+// Holding says that an engine was sent a call with a prefix.
+type Holding struct {
+	Hash     uint64
+	Tokens   int
+	Endpoint string
+	UsedAt   time.Time
+}
+
+// holdingLeast is from how many tokens on it is worth telling other VMs who
+// holds a prefix: an engine reads as many in some 20 ms.
+const holdingLeast = 1000
+
+// Holdings gives who was last sent each long prefix since a moment.
+func (p *Pool) Holdings(since time.Time) []Holding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Holding
+	for hash, e := range p.holders {
+		h := e.cache.held[hash]
+		if e.unlisted || h == nil || h.length < holdingLeast || h.usedAt.Before(since) {
+			continue
+		}
+		out = append(out, Holding{
+			Hash:     hash,
+			Tokens:   h.length,
+			Endpoint: e.ID,
+			UsedAt:   h.usedAt,
+		})
+	}
+	return out
+}
+
+// Learn takes who holds prefixes from another VM.
+func (p *Pool) Learn(list []Holding) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range list {
+		e := p.byID[l.Endpoint]
+		if e == nil {
+			continue
+		}
+		if h := e.cache.held[l.Hash]; h != nil && !h.usedAt.Before(l.UsedAt) {
+			continue
+		}
+		e.cache.touch([]Prefix{{Hash: l.Hash, Tokens: l.Tokens}}, e.cacheLimit(), l.UsedAt)
+		if old := p.holders[l.Hash]; old == nil || old.unlisted || old.cache.held[l.Hash] == nil || old.cache.held[l.Hash].usedAt.Before(l.UsedAt) {
+			p.holders[l.Hash] = e
+		}
+	}
+}
+
 // holdersMost bounds the index of prefixes; over it those no longer held are dropped.
 const holdersMost = 16_384
 
--- a/routing/weights.go
+++ b/routing/weights.go
@@ -6,7 +6,7 @@
 	scanAll = 12
 	// randomDraws is how many others are weighed in a larger pool, extraDraws how
 	// many more while no free slot was found.
-	randomDraws = 2
+	randomDraws = 4
 	extraDraws  = 6
 	// loadWeight is what a full batch adds to the score, as a part of the hold
 	// time: a fuller batch decodes slower and is fuller than its report says.
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -34,6 +34,7 @@
 	}
 	if region == c.node.deployment.Region {
 		m.Reports = c.node.pools.heldReports(now)
+		m.Holdings = c.node.pools.holdings(now)
 	} else {
 		m.Loads = c.node.pools.loads(now)
 	}
@@ -80,6 +81,7 @@
 	c.roster.Heard(from, m.GetHash(), rumors, now)
 	c.takeLoads(from.VM.Region, m.GetLoads(), now)
 	c.node.pools.takeReports(m.GetReports(), now)
+	c.node.pools.takeHoldings(m.GetHoldings(), now)
 	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
 		c.node.current()
 	}
--- a/site/place.go
+++ b/site/place.go
@@ -23,6 +23,10 @@
 // it is measured.
 const wayBetweenRegions = 160 * time.Millisecond
 
+// leastAnswer is the part of the bound on generated tokens that is expected
+// where the own region has not learnt it.
+const leastAnswer = 0.25
+
 // forwardGrace is how much longer than a call's own deadline a forward is
 // waited for, so that the far VM's outcome arrives rather than a timeout.
 const forwardGrace = 250 * time.Millisecond
@@ -46,7 +50,8 @@
 	now := n.now()
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
-	others := n.otherLoads(c, pic, tried)
+	own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
+	others := n.otherLoads(c, pic, tried, own.Answer)
 	placed := borrow.Place(borrow.PlaceRequest{
 		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
@@ -113,12 +118,13 @@
 	load.Endpoints = pool.Endpoints.Supply(now).Endpoints
 	load.First = expected.First
 	load.Whole = expected.Whole()
+	load.Answer = expected.Answer
 	return load
 }
 
-// otherLoads are those of the regions that may serve the call and have a VM in reach.
-func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string) []borrow.Load {
-	answer := float64(c.MaxTokens)
+// otherLoads are those of the regions that may serve the call and have a VM in
+// reach. answer is how many tokens are expected to be generated.
+func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, answer float64) []borrow.Load {
 	var out []borrow.Load
 	for _, l := range pic.loads[c.Target()] {
 		if !c.Routed.Allows(l.Region) || len(reachableIn(pic.members.Members, l.Region, tried)) == 0 {
