--- a/site/gossip.go
+++ b/site/gossip.go
@@ -35,8 +35,10 @@
 	if region == c.node.deployment.Region {
 		m.Reports = c.node.pools.heldReports(now)
 		m.Holdings = c.node.pools.holdings(now)
+		m.Warm = c.node.warmth.message("", now)
 	} else {
 		m.Loads = c.node.pools.loads(now)
+		m.Warm = c.node.warmth.message(c.node.deployment.Region, now)
 	}
 	if full {
 		for _, r := range c.roster.Rumors() {
@@ -81,6 +83,7 @@
 	c.roster.Heard(from, m.GetHash(), rumors, now)
 	c.takeLoads(from.VM.Region, m.GetLoads(), now)
 	c.node.pools.takeReports(m.GetReports(), now)
+	c.node.warmth.take(m.GetWarm(), now)
 	c.node.pools.takeHoldings(m.GetHoldings(), now)
 	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
 		c.node.current()
--- a/site/place.go
+++ b/site/place.go
@@ -51,13 +51,14 @@
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
 	own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
-	others := n.otherLoads(c, pic, tried, own.Answer)
+	others := n.otherLoads(c, pic, tried, own.Answer, now)
 	placed := borrow.Place(borrow.PlaceRequest{
 		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
 		Others:     others,
 		FirstBy:    c.FirstBy,
 		WholeBy:    c.WholeBy,
+		Shared:     sharedTokens(c) >= warmLeast,
 		Rank:       c.Routed.Rank,
 		Draw:       rand.Float64(),
 	}, now)
@@ -70,6 +71,7 @@
 	if region == "" {
 		return vm, false, result.Refuse(result.NoEndpoint, "no region takes calls of %s", c.Service).Until(borrow.ComeBack(now))
 	}
+	n.warmth.touch(c, region, now)
 	if region == n.deployment.Region {
 		return vm, false, nil
 	}
@@ -119,12 +121,13 @@
 	load.First = expected.First
 	load.Whole = expected.Whole()
 	load.Answer = expected.Answer
+	load.Warm = n.warmth.holds(c.PrefixHash, n.deployment.Region, now)
 	return load
 }
 
 // otherLoads are those of the regions that may serve the call and have a VM in
 // reach. answer is how many tokens are expected to be generated.
-func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, answer float64) []borrow.Load {
+func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, answer float64, now time.Time) []borrow.Load {
 	var out []borrow.Load
 	for _, l := range pic.loads[c.Target()] {
 		if !c.Routed.Allows(l.Region) || len(reachableIn(pic.members.Members, l.Region, tried)) == 0 {
@@ -132,6 +135,7 @@
 		}
 		load := l.Load
 		load.Way = wayBetweenRegions
+		load.Warm = n.warmth.holds(c.PrefixHash, l.Region, now)
 		load.Whole = load.First + time.Duration(answer*float64(l.token))
 		out = append(out, load)
 	}
@@ -206,6 +210,7 @@
 		}
 		c.Service = found.Pick(rand.Uint64())
 	}
+	n.warmth.touch(c, n.deployment.Region, n.now())
 	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
 	defer cancel()
 	return n.serve(ctx, c, sink)
--- a/site/site.go
+++ b/site/site.go
@@ -84,6 +84,7 @@
 	peers   *peer.Client
 	client  *endpoint.Client
 	pools   *pools
+	warmth  *warmth
 	serving *serving.Server
 	control *control
 	callers *http.Server
@@ -138,6 +139,7 @@
 	})
 	n.control = newControl(n)
 	n.pools = newPools(n)
+	n.warmth = newWarmth()
 	n.serving = n.newServing()
 	n.callers = n.newCallers()
 	limitMemory(d.MemoryBytes)
