--- a/borrow/place.go
+++ b/borrow/place.go
@@ -19,9 +19,9 @@
 	// them ends in time. So calls are refused before that, those of the lowest
 	// rank first: from these parts of the deadline by the expected end on, and all
 	// at twice as much. A share that grows keeps the load from swinging.
-	refuseLow    = 0.8
-	refuseMiddle = 1.2
-	refuseHigh   = 1.7
+	refuseLow    = 0.6
+	refuseMiddle = 1.0
+	refuseHigh   = 1.5
 	// A refused call may come back within these parts of the time it has left;
 	// callers use a third at the most.
 	comeBackLeast = 0.15
