Exchange with other regions every second, sooner while one of them is in doubt

Ruled out: every second without the exception; a VM that was cut off still named another one after 6 s (roster's scenario found it).

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -41,8 +41,9 @@
 	buriedIntervals = 240
 	// deadEvery is how often, in intervals, a dead member is asked.
 	deadEvery = 4
-	// farEvery is how often, in intervals, a member of each other region is asked.
-	farEvery = 1
+	// farEvery is how often, in intervals, a member of each other region is asked:
+	// bytes between regions are dear, and a region's load changes in seconds.
+	farEvery = 2
 )
 
 // Rumor is what is known of one member. The member itself raises Version with
@@ -187,7 +188,7 @@
 	r.next = now.Add(r.every)
 	r.round++
 	due = append(due, r.near()...)
-	if r.round%farEvery == 0 {
+	if r.round%farEvery == 0 || r.inDoubt() {
 		due = append(due, r.far()...)
 	}
 	if r.round%deadEvery == 0 {
@@ -210,6 +211,17 @@
 	return next
 }
 
+// inDoubt says whether a member of another region is, so that the others there
+// are asked sooner: a region is lost as a whole more often than one VM of it.
+func (r *Roster) inDoubt() bool {
+	for _, m := range r.members {
+		if m.VM.Region != r.self.VM.Region && m.doubtful() {
+			return true
+		}
+	}
+	return false
+}
+
 // doubtful members are asked more often until they answer or count as dead.
 func (m *member) doubtful() bool {
 	return m.State == StateSuspect || (m.State == StateAlive && m.misses > 0)
--- a/site/warmth.go
+++ b/site/warmth.go
@@ -15,6 +15,8 @@
 	// warmLeast is from how many shared tokens on it matters where they are held:
 	// an engine reads as many in some 40 ms, a quarter of the way to another region.
 	warmLeast = 2000
+	// warmNew is how recent a use must be to be told: older ones were told before.
+	warmNew = 1500 * time.Millisecond
 	// warmSent bounds the entries of one message, at some 20 bytes each.
 	warmSent = 64
 )
@@ -75,7 +77,8 @@
 			delete(w.used, key)
 			continue
 		}
-		if (region == "" || key.region == region) && len(out) < warmSent {
+		wanted := region == "" || key.region == region
+		if wanted && age < warmNew && len(out) < warmSent {
 			out = append(out, &peerpb.WarmPrefix{
 				Prefix: key.prefix,
 				Region: key.region,
