--- a/roster/roster.go
+++ b/roster/roster.go
@@ -310,11 +310,12 @@
 	return out
 }
 
-// far gives one random living member of each other region.
+// far gives one random living member of each other region. Those in doubt are
+// asked anyway.
 func (r *Roster) far() []Target {
 	byRegion := make(map[string][]*member)
 	for _, m := range r.sorted() {
-		if m.VM.Region != r.self.VM.Region && m.State < StateDead {
+		if m.VM.Region != r.self.VM.Region && m.State < StateDead && !m.doubtful() {
 			byRegion[m.VM.Region] = append(byRegion[m.VM.Region], m)
 		}
 	}
