--- a/notchctl/main.go
+++ b/notchctl/main.go
@@ -63,6 +63,7 @@
 	checkCommand(app, stdout)
 	statusCommand(app, stdout)
 	timelineCommand(app, stdout)
+	explainCommand(app, stdout)
 	entriesCommand(app, stdout)
 	replayCommand(app, stdout)
 	codesCommand(app, stdout)
--- a/site/site.go
+++ b/site/site.go
@@ -108,7 +108,7 @@
 	d := o.Deployment
 	n := &Node{
 		deployment:  d,
-		log:         o.Logger,
+		log:         o.Logger.With("vm", d.VM),
 		settings:    o.Settings,
 		dropped:     o.Dropped,
 		now:         o.Now,
@@ -269,7 +269,6 @@
 	worker.Add(&group, n.pools.run)
 	n.addStop(ctx, &group)
 	n.log.Info("started",
-		"vm", n.deployment.VM,
 		"region", n.deployment.Region,
 		"incarnation", n.incarnation,
 	)
--- a/site/stop.go
+++ b/site/stop.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	n.leaving.Store(true)
-	n.log.Info("stopping", "vm", n.deployment.VM, "in_flight", n.serving.InFlight())
+	n.log.Info("stopping", "in_flight", n.serving.InFlight())
 	n.control.send(ctx, func(c *control, _ time.Time) {
 		c.roster.Leave()
 	})
@@ -54,7 +54,7 @@
 	// Connections that become idle are closed from here on.
 	err := n.callers.Shutdown(ctx)
 	n.awaitIdle(ctx)
-	n.log.Info("stopped", "vm", n.deployment.VM, "in_flight", n.serving.InFlight(), "cut", err != nil)
+	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", err != nil)
 }
 
 // idleEvery is how often a stopping VM looks whether its calls have ended.
