A refusal after an attempt that may have run does not say that nothing ran

Ruled out: the endpoints; the lines show no attempt after the repeat. Change: a spent budget is a refusal; the first uncertain outcome stands.

--- a/serving/routed.go
+++ b/serving/routed.go
@@ -29,6 +29,7 @@
 	}
 	var tried []string
 	var outcome call.Outcome
+	var certain certainty
 	for len(tried) < placesPerCall {
 		vm, away, refusal := s.options.PlaceRouted(c, tried)
 		if refusal != nil {
@@ -43,6 +44,7 @@
 			outcome = s.sendAway(ctx, c, vm, seen.tracked())
 		}
 		tried = append(tried, vm.ID)
+		outcome = certain.judge(outcome)
 		if ctx.Err() != nil || !seen.mayMove(c, outcome) {
 			return outcome
 		}
@@ -51,6 +53,26 @@
 	return outcome
 }
 
+// certainty keeps the first outcome of a call of which it is not known whether
+// it ran: a later refusal does not make that certain.
+type certainty struct {
+	unknown *call.Outcome
+}
+
+func (c *certainty) judge(o call.Outcome) call.Outcome {
+	switch o.Code.Class() {
+	case result.ClassUnknown:
+		if c.unknown == nil {
+			c.unknown = &o
+		}
+	case result.ClassNotRun:
+		if c.unknown != nil {
+			return *c.unknown
+		}
+	}
+	return o
+}
+
 // unlessTried gives the outcome of the last place that looked at the call.
 func unlessTried(o call.Outcome, tried []string, r *result.Refusal) call.Outcome {
 	if len(tried) == 0 {
--- /dev/null
+++ b/serving/routed_test.go
@@ -0,0 +1,145 @@
+package serving
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/timeline"
+)
+
+// routedPlace is what one VM does with the call.
+type routedPlace struct {
+	VM     string
+	Status int
+	From   int
+	Events int
+	Code   result.Code
+	// WantResume and WantRepeated are what the VM must be told.
+	WantResume   string `json:"want_resume"`
+	WantRepeated bool   `json:"want_repeated"`
+}
+
+type routedCase struct {
+	Name       string
+	Idempotent bool
+	Resumable  bool
+	Places     []routedPlace
+	WantCode   result.Code `json:"want_code"`
+	WantEvents int         `json:"want_events"`
+	WantSent   []string    `json:"want_sent"`
+}
+
+// TestRouted sends calls to places that fail in turn.
+func TestRouted(t *testing.T) {
+	for _, c := range datatest.Read[[]routedCase](t, "testdata/routed.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			var sent []string
+			s := New(Options{
+				Now: time.Now,
+				VM:  "a",
+				PlaceRouted: func(_ *call.Call, tried []string) (fleet.VM, bool, *result.Refusal) {
+					if len(tried) >= len(c.Places) {
+						return fleet.VM{}, false, result.Refuse(result.NoEndpoint, "none")
+					}
+					return fleet.VM{ID: c.Places[len(tried)].VM, Region: "r"}, true, nil
+				},
+				Forward: func(_ context.Context, vm fleet.VM, sentCall *call.Call, sink call.Sink) call.Outcome {
+					place := c.Places[len(sent)]
+					sent = append(sent, vm.ID)
+					assert.Equal(t, sentCall.Routed.ResumeAfter, place.WantResume)
+					assert.Equal(t, sentCall.Routed.Repeated, place.WantRepeated)
+					return place.serve(sink)
+				},
+				Ring:    timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
+				Metrics: metrics.New(),
+			})
+			var got strings.Builder
+			heads := 0
+			out := s.Serve(t.Context(), routedTestCall(c), Placement{Kind: PlaceHere}, call.Sink{
+				Head: func(int, http.Header) error {
+					heads++
+					return nil
+				},
+				Chunk: func(data []byte) error {
+					got.Write(data)
+					return nil
+				},
+			})
+			assert.Equal(t, out.Code, c.WantCode)
+			assert.DeepEqual(t, sent, c.WantSent)
+			assert.Equal(t, got.String(), eventsText(0, c.WantEvents))
+			assert.Assert(t, heads <= 1)
+		})
+	}
+}
+
+func routedTestCall(c routedCase) *call.Call {
+	return &call.Call{
+		ID:         "x",
+		Kind:       call.KindRouted,
+		Service:    "s",
+		Stream:     true,
+		Idempotent: c.Idempotent,
+		WholeBy:    time.Now().Add(time.Minute),
+		Routed: &call.Routed{
+			Resumable:   c.Resumable,
+			MaxAttempts: 2,
+		},
+	}
+}
+
+func (p routedPlace) serve(sink call.Sink) call.Outcome {
+	status := p.Status
+	if status == 0 {
+		status = http.StatusOK
+	}
+	if p.Events > 0 {
+		if err := sink.Head(status, http.Header{}); err != nil {
+			return call.Refused(result.Refuse(result.PeerLost, "the caller has gone").Because(err))
+		}
+		if err := sink.Chunk([]byte(eventsText(p.From, p.Events))); err != nil {
+			return call.Refused(result.Refuse(result.PeerLost, "the caller has gone").Because(err))
+		}
+	}
+	if p.Code.Class() == result.ClassDone {
+		return call.Outcome{Code: p.Code}
+	}
+	return call.Refused(result.Refuse(p.Code, "as the table says"))
+}
+
+func eventsText(from, count int) string {
+	var text strings.Builder
+	for number := range count {
+		fmt.Fprintf(&text, "id: %d\ndata: x\n\n", from+number+1)
+	}
+	return text.String()
+}
+
+// TestSpentBudget holds that a repeat which the budget refuses ends with a
+// refusal, and that nothing is sent.
+func TestSpentBudget(t *testing.T) {
+	s := New(Options{
+		Now:     time.Now,
+		VM:      "a",
+		Budget:  Budget{Allow: func(string) bool { return false }},
+		Ring:    timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
+		Metrics: metrics.New(),
+	})
+	c := routedTestCall(routedCase{Idempotent: true})
+	c.Forwarded = true
+	c.Routed.Repeated = true
+	out := s.Serve(t.Context(), c, Placement{Kind: PlaceHere}, call.Sink{})
+	assert.Equal(t, out.Code, result.RetryBudget)
+	assert.Assert(t, out.Refusal != nil)
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -75,7 +75,8 @@
 func (s *Server) attempt(ctx context.Context, c *call.Call, sink call.Sink, before sending) call.Outcome {
 	var p progress
 	if !s.countFirst(c) {
-		return p.budgetSpent()
+		c.Trail.Fail("repeat_refused", slog.String("service", c.Target()))
+		return call.Refused(result.Refuse(result.RetryBudget, "the retry budget is spent").Until(s.options.Now().Add(shareWithin)))
 	}
 	for {
 		if refusal := s.attemptOnce(ctx, c, sink, before, &p); refusal != nil {
