--- a/site/control.go
+++ b/site/control.go
@@ -169,6 +169,9 @@
 		after.endpoints = c.discovery.Endpoints(now)
 	}
 	c.published.Store(after)
+	if c.changed {
+		c.reportEndpoints(before, after)
+	}
 	if c.changed || len(before.members.Members) != len(after.members.Members) {
 		c.node.pools.update(after, now)
 	}
@@ -188,6 +191,42 @@
 	return out
 }
 
+// endpointCount is how many endpoints of one service take work.
+type endpointCount struct {
+	warm, cold int
+}
+
+// reportEndpoints logs the services of the own region whose endpoints changed.
+func (c *control) reportEndpoints(before, after *picture) {
+	was, is := c.countEndpoints(before), c.countEndpoints(after)
+	for service, count := range is {
+		if was[service] != count {
+			c.node.log.Info("endpoints_changed", "service", service, "warm", count.warm, "cold", count.cold)
+		}
+		delete(was, service)
+	}
+	for service := range was {
+		c.node.log.Warn("endpoints_changed", "service", service, "warm", 0, "cold", 0)
+	}
+}
+
+func (c *control) countEndpoints(pic *picture) map[string]endpointCount {
+	out := make(map[string]endpointCount)
+	for _, e := range pic.endpoints {
+		if e.Region != c.node.deployment.Region {
+			continue
+		}
+		count := out[e.Service]
+		if e.ColdUntil.IsZero() {
+			count.warm++
+		} else {
+			count.cold++
+		}
+		out[e.Service] = count
+	}
+	return out
+}
+
 // reportChanges logs what this VM believes differently.
 func (c *control) reportChanges(before, after *picture) {
 	if before.table != after.table {
--- a/site/place.go
+++ b/site/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -169,6 +170,9 @@
 		From: n.identity(),
 		Call: peer.CallMessage(c),
 	}, sink, func(uint64) {})
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) && out.Code == result.PeerLost {
+		return call.Refused(result.Refuse(result.EndpointTimeout, "VM %s had the call as its time ended", vm.ID))
+	}
 	if ctx.Err() == nil && out.Code == result.PeerUnreachable {
 		n.control.send(ctx, func(c *control, now time.Time) {
 			c.missed(vm, out.Refusal, now)
