--- a/common/worker/worker.go
+++ b/common/worker/worker.go
@@ -18,6 +18,23 @@
 	})
 }
 
+// AddStop adds the goroutine whose end stops the group: once ctx ends it calls
+// stop and then closes gone. gone is closed too when the group ends by itself.
+func AddStop(ctx context.Context, group *run.Group, gone chan<- struct{}, stop func()) {
+	aborted, abort := context.WithCancel(context.Background())
+	group.Add(func() error {
+		defer close(gone)
+		select {
+		case <-ctx.Done():
+			stop()
+		case <-aborted.Done():
+		}
+		return nil
+	}, func(error) {
+		abort()
+	})
+}
+
 // SleepUntil waits for a moment or the end of ctx.
 func SleepUntil(ctx context.Context, now, at time.Time) {
 	timer := time.NewTimer(at.Sub(now))
--- a/node/control.go
+++ b/node/control.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/mailbox"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/membership"
@@ -32,7 +33,7 @@
 // control owns all control state. Only its goroutine touches members and store.
 type control struct {
 	node      *Node
-	inbox     chan message
+	inbox     mailbox.Mailbox[message]
 	members   *membership.State
 	store     *configuration.Store
 	published atomic.Pointer[published]
@@ -43,7 +44,7 @@
 func newControl(n *Node) *control {
 	c := &control{
 		node:  n,
-		inbox: make(chan message, inboxLength),
+		inbox: mailbox.New[message](inboxLength),
 		members: membership.New(membership.Options{
 			Self:           n.self(),
 			Incarnation:    n.incarnation,
@@ -72,27 +73,12 @@
 
 // send passes a message to the control goroutine; it is lost when ctx ends first.
 func (c *control) send(ctx context.Context, m message) bool {
-	select {
-	case c.inbox <- m:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return c.inbox.Send(ctx, m)
 }
 
 // ask passes a question and waits for its answer.
 func ask[T any](ctx context.Context, c *control, question func(reply chan<- T) message) (T, error) {
-	var zero T
-	reply := make(chan T, 1)
-	if !c.send(ctx, question(reply)) {
-		return zero, ctx.Err()
-	}
-	select {
-	case answer := <-reply:
-		return answer, nil
-	case <-ctx.Done():
-		return zero, ctx.Err()
-	}
+	return mailbox.Ask(ctx, c.inbox, question)
 }
 
 // run takes messages and sends heartbeats when they are due.
@@ -103,7 +89,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case m := <-c.inbox:
+		case m := <-c.inbox.Messages():
 			m.apply(c, c.node.now())
 		case <-timer.C:
 		}
--- a/node/group.go
+++ b/node/group.go
@@ -65,19 +65,3 @@
 		_ = closeAll()
 	})
 }
-
-// addStop adds the goroutine whose end stops the group, once the planned stop is over.
-func (n *Node) addStop(ctx context.Context, group *run.Group) {
-	aborted, abort := context.WithCancel(context.Background())
-	group.Add(func() error {
-		defer close(n.gone)
-		select {
-		case <-ctx.Done():
-			n.stop()
-		case <-aborted.Done():
-		}
-		return nil
-	}, func(error) {
-		abort()
-	})
-}
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"github.com/fuchsianotch/fuchsianotch/caller"
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
@@ -256,7 +257,7 @@
 	if err := n.addFronts(&group, fronts); err != nil {
 		return err
 	}
-	n.addStop(ctx, &group)
+	worker.AddStop(ctx, &group, n.gone, n.stop)
 	n.log.Info("listening",
 		"vm", n.settings.VM,
 		"caller", fronts.caller.Addr().String(),
--- /dev/null
+++ b/roster/target.go
@@ -0,0 +1,117 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// near gives the next member of the own region in a shuffled round, so that
+// each is asked by somebody within about one interval, however many there are.
+func (r *Roster) near() []Target {
+	for range 2 {
+		for len(r.order) > 0 {
+			id := r.order[0]
+			r.order = r.order[1:]
+			if m, ok := r.members[id]; ok && m.State < StateDead {
+				return []Target{r.target(m)}
+			}
+		}
+		for id, m := range r.members {
+			if m.VM.Region == r.self.VM.Region && m.State < StateDead {
+				r.order = append(r.order, id)
+			}
+		}
+		slices.Sort(r.order)
+		r.shuffle()
+	}
+	return nil
+}
+
+func (r *Roster) shuffle() {
+	for i := len(r.order) - 1; i > 0; i-- {
+		j := int(r.rand() % uint64(i+1))
+		r.order[i], r.order[j] = r.order[j], r.order[i]
+	}
+}
+
+// Spread gives a few random members of the own region, to be told of something new.
+func (r *Roster) Spread(count int) []Target {
+	var near []*member
+	for _, m := range r.sorted() {
+		if m.VM.Region == r.self.VM.Region && m.State == StateAlive {
+			near = append(near, m)
+		}
+	}
+	var out []Target
+	for range min(count, len(near)) {
+		i := int(r.rand() % uint64(len(near)))
+		out = append(out, r.target(near[i]))
+		near = slices.Delete(near, i, i+1)
+	}
+	return out
+}
+
+// far gives one random living member of each other region. Those in doubt are
+// asked anyway.
+func (r *Roster) far() []Target {
+	byRegion := make(map[string][]*member)
+	for _, m := range r.sorted() {
+		if m.VM.Region != r.self.VM.Region && m.State < StateDead && !m.doubtful() {
+			byRegion[m.VM.Region] = append(byRegion[m.VM.Region], m)
+		}
+	}
+	var out []Target
+	for _, list := range byRegion {
+		out = append(out, r.target(list[r.rand()%uint64(len(list))]))
+	}
+	return out
+}
+
+// dead gives one random member that counts as dead.
+func (r *Roster) dead() []Target {
+	var list []*member
+	for _, m := range r.sorted() {
+		if m.State == StateDead {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return []Target{r.target(list[r.rand()%uint64(len(list))])}
+}
+
+func (r *Roster) sorted() []*member {
+	list := make([]*member, 0, len(r.members))
+	for _, m := range r.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
+	return list
+}
+
+// seedTargets gives the seeds at which no living member is known.
+func (r *Roster) seedTargets() []Target {
+	known := make(map[string]bool)
+	for _, m := range r.members {
+		if m.State < StateDead {
+			known[m.VM.PeerAddr] = true
+		}
+	}
+	var out []Target
+	for _, seed := range r.seeds {
+		// One at a time is enough once others are known.
+		if known[seed] || (len(known) > 0 && r.round%deadEvery != 0) {
+			continue
+		}
+		out = append(out, Target{
+			VM: fleet.VM{
+				PeerAddr: seed,
+			},
+			Full: true,
+		})
+	}
+	return out
+}
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -1,11 +1,6 @@
 package settings
 
-import (
-	"os"
-
-	"github.com/fuchsianotch/fuchsianotch/common/jsonc"
-	"github.com/fuchsianotch/fuchsianotch/result"
-)
+import "github.com/fuchsianotch/fuchsianotch/result"
 
 // Platform is what an operator may set for a process whose place and bounds
 // the platform's own settings file gives.
@@ -42,31 +37,18 @@
 		s := DefaultPlatform()
 		return &s, nil
 	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, result.Refuse(result.SettingFile, "%s: want a file that can be read: %v", path, err).Because(err)
+	data, refusal := read(path)
+	if refusal != nil {
+		return nil, refusal
 	}
 	return ParsePlatform(path, data)
 }
 
 // ParsePlatform checks settings that are in memory; the name is used in messages.
 func ParsePlatform(name string, data []byte) (*Platform, *result.Refusal) {
-	if len(data) > MaxBytes {
-		return nil, result.Refuse(result.SettingFile, "%s: want at most %d bytes", name, MaxBytes)
-	}
 	s := DefaultPlatform()
-	if problem := jsonc.DecodeInto(name, data, &s); problem != nil {
-		return nil, refuse(problem)
-	}
-	v := verifier{
-		Verifier: jsonc.Verifier{
-			File: name,
-			Data: data,
-		},
-	}
-	v.platform(&s)
-	if problem := v.Problem(); problem != nil {
-		return nil, refuse(problem)
+	if refusal := decode(name, data, &s, (*verifier).platform); refusal != nil {
+		return nil, refusal
 	}
 	return &s, nil
 }
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -1,6 +1,9 @@
 package settings
 
 import (
+	"os"
+	"reflect"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -38,3 +41,15 @@
 	_, refusal = LoadPlatform("testdata/none.json")
 	assert.Equal(t, refusal.Code, result.SettingFile)
 }
+
+// TestPlatformDocs holds that the page has a row for each field, and no other.
+func TestPlatformDocs(t *testing.T) {
+	page, err := os.ReadFile("../docs/settings-platform.md")
+	assert.NilError(t, err)
+	fields := reflect.TypeFor[Platform]()
+	for i := range fields.NumField() {
+		name := fields.Field(i).Tag.Get("json")
+		assert.Assert(t, strings.Contains(string(page), "| `"+name+"` |"), name)
+	}
+	assert.Equal(t, strings.Count(string(page), "\n| `"), fields.NumField())
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -170,21 +170,37 @@
 
 // Load reads and checks a settings file. The codes are 5001 to 5004.
 func Load(path string) (*Settings, *result.Refusal) {
+	data, refusal := read(path)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return Parse(path, data)
+}
+
+func read(path string) ([]byte, *result.Refusal) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, result.Refuse(result.SettingFile, "%s: want a file that can be read: %v", path, err).Because(err)
 	}
-	return Parse(path, data)
+	return data, nil
 }
 
 // Parse checks settings that are in memory; the name is used in messages.
 func Parse(name string, data []byte) (*Settings, *result.Refusal) {
+	s := Default()
+	if refusal := decode(name, data, &s, (*verifier).settings); refusal != nil {
+		return nil, refusal
+	}
+	return &s, nil
+}
+
+// decode reads and checks one kind of settings, which hold the defaults before.
+func decode[T any](name string, data []byte, into *T, check func(*verifier, *T)) *result.Refusal {
 	if len(data) > MaxBytes {
-		return nil, result.Refuse(result.SettingFile, "%s: want at most %d bytes", name, MaxBytes)
+		return result.Refuse(result.SettingFile, "%s: want at most %d bytes", name, MaxBytes)
 	}
-	s := Default()
-	if problem := jsonc.DecodeInto(name, data, &s); problem != nil {
-		return nil, refuse(problem)
+	if problem := jsonc.DecodeInto(name, data, into); problem != nil {
+		return refuse(problem)
 	}
 	v := verifier{
 		Verifier: jsonc.Verifier{
@@ -192,11 +208,11 @@
 			Data: data,
 		},
 	}
-	v.settings(&s)
+	check(&v, into)
 	if problem := v.Problem(); problem != nil {
-		return nil, refuse(problem)
+		return refuse(problem)
 	}
-	return &s, nil
+	return nil
 }
 
 func refuse(p *jsonc.Problem) *result.Refusal {
--- a/site/control.go
+++ b/site/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/borrow"
+	"github.com/fuchsianotch/fuchsianotch/common/mailbox"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/route"
@@ -48,7 +49,7 @@
 // control owns all control state. Only its goroutine touches it.
 type control struct {
 	node      *Node
-	inbox     chan message
+	inbox     mailbox.Mailbox[message]
 	roster    *roster.Roster
 	mirror    *discovery.Mirror
 	discovery *discovery.State
@@ -67,7 +68,7 @@
 func newControl(n *Node) *control {
 	c := &control{
 		node:  n,
-		inbox: make(chan message, inboxLength),
+		inbox: mailbox.New[message](inboxLength),
 		roster: roster.New(roster.Options{
 			Self:        n.self(),
 			Incarnation: n.incarnation,
@@ -93,30 +94,16 @@
 
 // send passes a message to the control goroutine; it is lost when ctx ends first.
 func (c *control) send(ctx context.Context, m message) bool {
-	select {
-	case c.inbox <- m:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return c.inbox.Send(ctx, m)
 }
 
-// ask passes a question and waits for its answer.
+// ask has a question answered by the control goroutine.
 func ask[T any](ctx context.Context, c *control, question func(c *control, now time.Time) T) (T, error) {
-	var zero T
-	reply := make(chan T, 1)
-	sent := c.send(ctx, func(c *control, now time.Time) {
-		reply <- question(c, now)
+	return mailbox.Ask(ctx, c.inbox, func(reply chan<- T) message {
+		return func(c *control, now time.Time) {
+			reply <- question(c, now)
+		}
 	})
-	if !sent {
-		return zero, ctx.Err()
-	}
-	select {
-	case answer := <-reply:
-		return answer, nil
-	case <-ctx.Done():
-		return zero, ctx.Err()
-	}
 }
 
 // run takes messages and exchanges rumors when that is due.
@@ -127,7 +114,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case m := <-c.inbox:
+		case m := <-c.inbox.Messages():
 			m(c, c.node.now())
 		case <-timer.C:
 		}
--- a/site/site.go
+++ b/site/site.go
@@ -267,7 +267,7 @@
 	worker.Add(&group, n.control.run)
 	worker.Add(&group, n.readStore)
 	worker.Add(&group, n.pools.run)
-	n.addStop(ctx, &group)
+	worker.AddStop(ctx, &group, n.gone, n.stop)
 	n.log.Info("started",
 		"region", n.deployment.Region,
 		"incarnation", n.incarnation,
--- a/site/stop.go
+++ b/site/stop.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/oklog/run"
-
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 )
 
@@ -19,22 +17,6 @@
 	defaultStopWithin = 8 * time.Second
 )
 
-// addStop adds the goroutine whose end stops the group, once the planned stop is over.
-func (n *Node) addStop(ctx context.Context, group *run.Group) {
-	aborted, abort := context.WithCancel(context.Background())
-	group.Add(func() error {
-		defer close(n.gone)
-		select {
-		case <-ctx.Done():
-			n.stop()
-		case <-aborted.Done():
-		}
-		return nil
-	}, func(error) {
-		abort()
-	})
-}
-
 // stop ends the process gracefully: it tells peers and callers to go
 // elsewhere, and lets the calls in flight end.
 func (n *Node) stop() {
