--- a/borrow/place.go
+++ b/borrow/place.go
@@ -20,6 +20,7 @@
 	// rank first: from these parts of the deadline by the expected end on, and all
 	// at twice as much. A share that grows keeps the load from swinging.
 	refuseLow    = 0.6
+	lowestRank   = 2
 	refuseMiddle = 1.0
 	refuseHigh   = 1.5
 	// A refused call may come back within these parts of the time it has left;
@@ -38,8 +39,13 @@
 	Whole     time.Duration
 	// Way is the time there and back.
 	Way time.Duration
+	// LongWhole is the expected time to the end of an answer that is longer than
+	// nine in ten.
+	LongWhole time.Duration
 	// Answer is how many tokens are expected to be generated, by the own region.
 	Answer float64
+	// Long is how many by a call that is longer than nine in ten.
+	Long float64
 	// Warm says that the region has used the shared part of the prompt of late.
 	Warm bool
 }
@@ -95,33 +101,38 @@
 // expected to answer well within the objective and the deadline, and else the
 // one that uses up the least of them.
 func Place(r PlaceRequest, now time.Time) Placement {
-	best, least, end := "", 0.0, 0.0
+	best, least := Load{}, 0.0
 	if r.OwnAllowed && r.Own.Endpoints > 0 {
-		best = r.Own.Region
 		first, whole := r.used(r.Own, now)
 		if first <= nearEnough && whole <= wholeEnough {
 			return Placement{
 				Region: r.warmest(now),
 			}
 		}
+		best = r.Own
 		least = max(first, whole)
-		end = whole
 	}
 	for _, o := range r.Others {
-		if o.Endpoints == 0 {
-			continue
-		}
 		first, whole := r.used(o, now)
-		if used := max(first, whole); best == "" || used < least {
-			best = o.Region
+		if used := max(first, whole); o.Endpoints > 0 && (best.Region == "" || used < least) {
+			best = o
 			least = used
-			end = whole
 		}
 	}
 	return Placement{
-		Region:     best,
-		Overloaded: best != "" && r.refuses(end),
+		Region:     best.Region,
+		Overloaded: best.Region != "" && r.refuses(r.end(best, now)),
+	}
+}
+
+// end is the part of the time to the deadline at which the call would end. The
+// lowest rank makes room already when the long answers of others would not.
+func (r PlaceRequest) end(l Load, now time.Time) float64 {
+	_, whole := r.used(l, now)
+	if r.Rank < lowestRank {
+		return whole
 	}
+	return max(whole, refuseLow*part(l.LongWhole+l.Way, r.WholeBy, now))
 }
 
 // warmest is the own region, or another one that alone holds the shared part
--- a/borrow/place_test.go
+++ b/borrow/place_test.go
@@ -14,6 +14,7 @@
 	Region            string
 	Endpoints         int
 	First, Whole, Way int64
+	Long              int64
 }
 
 func (l placeLoad) load() Load {
@@ -22,6 +23,7 @@
 		Endpoints: l.Endpoints,
 		First:     time.Duration(l.First) * time.Millisecond,
 		Whole:     time.Duration(l.Whole) * time.Millisecond,
+		LongWhole: time.Duration(l.Long) * time.Millisecond,
 		Way:       time.Duration(l.Way) * time.Millisecond,
 	}
 }
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -146,10 +146,7 @@
 func (x *exchange) endRelay(resp *http.Response) *result.Refusal {
 	x.outcome.Usage.PromptTokens = x.attempt.Call.PromptTokens
 	x.outcome.Usage.GeneratedTokens = x.outcome.Delivered * x.attempt.Call.Routed.EventTokens
-	if refusal := x.passHead(resp.StatusCode, endToEnd(resp.Header)); refusal != nil {
-		return refusal
-	}
-	return nil
+	return x.passHead(resp.StatusCode, endToEnd(resp.Header))
 }
 
 // hasEvent says whether the caller has an event already, which guards against
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -65,8 +65,10 @@
 	First time.Duration
 	// Token is the time for each generated token; zero while it is not known.
 	Token time.Duration
-	// Answer is how many tokens are expected to be generated.
+	// Answer is how many tokens are expected to be generated, and Long how many by
+	// a call that is longer than nine in ten.
 	Answer float64
+	Long   float64
 }
 
 // Whole is the time to the end of the answer.
@@ -89,6 +91,7 @@
 		First:  p.choice(c, r, now).First,
 		Token:  seconds(each),
 		Answer: p.answerTokens(r),
+		Long:   p.learnt.long * p.learnt.length.or(defaultLength),
 	}, true
 }
 
@@ -103,6 +106,7 @@
 	choice := p.choice(c, r, now)
 	c.state.enter(c.prefill, now)
 	p.hold(c.state, r.Prefixes, now)
+	p.learnt.learnLong(r.MaxTokens)
 	p.refresh(c.state, now)
 	return choice
 }
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -92,12 +92,34 @@
 	length average
 	// late is how much later than predicted first tokens come on average, in seconds.
 	late average
+	// long is a bound on generated tokens that one call in ten is over.
+	long float64
 	// share is this VM's part of the region's load.
 	share float64
 	// pace is the time for one generated token by the calls at the endpoint.
 	pace line
 }
 
+const (
+	// longPart is the part of the calls that are under learnt.long, and longStep how
+	// far one call moves it, relative to itself.
+	longPart = 0.9
+	longStep = 0.05
+)
+
+// learnLong moves the bound so that one call in ten is over it.
+func (l *learnt) learnLong(tokens int) {
+	switch {
+	case tokens <= 0:
+	case l.long == 0:
+		l.long = float64(tokens)
+	case float64(tokens) > l.long:
+		l.long += longStep * longPart * l.long
+	default:
+		l.long -= longStep * (1 - longPart) * l.long
+	}
+}
+
 const (
 	// lineForget is the weight that each sample takes from those before it: some
 	// hundred answers, a few seconds of a region under load.
--- a/site/place.go
+++ b/site/place.go
@@ -52,7 +52,7 @@
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
 	own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
-	others := n.otherLoads(c, pic, tried, own.Answer, now)
+	others := n.otherLoads(c, pic, tried, own, now)
 	placed := borrow.Place(borrow.PlaceRequest{
 		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
@@ -122,13 +122,15 @@
 	load.First = expected.First
 	load.Whole = expected.Whole()
 	load.Answer = expected.Answer
+	load.Long = expected.Long
+	load.LongWhole = expected.First + time.Duration(expected.Long*float64(expected.Token))
 	load.Warm = n.warmth.holds(c.PrefixHash, n.deployment.Region, now)
 	return load
 }
 
 // otherLoads are those of the regions that may serve the call and have a VM in
-// reach. answer is how many tokens are expected to be generated.
-func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, answer float64, now time.Time) []borrow.Load {
+// reach. own says how many tokens are expected to be generated.
+func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, own borrow.Load, now time.Time) []borrow.Load {
 	var out []borrow.Load
 	for _, l := range pic.loads[c.Target()] {
 		if !c.Routed.Allows(l.Region) || len(reachableIn(pic.members.Members, l.Region, tried)) == 0 {
@@ -137,7 +139,8 @@
 		load := l.Load
 		load.Way = wayBetweenRegions
 		load.Warm = n.warmth.holds(c.PrefixHash, l.Region, now)
-		load.Whole = load.First + time.Duration(answer*float64(l.token))
+		load.Whole = load.First + time.Duration(own.Answer*float64(l.token))
+		load.LongWhole = load.First + time.Duration(own.Long*float64(l.token))
 		out = append(out, load)
 	}
 	return out
--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -90,13 +90,13 @@
 	defer func() { _ = resp.Body.Close() }()
 	var reply struct {
 		Addrs []string
-		TtlS  float64
+		TTL   float64 `json:"TtlS"`
 	}
 	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&reply) != nil {
 		return
 	}
 	c.addrs = reply.Addrs
-	c.until = time.Now().Add(time.Duration(reply.TtlS * float64(time.Second)))
+	c.until = time.Now().Add(time.Duration(reply.TTL * float64(time.Second)))
 }
 
 func (c *client) pick() *vm {
--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -18,6 +18,13 @@
 	do       func(w *world, ctx context.Context, d draw) error
 }
 
+// tell writes a line of the schedule with its time.
+func (w *world) tell(format string, args ...any) {
+	at := fmt.Sprintf("%8.3f s  ", time.Since(w.start).Seconds())
+	// The schedule is a file of this soak's own.
+	_, _ = fmt.Fprintf(w.Out, at+format+"\n", args...)
+}
+
 // draw holds the random numbers of one fault, drawn in the order of the
 // schedule, so that a seed gives the same schedule each time.
 type draw struct {
@@ -59,10 +66,10 @@
 		pause := time.Duration(200+w.rand.IntN(1300)) * time.Millisecond
 		running.Go(func() {
 			from := time.Now()
-			fmt.Fprintf(w.Out, "%8.3f s  %s %+v\n", time.Since(w.start).Seconds(), f.name, d)
+			w.tell("%s %+v", f.name, d)
 			w.ledger.count(f.name)
 			if err := f.do(w, ctx, d); err != nil {
-				fmt.Fprintf(w.Out, "%8.3f s  %s: %v\n", time.Since(w.start).Seconds(), f.name, err)
+				w.tell("%s: %v", f.name, err)
 			}
 			if f.disturbs {
 				w.ledger.disturb(from)
--- a/testscripts/soak/link.go
+++ b/testscripts/soak/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -136,7 +137,7 @@
 // end passes the end of one side on as it was: closed or reset.
 func end(to net.Conn, err error) {
 	tcp, ok := to.(*net.TCPConn)
-	if ok && err == io.EOF {
+	if ok && errors.Is(err, io.EOF) {
 		_ = tcp.CloseWrite()
 		return
 	}
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -27,25 +27,35 @@
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	gateway, err := buildGateway()
+	failed, err := playAll(ctx, *keep, *count, Options{
+		Seed:    *seed,
+		Regions: 3,
+		VMs:     *vms,
+		Engines: 2,
+		Clients: *clients,
+		For:     *long,
+	})
+	stop()
 	app.FatalIfError(err, "build")
-	defer func() { _ = os.RemoveAll(filepath.Dir(gateway)) }()
-	failed := 0
-	for i := range *count {
-		report, err := playSeed(ctx, *keep, Options{
-			Gateway: gateway,
-			Seed:    *seed + uint64(i),
-			Regions: 3,
-			VMs:     *vms,
-			Engines: 2,
-			Clients: *clients,
-			For:     *long,
-		})
+	if failed > 0 {
+		fmt.Printf("%d seeds failed; schedules and logs are in %s\n", failed, *keep)
+		os.Exit(1)
+	}
+}
+
+// playAll plays seeds one after the other and gives how many failed.
+func playAll(ctx context.Context, keep string, count int, o Options) (failed int, err error) {
+	o.Gateway, err = buildGateway()
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = os.RemoveAll(filepath.Dir(o.Gateway)) }()
+	for range count {
+		report, err := playSeed(ctx, keep, o)
+		o.Seed++
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			failed++
-			break
+			return failed + 1, nil
 		}
 		fmt.Printf("seed %d: %d requests, %.3f served, faults %v, %d violations\n",
 			report.Seed, report.Attempts, report.Served, report.Faults, len(report.Violations))
@@ -56,10 +66,7 @@
 			failed++
 		}
 	}
-	if failed > 0 {
-		fmt.Printf("%d seeds failed; schedules and logs are in %s\n", failed, *keep)
-		os.Exit(1)
-	}
+	return failed, nil
 }
 
 // buildGateway builds the program under test into a folder of its own.
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -105,7 +105,7 @@
 	from := time.Now()
 	for i := range w.vms {
 		if err := w.stopAndStart(ctx, draw{vm: i}); err != nil {
-			fmt.Fprintf(w.Out, "roll: %v\n", err)
+			w.tell("roll: %v", err)
 		}
 		sleepFor(ctx, time.Second)
 	}
@@ -125,7 +125,7 @@
 	sleepFor(ctx, restartAfter)
 	for _, v := range w.vms {
 		if err := w.startVM(v); err != nil {
-			fmt.Fprintf(w.Out, "restart: %v\n", err)
+			w.tell("restart: %v", err)
 		}
 	}
 	back := time.Now()
