One client of the platform

Cause: Store and Client stood side by side with a transport, bounds and errors each. Change: one client, two forms. Tests of both as before.

--- a/site/site.go
+++ b/site/site.go
@@ -79,7 +79,7 @@
 
 	ring    *timeline.Ring
 	metrics *metrics.Metrics
-	store   *platform.Store
+	store   *platform.Client
 	decoder platform.Decoder
 	peers   *peer.Client
 	client  *endpoint.Client
@@ -125,7 +125,7 @@
 		Capacity: timelineEvents,
 		Now:      n.now,
 	})
-	n.store = platform.NewStore(platform.StoreOptions{
+	n.store = platform.New(platform.Options{
 		URL:         d.StoreURL,
 		ReplyWithin: storeReplyWithin,
 		Now:         n.now,
