--- a/explain/docs_test.go
+++ b/explain/docs_test.go
@@ -14,7 +14,7 @@
 var (
 	// logged finds the event of a line that the code writes, documented one that
 	// the page names.
-	logged     = regexp.MustCompile(`\b(?:log|logger|direct|Trail)\.(?:Debug|Info|Warn|Error|Add|Fail)\("([a-z_]+)"`)
+	logged     = regexp.MustCompile(`\b(?:log|Log|logger|direct|Trail)\.(?:Debug|Info|Warn|Error|Add|Fail)\("([a-z_]+)"`)
 	documented = regexp.MustCompile("`([a-z_]+)`")
 )
 
@@ -22,7 +22,7 @@
 // code of a process on the platform writes.
 func TestEventsAreDocumented(t *testing.T) {
 	var written []string
-	for _, pattern := range []string{"../site/*.go", "../serving/*.go", "../logs/*.go", "../gateway/platform.go"} {
+	for _, pattern := range []string{"../site/*.go", "../platform/*.go", "../serving/*.go", "../logs/*.go", "../gateway/platform.go"} {
 		files, err := filepath.Glob(pattern)
 		assert.NilError(t, err)
 		for _, file := range files {
--- a/site/place.go
+++ b/site/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -173,8 +172,8 @@
 		From: n.identity(),
 		Call: peer.CallMessage(c),
 	}, sink, func(uint64) {})
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) && out.Code == result.PeerLost {
-		return call.Refused(result.Refuse(result.EndpointTimeout, "VM %s had the call as its time ended", vm.ID))
+	if ctx.Err() != nil && out.Code == result.PeerLost {
+		return call.Refused(result.Refuse(result.EndpointTimeout, "VM %s had the call as its time ended or the caller left", vm.ID).Because(ctx.Err()))
 	}
 	if ctx.Err() == nil && out.Code == result.PeerUnreachable {
 		n.control.send(ctx, func(c *control, now time.Time) {
