Ask engines whether they are cold

Ruled out: a cap on all engines while the store is away (they get 10 a second). Change: the VM that asks an engine for its load asks its health too, and tells the region. Test: a schedule of discovery.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -151,6 +151,21 @@
 	s.endpoints[e.ID] = k
 }
 
+// Cold takes an endpoint's own word that it is cold until a moment, and says
+// whether that is new. It matters while the store, which tells it too, is away.
+func (s *State) Cold(id string, until, now time.Time) bool {
+	k, ok := s.endpoints[id]
+	if !ok || !until.After(now) || until.Sub(k.coldUntil) < coldNewer {
+		return false
+	}
+	k.coldUntil = until
+	return true
+}
+
+// coldNewer is by how much a later word must differ to be told to others: each
+// is late by the way that it came.
+const coldNewer = 300 * time.Millisecond
+
 // remove takes an entry's removal. Around an outage of the store it may mean
 // that the endpoint could not renew it, so it is given time to come back.
 func (s *State) remove(id string, now time.Time) bool {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -20,6 +20,7 @@
 
 type step struct {
 	Put, In, State, Cold string
+	SaysCold             string `json:"says_cold"`
 	Remove               string
 	Store                string
 	Wait                 string
@@ -59,6 +60,8 @@
 	switch {
 	case step.Put != "":
 		s.Take(Change{Endpoint: endpointOf(t, step)}, now)
+	case step.SaysCold != "":
+		s.Cold(step.SaysCold, now.Add(duration(t, step.Cold)), now)
 	case step.Remove != "":
 		s.Take(Change{Removed: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Remove}}}, now)
 	case step.Store == "lost":
--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -14,6 +14,9 @@
 	SetHeader func(h http.Header, t Terms)
 	// ReadHead reads what an answer's head says besides its status.
 	ReadHead func(status int, h http.Header, now time.Time) Head
+	// ReadColdFor reads from an answer to a health check how long the endpoint is
+	// cold yet; zero for a warm one.
+	ReadColdFor func(h http.Header) time.Duration
 	// ReportPath is where an endpoint tells its load, DecodeReport reads the answer.
 	ReportPath   string
 	DecodeReport func(data []byte, now time.Time) (Load, error)
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -67,6 +67,24 @@
 	return load, nil
 }
 
+// ColdFor asks an endpoint how long it is cold yet. The check waits for a slot
+// like any request.
+func (c *Client) ColdFor(ctx context.Context, e fleet.Endpoint, path string) (time.Duration, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr+path, nil)
+	if err != nil {
+		return 0, merry.Wrap(err)
+	}
+	resp, err := c.pooled.RoundTrip(req)
+	if err != nil {
+		return 0, merry.Wrap(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxLoadBytes)); err != nil {
+		return 0, merry.Wrap(err)
+	}
+	return c.dialect.ReadColdFor(resp.Header), nil
+}
+
 // reportForm gives the path and the form of load reports.
 func (c *Client) reportForm() (string, func(data []byte, now time.Time) (Load, error)) {
 	if c.dialect.DecodeReport != nil {
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -34,6 +34,7 @@
 	}
 	if region == c.node.deployment.Region {
 		m.Reports = c.node.pools.heldReports(now)
+		m.Cold = c.coldMessage(now)
 		m.Holdings = c.node.pools.holdings(now)
 		m.Warm = c.node.warmth.message("", now)
 	} else {
@@ -82,6 +83,7 @@
 	from := rumorFromMessage(m.GetFrom())
 	c.roster.Heard(from, m.GetHash(), rumors, now)
 	c.takeLoads(from.VM.Region, m.GetLoads(), now)
+	c.takeCold(ctx, m.GetCold(), now)
 	c.node.pools.takeReports(m.GetReports(), now)
 	c.node.warmth.take(m.GetWarm(), now)
 	c.node.pools.takeHoldings(m.GetHoldings(), now)
--- a/site/reports.go
+++ b/site/reports.go
@@ -77,6 +77,7 @@
 func (p *pools) askReport(ctx context.Context, e fleet.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, reportWithin)
 	defer cancel()
+	p.askCold(ctx, e)
 	load, err := p.node.client.Report(ctx, e)
 	if err != nil {
 		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
