--- a/call/routed.go
+++ b/call/routed.go
@@ -38,6 +38,8 @@
 	ResumeAfter string
 	// EventTokens is how many generated tokens one event of the stream holds.
 	EventTokens int
+	// HasBackups says that the stream's endpoints can keep a copy elsewhere.
+	HasBackups bool
 	// Repeated is set when an attempt of the call was made on another VM.
 	Repeated bool
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -76,6 +76,10 @@
 	ResumeAfter string
 	// FetchFrom is the address of an engine that holds more of the prompt.
 	FetchFrom string
+	// BackupAt is the address of the engine that keeps a copy of what the call has
+	// in memory, CopyAt that of the one which holds the copy to go on from.
+	BackupAt string
+	CopyAt   string
 	// Paced, if set, is told of the time between two pieces of a routed stream,
 	// with the tokens of the later one.
 	Paced func(gap time.Duration, tokens int)
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -27,6 +27,7 @@
 	m.ResumeAfter = r.ResumeAfter
 	m.RepeatedBefore = r.Repeated
 	m.EventTokens = uint32(r.EventTokens)
+	m.HasBackups = r.HasBackups
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, &peerpb.PromptPart{
 			Id:     p.ID,
@@ -58,6 +59,7 @@
 		ResumeAfter: m.GetResumeAfter(),
 		Repeated:    m.GetRepeatedBefore(),
 		EventTokens: int(m.GetEventTokens()),
+		HasBackups:  m.GetHasBackups(),
 	}
 	for _, p := range m.GetParts() {
 		c.Routed.Parts = append(c.Routed.Parts, call.PromptPart{
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -18,6 +18,7 @@
 	Idempotent bool
 	Delivered  bool
 	Resumable  bool
+	Copied     bool
 	Attempts   int
 	Left       string
 	Needed     string
@@ -35,6 +36,7 @@
 				Idempotent: c.Idempotent,
 				Delivered:  c.Delivered,
 				Resumable:  c.Resumable,
+				Copied:     c.Copied,
 				Attempts:   c.Attempts,
 			}
 			if c.Left != "" {
--- a/serving/run.go
+++ b/serving/run.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -61,6 +62,10 @@
 	sends     int
 	refused   int
 	delivered int
+	// backup is the endpoint that holds a copy of what the last attempt had in
+	// memory, and goOn says that the call goes on from it.
+	backup fleet.Endpoint
+	goOn   bool
 	// lastEvent is the id of the last event that the caller has of a routed stream.
 	lastEvent string
 	// uncertain is the last code of class unknown that an attempt ended with,
@@ -85,7 +90,7 @@
 		if p.last.Code.Class() == result.ClassDone || !s.mayRepeat(c, &p) {
 			return s.end(&p, sink, p.outcome)
 		}
-		if p.last.Sent && !s.options.Budget.Allow(c.Target()) {
+		if p.last.Sent && !p.goOn && !s.options.Budget.Allow(c.Target()) {
 			c.Trail.Fail("repeat_refused", slog.String("service", c.Target()))
 			return s.end(&p, sink, p.budgetSpent())
 		}
@@ -126,7 +131,9 @@
 	if !ok {
 		return result.Refuse(result.NoEndpoint, "no endpoint of %s in region %s", c.Target(), s.options.Region)
 	}
-	slot, refusal := pool.Queue.Admit(ctx, p.admission(c), s.options.Now())
+	wanted := p.admission(c)
+	wanted.Backup = s.wantsBackup(c, p)
+	slot, refusal := pool.Queue.Admit(ctx, wanted, s.options.Now())
 	if refusal != nil {
 		return refusal
 	}
@@ -142,6 +149,10 @@
 	out := s.options.Endpoint.Send(ctx, attempt, endpoint.Sink(sink))
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
 	s.heedLeaving(pool, chosen, out)
+	if out.Code == result.EndpointCut && out.Sent {
+		s.losses.note(s.options.Now())
+	}
+	p.backup = slot.Choice.BackupAt
 	p.take(out, chosen)
 	s.reportAttempt(c, p)
 	return nil
@@ -179,7 +190,24 @@
 		Call:        c,
 		ResumeAfter: p.lastEvent,
 		FetchFrom:   slot.Choice.FetchFrom,
+		BackupAt:    slot.Choice.BackupAt.Addr,
+		CopyAt:      p.copyAt(),
+	}
+}
+
+// copyAt is the address of the copy that the call goes on from.
+func (p *progress) copyAt() string {
+	if !p.goOn {
+		return ""
 	}
+	return p.backup.Addr
+}
+
+// wantsBackup says whether an engine is to keep a copy elsewhere: only where the
+// call could not go on otherwise, and while engines are being lost.
+func (s *Server) wantsBackup(c *call.Call, p *progress) bool {
+	return c.Kind == call.KindRouted && c.Stream && c.Routed.HasBackups && !c.Idempotent &&
+		p.attempts == 0 && s.losses.recent(s.options.Now())
 }
 
 func (s *Server) reportAttempt(c *call.Call, p *progress) {
@@ -209,8 +237,13 @@
 	if c.Kind == call.KindRouted {
 		a.Attempts, a.MaxAttempts = p.routedAttempts(c)
 	}
+	a.Copied = p.backup.ID != "" && !c.Idempotent
 	verdict := s.decide(a, s.options.Now())
 	traceVerdict(c, a, verdict)
+	p.goOn = verdict == retry.VerdictContinue
+	if p.goOn {
+		return true
+	}
 	return verdict == retry.VerdictRetry || verdict == retry.VerdictResume
 }
 
@@ -228,6 +261,9 @@
 	if c.Routed != nil {
 		r.Prefixes = routing.Prefixes(c.Routed.Parts)
 	}
+	if p.goOn {
+		r.Only = p.backup.ID
+	}
 	return r
 }
 
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -87,6 +87,7 @@
 	stopping atomic.Bool
 	attempts atomic.Uint64
 	leases   leaseFlights
+	losses   losses
 	// spend and decide are the decisions that keep a call from running twice.
 	spend  func(e *ticket.Entry, now time.Time) *result.Refusal
 	decide func(a retry.Attempt, now time.Time) retry.Verdict
