No more endpoints run a request than its route allows, wherever it moves

Ruled out: the attempts within a region, which were bounded. Change: an outcome says how many endpoints may have run the call, also between VMs; what is left goes with the call. Test: 3 rows of routed.json, the first failed before.

--- a/call/answer.go
+++ b/call/answer.go
@@ -24,6 +24,8 @@
 	FirstAt time.Time
 	// Endpoint is the id of the endpoint that gave the answer.
 	Endpoint string
+	// Ran is how many endpoints may have run the call.
+	Ran int
 }
 
 // Refused makes the outcome of a refusal.
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -95,6 +95,7 @@
 		GeneratedTokens: uint32(o.Usage.GeneratedTokens),
 		Stamp:           stamp,
 		Endpoint:        o.Endpoint,
+		Ran:             uint32(o.Ran),
 	}
 	if o.Refusal != nil {
 		end.Message = o.Refusal.Message
@@ -113,6 +114,7 @@
 		},
 		FirstAt:  firstAt,
 		Endpoint: end.GetEndpoint(),
+		Ran:      int(end.GetRan()),
 	}
 	if o.Code.Class() != result.ClassDone {
 		o.Refusal = result.Refuse(o.Code, "%s", end.GetMessage()).Until(FromUnixMilli(end.GetComeBackUnixMs()))
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -44,15 +44,26 @@
 			outcome = s.sendAway(ctx, c, vm, seen.tracked())
 		}
 		tried = append(tried, vm.ID)
+		left := attemptsLeft(c, outcome)
 		outcome = certain.judge(outcome)
-		if ctx.Err() != nil || !seen.mayMove(c, outcome) {
+		if ctx.Err() != nil || left < 1 || !seen.mayMove(c, outcome) {
 			return outcome
 		}
-		c = seen.moved(c, outcome)
+		c = seen.moved(c, outcome, left)
 	}
 	return outcome
 }
 
+// attemptsLeft is how many more endpoints may run the call after an outcome. A
+// VM that was lost with the call is taken to have had it run by one.
+func attemptsLeft(c *call.Call, o call.Outcome) int {
+	ran := o.Ran
+	if ran == 0 && o.Code.Class() == result.ClassUnknown {
+		ran = 1
+	}
+	return c.Routed.MaxAttempts - ran
+}
+
 // certainty keeps the first outcome of a call of which it is not known whether
 // it ran: a later refusal does not make that certain.
 type certainty struct {
@@ -141,9 +152,10 @@
 }
 
 // moved is the call as the next place gets it.
-func (p *passed) moved(c *call.Call, o call.Outcome) *call.Call {
+func (p *passed) moved(c *call.Call, o call.Outcome, attempts int) *call.Call {
 	next := *c
 	routed := *c.Routed
+	routed.MaxAttempts = attempts
 	next.Routed = &routed
 	if p.lastEvent != "" {
 		routed.ResumeAfter = p.lastEvent
--- a/serving/routed_test.go
+++ b/serving/routed_test.go
@@ -28,6 +28,10 @@
 	// WantResume and WantRepeated are what the VM must be told.
 	WantResume   string `json:"want_resume"`
 	WantRepeated bool   `json:"want_repeated"`
+	// Ran is how many endpoints it had run the call, WantAttempts how many it must
+	// be told that may; zero is not looked at.
+	Ran          int
+	WantAttempts int `json:"want_attempts"`
 }
 
 type routedCase struct {
@@ -59,7 +63,12 @@
 					sent = append(sent, vm.ID)
 					assert.Equal(t, sentCall.Routed.ResumeAfter, place.WantResume)
 					assert.Equal(t, sentCall.Routed.Repeated, place.WantRepeated)
-					return place.serve(sink)
+					if place.WantAttempts > 0 {
+						assert.Equal(t, sentCall.Routed.MaxAttempts, place.WantAttempts)
+					}
+					out := place.serve(sink)
+					out.Ran = place.Ran
+					return out
 				},
 				Ring:    timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
 				Metrics: metrics.New(),
--- a/serving/run.go
+++ b/serving/run.go
@@ -110,6 +110,7 @@
 
 // end passes an endpoint's own failure on where no other attempt follows.
 func (s *Server) end(p *progress, sink call.Sink, o call.Outcome) call.Outcome {
+	o.Ran = p.attempts - p.refused
 	held := p.last.Held
 	if held == nil || o.Code.Class() == result.ClassDone || p.delivered > 0 {
 		return o
