--- a/site/place.go
+++ b/site/place.go
@@ -199,6 +199,8 @@
 		Forward:   n.serveForwarded,
 		Stamp:     func() uint64 { return 0 },
 		Witness:   func(uint64) {},
+
+		CountBytes: n.countBytes,
 	}
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -131,7 +131,8 @@
 		Now:         n.now,
 	})
 	n.peers = peer.New(peer.Options{
-		Dial: dialPeer,
+		Dial:       dialPeer,
+		CountBytes: n.countBytes,
 	})
 	n.client = endpoint.New(endpoint.Options{
 		Now:     n.now,
@@ -146,6 +147,12 @@
 	return n
 }
 
+// countBytes counts those on the connections between VMs.
+func (n *Node) countBytes(sent, received int) {
+	n.metrics.Control(metrics.DirectionOut, sent)
+	n.metrics.Control(metrics.DirectionIn, received)
+}
+
 // newIncarnation numbers this life of the process: later lives have higher
 // numbers, and two that start at the same time differ.
 func newIncarnation(now time.Time) uint64 {
