Soak: engines tell their cold by health checks; seeds that failed are kept

Finding: seed 1021, an engine got 30 requests in a second while it was cold. It became cold while the store was busy, and the stand-in did not tell that by its health check as the platform's engines do. Ruled out: the gateways; they followed what they were told 30 ms after the store was back.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -22,6 +22,8 @@
 	headerInstance  = "X-Fuchsianotch-Expect-Instance"
 	headerNotRun    = "X-Fuchsianotch-Not-Executed"
 	headerLastEvent = "Last-Event-Id"
+	headerCold      = "X-Fuchsianotch-Cold-Ms"
+	headerSelf      = "X-Fuchsianotch-Instance-Id"
 )
 
 // StreamPath begins the paths that are answered by a stream.
@@ -80,6 +82,8 @@
 	server *http.Server
 	mu     sync.Mutex
 	active int
+	// coldUntil is what its health check tells.
+	coldUntil time.Time
 }
 
 // Start serves on an address.
@@ -100,6 +104,13 @@
 	return r, nil
 }
 
+// SetCold lets its health check tell that it is cold.
+func (r *Replica) SetCold(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.coldUntil = until
+}
+
 // Crash ends it at once, with all its connections.
 func (r *Replica) Crash() {
 	_ = r.server.Close()
@@ -125,6 +136,10 @@
 		_, _ = fmt.Fprintf(w, `{"Stage":"hybrid","Queued":0,"Active":%d,"KvUsed":%d,"KvTotal":300000}`, r.active, 1000*r.active)
 		return
 	}
+	if req.URL.Path == "/health" {
+		r.health(w)
+		return
+	}
 	id := req.Header.Get(headerAttempt)
 	w.Header().Set(headerAttempt, id)
 	if expected := req.Header.Get(headerInstance); expected != r.ID {
@@ -160,6 +175,15 @@
 	r.answer(w, req, id, fault)
 }
 
+func (r *Replica) health(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.Header().Set(headerSelf, r.ID)
+	if left := time.Until(r.coldUntil); left > 0 {
+		w.Header().Set(headerCold, strconv.FormatInt(left.Milliseconds(), 10))
+	}
+}
+
 func (r *Replica) enter(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -218,6 +218,7 @@
 	if r.gone || r.Service != serviceEngine {
 		return nil
 	}
+	r.SetCold(time.Now().Add(coldFor))
 	_, err := w.store.Put("servers/"+r.ID, r.Entry("ready", coldFor))
 	if err == nil {
 		// The VMs may learn of it a little later.
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -5,6 +5,9 @@
 
 import (
 	"context"
+	// The seeds that ever failed are part of the program.
+	_ "embed"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -23,12 +26,18 @@
 	long := app.Flag("for", "How long faults are injected for each seed.").Default("30s").Duration()
 	vms := app.Flag("vms", "VMs in each region.").Default("2").Int()
 	clients := app.Flag("clients", "Clients in all.").Default("18").Int()
+	kept := app.Flag("kept", "Play the seeds that ever failed in place of --seed and --count.").Bool()
 	keep := app.Flag("keep", "Folder for the logs of seeds that fail.").Default("soak-logs").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	failed, err := playAll(ctx, *keep, *count, Options{
-		Seed:    *seed,
+	seeds := seedsFrom(*seed, *count)
+	if *kept {
+		var err error
+		seeds, err = keptSeeds()
+		app.FatalIfError(err, "kept seeds")
+	}
+	failed, err := playAll(ctx, *keep, seeds, Options{
 		Regions: 3,
 		VMs:     *vms,
 		Engines: 2,
@@ -44,15 +53,15 @@
 }
 
 // playAll plays seeds one after the other and gives how many failed.
-func playAll(ctx context.Context, keep string, count int, o Options) (failed int, err error) {
+func playAll(ctx context.Context, keep string, seeds []uint64, o Options) (failed int, err error) {
 	o.Gateway, err = buildGateway()
 	if err != nil {
 		return 0, err
 	}
 	defer func() { _ = os.RemoveAll(filepath.Dir(o.Gateway)) }()
-	for range count {
+	for _, seed := range seeds {
+		o.Seed = seed
 		report, err := playSeed(ctx, keep, o)
-		o.Seed++
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return failed + 1, nil
@@ -69,6 +78,35 @@
 	return failed, nil
 }
 
+func seedsFrom(first uint64, count int) []uint64 {
+	seeds := make([]uint64, 0, count)
+	for i := range count {
+		seeds = append(seeds, first+uint64(i))
+	}
+	return seeds
+}
+
+// keptSeed is a seed that once failed, with its cause.
+type keptSeed struct {
+	Seed  uint64 `json:"seed"`
+	Cause string `json:"cause"`
+}
+
+//go:embed testdata/seeds.json
+var keptData []byte
+
+func keptSeeds() ([]uint64, error) {
+	var kept []keptSeed
+	if err := json.Unmarshal(keptData, &kept); err != nil {
+		return nil, err
+	}
+	seeds := make([]uint64, 0, len(kept))
+	for _, k := range kept {
+		seeds = append(seeds, k.Seed)
+	}
+	return seeds, nil
+}
+
 // buildGateway builds the program under test into a folder of its own.
 func buildGateway() (string, error) {
 	dir, err := os.MkdirTemp("", "fuchsianotch-soak")
--- a/testscripts/soak/world.go
+++ b/testscripts/soak/world.go
@@ -285,6 +285,7 @@
 		return err
 	}
 	if cold > 0 {
+		r.SetCold(time.Now().Add(cold))
 		w.ledger.cold(id, time.Now(), time.Now().Add(cold))
 	}
 	w.mu.Lock()
