--- a/site/site.go
+++ b/site/site.go
@@ -43,9 +43,9 @@
 	headerWithin   = 5 * time.Second
 	idleWithin     = 75 * time.Second
 	maxHeaderBytes = 64 << 10
-	// entriesGoodFor is how long a caller may use an answer: a VM that stops or
+	// entriesFor is how long a caller may use an answer: a VM that stops or
 	// is lost gets no new connection after that.
-	entriesGoodFor = time.Second
+	entriesFor = time.Second
 	// storeReplyWithin bounds a reply of the store, which answers in milliseconds.
 	storeReplyWithin = 1500 * time.Millisecond
 	// memoryShare is the part of the VM's memory at which the garbage collector
@@ -282,6 +282,14 @@
 	return group.Run()
 }
 
+// entriesGoodFor is how long callers may use an answer, within the platform's bound.
+func (n *Node) entriesGoodFor() time.Duration {
+	if bound := n.bounds.Load().EntriesGoodFor; bound > 0 {
+		return min(bound, entriesFor)
+	}
+	return entriesFor
+}
+
 // front is one HTTP server with its address.
 type front struct {
 	addr   string
@@ -320,7 +328,7 @@
 	directory := &http.Server{
 		Handler: platform.NewDirectory(platform.DirectoryOptions{
 			Entries: n.entries,
-			GoodFor: entriesGoodFor,
+			GoodFor: n.entriesGoodFor(),
 		}),
 		ReadHeaderTimeout: headerWithin,
 	}
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -314,7 +314,7 @@
 func (l *ledger) checkStops() (out []string) {
 	for _, a := range l.attempts {
 		for _, s := range l.stopped {
-			if a.closed && a.sentAt.After(s.from) && a.endedAt.Before(s.to) && l.ran1(a.id) {
+			if a.closed && a.sentAt.After(s.from) && a.endedAt.Before(s.to) && l.hasRun(a.id) {
 				out = append(out, fmt.Sprintf("%s %s was cut by %s in a planned stop", a.id, a.path, a.vm))
 			}
 		}
@@ -322,7 +322,7 @@
 	return out
 }
 
-func (l *ledger) ran1(id string) bool {
+func (l *ledger) hasRun(id string) bool {
 	return slices.ContainsFunc(l.runs, func(r replica.Run) bool { return r.Attempt == id && !r.Refused })
 }
 
--- a/testscripts/soak/link.go
+++ b/testscripts/soak/link.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -167,8 +166,3 @@
 		_ = conn.Close()
 	}
 }
-
-// contextUntilClose never ends by itself: the listener's close ends its server.
-func contextUntilClose(net.Listener) context.Context {
-	return context.Background()
-}
--- a/testscripts/soak/world.go
+++ b/testscripts/soak/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -105,7 +106,7 @@
 		return nil, err
 	}
 	w.storeLn = ln
-	go func() { _ = w.store.Serve(contextUntilClose(ln), ln) }()
+	go func() { _ = w.store.Serve(context.Background(), ln) }()
 	for r := range o.Regions {
 		for range o.Engines {
 			if err := w.addReplica(serviceEngine, regionName(r), 0); err != nil {
