--- a/roster/picture.go
+++ b/roster/picture.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
@@ -54,3 +55,23 @@
 	slices.SortFunc(p.Members, func(a, b Member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
 	return p
 }
+
+// readersRank is what the VMs of a region are ranked for.
+const readersRank = "readers"
+
+// Reads says whether this VM is among so many of its region that follow the
+// store: by rank among those reached that the store does not turn away. A VM that
+// is turned away tries on, in case all are.
+func (p *Picture) Reads(readers int) bool {
+	var vms []fleet.VM
+	for _, m := range p.Members {
+		isSelf := m.VM.ID == p.Self.ID
+		if m.VM.Region == p.Self.Region && (isSelf || (m.Reachable && !m.TurnedAway)) {
+			vms = append(vms, m.VM)
+		}
+	}
+	ranked := entry.Rank(readersRank, vms)
+	return slices.ContainsFunc(ranked[:min(readers, len(ranked))], func(vm fleet.VM) bool {
+		return vm.ID == p.Self.ID
+	})
+}
--- a/site/store.go
+++ b/site/store.go
@@ -7,8 +7,6 @@
 
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
-	"github.com/fuchsianotch/fuchsianotch/entry"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 )
 
@@ -106,25 +104,9 @@
 	if pic.table == nil {
 		return true
 	}
-	var vms []fleet.VM
-	for _, m := range pic.members.Members {
-		isSelf := m.VM.ID == n.deployment.VM
-		if m.VM.Region == n.deployment.Region && (isSelf || (m.Reachable && !m.TurnedAway)) {
-			vms = append(vms, m.VM)
-		}
-	}
-	ranked := entry.Rank(readersRank, vms)
-	for _, vm := range ranked[:min(readersPerRegion, len(ranked))] {
-		if vm.ID == n.deployment.VM {
-			return true
-		}
-	}
-	return false
+	return pic.members.Reads(readersPerRegion)
 }
 
-// readersRank is what the VMs of a region are ranked for.
-const readersRank = "readers"
-
 // dutyEvery is how often a VM that does not read looks whether it has to.
 const dutyEvery = 250 * time.Millisecond
 
