--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -70,6 +70,7 @@
 	versions []time.Time
 	stopped  []span
 	faults   map[string]int
+	marks    []faultMark
 }
 
 func newLedger() *ledger {
@@ -110,6 +111,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.faults[fault]++
+	l.marks = append(l.marks, faultMark{
+		at:   time.Now(),
+		name: fault,
+	})
 }
 
 func (l *ledger) disturb(from time.Time) {
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -27,6 +27,7 @@
 	vms := app.Flag("vms", "VMs in each region.").Default("2").Int()
 	clients := app.Flag("clients", "Clients in all.").Default("18").Int()
 	kept := app.Flag("kept", "Play the seeds that ever failed in place of --seed and --count.").Bool()
+	plotFile := app.Flag("plot", "File for an SVG of the last seed.").String()
 	keep := app.Flag("keep", "Folder for the logs of seeds that fail.").Default("soak-logs").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
@@ -43,6 +44,7 @@
 		Engines: 2,
 		Clients: *clients,
 		For:     *long,
+		Plot:    *plotFile,
 	})
 	stop()
 	app.FatalIfError(err, "build")
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -71,6 +71,12 @@
 			Detail: fmt.Sprintf("%.2f were served %v after all VMs were killed", recovered, recoverWithin),
 		})
 	}
+	if o.Plot != "" {
+		title := fmt.Sprintf("soak, seed %d: faults, planned stops, kill of all", o.Seed)
+		if err := w.ledger.writePlot(o.Plot, title, w.start); err != nil {
+			return report, err
+		}
+	}
 	return report, ctx.Err()
 }
 
--- a/testscripts/soak/world.go
+++ b/testscripts/soak/world.go
@@ -51,6 +51,8 @@
 	For time.Duration
 	// Out gets one line for each fault.
 	Out io.Writer
+	// Plot is a file for an SVG of the run; empty means none.
+	Plot string
 }
 
 // world is the deployment under test with its stand-ins.
