Measure the way between regions

A stream that goes on from its copy now uses the budget of repeats, as its endpoint sees one more arrival. Change: exchanges measure it; 200 ms until one has.

--- a/serving/run.go
+++ b/serving/run.go
@@ -57,9 +57,7 @@
 type progress struct {
 	excluded [2]string
 	attempts int
-	// sends are the attempts of which a byte went out; refused are those of
-	// them that certainly did not run.
-	sends     int
+	// refused are the attempts that certainly did not run.
 	refused   int
 	delivered int
 	// backup is the endpoint that holds a copy of what the last attempt had in
@@ -90,7 +88,7 @@
 		if p.last.Code.Class() == result.ClassDone || !s.mayRepeat(c, &p) {
 			return s.end(&p, sink, p.outcome)
 		}
-		if p.last.Sent && !p.goOn && !s.options.Budget.Allow(c.Target()) {
+		if p.last.Sent && !s.options.Budget.Allow(c.Target()) {
 			c.Trail.Fail("repeat_refused", slog.String("service", c.Target()))
 			return s.end(&p, sink, p.budgetSpent())
 		}
@@ -283,9 +281,6 @@
 	p.last = out
 	p.excluded[p.attempts%len(p.excluded)] = endpointID
 	p.attempts++
-	if out.Sent {
-		p.sends++
-	}
 	if !out.Sent || out.Code.Class() == result.ClassNotRun {
 		p.refused++
 	}
--- a/site/control.go
+++ b/site/control.go
@@ -20,6 +20,11 @@
 	// suspicion of three intervals and the ways between regions, a lost VM counts
 	// as dead after about 3 s.
 	gossipEvery = 500 * time.Millisecond
+	// defaultWay stands in for the time there and back to a region until an
+	// exchange has measured it: regions are some 100 ms apart as a rule.
+	defaultWay = 200 * time.Millisecond
+	// wayWeight is the weight of one exchange in that time.
+	wayWeight = 0.2
 	// loadGoodFor is how long a region's word about its load is used.
 	loadGoodFor = 4 * time.Second
 )
@@ -54,6 +59,8 @@
 	mirror    *discovery.Mirror
 	discovery *discovery.State
 	loads     map[loadKey]regionLoad
+	// ways are the times there and back to other regions, as exchanges took.
+	ways      map[string]time.Duration
 	published atomic.Pointer[picture]
 	// endpointsAt is when the endpoints change by themselves.
 	endpointsAt time.Time
@@ -81,6 +88,7 @@
 			Grace: n.deployment.Bounds.LapseWithin,
 		}),
 		loads: make(map[loadKey]regionLoad),
+		ways:  make(map[string]time.Duration),
 	}
 	c.published.Store(&picture{
 		members: c.roster.Picture(),
@@ -173,6 +181,7 @@
 			delete(c.loads, key)
 			continue
 		}
+		load.Way = c.wayTo(key.region)
 		out[key.service] = append(out[key.service], load)
 	}
 	return out
@@ -214,6 +223,23 @@
 	return out
 }
 
+// tookWay notes how long an exchange with a region took.
+func (c *control) tookWay(region string, took time.Duration) {
+	known, ok := c.ways[region]
+	if !ok {
+		c.ways[region] = took
+		return
+	}
+	c.ways[region] = known + time.Duration(wayWeight*float64(took-known))
+}
+
+func (c *control) wayTo(region string) time.Duration {
+	if way, ok := c.ways[region]; ok {
+		return way
+	}
+	return defaultWay
+}
+
 // reportChanges logs what this VM believes differently.
 func (c *control) reportChanges(before, after *picture) {
 	if before.table != after.table {
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -53,12 +53,15 @@
 func (n *Node) exchange(ctx context.Context, target roster.Target, m *peerpb.GossipMessage) {
 	trip, cancel := context.WithTimeout(ctx, exchangeWithin)
 	defer cancel()
+	sentAt := n.now()
 	reply, err := n.peers.Gossip(trip, target.VM, m)
+	took := n.now().Sub(sentAt)
 	n.control.send(ctx, func(c *control, now time.Time) {
 		if err != nil {
 			c.missed(target.VM, err, now)
 			return
 		}
+		c.tookWay(reply.GetFrom().GetRegion(), took)
 		c.heard(ctx, reply, now)
 	})
 }
--- a/site/place.go
+++ b/site/place.go
@@ -19,10 +19,6 @@
 	"github.com/fuchsianotch/fuchsianotch/serving"
 )
 
-// wayBetweenRegions stands in for the time there and back to a region, until
-// it is measured.
-const wayBetweenRegions = 160 * time.Millisecond
-
 // leastAnswer is the part of the bound on generated tokens that is expected
 // where the own region has not learnt it.
 const leastAnswer = 0.25
@@ -136,7 +132,6 @@
 			continue
 		}
 		load := l.Load
-		load.Way = wayBetweenRegions
 		load.Warm = n.warmth.holds(c.PrefixHash, l.Region, now)
 		load.Whole = load.First + time.Duration(own.Answer*float64(l.token))
 		load.LongWhole = load.First + time.Duration(own.Long*float64(l.token))
