Number the words on cold endpoints, so that they do not go round

VMs passed on the time that an endpoint is cold yet. It does not shrink on the way, so over ways slower than 300 ms an old word passed for a longer one and was told to eight VMs again, for good: endpoints stayed cold and the ways of 10 Mbit/s were full. A threshold on the length cannot tell the two apart; a number for each word can. News of several endpoints is told once, and the three loops that begin exchanges are one.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -57,6 +57,9 @@
 type known struct {
 	fleet.Endpoint
 	coldUntil time.Time
+	// coldNumber numbers the endpoint's own words that it is cold; zero means that
+	// only the store has told it.
+	coldNumber uint64
 	// goneAt is set while the entry is missing.
 	goneAt time.Time
 	// endsAt is when a leaving endpoint stops, if it said so.
@@ -151,20 +154,50 @@
 	s.endpoints[e.ID] = k
 }
 
-// Cold takes an endpoint's own word that it is cold until a moment, and says
-// whether that is new. It matters while the store, which tells it too, is away.
+// Cold takes an endpoint's own word, told to this VM, that it is cold until a
+// moment, and says whether that is new. It matters while the store, which tells
+// it too, is away.
 func (s *State) Cold(id string, until, now time.Time) bool {
 	k, ok := s.endpoints[id]
-	if !ok || !until.After(now) || until.Sub(k.coldUntil) < coldNewer {
+	if !ok || !until.After(now) || !k.extendCold(until) {
 		return false
 	}
-	k.coldUntil = until
+	k.coldNumber++
 	return true
 }
 
-// coldNewer is by how much a later word must differ to be told to others: each
-// is late by the way that it came.
-const coldNewer = 300 * time.Millisecond
+// HeardCold takes such a word from another VM, and says whether it is new. Each
+// is late by the way that it came, so one that is known already never counts as
+// a longer one: VMs with slow ways between them would tell it each other for good.
+func (s *State) HeardCold(id string, number uint64, until, now time.Time) bool {
+	k, ok := s.endpoints[id]
+	if !ok || !until.After(now) {
+		return false
+	}
+	if number <= k.coldNumber && now.Before(k.coldUntil.Add(coldForgotten)) {
+		return false
+	}
+	k.coldNumber = number
+	return k.extendCold(until)
+}
+
+const (
+	// coldNewer is by how much an endpoint's word must be longer to be told to
+	// others: two answers differ by the time that they were under way.
+	coldNewer = 300 * time.Millisecond
+	// coldForgotten is how long after its end a word is known: ten times the
+	// longest exchange, so that none still under way brings it back. A VM that
+	// asks an endpoint and began anew numbers from the start, which counts after that.
+	coldForgotten = 10 * time.Second
+)
+
+func (k *known) extendCold(until time.Time) bool {
+	if until.Sub(k.coldUntil) < coldNewer {
+		return false
+	}
+	k.coldUntil = until
+	return true
+}
 
 // remove takes an entry's removal. Around an outage of the store it may mean
 // that the endpoint could not renew it, so it is given time to come back.
@@ -216,6 +249,8 @@
 	fleet.Endpoint
 	// ColdUntil is zero for a warm endpoint.
 	ColdUntil time.Time
+	// ColdNumber is that of the endpoint's word for it, zero where there is none.
+	ColdNumber uint64
 }
 
 // Endpoints gives the endpoints that take new work, by id.
@@ -230,6 +265,7 @@
 		}
 		if k.coldUntil.After(now) {
 			r.ColdUntil = k.coldUntil
+			r.ColdNumber = k.coldNumber
 		}
 		out = append(out, r)
 	}
--- a/site/cold.go
+++ b/site/cold.go
@@ -31,26 +31,33 @@
 	}
 	if left > 0 {
 		p.node.control.send(ctx, func(c *control, now time.Time) {
-			c.cold(context.WithoutCancel(ctx), e.ID, now.Add(left), now)
+			until := now.Add(left)
+			if c.discovery.Cold(e.ID, until, now) {
+				c.nowCold(e.ID, until, now)
+				c.spread(context.WithoutCancel(ctx), coldTellTo, now)
+			}
 		})
 	}
 }
 
-// cold takes that an endpoint is cold, and tells others of the region if it is new.
-func (c *control) cold(ctx context.Context, id string, until, now time.Time) {
-	if !c.discovery.Cold(id, until, now) {
-		return
-	}
+func (c *control) nowCold(id string, until, now time.Time) {
 	c.changed = true
 	c.node.log.Info("endpoint_cold", "endpoint", id, "left_ms", until.Sub(now).Milliseconds())
-	for _, target := range c.roster.Spread(coldTellTo) {
-		go c.node.exchange(ctx, target, c.message(target.VM.Region, target.Full, now))
-	}
 }
 
+// takeCold takes what another VM says of cold endpoints, and tells others of
+// the region, once, if any of it is new.
 func (c *control) takeCold(ctx context.Context, list []*peerpb.ColdEndpoint, now time.Time) {
+	news := false
 	for _, m := range list {
-		c.cold(ctx, m.GetEndpoint(), now.Add(time.Duration(m.GetLeftMs())*time.Millisecond), now)
+		until := now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond)
+		if c.discovery.HeardCold(m.GetEndpoint(), m.GetNumber(), until, now) {
+			c.nowCold(m.GetEndpoint(), until, now)
+			news = true
+		}
+	}
+	if news {
+		c.spread(ctx, coldTellTo, now)
 	}
 }
 
@@ -62,6 +69,7 @@
 			out = append(out, &peerpb.ColdEndpoint{
 				Endpoint: e.ID,
 				LeftMs:   uint32(e.ColdUntil.Sub(now).Milliseconds()),
+				Number:   e.ColdNumber,
 			})
 		}
 	}
--- a/site/control.go
+++ b/site/control.go
@@ -127,9 +127,7 @@
 		case <-timer.C:
 		}
 		now := c.node.now()
-		for _, target := range c.roster.Step(now) {
-			go c.node.exchange(ctx, target, c.message(target.VM.Region, target.Full, now))
-		}
+		c.exchange(ctx, c.roster.Step(now), now)
 		c.publish(now)
 		timer.Reset(max(c.next(now).Sub(now), time.Millisecond))
 	}
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -167,7 +167,16 @@
 		return
 	}
 	c.take(items, now)
-	for _, target := range c.roster.Spread(spreadTo) {
+	c.spread(ctx, spreadTo, now)
+}
+
+// spread exchanges with some other VMs of the region at once.
+func (c *control) spread(ctx context.Context, count int, now time.Time) {
+	c.exchange(ctx, c.roster.Spread(count), now)
+}
+
+func (c *control) exchange(ctx context.Context, targets []roster.Target, now time.Time) {
+	for _, target := range targets {
 		go c.node.exchange(ctx, target, c.message(target.VM.Region, target.Full, now))
 	}
 }
