--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/moment"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 )
 
@@ -188,19 +189,12 @@
 	last := latestStart(r, supply)
 	patience := min(e.latest.Sub(e.at), last.Sub(e.at)/2)
 	if at.Add(patience).After(last) {
-		return later(at, r.WholeBy)
+		return moment.Later(at, r.WholeBy)
 	}
 	s.promised[p] = at
 	return at
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // forecastNew refuses a call that has just come and would start too late.
 func (s *State) forecastNew(id uint64, p call.Priority, supply routing.Supply, now time.Time) {
 	l := &s.waiting[p]
--- /dev/null
+++ b/common/moment/moment.go
@@ -0,0 +1,12 @@
+// Package moment compares points in time.
+package moment
+
+import "time"
+
+// Later gives the later of two moments.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/limit/account.go
+++ b/limit/account.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/moment"
 	"github.com/fuchsianotch/fuchsianotch/contract"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
@@ -144,25 +145,18 @@
 		floor = min(a.share, r.Share)
 		return floor, floor * span(a.filledAt, now)
 	}
-	since := later(a.filledAt, r.Since)
+	since := moment.Later(a.filledAt, r.Since)
 	seconds = r.Share * span(since, now)
 	if !a.filledAt.Before(r.Since) {
 		return r.Share, seconds
 	}
-	seconds += r.Base * span(later(a.filledAt, r.BaseSince), since)
+	seconds += r.Base * span(moment.Later(a.filledAt, r.BaseSince), since)
 	if a.filledAt.Before(r.BaseSince) {
 		return 0, seconds
 	}
 	return r.Base, seconds
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func span(from, to time.Time) float64 {
 	return max(to.Sub(from).Seconds(), 0)
 }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/moment"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
@@ -159,16 +160,9 @@
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func (s *State) wake(now time.Time) {
 	s.wokeAt = now
-	s.lendFrom = later(s.lendFrom, now.Add(s.every))
+	s.lendFrom = moment.Later(s.lendFrom, now.Add(s.every))
 	clear(s.loans)
 	for _, p := range s.peers {
 		p.lose()
--- a/ticket/desk.go
+++ b/ticket/desk.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/moment"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -136,7 +137,7 @@
 func (d *Desk) nextSequence(goodUntil time.Time) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.latest = later(d.latest, goodUntil)
+	d.latest = moment.Later(d.latest, goodUntil)
 	d.sequence++
 	return d.sequence
 }
@@ -236,7 +237,7 @@
 	if goodUntil.After(c.closed) && !now.After(goodUntil) {
 		return nil
 	}
-	c.closed = later(c.closed, goodUntil)
+	c.closed = moment.Later(c.closed, goodUntil)
 	return result.Refuse(result.TicketExpired, "the ticket was good until %s and was never used", goodUntil.UTC().Format(time.RFC3339Nano))
 }
 
@@ -252,7 +253,7 @@
 	}
 	refusal := result.Refuse(result.RecordsFull, "all records are in use")
 	if len(d.ended) > 0 {
-		return refusal.Until(later(now, d.ended[0].keepUntil))
+		return refusal.Until(moment.Later(now, d.ended[0].keepUntil))
 	}
 	return refusal
 }
@@ -312,19 +313,12 @@
 func (d *Desk) sweep(now time.Time) {
 	for len(d.ended) > 0 && now.After(d.ended[0].keepUntil) {
 		e := d.ended[0]
-		e.claim.swept = later(e.claim.swept, e.goodUntil)
-		e.claim.closed = later(e.claim.closed, e.goodUntil)
+		e.claim.swept = moment.Later(e.claim.swept, e.goodUntil)
+		e.claim.closed = moment.Later(e.claim.closed, e.goodUntil)
 		d.drop(e)
 	}
 }
 
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // entryHeap orders entries by keepUntil.
 type entryHeap []*Entry
 
--- a/ticket/entry.go
+++ b/ticket/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/moment"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -133,7 +134,7 @@
 	size := e.record.size()
 	e.size += size
 	e.desk.used += size
-	e.keepUntil = later(e.goodUntil, e.desk.retain(e.goodUntil))
+	e.keepUntil = moment.Later(e.goodUntil, e.desk.retain(e.goodUntil))
 	heap.Push(&e.desk.ended, e)
 	e.wake()
 }
--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/moment"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -91,7 +92,7 @@
 	d.sweep(now)
 	d.stopping = true
 	d.gaveUp = true
-	d.own.until = later(d.latest, d.retain(d.latest))
+	d.own.until = moment.Later(d.latest, d.retain(d.latest))
 	h := HandOver{
 		From: d.self,
 	}
@@ -135,7 +136,7 @@
 		h.Record = Record{
 			Code: result.RecordLost,
 		}
-		h.KeepUntil = later(e.goodUntil, e.desk.retain(e.goodUntil))
+		h.KeepUntil = moment.Later(e.goodUntil, e.desk.retain(e.goodUntil))
 	}
 	return h
 }
@@ -196,7 +197,7 @@
 			sequence:  t.Sequence,
 			callHash:  record.CallHash,
 			goodUntil: t.GoodUntil,
-			keepUntil: later(t.GoodUntil, record.KeepUntil),
+			keepUntil: moment.Later(t.GoodUntil, record.KeepUntil),
 			state:     finished,
 			record:    record.Record,
 			size:      RecordOverhead + record.Record.size(),
@@ -293,7 +294,7 @@
 	}
 	delete(d.claims, c.of)
 	if c.key != nil {
-		d.forgotten = later(d.forgotten, c.until)
+		d.forgotten = moment.Later(d.forgotten, c.until)
 	}
 }
 
