--- a/common/worker/worker.go
+++ b/common/worker/worker.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/oklog/run"
@@ -35,6 +37,21 @@
 	})
 }
 
+// AddHTTP adds a server that listens already. One that is shut down in a planned
+// stop ends only when gone is closed, so that the group goes on until then.
+func AddHTTP(group *run.Group, gone <-chan struct{}, serve, closeAll func() error) {
+	group.Add(func() error {
+		err := serve()
+		if errors.Is(err, http.ErrServerClosed) {
+			<-gone
+			return nil
+		}
+		return err
+	}, func(error) {
+		_ = closeAll()
+	})
+}
+
 // SleepUntil waits for a moment or the end of ctx.
 func SleepUntil(ctx context.Context, now, at time.Time) {
 	timer := time.NewTimer(at.Sub(now))
--- a/node/group.go
+++ b/node/group.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"time"
 
@@ -44,24 +42,11 @@
 	worker.Add(group, func(ctx context.Context) error {
 		return server.Serve(ctx, f.peer)
 	})
-	n.addHTTP(group, f.caller, n.caller.Serve, n.caller.Close)
+	worker.AddHTTP(group, n.gone, func() error { return n.caller.Serve(f.caller) }, n.caller.Close)
 	operators := &http.Server{
 		Handler:           operator.New(n.operatorOptions()),
 		ReadHeaderTimeout: n.settings.Limits.HeaderWithin.Duration,
 	}
-	n.addHTTP(group, f.operator, operators.Serve, operators.Close)
+	worker.AddHTTP(group, n.gone, func() error { return operators.Serve(f.operator) }, operators.Close)
 	return nil
 }
-
-func (n *Node) addHTTP(group *run.Group, ln net.Listener, serve func(net.Listener) error, closeAll func() error) {
-	group.Add(func() error {
-		err := serve(ln)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-n.gone
-			return nil
-		}
-		return err
-	}, func(error) {
-		_ = closeAll()
-	})
-}
--- a/site/site.go
+++ b/site/site.go
@@ -8,7 +8,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"log/slog"
 	"math"
 	mathrand "math/rand/v2"
@@ -349,24 +348,11 @@
 		if err != nil {
 			return err
 		}
-		n.addHTTP(group, ln, front.server)
+		worker.AddHTTP(group, n.gone, func() error { return front.server.Serve(ln) }, front.server.Close)
 	}
 	return nil
 }
 
-func (n *Node) addHTTP(group *run.Group, ln net.Listener, server *http.Server) {
-	group.Add(func() error {
-		err := server.Serve(ln)
-		if errors.Is(err, http.ErrServerClosed) {
-			<-n.gone
-			return nil
-		}
-		return err
-	}, func(error) {
-		_ = server.Close()
-	})
-}
-
 // self is this VM as others are to reach it.
 func (n *Node) self() fleet.VM {
 	return fleet.VM{
