Draw a forwarded call's service once, and look for a VM without listing

serveForwarded drew a service to see whether there is one and then drew again for the one to use; both come from the same shares, so one draw does. otherLoads, on the way of every call, built a list of the VMs of each other region to see whether it is empty; it stops at the first now. Behaviour is unchanged.

--- a/site/place.go
+++ b/site/place.go
@@ -128,7 +128,10 @@
 func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, own borrow.Load, now time.Time) []borrow.Load {
 	var out []borrow.Load
 	for _, l := range pic.loads[c.Target()] {
-		if !c.Routed.Allows(l.Region) || len(reachableIn(pic.members.Members, l.Region, tried)) == 0 {
+		if !c.Routed.Allows(l.Region) {
+			continue
+		}
+		if !slices.ContainsFunc(pic.members.Members, func(m roster.Member) bool { return takesCalls(m, l.Region, tried) }) {
 			continue
 		}
 		load := l.Load
@@ -144,13 +147,17 @@
 func reachableIn(members []roster.Member, region string, tried []string) []fleet.VM {
 	var out []fleet.VM
 	for _, m := range members {
-		if m.VM.Region == region && m.Reachable && m.Ready && !slices.Contains(tried, m.VM.ID) {
+		if takesCalls(m, region, tried) {
 			out = append(out, m.VM)
 		}
 	}
 	return out
 }
 
+func takesCalls(m roster.Member, region string, tried []string) bool {
+	return m.VM.Region == region && m.Reachable && m.Ready && !slices.Contains(tried, m.VM.ID)
+}
+
 func entriesIn(members []roster.Member, region string) []string {
 	var out []string
 	for _, vm := range reachableIn(members, region, nil) {
@@ -208,10 +215,14 @@
 	}
 	if table.Version > c.Routed.Version {
 		found, ok := table.Match(c.Routed.Host, c.Path)
-		if !ok || found.Pick(rand.Uint64()) == "" {
+		service := ""
+		if ok {
+			service = found.Pick(rand.Uint64())
+		}
+		if service == "" {
 			return call.Refused(result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM))
 		}
-		c.Service = found.Pick(rand.Uint64())
+		c.Service = service
 	}
 	n.warmth.touch(c, n.deployment.Region, n.now())
 	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
