--- a/gateway/main.go
+++ b/gateway/main.go
@@ -80,13 +80,18 @@
 }
 
 func newLogger(s *settings.Settings, to io.Writer) *slog.Logger {
-	var level slog.Level
-	_ = level.UnmarshalText([]byte(s.LogLevel))
 	options := &slog.HandlerOptions{
-		Level: level,
+		Level: levelOf(s.LogLevel),
 	}
 	if s.LogFormat == logFormJSON {
 		return slog.New(slog.NewJSONHandler(to, options))
 	}
 	return slog.New(slog.NewTextHandler(to, options))
 }
+
+// levelOf reads a log level of settings that were checked, so its name is known.
+func levelOf(name string) slog.Level {
+	var level slog.Level
+	_ = level.UnmarshalText([]byte(name))
+	return level
+}
--- a/gateway/platform.go
+++ b/gateway/platform.go
@@ -50,13 +50,10 @@
 	// Taken first, so that an early signal does not end the process.
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
-	var level slog.Level
-	// The settings were checked, so the name is known.
-	_ = level.UnmarshalText([]byte(own.LogLevel))
 	lines := logs.New(logs.Options{
 		To:    stdout,
 		Lines: own.LogLines,
-		Level: level,
+		Level: levelOf(own.LogLevel),
 	})
 	defer closeLogs(lines)
 	logger := lines.Logger()
