Engines fetch shared parts of prompts from other regions

Prompts were sent to the region that alone held them, which cost bytes between regions and left the rest. Change: regions tell each other which engine was sent which prefix; an engine fetches from the other region what its own lacks, where the call's homes allow it and the region is in reach. The home on the ring fetches too while nobody is known to have sent it the prompt. The placement by warm regions is gone.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -52,6 +52,8 @@
 	WholeBy      time.Time
 	PrefixHash   uint64
 	Prefixes     []routing.Prefix
+	// Homes are the regions that may hold the prompt; none means all.
+	Homes []string
 	PromptTokens int
 	MaxTokens    int
 	// Exclude names endpoints that were tried already.
@@ -283,6 +285,7 @@
 	return routing.Request{
 		PrefixHash:   r.PrefixHash,
 		Prefixes:     r.Prefixes,
+		Homes:        r.Homes,
 		PromptTokens: r.PromptTokens,
 		MaxTokens:    r.MaxTokens,
 		Priority:     r.Priority,
--- a/borrow/place.go
+++ b/borrow/place.go
@@ -8,10 +8,6 @@
 	// the way to them costs bytes. Estimates are too low when load rises.
 	nearEnough  = 0.25
 	wholeEnough = 0.35
-	// warmEnough is the part of either time within which a region that holds the
-	// shared part of a prompt is used in place of one that would read it again: a
-	// prompt of 12 KB costs less to carry than 5,000 tokens to read.
-	warmEnough = 0.5
 	// comeBackAfter is when a call for which no endpoint takes work may try again.
 	comeBackAfter = 500 * time.Millisecond
 	// An engine that reads prompts without a pause gives each of its streams one
@@ -46,8 +42,6 @@
 	Answer float64
 	// Long is how many by a call that is longer than nine in ten.
 	Long float64
-	// Warm says that the region has used the shared part of the prompt of late.
-	Warm bool
 }
 
 // PlaceRequest is a call that may be served in several regions.
@@ -61,9 +55,6 @@
 	// FirstBy is the objective and WholeBy the deadline; zero means none.
 	FirstBy time.Time
 	WholeBy time.Time
-	// Shared says that much of the prompt is shared with others, so that it matters
-	// where it is held.
-	Shared bool
 	// Rank is the call's priority, 0 first.
 	Rank int
 	// Draw is a random number from 0 to 1.
@@ -106,7 +97,7 @@
 		first, whole := r.used(r.Own, now)
 		if first <= nearEnough && whole <= wholeEnough {
 			return Placement{
-				Region: r.warmest(now),
+				Region: r.Own.Region,
 			}
 		}
 		best = r.Own
@@ -135,23 +126,6 @@
 	return max(whole, refuseLow*part(l.LongWhole+l.Way, r.WholeBy, now))
 }
 
-// warmest is the own region, or another one that alone holds the shared part
-// of the prompt and answers well in time.
-func (r PlaceRequest) warmest(now time.Time) string {
-	if !r.Shared || r.Own.Warm {
-		return r.Own.Region
-	}
-	region, least := r.Own.Region, warmEnough
-	for _, o := range r.Others {
-		first, whole := r.used(o, now)
-		if used := max(first, whole); o.Warm && o.Endpoints > 0 && used <= least {
-			region = o.Region
-			least = used
-		}
-	}
-	return region
-}
-
 // used gives the parts of the times to the objective and to the deadline that
 // the call would take in a region.
 func (r PlaceRequest) used(l Load, now time.Time) (first, whole float64) {
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -119,27 +119,6 @@
 	return int(float64(tokens) * cacheShare)
 }
 
-// source gives the engine from which another one may fetch the most of a
-// prompt, with the tokens that it holds; nil where none is known. The prompt's
-// home on the ring is the one that all VMs of the region agree on.
-func (p *Pool) source(home *endpoint, prefixes []Prefix, now time.Time) (*endpoint, int) {
-	if home != nil {
-		if tokens := home.cache.warm(prefixes, now); tokens > 0 {
-			return home, tokens
-		}
-	}
-	for i := len(prefixes) - 1; i >= 0; i-- {
-		e := p.holders[prefixes[i].Hash]
-		if e == nil || e.unlisted {
-			continue
-		}
-		if tokens := e.cache.warm(prefixes[:i+1], now); tokens > 0 {
-			return e, tokens
-		}
-	}
-	return nil, 0
-}
-
 // hold records that an engine is sent a call with these prefixes.
 func (p *Pool) hold(e *endpoint, prefixes []Prefix, now time.Time) {
 	if len(prefixes) == 0 {
@@ -166,6 +145,19 @@
 // holds a prefix: an engine reads as many in some 20 ms.
 const holdingLeast = 1000
 
+// FarHoldings gives those of other regions.
+func (p *Pool) FarHoldings(since time.Time) []Holding {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []Holding
+	for _, h := range p.far.holders {
+		if !h.UsedAt.Before(since) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
 // Holdings gives who was last sent each long prefix since a moment.
 func (p *Pool) Holdings(since time.Time) []Holding {
 	p.mu.Lock()
@@ -187,12 +179,13 @@
 }
 
 // Learn takes who holds prefixes from another VM.
-func (p *Pool) Learn(list []Holding) {
+func (p *Pool) Learn(list []Holding, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range list {
 		e := p.byID[l.Endpoint]
 		if e == nil {
+			p.far.learn(l, now)
 			continue
 		}
 		if h := e.cache.held[l.Hash]; h != nil && !h.usedAt.Before(l.UsedAt) {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -130,7 +130,7 @@
 // locate finds what the choice needs to know of the prompt.
 func (p *Pool) locate(r *Request, now time.Time) {
 	r.home, r.second = p.ring.pair(r.PrefixHash)
-	r.source, r.fetchable = p.source(r.home, r.Prefixes, now)
+	r.source = p.source(r.home, *r, now)
 }
 
 // take counts the call at the candidate.
@@ -204,7 +204,7 @@
 		p.scan(&best, r, now)
 		return best, best.state != nil
 	}
-	p.better(&best, r.source, r, now)
+	p.better(&best, r.source.endpoint, r, now)
 	p.better(&best, r.home, r, now)
 	p.better(&best, r.second, r, now)
 	for i := range randomDraws + extraDraws {
@@ -275,14 +275,15 @@
 // many of them it has to fetch.
 func (e *endpoint) cached(r Request, now time.Time) (cached, fetched int) {
 	own := e.cache.warm(r.Prefixes, now)
+	cached = own
 	if e == r.home && len(r.Prefixes) > 0 {
 		// Other VMs send such prompts there too.
-		own = r.Prefixes[len(r.Prefixes)-1].Tokens
+		cached = r.Prefixes[len(r.Prefixes)-1].Tokens
 	}
-	if r.source == nil || r.source == e || r.fetchable < own+fetchLeast {
-		return own, 0
+	if r.source.endpoint == e || r.source.tokens < own+fetchLeast {
+		return cached, 0
 	}
-	return r.fetchable, r.fetchable - own
+	return max(cached, r.source.tokens), r.source.tokens - own
 }
 
 // read is the expected time to the first token of a prompt whose parts are
@@ -310,7 +311,7 @@
 	}
 	fetchFrom := ""
 	if c.fetched > 0 {
-		fetchFrom = r.source.Addr
+		fetchFrom = r.source.addr
 	}
 	return Choice{
 		FetchFrom: fetchFrom,
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -60,16 +60,16 @@
 	Only string
 	// Backup asks for another endpoint that keeps a copy of what the call has in memory.
 	Backup bool
+	// Homes are the regions that may hold the prompt; none means all.
+	Homes []string
 	// Again lets an excluded endpoint be chosen where no other takes work: the
 	// call ran there and failed by itself, which the next run may not.
 	Again bool
 
 	// home and second are the prefix's endpoints, found once for each choice.
 	home, second *endpoint
-	// source is the engine that holds most of the prompt, and fetchable how many
-	// tokens; both are found once for each choice.
-	source    *endpoint
-	fetchable int
+	// source is the engine that holds most of the prompt, found once for each choice.
+	source source
 }
 
 // Choice is one call counted in flight at one endpoint. It must be given back
@@ -140,6 +140,7 @@
 	total    total
 	// holders gives the engine that was last sent each prefix.
 	holders map[uint64]*endpoint
+	far     far
 }
 
 // New makes an empty Pool. An unknown policy is treated as PolicyAffinity.
@@ -154,6 +155,9 @@
 		byID:    map[string]*endpoint{},
 		learnt:  newLearnt(),
 		holders: map[uint64]*endpoint{},
+		far: far{
+			holders: map[uint64]Holding{},
+		},
 	}
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -259,6 +259,7 @@
 	}
 	if c.Routed != nil {
 		r.Prefixes = routing.Prefixes(c.Routed.Parts)
+		r.Homes = c.Routed.Homes
 	}
 	if p.goOn {
 		r.Only = p.backup.ID
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -35,11 +35,10 @@
 	if region == c.node.deployment.Region {
 		m.Reports = c.node.pools.heldReports(now)
 		m.Cold = c.coldMessage(now)
-		m.Holdings = c.node.pools.holdings(now)
-		m.Warm = c.node.warmth.message("", now)
+		m.Holdings = c.node.pools.holdings(true, now)
 	} else {
 		m.Loads = c.node.pools.loads(now)
-		m.Warm = c.node.warmth.message(c.node.deployment.Region, now)
+		m.Holdings = c.node.pools.holdings(false, now)
 	}
 	if full {
 		for _, r := range c.roster.Rumors() {
@@ -88,7 +87,6 @@
 	c.takeLoads(from.VM.Region, m.GetLoads(), now)
 	c.takeCold(ctx, m.GetCold(), now)
 	c.node.pools.takeReports(m.GetReports(), now)
-	c.node.warmth.take(m.GetWarm(), now)
 	c.node.pools.takeHoldings(m.GetHoldings(), now)
 	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
 		c.node.current()
--- a/site/holdings.go
+++ b/site/holdings.go
@@ -15,12 +15,18 @@
 	holdingsSent = 32
 )
 
-// holdings tell another VM of the region which engines were sent which shared
-// beginnings of prompts of late, so that others can fetch from them.
-func (p *pools) holdings(now time.Time) []*peerpb.PrefixHolding {
+// holdings tell another VM which engines were sent which shared beginnings of
+// prompts of late, so that others can fetch from them: those of this region, and
+// where far is set those of others too.
+func (p *pools) holdings(far bool, now time.Time) []*peerpb.PrefixHolding {
 	var out []*peerpb.PrefixHolding
+	since := now.Add(-holdingNew)
 	for service, pool := range p.table.Load().byService {
-		for _, h := range pool.Endpoints.Holdings(now.Add(-holdingNew)) {
+		list := pool.Endpoints.Holdings(since)
+		if far {
+			list = append(list, pool.Endpoints.FarHoldings(since)...)
+		}
+		for _, h := range list {
 			if len(out) == holdingsSent {
 				return out
 			}
@@ -48,7 +54,7 @@
 	}
 	for service, holdings := range byService {
 		if pool := p.table.Load().byService[service]; pool != nil {
-			pool.Endpoints.Learn(holdings)
+			pool.Endpoints.Learn(holdings, now)
 		}
 	}
 }
--- a/site/place.go
+++ b/site/place.go
@@ -54,7 +54,6 @@
 		Others:     others,
 		FirstBy:    c.FirstBy,
 		WholeBy:    c.WholeBy,
-		Shared:     sharedTokens(c) >= warmLeast,
 		Rank:       c.Routed.Rank,
 		Draw:       rand.Float64(),
 	}, now)
@@ -67,7 +66,6 @@
 	if region == "" {
 		return vm, false, result.Refuse(result.NoEndpoint, "no region takes calls of %s", c.Service).Until(borrow.ComeBack(now))
 	}
-	n.warmth.touch(c, region, now)
 	if region == n.deployment.Region {
 		return vm, false, nil
 	}
@@ -106,6 +104,7 @@
 	expected, ok := pool.Endpoints.Expect(routing.Request{
 		PrefixHash:   c.PrefixHash,
 		Prefixes:     routing.Prefixes(c.Routed.Parts),
+		Homes:        c.Routed.Homes,
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
 		Priority:     c.Priority,
@@ -119,7 +118,6 @@
 	load.Answer = expected.Answer
 	load.Long = expected.Long
 	load.LongWhole = expected.First + time.Duration(expected.Long*float64(expected.Token))
-	load.Warm = n.warmth.holds(c.PrefixHash, n.deployment.Region, now)
 	return load
 }
 
@@ -135,7 +133,6 @@
 			continue
 		}
 		load := l.Load
-		load.Warm = n.warmth.holds(c.PrefixHash, l.Region, now)
 		load.Whole = load.First + time.Duration(own.Answer*float64(l.token))
 		load.LongWhole = load.First + time.Duration(own.Long*float64(l.token))
 		out = append(out, load)
@@ -224,7 +221,6 @@
 		}
 		c.Service = service
 	}
-	n.warmth.touch(c, n.deployment.Region, n.now())
 	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
 	defer cancel()
 	return n.serve(ctx, c, sink)
--- a/site/pools.go
+++ b/site/pools.go
@@ -77,8 +77,10 @@
 			after.byService[service] = old
 		}
 	}
+	far := p.farEndpoints(pic)
 	for service, pool := range after.byService {
 		pool.Endpoints.SetEndpoints(warm[service], now)
+		pool.Endpoints.SetFar(far[service])
 		if after.vms != before.vms {
 			pool.Endpoints.SetVMs(after.vms)
 		}
@@ -86,6 +88,24 @@
 	p.table.Store(after)
 }
 
+// farEndpoints are those of the other regions in reach, by service: engines
+// fetch parts of prompts from them.
+func (p *pools) farEndpoints(pic *picture) map[string][]fleet.Endpoint {
+	reached := make(map[string]bool)
+	for _, m := range pic.members.Members {
+		if m.Reachable && m.VM.Region != p.node.deployment.Region {
+			reached[m.VM.Region] = true
+		}
+	}
+	out := make(map[string][]fleet.Endpoint)
+	for _, e := range pic.endpoints {
+		if reached[e.Region] {
+			out[e.Service] = append(out[e.Service], e.Endpoint)
+		}
+	}
+	return out
+}
+
 func (p *pools) isEngine(pic *picture, service string) bool {
 	if pic.table == nil {
 		return false
--- a/site/site.go
+++ b/site/site.go
@@ -83,7 +83,6 @@
 	peers   *peer.Client
 	client  *endpoint.Client
 	pools   *pools
-	warmth  *warmth
 	serving *serving.Server
 	control *control
 	callers *http.Server
@@ -139,7 +138,6 @@
 	})
 	n.control = newControl(n)
 	n.pools = newPools(n)
-	n.warmth = newWarmth()
 	n.serving = n.newServing()
 	n.callers = n.newCallers()
 	limitMemory(d.MemoryBytes)
