--- a/admission/admission.go
+++ b/admission/admission.go
@@ -48,12 +48,12 @@
 type Request struct {
 	Priority call.Priority
 	// FirstBy and WholeBy are deadlines; a zero time means none.
-	FirstBy      time.Time
-	WholeBy      time.Time
-	PrefixHash   uint64
-	Prefixes     []routing.Prefix
+	FirstBy    time.Time
+	WholeBy    time.Time
+	PrefixHash uint64
+	Prefixes   []routing.Prefix
 	// Homes are the regions that may hold the prompt; none means all.
-	Homes []string
+	Homes        []string
 	PromptTokens int
 	MaxTokens    int
 	// Exclude names endpoints that were tried already.
