Few VMs of a region ask another one, and tell the others

Cause: every VM asked every other region each second. Change: about three VMs of a region ask each other one in a second; loads and prefixes of other regions travel within the region with their age. While members of a region are in doubt all VMs ask up to four more there. A word must be 50 ms newer to replace one that is held, as ages do not count the way.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -44,6 +44,16 @@
 	// farEvery is how often, in intervals, a member of each other region is asked:
 	// bytes between regions are dear, and a region's load changes in seconds.
 	farEvery = 2
+	// farAskers is how many members of a region ask each other region in a round, on
+	// average: what they hear travels within the region, and bytes between regions
+	// must not grow with the members. With two, regions of 30 that were cut off were
+	// at times still named after 8 s (8 of 20 plays), with three they were not.
+	farAskers = 3
+	// farInDoubt is how many members of a region each member asks at the most in a
+	// round while some there are in doubt, and askedForDoubt how many for each of
+	// those: the death of one is no reason to ask all.
+	farInDoubt    = 4
+	askedForDoubt = 2
 )
 
 // Rumor is what is known of one member. The member itself raises Version with
@@ -188,9 +198,7 @@
 	r.next = now.Add(r.every)
 	r.round++
 	due = append(due, r.near()...)
-	if r.round%farEvery == 0 || r.inDoubt() {
-		due = append(due, r.far()...)
-	}
+	due = append(due, r.far()...)
 	if r.round%deadEvery == 0 {
 		due = append(due, r.dead()...)
 	}
@@ -211,17 +219,6 @@
 	return next
 }
 
-// inDoubt says whether a member of another region is, so that the others there
-// are asked sooner: a region is lost as a whole more often than one VM of it.
-func (r *Roster) inDoubt() bool {
-	for _, m := range r.members {
-		if m.VM.Region != r.self.VM.Region && m.doubtful() {
-			return true
-		}
-	}
-	return false
-}
-
 // doubtful members are asked more often until they answer or count as dead.
 func (m *member) doubtful() bool {
 	return m.State == StateSuspect || (m.State == StateAlive && m.misses > 0)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -33,6 +33,8 @@
 	lives uint64
 	queue []delivery
 	seeds []string
+	// far counts the exchanges that were begun with another region.
+	far int
 }
 
 type testVM struct {
@@ -114,6 +116,7 @@
 	}
 	way := time.Millisecond
 	if from.vm.Region != to.vm.Region {
+		w.far++
 		way = testWay / 2
 	}
 	if !to.up && !w.cut(from, to) {
@@ -234,6 +237,23 @@
 	return [2]string{words[1], words[2]}
 }
 
+// TestFarExchanges holds that the exchanges of a region with another one do not
+// grow with its VMs while nobody is in doubt.
+func TestFarExchanges(t *testing.T) {
+	const seconds = 20
+	for _, perRegion := range []int{3, 30, 100} {
+		w := newWorld(t, 2, perRegion, 1)
+		for _, id := range w.order {
+			w.start(id)
+		}
+		w.run(10 * time.Second)
+		w.far = 0
+		w.run(seconds * time.Second)
+		begun := float64(w.far) / seconds
+		assert.Assert(t, begun > farAskers && begun < 3*farAskers, "%d VMs a region: %.1f a second", perRegion, begun)
+	}
+}
+
 // TestOlderClock holds that a life whose clock is behind that of the life
 // before it is still taken for the newer one.
 func TestOlderClock(t *testing.T) {
--- a/roster/target.go
+++ b/roster/target.go
@@ -53,18 +53,63 @@
 	return out
 }
 
-// far gives one random living member of each other region. Those in doubt are
-// asked anyway.
+// far gives random living members of the other regions: one of each that this
+// member is drawn to ask in this round, and several of one where members are in
+// doubt, as a region is lost as a whole more often than one VM of it. Those in
+// doubt are asked anyway.
 func (r *Roster) far() []Target {
-	byRegion := make(map[string][]*member)
-	for _, m := range r.sorted() {
-		if m.VM.Region != r.self.VM.Region && m.State < StateDead && !m.doubtful() {
-			byRegion[m.VM.Region] = append(byRegion[m.VM.Region], m)
+	asks := r.round%farEvery == 0 && r.rand()%uint64(r.countNear()) < farAskers
+	var out []Target
+	for _, region := range r.farRegions() {
+		count := min(askedForDoubt*region.doubtful, farInDoubt)
+		if asks {
+			count = max(count, 1)
+		}
+		for range min(count, len(region.well)) {
+			i := int(r.rand() % uint64(len(region.well)))
+			out = append(out, r.target(region.well[i]))
+			region.well = slices.Delete(region.well, i, i+1)
 		}
 	}
-	var out []Target
-	for _, list := range byRegion {
-		out = append(out, r.target(list[r.rand()%uint64(len(list))]))
+	return out
+}
+
+// countNear counts the living members of the own region, this one included.
+func (r *Roster) countNear() int {
+	count := 1
+	for _, m := range r.members {
+		if m.VM.Region == r.self.VM.Region && m.State == StateAlive {
+			count++
+		}
+	}
+	return count
+}
+
+// farRegion is what is known of the members of another region.
+type farRegion struct {
+	// well are those that live and are not in doubt, doubtful counts the others.
+	well     []*member
+	doubtful int
+}
+
+func (r *Roster) farRegions() []*farRegion {
+	var out []*farRegion
+	byName := make(map[string]*farRegion)
+	for _, m := range r.sorted() {
+		if m.VM.Region == r.self.VM.Region || m.State >= StateDead {
+			continue
+		}
+		region := byName[m.VM.Region]
+		if region == nil {
+			region = &farRegion{}
+			byName[m.VM.Region] = region
+			out = append(out, region)
+		}
+		if m.doubtful() {
+			region.doubtful++
+		} else {
+			region.well = append(region.well, m)
+		}
 	}
 	return out
 }
--- a/site/control.go
+++ b/site/control.go
@@ -6,7 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/fuchsianotch/fuchsianotch/borrow"
 	"github.com/fuchsianotch/fuchsianotch/common/mailbox"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/roster"
@@ -25,8 +24,6 @@
 	defaultWay = 200 * time.Millisecond
 	// wayWeight is the weight of one exchange in that time.
 	wayWeight = 0.2
-	// loadGoodFor is how long a region's word about its load is used.
-	loadGoodFor = 4 * time.Second
 )
 
 // message is one event for the control goroutine.
@@ -43,14 +40,6 @@
 	revision uint64
 }
 
-// regionLoad is a region's load with the end of its use.
-type regionLoad struct {
-	borrow.Load
-	// token is the time for each generated token there.
-	token time.Duration
-	until time.Time
-}
-
 // control owns all control state. Only its goroutine touches it.
 type control struct {
 	node      *Node
@@ -67,11 +56,6 @@
 	changed     bool
 }
 
-type loadKey struct {
-	region  string
-	service string
-}
-
 func newControl(n *Node) *control {
 	c := &control{
 		node:  n,
@@ -172,19 +156,6 @@
 	c.reportChanges(before, after)
 }
 
-func (c *control) loadsByService(now time.Time) map[string][]regionLoad {
-	out := make(map[string][]regionLoad)
-	for key, load := range c.loads {
-		if !now.Before(load.until) {
-			delete(c.loads, key)
-			continue
-		}
-		load.Way = c.wayTo(key.region)
-		out[key.service] = append(out[key.service], load)
-	}
-	return out
-}
-
 // endpointCount is how many endpoints of one service take work.
 type endpointCount struct {
 	warm, cold int
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -6,7 +6,6 @@
 	"syscall"
 	"time"
 
-	"github.com/fuchsianotch/fuchsianotch/borrow"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer"
@@ -35,10 +34,11 @@
 	if region == c.node.deployment.Region {
 		m.Reports = c.node.pools.heldReports(now)
 		m.Cold = c.coldMessage(now)
-		m.Holdings = c.node.pools.holdings(true, now)
+		m.Holdings = append(c.node.pools.holdings(now), c.node.pools.farHoldings(now)...)
+		m.Loads = c.loadsMessage(now)
 	} else {
 		m.Loads = c.node.pools.loads(now)
-		m.Holdings = c.node.pools.holdings(false, now)
+		m.Holdings = c.node.pools.holdings(now)
 	}
 	if full {
 		for _, r := range c.roster.Rumors() {
@@ -84,7 +84,7 @@
 	}
 	from := rumorFromMessage(m.GetFrom())
 	c.roster.Heard(from, m.GetHash(), rumors, now)
-	c.takeLoads(from.VM.Region, m.GetLoads(), now)
+	c.takeLoads(m.GetLoads(), now)
 	c.takeCold(ctx, m.GetCold(), now)
 	c.node.pools.takeReports(m.GetReports(), now)
 	c.node.pools.takeHoldings(m.GetHoldings(), now)
@@ -96,27 +96,6 @@
 	}
 }
 
-func (c *control) takeLoads(region string, loads []*peerpb.RegionLoad, now time.Time) {
-	if region == c.node.deployment.Region {
-		return
-	}
-	for _, l := range loads {
-		key := loadKey{
-			region:  region,
-			service: l.GetService(),
-		}
-		c.loads[key] = regionLoad{
-			Load: borrow.Load{
-				Region:    region,
-				Endpoints: int(l.GetEndpoints()),
-				First:     time.Duration(l.GetFirstMs()) * time.Millisecond,
-			},
-			token: time.Duration(l.GetTokenUs()) * time.Microsecond,
-			until: now.Add(loadGoodFor),
-		}
-	}
-}
-
 // answerGossip takes a peer's message and gives this VM's.
 func (n *Node) answerGossip(ctx context.Context, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
 	return ask(ctx, n.control, func(c *control, now time.Time) *peerpb.GossipMessage {
--- a/site/holdings.go
+++ b/site/holdings.go
@@ -11,22 +11,33 @@
 	// holdingNew is how recent a use must be to be told: what is older was told
 	// in the exchanges before.
 	holdingNew = 1500 * time.Millisecond
-	// holdingsSent bounds the entries of one message, at some 40 bytes each.
+	// farHoldingNew is the same for uses in other regions, of which only a few VMs
+	// hear at first: 30 VMs pass them on to all in some three seconds.
+	farHoldingNew = 3 * time.Second
+	// holdingsSent bounds the entries of one message, at some 40 bytes each, for
+	// the own region and for the others.
 	holdingsSent = 32
 )
 
-// holdings tell another VM which engines were sent which shared beginnings of
-// prompts of late, so that others can fetch from them: those of this region, and
-// where far is set those of others too.
-func (p *pools) holdings(far bool, now time.Time) []*peerpb.PrefixHolding {
+// holdings tell another VM which engines of this region were sent which shared
+// beginnings of prompts of late, so that others can fetch from them.
+func (p *pools) holdings(now time.Time) []*peerpb.PrefixHolding {
+	return p.holdingMessages(now, func(pool *pool) []routing.Holding {
+		return pool.Endpoints.Holdings(now.Add(-holdingNew))
+	})
+}
+
+// farHoldings tell another VM of this region the same of other regions.
+func (p *pools) farHoldings(now time.Time) []*peerpb.PrefixHolding {
+	return p.holdingMessages(now, func(pool *pool) []routing.Holding {
+		return pool.Endpoints.FarHoldings(now.Add(-farHoldingNew))
+	})
+}
+
+func (p *pools) holdingMessages(now time.Time, of func(*pool) []routing.Holding) []*peerpb.PrefixHolding {
 	var out []*peerpb.PrefixHolding
-	since := now.Add(-holdingNew)
 	for service, pool := range p.table.Load().byService {
-		list := pool.Endpoints.Holdings(since)
-		if far {
-			list = append(list, pool.Endpoints.FarHoldings(since)...)
-		}
-		for _, h := range list {
+		for _, h := range of(pool) {
 			if len(out) == holdingsSent {
 				return out
 			}
--- a/site/pools.go
+++ b/site/pools.go
@@ -6,18 +6,11 @@
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
-	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/serving"
 )
 
-const (
-	// usualPrompt is the prompt, in tokens, for which a region tells others its
-	// time to the first token.
-	usualPrompt = 1000
-)
-
 // pools are the endpoints of this region by service. The control goroutine
 // updates them; traffic reads an immutable table.
 type pools struct {
@@ -176,24 +169,3 @@
 	}
 	return &pool.Pool, true
 }
-
-// loads tells other regions how this one can serve each service.
-func (p *pools) loads(now time.Time) []*peerpb.RegionLoad {
-	var out []*peerpb.RegionLoad
-	for service, pool := range p.table.Load().byService {
-		expected, ok := pool.Endpoints.Expect(routing.Request{
-			PromptTokens: usualPrompt,
-		}, now)
-		endpoints := 0
-		if ok {
-			endpoints = pool.Endpoints.Supply(now).Endpoints
-		}
-		out = append(out, &peerpb.RegionLoad{
-			Service:   service,
-			Endpoints: uint32(endpoints),
-			FirstMs:   uint32(expected.First.Milliseconds()),
-			TokenUs:   uint32(expected.Token.Microseconds()),
-		})
-	}
-	return out
-}
--- a/site/reports.go
+++ b/site/reports.go
@@ -20,9 +20,10 @@
 	reportWithin = time.Second
 	// reportGoodFor is how long a report is passed on to other VMs.
 	reportGoodFor = 1200 * time.Millisecond
-	// reportNewer is by how much a report must be newer to be taken from
-	// another VM: its age grows by the way between the two.
-	reportNewer = 50 * time.Millisecond
+	// newerBy is by how much another VM's word must be newer to replace one that
+	// is held: a word's age does not count the way between the two, so that one
+	// which comes back to its teller looks newer by some milliseconds.
+	newerBy = 50 * time.Millisecond
 )
 
 // reports are the engines' latest loads, asked by this VM or heard from others
@@ -93,7 +94,7 @@
 func (p *pools) takeReport(id string, r heldReport) {
 	p.reports.mu.Lock()
 	old, ok := p.reports.held[id]
-	fresh := !ok || r.load.At.Sub(old.load.At) > reportNewer
+	fresh := !ok || r.load.At.Sub(old.load.At) > newerBy
 	if fresh {
 		p.reports.held[id] = r
 	}
