--- a/site/place.go
+++ b/site/place.go
@@ -47,7 +47,7 @@
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
 	own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
-	others := n.otherLoads(c, pic, tried, own, now)
+	others := n.otherLoads(c, pic, tried, own)
 	placed := borrow.Place(borrow.PlaceRequest{
 		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
@@ -123,7 +123,7 @@
 
 // otherLoads are those of the regions that may serve the call and have a VM in
 // reach. own says how many tokens are expected to be generated.
-func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, own borrow.Load, now time.Time) []borrow.Load {
+func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, own borrow.Load) []borrow.Load {
 	var out []borrow.Load
 	for _, l := range pic.loads[c.Target()] {
 		if !c.Routed.Allows(l.Region) {
