Move what a call's attempts and places come to into retry

Cause: these decisions (what a later refusal may say, how many runs are left, whether a call may move) were methods of the serving loop, where only whole calls could test them; schedules of the decision packages need them alone. Change: retry.History and retry.Place, used by serving. No change in behaviour: its tables pass as they were.

--- a/serving/routed.go
+++ b/serving/routed.go
@@ -9,12 +9,10 @@
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
-// placesPerCall bounds the VMs, this one included, that look at one routed call.
-const placesPerCall = 3
-
 // serveRouted serves a call whose terms follow from its route, here or in
 // another region. One that came from another VM is served here or not at all.
 func (s *Server) serveRouted(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
@@ -30,7 +28,7 @@
 	var tried []string
 	var outcome call.Outcome
 	var certain certainty
-	for len(tried) < placesPerCall {
+	for len(tried) < retry.PlacesPerCall {
 		vm, away, refusal := s.options.PlaceRouted(c, tried)
 		if refusal != nil {
 			return unlessTried(outcome, tried, refusal)
@@ -44,26 +42,17 @@
 			outcome = s.sendAway(ctx, c, vm, seen.tracked())
 		}
 		tried = append(tried, vm.ID)
-		left := attemptsLeft(c, outcome)
+		left := seen.place(c, outcome).RunsLeft(c.Routed.MaxAttempts)
 		outcome = certain.judge(outcome)
-		if ctx.Err() != nil || left < 1 || !seen.mayMove(c, outcome) {
+		here := seen.place(c, outcome)
+		if ctx.Err() != nil || left < 1 || !here.MayMove() {
 			return outcome
 		}
-		c = seen.moved(c, outcome, left)
+		c = seen.moved(c, here, left)
 	}
 	return outcome
 }
 
-// attemptsLeft is how many more endpoints may run the call after an outcome. A
-// VM that was lost with the call is taken to have had it run by one.
-func attemptsLeft(c *call.Call, o call.Outcome) int {
-	ran := o.Ran
-	if ran == 0 && o.Code.Class() == result.ClassUnknown {
-		ran = 1
-	}
-	return c.Routed.MaxAttempts - ran
-}
-
 // certainty keeps the first outcome of a call of which it is not known whether
 // it ran: a later refusal does not make that certain.
 type certainty struct {
@@ -138,29 +127,28 @@
 	return nil
 }
 
-// mayMove says whether a call may go to another place after an outcome: it did
-// not run there, or it may run again and the caller can be given the rest.
-func (p *passed) mayMove(c *call.Call, o call.Outcome) bool {
-	switch o.Code {
-	case result.EndpointRefused, result.NoEndpoint, result.PeerUnreachable, result.Stopping, result.NotReady, result.DeadlineUnmeetable, result.QueueFull:
-		return !p.headed || c.Routed.Resumable
-	case result.PeerLost, result.EndpointCut:
-		return c.Idempotent && (!p.headed || (c.Routed.Resumable && p.lastEvent != ""))
-	default:
-		return false
+// place is what the last VM made of the call, with what the caller has of it.
+func (p *passed) place(c *call.Call, o call.Outcome) retry.Place {
+	return retry.Place{
+		Code:       o.Code,
+		Ran:        o.Ran,
+		Idempotent: c.Idempotent,
+		Headed:     p.headed,
+		Resumable:  c.Routed.Resumable,
+		HasEvent:   p.lastEvent != "",
 	}
 }
 
-// moved is the call as the next place gets it.
-func (p *passed) moved(c *call.Call, o call.Outcome, attempts int) *call.Call {
+// moved is the call as the next place gets it, after what the one before made of it.
+func (p *passed) moved(c *call.Call, before retry.Place, runsLeft int) *call.Call {
 	next := *c
 	routed := *c.Routed
-	routed.MaxAttempts = attempts
+	routed.MaxAttempts = runsLeft
 	next.Routed = &routed
 	if p.lastEvent != "" {
 		routed.ResumeAfter = p.lastEvent
 	}
-	if o.Code.Class() != result.ClassNotRun || o.Code == result.EndpointRefused {
+	if before.IsRepeat() {
 		routed.Repeated = true
 	}
 	return &next
--- a/serving/run.go
+++ b/serving/run.go
@@ -19,10 +19,6 @@
 
 const attemptBase = 36
 
-// maxRefused is how many endpoints may refuse one routed call before its caller
-// is told: more seldom find a place and use up the repeats of others.
-const maxRefused = 2
-
 // sending is called right before a call's first byte goes to an endpoint.
 // Its error, a refusal, stops the call with nothing sent.
 type sending func() error
@@ -55,10 +51,8 @@
 
 // progress is what the attempts of one call have come to.
 type progress struct {
-	excluded [2]string
-	attempts int
-	// refused are the attempts that certainly did not run.
-	refused   int
+	excluded  [2]string
+	history   retry.History
 	delivered int
 	// backup is the endpoint that holds a copy of what the last attempt had in
 	// memory, and goOn says that the call goes on from it.
@@ -66,9 +60,6 @@
 	goOn   bool
 	// lastEvent is the id of the last event that the caller has of a routed stream.
 	lastEvent string
-	// uncertain is the last code of class unknown that an attempt ended with,
-	// zero while none did.
-	uncertain result.Code
 	outcome   call.Outcome
 	last      endpoint.Outcome
 }
@@ -108,7 +99,7 @@
 
 // end passes an endpoint's own failure on where no other attempt follows.
 func (s *Server) end(p *progress, sink call.Sink, o call.Outcome) call.Outcome {
-	o.Ran = p.attempts - p.refused
+	o.Ran = p.history.Ran()
 	held := p.last.Held
 	if held == nil || o.Code.Class() == result.ClassDone || p.delivered > 0 {
 		return o
@@ -206,7 +197,7 @@
 // call could not go on otherwise, and while engines are being lost.
 func (s *Server) wantsBackup(c *call.Call, p *progress) bool {
 	return c.Kind == call.KindRouted && c.Stream && c.Routed.HasBackups && !c.Idempotent &&
-		p.attempts == 0 && s.losses.recent(s.options.Now())
+		p.history.Attempts == 0 && s.losses.recent(s.options.Now())
 }
 
 func (s *Server) reportAttempt(c *call.Call, p *progress) {
@@ -230,11 +221,11 @@
 		Idempotent: c.Idempotent,
 		Delivered:  p.delivered > 0,
 		Resumable:  p.last.Resumable,
-		Attempts:   p.attempts,
+		Attempts:   p.history.Attempts,
 		WholeBy:    c.WholeBy,
 	}
 	if c.Kind == call.KindRouted {
-		a.Attempts, a.MaxAttempts = p.routedAttempts(c)
+		a.Attempts, a.MaxAttempts = p.history.Routed(c.Routed.MaxAttempts)
 	}
 	a.Copied = p.backup.ID != "" && !c.Idempotent
 	verdict := s.decide(a, s.options.Now())
@@ -267,31 +258,15 @@
 	return r
 }
 
-// routedAttempts gives how often a routed call was tried and may be tried. The
-// route bounds the endpoints that may have run it; those that certainly have
-// not are bounded besides.
-func (p *progress) routedAttempts(c *call.Call) (attempts, most int) {
-	if p.refused > maxRefused {
-		return p.attempts, p.attempts
-	}
-	return p.attempts - p.refused, c.Routed.MaxAttempts
-}
-
 // take adds an attempt's outcome to the call's.
 func (p *progress) take(out endpoint.Outcome, endpointID string) {
 	p.last = out
-	p.excluded[p.attempts%len(p.excluded)] = endpointID
-	p.attempts++
-	if !out.Sent || out.Code.Class() == result.ClassNotRun {
-		p.refused++
-	}
+	p.excluded[p.history.Attempts%len(p.excluded)] = endpointID
+	p.history.Take(out.Code, out.Sent)
 	p.delivered += out.Delivered
 	if out.LastEvent != "" {
 		p.lastEvent = out.LastEvent
 	}
-	if out.Code.Class() == result.ClassUnknown {
-		p.uncertain = out.Code
-	}
 	usage := p.outcome.Usage
 	usage.PromptTokens += out.Usage.PromptTokens
 	usage.CachedTokens += out.Usage.CachedTokens
@@ -309,16 +284,12 @@
 	p.explain()
 }
 
-// explain gives the outcome its refusal. A call of which an earlier attempt
-// may have run may have run, whatever its last attempt came to.
+// explain gives the outcome its refusal.
 func (p *progress) explain() {
-	code := p.last.Code
-	if code.Class() == result.ClassDone {
+	if p.last.Code.Class() == result.ClassDone {
 		return
 	}
-	if code.Class() == result.ClassNotRun && p.uncertain != 0 {
-		code = p.uncertain
-	}
+	code := p.history.Code(p.last.Code)
 	p.outcome.Code = code
 	p.outcome.Refusal = refusalOf(code, p.last)
 }
@@ -334,7 +305,7 @@
 
 // refusedAs is the outcome of a call that could not be sent, or not be gone on with.
 func (p *progress) refusedAs(refusal *result.Refusal) call.Outcome {
-	if p.attempts == 0 {
+	if p.history.Attempts == 0 {
 		return call.Refused(refusal)
 	}
 	if p.outcome.Code.Class() == result.ClassNotRun {
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -38,7 +38,7 @@
 	choice := slot.Choice
 	c.Trail.Add("endpoint_chosen",
 		slog.String("endpoint", choice.Endpoint.ID),
-		slog.Int("attempt", p.attempts+1),
+		slog.Int("attempt", p.history.Attempts+1),
 		milliseconds("expected_first_ms", choice.First),
 		milliseconds("expected_wait_ms", choice.Wait),
 		milliseconds("report_age_ms", choice.ReportAge),
@@ -51,7 +51,7 @@
 func traceAttempt(c *call.Call, p *progress) {
 	c.Trail.Fail("attempt_failed",
 		slog.String("endpoint", p.outcome.Endpoint),
-		slog.Int("attempt", p.attempts),
+		slog.Int("attempt", p.history.Attempts),
 		slog.Int("code", int(p.last.Code)),
 		slog.Bool("sent", p.last.Sent),
 		slog.Int("events", p.last.Delivered),
