Emulator of the decision packages; VMs that wake ask their endpoints first

Change: after a pause a VM asks all endpoints of its region whether they are cold; calls wait for that, 250 ms at the most, and are refused with a time to come back if it does not come.

--- a/roster/picture.go
+++ b/roster/picture.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
@@ -25,13 +26,29 @@
 	Members []Member
 	// Most is the largest number of VMs known at once.
 	Most int
+	// SteppedAt is when the roster last went on, Waking is set after a pause of the
+	// process until there is news.
+	SteppedAt time.Time
+	Waking    bool
+	// longestStep is the longest time between two steps of a process that runs.
+	longestStep time.Duration
+}
+
+// Current says whether what this VM believes is from now, and not from before a
+// pause of its process: endpoints may have become cold meanwhile, and calls that
+// have waited would all go there at once.
+func (p *Picture) Current(now time.Time) bool {
+	return !p.Waking && (p.SteppedAt.IsZero() || now.Sub(p.SteppedAt) <= p.longestStep)
 }
 
 // Picture gives the picture of now.
 func (r *Roster) Picture() *Picture {
 	p := &Picture{
-		Self: r.self.VM,
-		Most: r.most,
+		Self:        r.self.VM,
+		Most:        r.most,
+		SteppedAt:   r.steppedAt,
+		Waking:      r.waking,
+		longestStep: r.longestStep(),
 	}
 	p.Members = append(p.Members, Member{
 		VM:          r.self.VM,
@@ -56,6 +73,15 @@
 	return p
 }
 
+// StoreAway says whether a VM of the own region cannot read the store: nobody
+// there may then hear of changes.
+func (p *Picture) StoreAway() bool {
+	return slices.ContainsFunc(p.Members, func(m Member) bool {
+		isSelf := m.VM.ID == p.Self.ID
+		return m.TurnedAway && m.VM.Region == p.Self.Region && (isSelf || m.Reachable)
+	})
+}
+
 // readersRank is what the VMs of a region are ranked for.
 const readersRank = "readers"
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -31,6 +31,9 @@
 	// missesToSuspect are the exchanges in a row that a member must miss: one
 	// may be lost with its connection.
 	missesToSuspect = 2
+	// wakeIntervals is how long, in intervals, after a pause of the process this VM
+	// waits for news at the most.
+	wakeIntervals = 3
 	// hurry divides the interval to a member whose state is in doubt.
 	hurry = 2
 	// suspectIntervals is how long a suspicion lasts, in intervals: time for the
@@ -104,6 +107,10 @@
 	round uint64
 	// steppedAt tells a pause of the whole process.
 	steppedAt time.Time
+	// wokeAt is when a pause of the process ended, waking is set from then on until
+	// there is news.
+	wokeAt time.Time
+	waking bool
 	// most is the largest number of VMs that were known at once.
 	most int
 }
@@ -228,7 +235,12 @@
 // the others' silence was its own.
 func (r *Roster) wake(now time.Time) {
 	pause := now.Sub(r.steppedAt)
-	if !r.steppedAt.IsZero() && pause > suspectIntervals*r.every {
+	if now.Sub(r.wokeAt) >= wakeIntervals*r.every {
+		r.waking = false
+	}
+	if !r.steppedAt.IsZero() && pause > r.longestStep() {
+		r.wokeAt = now
+		r.waking = true
 		for _, m := range r.members {
 			m.misses = 0
 			if m.State == StateSuspect {
@@ -239,6 +251,24 @@
 	r.steppedAt = now
 }
 
+// longestStep is the longest time between two steps of a process that runs.
+func (r *Roster) longestStep() time.Duration {
+	return suspectIntervals * r.every
+}
+
+// Waking says whether the process has paused and there was no news since.
+func (r *Roster) Waking() bool {
+	return r.waking
+}
+
+// News records that the endpoints were asked anew at a moment: what this VM
+// believes of them is then not from before a pause.
+func (r *Roster) News(askedAt time.Time) {
+	if !askedAt.Before(r.wokeAt) {
+		r.waking = false
+	}
+}
+
 // settle turns suspicions whose time is over into deaths, and forgets old ones.
 func (r *Roster) settle(now time.Time) {
 	for id, m := range r.members {
--- /dev/null
+++ b/roster/wake_test.go
@@ -0,0 +1,41 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestWake holds that after a pause of the process its picture is not current
+// until somebody answers what was asked since, or it has waited long enough.
+func TestWake(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	at := start.Add
+	r := New(Options{
+		Every: testEvery,
+		Rand:  func() uint64 { return 0 },
+	})
+	assert.Assert(t, r.Picture().Current(start))
+	r.Step(start)
+	before := r.Picture()
+	assert.Assert(t, before.Current(at(suspectIntervals*testEvery)))
+	assert.Assert(t, !before.Current(at(suspectIntervals*testEvery+1)))
+
+	woke := at(5 * time.Second)
+	r.Step(woke)
+	assert.Assert(t, !r.Picture().Current(woke))
+	r.News(woke.Add(-time.Millisecond))
+	assert.Assert(t, !r.Picture().Current(woke))
+	r.News(woke)
+	assert.Assert(t, r.Picture().Current(woke))
+
+	again := at(20 * time.Second)
+	r.Step(again)
+	r.Step(again.Add(testEvery))
+	assert.Assert(t, !r.Picture().Current(again.Add(testEvery)))
+	for i := range wakeIntervals {
+		r.Step(again.Add(time.Duration(i+1) * testEvery))
+	}
+	assert.Assert(t, r.Picture().Current(again.Add(wakeIntervals*testEvery)))
+}
--- a/site/control.go
+++ b/site/control.go
@@ -54,6 +54,8 @@
 	// endpointsAt is when the endpoints change by themselves.
 	endpointsAt time.Time
 	changed     bool
+	// waking is what the roster said of a pause of the process at the last step.
+	waking bool
 }
 
 func newControl(n *Node) *control {
@@ -112,6 +114,7 @@
 		}
 		now := c.node.now()
 		c.exchange(ctx, c.roster.Step(now), now)
+		c.askAfterPause(ctx, now)
 		c.publish(now)
 		timer.Reset(max(c.next(now).Sub(now), time.Millisecond))
 	}
--- a/site/place.go
+++ b/site/place.go
@@ -30,6 +30,10 @@
 // serve carries a caller's call.
 func (n *Node) serve(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
 	c.Trail = logs.NewTrail(n.log, c.ID, n.sampled())
+	if refusal := n.awaitNews(ctx); refusal != nil {
+		c.Trail.Fail("request_refused", slog.Int("code", int(refusal.Code)), slog.String("reason", refusal.Error()))
+		return call.Refused(refusal)
+	}
 	return n.serving.Serve(ctx, c, serving.Placement{
 		Kind: serving.PlaceHere,
 	}, sink)
--- a/site/pools.go
+++ b/site/pools.go
@@ -21,7 +21,9 @@
 
 type poolTable struct {
 	byService map[string]*pool
-	// engines report their load.
+	// listed are the endpoints that take work; engines are those that report
+	// their load.
+	listed  []fleet.Endpoint
 	engines []fleet.Endpoint
 	vms     int
 }
@@ -61,6 +63,7 @@
 			continue
 		}
 		warm[e.Service] = append(warm[e.Service], e.Endpoint)
+		after.listed = append(after.listed, e.Endpoint)
 		if p.isEngine(pic, e.Service) {
 			after.engines = append(after.engines, e.Endpoint)
 		}
--- a/site/reports.go
+++ b/site/reports.go
@@ -16,6 +16,11 @@
 	// reportEvery is the interval at which one VM of the region asks an engine
 	// for its load, which it tells some 100 ms late.
 	reportEvery = 500 * time.Millisecond
+	// coldEvery is the same while the store is away, which else tells at once that an
+	// endpoint is cold: one that bears five requests a second may get ten.
+	coldEvery = 150 * time.Millisecond
+	// reportFresh is how old a report is at least when it is asked for again.
+	reportFresh = reportEvery - coldEvery
 	// reportWithin bounds one question.
 	reportWithin = time.Second
 	// reportGoodFor is how long a report is passed on to other VMs.
@@ -43,6 +48,9 @@
 	for next := 0; ctx.Err() == nil; next++ {
 		engines := p.ownEngines()
 		every := reportEvery
+		if p.node.control.picture().members.StoreAway() {
+			every = coldEvery
+		}
 		if count := len(engines); count > 0 {
 			go p.askReport(ctx, engines[next%count])
 			every /= time.Duration(count)
@@ -79,6 +87,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reportWithin)
 	defer cancel()
 	p.askCold(ctx, e)
+	if p.hasReport(e.ID, p.node.now().Add(-reportFresh)) {
+		return
+	}
 	load, err := p.node.client.Report(ctx, e)
 	if err != nil {
 		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
@@ -90,6 +101,14 @@
 	})
 }
 
+// hasReport says whether an engine's load as of a moment or later is known.
+func (p *pools) hasReport(id string, since time.Time) bool {
+	p.reports.mu.Lock()
+	defer p.reports.mu.Unlock()
+	held, ok := p.reports.held[id]
+	return ok && held.load.At.After(since)
+}
+
 // takeReport keeps a report if it is newer than the one held.
 func (p *pools) takeReport(id string, r heldReport) {
 	p.reports.mu.Lock()
--- /dev/null
+++ b/testscripts/emulator/emulator.go
@@ -0,0 +1,171 @@
+// Package emulator runs the packages that decide (roster, discovery, routing,
+// retry) on a small fleet in virtual time, through random faults drawn from a
+// seed, and checks what must hold from what callers and endpoints see. The
+// same seed always gives the same run.
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Fault names a deliberate mistake in the fleet's use of its decisions. Each
+// shows that a check can fail.
+type Fault string
+
+// The deliberate mistakes; NoFault is none.
+const (
+	NoFault          Fault = ""
+	RepeatUnsafe     Fault = "repeat_unsafe"
+	ForgetUncertain  Fault = "forget_uncertain"
+	ServeCold        Fault = "serve_cold"
+	WholeBudget      Fault = "whole_budget"
+	TakeOlder        Fault = "take_older"
+	NameDead         Fault = "name_dead"
+	IgnoreHomes      Fault = "ignore_homes"
+	UnboundedRuns    Fault = "unbounded_runs"
+	IgnoreEvacuation Fault = "ignore_evacuation"
+	IgnoreLeaving    Fault = "ignore_leaving"
+	TrustOld         Fault = "trust_old"
+)
+
+// Options are one run.
+type Options struct {
+	Seed  uint64
+	Fault Fault
+	// For is the virtual time in which requests come and faults are injected.
+	For time.Duration
+}
+
+// Report is what became of a run.
+type Report struct {
+	Seed     uint64
+	Requests int
+	Answered int
+	Runs     int
+	Faults   int
+	// Steps are the events that were handled.
+	Steps      int
+	Violations []Violation
+}
+
+// Violation is something that must not happen.
+type Violation struct {
+	Check Check
+	At    time.Duration
+	Text  string
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%s at %.3f s: %s", v.Check, v.At.Seconds(), v.Text)
+}
+
+// settleFor is how long a run goes on after the last request: the longest
+// deadline and the time that a region takes to recover.
+const settleFor = 12 * time.Second
+
+// Run plays one seed.
+func Run(o Options) Report {
+	w := newWorld(o)
+	w.start()
+	w.injectFaults()
+	w.sendRequests()
+	w.clock.run(w.end.Add(settleFor))
+	return Report{
+		Seed:       o.Seed,
+		Requests:   len(w.ledger.requests),
+		Answered:   w.ledger.answered,
+		Runs:       w.ledger.runs,
+		Faults:     w.faults,
+		Steps:      w.clock.steps,
+		Violations: w.ledger.violations,
+	}
+}
+
+// world is one fleet with its callers, store and endpoints.
+type world struct {
+	fault   Fault
+	rand    *rand.Rand
+	clock   *clock
+	network *network
+	store   *store
+	engines []*engine
+	vms     []*vm
+	ledger  *ledger
+	shape   shape
+	end     time.Time
+	faults  int
+	lives   uint64
+	serial  int
+}
+
+// shape is what the seed draws for the deployment.
+type shape struct {
+	regions   int
+	perRegion int
+	engines   int
+	perSecond float64
+	homes     bool
+}
+
+func newWorld(o Options) *world {
+	begin := time.Unix(1e9, 0)
+	w := &world{
+		fault: o.Fault,
+		rand:  rand.New(rand.NewPCG(o.Seed, seedStream)),
+		clock: newClock(begin),
+		end:   begin.Add(o.For),
+	}
+	w.shape = shape{
+		regions:   2 + w.rand.IntN(2),
+		perRegion: 1 + w.rand.IntN(3),
+		engines:   2 + w.rand.IntN(2),
+		perSecond: leastRequests + w.rand.Float64()*(mostRequests-leastRequests),
+		homes:     w.rand.IntN(2) == 0,
+	}
+	w.network = newNetwork(w)
+	w.ledger = newLedger(w)
+	w.store = newStore(w)
+	for r := range w.shape.regions {
+		for range w.shape.engines {
+			w.addEngine(regionName(r))
+		}
+		for i := range w.shape.perRegion {
+			w.vms = append(w.vms, newVM(w, r, i))
+		}
+	}
+	return w
+}
+
+const (
+	// seedStream separates these draws from those of other users of a seed.
+	seedStream = 7
+	// leastRequests and mostRequests a second over all regions keep a cold
+	// endpoint's part of them, until it is known to be cold, below its bound.
+	leastRequests = 4
+	mostRequests  = 10
+	// startWithin is the time within which the processes start.
+	startWithin = 300 * time.Millisecond
+	// quietStart is the time without requests and faults at the beginning.
+	quietStart = 5 * time.Second
+)
+
+func (w *world) start() {
+	w.store.publish()
+	for _, v := range w.vms {
+		w.after(w.between(0, startWithin), v.start)
+	}
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.clock.at(w.clock.now.Add(d), do)
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.rand.Int64N(int64(most-least)+1))
+}
+
+func regionName(i int) string {
+	return fmt.Sprintf("r%d", i)
+}
