--- a/testscripts/emulate/main.go
+++ b/testscripts/emulate/main.go
@@ -5,9 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"runtime"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -27,54 +24,17 @@
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 
 	began := time.Now()
-	total := playAll(*seed, *count, emulator.Options{
+	sum := emulator.PlayAll(emulator.Options{
+		Seed:  *seed,
 		Fault: emulator.Fault(*fault),
 		For:   *long,
-	})
+	}, *count)
+	for _, r := range sum.Bad[:min(len(sum.Bad), shownMost)] {
+		fmt.Printf("seed %d: %s (and %d more)\n", r.Seed, r.Violations[0], len(r.Violations)-1)
+	}
 	fmt.Printf("%d seeds: %d requests, %d answered, %d runs, %d faults, %d steps, %d seeds with a violation, in %s\n",
-		*count, total.requests, total.answered, total.runs, total.faults, total.steps, total.bad, time.Since(began).Round(time.Second))
-	if total.bad > 0 {
+		*count, sum.Requests, sum.Answered, sum.Runs, sum.Faults, sum.Steps, len(sum.Bad), time.Since(began).Round(time.Second))
+	if len(sum.Bad) > 0 {
 		os.Exit(1)
 	}
 }
-
-// sum adds reports up.
-type sum struct {
-	mu                                           sync.Mutex
-	requests, answered, runs, faults, steps, bad int
-}
-
-// playAll plays seeds on all processors.
-func playAll(first, count uint64, o emulator.Options) *sum {
-	var total sum
-	var next atomic.Uint64
-	var all sync.WaitGroup
-	for range runtime.GOMAXPROCS(0) {
-		all.Go(func() {
-			for i := next.Add(1) - 1; i < count; i = next.Add(1) - 1 {
-				one := o
-				one.Seed = first + i
-				total.add(emulator.Run(one))
-			}
-		})
-	}
-	all.Wait()
-	return &total
-}
-
-func (s *sum) add(r emulator.Report) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.requests += r.Requests
-	s.answered += r.Answered
-	s.runs += r.Runs
-	s.faults += r.Faults
-	s.steps += r.Steps
-	if len(r.Violations) == 0 {
-		return
-	}
-	s.bad++
-	if s.bad <= shownMost {
-		fmt.Printf("seed %d: %s (and %d more)\n", r.Seed, r.Violations[0], len(r.Violations)-1)
-	}
-}
