A mirror made from a whole read gives everything to peers that are behind it

Ruled out: the pause after a store outage (the other VM of the region dropped the endpoint after its 2 s), lapsed history (the VM's own read was not turned away). Change: Replace marks what is before its revision as forgotten, so that Since gives a peer behind it all items. Conclusion: a DRAIN rule could break where a VM restarts while the store is away.

--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -51,7 +51,9 @@
 }
 
 // Replace takes all items as of a revision: what the mirror holds beyond them
-// was removed. A picture older than the mirror's changes nothing.
+// was removed. A picture older than the mirror's changes nothing. What came and
+// went between the two is not in it, so a peer that is behind it gets everything:
+// it may hold what this mirror never knew.
 func (m *Mirror) Replace(items []Item, revision uint64) []Item {
 	if revision < m.revision {
 		return nil
@@ -70,6 +72,7 @@
 			})
 		}
 	}
+	m.forgotten = max(m.forgotten, revision)
 	return m.Apply(changes, revision)
 }
 
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -111,6 +111,14 @@
 	})
 }
 
+// withdraw takes the entry away, and stops the endpoint later.
+func (e *engine) withdraw() {
+	e.endpoint.State = fleet.StateLeaving
+	e.world.store.remove(e)
+	e.world.store.acknowledge(acknowledgement{leaving: e.endpoint.ID})
+	e.world.after(2*drainWithin+lingerFor, func() { e.up = false })
+}
+
 // get takes a request that has arrived at its address.
 func (e *engine) get(a attempt) {
 	if !e.up {
--- a/testscripts/emulator/fault.go
+++ b/testscripts/emulator/fault.go
@@ -28,7 +28,7 @@
 	kinds := []func(lasts time.Duration){
 		w.killOne, w.replaceOne, w.killAll, w.freezeOne, w.cutRegions, w.cutAll,
 		w.storeDown, w.storeSilent, w.storeRefuses, w.storeForgets,
-		w.crashEngine, w.coldEngine, w.drainEngine, w.loseAnswers, w.loseMost, w.refuseRequests, w.failRuns,
+		w.crashEngine, w.coldEngine, w.drainEngine, w.withdrawEngine, w.loseAnswers, w.loseMost, w.refuseRequests, w.failRuns,
 		w.evacuate, w.configure, w.storm,
 	}
 	from := w.clock.now.Add(quietStart)
@@ -141,6 +141,14 @@
 	}
 }
 
+// withdrawEngine has an endpoint leave without saying so: its entry goes first.
+func (w *world) withdrawEngine(time.Duration) {
+	if e := w.anyEngine(); e != nil && w.store.down == 0 {
+		e.withdraw()
+		w.addEngine(e.endpoint.Region).becomeCold()
+	}
+}
+
 func (w *world) loseAnswers(lasts time.Duration) {
 	w.harm(lasts, func(e *engine) *float64 { return &e.lostPart })
 }
--- a/testscripts/emulator/store.go
+++ b/testscripts/emulator/store.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/route"
 )
 
@@ -112,7 +113,7 @@
 		Key:      engineKey(e),
 		Endpoint: &change,
 	})
-	if e.endpoint.State != "live" {
+	if e.endpoint.State != fleet.StateLive {
 		s.acknowledge(acknowledgement{leaving: e.endpoint.ID})
 	}
 }
@@ -257,9 +258,9 @@
 
 func (s *store) renew() {
 	for _, e := range s.world.engines {
-		if e.up && s.items[engineKey(e)].Revision == 0 {
+		if e.up && e.endpoint.State == fleet.StateLive && s.items[engineKey(e)].Revision == 0 {
 			s.world.after(s.world.between(0, returnWithin), func() {
-				if e.up {
+				if e.up && e.endpoint.State == fleet.StateLive {
 					s.put(e)
 				}
 			})
