--- a/call/answer.go
+++ b/call/answer.go
@@ -26,6 +26,9 @@
 	Endpoint string
 	// Ran is how many endpoints may have run the call.
 	Ran int
+	// Pause is the longest time between two pieces of the answer, as they went
+	// to the caller; set on routed calls where they came to this process.
+	Pause time.Duration
 }
 
 // Refused makes the outcome of a refusal.
--- a/call/routed.go
+++ b/call/routed.go
@@ -38,6 +38,9 @@
 	ResumeAfter string
 	// EventTokens is how many generated tokens one event of the stream holds.
 	EventTokens int
+	// Gap is the longest pause between events of a stream that is still on time;
+	// zero means that any is.
+	Gap time.Duration
 	// HasBackups says that the stream's endpoints can keep a copy elsewhere.
 	HasBackups bool
 	// Repeated is set when an attempt of the call was made on another VM.
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -27,6 +27,7 @@
 	m.ResumeAfter = r.ResumeAfter
 	m.RepeatedBefore = r.Repeated
 	m.EventTokens = uint32(r.EventTokens)
+	m.GapMs = uint32(r.Gap.Milliseconds())
 	m.HasBackups = r.HasBackups
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, &peerpb.PromptPart{
@@ -59,6 +60,7 @@
 		ResumeAfter: m.GetResumeAfter(),
 		Repeated:    m.GetRepeatedBefore(),
 		EventTokens: int(m.GetEventTokens()),
+		Gap:         time.Duration(m.GetGapMs()) * time.Millisecond,
 		HasBackups:  m.GetHasBackups(),
 	}
 	for _, p := range m.GetParts() {
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"net/http"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
-	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -24,7 +21,15 @@
 	}
 	seen := &passed{
 		sink: sink,
+		now:  s.options.Now,
 	}
+	outcome := s.serveSomewhere(ctx, c, seen)
+	outcome.Pause = seen.pause
+	return outcome
+}
+
+// serveSomewhere tries one place after the other until one serves the call.
+func (s *Server) serveSomewhere(ctx context.Context, c *call.Call, seen *passed) call.Outcome {
 	var tried []string
 	var outcome call.Outcome
 	var certain certainty
@@ -90,66 +95,3 @@
 	s.options.Metrics.SentAway(vm.Region)
 	return s.options.Forward(ctx, vm, c, sink)
 }
-
-// passed is what the caller has of an answer.
-type passed struct {
-	sink      call.Sink
-	headed    bool
-	lastEvent string
-}
-
-func (p *passed) tracked() call.Sink {
-	return call.Sink{
-		Head: func(status int, header http.Header) error {
-			if p.headed {
-				return p.goesOn(status, header)
-			}
-			p.headed = true
-			return p.sink.Head(status, header)
-		},
-		Chunk: func(data []byte) error {
-			if id := endpoint.LastEventID(data); id != "" {
-				p.lastEvent = id
-			}
-			return p.sink.Chunk(data)
-		},
-	}
-}
-
-// errSeam says that what follows is no continuation of what the caller has.
-var errSeam = errors.New("the answer does not continue the stream")
-
-// goesOn refuses any head after the first but that of a stream that goes on.
-func (p *passed) goesOn(status int, header http.Header) error {
-	if status != http.StatusOK || header.Get("Content-Length") != "" {
-		return errSeam
-	}
-	return nil
-}
-
-// place is what the last VM made of the call, with what the caller has of it.
-func (p *passed) place(c *call.Call, o call.Outcome) retry.Place {
-	return retry.Place{
-		Code:       o.Code,
-		Ran:        o.Ran,
-		Idempotent: c.Idempotent,
-		Headed:     p.headed,
-		Resumable:  c.Routed.Resumable,
-		HasEvent:   p.lastEvent != "",
-	}
-}
-
-// moved is the call as the next place gets it, after what the one before made of it.
-func (p *passed) moved(c *call.Call, before retry.Place, runsLeft int) *call.Call {
-	next := *c
-	routed := *c.Routed
-	routed.MaxAttempts = runsLeft
-	next.Routed = &routed
-	if p.lastEvent != "" {
-		routed.ResumeAfter = p.lastEvent
-	}
-	if before.IsRepeat() {
-		routed.Repeated = true
-	}
-	return &next
-}
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -30,7 +30,9 @@
 		slog.Bool("idempotent", c.Idempotent),
 		milliseconds("first_in_ms", c.FirstBy.Sub(now)),
 		milliseconds("whole_in_ms", c.WholeBy.Sub(now)),
+		milliseconds("gap_ms", c.Routed.Gap),
 		slog.Int("prompt_tokens", c.PromptTokens),
+		slog.Int("max_tokens", c.MaxTokens),
 	)
 }
 
@@ -95,6 +97,9 @@
 	if !o.FirstAt.IsZero() {
 		attrs = append(attrs, milliseconds("first_ms", o.FirstAt.Sub(arrivedAt)))
 	}
+	if o.Pause > 0 {
+		attrs = append(attrs, milliseconds("pause_ms", o.Pause))
+	}
 	if o.Code == result.Done {
 		c.Trail.Add("call_ended", attrs...)
 		return
