Calls and reports between VMs count the time on the way; silent connections end

Cause: a cut between regions held forwarded calls in the sender's kernel. Their deadlines travel as what is left and were counted from the moment they came, so the far VM sent them to engines after their callers had left (GONE). Change: messages bear the sender's steady clock; peer.Transit takes the fastest message of a process as the measure and counts by how much another was held up. A moment to come back travels as what is left of it too.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 )
 
 // Bounds of the client's connections. An endpoint keeps an idle connection for
@@ -47,8 +49,7 @@
 
 func dialer(dial dialFunc) dialFunc {
 	if dial == nil {
-		d := &net.Dialer{Timeout: dialWithin}
-		dial = d.DialContext
+		dial = tcp.Dialer(dialWithin).DialContext
 	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -69,7 +69,7 @@
 	out := n.peers.Forward(trip, vm, &peerpb.ForwardRequest{
 		From:  n.identity(),
 		Stamp: uint64(n.ring.Stamp()),
-		Call:  peer.CallMessage(c),
+		Call:  peer.CallMessage(c, n.now()),
 	}, sink, n.witness)
 	if isPeerLost(ctx, out.Code) {
 		n.control.send(ctx, beatMissed{
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"github.com/fuchsianotch/fuchsianotch/caller"
+	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
@@ -285,7 +286,7 @@
 		{addr: n.settings.PeerListen, to: &f.peer},
 		{addr: n.settings.OperatorListen, to: &f.operator},
 	} {
-		*l.to, err = net.Listen("tcp", l.addr)
+		*l.to, err = tcp.Listen(context.Background(), l.addr)
 		if err != nil {
 			return nil, err
 		}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -18,12 +18,13 @@
 // Forward runs a call on another VM. A VM that was not reached gives
 // PeerUnreachable, of class not run; one lost later gives PeerLost.
 func (c *Client) Forward(ctx context.Context, vm fleet.VM, in *peerpb.ForwardRequest, sink call.Sink, witness func(uint64)) call.Outcome {
+	in.SentUs = c.options.Transit.stamp()
 	stream, err := c.client(ctx, vm).Forward(ctx, in)
 	if err != nil {
 		return call.Refused(lost(vm, err))
 	}
 	defer func() { _ = stream.Close() }()
-	return receive(stream, vm, sink, witness)
+	return c.receive(stream, vm, sink, witness)
 }
 
 func lost(vm fleet.VM, err error) *result.Refusal {
@@ -33,7 +34,7 @@
 	return result.Refuse(result.PeerLost, "VM %s was lost during the call", vm.ID).Because(err)
 }
 
-func receive(stream peerpb.DRPCPeer_ForwardClient, vm fleet.VM, sink call.Sink, witness func(uint64)) call.Outcome {
+func (c *Client) receive(stream peerpb.DRPCPeer_ForwardClient, vm fleet.VM, sink call.Sink, witness func(uint64)) call.Outcome {
 	var firstAt time.Time
 	headed := false
 	for {
@@ -42,11 +43,11 @@
 			return call.Refused(lost(vm, err))
 		}
 		if firstAt.IsZero() && reply.GetChunk() != nil {
-			firstAt = time.Now()
+			firstAt = c.options.Now()
 		}
 		if end := reply.GetEnd(); end != nil {
 			witness(end.GetStamp())
-			if o := outcomeFromEnd(end, firstAt); headed || o.Code.Class() != result.ClassDone {
+			if o := outcomeFromEnd(end, firstAt, c.options.Now()); headed || o.Code.Class() != result.ClassDone {
 				return o
 			}
 			return call.Refused(lost(vm, errNoAnswer))
@@ -87,7 +88,9 @@
 	}
 }
 
-func endMessage(o call.Outcome, stamp uint64) *peerpb.End {
+// endMessage tells a moment to come back as what is left until it, since the
+// clocks of two VMs may differ.
+func endMessage(o call.Outcome, stamp uint64, now time.Time) *peerpb.End {
 	end := &peerpb.End{
 		Code:            uint32(o.Code),
 		PromptTokens:    uint32(o.Usage.PromptTokens),
@@ -99,12 +102,12 @@
 	}
 	if o.Refusal != nil {
 		end.Message = o.Refusal.Message
-		end.ComeBackUnixMs = UnixMilli(o.Refusal.ComeBackAt)
+		end.ComeBackInMs = leftMilli(o.Refusal.ComeBackAt, now)
 	}
 	return end
 }
 
-func outcomeFromEnd(end *peerpb.End, firstAt time.Time) call.Outcome {
+func outcomeFromEnd(end *peerpb.End, firstAt, now time.Time) call.Outcome {
 	o := call.Outcome{
 		Code: result.Code(end.GetCode()),
 		Usage: call.Usage{
@@ -117,7 +120,7 @@
 		Ran:      int(end.GetRan()),
 	}
 	if o.Code.Class() != result.ClassDone {
-		o.Refusal = result.Refuse(o.Code, "%s", end.GetMessage()).Until(FromUnixMilli(end.GetComeBackUnixMs()))
+		o.Refusal = result.Refuse(o.Code, "%s", end.GetMessage()).Until(deadlineIn(end.GetComeBackInMs(), now))
 	}
 	return o
 }
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -93,7 +93,7 @@
 			Kind:     call.Kind(99),
 			Priority: 77,
 			Body:     []byte("body"),
-		}),
+		}, time.Now()),
 	}
 	if row.HugeBody {
 		m.Call.Body = make([]byte, MaxMessageBytes+1)
@@ -234,7 +234,7 @@
 		if proto.Unmarshal(data, &m) != nil {
 			return
 		}
-		c := callFromMessage(&m)
+		c := callFromMessage(&m, time.Now())
 		assert.Assert(t, c.Forwarded)
 		assert.Assert(t, c.Priority >= 0 && c.Priority < call.Priorities)
 		_ = c.Priority.String()
--- a/peer/message.go
+++ b/peer/message.go
@@ -24,8 +24,8 @@
 	return time.UnixMilli(ms)
 }
 
-// CallMessage writes a call for a message.
-func CallMessage(c *call.Call) *peerpb.Call {
+// CallMessage writes a call for a message that is sent now.
+func CallMessage(c *call.Call, now time.Time) *peerpb.Call {
 	m := &peerpb.Call{
 		Id:            c.ID,
 		Workspace:     c.Workspace,
@@ -48,12 +48,13 @@
 		Origin:        c.Origin,
 	}
 	if c.Routed != nil {
-		putRouted(m, c, time.Now())
+		putRouted(m, c, now)
 	}
 	return m
 }
 
-func callFromMessage(m *peerpb.Call) *call.Call {
+// callFromMessage reads a call; its deadlines count from when it was sent.
+func callFromMessage(m *peerpb.Call, sentAt time.Time) *call.Call {
 	c := &call.Call{
 		ID:           m.GetId(),
 		Workspace:    m.GetWorkspace(),
@@ -77,7 +78,7 @@
 		Origin:       m.GetOrigin(),
 	}
 	if c.Kind == call.KindRouted {
-		takeRouted(c, m, time.Now())
+		takeRouted(c, m, sentAt)
 	}
 	return c
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -14,6 +14,7 @@
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 )
@@ -23,6 +24,8 @@
 	// body of a call, or one published document, with its frame.
 	MaxMessageBytes = 8 << 20
 
+	// dialWithin bounds a connection where the caller's own time is longer.
+	dialWithin     = 5 * time.Second
 	idleConnsPerVM = 16
 	idleConnExpiry = time.Minute
 )
@@ -40,6 +43,10 @@
 	CountBytes func(sent, received int)
 	// TLS is TLS's configuration of the shared secret; nil means plain TCP.
 	TLS *tls.Config
+	// Now is a steady clock; nil means time.Now. Transit stamps what is sent and
+	// says how old is what comes; nil means one of the Client's own.
+	Now     func() time.Time
+	Transit *Transit
 }
 
 // Client asks other VMs. Its methods may be called from any goroutine.
@@ -53,6 +60,12 @@
 	if o.Dial == nil {
 		o.Dial = dialTCP
 	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.Transit == nil {
+		o.Transit = NewTransit(o.Now)
+	}
 	return &Client{
 		options: o,
 		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
@@ -63,8 +76,7 @@
 }
 
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr)
+	return tcp.Dialer(dialWithin).DialContext(ctx, "tcp", addr)
 }
 
 // Close closes the idle connections.
@@ -94,6 +106,7 @@
 
 // Gossip exchanges what both VMs know of the members.
 func (c *Client) Gossip(ctx context.Context, vm fleet.VM, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	in.SentUs = c.options.Transit.stamp()
 	return c.client(ctx, vm).Gossip(ctx, in)
 }
 
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -45,9 +45,9 @@
 	return uint32(max(by.Sub(now).Milliseconds(), 1))
 }
 
-func takeRouted(c *call.Call, m *peerpb.Call, now time.Time) {
-	c.FirstBy = deadlineIn(m.GetFirstInMs(), now)
-	c.WholeBy = deadlineIn(m.GetWholeInMs(), now)
+func takeRouted(c *call.Call, m *peerpb.Call, sentAt time.Time) {
+	c.FirstBy = deadlineIn(m.GetFirstInMs(), sentAt)
+	c.WholeBy = deadlineIn(m.GetWholeInMs(), sentAt)
 	c.Routed = &call.Routed{
 		Host:        m.GetHost(),
 		Route:       m.GetRoute(),
@@ -56,7 +56,7 @@
 		MaxAttempts: int(m.GetMaxAttempts()),
 		Resumable:   m.GetResumable(),
 		Homes:       m.GetHomes(),
-		CallerBy:    deadlineIn(m.GetCallerInMs(), now),
+		CallerBy:    deadlineIn(m.GetCallerInMs(), sentAt),
 		ResumeAfter: m.GetResumeAfter(),
 		Repeated:    m.GetRepeatedBefore(),
 		EventTokens: int(m.GetEventTokens()),
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"time"
 
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
@@ -33,6 +34,9 @@
 	CountBytes func(sent, received int)
 	// TLS is TLS's configuration of the shared secret; nil means plain TCP.
 	TLS *tls.Config
+	// Now and Transit are as in Options.
+	Now     func() time.Time
+	Transit *Transit
 }
 
 // Server answers peers on one listener.
@@ -43,6 +47,12 @@
 
 // NewServer makes a server. It fails only if the protocol cannot be registered.
 func NewServer(h Handlers) (*Server, error) {
+	if h.Now == nil {
+		h.Now = time.Now
+	}
+	if h.Transit == nil {
+		h.Transit = NewTransit(h.Now)
+	}
 	s := &Server{
 		handlers: h,
 	}
@@ -132,7 +142,12 @@
 	if s.handlers.Gossip == nil {
 		return nil, errNotServed
 	}
-	return s.handlers.Gossip(ctx, in)
+	reply, err := s.handlers.Gossip(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	reply.SentUs = s.handlers.Transit.stamp()
+	return reply, nil
 }
 
 // Published implements peerpb.DRPCPeerServer.
@@ -149,11 +164,12 @@
 // Forward implements peerpb.DRPCPeerServer.
 func (s *service) Forward(in *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
 	s.handlers.Witness(in.GetStamp())
-	c := callFromMessage(in.GetCall())
+	sentAt := s.handlers.Transit.SentAt(in.GetFrom().GetVm(), in.GetFrom().GetIncarnation(), in.GetSentUs())
+	c := callFromMessage(in.GetCall(), sentAt)
 	outcome := s.handlers.Forward(stream.Context(), in.GetFrom(), c, streamSink(stream))
 	return stream.Send(&peerpb.ForwardReply{
 		Step: &peerpb.ForwardReply_End{
-			End: endMessage(outcome, s.handlers.Stamp()),
+			End: endMessage(outcome, s.handlers.Stamp(), s.handlers.Now()),
 		},
 	})
 }
--- a/site/cold.go
+++ b/site/cold.go
@@ -47,10 +47,10 @@
 
 // takeCold takes what another VM says of cold endpoints, and tells others of
 // the region, once, if any of it is new.
-func (c *control) takeCold(ctx context.Context, list []*peerpb.ColdEndpoint, now time.Time) {
+func (c *control) takeCold(ctx context.Context, list []*peerpb.ColdEndpoint, sentAt, now time.Time) {
 	news := false
 	for _, m := range list {
-		until := now.Add(time.Duration(m.GetLeftMs()) * time.Millisecond)
+		until := sentAt.Add(time.Duration(m.GetLeftMs()) * time.Millisecond)
 		if c.discovery.HeardCold(m.GetEndpoint(), m.GetNumber(), until, now) {
 			c.nowCold(m.GetEndpoint(), until, now)
 			news = true
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -54,14 +54,15 @@
 	defer cancel()
 	sentAt := n.now()
 	reply, err := n.peers.Gossip(trip, target.VM, m)
-	took := n.now().Sub(sentAt)
+	came := n.now()
+	repliedAt := n.sentAt(reply)
 	n.control.send(ctx, func(c *control, now time.Time) {
 		if err != nil {
 			c.missed(target.VM, err, now)
 			return
 		}
-		c.tookWay(reply.GetFrom().GetRegion(), took)
-		c.heard(ctx, reply, now)
+		c.tookWay(reply.GetFrom().GetRegion(), came.Sub(sentAt))
+		c.heard(ctx, reply, repliedAt, now)
 	})
 }
 
@@ -77,17 +78,19 @@
 	c.roster.Missed(vm.ID, now)
 }
 
-func (c *control) heard(ctx context.Context, m *peerpb.GossipMessage, now time.Time) {
+// heard takes a message that was sent at a moment: its ages and what is left of
+// times count from there.
+func (c *control) heard(ctx context.Context, m *peerpb.GossipMessage, sentAt, now time.Time) {
 	rumors := make([]roster.Rumor, 0, len(m.GetRumors()))
 	for _, r := range m.GetRumors() {
 		rumors = append(rumors, rumorFromMessage(r))
 	}
 	from := rumorFromMessage(m.GetFrom())
 	c.roster.Heard(from, m.GetHash(), rumors, now)
-	c.takeLoads(m.GetLoads(), now)
-	c.takeCold(ctx, m.GetCold(), now)
-	c.node.pools.takeReports(m.GetReports(), now)
-	c.node.pools.takeHoldings(m.GetHoldings(), now)
+	c.takeLoads(m.GetLoads(), sentAt)
+	c.takeCold(ctx, m.GetCold(), sentAt, now)
+	c.node.pools.takeReports(m.GetReports(), sentAt)
+	c.node.pools.takeHoldings(m.GetHoldings(), sentAt, now)
 	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
 		c.node.current()
 	}
@@ -98,12 +101,19 @@
 
 // answerGossip takes a peer's message and gives this VM's.
 func (n *Node) answerGossip(ctx context.Context, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	sentAt := n.sentAt(in)
 	return ask(ctx, n.control, func(c *control, now time.Time) *peerpb.GossipMessage {
-		c.heard(context.WithoutCancel(ctx), in, now)
+		c.heard(context.WithoutCancel(ctx), in, sentAt, now)
 		return c.message(in.GetFrom().GetRegion(), in.GetHash() != c.roster.Hash(), now)
 	})
 }
 
+// sentAt is when a peer's message was sent, by this VM's clock.
+func (n *Node) sentAt(m *peerpb.GossipMessage) time.Time {
+	from := m.GetFrom()
+	return n.transit.SentAt(from.GetVm(), from.GetIncarnation(), m.GetSentUs())
+}
+
 // pullSoon asks a peer for what it holds of the store, unless this VM's own
 // read brings it soon.
 func (n *Node) pullSoon(ctx context.Context, vm fleet.VM, revision uint64) {
--- a/site/holdings.go
+++ b/site/holdings.go
@@ -53,14 +53,14 @@
 	return out
 }
 
-func (p *pools) takeHoldings(list []*peerpb.PrefixHolding, now time.Time) {
+func (p *pools) takeHoldings(list []*peerpb.PrefixHolding, sentAt, now time.Time) {
 	byService := make(map[string][]routing.Holding)
 	for _, m := range list {
 		byService[m.GetService()] = append(byService[m.GetService()], routing.Holding{
 			Hash:     m.GetPrefix(),
 			Tokens:   int(m.GetTokens()),
 			Endpoint: m.GetEndpoint(),
-			UsedAt:   now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+			UsedAt:   sentAt.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 		})
 	}
 	for service, holdings := range byService {
--- a/site/loads.go
+++ b/site/loads.go
@@ -32,7 +32,7 @@
 
 // takeLoads takes what regions say of themselves, or what another VM of this
 // region has heard of them.
-func (c *control) takeLoads(loads []*peerpb.RegionLoad, now time.Time) {
+func (c *control) takeLoads(loads []*peerpb.RegionLoad, sentAt time.Time) {
 	for _, l := range loads {
 		if l.GetRegion() == c.node.deployment.Region {
 			continue
@@ -41,7 +41,7 @@
 			region:  l.GetRegion(),
 			service: l.GetService(),
 		}
-		at := now.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond)
+		at := sentAt.Add(-time.Duration(l.GetAgeMs()) * time.Millisecond)
 		if at.Sub(c.loads[key].at) <= newerBy {
 			continue
 		}
--- a/site/place.go
+++ b/site/place.go
@@ -173,7 +173,7 @@
 	defer cancel()
 	out := n.peers.Forward(trip, vm, &peerpb.ForwardRequest{
 		From: n.identity(),
-		Call: peer.CallMessage(c),
+		Call: peer.CallMessage(c, n.now()),
 	}, sink, func(uint64) {})
 	if ctx.Err() != nil && out.Code == result.PeerLost {
 		return call.Refused(result.Refuse(result.EndpointTimeout, "VM %s had the call as its time ended or the caller left", vm.ID).Because(ctx.Err()))
@@ -204,6 +204,8 @@
 		Witness:   func(uint64) {},
 
 		CountBytes: n.countBytes,
+		Now:        n.now,
+		Transit:    n.transit,
 	}
 }
 
--- a/site/reports.go
+++ b/site/reports.go
@@ -148,12 +148,12 @@
 }
 
 // takeReports takes what another VM of the region has heard.
-func (p *pools) takeReports(list []*peerpb.EngineReport, now time.Time) {
+func (p *pools) takeReports(list []*peerpb.EngineReport, sentAt time.Time) {
 	for _, m := range list {
 		p.takeReport(m.GetEndpoint(), heldReport{
 			service: m.GetService(),
 			load: routing.Load{
-				At:          now.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
+				At:          sentAt.Add(-time.Duration(m.GetAgeMs()) * time.Millisecond),
 				Running:     int(m.GetRunning()),
 				Waiting:     int(m.GetWaiting()),
 				CacheUsed:   int(m.GetCacheUsed()),
--- a/site/site.go
+++ b/site/site.go
@@ -20,6 +20,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
@@ -81,6 +82,7 @@
 	store   *platform.Client
 	decoder platform.Decoder
 	peers   *peer.Client
+	transit *peer.Transit
 	client  *endpoint.Client
 	pools   *pools
 	serving *serving.Server
@@ -128,9 +130,12 @@
 		ReplyWithin: storeReplyWithin,
 		Now:         n.now,
 	})
+	n.transit = peer.NewTransit(n.now)
 	n.peers = peer.New(peer.Options{
 		Dial:       dialPeer,
 		CountBytes: n.countBytes,
+		Now:        n.now,
+		Transit:    n.transit,
 	})
 	n.client = endpoint.New(endpoint.Options{
 		Now:     n.now,
@@ -171,10 +176,7 @@
 const peerDialWithin = 700 * time.Millisecond
 
 func dialPeer(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: peerDialWithin,
-	}
-	return d.DialContext(ctx, "tcp", addr)
+	return tcp.Dialer(peerDialWithin).DialContext(ctx, "tcp", addr)
 }
 
 func (n *Node) newServing() *serving.Server {
@@ -315,7 +317,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp", n.deployment.PeerAddr)
+	peers, err := tcp.Listen(context.Background(), n.deployment.PeerAddr)
 	if err != nil {
 		return err
 	}
