Expect first tokens by the prompts that wait unread

Cause: the reading rate of engines started at 4,000 tokens a second (they read 50,000), learnt only from calls that were expected to find an idle engine without any correction, and the queue was worked off by the clock. Expected first tokens were up to ten times too late: calls left their region and were refused by it, most of all after the fleet's loss. Change: routing.reading keeps the prompts without a first token, routing.rate is a ratio of sums.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -80,6 +80,8 @@
 	// in memory, CopyAt that of the one which holds the copy to go on from.
 	BackupAt string
 	CopyAt   string
+	// Began, if set, is told when the first part of the answer came.
+	Began func()
 	// Paced, if set, is told of the time between two pieces of a routed stream,
 	// with the tokens of the later one.
 	Paced func(gap time.Duration, tokens int)
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -204,6 +204,9 @@
 	}
 	x.headed = true
 	x.outcome.FirstAt = x.client.now()
+	if x.attempt.Began != nil {
+		x.attempt.Began()
+	}
 	if x.attempt.ResumeFrom > 0 || x.attempt.ResumeAfter != "" {
 		return nil
 	}
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -14,8 +14,11 @@
 	predicted float64
 	first     float64
 	score     float64
-	prefill   float64
-	warm      bool
+	// tokens are those of the prompt that the endpoint has to read, unread those
+	// that it reads before.
+	tokens float64
+	unread float64
+	warm   bool
 	// cached are the tokens of the prompt that need not be read, of which fetched
 	// come from another engine.
 	cached  int
@@ -136,7 +139,8 @@
 // take counts the call at the candidate.
 func (p *Pool) take(c candidate, r Request, now time.Time) Choice {
 	choice := p.choice(c, r, now)
-	c.state.enter(c.prefill, now)
+	c.state.enter(now)
+	choice.prompt = c.state.reading.enter(c.tokens, r.Priority, now)
 	p.hold(c.state, r.Prefixes, now)
 	p.learnt.learnLong(r.MaxTokens)
 	p.refresh(c.state, now)
@@ -251,11 +255,14 @@
 	wait := queued * hold / slots
 	warm := e == r.home
 	cached, fetched := e.cached(r, now)
-	prefill := p.prefill(r, warm)
+	rate := p.learnt.read.perSecond()
+	tokens := p.toRead(r, warm)
 	if len(r.Prefixes) > 0 {
-		prefill = p.read(r, cached, fetched)
+		tokens = float64(max(r.PromptTokens-cached, 0)) + fetchedPart*float64(fetched)
 	}
-	predicted := wait + e.prefilling(p.learnt.share, now) + prefill
+	unread := e.unread(r.Priority, p.learnt.share, rate, now)
+	prefill := p.learnt.base.value + tokens/rate
+	predicted := wait + unread/rate + prefill
 	late := max(e.correction(now)-lateSlack*p.learnt.late.or(0), e.stall(hold, now), 0)
 	return candidate{
 		state:     e,
@@ -263,7 +270,8 @@
 		predicted: predicted,
 		first:     predicted + late,
 		score:     predicted + late + (coldWeight-1)*prefill + loadWeight*hold*occupied/slots,
-		prefill:   prefill,
+		tokens:    tokens,
+		unread:    unread,
 		warm:      warm,
 		cached:    cached,
 		fetched:   fetched,
@@ -286,20 +294,14 @@
 	return max(cached, r.source.tokens), r.source.tokens - own
 }
 
-// read is the expected time to the first token of a prompt whose parts are
-// known, in seconds.
-func (p *Pool) read(r Request, cached, fetched int) float64 {
-	tokens := float64(max(r.PromptTokens-cached, 0)) + fetchedPart*float64(fetched)
-	return p.learnt.base.value + tokens/p.learnt.prefill.value
-}
-
-// prefill is the expected time from the start of a call to its first token, in seconds.
-func (p *Pool) prefill(r Request, warm bool) float64 {
+// toRead is how many tokens of a prompt an endpoint has to read, where nothing
+// is known of the prompt's parts.
+func (p *Pool) toRead(r Request, warm bool) float64 {
 	cold := float64(r.PromptTokens)
 	if warm {
 		cold *= 1 - p.learnt.cached.or(defaultCached)
 	}
-	return p.learnt.base.value + cold/p.learnt.prefill.value
+	return cold
 }
 
 // choice makes the caller's view of a candidate.
@@ -325,6 +327,10 @@
 		Affine:    c.warm,
 		state:     c.state,
 		predicted: c.predicted,
+		unread:    c.unread,
+		queued:    c.wait > 0,
+		tokens:    c.tokens,
+		known:     len(r.Prefixes) > 0,
 		occupied:  c.occupied,
 		prefix:    r.PrefixHash != 0,
 		maxTokens: r.MaxTokens,
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
@@ -57,9 +58,7 @@
 	bias   float64
 	biasAt time.Time
 
-	// backlog is the prefill time of own calls as of backlogAt, in seconds.
-	backlog   float64
-	backlogAt time.Time
+	reading reading
 
 	failures int
 	backoff  time.Duration
@@ -106,10 +105,8 @@
 	}
 }
 
-// enter counts one more call in flight, with its prefill time in seconds.
-func (e *endpoint) enter(prefill float64, now time.Time) {
-	e.backlog = e.ownPrefilling(now) + prefill
-	e.backlogAt = now
+// enter counts one more call in flight.
+func (e *endpoint) enter(now time.Time) {
 	e.history.record(e.inFlight, now)
 	if e.inFlight == 0 {
 		e.progressAt = now
@@ -192,19 +189,14 @@
 	return float64(e.load.Waiting) * math.Exp(-now.Sub(e.loadAt).Seconds()/reportTrust)
 }
 
-// prefilling is how many seconds of prefill are queued there: those of the own
-// calls, and as many for other VMs' as their part of the load says.
-func (e *endpoint) prefilling(share float64, now time.Time) float64 {
-	own := e.ownPrefilling(now)
+// unread is how many prompt tokens the endpoint reads before a call that is sent
+// now: those of the own calls, and as many for other VMs' as their part of the
+// load says.
+func (e *endpoint) unread(priority call.Priority, share, rate float64, now time.Time) float64 {
+	own := e.reading.ahead(priority, rate, now)
 	return own + alikeWeight*own*min(1/share-1, alikeMost)
 }
 
-// ownPrefilling is how many seconds of prefill the own calls have queued there.
-// The engine works it off together with that of other VMs' calls.
-func (e *endpoint) ownPrefilling(now time.Time) float64 {
-	return max(e.backlog-now.Sub(e.backlogAt).Seconds(), 0)
-}
-
 // correction is the decayed bias in seconds.
 func (e *endpoint) correction(now time.Time) float64 {
 	if e.bias == 0 {
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -38,12 +38,11 @@
 	// livePaceFor is how long the present pace is used after the last event.
 	livePaceFor = 1500 * time.Millisecond
 
-	defaultHold    = 1.0
-	defaultSpeed   = 50.0
-	defaultBase    = 0.02
-	defaultPrefill = 4000.0
-	defaultCached  = 0.8
-	defaultLength  = 0.5
+	defaultHold   = 1.0
+	defaultSpeed  = 50.0
+	defaultBase   = 0.02
+	defaultCached = 0.8
+	defaultLength = 0.5
 
 	// ejectAfter is how many failures in a row start a back-off.
 	ejectAfter  = 3
@@ -79,9 +78,10 @@
 	// a warm prefix and no queue, both in seconds.
 	hold average
 	base average
-	// speed is in generated tokens a second for one call, prefill in prompt tokens a second.
-	speed   average
-	prefill average
+	// speed is in generated tokens a second for one call.
+	speed average
+	// read is how fast endpoints read prompts, by what is known of their queues.
+	read rate
 	// work is the prompt and generated tokens that a slot serves a second.
 	work average
 	// cached is the part of a prompt that a warm endpoint does not prefill.
@@ -159,10 +159,7 @@
 
 func newLearnt() learnt {
 	return learnt{
-		prefill: average{
-			value: defaultPrefill,
-			known: true,
-		},
+		read: newRate(),
 		base: average{
 			value: defaultBase,
 			known: true,
@@ -211,14 +208,13 @@
 	e.correct(first-c.predicted, now)
 	p.learnt.late.add(max(first-c.predicted, 0), learnWeight)
 	p.learnCached(c, o)
-	if c.Wait > 0 {
+	if c.queued || c.known {
 		return
 	}
 	cold := o.Usage.PromptTokens - o.Usage.CachedTokens
 	base := p.learnt.base.value
 	if cold >= minPrefillTokens && first > base {
-		rate := float64(cold) / (first - base)
-		p.learnt.prefill.add(max(rate, p.learnt.prefill.value/sampleBound), learnWeight)
+		p.learnt.read.add(c.unread+float64(cold), first-base)
 		return
 	}
 	p.learnt.base.add(min(first, p.learnt.base.value*sampleBound), learnWeight)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -100,6 +100,16 @@
 	state *endpoint
 	// predicted is First in seconds without the correction by observation.
 	predicted float64
+	// unread are the tokens that the endpoint was expected to read before, prompt the
+	// number of the call's own among those that wait there.
+	unread float64
+	prompt uint64
+	// queued says that the call was expected to wait for a slot.
+	queued bool
+	// tokens are those that it has to read of the call's prompt; known says that the
+	// prompt's parts were named, so that this is no guess.
+	tokens float64
+	known  bool
 	// occupied are the calls at the endpoint, this one included.
 	occupied  float64
 	prefix    bool
@@ -245,6 +255,7 @@
 		return
 	}
 	e.leave(now)
+	e.reading.leave(c.prompt, now)
 	if c.Probe {
 		e.probing = false
 	}
@@ -254,6 +265,21 @@
 	p.refresh(e, now)
 }
 
+// Began tells that the first token of a call's answer came: its prompt is read.
+func (p *Pool) Began(c Choice, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.state == nil {
+		return
+	}
+	c.state.reading.leave(c.prompt, now)
+	c.state.progressAt = now
+	first := now.Sub(c.At).Seconds()
+	if c.known && !c.queued && first > p.learnt.base.value {
+		p.learnt.read.add(c.unread+c.tokens, first-p.learnt.base.value)
+	}
+}
+
 // admit makes an endpoint eligible.
 func (p *Pool) admit(e *endpoint) {
 	e.place = len(p.eligible)
--- a/routing/supply.go
+++ b/routing/supply.go
@@ -78,7 +78,7 @@
 		Hold:                seconds(p.learnt.hold.or(defaultHold)),
 		First:               seconds(p.learnt.base.value),
 		TokensPerSecond:     p.learnt.speed.or(defaultSpeed),
-		PrefillPerSecond:    p.learnt.prefill.value,
+		PrefillPerSecond:    p.learnt.read.perSecond(),
 		SlotTokensPerSecond: p.learnt.work.or(defaultSpeed),
 		ColdShare:           p.learnt.cold.or(1),
 		AnswerShare:         p.learnt.length.or(defaultLength),
--- a/serving/run.go
+++ b/serving/run.go
@@ -133,6 +133,9 @@
 		Endpoint: chosen,
 	})
 	attempt := s.newAttempt(c, slot, before, p)
+	attempt.Began = func() {
+		pool.Endpoints.Began(slot.Choice, s.options.Now())
+	}
 	attempt.Paced = func(gap time.Duration, tokens int) {
 		pool.Endpoints.Paced(slot.Choice, gap, tokens, s.options.Now())
 	}
