Correct the word of other regions by the call's prompt and by what was sent since

Change: regions tell the reading rate; the rest of the prompt is added, and what this VM (and others alike) sent there after the word (borrow.Sent).

--- a/borrow/place.go
+++ b/borrow/place.go
@@ -44,6 +44,8 @@
 	Answer float64
 	// Long is how many by a call that is longer than nine in ten.
 	Long float64
+	// ToRead is how many tokens of the prompt an endpoint has to read, by the own region.
+	ToRead float64
 }
 
 // PlaceRequest is a call that may be served in several regions.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -104,6 +104,8 @@
 	// a call that is longer than nine in ten.
 	Answer float64
 	Long   float64
+	// ToRead is how many tokens of the prompt the endpoint has to read.
+	ToRead float64
 }
 
 // Whole is the time to the end of the answer.
@@ -127,6 +129,7 @@
 		Token:  seconds(each),
 		Answer: p.answerTokens(r),
 		Long:   p.learnt.long * p.learnt.length.or(defaultLength),
+		ToRead: c.tokens,
 	}, true
 }
 
--- a/site/loads.go
+++ b/site/loads.go
@@ -20,9 +20,11 @@
 // regionLoad is a region's load with the time of the word.
 type regionLoad struct {
 	borrow.Load
-	// token is the time for each generated token there.
-	token time.Duration
-	at    time.Time
+	// token is the time for each generated token there, and readsPerSecond how many
+	// prompt tokens an endpoint reads in a second.
+	token          time.Duration
+	readsPerSecond float64
+	at             time.Time
 }
 
 type loadKey struct {
@@ -51,8 +53,9 @@
 				Endpoints: int(l.GetEndpoints()),
 				First:     time.Duration(l.GetFirstMs()) * time.Millisecond,
 			},
-			token: time.Duration(l.GetTokenUs()) * time.Microsecond,
-			at:    at,
+			token:          time.Duration(l.GetTokenUs()) * time.Microsecond,
+			readsPerSecond: float64(l.GetReadsPerSecond()),
+			at:             at,
 		}
 	}
 }
@@ -80,12 +83,13 @@
 			continue
 		}
 		out = append(out, &peerpb.RegionLoad{
-			Service:   key.service,
-			Endpoints: uint32(load.Endpoints),
-			FirstMs:   uint32(load.First.Milliseconds()),
-			TokenUs:   uint32(load.token.Microseconds()),
-			Region:    key.region,
-			AgeMs:     uint32(max(age.Milliseconds(), 0)),
+			Service:        key.service,
+			Endpoints:      uint32(load.Endpoints),
+			FirstMs:        uint32(load.First.Milliseconds()),
+			TokenUs:        uint32(load.token.Microseconds()),
+			Region:         key.region,
+			AgeMs:          uint32(max(age.Milliseconds(), 0)),
+			ReadsPerSecond: uint32(load.readsPerSecond),
 		})
 	}
 	return out
@@ -99,15 +103,17 @@
 			PromptTokens: usualPrompt,
 		}, now)
 		endpoints := 0
+		supply := pool.Endpoints.Supply(now)
 		if ok {
-			endpoints = pool.Endpoints.Supply(now).Endpoints
+			endpoints = supply.Endpoints
 		}
 		out = append(out, &peerpb.RegionLoad{
-			Region:    p.node.deployment.Region,
-			Service:   service,
-			Endpoints: uint32(endpoints),
-			FirstMs:   uint32(expected.First.Milliseconds()),
-			TokenUs:   uint32(expected.Token.Microseconds()),
+			Region:         p.node.deployment.Region,
+			Service:        service,
+			Endpoints:      uint32(endpoints),
+			FirstMs:        uint32(expected.First.Milliseconds()),
+			TokenUs:        uint32(expected.Token.Microseconds()),
+			ReadsPerSecond: uint32(supply.PrefillPerSecond),
 		})
 	}
 	return out
--- a/site/place.go
+++ b/site/place.go
@@ -74,6 +74,7 @@
 		return vm, false, nil
 	}
 	tracePlace(c, own, others, region)
+	n.sent.Add(region, c.Target(), own.ToRead, now)
 	vms := reachableIn(pic.members.Members, region, tried)
 	return vms[rand.IntN(len(vms))], true, nil
 }
@@ -101,6 +102,7 @@
 	load := borrow.Load{
 		Region: n.deployment.Region,
 	}
+	load.ToRead = float64(c.PromptTokens)
 	pool, ok := n.pools.find(c.Target())
 	if !ok {
 		return load
@@ -120,6 +122,7 @@
 	load.First = expected.First
 	load.Whole = expected.Whole()
 	load.Answer = expected.Answer
+	load.ToRead = expected.ToRead
 	load.Long = expected.Long
 	load.LongWhole = expected.First + time.Duration(expected.Long*float64(expected.Token))
 	return load
@@ -137,6 +140,7 @@
 			continue
 		}
 		load := l.Load
+		load.First += n.laterThere(c, l, own, len(reachableIn(pic.members.Members, n.deployment.Region, nil)))
 		load.Whole = load.First + time.Duration(own.Answer*float64(l.token))
 		load.LongWhole = load.First + time.Duration(own.Long*float64(l.token))
 		out = append(out, load)
@@ -144,6 +148,18 @@
 	return out
 }
 
+// laterThere is how much later than a region's word says the first token of a
+// call comes there: the word is of a usual prompt, and of before the calls that
+// this region has sent since.
+func (n *Node) laterThere(c *call.Call, l regionLoad, own borrow.Load, vms int) time.Duration {
+	if l.readsPerSecond <= 0 || c.PromptTokens == 0 {
+		return 0
+	}
+	sent := n.sent.Since(l.Region, c.Target(), l.at.Add(-l.Way/2), vms)
+	tokens := own.ToRead - usualPrompt + sent/float64(max(l.Endpoints, 1))
+	return time.Duration(tokens / l.readsPerSecond * float64(time.Second))
+}
+
 // reachableIn gives the VMs of a region that take calls, but for those tried.
 func reachableIn(members []roster.Member, region string, tried []string) []fleet.VM {
 	var out []fleet.VM
--- a/site/site.go
+++ b/site/site.go
@@ -20,6 +20,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/fuchsianotch/fuchsianotch/borrow"
 	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
@@ -85,6 +86,7 @@
 	transit *peer.Transit
 	client  *endpoint.Client
 	pools   *pools
+	sent    *borrow.Sent
 	serving *serving.Server
 	control *control
 	callers *http.Server
@@ -118,6 +120,7 @@
 			Regions: d.Regions,
 		},
 		gone: make(chan struct{}),
+		sent: borrow.NewSent(),
 	}
 	n.bounds.Store(&d.Bounds)
 	n.ring = timeline.New(timeline.Options{
