Lead callers only to regions that are homes of their routes

Cause: a VM that knows no VM of the client's region named those of its own. Change: entry.Elsewhere names the regions in reach that are homes of the most bound routes.

--- a/route/route.go
+++ b/route/route.go
@@ -123,6 +123,17 @@
 	return nil, false
 }
 
+// Bound gives the homes of each route of a host that is bound to some.
+func (t *Table) Bound(host string) [][]string {
+	var bound [][]string
+	for _, r := range t.byHost[normalHost(host)] {
+		if len(r.Homes) > 0 {
+			bound = append(bound, r.Homes)
+		}
+	}
+	return bound
+}
+
 // normalHost gives a host without its port, in lower case.
 func normalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/site/place.go
+++ b/site/place.go
@@ -175,6 +175,17 @@
 	return m.VM.Region == region && m.Reachable && m.Ready && !slices.Contains(tried, m.VM.ID)
 }
 
+// regionsIn gives the regions with VMs that take calls, in the order of the members.
+func regionsIn(members []roster.Member) []string {
+	var out []string
+	for _, m := range members {
+		if takesCalls(m, m.VM.Region, nil) && !slices.Contains(out, m.VM.Region) {
+			out = append(out, m.VM.Region)
+		}
+	}
+	return out
+}
+
 func entriesIn(members []roster.Member, region string) []string {
 	var out []string
 	for _, vm := range reachableIn(members, region, nil) {
--- a/site/site.go
+++ b/site/site.go
@@ -24,6 +24,7 @@
 	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/peer"
@@ -246,13 +247,22 @@
 }
 
 // entries gives the addresses of the VMs of a client's region that take calls,
-// or those of this region where none of the client's is known.
-func (n *Node) entries(region, _ string) []string {
-	members := n.control.picture().members
-	if out := entriesIn(members.Members, region); len(out) > 0 {
+// or those of others where none of the client's is known.
+func (n *Node) entries(host, region string) []string {
+	pic := n.control.picture()
+	members := pic.members.Members
+	if out := entriesIn(members, region); len(out) > 0 {
 		return out
 	}
-	return entriesIn(members.Members, n.deployment.Region)
+	var bound [][]string
+	if pic.table != nil {
+		bound = pic.table.Bound(host)
+	}
+	var out []string
+	for _, other := range entry.Elsewhere(n.deployment.Region, bound, regionsIn(members)) {
+		out = append(out, entriesIn(members, other)...)
+	}
+	return out
 }
 
 // Reload takes settings that changed while the process runs. The VM's place and
