Placement decides in one package what becomes of a call

Cause: borrow/place.go, site/place.go and admission divided one decision among three packages. Change: package placement holds Decide (region, yield, refuse), Sent and Late with their tests; site/place.go gathers what it needs and carries it out. No change of behaviour; the rows of the tests are the same, and the reasons of refusals are told apart.

--- a/admission/late.go
+++ b/placement/late.go
@@ -1,4 +1,4 @@
-package admission
+package placement
 
 import (
 	"math"
@@ -17,10 +17,10 @@
 	lateLeast = 0.1
 )
 
-// Late decides whether a call that cannot be on time any more is worth sending:
-// as often as such calls were served of late. It yields to all that can be on
-// time, so in a lasting overload it would wait until its deadline for nothing,
-// and its caller had better know at once. It is safe for concurrent use.
+// Late knows which part of the calls that could not be on time was served of
+// late. They yield to all that can be on time, so in a lasting overload they wait
+// until their deadline for nothing, and their callers had better know at once.
+// It is safe for concurrent use.
 type Late struct {
 	mu     sync.Mutex
 	groups map[LateGroup]lateGroup
@@ -60,11 +60,11 @@
 	}
 }
 
-// Refuses says whether a late call is refused; draw is a random number from 0 to 1.
-func (l *Late) Refuses(g LateGroup, draw float64, now time.Time) bool {
+// Missed is the part of a group's late calls that was not served of late.
+func (l *Late) Missed(g LateGroup, now time.Time) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return draw < min(l.groups[g].now(now), 1-lateLeast)
+	return l.groups[g].now(now)
 }
 
 // now is the part that is missed, as far as it is not forgotten.
--- a/admission/late_test.go
+++ b/placement/late_test.go
@@ -1,4 +1,4 @@
-package admission
+package placement
 
 import (
 	"testing"
@@ -35,7 +35,14 @@
 			}
 			refused := 0
 			for i := range 1000 {
-				if l.Refuses(g, float64(i)/1000, now) {
+				r := Request{
+					Own:        Load{Region: "a", Endpoints: 1, First: 2 * time.Second},
+					OwnAllowed: true,
+					FirstBy:    now.Add(time.Second),
+					Missed:     l.Missed(g, now),
+					LateDraw:   float64(i) / 1000,
+				}
+				if Decide(r, now).Refused == ReasonLate {
 					refused++
 				}
 			}
--- a/borrow/place.go
+++ b/placement/placement.go
@@ -1,4 +1,13 @@
-package borrow
+// Package placement decides what becomes of a call to model engines before any
+// of them has seen it: the region that serves it, whether it yields to others as
+// it cannot be on time any more, and whether it is refused at once. Which engine
+// of the region it goes to is decided by package routing.
+//
+// It answers the load of engines that read prompts one after the other and
+// generate for many calls at once: up to what they read in a second all calls
+// are on time wherever they go, and over it every call that is served makes
+// others late.
+package placement
 
 import "time"
 
@@ -56,32 +65,108 @@
 	ToRead float64
 }
 
-// PlaceRequest is a call that may be served in several regions.
-type PlaceRequest struct {
+// Request is a call that may be served in several regions.
+type Request struct {
 	Own Load
 	// OwnAllowed is false where the call may not be served in the own region, or
 	// has been refused there.
 	OwnAllowed bool
 	// Others are the other regions that may serve the call.
 	Others []Load
+	// Moved says that another place has looked at the call: it is not refused for
+	// overload any more.
+	Moved bool
 	// FirstBy is the objective and WholeBy the deadline; zero means none.
 	FirstBy time.Time
 	WholeBy time.Time
 	// Rank is the call's priority, 0 first.
 	Rank int
-	// Draw is a random number from 0 to 1.
-	Draw float64
+	// Missed is the part of late calls like this one that was not served of late.
+	Missed float64
+	// EndDraw, LateDraw and WaitDraw are random numbers from 0 to 1.
+	EndDraw  float64
+	LateDraw float64
+	WaitDraw float64
+	// Without switches mechanisms off, to measure what each is worth.
+	Without Without
 }
 
-// refuses says whether a call that ends at such a part of the time to its
+// Without are mechanisms that are switched off.
+type Without struct {
+	Yielding    bool
+	LateRefusal bool
+	EndRefusal  bool
+}
+
+// Reason says why a call is refused; the empty one that it is not.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonNoRegion: no region takes calls of the service.
+	ReasonNoRegion Reason = "no region takes calls"
+	// ReasonEnd: no region is expected to end the answer in time.
+	ReasonEnd Reason = "no region is expected to end the answer in time"
+	// ReasonLate: the first token would be late, and such calls are not served now.
+	ReasonLate Reason = "late calls are not served now"
+)
+
+// Decision is what becomes of a call.
+type Decision struct {
+	// Region is the one that serves the call, or would.
+	Region string
+	// Late says that the call yields to all that can be on time.
+	Late bool
+	// Refused is empty for a call that is served; ComeBackAt is when the caller of
+	// one that is refused may try again.
+	Refused    Reason
+	ComeBackAt time.Time
+}
+
+// Decide chooses the region in which a call is served: the own one while it is
+// expected to answer well within the objective and the deadline, and else the
+// one that uses up the least of them.
+func Decide(r Request, now time.Time) Decision {
+	best := r.best(now)
+	d := Decision{
+		Region:  best.Region,
+		Late:    best.Region != "" && !r.Without.Yielding && r.late(best, now),
+		Refused: ReasonNoRegion,
+	}
+	if best.Region == "" {
+		d.ComeBackAt = now.Add(comeBackAfter)
+		return d
+	}
+	d.Refused = r.refused(best, d.Late, now)
+	if d.Refused != "" {
+		d.ComeBackAt = r.comeBackAt(now)
+	}
+	return d
+}
+
+// refused says why a call that a region could take is not to be sent there.
+func (r Request) refused(l Load, late bool, now time.Time) Reason {
+	switch {
+	case r.Moved:
+		return ""
+	case !r.Without.EndRefusal && r.endsTooLate(r.end(l, now)):
+		return ReasonEnd
+	case late && !r.Without.LateRefusal && r.LateDraw < min(r.Missed, 1-lateLeast):
+		return ReasonLate
+	default:
+		return ""
+	}
+}
+
+// endsTooLate says whether a call that ends at such a part of the time to its
 // deadline is refused.
-func (r PlaceRequest) refuses(end float64) bool {
-	from := r.refuseAt()
-	return (end-from)/from > r.Draw
+func (r Request) endsTooLate(end float64) bool {
+	from := r.refuseFrom()
+	return (end-from)/from > r.EndDraw
 }
 
-// refuseAt is the part of the deadline from which calls are refused.
-func (r PlaceRequest) refuseAt() float64 {
+// refuseFrom is the part of the deadline from which calls are refused.
+func (r Request) refuseFrom() float64 {
 	switch r.Rank {
 	case 0:
 		return refuseHigh
@@ -92,30 +177,8 @@
 	}
 }
 
-// Placement is the answer of Place.
-type Placement struct {
-	// Region is empty when none takes work.
-	Region string
-	// Overloaded says that the call would end too late in every region, and Late
-	// that its first token is expected after the objective.
-	Overloaded bool
-	Late       bool
-}
-
-// Place chooses the region in which a call is served: the own one while it is
-// expected to answer well within the objective and the deadline, and else the
-// one that uses up the least of them.
-func Place(r PlaceRequest, now time.Time) Placement {
-	best := r.best(now)
-	return Placement{
-		Region:     best.Region,
-		Overloaded: best.Region != "" && r.refuses(r.end(best, now)),
-		Late:       best.Region != "" && r.late(best, now),
-	}
-}
-
-// best is the region that Place chooses; its name is empty when none takes work.
-func (r PlaceRequest) best(now time.Time) Load {
+// best is the region that Decide chooses; its name is empty when none takes work.
+func (r Request) best(now time.Time) Load {
 	best, least := Load{}, 0.0
 	if r.OwnAllowed && r.Own.Endpoints > 0 {
 		first, whole := r.used(r.Own, now)
@@ -135,15 +198,15 @@
 	return best
 }
 
-// late says whether the first token comes after the objective.
-func (r PlaceRequest) late(l Load, now time.Time) bool {
+// late says whether the first token comes well after the objective.
+func (r Request) late(l Load, now time.Time) bool {
 	first, _ := r.used(l, now)
 	return first > lateFrom
 }
 
 // end is the part of the time to the deadline at which the call would end. The
 // lowest rank makes room already when the long answers of others would not.
-func (r PlaceRequest) end(l Load, now time.Time) float64 {
+func (r Request) end(l Load, now time.Time) float64 {
 	_, whole := r.used(l, now)
 	if r.Rank < lowestRank {
 		return whole
@@ -153,7 +216,7 @@
 
 // used gives the parts of the times to the objective and to the deadline that
 // the call would take in a region.
-func (r PlaceRequest) used(l Load, now time.Time) (first, whole float64) {
+func (r Request) used(l Load, now time.Time) (first, whole float64) {
 	return part(l.First+l.Way, r.FirstBy, now), part(l.Whole+l.Way, r.WholeBy, now)
 }
 
@@ -164,15 +227,9 @@
 	return takes.Seconds() / max(by.Sub(now).Seconds(), time.Millisecond.Seconds())
 }
 
-// ComeBack is when a call for which no endpoint takes work may try again.
-func ComeBack(now time.Time) time.Time {
-	return now.Add(comeBackAfter)
-}
-
-// ComeBackLater is when a call that was refused for overload may try again,
-// spread by a random number from 0 to 1.
-func ComeBackLater(wholeBy, now time.Time, draw float64) time.Time {
-	left := wholeBy.Sub(now)
-	share := comeBackLeast + (comeBackMost-comeBackLeast)*draw
+// comeBackAt is when a call that was refused for overload may try again.
+func (r Request) comeBackAt(now time.Time) time.Time {
+	left := r.WholeBy.Sub(now)
+	share := comeBackLeast + (comeBackMost-comeBackLeast)*r.WaitDraw
 	return now.Add(time.Duration(float64(left) * share))
 }
--- a/borrow/place_test.go
+++ b/placement/placement_test.go
@@ -1,4 +1,4 @@
-package borrow
+package placement
 
 import (
 	"testing"
@@ -28,8 +28,8 @@
 	}
 }
 
-// TestPlace places calls with an objective of 1 s and a deadline of 10 s.
-func TestPlace(t *testing.T) {
+// TestDecide decides calls with an objective of 1 s and a deadline of 10 s.
+func TestDecide(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	for _, c := range datatest.Read[[]struct {
 		Name       string
@@ -41,30 +41,42 @@
 		Want       string
 		Overloaded bool
 		Late       bool
-	}](t, "testdata/place.json") {
+	}](t, "testdata/decide.json") {
 		t.Run(c.Name, func(t *testing.T) {
-			r := PlaceRequest{
+			r := Request{
 				Own:        c.Own.load(),
 				OwnAllowed: !c.NotAllowed,
 				FirstBy:    now.Add(time.Second),
 				WholeBy:    now.Add(10 * time.Second),
 				Rank:       c.Rank,
-				Draw:       c.Draw,
+				EndDraw:    c.Draw,
 			}
 			r.Own.Region = "a"
 			for _, o := range c.Others {
 				r.Others = append(r.Others, o.load())
 			}
-			assert.Equal(t, Place(r, now), Placement{Region: c.Want, Overloaded: c.Overloaded, Late: c.Late})
+			got := Decide(r, now)
+			assert.Equal(t, got.Region, c.Want)
+			assert.Equal(t, got.Late, c.Late)
+			assert.Equal(t, got.Refused == ReasonEnd, c.Overloaded)
+			assert.Equal(t, got.Refused == ReasonNoRegion, c.Want == "")
 		})
 	}
 }
 
-// TestComeBackLater holds that a refused call comes back within a third of its time.
-func TestComeBackLater(t *testing.T) {
+// TestComeBack holds that a refused call comes back within a third of its time.
+func TestComeBack(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	for _, draw := range []float64{0, 0.5, 1} {
-		wait := ComeBackLater(now.Add(9*time.Second), now, draw).Sub(now)
+		r := Request{
+			Own:        Load{Region: "a", Endpoints: 1, Whole: time.Hour},
+			OwnAllowed: true,
+			WholeBy:    now.Add(9 * time.Second),
+			WaitDraw:   draw,
+		}
+		d := Decide(r, now)
+		assert.Equal(t, d.Refused, ReasonEnd)
+		wait := d.ComeBackAt.Sub(now)
 		assert.Assert(t, wait > time.Second && wait <= 3*time.Second, wait)
 	}
 }
--- a/borrow/sent_test.go
+++ b/placement/sent_test.go
@@ -1,4 +1,4 @@
-package borrow
+package placement
 
 import (
 	"testing"
--- a/site/loads.go
+++ b/site/loads.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/fuchsianotch/fuchsianotch/borrow"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 )
 
@@ -19,7 +19,7 @@
 
 // regionLoad is a region's load with the time of the word.
 type regionLoad struct {
-	borrow.Load
+	placement.Load
 	// token is the time for each generated token there, and readsPerSecond how many
 	// prompt tokens an endpoint reads in a second.
 	token          time.Duration
@@ -48,7 +48,7 @@
 			continue
 		}
 		c.loads[key] = regionLoad{
-			Load: borrow.Load{
+			Load: placement.Load{
 				Region:    l.GetRegion(),
 				Endpoints: int(l.GetEndpoints()),
 				First:     time.Duration(l.GetFirstMs()) * time.Millisecond,
--- a/site/place.go
+++ b/site/place.go
@@ -7,13 +7,12 @@
 	"slices"
 	"time"
 
-	"github.com/fuchsianotch/fuchsianotch/admission"
-	"github.com/fuchsianotch/fuchsianotch/borrow"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/logs"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -48,8 +47,8 @@
 	return out
 }
 
-func lateGroup(c *call.Call) admission.LateGroup {
-	return admission.LateGroup{
+func lateGroup(c *call.Call) placement.LateGroup {
+	return placement.LateGroup{
 		Service: c.Target(),
 		Rank:    c.Routed.Rank,
 	}
@@ -67,30 +66,26 @@
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
 	own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
-	var others []borrow.Load
-	if n.settings.Has(settings.Borrowing) || own.Endpoints == 0 || !c.Routed.Allows(n.deployment.Region) {
-		others = n.otherLoads(c, pic, tried, own)
-	}
-	placed := borrow.Place(borrow.PlaceRequest{
+	others := n.otherLoads(c, pic, tried, own)
+	decision := placement.Decide(placement.Request{
 		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
 		Others:     others,
+		Moved:      len(tried) > 0,
 		FirstBy:    c.FirstBy,
 		WholeBy:    c.WholeBy,
 		Rank:       c.Routed.Rank,
-		Draw:       rand.Float64(),
+		Missed:     n.late.Missed(lateGroup(c), now),
+		EndDraw:    rand.Float64(),
+		LateDraw:   rand.Float64(),
+		WaitDraw:   rand.Float64(),
+		Without:    n.withoutPlacement(),
 	}, now)
-	region := placed.Region
-	c.Routed.Late = placed.Late && n.settings.Has(settings.Yielding)
-	hopeless := c.Routed.Late && n.settings.Has(settings.LateRefusal) && n.late.Refuses(lateGroup(c), rand.Float64(), now)
-	overloaded := placed.Overloaded && n.settings.Has(settings.EndRefusal)
-	if (overloaded || hopeless) && len(tried) == 0 {
+	region := decision.Region
+	c.Routed.Late = decision.Late
+	if decision.Refused != "" {
 		tracePlace(c, own, others, region)
-		return vm, false, result.Refuse(result.DeadlineUnmeetable, "no region is expected to end the answer in time").
-			Until(borrow.ComeBackLater(c.WholeBy, now, rand.Float64()))
-	}
-	if region == "" {
-		return vm, false, result.Refuse(result.NoEndpoint, "no region takes calls of %s", c.Service).Until(borrow.ComeBack(now))
+		return vm, false, refusalOf(decision)
 	}
 	if region == n.deployment.Region {
 		return vm, false, nil
@@ -101,9 +96,26 @@
 	return vms[rand.IntN(len(vms))], true, nil
 }
 
+func refusalOf(d placement.Decision) *result.Refusal {
+	code := result.DeadlineUnmeetable
+	if d.Refused == placement.ReasonNoRegion {
+		code = result.NoEndpoint
+	}
+	return result.Refuse(code, "%s", d.Refused).Until(d.ComeBackAt)
+}
+
+// withoutPlacement are the mechanisms of placement that the settings switch off.
+func (n *Node) withoutPlacement() placement.Without {
+	return placement.Without{
+		Yielding:    !n.settings.Has(settings.Yielding),
+		LateRefusal: !n.settings.Has(settings.LateRefusal),
+		EndRefusal:  !n.settings.Has(settings.EndRefusal),
+	}
+}
+
 // tracePlace logs what sent a call to another region.
-func tracePlace(c *call.Call, own borrow.Load, others []borrow.Load, region string) {
-	var chosen borrow.Load
+func tracePlace(c *call.Call, own placement.Load, others []placement.Load, region string) {
+	var chosen placement.Load
 	for _, o := range others {
 		if o.Region == region {
 			chosen = o
@@ -120,8 +132,8 @@
 }
 
 // ownLoad is what this region expects of the call.
-func (n *Node) ownLoad(c *call.Call, now time.Time) borrow.Load {
-	load := borrow.Load{
+func (n *Node) ownLoad(c *call.Call, now time.Time) placement.Load {
+	load := placement.Load{
 		Region: n.deployment.Region,
 	}
 	load.ToRead = float64(c.PromptTokens)
@@ -153,8 +165,11 @@
 
 // otherLoads are those of the regions that may serve the call and have a VM in
 // reach. own says how many tokens are expected to be generated.
-func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, own borrow.Load) []borrow.Load {
-	var out []borrow.Load
+func (n *Node) otherLoads(c *call.Call, pic *picture, tried []string, own placement.Load) []placement.Load {
+	if !n.settings.Has(settings.Borrowing) && own.Endpoints > 0 && c.Routed.Allows(n.deployment.Region) {
+		return nil
+	}
+	var out []placement.Load
 	for _, l := range pic.loads[c.Target()] {
 		if !c.Routed.Allows(l.Region) {
 			continue
@@ -174,7 +189,7 @@
 // laterThere is how much later than a region's word says the first token of a
 // call comes there: the word is of a usual prompt, and of before the calls that
 // this region has sent since.
-func (n *Node) laterThere(c *call.Call, l regionLoad, own borrow.Load, vms int) time.Duration {
+func (n *Node) laterThere(c *call.Call, l regionLoad, own placement.Load, vms int) time.Duration {
 	if l.readsPerSecond <= 0 || c.PromptTokens == 0 {
 		return 0
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -20,8 +20,6 @@
 
 	"github.com/oklog/run"
 
-	"github.com/fuchsianotch/fuchsianotch/admission"
-	"github.com/fuchsianotch/fuchsianotch/borrow"
 	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
@@ -29,6 +27,7 @@
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/route"
@@ -88,8 +87,8 @@
 	transit *peer.Transit
 	client  *endpoint.Client
 	pools   *pools
-	sent    *borrow.Sent
-	late    *admission.Late
+	sent    *placement.Sent
+	late    *placement.Late
 	serving *serving.Server
 	control *control
 	callers *http.Server
@@ -123,8 +122,8 @@
 			Regions: d.Regions,
 		},
 		gone: make(chan struct{}),
-		sent: borrow.NewSent(),
-		late: admission.NewLate(),
+		sent: placement.NewSent(),
+		late: placement.NewLate(),
 	}
 	n.bounds.Store(&d.Bounds)
 	n.ring = timeline.New(timeline.Options{
