After a start find all regions sooner, and let calls wait for them

Cause: the first exchanges of a VM that starts after the loss of the whole fleet go to VMs that are not there yet and hang; the next came after 0.5 s. Change: exchanges every 0.1 s until a member of each region is known, for 25 rounds at most; a call for which no region takes calls waits up to 0.5 s or its objective while the VM is younger than 3 s.

--- a/call/routed.go
+++ b/call/routed.go
@@ -32,6 +32,8 @@
 	Homes []string
 	// Parts are the parts of the prompt in order; the last is the call's own.
 	Parts []PromptPart
+	// ArrivedAt is when the call came to this VM.
+	ArrivedAt time.Time
 	// CallerBy is when the caller stops waiting; WholeBy may be earlier.
 	CallerBy time.Time
 	// ResumeAfter is the id of the last event that the caller has of a stream.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -44,6 +44,11 @@
 	buriedIntervals = 240
 	// deadEvery is how often, in intervals, a dead member is asked.
 	deadEvery = 4
+	// startHurry is how many times more often than usual a VM exchanges after its
+	// start, for as many rounds as startRounds at the most: 2.5 s by the usual interval
+	// of 0.5 s.
+	startHurry  = 5
+	startRounds = 25
 	// farEvery is how often, in intervals, a member of each other region is asked:
 	// bytes between regions are dear, and a region's load changes in seconds.
 	farEvery = 2
@@ -89,6 +94,8 @@
 	Seeds []string
 	// Every is the interval between two exchanges.
 	Every time.Duration
+	// Regions are all regions that may have members; none means that it is not known.
+	Regions []string
 	// Rand spreads the exchanges.
 	Rand func() uint64
 }
@@ -98,6 +105,7 @@
 	self    Rumor
 	seeds   []string
 	every   time.Duration
+	regions []string
 	rand    func() uint64
 	members map[string]*member
 	hash    uint64
@@ -136,6 +144,7 @@
 			State:       StateAlive,
 		},
 		every:   o.Every,
+		regions: o.Regions,
 		rand:    o.Rand,
 		members: make(map[string]*member),
 		most:    1,
@@ -202,7 +211,7 @@
 	if now.Before(r.next) {
 		return due
 	}
-	r.next = now.Add(r.every)
+	r.next = now.Add(r.interval())
 	r.round++
 	due = append(due, r.near()...)
 	due = append(due, r.far()...)
@@ -212,6 +221,33 @@
 	return append(due, r.seedTargets()...)
 }
 
+// interval is the time until the next exchange: shorter after a start until a
+// member of each region is known. After the loss of the whole fleet the first
+// exchanges go to VMs that are not there yet and hang until their time is over,
+// and a VM that knows no member elsewhere can send nothing there.
+func (r *Roster) interval() time.Duration {
+	if r.starting() {
+		return r.every / startHurry
+	}
+	return r.every
+}
+
+// starting says whether this VM has just begun and has yet to find regions.
+func (r *Roster) starting() bool {
+	if r.round >= startRounds {
+		return false
+	}
+	found := map[string]bool{
+		r.self.VM.Region: true,
+	}
+	for _, m := range r.members {
+		if m.State < StateDead {
+			found[m.VM.Region] = true
+		}
+	}
+	return slices.ContainsFunc(r.regions, func(region string) bool { return !found[region] })
+}
+
 // Next is when Step is due again.
 func (r *Roster) Next(now time.Time) time.Time {
 	next := r.next
--- a/roster/target.go
+++ b/roster/target.go
@@ -147,8 +147,8 @@
 	}
 	var out []Target
 	for _, seed := range r.seeds {
-		// One at a time is enough once others are known.
-		if known[seed] || (len(known) > 0 && r.round%deadEvery != 0) {
+		// Now and then is enough once others are known.
+		if known[seed] || (len(known) > 0 && r.round%deadEvery != 0 && !r.starting()) {
 			continue
 		}
 		out = append(out, Target{
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -34,7 +34,7 @@
 	var outcome call.Outcome
 	var certain certainty
 	for len(tried) < retry.PlacesPerCall {
-		vm, away, refusal := s.options.PlaceRouted(c, tried)
+		vm, away, refusal := s.options.PlaceRouted(ctx, c, tried)
 		if refusal != nil {
 			return unlessTried(outcome, tried, refusal)
 		}
--- a/serving/routed_test.go
+++ b/serving/routed_test.go
@@ -52,7 +52,7 @@
 			s := New(Options{
 				Now: time.Now,
 				VM:  "a",
-				PlaceRouted: func(_ *call.Call, tried []string) (fleet.VM, bool, *result.Refusal) {
+				PlaceRouted: func(_ context.Context, _ *call.Call, tried []string) (fleet.VM, bool, *result.Refusal) {
 					if len(tried) >= len(c.Places) {
 						return fleet.VM{}, false, result.Refuse(result.NoEndpoint, "none")
 					}
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -41,7 +41,7 @@
 // PlaceRouted decides where a routed call is served: here if ok is false, or on
 // a VM of another region. A refusal means nowhere. tried are the VMs that did
 // not look at the call.
-type PlaceRouted func(c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal)
+type PlaceRouted func(ctx context.Context, c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal)
 
 // Options set up a Server. Every field is required, but for those that only
 // calls under contracts or only routed calls need.
--- a/site/control.go
+++ b/site/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,7 @@
 			Incarnation: n.incarnation,
 			Seeds:       n.deployment.Seeds,
 			Every:       gossipEvery,
+			Regions:     regionsOf(n.deployment.Regions),
 			Rand:        rand.Uint64,
 		}),
 		mirror: discovery.NewMirror(),
@@ -82,6 +84,17 @@
 	return c
 }
 
+// regionsOf gives the regions of all data centres.
+func regionsOf(byDataCentre map[string]string) []string {
+	var out []string
+	for _, region := range byDataCentre {
+		if !slices.Contains(out, region) {
+			out = append(out, region)
+		}
+	}
+	return out
+}
+
 func (c *control) picture() *picture {
 	return c.published.Load()
 }
--- a/site/place.go
+++ b/site/place.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/logs"
 	"github.com/fuchsianotch/fuchsianotch/peer"
@@ -61,7 +62,35 @@
 }
 
 // place decides where a call is served.
-func (n *Node) place(c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal) {
+func (n *Node) place(ctx context.Context, c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal) {
+	p := n.weigh(c, tried)
+	for p.decision.Refused == placement.ReasonNoRegion && n.learns(ctx, c) {
+		p = n.weigh(c, tried)
+	}
+	c.Routed.Late = p.decision.Late
+	region := p.decision.Region
+	if p.decision.Refused != "" {
+		p.trace(c)
+		return vm, false, refusalOf(p.decision)
+	}
+	if region == n.deployment.Region {
+		return vm, false, nil
+	}
+	p.trace(c)
+	n.sent.Add(region, c.Target(), p.own.ToRead, n.now())
+	return p.vms[rand.IntN(len(p.vms))], true, nil
+}
+
+// weighed is a decision with what it was made from.
+type weighed struct {
+	own      placement.Load
+	others   []placement.Load
+	decision placement.Decision
+	// vms are those of another region that take the call.
+	vms []fleet.VM
+}
+
+func (n *Node) weigh(c *call.Call, tried []string) weighed {
 	now := n.now()
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
@@ -81,19 +110,38 @@
 		WaitDraw:   rand.Float64(),
 		Without:    n.withoutPlacement(),
 	}, now)
-	region := decision.Region
-	c.Routed.Late = decision.Late
-	if decision.Refused != "" {
-		tracePlace(c, own, others, region)
-		return vm, false, refusalOf(decision)
+	return weighed{
+		own:      own,
+		others:   others,
+		decision: decision,
+		vms:      reachableIn(pic.members.Members, decision.Region, tried),
 	}
-	if region == n.deployment.Region {
-		return vm, false, nil
+}
+
+const (
+	// learnsFor is how long after its start a VM may not know yet who takes calls:
+	// two reads of the store from the most distant region, or the exchange with a
+	// VM there that has to start as well.
+	learnsFor = 3 * time.Second
+	// learnsWithin is how long a call waits for that, which is when its caller would
+	// else be told to come back; learnsEvery how often it is looked.
+	learnsWithin = 500 * time.Millisecond
+	learnsEvery  = 10 * time.Millisecond
+)
+
+// learns waits a little for what a VM that has just started does not know yet. It
+// is false where there is nothing to wait for, and the call is refused.
+func (n *Node) learns(ctx context.Context, c *call.Call) bool {
+	now := n.now()
+	by := c.FirstBy
+	if arrivedAt := c.Routed.ArrivedAt; by.IsZero() || arrivedAt.Add(learnsWithin).Before(by) {
+		by = arrivedAt.Add(learnsWithin)
+	}
+	if c.Forwarded || ctx.Err() != nil || now.Sub(n.startedAt) > learnsFor || !now.Before(by) {
+		return false
 	}
-	tracePlace(c, own, others, region)
-	n.sent.Add(region, c.Target(), own.ToRead, now)
-	vms := reachableIn(pic.members.Members, region, tried)
-	return vms[rand.IntN(len(vms))], true, nil
+	worker.SleepUntil(ctx, now, now.Add(learnsEvery))
+	return true
 }
 
 func refusalOf(d placement.Decision) *result.Refusal {
@@ -113,10 +161,11 @@
 	}
 }
 
-// tracePlace logs what sent a call to another region.
-func tracePlace(c *call.Call, own placement.Load, others []placement.Load, region string) {
+// trace logs what sent a call to another region, or had it refused.
+func (p weighed) trace(c *call.Call) {
+	own, region := p.own, p.decision.Region
 	var chosen placement.Load
-	for _, o := range others {
+	for _, o := range p.others {
 		if o.Region == region {
 			chosen = o
 		}
--- a/site/site.go
+++ b/site/site.go
@@ -78,6 +78,7 @@
 	dropped     func() int64
 	now         func() time.Time
 	incarnation uint64
+	startedAt   time.Time
 
 	ring    *timeline.Ring
 	metrics *metrics.Metrics
@@ -117,6 +118,7 @@
 		dropped:     o.Dropped,
 		now:         o.Now,
 		incarnation: newIncarnation(o.Now()),
+		startedAt:   o.Now(),
 		metrics:     metrics.New(),
 		decoder: platform.Decoder{
 			Regions: d.Regions,
