--- a/admission/admission.go
+++ b/admission/admission.go
@@ -60,10 +60,6 @@
 	Turn int
 	// Exclude names endpoints that were tried already.
 	Exclude [2]string
-	// Only names the one endpoint that may be chosen, Backup asks for one that
-	// keeps a copy of what the call has in memory.
-	Only   string
-	Backup bool
 	// Again lets one of them be tried again where no other takes work.
 	Again bool
 }
@@ -294,8 +290,6 @@
 		Turn:         r.Turn,
 		Exclude:      r.Exclude,
 		Again:        r.Again,
-		Only:         r.Only,
-		Backup:       r.Backup,
 	}
 }
 
--- a/call/routed.go
+++ b/call/routed.go
@@ -43,8 +43,6 @@
 	// Gap is the longest pause between events of a stream that is still on time;
 	// zero means that any is.
 	Gap time.Duration
-	// HasBackups says that the stream's endpoints can keep a copy elsewhere.
-	HasBackups bool
 	// Late is set when no first token is expected by the objective: the call yields
 	// to all that can still be on time.
 	Late bool
--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -35,10 +35,6 @@
 	ResumeAfter string
 	// FetchFrom is the address of an engine that holds more of the prompt.
 	FetchFrom string
-	// BackupAt is the address of the engine that is to keep a copy of what the call
-	// has in memory, CopyAt that of the one which holds the copy to go on from.
-	BackupAt string
-	CopyAt   string
 	// ID is the attempt's.
 	ID string
 }
@@ -76,8 +72,6 @@
 		Rank:        a.Call.Routed.Turn(),
 		ResumeAfter: resume,
 		FetchFrom:   a.FetchFrom,
-		BackupAt:    a.BackupAt,
-		CopyAt:      a.CopyAt,
 		ID:          a.ID,
 	})
 	if _, ok := h["User-Agent"]; !ok {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -76,10 +76,6 @@
 	ResumeAfter string
 	// FetchFrom is the address of an engine that holds more of the prompt.
 	FetchFrom string
-	// BackupAt is the address of the engine that keeps a copy of what the call has
-	// in memory, CopyAt that of the one which holds the copy to go on from.
-	BackupAt string
-	CopyAt   string
 	// Began, if set, is told when the first part of the answer came.
 	Began func()
 	// Paced, if set, is told of the time between two pieces of a routed stream,
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -29,7 +29,6 @@
 	m.EventTokens = uint32(r.EventTokens)
 	m.Late = r.Late
 	m.GapMs = uint32(r.Gap.Milliseconds())
-	m.HasBackups = r.HasBackups
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, &peerpb.PromptPart{
 			Id:     p.ID,
@@ -62,7 +61,6 @@
 		Repeated:    m.GetRepeatedBefore(),
 		EventTokens: int(m.GetEventTokens()),
 		Gap:         time.Duration(m.GetGapMs()) * time.Millisecond,
-		HasBackups:  m.GetHasBackups(),
 		Late:        m.GetLate(),
 	}
 	for _, p := range m.GetParts() {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -60,9 +60,6 @@
 	// when another endpoint can go on after it without a seam.
 	Delivered bool
 	Resumable bool
-	// Copied is set when another endpoint holds a copy of what the call had in
-	// memory: the call goes on there as the same run.
-	Copied bool
 	// Attempts is how often the call was tried, this one included.
 	Attempts int
 	// MaxAttempts bounds Attempts; zero means the default of three.
@@ -75,11 +72,10 @@
 // Verdict is the answer of Decide.
 type Verdict string
 
-// The verdicts. Any but VerdictRetry, VerdictResume and VerdictContinue ends the call.
+// The verdicts. Any but VerdictRetry and VerdictResume ends the call.
 const (
 	VerdictRetry    Verdict = "retry"
 	VerdictResume   Verdict = "resume"
-	VerdictContinue Verdict = "continue"
 	VerdictFinal    Verdict = "final"
 	VerdictUnsafe   Verdict = "unsafe"
 	VerdictTooLate  Verdict = "too_late"
@@ -102,8 +98,6 @@
 	switch {
 	case !repeatable[a.Code]:
 		return VerdictFinal
-	case !notRun && a.Copied && a.Delivered:
-		return VerdictContinue
 	case !notRun && !a.Idempotent:
 		return VerdictUnsafe
 	case a.Attempts >= a.most():
--- a/route/route.go
+++ b/route/route.go
@@ -70,9 +70,6 @@
 	CacheTokens int
 	// EventTokens is how many generated tokens one event of a stream holds.
 	EventTokens int
-	// HasBackups says that an engine can send what a request has in memory to
-	// another one as it grows, from which the request goes on if the first is lost.
-	HasBackups bool
 }
 
 // Limits bound what a caller's connection may cost; zero means no bound.
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
 // candidate is one endpoint with its estimates in seconds.
@@ -33,9 +32,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.locate(&r, now)
-	if r.Only != "" {
-		return p.chooseOnly(r, now)
-	}
 	if e := p.probe(r, now); e != nil {
 		e.probing = true
 		choice := p.take(p.weigh(e, r, now), r, now)
@@ -50,35 +46,7 @@
 	if !ok {
 		return Choice{}, false
 	}
-	choice := p.take(c, r, now)
-	if r.Backup {
-		choice.BackupAt = p.backup(c.state, now)
-	}
-	return choice, true
-}
-
-// chooseOnly takes the one endpoint that the call may go to, if it takes work.
-func (p *Pool) chooseOnly(r Request, now time.Time) (Choice, bool) {
-	e := p.byID[r.Only]
-	if e == nil || e.place < 0 {
-		return Choice{}, false
-	}
-	return p.take(p.weigh(e, r, now), r, now), true
-}
-
-// backup gives the emptiest of a few endpoints other than the call's own.
-func (p *Pool) backup(own *endpoint, now time.Time) fleet.Endpoint {
-	var best *endpoint
-	for range randomDraws {
-		e := p.eligible[p.draw()]
-		if e != own && (best == nil || e.occupancy(p.learnt.share, now) < best.occupancy(p.learnt.share, now)) {
-			best = e
-		}
-	}
-	if best == nil {
-		return fleet.Endpoint{}
-	}
-	return best.Endpoint
+	return p.take(c, r, now), true
 }
 
 // Estimate says how long a call would wait and then be served if it were sent now.
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -76,10 +76,6 @@
 	Turn int
 	// Exclude names endpoints that were tried already; empty strings mean none.
 	Exclude [2]string
-	// Only names the one endpoint that may be chosen; empty means any.
-	Only string
-	// Backup asks for another endpoint that keeps a copy of what the call has in memory.
-	Backup bool
 	// Homes are the regions that may hold the prompt; none means all.
 	Homes []string
 	// Again lets an excluded endpoint be chosen where no other takes work: the
@@ -108,8 +104,6 @@
 	// FetchFrom is the address of an engine that holds more of the prompt; empty
 	// where none is worth asking.
 	FetchFrom string
-	// BackupAt is the endpoint that keeps a copy; its id is empty where there is none.
-	BackupAt fleet.Endpoint
 	// Cached is how many of the prompt's tokens need not be read.
 	Cached int
 	// ReportAge is how old the endpoint's last load report was; zero without one.
--- a/serving/run.go
+++ b/serving/run.go
@@ -9,7 +9,6 @@
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -54,10 +53,6 @@
 	excluded  [2]string
 	history   retry.History
 	delivered int
-	// backup is the endpoint that holds a copy of what the last attempt had in
-	// memory, and goOn says that the call goes on from it.
-	backup fleet.Endpoint
-	goOn   bool
 	// lastEvent is the id of the last event that the caller has of a routed stream.
 	lastEvent string
 	outcome   call.Outcome
@@ -121,9 +116,7 @@
 	if !ok {
 		return result.Refuse(result.NoEndpoint, "no endpoint of %s in region %s", c.Target(), s.options.Region)
 	}
-	wanted := p.admission(c)
-	wanted.Backup = s.wantsBackup(c, p)
-	slot, refusal := pool.Queue.Admit(ctx, wanted, s.options.Now())
+	slot, refusal := pool.Queue.Admit(ctx, p.admission(c), s.options.Now())
 	if refusal != nil {
 		return refusal
 	}
@@ -142,10 +135,6 @@
 	out := s.options.Endpoint.Send(ctx, attempt, endpoint.Sink(sink))
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
 	s.heedLeaving(pool, chosen, out)
-	if out.Code == result.EndpointCut && out.Sent {
-		s.losses.note(s.options.Now())
-	}
-	p.backup = slot.Choice.BackupAt
 	p.take(out, chosen)
 	s.reportAttempt(c, p)
 	return nil
@@ -183,24 +172,7 @@
 		Call:        c,
 		ResumeAfter: p.lastEvent,
 		FetchFrom:   slot.Choice.FetchFrom,
-		BackupAt:    slot.Choice.BackupAt.Addr,
-		CopyAt:      p.copyAt(),
-	}
-}
-
-// copyAt is the address of the copy that the call goes on from.
-func (p *progress) copyAt() string {
-	if !p.goOn {
-		return ""
 	}
-	return p.backup.Addr
-}
-
-// wantsBackup says whether an engine is to keep a copy elsewhere: only where the
-// call could not go on otherwise, and while engines are being lost.
-func (s *Server) wantsBackup(c *call.Call, p *progress) bool {
-	return !s.options.NoCopies && c.Kind == call.KindRouted && c.Stream && c.Routed.HasBackups && !c.Idempotent &&
-		p.history.Attempts == 0 && s.losses.recent(s.options.Now())
 }
 
 func (s *Server) reportAttempt(c *call.Call, p *progress) {
@@ -230,13 +202,8 @@
 	if c.Kind == call.KindRouted {
 		a.Attempts, a.MaxAttempts = p.history.Routed(c.Routed.MaxAttempts)
 	}
-	a.Copied = p.backup.ID != "" && !c.Idempotent
 	verdict := s.decide(a, s.options.Now())
 	traceVerdict(c, a, verdict)
-	p.goOn = verdict == retry.VerdictContinue
-	if p.goOn {
-		return true
-	}
 	return verdict == retry.VerdictRetry || verdict == retry.VerdictResume
 }
 
@@ -257,9 +224,6 @@
 		r.Homes = c.Routed.Homes
 		r.Turn = c.Routed.Turn()
 	}
-	if p.goOn {
-		r.Only = p.backup.ID
-	}
 	return r
 }
 
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -66,9 +66,6 @@
 	// PlaceRouted is for routed calls only.
 	PlaceRouted PlaceRouted
 
-	// NoCopies switches the copies of streams off, to measure what they are worth.
-	NoCopies bool
-
 	Ledger   *limit.Ledger
 	Desk     *ticket.Desk
 	Endpoint *endpoint.Client
@@ -90,7 +87,6 @@
 	stopping atomic.Bool
 	attempts atomic.Uint64
 	leases   leaseFlights
-	losses   losses
 	// spend and decide are the decisions that keep a call from running twice.
 	spend  func(e *ticket.Entry, now time.Time) *result.Refusal
 	decide func(a retry.Attempt, now time.Time) retry.Verdict
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -29,7 +29,6 @@
 	Affinity    = "affinity"
 	Fetches     = "fetches"
 	FarFetches  = "far_fetches"
-	Copies      = "copies"
 	Reports     = "reports"
 	UnreadNotes = "unread_notes"
 	Yielding    = "yielding"
@@ -43,7 +42,7 @@
 
 // Mechanisms are all of them.
 var Mechanisms = []string{
-	Borrowing, SentAway, Affinity, Fetches, FarFetches, Copies, Reports, UnreadNotes,
+	Borrowing, SentAway, Affinity, Fetches, FarFetches, Reports, UnreadNotes,
 	Yielding, LateRefusal, EndRefusal, RankOrder, LivePace, BackOff, Corrections,
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -195,7 +195,6 @@
 		Pool:        n.pools.find,
 		Forward:     n.forward,
 		PlaceRouted: n.place,
-		NoCopies:    !n.settings.Has(settings.Copies),
 		Endpoint:    n.client,
 		Budget:      n.pools.budget(),
 		Ring:        n.ring,
