--- a/testscripts/ablate/main.go
+++ b/testscripts/ablate/main.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -31,7 +32,9 @@
 		o.mechanisms = settings.Mechanisms
 	}
 	rows, err := o.measure(context.Background())
-	printTable(os.Stdout, o.sites, rows)
+	var out strings.Builder
+	printTable(&out, o.sites, rows)
+	fmt.Print(out.String())
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "ablate:", err)
 		os.Exit(1)
--- a/testscripts/ablate/table.go
+++ b/testscripts/ablate/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"path/filepath"
 	"strings"
 )
@@ -17,7 +16,7 @@
 }
 
 // figures are means over plays and days: of the days with trouble, and of the
-// calm day. worst and best are the days' means with trouble of single days.
+// calm day. broken counts the plays that broke a rule.
 type figures struct {
 	trouble float64
 	calm    float64
@@ -46,7 +45,7 @@
 
 // printTable prints the row with everything on first, and what each mechanism is
 // worth: how much less is earned without it.
-func printTable(w io.Writer, sites []string, rows []row) {
+func printTable(w *strings.Builder, sites []string, rows []row) {
 	fmt.Fprint(w, "| Without |")
 	for _, site := range sites {
 		name := strings.TrimSuffix(filepath.Base(site), filepath.Ext(site))
--- a/testscripts/losses/main.go
+++ b/testscripts/losses/main.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -41,7 +42,8 @@
 		}
 		all = append(all, attempts...)
 	}
-	sum := addUp(all, kinds, window)
-	sum.print(os.Stdout)
-	return nil
+	var out strings.Builder
+	addUp(all, kinds, window).print(&out)
+	_, err = os.Stdout.WriteString(out.String())
+	return err
 }
--- a/testscripts/losses/sum.go
+++ b/testscripts/losses/sum.go
@@ -3,8 +3,8 @@
 import (
 	"cmp"
 	"fmt"
-	"io"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -114,7 +114,7 @@
 	return info.Meaning
 }
 
-func (s summary) print(w io.Writer) {
+func (s summary) print(w *strings.Builder) {
 	fmt.Fprintf(w, "worth owed by the attempts seen: %.0f\n\n", s.owed)
 	fmt.Fprintln(w, "| lost, per 1,000 owed | attempts | sent away | kind | reason |")
 	fmt.Fprintln(w, "| --- | --- | --- | --- | --- |")
@@ -142,7 +142,7 @@
 // momentsShown is how many moments are listed, the worst first.
 const momentsShown = 12
 
-func (s summary) printMoments(w io.Writer) {
+func (s summary) printMoments(w *strings.Builder) {
 	fmt.Fprintln(w, "\n| from second | lost, per 1,000 owed | most for |")
 	fmt.Fprintln(w, "| --- | --- | --- |")
 	moments := make([]int, 0, len(s.moments))
