--- a/placement/late.go
+++ b/placement/late.go
@@ -17,7 +17,7 @@
 	lateLeast = 0.1
 )
 
-// Late knows which part of the calls that could not be on time was served of
+// Late knows which part of the calls that could not be on time was missed of
 // late. They yield to all that can be on time, so in a lasting overload they wait
 // until their deadline for nothing, and their callers had better know at once.
 // It is safe for concurrent use.
@@ -32,7 +32,7 @@
 	Rank    int
 }
 
-// lateGroup is the part of a group's late calls that was served, as of at.
+// lateGroup is the part of a group's late calls that was not served, as of at.
 type lateGroup struct {
 	missed float64
 	at     time.Time
