--- a/site/reports.go
+++ b/site/reports.go
@@ -15,8 +15,10 @@
 
 const (
 	// reportEvery is the interval at which one VM of the region asks an engine
-	// for its load, which it tells some 100 ms late.
-	reportEvery = 500 * time.Millisecond
+	// for its load, which it tells some 100 ms late. Twice as often gained nothing,
+	// as VMs know what waits for their own calls: the mean worth of five days with
+	// faults was 0.7204, with this 0.7218 (eight plays each), with 90 VMs 0.655 and 0.656.
+	reportEvery = time.Second
 	// coldEvery is the same while the store is away, which else tells at once that an
 	// endpoint is cold: one that bears five requests a second may get ten.
 	coldEvery = 150 * time.Millisecond
