--- a/routing/reading.go
+++ b/routing/reading.go
@@ -76,6 +76,11 @@
 	}
 }
 
+// forget drops what a VM told.
+func (r *reading) forget(vm string) {
+	r.others = slices.DeleteFunc(r.others, func(o otherReading) bool { return o.vm == vm })
+}
+
 // ahead is how many tokens the engine reads before a call at a place in the order that is
 // sent now, at so many tokens a second. It begins with the earliest prompt, and
 // takes waiting ones in their order. own is the part of this VM's calls.
--- a/routing/reading_test.go
+++ b/routing/reading_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -66,3 +67,20 @@
 	assert.Equal(t, own, row.Own)
 	assert.Equal(t, r.behind(row.Turn, now), row.Behind)
 }
+
+// TestForgetTellers holds that VMs that tell no more leave nothing behind, and that
+// the others' word stays.
+func TestForgetTellers(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := New(Options{})
+	p.SetEndpoints(enginesIn("near", "a"), now)
+	told := func(vm string, at time.Time) {
+		p.TakeUnread(vm, []Unread{{Endpoint: "a", Prompts: []UnreadPrompt{{Tokens: 100, SentAt: at}}}}, at, at)
+	}
+	for i := range 50 {
+		told(fmt.Sprintf("vm-%d", i), now)
+		now = now.Add(tellerGoodFor / 2)
+	}
+	assert.Equal(t, len(p.tellers), 3)
+	assert.Equal(t, len(p.byID["a"].reading.others), 3)
+}
--- a/routing/unread.go
+++ b/routing/unread.go
@@ -56,6 +56,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.tellers[vm] = now
+	p.forgetTellers(now)
 	byEndpoint := make(map[string]Unread, len(list))
 	for _, u := range list {
 		byEndpoint[u.Endpoint] = u
@@ -65,6 +66,20 @@
 	}
 }
 
+// forgetTellers drops VMs that tell no more: those that are replaced come back under
+// other names, 230 a day of a large fleet.
+func (p *Pool) forgetTellers(now time.Time) {
+	for vm, at := range p.tellers {
+		if now.Sub(at) <= tellerGoodFor {
+			continue
+		}
+		delete(p.tellers, vm)
+		for _, e := range p.endpoints {
+			e.reading.forget(vm)
+		}
+	}
+}
+
 func (u Unread) of(vm string, at time.Time) otherReading {
 	o := otherReading{
 		vm:      vm,
