Forwarding between VMs in a file of its own; names in the load test

Change: forward.go holds what carries calls between VMs; no behaviour changes. Conclusion: go test ./site ./routing ./placement as before.

--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -21,11 +21,16 @@
 	objective = 600 * time.Millisecond
 	patience  = 2400 * time.Millisecond
 	// way is the time there and back.
-	way        = 110 * time.Millisecond
+	way = 110 * time.Millisecond
+	// Regions tell their load every wordEvery, for a prompt of wordPrompt tokens, and
+	// VMs of a region what waits unread every notesEvery.
 	wordEvery  = time.Second
+	wordPrompt = 1000
 	notesEvery = 40 * time.Millisecond
+	// Prompts have meanPrompt tokens, of which engines read readRate a second.
 	meanPrompt = 1300.0
-	wordPrompt = 1000
+	readRate   = 50_000
+	engines    = 3
 	playFor    = 30 * time.Second
 )
 
@@ -62,13 +67,14 @@
 	readers map[string]*enginetest.Reader
 	pools   []*routing.Pool
 	sent    *placement.Sent
-	// word is what the region last told of itself.
-	word   placement.Load
-	perSec float64
-	wordAt time.Time
-	prefix uint64
-	calls  int
-	onTime int
+	// word is what the region last told of itself, and readsPerSecond how fast its
+	// engines read.
+	word           placement.Load
+	readsPerSecond float64
+	wordAt         time.Time
+	prefix         uint64
+	calls          int
+	onTime         int
 }
 
 func (row overloadRow) run(t *testing.T) {
@@ -81,7 +87,7 @@
 	}
 	w.start()
 	end := w.clock.Now().Add(playFor)
-	w.clock.Poisson(w.random, row.Load*3*50_000/meanPrompt, end, w.call)
+	w.clock.Poisson(w.random, row.Load*engines*readRate/meanPrompt, end, w.call)
 	w.clock.Run(end.Add(time.Minute))
 	part := float64(w.onTime) / float64(w.calls)
 	t.Logf("on time: %.3f of %d calls", part, w.calls)
@@ -90,10 +96,11 @@
 
 func (w *overloadWorld) start() {
 	var list []fleet.Endpoint
-	for _, id := range []string{"a", "b", "c"} {
+	for i := range engines {
+		id := string(rune('a' + i))
 		w.readers[id] = &enginetest.Reader{
 			Clock:     w.clock,
-			PerSecond: 50_000,
+			PerSecond: readRate,
 		}
 		list = append(list, fleet.Endpoint{
 			ID:    id,
@@ -122,7 +129,7 @@
 		First:     expected.First,
 		Way:       way,
 	}
-	w.perSec = supply.PrefillPerSecond
+	w.readsPerSecond = supply.PrefillPerSecond
 	w.wordAt = now
 }
 
@@ -151,7 +158,7 @@
 	}
 	load := w.word
 	more := float64(tokens-wordPrompt) + w.sent.Since("far", "s", w.wordAt, 1)/float64(load.Endpoints)
-	load.First += time.Duration(more / w.perSec * float64(time.Second))
+	load.First += time.Duration(more / w.readsPerSecond * float64(time.Second))
 	return placement.Yields(load, by, w.clock.Now())
 }
 
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -206,7 +206,8 @@
 func (p *Pool) learnFirst(e *endpoint, c Choice, o Outcome, now time.Time) {
 	first := o.FirstAt.Sub(c.At).Seconds()
 	if !c.yields {
-		// How long others let a call wait that yields to them says nothing of theirs.
+		// A call that yields waits for others, which says nothing of the engine: one such
+		// answer two seconds late kept others away from it for over 5 s.
 		e.correct(first-c.predicted, now)
 	}
 	p.learnt.late.add(max(first-c.predicted, 0), learnWeight)
--- /dev/null
+++ b/site/forward.go
@@ -0,0 +1,109 @@
+package site
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/placement"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/settings"
+)
+
+// forwardGrace is how much longer than a call's own deadline a forward is
+// waited for, so that the far VM's outcome arrives rather than a timeout.
+const forwardGrace = 250 * time.Millisecond
+
+// forward runs a call on another VM and tells the control goroutine of a lost one.
+func (n *Node) forward(ctx context.Context, vm fleet.VM, c *call.Call, sink call.Sink) call.Outcome {
+	trip, cancel := context.WithDeadline(ctx, c.WholeBy.Add(forwardGrace))
+	defer cancel()
+	out := n.peers.Forward(trip, vm, &peerpb.ForwardRequest{
+		From: n.identity(),
+		Call: peer.CallMessage(n.asSeenAway(c, vm), n.now()),
+	}, sink, func(uint64) {})
+	if ctx.Err() != nil && out.Code == result.PeerLost {
+		return call.Refused(result.Refuse(result.EndpointTimeout, "VM %s had the call as its time ended or the caller left", vm.ID).Because(ctx.Err()))
+	}
+	if ctx.Err() == nil && out.Code == result.PeerUnreachable {
+		n.control.send(ctx, func(c *control, now time.Time) {
+			c.missed(vm, out.Refusal, now)
+		})
+	}
+	return out
+}
+
+// asSeenAway is a call as a VM of another region gets it: the way there and back is
+// taken from its objective, as what is told of deadlines does not count the way.
+// Without this the mean worth of five days with faults was 0.7168 in place of
+// 0.7203: what was expected in time there came late here.
+func (n *Node) asSeenAway(c *call.Call, vm fleet.VM) *call.Call {
+	if c.FirstBy.IsZero() {
+		return c
+	}
+	away := *c
+	away.FirstBy = c.FirstBy.Add(-n.control.picture().wayTo(c.Target(), vm.Region))
+	return &away
+}
+
+func (n *Node) identity() *peerpb.Identity {
+	return &peerpb.Identity{
+		Vm:          n.deployment.VM,
+		Incarnation: n.incarnation,
+		Region:      n.deployment.Region,
+	}
+}
+
+// handlers are this VM's answers to its peers.
+func (n *Node) handlers() peer.Handlers {
+	return peer.Handlers{
+		Gossip:    n.answerGossip,
+		Published: n.published,
+		Unread:    n.pools.takeUnread,
+		Forward:   n.serveForwarded,
+		Stamp:     func() uint64 { return 0 },
+		Witness:   func(uint64) {},
+
+		CountBytes: n.countBytes,
+		Now:        n.now,
+		Transit:    n.transit,
+	}
+}
+
+// serveForwarded runs a call that another VM sent. A newer table than the
+// sender's may have moved its route, so the call then goes where that says.
+func (n *Node) serveForwarded(ctx context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
+	table := n.control.picture().table
+	if c.Kind != call.KindRouted || table == nil || !c.Routed.Allows(n.deployment.Region) {
+		return call.Refused(result.Refuse(result.NotReady, "VM %s does not serve the call", n.deployment.VM))
+	}
+	if table.Version > c.Routed.Version {
+		found, ok := table.Match(c.Routed.Host, c.Path)
+		service := ""
+		if ok {
+			service = found.Pick(rand.Uint64())
+		}
+		if service == "" {
+			return call.Refused(result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM))
+		}
+		c.Service = service
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
+	defer cancel()
+	c.Routed.Late = n.yields(c)
+	return n.serve(ctx, c, sink)
+}
+
+// yields says whether a call that another VM sent can no longer be on time here.
+// That VM knows what this region said a second ago; this one knows what its engines
+// have to read now. Where the sender decided, the mean worth of five days with
+// faults was 0.7156 in place of 0.7203, of the heaviest one 0.554 in place of 0.565
+// (eight plays a day).
+func (n *Node) yields(c *call.Call) bool {
+	now := n.now()
+	return n.settings.Has(settings.Yielding) && placement.Yields(n.ownLoad(c, now), c.FirstBy, now)
+}
