--- a/routing/choose.go
+++ b/routing/choose.go
@@ -268,12 +268,19 @@
 	prefill := p.learnt.base.value + tokens/rate
 	predicted := wait + unread/rate + prefill
 	late := max(e.correction(now)-lateSlack*p.learnt.late.or(0), e.stall(hold, now), 0)
+	if p.without.Corrections {
+		late = 0
+	}
+	weight := coldWeight
+	if p.without.Affinity {
+		weight = 1
+	}
 	return candidate{
 		state:     e,
 		wait:      wait,
 		predicted: predicted,
 		first:     predicted + late,
-		score:     predicted + late + (coldWeight-1)*prefill + loadWeight*hold*occupied/slots,
+		score:     predicted + late + (weight-1)*prefill + loadWeight*hold*occupied/slots,
 		tokens:    tokens,
 		unread:    unread,
 		warm:      warm,
@@ -351,7 +358,7 @@
 
 // knownPace is false while nothing was learnt, as after a start.
 func (p *Pool) knownPace(c candidate, now time.Time) (each float64, ok bool) {
-	if c.state.livePaced >= livePaceLeast && now.Sub(c.state.livePaceAt) <= livePaceFor {
+	if !p.without.LivePace && c.state.livePaced >= livePaceLeast && now.Sub(c.state.livePaceAt) <= livePaceFor {
 		return c.state.livePace.value, true
 	}
 	return p.learnt.pace.at(c.occupied)
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -295,7 +295,7 @@
 	switch {
 	case c.Probe:
 		e.eject(now, p.rand())
-	case e.failures < ejectAfter || e.place < 0:
+	case e.failures < ejectAfter || e.place < 0 || p.without.BackOff:
 	case 2*(len(p.ejected)+1) > len(p.endpoints):
 		// More than half in back-off would say more of this VM than of them.
 	default:
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -26,6 +26,23 @@
 	Policy string
 	// Rand gives random bits; nil means the runtime's generator.
 	Rand func() uint64
+	// Without switches mechanisms off, to measure what each is worth.
+	Without Without
+}
+
+// Without are mechanisms that are switched off.
+type Without struct {
+	// Affinity weighs what an endpoint need not read of a prompt, beyond the time.
+	Affinity bool
+	// Fetches are those between endpoints, FarFetches those from other regions.
+	Fetches    bool
+	FarFetches bool
+	// LivePace is the pace of streams under way.
+	LivePace bool
+	// BackOff is that of endpoints that fail.
+	BackOff bool
+	// Corrections are those of endpoints whose first tokens were late.
+	Corrections bool
 }
 
 // Load is one load report of an endpoint. It lags behind the truth.
@@ -137,8 +154,9 @@
 
 // Pool holds the endpoints of one target. It is safe for concurrent use.
 type Pool struct {
-	policy string
-	rand   func() uint64
+	policy  string
+	rand    func() uint64
+	without Without
 
 	mu        sync.Mutex
 	vms       int
@@ -168,6 +186,7 @@
 	return &Pool{
 		policy:  o.Policy,
 		rand:    o.Rand,
+		without: o.Without,
 		vms:     1,
 		byID:    map[string]*endpoint{},
 		learnt:  newLearnt(),
--- a/routing/source.go
+++ b/routing/source.go
@@ -86,7 +86,13 @@
 // prompt: the prompt's home on the ring, which all VMs of the region agree on,
 // one of the region that was sent it, or one of another region.
 func (p *Pool) source(home *endpoint, r Request, now time.Time) source {
+	if p.without.Fetches {
+		return source{}
+	}
 	near := p.near(home, r.Prefixes, now)
+	if p.without.FarFetches {
+		return near
+	}
 	if away := p.far.source(r.Prefixes, r.Homes, now); away.tokens > near.tokens {
 		return away
 	}
--- a/serving/run.go
+++ b/serving/run.go
@@ -199,7 +199,7 @@
 // wantsBackup says whether an engine is to keep a copy elsewhere: only where the
 // call could not go on otherwise, and while engines are being lost.
 func (s *Server) wantsBackup(c *call.Call, p *progress) bool {
-	return c.Kind == call.KindRouted && c.Stream && c.Routed.HasBackups && !c.Idempotent &&
+	return !s.options.NoCopies && c.Kind == call.KindRouted && c.Stream && c.Routed.HasBackups && !c.Idempotent &&
 		p.history.Attempts == 0 && s.losses.recent(s.options.Now())
 }
 
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -66,6 +66,9 @@
 	// PlaceRouted is for routed calls only.
 	PlaceRouted PlaceRouted
 
+	// NoCopies switches the copies of streams off, to measure what they are worth.
+	NoCopies bool
+
 	Ledger   *limit.Ledger
 	Desk     *ticket.Desk
 	Endpoint *endpoint.Client
--- a/settings/check.go
+++ b/settings/check.go
@@ -56,6 +56,9 @@
 	v.Whole("/log_sample_every", s.LogSampleEvery, 0, maxCount)
 	v.Whole("/log_lines", s.LogLines, 1, maxLogLines)
 	v.Whole("/metrics_port", s.MetricsPort, 0, maxPort)
+	for i, name := range s.Without {
+		v.OneOf("/without/"+strconv.Itoa(i), name, Mechanisms)
+	}
 }
 
 func (v *verifier) limits(l *Limits) {
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -1,6 +1,10 @@
 package settings
 
-import "github.com/fuchsianotch/fuchsianotch/result"
+import (
+	"slices"
+
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
 
 // Platform is what an operator may set for a process whose place and bounds
 // the platform's own settings file gives.
@@ -13,6 +17,39 @@
 	LogLines int `json:"log_lines"`
 	// MetricsPort is where /metrics is served, at the VM's address; zero means nowhere.
 	MetricsPort int `json:"metrics_port"`
+	// Without names mechanisms that are switched off, to measure what each is
+	// worth; for experiments only.
+	Without []string `json:"without"`
+}
+
+// The mechanisms that Without may name.
+const (
+	Borrowing   = "borrowing"
+	SentAway    = "sent_away"
+	Affinity    = "affinity"
+	Fetches     = "fetches"
+	FarFetches  = "far_fetches"
+	Copies      = "copies"
+	Reports     = "reports"
+	UnreadNotes = "unread_notes"
+	Yielding    = "yielding"
+	LateRefusal = "late_refusal"
+	EndRefusal  = "end_refusal"
+	RankOrder   = "rank_order"
+	LivePace    = "live_pace"
+	BackOff     = "back_off"
+	Corrections = "corrections"
+)
+
+// Mechanisms are all of them.
+var Mechanisms = []string{
+	Borrowing, SentAway, Affinity, Fetches, FarFetches, Copies, Reports, UnreadNotes,
+	Yielding, LateRefusal, EndRefusal, RankOrder, LivePace, BackOff, Corrections,
+}
+
+// Has says whether a mechanism is on.
+func (s *Platform) Has(mechanism string) bool {
+	return !slices.Contains(s.Without, mechanism)
 }
 
 // Bounds of these settings.
--- a/site/place.go
+++ b/site/place.go
@@ -18,6 +18,7 @@
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/serving"
+	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
 // leastAnswer is the part of the bound on generated tokens that is expected
@@ -31,6 +32,9 @@
 // serve carries a caller's call.
 func (n *Node) serve(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
 	c.Trail = logs.NewTrail(n.log, c.ID, n.sampled())
+	if !n.settings.Has(settings.RankOrder) {
+		c.Routed.Rank = 0
+	}
 	if refusal := n.awaitNews(ctx); refusal != nil {
 		c.Trail.Fail("request_refused", slog.Int("code", int(refusal.Code)), slog.String("reason", refusal.Error()))
 		return call.Refused(refusal)
@@ -63,7 +67,10 @@
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
 	own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
-	others := n.otherLoads(c, pic, tried, own)
+	var others []borrow.Load
+	if n.settings.Has(settings.Borrowing) || own.Endpoints == 0 || !c.Routed.Allows(n.deployment.Region) {
+		others = n.otherLoads(c, pic, tried, own)
+	}
 	placed := borrow.Place(borrow.PlaceRequest{
 		Own:        own,
 		OwnAllowed: c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
@@ -74,9 +81,10 @@
 		Draw:       rand.Float64(),
 	}, now)
 	region := placed.Region
-	c.Routed.Late = placed.Late
-	hopeless := placed.Late && n.late.Refuses(lateGroup(c), rand.Float64(), now)
-	if (placed.Overloaded || hopeless) && len(tried) == 0 {
+	c.Routed.Late = placed.Late && n.settings.Has(settings.Yielding)
+	hopeless := c.Routed.Late && n.settings.Has(settings.LateRefusal) && n.late.Refuses(lateGroup(c), rand.Float64(), now)
+	overloaded := placed.Overloaded && n.settings.Has(settings.EndRefusal)
+	if (overloaded || hopeless) && len(tried) == 0 {
 		tracePlace(c, own, others, region)
 		return vm, false, result.Refuse(result.DeadlineUnmeetable, "no region is expected to end the answer in time").
 			Until(borrow.ComeBackLater(c.WholeBy, now, rand.Float64()))
@@ -170,7 +178,10 @@
 	if l.readsPerSecond <= 0 || c.PromptTokens == 0 {
 		return 0
 	}
-	sent := n.sent.Since(l.Region, c.Target(), l.at.Add(-l.Way/2), vms)
+	sent := 0.0
+	if n.settings.Has(settings.SentAway) {
+		sent = n.sent.Since(l.Region, c.Target(), l.at.Add(-l.Way/2), vms)
+	}
 	tokens := own.ToRead - usualPrompt + sent/float64(max(l.Endpoints, 1))
 	return time.Duration(tokens / l.readsPerSecond * float64(time.Second))
 }
--- a/site/pools.go
+++ b/site/pools.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/serving"
+	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
 // pools are the endpoints of this region by service. The control goroutine
@@ -125,7 +126,9 @@
 	if old := before.byService[service]; old != nil {
 		return old
 	}
-	endpoints := routing.New(routing.Options{})
+	endpoints := routing.New(routing.Options{
+		Without: p.without(),
+	})
 	return &pool{
 		Pool: serving.Pool{
 			Endpoints: endpoints,
@@ -138,6 +141,19 @@
 	}
 }
 
+// without are the mechanisms of routing that the settings switch off.
+func (p *pools) without() routing.Without {
+	s := p.node.settings
+	return routing.Without{
+		Affinity:    !s.Has(settings.Affinity),
+		Fetches:     !s.Has(settings.Fetches),
+		FarFetches:  !s.Has(settings.FarFetches),
+		LivePace:    !s.Has(settings.LivePace),
+		BackOff:     !s.Has(settings.BackOff),
+		Corrections: !s.Has(settings.Corrections),
+	}
+}
+
 func (p *pools) newWindow() *retry.Window {
 	bounds := p.node.bounds.Load()
 	return retry.NewWindow(retry.WindowOptions{
--- a/site/reports.go
+++ b/site/reports.go
@@ -10,6 +10,7 @@
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
 const (
@@ -87,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportWithin)
 	defer cancel()
 	p.askCold(ctx, e)
-	if p.hasReport(e.ID, p.node.now().Add(-reportFresh)) {
+	if !p.node.settings.Has(settings.Reports) || p.hasReport(e.ID, p.node.now().Add(-reportFresh)) {
 		return
 	}
 	load, err := p.node.client.Report(ctx, e)
--- a/site/unread.go
+++ b/site/unread.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
 const (
@@ -35,6 +36,10 @@
 func (p *pools) tellUnread(ctx context.Context) error {
 	var told uint64
 	var toldAt time.Time
+	if !p.node.settings.Has(settings.UnreadNotes) {
+		<-ctx.Done()
+		return nil
+	}
 	for ctx.Err() == nil {
 		peers := p.unreadPeers()
 		now := p.node.now()
--- /dev/null
+++ b/testscripts/ablate/ablate_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/settings"
+)
+
+const played = `score on the standard days: 0.647
+day                  own/srv  score  worth served refused failed  weakest part
+quiet-1                 6/13   0.53  0.880  0.961   0.000  0.011  worst windows 0.87
+scale-1                 6/13   0.74 -0.100  0.524   0.264  0.046  worst windows 0.14
+trouble-1               6/13   0.00  0.700  0.889   0.011  0.027  worst windows 0.43  BROKEN: GONE 1
+fresh-6836              8/12   0.79  0.764  0.926   0.008  0.034  worst windows 0.59
+GATE failed
+`
+
+func TestTable(t *testing.T) {
+	days := parseDays(played)
+	assert.Equal(t, len(days), 3)
+	less := []day{{name: calmDay, worth: 0.8}, {name: "scale-1", worth: 0.2}}
+	var out strings.Builder
+	printTable(&out, []string{"sites/one.toml"}, []row{
+		{name: allOn, sites: []figures{sumUp(days)}},
+		{name: settings.Borrowing, sites: []figures{sumUp(less)}},
+	})
+	assert.Equal(t, out.String(), `| Without | one, trouble | calm | days with a broken rule |
+| --- | --- | --- | --- |
+| (all on) | 0.300 | 0.880 | 1 |
+| borrowing | -0.100 | -0.080 | 0 |
+`)
+}
+
+// TestSwitchOff holds that the file that is played has the mechanism off.
+func TestSwitchOff(t *testing.T) {
+	data, err := os.ReadFile("../../deploy/gateway.json")
+	assert.NilError(t, err)
+	file := filepath.Join(t.TempDir(), "gateway.json")
+	assert.NilError(t, os.WriteFile(file, data, 0o600))
+	assert.NilError(t, switchOff(file, settings.Copies))
+	s, refusal := settings.LoadPlatform(file)
+	assert.Assert(t, refusal == nil)
+	assert.Assert(t, !s.Has(settings.Copies))
+	assert.Assert(t, s.Has(settings.Borrowing))
+}
