Endpoints start again under their ids; entries of other writers name none

Cause: an endpoint may start again under the id that it had, and says when its life began. Nothing read that, so a new life kept the queue, prefixes, back-off and reports of the one before; and an entry of the earlier life that came late put it back. An entry that could not be read left the endpoint before in use, a state that is not known counted as leaving, an address that is none was dialled, and one value that is no base64 made a whole read fail. Ruled out: telling the incarnation with each word between VMs. Words have ages, so what was said before a VM knew of the later life is dropped by time. Change: entries are ordered by incarnation and count, also for 30 s after the end of an endpoint; the pool begins a later life with nothing, whether the store or the endpoint's own report tells it first. One that tells of its lives and breaks a connection gets no calls until a report says which life it is in, as one that started again is cold and the store tells that late. An entry that names no endpoint is logged once by key and revision; the others hold. Measured: tables of lives, schedules and items (routing, discovery, platform) and the decoder's fuzz test; the soak restarts endpoints under their ids, brings late entries of earlier lives and writes foreign ones.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -21,6 +21,9 @@
 	Table *route.Table
 	// Endpoint is an endpoint's entry; on a removal only its id is set.
 	Endpoint *Endpoint
+	// Unreadable says that the entry names no endpoint that could be used; only its
+	// id is set.
+	Unreadable bool
 	// Evacuated names a data centre that gets no new work until the removal.
 	Evacuated string
 }
@@ -32,6 +35,8 @@
 	ColdFor time.Duration
 	// Remaining is how long a leaving endpoint still runs; zero means unknown.
 	Remaining time.Duration
+	// Seq counts the entries that one life of the endpoint wrote.
+	Seq uint64
 }
 
 // Options set up a State.
@@ -46,6 +51,8 @@
 	grace     time.Duration
 	table     *route.Table
 	endpoints map[string]*known
+	// lives holds the newest word of each endpoint, also for a while after its removal.
+	lives     map[string]life
 	evacuated map[string]bool
 	// away is set while the store cannot be read; settled is when entries that
 	// lapsed during its last outage must be back.
@@ -71,6 +78,7 @@
 	return &State{
 		grace:     o.Grace,
 		endpoints: make(map[string]*known),
+		lives:     make(map[string]life),
 		evacuated: make(map[string]bool),
 	}
 }
@@ -124,9 +132,10 @@
 		return was == c.Removed
 	case c.Endpoint != nil && c.Removed:
 		return s.remove(c.Endpoint.ID, now)
+	case c.Endpoint != nil && c.Unreadable:
+		return s.drop(c.Endpoint.ID, now)
 	case c.Endpoint != nil:
-		s.put(*c.Endpoint, now)
-		return true
+		return s.put(*c.Endpoint, now)
 	default:
 		return false
 	}
@@ -141,7 +150,15 @@
 	return true
 }
 
-func (s *State) put(e Endpoint, now time.Time) {
+// put takes an endpoint's entry, unless a later one of it is known.
+func (s *State) put(e Endpoint, now time.Time) bool {
+	if !s.lives[e.ID].allows(e) {
+		return false
+	}
+	s.lives[e.ID] = life{
+		incarnation: e.Incarnation,
+		seq:         e.Seq,
+	}
 	k := &known{
 		Endpoint: e.Endpoint,
 	}
@@ -152,6 +169,7 @@
 		k.endsAt = now.Add(e.Remaining)
 	}
 	s.endpoints[e.ID] = k
+	return true
 }
 
 // Cold takes an endpoint's own word, told to this VM, that it is cold until a
@@ -212,16 +230,38 @@
 	case now.Before(s.settled):
 		k.goneAt = s.settled
 	default:
-		delete(s.endpoints, id)
+		s.forget(id, now)
 	}
 	return true
 }
 
+// drop takes an endpoint out whose entry can no longer be read. Nothing can be
+// sent to what no entry names, so no grace applies.
+func (s *State) drop(id string, now time.Time) bool {
+	if _, ok := s.endpoints[id]; !ok {
+		return false
+	}
+	s.forget(id, now)
+	return true
+}
+
+func (s *State) forget(id string, now time.Time) {
+	delete(s.endpoints, id)
+	l := s.lives[id]
+	l.forgetAt = now.Add(lifeKept)
+	s.lives[id] = l
+}
+
 // Step forgets the endpoints whose time is over.
 func (s *State) Step(now time.Time) {
 	for id, k := range s.endpoints {
 		if !k.goneAt.IsZero() && !now.Before(k.goneAt) {
-			delete(s.endpoints, id)
+			s.forget(id, now)
+		}
+	}
+	for id, l := range s.lives {
+		if !l.forgetAt.IsZero() && !now.Before(l.forgetAt) {
+			delete(s.lives, id)
 		}
 	}
 }
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -20,14 +20,18 @@
 
 type step struct {
 	Put, In, State, Cold string
-	SaysCold             string `json:"says_cold"`
-	Remove               string
-	Store                string
-	Wait                 string
-	Evacuate             string
-	TakeBack             string `json:"take_back"`
-	Table                uint64
-	OtherKey             bool `json:"other_key"`
+	// Incarnation and Seq order the entries of an endpoint that starts again.
+	Incarnation int64
+	Seq         uint64
+	Unreadable  string
+	SaysCold    string `json:"says_cold"`
+	Remove      string
+	Store       string
+	Wait        string
+	Evacuate    string
+	TakeBack    string `json:"take_back"`
+	Table       uint64
+	OtherKey    bool `json:"other_key"`
 }
 
 func TestSchedules(t *testing.T) {
@@ -60,6 +64,8 @@
 	switch {
 	case step.Put != "":
 		s.Take(Change{Endpoint: endpointOf(t, step)}, now)
+	case step.Unreadable != "":
+		s.Take(Change{Unreadable: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Unreadable}}}, now)
 	case step.SaysCold != "":
 		s.Cold(step.SaysCold, now.Add(duration(t, step.Cold)), now)
 	case step.Remove != "":
@@ -86,10 +92,12 @@
 	t.Helper()
 	e := &Endpoint{
 		Endpoint: fleet.Endpoint{
-			ID:         step.Put,
-			DataCentre: step.In,
-			State:      fleet.StateLive,
+			ID:          step.Put,
+			DataCentre:  step.In,
+			State:       fleet.StateLive,
+			Incarnation: step.Incarnation,
 		},
+		Seq: step.Seq,
 	}
 	if step.State != "" {
 		e.State = fleet.State(step.State)
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -35,6 +35,8 @@
 	// tokens; zero where the endpoint does not say.
 	CacheUsed   int `json:"-"`
 	CacheTokens int `json:"-"`
+	// Incarnation is that of the endpoint, as in fleet.Endpoint.
+	Incarnation int64 `json:"-"`
 }
 
 // Report asks an endpoint for its load. Errors are of the connection, of the
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -41,6 +41,10 @@
 	// ChecksFence says whether the endpoint refuses an order with an old fencing number.
 	ChecksFence bool  `json:"checks_fence,omitempty"`
 	State       State `json:"state"`
+	// Incarnation is when this life of the endpoint began, by its own clock in
+	// milliseconds since the epoch; zero means that it does not say. An endpoint that
+	// starts again under its id has a higher one and knows nothing of before.
+	Incarnation int64 `json:"incarnation,omitempty"`
 }
 
 // Serves names what the endpoint serves: its model or its service.
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -196,6 +196,9 @@
 			p.far.learn(l, now)
 			continue
 		}
+		if !e.livedAt(l.UsedAt) {
+			continue
+		}
 		if h := e.cache.held[l.Hash]; h != nil && !h.usedAt.Before(l.UsedAt) {
 			continue
 		}
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -28,7 +28,11 @@
 // endpoint is what the pool knows of one endpoint.
 type endpoint struct {
 	fleet.Endpoint
-	unlisted bool
+	// restartedAt is when this life of the endpoint took the place of an earlier one
+	// here: what was said of it before then was of the earlier one. It is zero for the
+	// first life that this VM knows.
+	restartedAt time.Time
+	unlisted    bool
 	// place is the index in Pool.eligible, or -1.
 	place int
 
@@ -59,6 +63,10 @@
 
 	reading reading
 
+	// doubtedAt is when a connection broke, until it is known which life the endpoint
+	// is in.
+	doubtedAt time.Time
+
 	failures int
 	backoff  time.Duration
 	retryAt  time.Time
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -300,8 +300,8 @@
 	case c.Probe:
 		e.eject(now, p.rand())
 	case e.failures < ejectAfter || e.place < 0 || p.without.BackOff:
-	case 2*(len(p.ejected)+1) > len(p.endpoints):
-		// More than half in back-off would say more of this VM than of them.
+		p.doubt(e, o, now)
+	case p.mostEjected():
 	default:
 		p.remove(e)
 		p.ejected = append(p.ejected, e)
@@ -309,6 +309,12 @@
 	}
 }
 
+// mostEjected says whether one more endpoint in back-off would make more than half
+// of them, which would say more of this VM than of them.
+func (p *Pool) mostEjected() bool {
+	return 2*(len(p.ejected)+1) > len(p.endpoints)
+}
+
 // eject sets the deadline of the back-off, doubled each time, with jitter.
 func (e *endpoint) eject(now time.Time, random uint64) {
 	e.backoff = min(max(2*e.backoff, backoffBase), backoffMax)
@@ -323,6 +329,7 @@
 		return
 	}
 	e.retryAt = time.Time{}
+	e.doubtedAt = time.Time{}
 	e.backoff = 0
 	for i, other := range p.ejected {
 		if other == e {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -59,6 +59,8 @@
 	// the endpoint does not say.
 	CacheUsed   int
 	CacheTokens int
+	// Incarnation is that of the endpoint, zero where it was not told.
+	Incarnation int64
 }
 
 // Request is what the choice depends on.
@@ -212,8 +214,14 @@
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, listed := range list {
 		e, ok := p.byID[listed.ID]
-		if !ok || e.Addr != listed.Addr {
+		switch {
+		case !ok || e.Addr != listed.Addr:
 			e = newEndpoint(listed)
+		case listed.Incarnation > e.Incarnation:
+			e = newLife(listed, now)
+		default:
+			// A list may be older than what the endpoint itself told.
+			listed.Incarnation = e.Incarnation
 		}
 		e.Endpoint = listed
 		byID[listed.ID] = e
@@ -256,9 +264,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e, ok := p.byID[id]
-	if !ok || !e.report(l, now) {
+	if !ok {
+		return
+	}
+	if l.Incarnation > e.Incarnation {
+		e = p.restart(e, l.Incarnation, now)
+	}
+	if !l.describes(e) || !e.report(l, now) {
 		return
 	}
+	p.confirm(e, l.At)
 	p.learnt.learnShare(float64(e.ownAt), float64(l.Running+l.Waiting), p.vms)
 	switch {
 	case e.leaves() && e.place >= 0:
--- a/routing/source.go
+++ b/routing/source.go
@@ -37,6 +37,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	restarted := make(map[string]bool)
+	for id, e := range endpoints {
+		if old, ok := p.far.endpoints[id]; ok && old.Incarnation < e.Incarnation {
+			restarted[id] = true
+		}
+	}
+	p.far.forgetHoldings(restarted)
 	p.far.endpoints = endpoints
 }
 
--- a/routing/unread.go
+++ b/routing/unread.go
@@ -62,7 +62,7 @@
 		byEndpoint[u.Endpoint] = u
 	}
 	for _, e := range p.endpoints {
-		e.reading.hear(byEndpoint[e.ID].of(vm, at))
+		e.reading.hear(byEndpoint[e.ID].of(vm, at).since(e.restartedAt))
 	}
 }
 
--- a/site/control.go
+++ b/site/control.go
@@ -252,7 +252,9 @@
 		change, err := c.node.decoder.Decode(item)
 		if err != nil {
 			c.node.log.Warn("item_refused", "key", item.Key, "revision", item.Revision, "reason", err.Error())
-			continue
+			if !change.Unreadable {
+				continue
+			}
 		}
 		if c.discovery.Take(change, now) {
 			c.changed = true
--- a/site/pools.go
+++ b/site/pools.go
@@ -54,7 +54,7 @@
 	}
 	warm := make(map[string][]fleet.Endpoint)
 	for _, e := range pic.endpoints {
-		if e.Region != p.node.deployment.Region {
+		if e.Region != p.node.deployment.Region || !isNamed(pic, e.Service) {
 			continue
 		}
 		if after.byService[e.Service] == nil {
@@ -103,6 +103,16 @@
 	return out
 }
 
+// isNamed says whether the configuration names a service: an entry in the store of
+// one that it does not is no endpoint of ours.
+func isNamed(pic *picture, service string) bool {
+	if pic.table == nil {
+		return false
+	}
+	_, ok := pic.table.Service(service)
+	return ok
+}
+
 func (p *pools) isEngine(pic *picture, service string) bool {
 	if pic.table == nil {
 		return false
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -78,10 +78,14 @@
 type Replica struct {
 	Options
 	Addr string
+	// Born is when it started, in milliseconds since the epoch.
+	Born int64
 
 	server *http.Server
 	mu     sync.Mutex
 	active int
+	// written counts its entries.
+	written int
 	// coldUntil is what its health check tells.
 	coldUntil time.Time
 }
@@ -95,6 +99,7 @@
 	r := &Replica{
 		Options: o,
 		Addr:    ln.Addr().String(),
+		Born:    time.Now().UnixMilli(),
 	}
 	r.server = &http.Server{
 		Handler:           http.HandlerFunc(r.serve),
@@ -118,7 +123,12 @@
 
 // Entry is what it writes to the store.
 func (r *Replica) Entry(state string, coldFor time.Duration) map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.written++
 	return map[string]any{
+		"Seq":        r.written,
+		"born":       r.Born,
 		"Service":    r.Service,
 		"Addr":       r.Addr,
 		"Zone":       r.Zone,
@@ -133,7 +143,7 @@
 	if req.URL.Path == "/report" {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		_, _ = fmt.Fprintf(w, `{"Stage":"hybrid","Queued":0,"Active":%d,"KvUsed":%d,"KvTotal":300000}`, r.active, 1000*r.active)
+		_, _ = fmt.Fprintf(w, `{"Stage":"hybrid","Queued":0,"Active":%d,"KvUsed":%d,"KvTotal":300000,"born":%d}`, r.active, 1000*r.active, r.Born)
 		return
 	}
 	if req.URL.Path == "/health" {
--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -42,11 +42,13 @@
 	{name: "front_link", disturbs: true, do: (*world).breakFrontLink},
 	{name: "history", do: (*world).forgetHistory},
 	{name: "crash", do: (*world).crashReplica},
+	{name: "again", do: (*world).restartReplica},
 	{name: "drain", do: (*world).drainReplica},
 	{name: "cold", do: (*world).coldReplica},
 	{name: "failing", do: (*world).failReplicas},
 	{name: "evacuate", do: (*world).evacuate},
 	{name: "configuration", do: (*world).changeTable},
+	{name: "foreign", do: (*world).writeForeign},
 }
 
 // inject plays faults until the time is over, several at once, and waits for
@@ -188,6 +190,60 @@
 	return w.addReplica(r.Service, r.region, coldFor)
 }
 
+// restartReplica ends a replica, and starts it again under its id and address. An
+// entry of its earlier life comes after those of the later one.
+func (w *world) restartReplica(ctx context.Context, d draw) error {
+	r := w.one(d.replica)
+	if r == nil {
+		return nil
+	}
+	late := r.Entry("ready", 0)
+	r.Crash()
+	sleepFor(ctx, d.long/8)
+	if err := w.startReplica(r.ID, r.Service, r.region, r.Addr, coldFor); err != nil {
+		return err
+	}
+	sleepFor(ctx, d.long/8)
+	_, err := w.store.Put("servers/"+r.ID, late)
+	return err
+}
+
+// foreignEntries are those of other writers: none names a replica.
+var foreignEntries = []any{
+	map[string]any{"Service": serviceEngine, "State": "ready"},
+	map[string]any{"Service": serviceEngine, "Addr": 7, "State": "ready", "Slots": "many"},
+	map[string]any{"Service": "other", "Addr": "127.0.0.1:1", "State": "resting", "born": 1.5},
+	[]int{0, 255},
+}
+
+// writeForeign lets another writer write an entry, of its own or in place of a replica's,
+// which that writes again later.
+func (w *world) writeForeign(ctx context.Context, d draw) error {
+	entry := foreignEntries[d.variant%len(foreignEntries)]
+	if d.replica%2 == 0 {
+		_, err := w.store.Put(fmt.Sprintf("servers/x-%d", d.replica), entry)
+		return err
+	}
+	w.mu.Lock()
+	r := w.replicas[d.replica%len(w.replicas)]
+	w.mu.Unlock()
+	if r.gone || r.Service != serviceEngine {
+		return nil
+	}
+	if _, err := w.store.Put("servers/"+r.ID, entry); err != nil {
+		return err
+	}
+	sleepFor(ctx, d.long/4)
+	w.mu.Lock()
+	gone := r.gone
+	w.mu.Unlock()
+	if gone {
+		return nil
+	}
+	_, err := w.store.Put("servers/"+r.ID, r.Entry("ready", 0))
+	return err
+}
+
 // drainReplica publishes that a replica leaves, or only removes its entry, and
 // ends it later.
 func (w *world) drainReplica(ctx context.Context, d draw) error {
--- a/testscripts/soak/world.go
+++ b/testscripts/soak/world.go
@@ -274,6 +274,10 @@
 	w.nextID++
 	id := fmt.Sprintf("i-%d", w.nextID)
 	w.mu.Unlock()
+	return w.startReplica(id, service, region, "127.0.0.1:0", cold)
+}
+
+func (w *world) startReplica(id, service, region, addr string, cold time.Duration) error {
 	r, err := replica.Start(replica.Options{
 		ID:         id,
 		Service:    service,
@@ -283,7 +287,7 @@
 		Work:       10 * time.Millisecond,
 		Fault:      w.drawFault,
 		Observe:    w.ledger.ran,
-	}, "127.0.0.1:0")
+	}, addr)
 	if err != nil {
 		return err
 	}
