What a VM does for control costs the same among 295 VMs as among eight

Two VMs that differed in any rumor told each other all rumors, 24 KB each way, and as a VM asks the same other one every 50 s, they nearly always differed. Each rumor that was taken covered all others anew; each message put the members together, sorted, and compared them with those before; each change of a member built the ring of engines anew; each second each engine was ranked among all VMs with all of them copied; each call copied the VMs of three regions; each message sorted all endpoints and listed all prefixes held. Besides, of a region's VMs only the first 64 by name were told to callers, so a third of a region of 100 took no calls. Change: digests of the rumors by 64 buckets, 256 bytes; a question brings the rumors of the last 1.5 s, an answer those of the buckets that differ. Members are put together when they change. The ring stays while its endpoints do. News of the store and of cold endpoints is told in messages without loads and prefixes. Callers are told of the VMs of their data centre, or of another 64 each where that is too many. Figures: BenchmarkExchange 1.49 to 0.21 ms, 24 to 4.3 KB, 887 to 92 KB allocated; BenchmarkHeard 0.93 to 0.08 ms; BenchmarkPicture 83 to 0.13 us.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -293,21 +293,40 @@
 	ColdNumber uint64
 }
 
+// Held gives those of Endpoints that get few calls or none now, as they are cold, in no
+// order.
+func (s *State) Held(now time.Time) []Ready {
+	var out []Ready
+	for _, k := range s.endpoints {
+		if s.takesWork(k) && k.coldUntil.After(now) {
+			out = append(out, k.ready(now))
+		}
+	}
+	return out
+}
+
+func (s *State) takesWork(k *known) bool {
+	return k.State == fleet.StateLive && !s.evacuated[k.DataCentre]
+}
+
+func (k *known) ready(now time.Time) Ready {
+	r := Ready{
+		Endpoint: k.Endpoint,
+	}
+	if k.coldUntil.After(now) {
+		r.ColdUntil = k.coldUntil
+		r.ColdNumber = k.coldNumber
+	}
+	return r
+}
+
 // Endpoints gives the endpoints that take new work, by id.
 func (s *State) Endpoints(now time.Time) []Ready {
 	out := make([]Ready, 0, len(s.endpoints))
 	for _, k := range s.endpoints {
-		if k.State != fleet.StateLive || s.evacuated[k.DataCentre] {
-			continue
-		}
-		r := Ready{
-			Endpoint: k.Endpoint,
-		}
-		if k.coldUntil.After(now) {
-			r.ColdUntil = k.coldUntil
-			r.ColdNumber = k.coldNumber
+		if s.takesWork(k) {
+			out = append(out, k.ready(now))
 		}
-		out = append(out, r)
 	}
 	slices.SortFunc(out, func(a, b Ready) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- /dev/null
+++ b/roster/digest_test.go
@@ -0,0 +1,73 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// TestDigestsAgree holds that two VMs hold the same of all others once each has
+// asked the other, whatever they held before.
+func TestDigestsAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1e9, 0)
+		a, b := newMember("a"), newMember("b")
+		for _, r := range []*Roster{a, b} {
+			for range rapid.IntRange(0, 20).Draw(t, "rumors") {
+				rumor := drawRumor(t, rapid.SampledFrom([]string{"vm-0", "vm-1", "vm-2", "vm-3"}).Draw(t, "vm"))
+				r.Heard(rumor, nil, now)
+			}
+		}
+		now = now.Add(recentFor)
+		for range 2 {
+			asks(a, b, now)
+			asks(b, a, now)
+		}
+		assert.Equal(t, a.Digest(), b.Digest())
+		for id, m := range a.members {
+			if id != "b" {
+				assert.DeepEqual(t, m.Rumor, b.members[id].Rumor)
+			}
+		}
+	})
+}
+
+// asks lets one VM ask another one, as processes do.
+func asks(from, to *Roster, now time.Time) {
+	digest := from.Digest()
+	to.Heard(from.Self(), from.Recent(now), now)
+	from.Heard(to.Self(), to.Differing(digest), now)
+}
+
+func newMember(id string) *Roster {
+	return New(Options{
+		Self:        fleet.VM{ID: id, Region: "one"},
+		Incarnation: 1,
+		Every:       500 * time.Millisecond,
+		Rand:        func() uint64 { return 0 },
+	})
+}
+
+// TestDigestIsSmall counts the rumors that two VMs of a large fleet tell each other:
+// none where they hold the same, and few where one member changed.
+func TestDigestIsSmall(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	a, b := newMember("a"), newMember("b")
+	rumors := fleetRumors()
+	a.Heard(b.Self(), rumors, now)
+	b.Heard(a.Self(), rumors, now)
+	assert.Equal(t, len(a.Recent(now)), recentMost)
+	now = now.Add(recentFor)
+	assert.Equal(t, len(a.Recent(now)), 0)
+	assert.Equal(t, len(b.Differing(a.Digest())), 0)
+	changed := rumors[7]
+	changed.Version++
+	b.Heard(changed, nil, now)
+	assert.Equal(t, len(b.Recent(now)), 1)
+	differing := len(b.Differing(a.Digest()))
+	assert.Assert(t, differing >= 1 && differing <= 16, "%d", differing)
+}
--- a/roster/heard.go
+++ b/roster/heard.go
@@ -3,14 +3,14 @@
 import "time"
 
 // Heard takes a message of a member, whose own rumor is from.
-func (r *Roster) Heard(from Rumor, hash uint64, rumors []Rumor, now time.Time) {
+func (r *Roster) Heard(from Rumor, rumors []Rumor, now time.Time) {
 	r.take(from, now)
 	for _, rumor := range rumors {
 		r.take(rumor, now)
 	}
 	if m, ok := r.members[from.VM.ID]; ok && m.Incarnation == from.Incarnation {
+		r.shownStale = r.shownStale || m.misses > 0
 		m.misses = 0
-		m.hash = hash
 	}
 }
 
@@ -24,8 +24,11 @@
 		return
 	}
 	if !ok {
-		m = &member{}
+		m = &member{
+			Rumor: rumor,
+		}
 		r.members[rumor.VM.ID] = m
+		r.sums.add(rumor)
 	}
 	if rumor.Incarnation != m.Incarnation || rumor.State == StateAlive {
 		m.misses = 0
@@ -36,8 +39,7 @@
 	case StateDead, StateLeft:
 		m.deadAt = now
 	}
-	m.Rumor = rumor
-	r.rehash()
+	r.replace(m, rumor, now)
 	r.most = max(r.most, len(r.members)+1)
 }
 
@@ -46,13 +48,11 @@
 func (r *Roster) refute(rumor Rumor) {
 	if rumor.Incarnation > r.self.Incarnation {
 		// The clock has stepped back since the earlier life began.
-		r.self.Incarnation = rumor.Incarnation + 1
-		r.rehash()
+		r.changeSelf(func(self *Rumor) { self.Incarnation = rumor.Incarnation + 1 })
 		return
 	}
 	if rumor.Incarnation == r.self.Incarnation && rumor.newer(r.self) {
-		r.self.Version = rumor.Version + 1
-		r.rehash()
+		r.changeSelf(func(self *Rumor) { self.Version = rumor.Version + 1 })
 	}
 }
 
@@ -63,11 +63,11 @@
 		return
 	}
 	m.misses++
+	r.shownStale = true
 	m.askAt = now.Add(r.every / hurry)
 	if m.State == StateAlive && m.misses >= missesToSuspect {
-		m.State = StateSuspect
 		m.suspectAt = now
-		r.rehash()
+		r.judge(m, StateSuspect, now)
 	}
 }
 
@@ -78,7 +78,6 @@
 	if !ok || m.State >= StateDead {
 		return
 	}
-	m.State = StateDead
 	m.deadAt = now
-	r.rehash()
+	r.judge(m, StateDead, now)
 }
--- a/roster/picture.go
+++ b/roster/picture.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,8 @@
 	Self fleet.VM
 	// Members holds all but the dead ones, this VM included, by id.
 	Members []Member
+	// Generation tells two pictures with other members apart.
+	Generation uint64
 	// Most is the largest number of VMs known at once.
 	Most int
 	// SteppedAt is when the roster last went on, Waking is set after a pause of the
@@ -32,6 +35,27 @@
 	Waking    bool
 	// longestStep is the longest time between two steps of a process that runs.
 	longestStep time.Duration
+	// taking are the VMs that take calls, by region.
+	taking map[string][]fleet.VM
+}
+
+// shown are the members as traffic sees them. It never changes, so that pictures
+// share it for as long as the members are the same.
+type shown struct {
+	generation uint64
+	members    []Member
+	taking     map[string][]fleet.VM
+}
+
+// Taking gives the VMs of a region that are in reach and take calls. It must not
+// be changed.
+func (p *Picture) Taking(region string) []fleet.VM {
+	return p.taking[region]
+}
+
+// TakingRegions gives the regions that have such VMs, by name.
+func (p *Picture) TakingRegions() []string {
+	return slices.Sorted(maps.Keys(p.taking))
 }
 
 // Current says whether what this VM believes is from now, and not from before a
@@ -43,14 +67,34 @@
 
 // Picture gives the picture of now.
 func (r *Roster) Picture() *Picture {
-	p := &Picture{
+	if r.shown == nil || r.shownStale {
+		r.show()
+	}
+	return &Picture{
 		Self:        r.self.VM,
+		Members:     r.shown.members,
+		Generation:  r.shown.generation,
 		Most:        r.most,
 		SteppedAt:   r.steppedAt,
 		Waking:      r.waking,
 		longestStep: r.longestStep(),
+		taking:      r.shown.taking,
 	}
-	p.Members = append(p.Members, Member{
+}
+
+// show puts together what pictures show. A VM takes in some ten messages a second,
+// most of which change nothing: a picture of 295 members costs microseconds then
+// (BenchmarkPicture).
+func (r *Roster) show() {
+	next := &shown{
+		generation: 1,
+		members:    make([]Member, 0, len(r.members)+1),
+		taking:     make(map[string][]fleet.VM),
+	}
+	if r.shown != nil {
+		next.generation = r.shown.generation + 1
+	}
+	next.members = append(next.members, Member{
 		VM:          r.self.VM,
 		Incarnation: r.self.Incarnation,
 		Reachable:   r.self.State == StateAlive,
@@ -61,7 +105,7 @@
 		if m.State >= StateDead {
 			continue
 		}
-		p.Members = append(p.Members, Member{
+		next.members = append(next.members, Member{
 			VM:          m.VM,
 			Incarnation: m.Incarnation,
 			Reachable:   m.State == StateAlive && m.misses < missesToSuspect,
@@ -69,8 +113,14 @@
 			TurnedAway:  m.TurnedAway,
 		})
 	}
-	slices.SortFunc(p.Members, func(a, b Member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
-	return p
+	slices.SortFunc(next.members, func(a, b Member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
+	for _, m := range next.members {
+		if m.Reachable && m.Ready {
+			next.taking[m.VM.Region] = append(next.taking[m.VM.Region], m.VM)
+		}
+	}
+	r.shown = next
+	r.shownStale = false
 }
 
 // StoreAway says whether a VM of the own region cannot read the store: nobody
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -108,7 +108,7 @@
 	regions []string
 	rand    func() uint64
 	members map[string]*member
-	hash    uint64
+	sums    sums
 	// order is a shuffled round of the members of the own region.
 	order []string
 	next  time.Time
@@ -121,6 +121,9 @@
 	waking bool
 	// most is the largest number of VMs that were known at once.
 	most int
+	// shown is what the last picture showed; shownStale is set once that has changed.
+	shown      *shown
+	shownStale bool
 }
 
 // member is a rumor with what this VM saw itself.
@@ -130,8 +133,8 @@
 	suspectAt time.Time
 	deadAt    time.Time
 	askAt     time.Time
-	// hash is the member's hash of all rumors as of its last message.
-	hash uint64
+	// tookAt is when the rumor was taken, or made here.
+	tookAt time.Time
 }
 
 // New makes a Roster that knows itself only.
@@ -150,7 +153,7 @@
 		most:    1,
 	}
 	r.SetSeeds(o.Seeds)
-	r.rehash()
+	r.resum()
 	return r
 }
 
@@ -166,9 +169,10 @@
 	if r.self.Ready == ready {
 		return
 	}
-	r.self.Ready = ready
-	r.self.Version++
-	r.rehash()
+	r.changeSelf(func(self *Rumor) {
+		self.Ready = ready
+		self.Version++
+	})
 }
 
 // SetTurnedAway says whether this VM cannot read the store.
@@ -176,25 +180,25 @@
 	if r.self.TurnedAway == away {
 		return
 	}
-	r.self.TurnedAway = away
-	r.self.Version++
-	r.rehash()
+	r.changeSelf(func(self *Rumor) {
+		self.TurnedAway = away
+		self.Version++
+	})
 }
 
 // Leave marks this VM as stopping, for good.
 func (r *Roster) Leave() {
-	r.self.State = StateLeft
-	r.self.Ready = false
-	r.self.Version++
-	r.rehash()
+	r.changeSelf(func(self *Rumor) {
+		self.State = StateLeft
+		self.Ready = false
+		self.Version++
+	})
 }
 
 // Target is whom to exchange rumors with.
 type Target struct {
 	// VM has no id where only a seed's address is known.
 	VM fleet.VM
-	// Full says that all rumors are to be sent, as the other may lack some.
-	Full bool
 }
 
 // Step moves the state to now and gives the targets that are due.
@@ -277,6 +281,7 @@
 	if !r.steppedAt.IsZero() && pause > r.longestStep() {
 		r.wokeAt = now
 		r.waking = true
+		r.shownStale = true
 		for _, m := range r.members {
 			m.misses = 0
 			if m.State == StateSuspect {
@@ -310,20 +315,18 @@
 	for id, m := range r.members {
 		switch {
 		case m.State == StateSuspect && !now.Before(m.suspectAt.Add(suspectIntervals*r.every)):
-			m.State = StateDead
 			m.deadAt = now
-			r.rehash()
+			r.judge(m, StateDead, now)
 		case m.State >= StateDead && !now.Before(m.deadAt.Add(buriedIntervals*r.every)):
+			r.sums.take(m.Rumor)
 			delete(r.members, id)
-			r.rehash()
 		}
 	}
 }
 
 func (r *Roster) target(m *member) Target {
 	return Target{
-		VM:   m.VM,
-		Full: m.hash != r.hash,
+		VM: m.VM,
 	}
 }
 
@@ -332,26 +335,40 @@
 	return r.self
 }
 
-// Hash covers all rumors held.
-func (r *Roster) Hash() uint64 {
-	return r.hash
+// resum covers the own rumor and all others anew.
+func (r *Roster) resum() {
+	r.shownStale = true
+	r.sums = sums{}
+	r.sums.add(r.self)
+	for _, m := range r.members {
+		r.sums.add(m.Rumor)
+	}
+}
+
+// changeSelf replaces the own rumor.
+func (r *Roster) changeSelf(change func(self *Rumor)) {
+	r.sums.take(r.self)
+	change(&r.self)
+	r.sums.add(r.self)
+	r.shownStale = true
 }
 
-// Rumors gives all rumors held, with the own one.
-func (r *Roster) Rumors() []Rumor {
-	out := []Rumor{r.self}
-	for _, m := range r.sorted() {
-		out = append(out, m.Rumor)
-	}
-	return out
+// replace takes another rumor of a member. The sums change by the one rumor: covering
+// all anew for each rumor of a message made one of 295 unknown members cost 295 times
+// as much as it has rumors (BenchmarkHeard).
+func (r *Roster) replace(m *member, rumor Rumor, now time.Time) {
+	r.sums.take(m.Rumor)
+	m.Rumor = rumor
+	m.tookAt = now
+	r.sums.add(rumor)
+	r.shownStale = true
 }
 
-// rehash covers the own rumor and all others.
-func (r *Roster) rehash() {
-	r.hash = r.self.digest()
-	for _, m := range r.members {
-		r.hash += m.digest()
-	}
+// judge changes the state of a member by what this VM itself saw.
+func (r *Roster) judge(m *member, state State, now time.Time) {
+	rumor := m.Rumor
+	rumor.State = state
+	r.replace(m, rumor, now)
 }
 
 // digest does not depend on the order of members, as sums of it are taken.
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -127,24 +127,16 @@
 		w.later(time.Second, func() { life.Missed(target.VM.ID, w.now) })
 		return
 	}
-	self, hash := life.Self(), life.Hash()
-	var rumors []Rumor
-	if target.Full {
-		rumors = life.Rumors()
-	}
+	self, digest, recent := life.Self(), life.Digest(), life.Recent(w.now)
 	w.later(way, func() {
 		if !to.up {
 			return
 		}
-		to.roster.Heard(self, hash, rumors, w.now)
-		answer, answerHash := to.roster.Self(), to.roster.Hash()
-		var answered []Rumor
-		if hash != answerHash {
-			answered = to.roster.Rumors()
-		}
+		to.roster.Heard(self, recent, w.now)
+		answer, answered := to.roster.Self(), to.roster.Differing(digest)
 		w.later(way, func() {
 			if from.roster == life {
-				life.Heard(answer, answerHash, answered, w.now)
+				life.Heard(answer, answered, w.now)
 			}
 		})
 	})
--- a/roster/start_test.go
+++ b/roster/start_test.go
@@ -58,5 +58,5 @@
 		Version:     1,
 		Ready:       true,
 	}
-	r.Heard(from, 0, nil, now)
+	r.Heard(from, nil, now)
 }
--- a/roster/target.go
+++ b/roster/target.go
@@ -155,7 +155,6 @@
 			VM: fleet.VM{
 				PeerAddr: seed,
 			},
-			Full: true,
 		})
 	}
 	return out
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -153,12 +153,15 @@
 	FarHoldingLeast = 1000
 )
 
-// FarHoldings gives those of other regions.
-func (p *Pool) FarHoldings(since time.Time) []Holding {
+// FarHoldings gives those of other regions, at most so many of them.
+func (p *Pool) FarHoldings(since time.Time, most int) []Holding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Holding
 	for _, h := range p.far.holders {
+		if len(out) == most {
+			break
+		}
 		if !h.UsedAt.Before(since) {
 			out = append(out, h)
 		}
@@ -166,12 +169,16 @@
 	return out
 }
 
-// Holdings gives who was last sent each prefix of so many tokens or more since a moment.
-func (p *Pool) Holdings(least int, since time.Time) []Holding {
+// Holdings gives who was last sent each prefix of so many tokens or more since a moment,
+// at most so many, others each time.
+func (p *Pool) Holdings(least int, since time.Time, most int) []Holding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var out []Holding
 	for hash, e := range p.holders {
+		if len(out) == most {
+			break
+		}
 		h := e.cache.held[hash]
 		if e.unlisted || h == nil || h.length < least || h.usedAt.Before(since) {
 			continue
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,16 +201,19 @@
 func (p *Pool) SetVMs(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms = max(n, 1)
+	if n = max(n, 1); n == p.vms {
+		return
+	}
+	p.vms = n
 	p.learnt.share = 1 / float64(p.vms)
 }
 
 // SetEndpoints replaces the list. Endpoints that are no longer listed or are
 // leaving get no new call from now on; calls in flight there stay counted.
 func (p *Pool) SetEndpoints(list []fleet.Endpoint, now time.Time) {
-	r := newRing(list)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	r := p.ringOf(list)
 	byID := make(map[string]*endpoint, len(list))
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, listed := range list {
@@ -239,6 +243,18 @@
 	p.rebuild(now)
 }
 
+// ringOf keeps the ring where the list names the same endpoints, as it does when one
+// becomes warm or leaves: of 80 endpoints it has 5,120 points to be sorted.
+func (p *Pool) ringOf(list []fleet.Endpoint) ring {
+	same := slices.EqualFunc(p.endpoints, list, func(e *endpoint, listed fleet.Endpoint) bool {
+		return e.ID == listed.ID
+	})
+	if same {
+		return p.ring
+	}
+	return newRing(list)
+}
+
 // rebuild sorts all endpoints into eligible and ejected and sums them up.
 func (p *Pool) rebuild(now time.Time) {
 	p.eligible = make([]*endpoint, 0, len(p.endpoints))
--- a/routing/source_test.go
+++ b/routing/source_test.go
@@ -100,8 +100,8 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, again.FetchFrom, "")
 
-	assert.Equal(t, len(p.FarHoldings(now)), 1)
-	assert.Equal(t, len(p.FarHoldings(now.Add(time.Millisecond))), 0)
+	assert.Equal(t, len(p.FarHoldings(now, 10)), 1)
+	assert.Equal(t, len(p.FarHoldings(now.Add(time.Millisecond), 10)), 0)
 }
 
 // TestFarForgets holds that what other regions hold stays within its bound, and
--- a/site/cold.go
+++ b/site/cold.go
@@ -64,7 +64,7 @@
 // coldMessage gives the cold endpoints of the own region.
 func (c *control) coldMessage(now time.Time) []*peerpb.ColdEndpoint {
 	var out []*peerpb.ColdEndpoint
-	for _, e := range c.discovery.Endpoints(now) {
+	for _, e := range c.discovery.Held(now) {
 		if e.Region == c.node.deployment.Region && !e.ColdUntil.IsZero() {
 			out = append(out, &peerpb.ColdEndpoint{
 				Endpoint: e.ID,
--- a/site/control.go
+++ b/site/control.go
@@ -165,8 +165,11 @@
 	if c.changed {
 		c.reportEndpoints(before, after)
 	}
-	if c.changed || len(before.members.Members) != len(after.members.Members) {
+	switch {
+	case c.changed:
 		c.node.pools.update(after, now)
+	case before.members.Generation != after.members.Generation:
+		c.node.pools.updateMembers(after)
 	}
 	c.changed = false
 	c.reportChanges(before, after)
@@ -230,6 +233,9 @@
 	if before.table != after.table {
 		c.node.log.Info("configuration_taken", "version", after.table.Version, "revision", after.revision)
 	}
+	if before.members.Generation == after.members.Generation {
+		return
+	}
 	was := make(map[string]roster.Member, len(before.members.Members))
 	for _, m := range before.members.Members {
 		was[m.VM.ID] = m
--- /dev/null
+++ b/site/fleet_test.go
@@ -0,0 +1,151 @@
+package site
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/roster"
+	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/settings"
+)
+
+// The sizes of the fleet that the benchmarks play: three regions of 98 VMs, of which
+// one has half of the engines.
+const (
+	fleetVMs     = 294
+	fleetEngines = 160
+	fleetPrompts = 3000
+)
+
+// newFleetNode is a VM of such a fleet that knows all of it.
+func newFleetNode(now func() time.Time) *Node {
+	n := New(Options{
+		Deployment: &platform.Deployment{
+			VM:         "vm-0",
+			Region:     "r0",
+			DataCentre: "r0-a",
+			IP:         "127.0.0.1",
+			Regions:    map[string]string{"r0-a": "r0", "r1-a": "r1", "r2-a": "r2"},
+		},
+		Logger:   slog.New(slog.DiscardHandler),
+		Settings: &settings.Platform{},
+		Now:      now,
+	})
+	c := n.control
+	c.take([]discovery.Item{{
+		Key:      "op/config",
+		Revision: 1,
+		Value:    []byte(`{"Version":1,"Routes":[],"Services":[{"Name":"s","Engine":{"Slots":64}}]}`),
+	}}, now())
+	for i := range fleetEngines {
+		region := i % 4 % 3
+		c.take([]discovery.Item{{
+			Key:      fmt.Sprintf("servers/i-%d", i),
+			Revision: uint64(2 + i),
+			Value:    fmt.Appendf(nil, `{"Service":"s","Addr":"10.0.0.1:%d","Zone":"r%d-a","Slots":64,"State":"ready"}`, 1000+i, region),
+		}}, now())
+	}
+	c.roster.Heard(fleetRumor(1), fleetRumorsOf(), now())
+	c.publish(now())
+	n.fillPool(now())
+	return n
+}
+
+// fillPool lets the pool know of prompts and reports as after some seconds of traffic.
+func (n *Node) fillPool(now time.Time) {
+	pool := n.pools.table.Load().byService["s"].Endpoints
+	var held []routing.Holding
+	for i := range fleetPrompts {
+		held = append(held, routing.Holding{
+			Hash:     uint64(i + 1),
+			Tokens:   400 + i,
+			Endpoint: fmt.Sprintf("i-%d", i%fleetEngines),
+			UsedAt:   now.Add(-time.Duration(i) * time.Millisecond),
+		})
+	}
+	pool.Learn(held, now)
+	for i, e := range n.pools.table.Load().engines {
+		n.pools.takeReport(e.ID, heldReport{
+			service: "s",
+			load:    routing.Load{At: now.Add(-time.Duration(i) * time.Millisecond), Running: i % 20, CacheTokens: 340_000},
+		})
+	}
+}
+
+func fleetRumor(i int) roster.Rumor {
+	return roster.Rumor{
+		VM: fleet.VM{
+			ID:         fmt.Sprintf("vm-%d", i),
+			Region:     fmt.Sprintf("r%d", i%3),
+			DataCentre: fmt.Sprintf("r%d-a", i%3),
+			CallerAddr: fmt.Sprintf("10.1.0.%d:8149", i),
+			PeerAddr:   fmt.Sprintf("10.1.0.%d:8144", i),
+		},
+		Incarnation: 1,
+		Version:     1,
+		State:       roster.StateAlive,
+		Ready:       true,
+	}
+}
+
+func fleetRumorsOf() []roster.Rumor {
+	var out []roster.Rumor
+	for i := range fleetVMs {
+		out = append(out, fleetRumor(1+i))
+	}
+	return out
+}
+
+// asked has a VM take a question as it comes over the wire, and gives the answer's bytes.
+func asked(tb testing.TB, n *Node, question *peerpb.GossipMessage, now time.Time) []byte {
+	tb.Helper()
+	data, err := proto.Marshal(question)
+	assert.NilError(tb, err)
+	var in peerpb.GossipMessage
+	assert.NilError(tb, proto.Unmarshal(data, &in))
+	c := n.control
+	c.heard(tb.Context(), &in, now, now)
+	answer, err := proto.Marshal(c.message(in.GetFrom().GetRegion(), c.roster.Differing(digestOf(&in)), now))
+	assert.NilError(tb, err)
+	c.publish(now)
+	return answer
+}
+
+// BenchmarkExchange answers the questions of other VMs of the region, of which each VM
+// gets two a second: 1.49 ms, 24 KB on the wire and 887 KB allocated with all rumors
+// in each answer, all prefixes looked through for the few that are told and the members
+// put together each time; 0.21 ms, 4.3 KB and 92 KB without.
+func BenchmarkExchange(b *testing.B) {
+	now := time.Unix(1e9, 0)
+	clock := func() time.Time { return now }
+	n, other := newFleetNode(clock), newFleetNode(clock)
+	question := other.control.question("r0", now)
+	question.From = rumorMessage(fleetRumor(3))
+	bytes := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		bytes = len(asked(b, n, question, now))
+	}
+	b.ReportMetric(float64(bytes), "bytes/answer")
+}
+
+// TestFleetNode keeps the fleet above what the benchmark takes it for.
+func TestFleetNode(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	n := newFleetNode(func() time.Time { return now })
+	pic := n.control.picture()
+	assert.Equal(t, len(pic.members.Members), fleetVMs+1)
+	assert.Equal(t, len(n.pools.table.Load().engines), fleetEngines/2)
+	_, ok := pic.table.Service("s")
+	assert.Assert(t, ok)
+	assert.Equal(t, pic.table.Version, uint64(1))
+}
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -24,26 +24,40 @@
 	pullAfter = 300 * time.Millisecond
 )
 
-// message is this VM's side of an exchange.
-func (c *control) message(region string, full bool, now time.Time) *peerpb.GossipMessage {
+// question begins an exchange with a VM of a region.
+func (c *control) question(region string, now time.Time) *peerpb.GossipMessage {
+	m := c.message(region, c.roster.Recent(now), now)
+	digest := c.roster.Digest()
+	m.Digest = digest[:]
+	return m
+}
+
+// brief is what is told at once when something changed. It holds what other VMs must
+// not act without, and not the loads and prefixes that make up most of a message.
+func (c *control) brief(region string, now time.Time) *peerpb.GossipMessage {
 	m := &peerpb.GossipMessage{
 		From:              rumorMessage(c.roster.Self()),
-		Hash:              c.roster.Hash(),
 		PublishedRevision: c.mirror.Revision(),
 	}
 	if region == c.node.deployment.Region {
-		m.Reports = c.node.pools.heldReports(now)
 		m.Cold = c.coldMessage(now)
+	}
+	return m
+}
+
+// message is this VM's side of an exchange, with rumors of members.
+func (c *control) message(region string, rumors []roster.Rumor, now time.Time) *peerpb.GossipMessage {
+	m := c.brief(region, now)
+	if region == c.node.deployment.Region {
+		m.Reports = c.node.pools.heldReports(now)
 		m.Holdings = append(c.node.pools.ownHoldings(now), c.node.pools.farHoldings(now)...)
 		m.Loads = c.loadsMessage(now)
 	} else {
 		m.Loads = c.node.pools.loads(now)
 		m.Holdings = c.node.pools.holdings(now)
 	}
-	if full {
-		for _, r := range c.roster.Rumors() {
-			m.Rumors = append(m.Rumors, rumorMessage(r))
-		}
+	for _, r := range rumors {
+		m.Rumors = append(m.Rumors, rumorMessage(r))
 	}
 	return m
 }
@@ -86,7 +100,7 @@
 		rumors = append(rumors, rumorFromMessage(r))
 	}
 	from := rumorFromMessage(m.GetFrom())
-	c.roster.Heard(from, m.GetHash(), rumors, now)
+	c.roster.Heard(from, rumors, now)
 	c.takeLoads(m.GetLoads(), sentAt)
 	c.takeCold(ctx, m.GetCold(), sentAt, now)
 	c.node.pools.takeReports(m.GetReports(), sentAt)
@@ -104,10 +118,22 @@
 	sentAt := n.sentAt(in)
 	return ask(ctx, n.control, func(c *control, now time.Time) *peerpb.GossipMessage {
 		c.heard(context.WithoutCancel(ctx), in, sentAt, now)
-		return c.message(in.GetFrom().GetRegion(), in.GetHash() != c.roster.Hash(), now)
+		if len(in.GetDigest()) == 0 {
+			return c.brief(in.GetFrom().GetRegion(), now)
+		}
+		return c.message(in.GetFrom().GetRegion(), c.roster.Differing(digestOf(in)), now)
 	})
 }
 
+// digestOf reads a question's digest; one of another form differs everywhere.
+func digestOf(m *peerpb.GossipMessage) roster.Digest {
+	var d roster.Digest
+	if len(m.GetDigest()) == len(d) {
+		copy(d[:], m.GetDigest())
+	}
+	return d
+}
+
 // sentAt is when a peer's message was sent, by this VM's clock.
 func (n *Node) sentAt(m *peerpb.GossipMessage) time.Time {
 	from := m.GetFrom()
@@ -157,14 +183,16 @@
 	c.spread(ctx, spreadTo, now)
 }
 
-// spread exchanges with some other VMs of the region at once.
+// spread tells some other VMs of the region at once what must not wait.
 func (c *control) spread(ctx context.Context, count int, now time.Time) {
-	c.exchange(ctx, c.roster.Spread(count), now)
+	for _, target := range c.roster.Spread(count) {
+		go c.node.exchange(ctx, target, c.brief(target.VM.Region, now))
+	}
 }
 
 func (c *control) exchange(ctx context.Context, targets []roster.Target, now time.Time) {
 	for _, target := range targets {
-		go c.node.exchange(ctx, target, c.message(target.VM.Region, target.Full, now))
+		go c.node.exchange(ctx, target, c.question(target.VM.Region, now))
 	}
 }
 
--- a/site/holdings.go
+++ b/site/holdings.go
@@ -24,21 +24,21 @@
 // shared beginnings of prompts of late, so that others can fetch from them.
 func (p *pools) ownHoldings(now time.Time) []*peerpb.PrefixHolding {
 	return p.holdingMessages(ownHoldingsSent, now, func(pool *pool) []routing.Holding {
-		return pool.Endpoints.Holdings(routing.HoldingLeast, now.Add(-holdingNew))
+		return pool.Endpoints.Holdings(routing.HoldingLeast, now.Add(-holdingNew), ownHoldingsSent)
 	})
 }
 
 // holdings tell the same, as far as it is worth it, to a VM of another region.
 func (p *pools) holdings(now time.Time) []*peerpb.PrefixHolding {
 	return p.holdingMessages(holdingsSent, now, func(pool *pool) []routing.Holding {
-		return pool.Endpoints.Holdings(routing.FarHoldingLeast, now.Add(-holdingNew))
+		return pool.Endpoints.Holdings(routing.FarHoldingLeast, now.Add(-holdingNew), holdingsSent)
 	})
 }
 
 // farHoldings tell another VM of this region the same of other regions.
 func (p *pools) farHoldings(now time.Time) []*peerpb.PrefixHolding {
 	return p.holdingMessages(holdingsSent, now, func(pool *pool) []routing.Holding {
-		return pool.Endpoints.FarHoldings(now.Add(-farHoldingNew))
+		return pool.Endpoints.FarHoldings(now.Add(-farHoldingNew), holdingsSent)
 	})
 }
 
--- a/site/place.go
+++ b/site/place.go
@@ -13,7 +13,6 @@
 	"github.com/fuchsianotch/fuchsianotch/logs"
 	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/result"
-	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/serving"
 	"github.com/fuchsianotch/fuchsianotch/settings"
@@ -72,7 +71,7 @@
 	}
 	p.trace(c)
 	n.sent.Add(region, c.Target(), p.own.ToRead, n.now())
-	return p.vms[rand.IntN(len(p.vms))], true, nil
+	return p.vm, true, nil
 }
 
 // weighed is a decision with what it was made from.
@@ -80,8 +79,8 @@
 	own      placement.Load
 	others   []placement.Load
 	decision placement.Decision
-	// vms are those of another region that take the call.
-	vms []fleet.VM
+	// vm is where the call goes if it goes to another region.
+	vm fleet.VM
 }
 
 func (n *Node) weigh(c *call.Call, tried []string) weighed {
@@ -104,14 +103,30 @@
 		WaitDraw:   rand.Float64(),
 		Without:    n.withoutPlacement(),
 	}, now)
+	vm, _ := pickVM(pic.members.Taking(decision.Region), tried)
 	return weighed{
 		own:      own,
 		others:   others,
 		decision: decision,
-		vms:      reachableIn(pic.members.Members, decision.Region, tried),
+		vm:       vm,
 	}
 }
 
+// pickVM draws one of the VMs that take calls, but for those tried. It is false
+// where there is no other.
+func pickVM(vms []fleet.VM, tried []string) (fleet.VM, bool) {
+	if len(vms) == 0 {
+		return fleet.VM{}, false
+	}
+	from := rand.IntN(len(vms))
+	for i := range vms {
+		if vm := vms[(from+i)%len(vms)]; !slices.Contains(tried, vm.ID) {
+			return vm, true
+		}
+	}
+	return fleet.VM{}, false
+}
+
 const (
 	// learnsFor is how long after its start a VM may not know yet who takes calls:
 	// two reads of the store from the most distant region, or the exchange with a
@@ -217,11 +232,11 @@
 		if !c.Routed.Allows(l.Region) {
 			continue
 		}
-		if !slices.ContainsFunc(pic.members.Members, func(m roster.Member) bool { return takesCalls(m, l.Region, tried) }) {
+		if _, ok := pickVM(pic.members.Taking(l.Region), tried); !ok {
 			continue
 		}
 		load := l.Load
-		load.First += n.laterThere(c, l, own, len(reachableIn(pic.members.Members, n.deployment.Region, nil)))
+		load.First += n.laterThere(c, l, own, len(pic.members.Taking(n.deployment.Region)))
 		load.Whole = load.First + time.Duration(own.Answer*float64(l.token))
 		load.LongWhole = load.First + time.Duration(own.Long*float64(l.token))
 		out = append(out, load)
@@ -244,37 +259,3 @@
 	tokens := own.ToRead - usualPrompt + queued
 	return time.Duration(tokens / l.readsPerSecond * float64(time.Second))
 }
-
-// reachableIn gives the VMs of a region that take calls, but for those tried.
-func reachableIn(members []roster.Member, region string, tried []string) []fleet.VM {
-	var out []fleet.VM
-	for _, m := range members {
-		if takesCalls(m, region, tried) {
-			out = append(out, m.VM)
-		}
-	}
-	return out
-}
-
-func takesCalls(m roster.Member, region string, tried []string) bool {
-	return m.VM.Region == region && m.Reachable && m.Ready && !slices.Contains(tried, m.VM.ID)
-}
-
-// regionsIn gives the regions with VMs that take calls, in the order of the members.
-func regionsIn(members []roster.Member) []string {
-	var out []string
-	for _, m := range members {
-		if takesCalls(m, m.VM.Region, nil) && !slices.Contains(out, m.VM.Region) {
-			out = append(out, m.VM.Region)
-		}
-	}
-	return out
-}
-
-func entriesIn(members []roster.Member, region string) []string {
-	var out []string
-	for _, vm := range reachableIn(members, region, nil) {
-		out = append(out, vm.CallerAddr)
-	}
-	return out
-}
--- a/site/pools.go
+++ b/site/pools.go
@@ -26,7 +26,6 @@
 	// their load.
 	listed  []fleet.Endpoint
 	engines []fleet.Endpoint
-	vms     int
 }
 
 type pool struct {
@@ -50,7 +49,6 @@
 	before := p.table.Load()
 	after := &poolTable{
 		byService: make(map[string]*pool),
-		vms:       p.countVMs(pic),
 	}
 	warm := make(map[string][]fleet.Endpoint)
 	for _, e := range pic.endpoints {
@@ -74,22 +72,30 @@
 			after.byService[service] = old
 		}
 	}
-	far := p.farEndpoints(pic)
 	for service, pool := range after.byService {
 		pool.Endpoints.SetEndpoints(warm[service], now)
-		pool.Endpoints.SetFar(far[service])
-		if after.vms != before.vms {
-			pool.Endpoints.SetVMs(after.vms)
-		}
 	}
 	p.table.Store(after)
+	p.updateMembers(pic)
+}
+
+// updateMembers takes the members alone. While a fleet starts they change with each
+// message, and its endpoints do not.
+func (p *pools) updateMembers(pic *picture) {
+	far := p.farEndpoints(pic)
+	vms := p.countVMs(pic)
+	for service, pool := range p.table.Load().byService {
+		pool.Endpoints.SetFar(far[service])
+		pool.Endpoints.SetVMs(vms)
+	}
 }
 
 // farEndpoints are those of the other regions in reach, by service: engines
 // fetch parts of prompts from them.
 func (p *pools) farEndpoints(pic *picture) map[string][]fleet.Endpoint {
 	reached := make(map[string]bool)
-	for _, m := range pic.members.Members {
+	for i := range pic.members.Members {
+		m := &pic.members.Members[i]
 		if m.Reachable && m.VM.Region != p.node.deployment.Region {
 			reached[m.VM.Region] = true
 		}
@@ -124,7 +130,8 @@
 // countVMs counts the VMs of this region, which choose among the same endpoints.
 func (p *pools) countVMs(pic *picture) int {
 	n := 0
-	for _, m := range pic.members.Members {
+	for i := range pic.members.Members {
+		m := &pic.members.Members[i]
 		if m.VM.Region == p.node.deployment.Region {
 			n++
 		}
--- a/site/reports.go
+++ b/site/reports.go
@@ -65,17 +65,24 @@
 
 // ownEngines are those that this VM asks.
 func (p *pools) ownEngines() []fleet.Endpoint {
-	vms := p.regionVMs()
+	ids := p.regionVMIDs()
 	var out []fleet.Endpoint
 	for _, e := range p.table.Load().engines {
-		ranked := entry.Rank(e.ID, vms)
-		if len(ranked) == 0 || ranked[0].ID == p.node.deployment.VM {
+		if owner := entry.Owner(e.ID, ids); owner == "" || owner == p.node.deployment.VM {
 			out = append(out, e)
 		}
 	}
 	return out
 }
 
+func (p *pools) regionVMIDs() []string {
+	var ids []string
+	for _, vm := range p.regionVMs() {
+		ids = append(ids, vm.ID)
+	}
+	return ids
+}
+
 func (p *pools) regionVMs() []fleet.VM {
 	var vms []fleet.VM
 	for _, m := range p.node.control.picture().members.Members {
--- a/site/site.go
+++ b/site/site.go
@@ -257,21 +257,29 @@
 	return !n.leaving.Load() && n.control.picture().table != nil
 }
 
-// entries gives the addresses of the VMs of a client's region that take calls,
-// or those of others where none of the client's is known.
-func (n *Node) entries(host, region string) []string {
+// entries gives the addresses of the VMs that a client may use: those of its region
+// that take calls, or those of others where none of the client's is known.
+func (n *Node) entries(l platform.Lookup) []string {
 	pic := n.control.picture()
-	members := pic.members.Members
-	if out := entriesIn(members, region); len(out) > 0 {
-		return out
+	vms := pic.members.Taking(l.Region)
+	if len(vms) == 0 {
+		vms = n.entriesElsewhere(l.Host, pic)
 	}
+	var out []string
+	for _, vm := range entry.Near(l.Addr, l.DataCentre, vms, platform.MaxEntries) {
+		out = append(out, vm.CallerAddr)
+	}
+	return out
+}
+
+func (n *Node) entriesElsewhere(host string, pic *picture) []fleet.VM {
 	var bound [][]string
 	if pic.table != nil {
 		bound = pic.table.Bound(host)
 	}
-	var out []string
-	for _, other := range entry.Elsewhere(n.deployment.Region, bound, regionsIn(members)) {
-		out = append(out, entriesIn(members, other)...)
+	var out []fleet.VM
+	for _, other := range entry.Elsewhere(n.deployment.Region, bound, pic.members.TakingRegions()) {
+		out = append(out, pic.members.Taking(other)...)
 	}
 	return out
 }
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -13,7 +13,7 @@
 // gossip is one VM's side of an exchange.
 type gossip struct {
 	from     roster.Rumor
-	hash     uint64
+	digest   roster.Digest
 	rumors   []roster.Rumor
 	revision uint64
 	cold     []coldWord
@@ -29,18 +29,16 @@
 	left     time.Duration
 }
 
-func (v *vm) message(full bool) gossip {
+func (v *vm) message(rumors []roster.Rumor) gossip {
 	m := gossip{
 		from:     v.roster.Self(),
-		hash:     v.roster.Hash(),
+		digest:   v.roster.Digest(),
+		rumors:   rumors,
 		revision: v.mirror.Revision(),
 		table:    v.discovery.Table(),
 		sender:   v,
 		life:     v.life,
 	}
-	if full {
-		m.rumors = v.roster.Rumors()
-	}
 	now := v.world.clock.now
 	for _, e := range v.discovery.Endpoints(now) {
 		if e.Region == v.vm.Region && !e.ColdUntil.IsZero() {
@@ -69,7 +67,7 @@
 			to = other
 		}
 	}
-	m := v.message(t.Full)
+	m := v.message(v.roster.Recent(w.clock.now))
 	answered := false
 	w.after(dialWithin, func() {
 		if !answered {
@@ -86,7 +84,7 @@
 		}
 		to.do(to.life, func() {
 			to.heard(m)
-			reply := to.message(m.hash != to.roster.Hash())
+			reply := to.message(to.roster.Differing(m.digest))
 			w.network.send(to.vm.Region, v.vm.Region, func() {
 				if answered {
 					return
@@ -106,7 +104,7 @@
 
 func (v *vm) heard(m gossip) {
 	now := v.world.clock.now
-	v.roster.Heard(m.from, m.hash, m.rumors, now)
+	v.roster.Heard(m.from, m.rumors, now)
 	v.pictured = nil
 	if m.table != nil {
 		v.heardTable = m.table
