A region sends no calls to an engine that does not answer

Cause: an engine that falls silent holds up each call by a second or more, and a VM finds out by three calls of its own. The VM that asks each engine for its load every second knew, and told nobody. Ruled out: shorter time-outs of the calls; a slow engine looks the same. Change: an engine that does not answer its report within 0.6 s gets no calls from the region for 2.5 s or until it writes its entry anew; the word spreads in messages without loads. The pool keeps what it knows of it. While more than half of a service's engines do not answer all are used. The report is asked for beside the health check, which waits for a slot, and no longer after it.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -67,6 +67,8 @@
 	// coldNumber numbers the endpoint's own words that it is cold; zero means that
 	// only the store has told it.
 	coldNumber uint64
+	// unreachedUntil is until when the endpoint counts as not answering.
+	unreachedUntil time.Time
 	// goneAt is set while the entry is missing.
 	goneAt time.Time
 	// endsAt is when a leaving endpoint stops, if it said so.
@@ -199,6 +201,21 @@
 	return k.extendCold(until)
 }
 
+// Unreached takes that an endpoint did not answer the VM of the region that asks it,
+// and is to get no calls until a moment. It says whether that is new.
+func (s *State) Unreached(id string, until, now time.Time) bool {
+	k, ok := s.endpoints[id]
+	if !ok || !until.After(now) || until.Sub(k.unreachedUntil) < unreachedNewer {
+		return false
+	}
+	k.unreachedUntil = until
+	return true
+}
+
+// unreachedNewer is by how much such a word must be longer to be told to others: ten
+// times what the way of one between two VMs makes it longer.
+const unreachedNewer = time.Second
+
 const (
 	// coldNewer is by how much an endpoint's word must be longer to be told to
 	// others: two answers differ by the time that they were under way.
@@ -270,7 +287,7 @@
 func (s *State) Next(now time.Time) time.Time {
 	var next time.Time
 	for _, k := range s.endpoints {
-		for _, at := range []time.Time{k.goneAt, k.coldUntil} {
+		for _, at := range []time.Time{k.goneAt, k.coldUntil, k.unreachedUntil} {
 			if at.After(now) && (next.IsZero() || at.Before(next)) {
 				next = at
 			}
@@ -291,14 +308,16 @@
 	ColdUntil time.Time
 	// ColdNumber is that of the endpoint's word for it, zero where there is none.
 	ColdNumber uint64
+	// UnreachedUntil is set for an endpoint that does not answer.
+	UnreachedUntil time.Time
 }
 
-// Held gives those of Endpoints that get few calls or none now, as they are cold, in no
-// order.
+// Held gives those of Endpoints that get few calls or none now, as they are cold or do
+// not answer, in no order.
 func (s *State) Held(now time.Time) []Ready {
 	var out []Ready
 	for _, k := range s.endpoints {
-		if s.takesWork(k) && k.coldUntil.After(now) {
+		if s.takesWork(k) && (k.coldUntil.After(now) || k.unreachedUntil.After(now)) {
 			out = append(out, k.ready(now))
 		}
 	}
@@ -317,6 +336,9 @@
 		r.ColdUntil = k.coldUntil
 		r.ColdNumber = k.coldNumber
 	}
+	if k.unreachedUntil.After(now) {
+		r.UnreachedUntil = k.unreachedUntil
+	}
 	return r
 }
 
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -24,14 +24,16 @@
 	Incarnation int64
 	Seq         uint64
 	Unreadable  string
-	SaysCold    string `json:"says_cold"`
-	Remove      string
-	Store       string
-	Wait        string
-	Evacuate    string
-	TakeBack    string `json:"take_back"`
-	Table       uint64
-	OtherKey    bool `json:"other_key"`
+	// Unreached did not answer, for so Long.
+	Unreached, Long string
+	SaysCold        string `json:"says_cold"`
+	Remove          string
+	Store           string
+	Wait            string
+	Evacuate        string
+	TakeBack        string `json:"take_back"`
+	Table           uint64
+	OtherKey        bool `json:"other_key"`
 }
 
 func TestSchedules(t *testing.T) {
@@ -49,6 +51,9 @@
 				if !e.ColdUntil.IsZero() {
 					name += " cold"
 				}
+				if !e.UnreachedUntil.IsZero() {
+					name += " unreached"
+				}
 				got = append(got, name)
 			}
 			assert.DeepEqual(t, got, c.Want)
@@ -66,6 +71,8 @@
 		s.Take(Change{Endpoint: endpointOf(t, step)}, now)
 	case step.Unreadable != "":
 		s.Take(Change{Unreadable: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Unreadable}}}, now)
+	case step.Unreached != "":
+		s.Unreached(step.Unreached, now.Add(duration(t, step.Long)), now)
 	case step.SaysCold != "":
 		s.Cold(step.SaysCold, now.Add(duration(t, step.Cold)), now)
 	case step.Remove != "":
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -41,6 +41,7 @@
 	}
 	if region == c.node.deployment.Region {
 		m.Cold = c.coldMessage(now)
+		m.Unreached = c.unreachedMessage(now)
 	}
 	return m
 }
@@ -103,6 +104,7 @@
 	c.roster.Heard(from, rumors, now)
 	c.takeLoads(m.GetLoads(), sentAt)
 	c.takeCold(ctx, m.GetCold(), sentAt, now)
+	c.takeUnreached(ctx, m.GetUnreached(), sentAt, now)
 	c.node.pools.takeReports(m.GetReports(), sentAt)
 	c.node.pools.takeHoldings(m.GetHoldings(), sentAt, now)
 	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
--- a/site/pools.go
+++ b/site/pools.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -23,7 +24,7 @@
 type poolTable struct {
 	byService map[string]*pool
 	// listed are the endpoints that take work; engines are those that report
-	// their load.
+	// their load, also those that do not answer.
 	listed  []fleet.Endpoint
 	engines []fleet.Endpoint
 }
@@ -51,6 +52,7 @@
 		byService: make(map[string]*pool),
 	}
 	warm := make(map[string][]fleet.Endpoint)
+	silent := silentServices(pic.endpoints, p.node.deployment.Region)
 	for _, e := range pic.endpoints {
 		if e.Region != p.node.deployment.Region || !isNamed(pic, e.Service) {
 			continue
@@ -61,11 +63,17 @@
 		if !e.ColdUntil.IsZero() {
 			continue
 		}
-		warm[e.Service] = append(warm[e.Service], e.Endpoint)
-		after.listed = append(after.listed, e.Endpoint)
 		if p.isEngine(pic, e.Service) {
 			after.engines = append(after.engines, e.Endpoint)
 		}
+		listed := e.Endpoint
+		if e.UnreachedUntil.IsZero() || silent[e.Service] {
+			after.listed = append(after.listed, listed)
+		} else {
+			// The pool keeps what it knows of it.
+			listed.State = fleet.StateLeaving
+		}
+		warm[e.Service] = append(warm[e.Service], listed)
 	}
 	for service, old := range before.byService {
 		if after.byService[service] == nil {
@@ -79,6 +87,27 @@
 	p.updateMembers(pic)
 }
 
+// silentServices gives the services of a region of which more than half of the
+// endpoints do not answer: that says more of the VMs that ask than of the endpoints,
+// and they go on being used.
+func silentServices(endpoints []discovery.Ready, region string) map[string]bool {
+	all, unreached := make(map[string]int), make(map[string]int)
+	for _, e := range endpoints {
+		if e.Region != region {
+			continue
+		}
+		all[e.Service]++
+		if !e.UnreachedUntil.IsZero() {
+			unreached[e.Service]++
+		}
+	}
+	out := make(map[string]bool)
+	for service, count := range unreached {
+		out[service] = 2*count > all[service]
+	}
+	return out
+}
+
 // updateMembers takes the members alone. While a fleet starts they change with each
 // message, and its endpoints do not.
 func (p *pools) updateMembers(pic *picture) {
--- a/site/reports.go
+++ b/site/reports.go
@@ -24,8 +24,14 @@
 	coldEvery = 150 * time.Millisecond
 	// reportFresh is how old a report is at least when it is asked for again.
 	reportFresh = reportEvery - coldEvery
-	// reportWithin bounds one question.
-	reportWithin = time.Second
+	// reportWithin bounds one question: an engine answers it beside its work in some
+	// milliseconds, and a lost packet is sent again after 0.3 s.
+	reportWithin = 600 * time.Millisecond
+	// healthWithin bounds a health check, which waits for a slot like a call.
+	healthWithin = time.Second
+	// unreachedFor is how long an engine that did not answer gets no calls, unless it
+	// does not answer again: an entry in the store lapses after some 3.6 s.
+	unreachedFor = 2500 * time.Millisecond
 	// reportGoodFor is how long a report is passed on to other VMs.
 	reportGoodFor = 1200 * time.Millisecond
 	// newerBy is by how much another VM's word must be newer to replace one that
@@ -94,15 +100,16 @@
 }
 
 func (p *pools) askReport(ctx context.Context, e fleet.Endpoint) {
-	ctx, cancel := context.WithTimeout(ctx, reportWithin)
-	defer cancel()
-	p.askCold(ctx, e)
+	go p.askCold(ctx, e)
 	if !p.node.settings.Has(settings.Reports) || p.hasReport(e.ID, p.node.now().Add(-reportFresh)) {
 		return
 	}
-	load, err := p.node.client.Report(ctx, e)
+	trip, cancel := context.WithTimeout(ctx, reportWithin)
+	defer cancel()
+	load, err := p.node.client.Report(trip, e)
 	if err != nil {
 		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
+		p.tellUnreached(ctx, e)
 		return
 	}
 	p.takeReport(e.ID, heldReport{
