--- a/roster/digest.go
+++ b/roster/digest.go
@@ -20,9 +20,9 @@
 )
 
 // Digest covers the rumors that a VM holds, by bucket, so that another one sees where
-// it holds others. It travels as 256 bytes. Before, two VMs that differed in anything
-// told each other all rumors: 32 KB of 295 members, and as each member asks the same
-// other one only every 50 s, they nearly always differed.
+// it holds others. It travels as 256 bytes. Were all rumors told wherever two VMs differ in
+// one, it would be 24 KB of 295 members in nearly each message, as each member asks the same
+// other one only every 50 s.
 type Digest [digestBuckets]uint32
 
 // sums are the sums of the rumors' digests by bucket, which do not depend on their order.
@@ -32,7 +32,7 @@
 	s[bucketOf(r.VM.ID)] += r.digest()
 }
 
-func (s *sums) take(r Rumor) {
+func (s *sums) remove(r Rumor) {
 	s[bucketOf(r.VM.ID)] -= r.digest()
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -329,7 +329,7 @@
 			m.deadAt = now
 			r.judge(m, StateDead, now)
 		case m.State >= StateDead && !now.Before(m.deadAt.Add(buriedIntervals*r.every)):
-			r.sums.take(m.Rumor)
+			r.sums.remove(m.Rumor)
 			delete(r.members, id)
 		}
 	}
@@ -358,7 +358,7 @@
 
 // changeSelf replaces the own rumor.
 func (r *Roster) changeSelf(change func(self *Rumor)) {
-	r.sums.take(r.self)
+	r.sums.remove(r.self)
 	change(&r.self)
 	r.sums.add(r.self)
 	r.shownStale = true
@@ -368,7 +368,7 @@
 // all anew for each rumor of a message made one of 295 unknown members cost 295 times
 // as much as it has rumors (BenchmarkHeard).
 func (r *Roster) replace(m *member, rumor Rumor, now time.Time) {
-	r.sums.take(m.Rumor)
+	r.sums.remove(m.Rumor)
 	m.Rumor = rumor
 	m.tookAt = now
 	r.sums.add(rumor)
--- a/site/asking.go
+++ b/site/asking.go
@@ -102,7 +102,7 @@
 	if len(list) == 0 {
 		return
 	}
-	for _, vm := range p.unreadPeers() {
+	for _, vm := range p.regionPeers() {
 		go func() {
 			trip, cancel := context.WithTimeout(ctx, tellReportsWithin)
 			defer cancel()
--- a/site/unread.go
+++ b/site/unread.go
@@ -41,7 +41,7 @@
 		return nil
 	}
 	for ctx.Err() == nil {
-		peers := p.unreadPeers()
+		peers := p.regionPeers()
 		now := p.node.now()
 		worker.SleepUntil(ctx, now, now.Add(unreadEvery*time.Duration(max(len(peers), 1))))
 		if len(peers) == 0 || len(peers) > unreadMost {
@@ -64,8 +64,8 @@
 	return nil
 }
 
-// unreadPeers are the other VMs of the region that are in reach.
-func (p *pools) unreadPeers() []fleet.VM {
+// regionPeers are the other VMs of the region that are in reach.
+func (p *pools) regionPeers() []fleet.VM {
 	var out []fleet.VM
 	for _, vm := range p.regionVMs() {
 		if vm.ID != p.node.deployment.VM {
