--- a/site/asking.go
+++ b/site/asking.go
@@ -16,9 +16,10 @@
 const (
 	// askersMost is how many VMs of a region ask its engines for their load. Up to so
 	// many VMs each asks its part, and what it hears travels with the exchanges. Of
-	// more, so many ask and tell all others at once: with exchanges alone half of the
-	// choices among 100 VMs were made without any report of the engine chosen, and
-	// a tenth with one of more than 3 s ago (712 choices of a day with faults).
+	// more, so many ask and tell all others at once: with exchanges alone the report of
+	// the engine chosen was 2.8 s old in the middle of 218 choices among 100 VMs, and
+	// 5.2 s in one of ten; told to all it was 0.5 s and 0.9 s old (402 choices of
+	// another day with faults, calls that failed in both).
 	askersMost = 9
 	// roundFor is how long a round of questions is waited for before its answers are
 	// told: engines answer in some milliseconds.
