Played loads of many VMs share how their pools are set up

Three test worlds listed engines and made a pool for each VM in the same words; enginetest.Pools does it for all.

--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -95,25 +94,16 @@
 }
 
 func (w *overloadWorld) start() {
-	var list []fleet.Endpoint
+	var ids []string
 	for i := range engines {
 		id := string(rune('a' + i))
 		w.readers[id] = &enginetest.Reader{
 			Clock:     w.clock,
 			PerSecond: readRate,
 		}
-		list = append(list, fleet.Endpoint{
-			ID:    id,
-			Slots: 64,
-			State: fleet.StateLive,
-		})
-	}
-	for range 2 {
-		pool := routing.New(routing.Options{Rand: w.random.Uint64})
-		pool.SetVMs(2)
-		pool.SetEndpoints(list, w.clock.Now())
-		w.pools = append(w.pools, pool)
+		ids = append(ids, id)
 	}
+	w.pools = enginetest.Pools(2, ids, w.random, w.clock.Now())
 	w.clock.Every(wordEvery, w.tellWord)
 	w.clock.Every(notesEvery, w.tellNotes)
 }
--- a/routing/expect_test.go
+++ b/routing/expect_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/routing/enginetest"
@@ -88,7 +87,7 @@
 }
 
 func (w *expectWorld) start() {
-	var list []fleet.Endpoint
+	var ids []string
 	for i := range w.row.Engines {
 		id := string(rune('a' + i))
 		w.engines[id] = &enginetest.Engine{
@@ -98,18 +97,9 @@
 			Prefill:  w.row.ReadsPerSecond,
 			Prefixes: 1,
 		}
-		list = append(list, fleet.Endpoint{
-			ID:    id,
-			Slots: 64,
-			State: fleet.StateLive,
-		})
-	}
-	for range w.row.VMs {
-		pool := routing.New(routing.Options{Rand: w.random.Uint64})
-		pool.SetVMs(w.row.VMs)
-		pool.SetEndpoints(list, w.clock.Now())
-		w.pools = append(w.pools, pool)
+		ids = append(ids, id)
 	}
+	w.pools = enginetest.Pools(w.row.VMs, ids, w.random, w.clock.Now())
 	w.clock.Every(500*time.Millisecond, w.report)
 	if w.row.Told {
 		w.clock.Every(toldEvery, w.tell)
--- a/routing/many_vms_test.go
+++ b/routing/many_vms_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/routing/enginetest"
@@ -77,7 +76,7 @@
 }
 
 func (w *manyWorld) start() {
-	var list []fleet.Endpoint
+	var ids []string
 	for i := range w.row.Engines {
 		w.engines = append(w.engines, &enginetest.Engine{
 			Clock:    w.clock,
@@ -86,18 +85,9 @@
 			Prefill:  48_000,
 			Prefixes: 30,
 		})
-		list = append(list, fleet.Endpoint{
-			ID:    engineID(i),
-			Slots: 64,
-			State: fleet.StateLive,
-		})
-	}
-	for range w.row.VMs {
-		pool := routing.New(routing.Options{Rand: w.random.Uint64})
-		pool.SetVMs(w.row.VMs)
-		pool.SetEndpoints(list, w.clock.Now())
-		w.pools = append(w.pools, pool)
+		ids = append(ids, engineID(i))
 	}
+	w.pools = enginetest.Pools(w.row.VMs, ids, w.random, w.clock.Now())
 	for i := range w.engines {
 		w.clock.After(time.Duration(i)*time.Second/time.Duration(len(w.engines)), func() {
 			w.clock.Every(time.Second, func() { w.report(i) })
