Lines tell calls by their content, and what became of an endpoint that broke off

Ruled out: ids of callers (new for each try) and lengths (no proof). Change: call_arrived and attempt_failed have the content's hash and how the connection ended; after a connection broke off the endpoint is dialled once for all calls of a VM, and endpoint_checked says crashed, answers or silent. No decision rests on it yet.

--- a/call/call.go
+++ b/call/call.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fuchsianotch/fuchsianotch/logs"
 )
 
@@ -84,10 +86,36 @@
 	Origin string
 	// Routed is set on calls of KindRouted only.
 	Routed *Routed
+	// Content tells calls with another content apart, see ContentHash; zero until
+	// the call is served.
+	Content uint64
 	// Trail takes the log lines about the call; it may be nil.
 	Trail *logs.Trail
 }
 
+// ContentHash hashes what a call asks for: its workspace, host, method, path and
+// body. A call that a caller sends again has the same one under another id, at
+// whatever VM. What describes the try only (deadlines, estimates, the event to go on
+// after) is left out.
+func (c *Call) ContentHash() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	host := ""
+	if c.Routed != nil {
+		host = c.Routed.Host
+	}
+	for _, part := range [...]string{c.Workspace, host, c.Method, c.Path} {
+		// A Digest never fails to write.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write(contentSeparator)
+	}
+	_, _ = d.Write(c.Body)
+	return d.Sum64()
+}
+
+// contentSeparator is in no host, method or path.
+var contentSeparator = []byte{0}
+
 // Target names the model or service.
 func (c *Call) Target() string {
 	if c.Kind == KindChat {
--- a/common/mailbox/mailbox.go
+++ b/common/mailbox/mailbox.go
@@ -30,6 +30,16 @@
 	}
 }
 
+// Offer passes a message if there is room; it never waits.
+func (m Mailbox[M]) Offer(message M) bool {
+	select {
+	case m.messages <- message:
+		return true
+	default:
+		return false
+	}
+}
+
 // Ask passes a question and waits for its answer, which the owner sends on the
 // reply. The error is that of ctx.
 func Ask[T, M any](ctx context.Context, m Mailbox[M], question func(reply chan<- T) M) (T, error) {
--- a/common/tcp/tcp.go
+++ b/common/tcp/tcp.go
@@ -42,6 +42,15 @@
 	return config.Listen(ctx, "tcp", addr)
 }
 
+// Reach opens a connection to an address and closes it.
+func Reach(ctx context.Context, addr string) error {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 func keepAlive() net.KeepAliveConfig {
 	return net.KeepAliveConfig{
 		Enable:   true,
--- a/explain/docs_test.go
+++ b/explain/docs_test.go
@@ -22,7 +22,7 @@
 // code of a process on the platform writes.
 func TestEventsAreDocumented(t *testing.T) {
 	var written []string
-	for _, pattern := range []string{"../site/*.go", "../platform/*.go", "../serving/*.go", "../logs/*.go", "../gateway/platform.go"} {
+	for _, pattern := range []string{"../site/*.go", "../platform/*.go", "../serving/*.go", "../logs/*.go", "../quarantine/agent/*.go", "../gateway/platform.go"} {
 		files, err := filepath.Glob(pattern)
 		assert.NilError(t, err)
 		for _, file := range files {
--- a/node/group.go
+++ b/node/group.go
@@ -22,6 +22,7 @@
 	worker.Add(group, n.followSource)
 	worker.Add(group, n.pullOnDemand)
 	worker.Add(group, n.pools.run)
+	worker.Add(group, n.crashes.Run)
 	worker.Add(group, n.sweepAccounts)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -27,6 +27,7 @@
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/quarantine/agent"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/serving"
 	"github.com/fuchsianotch/fuchsianotch/settings"
@@ -69,6 +70,7 @@
 	desk     *ticket.Desk
 	parts    *peer.Parts
 	ledger   *limit.Ledger
+	crashes  *agent.Agent
 	serving  *serving.Server
 	caller   *caller.Server
 
@@ -145,6 +147,11 @@
 	client := endpoint.New(endpoint.Options{
 		Now: n.now,
 	})
+	n.crashes = agent.New(agent.Options{
+		Log:  n.log,
+		Now:  n.now,
+		Dial: tcp.Reach,
+	})
 	n.pools = newPools(n, client)
 	n.control = newControl(n)
 	n.serving = n.newServing(client)
@@ -178,8 +185,11 @@
 		Desk:     n.desk,
 		Endpoint: client,
 		Budget:   n.newBudget(),
-		Ring:     n.ring,
-		Metrics:  n.metrics,
+		Crashes: serving.Crashes{
+			Cut: n.crashes.Cut,
+		},
+		Ring:    n.ring,
+		Metrics: n.metrics,
 	})
 }
 
--- /dev/null
+++ b/quarantine/agent/check_test.go
@@ -0,0 +1,73 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// dialer answers each look at an endpoint by the next of its outcomes, the last one for good.
+type dialer struct {
+	mu       sync.Mutex
+	outcomes []error
+	looks    int
+}
+
+func (d *dialer) dial(context.Context, string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	err := d.outcomes[min(d.looks, len(d.outcomes)-1)]
+	d.looks++
+	return err
+}
+
+// TestCheck holds that an endpoint counts as crashed only where nothing listens any
+// more, and that the calls which one crash cuts look at it once.
+func TestCheck(t *testing.T) {
+	timeout := errors.New("i/o timeout")
+	for _, c := range []struct {
+		name     string
+		outcomes []error
+		want     state
+		looks    int
+	}{
+		{name: "nothing listens", outcomes: []error{syscall.ECONNREFUSED}, want: stateCrashed, looks: 1},
+		{name: "it answers", outcomes: []error{nil}, want: stateAnswers, looks: 1},
+		{name: "a packet was lost", outcomes: []error{timeout, syscall.ECONNREFUSED}, want: stateCrashed, looks: 2},
+		{name: "cut off", outcomes: []error{timeout}, want: stateSilent, looks: looks},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := &dialer{outcomes: c.outcomes}
+				var lines bytes.Buffer
+				a := New(Options{
+					Log:  slog.New(slog.NewTextHandler(&lines, nil)),
+					Now:  time.Now,
+					Dial: d.dial,
+				})
+				ctx, stop := context.WithCancel(t.Context())
+				go func() { _ = a.Run(ctx) }()
+				e := fleet.Endpoint{ID: "e", Incarnation: 1}
+				for content := range uint64(5) {
+					a.Cut(content, e)
+				}
+				time.Sleep(looks * (dialWithin + lookEvery))
+				stop()
+				synctest.Wait()
+				assert.Assert(t, strings.Contains(lines.String(), "state="+string(c.want)+" calls=5\n"), lines.String())
+				assert.Equal(t, d.looks, c.looks)
+			})
+		})
+	}
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -135,11 +136,24 @@
 	out := s.options.Endpoint.Send(ctx, attempt, endpoint.Sink(sink))
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
 	s.heedLeaving(pool, chosen, out)
+	s.noteCrash(c, slot.Choice.Endpoint, out)
 	p.take(out, chosen)
 	s.reportAttempt(c, p)
 	return nil
 }
 
+// noteCrash tells of an attempt that broke off. An endpoint that crashes may end its
+// answer anywhere, also in the middle of an event, which reads as a malformed one.
+func (s *Server) noteCrash(c *call.Call, e fleet.Endpoint, out endpoint.Outcome) {
+	if !out.Sent || out.CallerGone || out.Held != nil {
+		return
+	}
+	switch out.Code {
+	case result.EndpointCut, result.EndpointFailed:
+		s.options.Crashes.Cut(c.Content, e)
+	}
+}
+
 // heedLeaving takes an endpoint's word on its answer that it leaves, which may
 // come long before its next load report. Its other load is left to the reports.
 func (s *Server) heedLeaving(pool *Pool, endpointID string, out endpoint.Outcome) {
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -38,6 +38,12 @@
 	Allow func(target string) bool
 }
 
+// Crashes is told how attempts end that may have crashed their endpoints.
+type Crashes struct {
+	// Cut is told that the connection broke off on which an endpoint had a call.
+	Cut func(content uint64, e fleet.Endpoint)
+}
+
 // PlaceRouted decides where a routed call is served: here if ok is false, or on
 // a VM of another region. A refusal means nowhere. tried are the VMs that did
 // not look at the call.
@@ -70,8 +76,10 @@
 	Desk     *ticket.Desk
 	Endpoint *endpoint.Client
 	Budget   Budget
-	Ring     *timeline.Ring
-	Metrics  *metrics.Metrics
+	// Crashes may be left out.
+	Crashes Crashes
+	Ring    *timeline.Ring
+	Metrics *metrics.Metrics
 }
 
 // Lease is a part of a workspace's limits with its end.
@@ -94,6 +102,9 @@
 
 // New makes a server.
 func New(o Options) *Server {
+	if o.Crashes.Cut == nil {
+		o.Crashes.Cut = func(uint64, fleet.Endpoint) {}
+	}
 	return &Server{
 		options: o,
 		spend:   (*ticket.Entry).Sending,
@@ -119,6 +130,7 @@
 		Detail: c.Target() + " " + c.Priority.String(),
 	})
 	arrivedAt := s.options.Now()
+	c.Content = c.ContentHash()
 	traceArrival(c, arrivedAt)
 	outcome := s.carry(ctx, c, place, sink)
 	s.record(c, outcome, arrivedAt)
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -1,7 +1,9 @@
 package serving
 
 import (
+	"errors"
 	"log/slog"
+	"strconv"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
@@ -33,9 +35,18 @@
 		milliseconds("gap_ms", c.Routed.Gap),
 		slog.Int("prompt_tokens", c.PromptTokens),
 		slog.Int("max_tokens", c.MaxTokens),
+		traceContent(c),
 	)
 }
 
+// traceContent lets the tries of a call be found that came under several ids.
+func traceContent(c *call.Call) slog.Attr {
+	return slog.String("content", strconv.FormatUint(c.Content, contentBase))
+}
+
+// contentBase is the base in which lines show a content.
+const contentBase = 16
+
 func traceChoice(c *call.Call, slot admission.Slot, p *progress) {
 	choice := slot.Choice
 	c.Trail.Add("endpoint_chosen",
@@ -58,10 +69,17 @@
 		slog.Bool("sent", p.last.Sent),
 		slog.Int("events", p.last.Delivered),
 		slog.Bool("caller_gone", p.last.CallerGone),
+		traceContent(c),
 		slog.String("reason", reasonOf(p.last.Err)),
+		slog.String("cause", causeOf(p.last.Err)),
 	)
 }
 
+// causeOf is the error underneath a refusal, such as how a connection ended.
+func causeOf(err error) string {
+	return reasonOf(errors.Unwrap(err))
+}
+
 func reasonOf(err error) string {
 	if err == nil {
 		return ""
--- a/site/site.go
+++ b/site/site.go
@@ -30,6 +30,7 @@
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/quarantine/agent"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/serving"
@@ -91,6 +92,7 @@
 	pools   *pools
 	sent    *placement.Sent
 	late    *placement.Late
+	crashes *agent.Agent
 	serving *serving.Server
 	control *control
 	callers *http.Server
@@ -153,6 +155,11 @@
 		Now:     n.now,
 		Dialect: platform.Dialect(),
 	})
+	n.crashes = agent.New(agent.Options{
+		Log:  n.log,
+		Now:  n.now,
+		Dial: tcp.Reach,
+	})
 	n.control = newControl(n)
 	n.pools = newPools(n)
 	n.serving = n.newServing()
@@ -201,8 +208,11 @@
 		PlaceRouted: n.place,
 		Endpoint:    n.client,
 		Budget:      n.pools.budget(),
-		Ring:        n.ring,
-		Metrics:     n.metrics,
+		Crashes: serving.Crashes{
+			Cut: n.crashes.Cut,
+		},
+		Ring:    n.ring,
+		Metrics: n.metrics,
 	})
 }
 
@@ -306,6 +316,7 @@
 	worker.Add(&group, n.readStore)
 	worker.Add(&group, n.pools.run)
 	worker.Add(&group, n.pools.tellUnread)
+	worker.Add(&group, n.crashes.Run)
 	worker.AddStop(ctx, &group, n.gone, n.stop)
 	n.log.Info("started",
 		"region", n.deployment.Region,
