Failing tests: calls that crash the endpoints that run them

A caller sends a call that crashes what runs it again and again, at any VM. Conclusion: a caller's repeats under new ids are enough for what was seen; own retries add to it.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -72,6 +72,10 @@
 	Fault func() Fault
 	// Observe is told of each request.
 	Observe func(Run)
+	// Crashes says which requests crash the replica that begins to run them; nil means
+	// none. Crashed is told of it once.
+	Crashes func(path string) bool
+	Crashed func(*Replica)
 }
 
 // Replica is one running stand-in.
@@ -81,9 +85,10 @@
 	// Born is when it started, in milliseconds since the epoch.
 	Born int64
 
-	server *http.Server
-	mu     sync.Mutex
-	active int
+	server    *http.Server
+	crashOnce sync.Once
+	mu        sync.Mutex
+	active    int
 	// written counts its entries.
 	written int
 	// coldUntil is what its health check tells.
@@ -181,6 +186,11 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if r.Crashes != nil && r.Crashes(req.URL.Path) {
+		wait(req.Context(), crashAfter)
+		r.crashUnder()
+		panic(http.ErrAbortHandler)
+	}
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
 	}
@@ -192,6 +202,17 @@
 	r.answer(w, req, id, fault)
 }
 
+// crashAfter is the time from the beginning of a run to the crash under it.
+const crashAfter = 50 * time.Millisecond
+
+// crashUnder ends the replica under a request.
+func (r *Replica) crashUnder() {
+	r.crashOnce.Do(func() {
+		r.Crash()
+		r.Crashed(r)
+	})
+}
+
 func (r *Replica) health(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -36,6 +36,9 @@
 	Fault Fault
 	// For is the virtual time in which requests come and faults are injected.
 	For time.Duration
+	// Crashing are calls that crash the endpoints which run them; they change nothing
+	// that a seed draws otherwise.
+	Crashing Crashing
 }
 
 // Report is what became of a run.
@@ -45,6 +48,8 @@
 	Answered int
 	Runs     int
 	Faults   int
+	// Crashed counts the endpoints that calls have crashed.
+	Crashed int
 	// Steps are the events that were handled.
 	Steps      int
 	Violations []Violation
@@ -69,8 +74,11 @@
 func Run(o Options) Report {
 	w := newWorld(o)
 	w.start()
-	w.injectFaults()
+	if !o.Crashing.Calm {
+		w.injectFaults()
+	}
 	w.sendRequests()
+	w.sendCrashing(o.Crashing)
 	w.clock.run(w.end.Add(settleFor))
 	return Report{
 		Seed:       o.Seed,
@@ -79,6 +87,7 @@
 		Runs:       w.ledger.runs,
 		Faults:     w.faults,
 		Steps:      w.clock.steps,
+		Crashed:    w.ledger.crashedInAll(),
 		Violations: w.ledger.violations,
 	}
 }
@@ -98,6 +107,8 @@
 	faults  int
 	lives   uint64
 	serial  int
+	// crashDraws are the draws of the crashing calls.
+	crashDraws *rand.Rand
 }
 
 // shape is what the seed draws for the deployment.
@@ -112,10 +123,11 @@
 func newWorld(o Options) *world {
 	begin := time.Unix(1e9, 0)
 	w := &world{
-		fault: o.Fault,
-		rand:  rand.New(rand.NewPCG(o.Seed, seedStream)),
-		clock: newClock(begin),
-		end:   begin.Add(o.For),
+		fault:      o.Fault,
+		rand:       rand.New(rand.NewPCG(o.Seed, seedStream)),
+		crashDraws: rand.New(rand.NewPCG(o.Seed, crashStream)),
+		clock:      newClock(begin),
+		end:        begin.Add(o.For),
 	}
 	w.shape = shape{
 		regions:   2 + w.rand.IntN(2),
@@ -124,6 +136,7 @@
 		perSecond: leastRequests + w.rand.Float64()*(mostRequests-leastRequests),
 		homes:     w.rand.IntN(2) == 0,
 	}
+	o.Crashing.shape(&w.shape)
 	w.network = newNetwork(w)
 	w.ledger = newLedger(w)
 	w.store = newStore(w)
@@ -140,7 +153,8 @@
 
 const (
 	// seedStream separates these draws from those of other users of a seed.
-	seedStream = 7
+	seedStream  = 7
+	crashStream = 11
 	// leastRequests and mostRequests a second over all regions keep a cold
 	// endpoint's part of them, until it is known to be cold, below its bound.
 	leastRequests = 4
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -135,6 +135,10 @@
 		return
 	}
 	e.world.ledger.ran(e, a)
+	if a.request.crashes {
+		e.world.after(crashAfter, func() { e.crashUnder(a) })
+		return
+	}
 	e.world.after(e.world.between(leastWork, mostWork), func() { e.finish(a) })
 }
 
@@ -164,7 +168,9 @@
 	deadline   time.Time
 	sentAt     time.Time
 	call       *call.Call
-	run        runs
+	// crashes says that the endpoint which runs the request crashes.
+	crashes bool
+	run     runs
 }
 
 // runs is what endpoints and the caller saw of a request.
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -25,6 +25,7 @@
 	CheckEvacuated   Check = "evacuated"
 	CheckLeaving     Check = "leaving"
 	CheckUnanswered  Check = "unanswered"
+	CheckCrashing    Check = "crashing"
 )
 
 const (
@@ -58,12 +59,19 @@
 	firsts     []time.Time
 	// overrun counts runs on more endpoints than the route allows.
 	overrun int
+	// crashes are the endpoints that each content has crashed, sentAfter the requests
+	// with it that still reached endpoints when all VMs could know.
+	crashes   map[uint64][]time.Time
+	sentAfter map[uint64]map[int]bool
 }
 
 func newLedger(w *world) *ledger {
 	return &ledger{
 		world:    w,
 		versions: make(map[uint64]uint64),
+
+		crashes:   make(map[uint64][]time.Time),
+		sentAfter: make(map[uint64]map[int]bool),
 	}
 }
 
@@ -134,6 +142,7 @@
 		l.violate(CheckHomes, "request %d reached %s", r.id, e.endpoint.Region)
 	}
 	l.checkCold(e, a, now)
+	l.checkCrashing(a)
 	if l.inTouch(a.from) {
 		l.checkAcknowledged(e, a)
 	}
--- a/testscripts/emulator/play.go
+++ b/testscripts/emulator/play.go
@@ -14,6 +14,7 @@
 	Answered int
 	Runs     int
 	Faults   int
+	Crashed  int
 	Steps    int
 	// Bad are the runs with violations, by seed.
 	Bad []Report
@@ -47,6 +48,7 @@
 	s.Answered += r.Answered
 	s.Runs += r.Runs
 	s.Faults += r.Faults
+	s.Crashed += r.Crashed
 	s.Steps += r.Steps
 	if len(r.Violations) > 0 {
 		s.Bad = append(s.Bad, r)
--- a/testscripts/emulator/request.go
+++ b/testscripts/emulator/request.go
@@ -59,7 +59,11 @@
 		return
 	}
 	to := c.known[w.rand.IntN(len(c.known))]
-	r := w.newRequest(c.region)
+	c.send(w, to, w.newRequest(c.region))
+}
+
+// send has a VM take a request.
+func (c *caller) send(w *world, to *vm, r *request) {
 	w.network.send(c.region, to.vm.Region, func() {
 		if to.up {
 			to.do(to.life, func() { to.take(r) })
@@ -83,10 +87,26 @@
 	}
 }
 
-func (w *world) newRequest(region string) *request {
+func (w *world) nextSerial() int {
 	w.serial++
+	return w.serial
+}
+
+// asCall is the request as the decisions see it.
+func (r *request) asCall(content uint64) *call.Call {
+	return &call.Call{
+		Content:    content,
+		Idempotent: r.idempotent,
+		WholeBy:    r.deadline,
+		Routed: &call.Routed{
+			Homes: r.homes,
+		},
+	}
+}
+
+func (w *world) newRequest(region string) *request {
 	r := &request{
-		id:         w.serial,
+		id:         w.nextSerial(),
 		region:     region,
 		idempotent: w.rand.Float64() < idempotentPart,
 		most:       mostRuns,
@@ -96,13 +116,7 @@
 	if w.shape.homes && w.rand.Float64() < homePart {
 		r.homes = []string{regionName(w.rand.IntN(w.shape.regions))}
 	}
-	r.call = &call.Call{
-		Idempotent: r.idempotent,
-		WholeBy:    r.deadline,
-		Routed: &call.Routed{
-			Homes: r.homes,
-		},
-	}
+	r.call = r.asCall(uint64(r.id))
 	w.ledger.requests = append(w.ledger.requests, r)
 	return r
 }
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -348,9 +348,9 @@
 // first whether it is cold.
 func (v *vm) askHealth(life uint64) {
 	v.do(life, func() {
+		near := v.nearVMs()
 		for _, e := range v.endpoints() {
-			ranked := entry.Rank(e.ID, v.nearVMs())
-			if len(ranked) > 0 && ranked[0].ID == v.vm.ID {
+			if entry.Owner(e.ID, near) == v.vm.ID {
 				v.askOne(life, e)
 			}
 		}
@@ -380,12 +380,11 @@
 	v.waking = waking
 }
 
-func (v *vm) nearVMs() []fleet.VM {
-	var out []fleet.VM
-	for _, m := range v.picture().Members {
-		if m.VM.Region == v.vm.Region && m.Reachable {
-			out = append(out, m.VM)
-		}
+// nearVMs gives the ids of the VMs of the own region that are in reach.
+func (v *vm) nearVMs() []string {
+	var out []string
+	for _, vm := range v.picture().Reached(v.vm.Region) {
+		out = append(out, vm.ID)
 	}
 	return out
 }
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -156,6 +156,7 @@
 		{name: "configuration", do: l.checkVersions},
 		{name: "planned_stop", do: l.checkStops},
 		{name: "unasked", do: l.checkAsked},
+		{name: "crashing_calls", do: l.checkCrashing},
 	} {
 		for _, detail := range check.do() {
 			out = append(out, Violation{Check: check.name, Detail: detail})
@@ -337,7 +338,7 @@
 	defer l.mu.Unlock()
 	good := 0
 	for _, a := range l.attempts {
-		if a.sentAt.Before(from) || a.sentAt.After(to) || strings.HasPrefix(a.path, "/v") {
+		if a.sentAt.Before(from) || a.sentAt.After(to) || strings.HasPrefix(a.path, "/v") || crashes(a.path) {
 			continue
 		}
 		sent++
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -38,6 +38,34 @@
 	}
 }
 
+// TestCrashingCalls sends calls to real programs that crash the replicas which run
+// them, as described at the emulator's test of that name.
+func TestCrashingCalls(t *testing.T) {
+	gateway, err := buildGateway()
+	assert.NilError(t, err)
+	defer func() { _ = os.RemoveAll(filepath.Dir(gateway)) }()
+	dir := t.TempDir()
+	out, err := os.Create(filepath.Join(dir, "schedule.log"))
+	assert.NilError(t, err)
+	defer func() { _ = out.Close() }()
+	report, err := RunCrashing(t.Context(), Options{
+		Gateway: gateway,
+		Dir:     dir,
+		Seed:    2,
+		Regions: 3,
+		VMs:     2,
+		Engines: 3,
+		Clients: 6,
+		For:     16 * time.Second,
+		Out:     out,
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, report.Attempts > 100, report.Attempts)
+	for _, v := range report.Violations {
+		t.Errorf("%s: %s", v.Check, v.Detail)
+	}
+}
+
 // TestChecksCanFail holds that each check finds a run that breaks its promise.
 func TestChecksCanFail(t *testing.T) {
 	now := time.Now()
@@ -87,6 +115,15 @@
 			l.attempts = []attempt{{id: "a", path: "/get/x", closed: true, sentAt: now.Add(time.Second), endedAt: now.Add(2 * time.Second)}}
 			l.runs = []replica.Run{ran("a", "/get/x", "i", 0)}
 		}},
+		{check: "crashing_calls", make: func(l *ledger) {
+			path := "/stream/once" + crashMark + "1"
+			for n := range 10 {
+				id := string(rune('a' + n))
+				at := time.Duration(n) * 3 * time.Second
+				l.attempts = append(l.attempts, attempt{id: id, path: path, status: 502, sentAt: now.Add(at), endedAt: now.Add(at)})
+				l.runs = append(l.runs, ran(id, path, "i-"+id, at))
+			}
+		}},
 		{check: "unasked", make: func(l *ledger) {
 			l.runs = []replica.Run{ran("b", "/get/x", "i", 0)}
 		}},
--- a/testscripts/soak/world.go
+++ b/testscripts/soak/world.go
@@ -289,6 +289,8 @@
 		Work:       10 * time.Millisecond,
 		Fault:      w.drawFault,
 		Observe:    w.ledger.ran,
+		Crashes:    crashes,
+		Crashed:    w.crashed,
 	}, addr)
 	if err != nil {
 		return err
