A VM sees that it was suspended

Cause: time came from Go's steady clock, which stands still while a VM is suspended, so leases, reports, cold states and messages from before looked as fresh as if no time had gone by. A frozen process sees its pause by that clock; a suspended VM did not. Weighed: the time of day (jumps when it is set), the kernel's clock since boot at each question (a system call each). Change: common/clock takes the steady clock and, when the time of day has gone another way, asks the kernel why; a suspension is added, a time of day that was set is not. The control goroutine is woken at once, so that calls wait for news as after a freeze. Deadlines of contexts are given as what is left, since contexts know the other clocks only. Not seen in a whole deployment: nothing here can suspend a VM.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
@@ -137,7 +138,7 @@
 func (c *Client) Send(ctx context.Context, a Attempt, sink Sink) Outcome {
 	cancel := func() {}
 	if !a.Call.WholeBy.IsZero() {
-		ctx, cancel = context.WithDeadline(ctx, a.Call.WholeBy)
+		ctx, cancel = clock.WithDeadline(ctx, c.now(), a.Call.WholeBy)
 	}
 	defer cancel()
 	x := exchange{
--- a/node/follow.go
+++ b/node/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/membership"
@@ -84,8 +85,9 @@
 }
 
 func (n *Node) waitAt(ctx context.Context, source fleet.VM) (bool, error) {
-	until := n.now().Add(watchFor)
-	ctx, cancel := context.WithDeadline(ctx, until.Add(pullWithin))
+	now := n.now()
+	until := now.Add(watchFor)
+	ctx, cancel := clock.WithDeadline(ctx, now, until.Add(pullWithin))
 	defer cancel()
 	digest := n.snapshot().Digest
 	return n.pull(ctx, source, &peerpb.DocumentsRequest{
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/contract"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
@@ -65,7 +66,7 @@
 
 // forward runs a call on another VM and tells the control goroutine of a lost one.
 func (n *Node) forward(ctx context.Context, vm fleet.VM, c *call.Call, sink call.Sink) call.Outcome {
-	trip, cancel := context.WithDeadline(ctx, c.WholeBy.Add(forwardGrace))
+	trip, cancel := clock.WithDeadline(ctx, n.now(), c.WholeBy.Add(forwardGrace))
 	defer cancel()
 	out := n.peers.Forward(trip, vm, &peerpb.ForwardRequest{
 		From:  n.identity(),
@@ -99,7 +100,7 @@
 	if !ok || !n.caughtUp() {
 		return call.Refused(result.Refuse(result.NotReady, "VM %s does not know the workspace", n.settings.VM))
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
+	ctx, cancel := clock.WithDeadline(ctx, n.now(), c.WholeBy)
 	defer cancel()
 	place := serving.Place(serving.PlaceRequest{
 		Contract:  found,
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/oklog/run"
 
 	"github.com/fuchsianotch/fuchsianotch/caller"
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
@@ -48,7 +49,7 @@
 type Options struct {
 	Settings *settings.Settings
 	Logger   *slog.Logger
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means one that goes on while the VM is suspended.
 	Now func() time.Time
 }
 
@@ -88,7 +89,7 @@
 // be derived from the peer key.
 func New(o Options) (*Node, error) {
 	if o.Now == nil {
-		o.Now = time.Now
+		o.Now = clock.New(clock.Options{}).Now
 	}
 	n := &Node{
 		settings:    o.Settings,
--- a/node/stop.go
+++ b/node/stop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/peer"
@@ -29,8 +30,8 @@
 // stop ends the process gracefully: it tells peers and callers to go
 // elsewhere, lets the calls in flight end, and hands over its tickets.
 func (n *Node) stop() {
-	deadline := n.now().Add(n.settings.StopWithin.Duration)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	begunAt := n.now()
+	ctx, cancel := clock.WithDeadline(context.Background(), begunAt, begunAt.Add(n.settings.StopWithin.Duration))
 	defer cancel()
 	n.changeState("stopping")
 	n.stopping.Store(true)
--- a/serving/ticketed.go
+++ b/serving/ticketed.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/ticket"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
@@ -48,7 +49,7 @@
 // runTicket runs the call to its end even if the caller goes, so that a
 // repeat with the same ticket finds the answer.
 func (s *Server) runTicket(ctx context.Context, c *call.Call, terms Terms, sink call.Sink, e *ticket.Entry) call.Outcome {
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), c.WholeBy)
+	ctx, cancel := clock.WithDeadline(context.WithoutCancel(ctx), s.options.Now(), c.WholeBy)
 	defer cancel()
 	defer e.Abandon()
 	var recorder answerRecorder
--- a/site/forward.go
+++ b/site/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -20,7 +21,7 @@
 
 // forward runs a call on another VM and tells the control goroutine of a lost one.
 func (n *Node) forward(ctx context.Context, vm fleet.VM, c *call.Call, sink call.Sink) call.Outcome {
-	trip, cancel := context.WithDeadline(ctx, c.WholeBy.Add(forwardGrace))
+	trip, cancel := clock.WithDeadline(ctx, n.now(), c.WholeBy.Add(forwardGrace))
 	defer cancel()
 	out := n.peers.Forward(trip, vm, &peerpb.ForwardRequest{
 		From: n.identity(),
@@ -94,7 +95,7 @@
 		}
 		c.Service = service
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.WholeBy)
+	ctx, cancel := clock.WithDeadline(ctx, n.now(), c.WholeBy)
 	defer cancel()
 	c.Routed.Late = n.yields(c)
 	return n.serve(ctx, c, sink)
--- a/site/site.go
+++ b/site/site.go
@@ -20,6 +20,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/common/listen"
 	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
@@ -68,7 +69,7 @@
 	Settings *settings.Platform
 	// Dropped gives how many log lines were dropped so far; nil means none.
 	Dropped func() int64
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means one that goes on while the VM is suspended.
 	Now func() time.Time
 }
 
@@ -113,8 +114,10 @@
 
 // New makes a node that does not listen yet.
 func New(o Options) *Node {
+	var own *clock.Clock
 	if o.Now == nil {
-		o.Now = time.Now
+		own = clock.New(clock.Options{})
+		o.Now = own.Now
 	}
 	d := o.Deployment
 	n := &Node{
@@ -161,6 +164,9 @@
 	n.serving = n.newServing()
 	n.callers = n.newCallers()
 	limitMemory(d.MemoryBytes)
+	if own != nil {
+		own.OnWake(n.woke)
+	}
 	return n
 }
 
--- a/site/stop.go
+++ b/site/stop.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 )
 
@@ -28,7 +29,7 @@
 	}
 	begunAt := n.now()
 	deadline := begunAt.Add(within - stopMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := clock.WithDeadline(context.Background(), begunAt, deadline)
 	defer cancel()
 	n.leaving.Store(true)
 	n.log.Info("stopping", "in_flight", n.serving.InFlight())
--- a/site/wake.go
+++ b/site/wake.go
@@ -17,6 +17,13 @@
 	newsEvery = 5 * time.Millisecond
 )
 
+// woke has the control goroutine see at once that the VM was suspended: its timers stood
+// still meanwhile, and calls wait until it has news.
+func (n *Node) woke(suspended time.Duration) {
+	n.log.Warn("vm_suspended", "for_ms", suspended.Milliseconds())
+	n.control.send(context.Background(), func(*control, time.Time) {})
+}
+
 // askAfterPause asks all endpoints of the region, once after each pause of the
 // process, whether they are cold. Other VMs may have paused too, and the one that
 // asks for all others may be gone.
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -28,8 +28,10 @@
 	IgnoreEvacuation Fault = "ignore_evacuation"
 	IgnoreLeaving    Fault = "ignore_leaving"
 	TrustOld         Fault = "trust_old"
-	ForgetCrashes    Fault = "forget_crashes"
-	TellNoCrashes    Fault = "tell_no_crashes"
+	// SteadyClock decides by a clock that stands still while the VM does.
+	SteadyClock   Fault = "steady_clock"
+	ForgetCrashes Fault = "forget_crashes"
+	TellNoCrashes Fault = "tell_no_crashes"
 )
 
 // Options are one run.
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -39,7 +39,7 @@
 		sender:   v,
 		life:     v.life,
 	}
-	now := v.world.clock.now
+	now := v.now()
 	for _, e := range v.discovery.Endpoints(now) {
 		if e.Region == v.vm.Region && !e.ColdUntil.IsZero() {
 			m.cold = append(m.cold, coldWord{
@@ -67,7 +67,7 @@
 			to = other
 		}
 	}
-	m := v.message(v.roster.Recent(w.clock.now))
+	m := v.message(v.roster.Recent(v.now()))
 	answered := false
 	w.after(dialWithin, func() {
 		if !answered {
@@ -78,7 +78,7 @@
 		if !to.up {
 			w.network.send(to.vm.Region, v.vm.Region, func() {
 				answered = true
-				v.do(life, func() { v.roster.Refused(t.VM.ID, w.clock.now) })
+				v.do(life, func() { v.roster.Refused(t.VM.ID, v.now()) })
 			})
 			return
 		}
@@ -98,12 +98,12 @@
 
 func (v *vm) missed(t roster.Target) {
 	if t.VM.ID != "" {
-		v.roster.Missed(t.VM.ID, v.world.clock.now)
+		v.roster.Missed(t.VM.ID, v.now())
 	}
 }
 
 func (v *vm) heard(m gossip) {
-	now := v.world.clock.now
+	now := v.now()
 	v.roster.Heard(m.from, m.rumors, now)
 	v.pictured = nil
 	if m.table != nil {
@@ -149,7 +149,7 @@
 			var got reading
 			got.items, got.whole = from.mirror.Since(after)
 			got.revision = from.mirror.Revision()
-			settling := from.discovery.Settling(w.clock.now)
+			settling := from.discovery.Settling(from.now())
 			w.network.send(from.vm.Region, v.vm.Region, func() {
 				v.do(life, func() { v.tookPull(got, settling) })
 			})
@@ -158,6 +158,6 @@
 }
 
 func (v *vm) tookPull(got reading, settling time.Duration) {
-	v.discovery.SettleUntil(v.world.clock.now.Add(settling))
+	v.discovery.SettleUntil(v.now().Add(settling))
 	v.takeNew(v.merge(got))
 }
--- a/testscripts/emulator/quarantine.go
+++ b/testscripts/emulator/quarantine.go
@@ -44,7 +44,7 @@
 
 func (c *crashes) step() {
 	v := c.vm
-	now := v.world.clock.now
+	now := v.now()
 	vms, parted := v.peers()
 	c.list.Step(now)
 	for _, letter := range c.list.Due(vms, parted, now) {
@@ -88,7 +88,7 @@
 			return
 		}
 		to.do(to.life, func() {
-			to.crashes.list.Take(letter.Note, w.clock.now)
+			to.crashes.list.Take(letter.Note, to.now())
 			to.crashes.step()
 			w.network.send(to.vm.Region, v.vm.Region, func() { answer(true) })
 		})
@@ -102,7 +102,7 @@
 	if !isHeld || r.call.Trial || c.vm.world.fault == ForgetCrashes {
 		return true
 	}
-	now := c.vm.world.clock.now
+	now := c.vm.now()
 	if h.TryAt.IsZero() || now.Before(h.TryAt) || now.Before(c.triedUntil[content]) {
 		return false
 	}
@@ -119,7 +119,7 @@
 	case result.Done:
 		c.proven[content] = true
 		if _, isHeld := c.held[content]; isHeld {
-			c.list.EndedWell(content, w.clock.now)
+			c.list.EndedWell(content, v.now())
 			c.step()
 		}
 	case result.EndpointCut:
@@ -132,7 +132,7 @@
 				c.list.Witness(quarantine.Crash{
 					Content: content,
 					Life:    lifeHash(e.ID),
-					At:      w.clock.now,
+					At:      v.now(),
 					Proven:  c.proven[content],
 				})
 				c.step()
@@ -143,7 +143,7 @@
 
 // lists says whether an endpoint takes work by what the VM knows.
 func (v *vm) lists(id string) bool {
-	for _, e := range v.discovery.Endpoints(v.world.clock.now) {
+	for _, e := range v.discovery.Endpoints(v.now()) {
 		if e.ID == id {
 			return true
 		}
--- a/testscripts/emulator/request.go
+++ b/testscripts/emulator/request.go
@@ -123,7 +123,7 @@
 // take serves a caller's request here or elsewhere, once what the VM believes is
 // not from before a pause.
 func (v *vm) take(r *request) {
-	v.awaitNews(v.world.clock.now.Add(newsWithin), func(current bool) {
+	v.awaitNews(v.now().Add(newsWithin), func(current bool) {
 		if !current {
 			v.world.ledger.answer(r, v, result.NotReady)
 			return
@@ -134,7 +134,7 @@
 
 // awaitNews goes on when what the VM believes is current, or at a moment.
 func (v *vm) awaitNews(by time.Time, then func(current bool)) {
-	now, life := v.world.clock.now, v.life
+	now, life := v.now(), v.life
 	current := v.picture().Current(now) || v.world.fault == TrustOld
 	if current || !now.Before(by) {
 		then(current)
@@ -278,7 +278,7 @@
 	}
 	place.Code = s.judge(code)
 	s.last = place.Code
-	late := !s.vm.world.clock.now.Before(s.request.deadline)
+	late := !s.vm.now().Before(s.request.deadline)
 	if late || s.runsLeft < 1 || !place.MayMove() || len(s.tried) >= retry.PlacesPerCall {
 		s.end(place.Code)
 		return
@@ -314,7 +314,7 @@
 
 // serve sends the request to endpoints of the own region.
 func (v *vm) serve(r *request, most int, repeated bool, done func(result.Code, int)) {
-	v.awaitNews(v.world.clock.now.Add(newsWithin), func(current bool) {
+	v.awaitNews(v.now().Add(newsWithin), func(current bool) {
 		if !current {
 			done(result.NotReady, 0)
 			return
@@ -360,7 +360,7 @@
 	choice, ok := v.pool.Choose(routing.Request{
 		Exclude: s.excluded,
 		Again:   s.failed,
-	}, v.world.clock.now)
+	}, v.now())
 	if !ok {
 		s.end(s.history.Code(result.NoEndpoint))
 		return
@@ -402,7 +402,7 @@
 
 // took decides what follows an attempt.
 func (s *serving) took(choice routing.Choice, code result.Code, sent bool) {
-	v, now := s.vm, s.vm.world.clock.now
+	v, now := s.vm, s.vm.now()
 	v.pool.Done(choice, routing.Outcome{
 		Code:     code,
 		Sent:     sent,
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -42,6 +42,8 @@
 	frozen    bool
 	life      uint64
 	startedAt time.Time
+	// suspended is how long the VM stood still since it started.
+	suspended time.Duration
 	// waiting is what a frozen VM takes when it wakes.
 	waiting []func()
 	// disturbedAt is when the VM was last harmed.
@@ -97,6 +99,7 @@
 	v.reading = false
 	v.heardTable = nil
 	v.startedAt = w.clock.now
+	v.suspended = 0
 	v.disturbed()
 	v.roster = roster.New(roster.Options{
 		Self:        v.vm,
@@ -126,7 +129,7 @@
 }
 
 func (v *vm) newWindow() *retry.Window {
-	slackFrom := v.world.clock.now.Add(retryWindow)
+	slackFrom := v.now().Add(retryWindow)
 	if v.world.fault == WholeBudget {
 		slackFrom = time.Time{}
 	}
@@ -141,7 +144,7 @@
 			return v.picture().Most
 		},
 		SlackFrom: slackFrom,
-		Now:       func() time.Time { return v.world.clock.now },
+		Now:       func() time.Time { return v.now() },
 	})
 }
 
@@ -160,6 +163,14 @@
 	v.disturbedAt = v.world.clock.now
 }
 
+// now is the time by the VM's own clock.
+func (v *vm) now() time.Time {
+	if v.world.fault == SteadyClock {
+		return v.world.clock.now.Add(-v.suspended)
+	}
+	return v.world.clock.now
+}
+
 // running says whether a life of the VM runs now.
 func (v *vm) running(life uint64) bool {
 	return v.up && v.life == life && !v.frozen
@@ -194,6 +205,7 @@
 			return
 		}
 		v.frozen = false
+		v.suspended += lasts
 		v.disturbed()
 		waiting := v.waiting
 		v.waiting = nil
@@ -206,7 +218,7 @@
 // step is one turn of the control goroutine.
 func (v *vm) step(life uint64) {
 	v.do(life, func() {
-		now := v.world.clock.now
+		now := v.now()
 		targets := v.roster.Step(now)
 		v.pictured = nil
 		v.askAfterPause(life)
@@ -219,7 +231,7 @@
 
 // publish makes the state visible to traffic.
 func (v *vm) publish() {
-	now := v.world.clock.now
+	now := v.now()
 	v.roster.SetReady(v.discovery.Table() != nil)
 	due := !v.endpointsAt.IsZero() && !now.Before(v.endpointsAt)
 	if !v.changed && !due {
@@ -243,7 +255,7 @@
 // endpoints are those of the own region that take work.
 func (v *vm) endpoints() []fleet.Endpoint {
 	var out []fleet.Endpoint
-	for _, e := range v.discovery.Endpoints(v.world.clock.now) {
+	for _, e := range v.discovery.Endpoints(v.now()) {
 		cold := !e.ColdUntil.IsZero() && v.world.fault != ServeCold
 		if e.Region == v.vm.Region && !cold {
 			out = append(out, e.Endpoint)
@@ -254,7 +266,7 @@
 
 // read asks the store, if this VM is to and is not waiting for it.
 func (v *vm) read() {
-	now := v.world.clock.now
+	now := v.now()
 	if v.reading || now.Before(v.readsAt) {
 		return
 	}
@@ -300,7 +312,7 @@
 		v.whole = true
 	default:
 		v.whole = false
-		v.discovery.StoreBack(v.world.clock.now)
+		v.discovery.StoreBack(v.now())
 		v.roster.SetTurnedAway(false)
 		v.takeNew(v.merge(got))
 	}
@@ -336,7 +348,7 @@
 	case c.Evacuated != "" && v.world.fault == IgnoreEvacuation:
 	case c.Endpoint != nil && !c.Removed && c.Endpoint.State != fleet.StateLive && v.world.fault == IgnoreLeaving:
 	default:
-		v.discovery.Take(c, v.world.clock.now)
+		v.discovery.Take(c, v.now())
 		v.changed = true
 	}
 }
@@ -369,7 +381,7 @@
 func (v *vm) askAfterPause(life uint64) {
 	waking := v.roster.Waking()
 	if waking && !v.waking {
-		askedAt := v.world.clock.now
+		askedAt := v.now()
 		for _, e := range v.endpoints() {
 			v.askOne(life, e)
 		}
@@ -401,7 +413,7 @@
 		}
 		until := found.coldUntil
 		v.do(life, func() {
-			if v.discovery.Cold(e.ID, until, w.clock.now) {
+			if v.discovery.Cold(e.ID, until, v.now()) {
 				v.changed = true
 				v.publish()
 				v.exchange(v.roster.Spread(coldTellTo))
