A VM that has just started is told at once which calls are held

Notes went out once a second; a change of the members makes them due at once, if there is anything to tell. A test counted across goroutines without a lock, which the race detector found.

--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -178,6 +178,12 @@
 	return h.triedUntil.CompareAndSwap(until, now.Add(tryWithin).UnixNano())
 }
 
+// MembersChanged takes that other VMs are in reach now: one that has just started is to
+// know what is held before callers come to it.
+func (a *Agent) MembersChanged() {
+	a.tell(func(context.Context, time.Time) { a.due = !a.list.IsEmpty() || a.due })
+}
+
 // Take takes another VM's note.
 func (a *Agent) Take(n quarantine.Note) {
 	a.tell(func(_ context.Context, now time.Time) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -123,6 +123,11 @@
 	})
 }
 
+// IsEmpty says that there is nothing to tell and nothing held.
+func (l *List) IsEmpty() bool {
+	return len(l.witnessed) == 0 && len(l.verdicts) == 0
+}
+
 // count takes a crash where this VM ranks first for the content.
 func (l *List) count(c Crash, now time.Time) {
 	if now.Sub(c.At) > crashKeptFor {
--- a/serving/crashes_test.go
+++ b/serving/crashes_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -27,8 +28,8 @@
 	// "yes", "no" or "trial". All of them must be asked.
 	Admits []string
 	// Cuts is how many attempts break off; those after them are answered.
-	Cuts     int
-	WantSent int         `json:"want_sent"`
+	Cuts     int64
+	WantSent int64       `json:"want_sent"`
 	WantCode result.Code `json:"want_code"`
 	// WantTold is what was told of the ends of attempts.
 	WantTold string `json:"want_told"`
@@ -39,10 +40,10 @@
 func TestCrashes(t *testing.T) {
 	for _, c := range datatest.Read[[]crashCase](t, "testdata/crashes.json") {
 		t.Run(c.Name, func(t *testing.T) {
-			sent, told := 0, []string{}
+			var sent atomic.Int64
+			var told []string
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				sent++
-				if sent <= c.Cuts {
+				if sent.Add(1) <= c.Cuts {
 					panic(http.ErrAbortHandler)
 				}
 				w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
@@ -83,7 +84,7 @@
 				Chunk: func([]byte) error { return nil },
 			}, nil)
 			assert.Equal(t, out.Code, c.WantCode)
-			assert.Equal(t, sent, c.WantSent)
+			assert.Equal(t, sent.Load(), c.WantSent)
 			assert.Equal(t, strings.Join(told, " "), c.WantTold)
 			assert.Equal(t, len(admits), 0)
 		})
--- a/site/control.go
+++ b/site/control.go
@@ -171,6 +171,9 @@
 	case before.members.Generation != after.members.Generation:
 		c.node.pools.updateMembers(after)
 	}
+	if before.members.Generation != after.members.Generation {
+		c.node.crashes.MembersChanged()
+	}
 	c.changed = false
 	c.reportChanges(before, after)
 }
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -25,8 +25,10 @@
 	count := app.Flag("count", "How many seeds, one after the other.").Default("1").Int()
 	long := app.Flag("for", "How long faults are injected for each seed.").Default("30s").Duration()
 	vms := app.Flag("vms", "VMs in each region.").Default("2").Int()
+	engines := app.Flag("engines", "Engines in each region.").Default("2").Int()
 	clients := app.Flag("clients", "Clients in all.").Default("18").Int()
 	kept := app.Flag("kept", "Play the seeds that ever failed in place of --seed and --count.").Bool()
+	crashing := app.Flag("crashing", "Send calls that crash the replicas which run them in place of random faults.").Bool()
 	plotFile := app.Flag("plot", "File for an SVG of the last seed.").String()
 	keep := app.Flag("keep", "Folder for the logs of seeds that fail.").Default("soak-logs").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -39,12 +41,13 @@
 		app.FatalIfError(err, "kept seeds")
 	}
 	failed, err := playAll(ctx, *keep, seeds, Options{
-		Regions: 3,
-		VMs:     *vms,
-		Engines: 2,
-		Clients: *clients,
-		For:     *long,
-		Plot:    *plotFile,
+		Regions:  3,
+		VMs:      *vms,
+		Engines:  *engines,
+		Clients:  *clients,
+		For:      *long,
+		Plot:     *plotFile,
+		Crashing: *crashing,
 	})
 	stop()
 	app.FatalIfError(err, "build")
@@ -133,7 +136,11 @@
 	}
 	o.Dir = dir
 	o.Out = schedule
-	report, err := Run(ctx, o)
+	play := Run
+	if o.Crashing {
+		play = RunCrashing
+	}
+	report, err := play(ctx, o)
 	_ = schedule.Close()
 	if err == nil && len(report.Violations) == 0 {
 		return report, os.RemoveAll(dir)
--- a/testscripts/soak/world.go
+++ b/testscripts/soak/world.go
@@ -53,6 +53,8 @@
 	Out io.Writer
 	// Without names faults that are not injected.
 	Without []string
+	// Crashing sends calls that crash replicas, in place of random faults.
+	Crashing bool
 	// Plot is a file for an SVG of the run; empty means none.
 	Plot string
 }
