--- /dev/null
+++ b/testscripts/emulator/health.go
@@ -0,0 +1,69 @@
+package emulator
+
+import (
+	"github.com/fuchsianotch/fuchsianotch/entry"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// askHealth asks one after the other of the endpoints for which the VM ranks
+// first whether it is cold.
+func (v *vm) askHealth(life uint64) {
+	v.do(life, func() {
+		near := v.nearVMs()
+		for _, e := range v.endpoints() {
+			if entry.Owner(e.ID, near) == v.vm.ID {
+				v.askOne(life, e)
+			}
+		}
+		every := healthEvery
+		if v.picture().StoreAway() {
+			every = coldEvery
+		}
+		v.world.after(every, func() { v.askHealth(life) })
+	})
+}
+
+// askAfterPause asks all endpoints of the region, once after each pause.
+func (v *vm) askAfterPause(life uint64) {
+	waking := v.roster.Waking()
+	if waking && !v.waking {
+		askedAt := v.now()
+		for _, e := range v.endpoints() {
+			v.askOne(life, e)
+		}
+		v.world.after(askAllTakes, func() {
+			v.do(life, func() {
+				v.roster.News(askedAt)
+				v.pictured = nil
+			})
+		})
+	}
+	v.waking = waking
+}
+
+// nearVMs gives the ids of the VMs of the own region that are in reach.
+func (v *vm) nearVMs() []string {
+	var out []string
+	for _, vm := range v.picture().Reached(v.vm.Region) {
+		out = append(out, vm.ID)
+	}
+	return out
+}
+
+func (v *vm) askOne(life uint64, e fleet.Endpoint) {
+	w := v.world
+	w.after(2*nearWay, func() {
+		found := w.engineAt(e.ID)
+		if found == nil || !found.up || !found.cold() {
+			return
+		}
+		until := found.coldUntil
+		v.do(life, func() {
+			if v.discovery.Cold(e.ID, until, v.now()) {
+				v.changed = true
+				v.publish()
+				v.exchange(v.roster.Spread(coldTellTo))
+			}
+		})
+	})
+}
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -1,13 +1,10 @@
 package emulator
 
 import (
-	"cmp"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/discovery"
-	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/roster"
@@ -264,164 +261,6 @@
 	return out
 }
 
-// read asks the store, if this VM is to and is not waiting for it.
-func (v *vm) read() {
-	now := v.now()
-	if v.reading || now.Before(v.readsAt) {
-		return
-	}
-	if v.discovery.Table() != nil && !v.picture().Reads(readers) {
-		v.readsAt = now.Add(dutyEvery)
-		return
-	}
-	v.reading = true
-	life, w := v.life, v.world
-	answered := false
-	w.after(watchFor, func() {
-		if !answered {
-			v.do(life, func() { v.readFailed() })
-		}
-	})
-	w.network.send(v.vm.Region, storeRegion, func() {
-		if w.store.silent > 0 {
-			return
-		}
-		failed := w.store.down > 0 || w.store.turnsAway[v.vm.Region] > 0
-		got, historyLost := w.store.read(v.mirror.Revision(), v.whole)
-		w.after(storeTakes, func() {
-			w.network.send(storeRegion, v.vm.Region, func() {
-				answered = true
-				v.do(life, func() { v.tookRead(got, failed, historyLost) })
-			})
-		})
-	})
-}
-
-func (v *vm) readFailed() {
-	v.reading = false
-	v.roster.SetTurnedAway(true)
-	v.discovery.StoreLost()
-}
-
-func (v *vm) tookRead(got reading, failed, historyLost bool) {
-	switch {
-	case failed:
-		v.discovery.StoreLost()
-		v.roster.SetTurnedAway(true)
-	case historyLost:
-		v.whole = true
-	default:
-		v.whole = false
-		v.discovery.StoreBack(v.now())
-		v.roster.SetTurnedAway(false)
-		v.takeNew(v.merge(got))
-	}
-	life := v.life
-	v.world.after(readEvery, func() {
-		v.do(life, func() { v.reading = false })
-	})
-}
-
-func (v *vm) merge(got reading) []discovery.Item {
-	if got.whole {
-		return v.mirror.Replace(got.items, got.revision)
-	}
-	return v.mirror.Apply(got.items, got.revision)
-}
-
-// takeNew takes changes and tells some others of the region.
-func (v *vm) takeNew(items []discovery.Item) {
-	if len(items) == 0 {
-		return
-	}
-	sortItems(items)
-	for _, item := range items {
-		v.takeChange(v.world.store.decode(item))
-	}
-	v.publish()
-	v.exchange(v.roster.Spread(spreadTo))
-}
-
-func (v *vm) takeChange(c discovery.Change) {
-	switch {
-	case c.Key == "":
-	case c.Evacuated != "" && v.world.fault == IgnoreEvacuation:
-	case c.Endpoint != nil && !c.Removed && c.Endpoint.State != fleet.StateLive && v.world.fault == IgnoreLeaving:
-	default:
-		v.discovery.Take(c, v.now())
-		v.changed = true
-	}
-}
-
-func sortItems(items []discovery.Item) {
-	slices.SortFunc(items, func(a, b discovery.Item) int {
-		return cmp.Or(cmp.Compare(a.Revision, b.Revision), cmp.Compare(a.Key, b.Key))
-	})
-}
-
-// askHealth asks one after the other of the endpoints for which the VM ranks
-// first whether it is cold.
-func (v *vm) askHealth(life uint64) {
-	v.do(life, func() {
-		near := v.nearVMs()
-		for _, e := range v.endpoints() {
-			if entry.Owner(e.ID, near) == v.vm.ID {
-				v.askOne(life, e)
-			}
-		}
-		every := healthEvery
-		if v.picture().StoreAway() {
-			every = coldEvery
-		}
-		v.world.after(every, func() { v.askHealth(life) })
-	})
-}
-
-// askAfterPause asks all endpoints of the region, once after each pause.
-func (v *vm) askAfterPause(life uint64) {
-	waking := v.roster.Waking()
-	if waking && !v.waking {
-		askedAt := v.now()
-		for _, e := range v.endpoints() {
-			v.askOne(life, e)
-		}
-		v.world.after(askAllTakes, func() {
-			v.do(life, func() {
-				v.roster.News(askedAt)
-				v.pictured = nil
-			})
-		})
-	}
-	v.waking = waking
-}
-
-// nearVMs gives the ids of the VMs of the own region that are in reach.
-func (v *vm) nearVMs() []string {
-	var out []string
-	for _, vm := range v.picture().Reached(v.vm.Region) {
-		out = append(out, vm.ID)
-	}
-	return out
-}
-
-func (v *vm) askOne(life uint64, e fleet.Endpoint) {
-	w := v.world
-	w.after(2*nearWay, func() {
-		found := w.engineAt(e.ID)
-		if found == nil || !found.up || !found.cold() {
-			return
-		}
-		until := found.coldUntil
-		v.do(life, func() {
-			if v.discovery.Cold(e.ID, until, v.now()) {
-				v.changed = true
-				v.publish()
-				v.exchange(v.roster.Spread(coldTellTo))
-			}
-		})
-	})
-}
-
 // directory gives the VMs that callers of the own region are told.
 func (v *vm) directory() []*vm {
 	var out []*vm
