Callers under routes present keys; homes and priority of workspaces bind

Cause: nothing read the published workspaces.

Change: route.Table.Admit puts a request under the terms of its route and of the workspace that holds its key; package apikey reads and compares keys for both fronts. 401 before the body is read; the digest of the key goes with a call to another VM, which judges it anew under a newer table; the workspace's name is set towards endpoints whatever the caller sent; Authorization is dropped wherever requests need keys. Contents (quarantine) and shared beginnings of prompts count the workspace.

Sending the key itself between VMs, so that the receiver can hash it: no VM but the one asked has any use for it.

--- a/call/routed.go
+++ b/call/routed.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsianotch/fuchsianotch/apikey"
 )
 
 // PromptPart is one part of a prompt. Prompts that begin with the same parts
@@ -22,6 +24,10 @@
 	// Route is the route's name, and Version that of the table it is from.
 	Route   string
 	Version uint64
+	// Key is the digest of the caller's key; zero means that none was needed.
+	Key apikey.Digest
+	// Cost is what the call counts against the limit of its workspace, in the limit's unit.
+	Cost float64
 	// Rank orders calls at an engine, 0 first.
 	Rank int
 	// MaxAttempts bounds the endpoints that may run the call.
@@ -86,19 +92,21 @@
 }
 
 // SharedPrefix hashes all parts but the call's own, for cache affinity; zero
-// means that the prompt shares nothing.
-func SharedPrefix(parts []PromptPart) uint64 {
+// means that the prompt shares nothing. Engines keep the prompts of one workspace
+// from those of others, so its name counts; it is empty where calls have none.
+func SharedPrefix(workspace string, parts []PromptPart) uint64 {
 	if len(parts) < 2 {
 		return 0
 	}
 	var d xxhash.Digest
 	d.Reset()
+	// A Digest never fails to write.
+	_, _ = d.WriteString(workspace)
 	for _, p := range parts[:len(parts)-1] {
 		var id [8]byte
 		for i := range id {
 			id[i] = byte(p.ID >> (8 * i))
 		}
-		// A Digest never fails to write.
 		_, _ = d.Write(id[:])
 	}
 	return d.Sum64()
--- a/caller/auth.go
+++ b/caller/auth.go
@@ -1,19 +1,15 @@
 package caller
 
 import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/apikey"
 	"github.com/fuchsianotch/fuchsianotch/contract"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
-const bearerPrefix = "Bearer "
-
 // request is one HTTP request of an authenticated caller.
 type request struct {
 	id       string
@@ -53,7 +49,7 @@
 		return nil, result.Refuse(result.NotReady, "VM %s has no configuration yet", s.options.VM)
 	}
 	unauthenticated := result.Refuse(result.Unauthenticated, "the key is missing, unknown or ended; expected Authorization: Bearer <workspace>.<secret>")
-	text, ok := strings.CutPrefix(r.Header.Get("Authorization"), bearerPrefix)
+	text, ok := apikey.Bearer(r.Header)
 	if !ok {
 		return nil, unauthenticated
 	}
@@ -70,11 +66,10 @@
 
 // admits compares against every key in constant time.
 func admits(c *contract.Contract, secret string, now time.Time) bool {
-	sum := sha256.Sum256([]byte(secret))
-	digest := []byte(hex.EncodeToString(sum[:]))
+	digest := apikey.Sum(secret)
 	admitted := false
 	for _, key := range c.Keys {
-		same := subtle.ConstantTimeCompare(digest, []byte(key.SHA256)) == 1
+		same := digest.EqualHex(key.SHA256)
 		current := key.NotAfter.IsZero() || now.Before(key.NotAfter)
 		admitted = admitted || (same && current)
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -86,7 +86,7 @@
 	case step.TakeBack != "":
 		s.Take(Change{Evacuated: step.TakeBack, Removed: true}, now)
 	case step.Table > 0:
-		s.Take(Change{Table: route.New(step.Table, nil, nil, route.Limits{})}, now)
+		s.Take(Change{Table: route.New(route.Options{Version: step.Table})}, now)
 	case step.OtherKey:
 		s.Take(Change{Key: "other", Removed: true}, now)
 	case step.Wait != "":
--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -29,6 +29,8 @@
 	// WholeBy is when the endpoint may stop working.
 	WholeBy time.Time
 	Now     time.Time
+	// Workspace holds the key of the caller; empty means that none was needed.
+	Workspace string
 	// Rank orders requests in the endpoint's queue, 0 first.
 	Rank int
 	// ResumeAfter is the id of the last event that the caller has.
@@ -69,6 +71,7 @@
 		Instance:    a.Endpoint.ID,
 		WholeBy:     callerBy(a.Call),
 		Now:         c.now(),
+		Workspace:   a.Call.Workspace,
 		Rank:        a.Call.Routed.Turn(),
 		ResumeAfter: resume,
 		FetchFrom:   a.FetchFrom,
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/apikey"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 )
@@ -15,6 +16,9 @@
 	m.FirstByUnixMs = 0
 	m.WholeByUnixMs = 0
 	m.Host = r.Host
+	if !r.Key.IsZero() {
+		m.KeyDigest = r.Key[:]
+	}
 	m.Route = r.Route
 	m.RouteVersion = r.Version
 	m.Rank = uint32(r.Rank)
@@ -61,6 +65,9 @@
 		EventTokens: int(m.GetEventTokens()),
 		Gap:         time.Duration(m.GetGapMs()) * time.Millisecond,
 	}
+	if key, ok := apikey.FromBytes(m.GetKeyDigest()); ok {
+		c.Routed.Key = key
+	}
 	for _, p := range m.GetParts() {
 		c.Routed.Parts = append(c.Routed.Parts, call.PromptPart{
 			ID:     p.GetId(),
--- a/placement/overload_test.go
+++ b/placement/overload_test.go
@@ -157,7 +157,7 @@
 	pool := w.pools[w.random.IntN(len(w.pools))]
 	parts := []call.PromptPart{{ID: w.prefix, Tokens: 1}, {ID: w.prefix, Tokens: tokens - 1}}
 	request := routing.Request{
-		Prefixes:     routing.Prefixes(parts),
+		Prefixes:     routing.Prefixes("", parts),
 		PromptTokens: tokens,
 		MaxTokens:    20,
 	}
--- a/result/result.go
+++ b/result/result.go
@@ -36,6 +36,7 @@
 	MethodNotAllowed   Code = 2006
 	NotInContract      Code = 2007
 	BodyTooSlow        Code = 2008
+	NoCommonHome       Code = 2009
 	LimitRequests      Code = 2010
 	LimitTokens        Code = 2011
 	LimitSpend         Code = 2012
@@ -113,6 +114,7 @@
 	row(MethodNotAllowed, "method_not_allowed", ClassNotRun, http.StatusMethodNotAllowed, "The path does not take this method.", "Correct the method."),
 	row(NotInContract, "not_in_contract", ClassNotRun, http.StatusForbidden, "The contract does not allow this model or service.", "Ask the operator."),
 	row(BodyTooSlow, "body_too_slow", ClassNotRun, http.StatusRequestTimeout, "The body did not arrive in time.", "Send again."),
+	row(NoCommonHome, "no_common_home", ClassNotRun, http.StatusServiceUnavailable, "No region is a home of both the route and the workspace.", "Do not send it again; ask the operator."),
 	row(LimitRequests, "limit_requests", ClassNotRun, http.StatusTooManyRequests, "The contract's requests per second are used up.", "Come back at the given time."),
 	row(LimitTokens, "limit_tokens", ClassNotRun, http.StatusTooManyRequests, "The contract's tokens per second are used up.", "Come back at the given time."),
 	row(LimitSpend, "limit_spend", ClassNotRun, http.StatusTooManyRequests, "The contract's spend per hour is used up.", "Come back at the given time."),
--- a/route/route.go
+++ b/route/route.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/apikey"
 )
 
 // Kind says what may be repeated.
@@ -46,6 +48,8 @@
 	Resumable bool
 	// Homes are the regions that may serve the requests; none means all.
 	Homes []string
+	// Public requests need no key.
+	Public bool
 }
 
 // Share is one service's part of a route.
@@ -80,30 +84,48 @@
 	IdleWithin     time.Duration
 }
 
-// Table is all routes of one version. It never changes once it is made.
-type Table struct {
+// Options make up a Table.
+type Options struct {
 	Version  uint64
+	Routes   []Route
+	Services []Service
 	Limits   Limits
-	byHost   map[string][]Route
-	services map[string]Service
+	// Keyed says that requests need a key, Workspaces are those that hold keys.
+	Keyed      bool
+	Workspaces []Workspace
+}
+
+// Table is all routes of one version. It never changes once it is made.
+type Table struct {
+	Version    uint64
+	Limits     Limits
+	byHost     map[string][]Route
+	services   map[string]Service
+	keyed      bool
+	workspaces []Workspace
+	byName     map[string]*Workspace
+	byKey      map[apikey.Digest]keyEntry
 }
 
 // New makes a table.
-func New(version uint64, routes []Route, services []Service, limits Limits) *Table {
+func New(o Options) *Table {
 	t := &Table{
-		Version:  version,
-		Limits:   limits,
-		byHost:   make(map[string][]Route),
-		services: make(map[string]Service, len(services)),
+		Version:    o.Version,
+		Limits:     o.Limits,
+		byHost:     make(map[string][]Route),
+		services:   make(map[string]Service, len(o.Services)),
+		keyed:      o.Keyed,
+		workspaces: o.Workspaces,
 	}
-	for _, r := range routes {
+	t.indexWorkspaces()
+	for _, r := range o.Routes {
 		host := normalHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
-	for _, s := range services {
+	for _, s := range o.Services {
 		t.services[s.Name] = s
 	}
 	return t
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -13,7 +13,10 @@
 		Routes []Route
 		Cases  []struct{ Host, Path, Want string }
 	}](t, "testdata/match.json")
-	table := New(1, data.Routes, nil, Limits{})
+	table := New(Options{
+		Version: 1,
+		Routes:  data.Routes,
+	})
 	for _, c := range data.Cases {
 		t.Run(c.Host+c.Path, func(t *testing.T) {
 			got := ""
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -34,7 +34,7 @@
 
 // Prefixes gives the beginnings that a prompt shares with others: up to the end
 // of each part but the last, which is the call's own.
-func Prefixes(parts []call.PromptPart) []Prefix {
+func Prefixes(workspace string, parts []call.PromptPart) []Prefix {
 	if len(parts) < 2 {
 		return nil
 	}
@@ -43,7 +43,7 @@
 	for i := range parts[:len(parts)-1] {
 		tokens += parts[i].Tokens
 		out = append(out, Prefix{
-			Hash:   call.SharedPrefix(parts[:i+2]),
+			Hash:   call.SharedPrefix(workspace, parts[:i+2]),
 			Tokens: tokens,
 		})
 	}
--- a/routing/cache_test.go
+++ b/routing/cache_test.go
@@ -17,12 +17,12 @@
 // TestPrefixes holds that the own part is no prefix that others share, and that
 // the longest prefix has the hash that places it on the ring.
 func TestPrefixes(t *testing.T) {
-	got := Prefixes(parts(9))
+	got := Prefixes("", parts(9))
 	assert.Equal(t, len(got), 2)
 	assert.Equal(t, got[0].Tokens, 500)
 	assert.Equal(t, got[1].Tokens, 5000)
-	assert.Equal(t, got[1].Hash, call.SharedPrefix(parts(10)))
-	assert.Equal(t, len(Prefixes(parts(9)[2:])), 0)
+	assert.Equal(t, got[1].Hash, call.SharedPrefix("", parts(10)))
+	assert.Equal(t, len(Prefixes("", parts(9)[2:])), 0)
 }
 
 // TestFetch holds that an engine which lacks a prefix fetches it from one that
@@ -36,8 +36,8 @@
 	}
 	p.SetEndpoints(list, now)
 	r := Request{
-		PrefixHash:   call.SharedPrefix(parts(9)),
-		Prefixes:     Prefixes(parts(9)),
+		PrefixHash:   call.SharedPrefix("", parts(9)),
+		Prefixes:     Prefixes("", parts(9)),
 		PromptTokens: 6000,
 	}
 	first, ok := p.Choose(r, now)
--- a/routing/expect_test.go
+++ b/routing/expect_test.go
@@ -141,8 +141,8 @@
 		{ID: w.prefix, Tokens: tokens - 1},
 	}
 	choice, ok := pool.Choose(routing.Request{
-		Prefixes:     routing.Prefixes(parts),
-		PrefixHash:   call.SharedPrefix(parts),
+		Prefixes:     routing.Prefixes("", parts),
+		PrefixHash:   call.SharedPrefix("", parts),
 		PromptTokens: tokens,
 		MaxTokens:    100,
 	}, w.clock.Now())
--- a/routing/life_test.go
+++ b/routing/life_test.go
@@ -120,8 +120,8 @@
 
 func lifeRequest() Request {
 	return Request{
-		PrefixHash:   call.SharedPrefix(parts(9)),
-		Prefixes:     Prefixes(parts(9)),
+		PrefixHash:   call.SharedPrefix("", parts(9)),
+		Prefixes:     Prefixes("", parts(9)),
 		PromptTokens: 6000,
 	}
 }
--- a/routing/many_vms_test.go
+++ b/routing/many_vms_test.go
@@ -114,8 +114,8 @@
 	}
 	parts := []call.PromptPart{{ID: prefix, Tokens: manyShared}, {ID: 1_000_000 + w.own, Tokens: own}}
 	choice, ok := pool.Choose(routing.Request{
-		Prefixes:     routing.Prefixes(parts),
-		PrefixHash:   call.SharedPrefix(parts),
+		Prefixes:     routing.Prefixes("", parts),
+		PrefixHash:   call.SharedPrefix("", parts),
 		PromptTokens: manyShared + own,
 		MaxTokens:    100,
 	}, w.clock.Now())
--- a/routing/source_test.go
+++ b/routing/source_test.go
@@ -39,7 +39,7 @@
 			p := New(Options{})
 			p.SetEndpoints(enginesIn("near", "a", "b"), now)
 			p.SetFar(enginesIn("far", "x", "y"))
-			prefixes := Prefixes(parts(9))
+			prefixes := Prefixes("", parts(9))
 			for _, h := range c.Held {
 				p.Learn([]Holding{holdingOf(h, prefixes, now)}, now)
 			}
@@ -84,10 +84,10 @@
 	p := New(Options{})
 	p.SetEndpoints(enginesIn("near", "a", "b"), now)
 	p.SetFar(enginesIn("far", "x"))
-	prefixes := Prefixes(parts(9))
+	prefixes := Prefixes("", parts(9))
 	p.Learn([]Holding{holdingOf(heldRow{Endpoint: "x", Tokens: 5000}, prefixes, now)}, now)
 	r := Request{
-		PrefixHash:   call.SharedPrefix(parts(9)),
+		PrefixHash:   call.SharedPrefix("", parts(9)),
 		Prefixes:     prefixes,
 		PromptTokens: 6000,
 	}
--- a/routing/yields_test.go
+++ b/routing/yields_test.go
@@ -30,7 +30,7 @@
 			list[0].Slots = 2
 			p.SetEndpoints(list, now)
 			r := Request{
-				Prefixes:     Prefixes(parts(9)),
+				Prefixes:     Prefixes("", parts(9)),
 				PromptTokens: 5100,
 			}
 			if !c.OnTime {
--- a/serving/run.go
+++ b/serving/run.go
@@ -225,7 +225,7 @@
 		Again:        p.last.Held != nil,
 	}
 	if c.Routed != nil {
-		r.Prefixes = routing.Prefixes(c.Routed.Parts)
+		r.Prefixes = routing.Prefixes(c.Workspace, c.Routed.Parts)
 		r.Homes = c.Routed.Homes
 		r.Turn = c.Routed.Turn()
 	}
--- a/site/forward.go
+++ b/site/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
@@ -12,6 +13,7 @@
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
@@ -81,19 +83,16 @@
 // sender's may have moved its route, so the call then goes where that says.
 func (n *Node) serveForwarded(ctx context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
 	table := n.control.picture().table
-	if c.Kind != call.KindRouted || table == nil || !c.Routed.Allows(n.deployment.Region) {
-		return call.Refused(result.Refuse(result.NotReady, "VM %s does not serve the call", n.deployment.VM))
+	if c.Kind != call.KindRouted || table == nil {
+		return call.Refused(n.servesNot())
 	}
 	if table.Version > c.Routed.Version {
-		found, ok := table.Match(c.Routed.Host, c.Path)
-		service := ""
-		if ok {
-			service = found.Pick(rand.Uint64())
+		if refusal := n.judgeAnew(c, table); refusal != nil {
+			return call.Refused(refusal)
 		}
-		if service == "" {
-			return call.Refused(result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM))
-		}
-		c.Service = service
+	}
+	if !c.Routed.Allows(n.deployment.Region) {
+		return call.Refused(n.servesNot())
 	}
 	ctx, cancel := clock.WithDeadline(ctx, n.now(), c.WholeBy)
 	defer cancel()
@@ -101,6 +100,39 @@
 	return n.serve(ctx, c, sink)
 }
 
+func (n *Node) servesNot() *result.Refusal {
+	return result.Refuse(result.NotReady, "VM %s does not serve the call", n.deployment.VM)
+}
+
+// judgeAnew puts a call under a table that is newer than its sender's: its key may
+// have been taken away, and its route may lead elsewhere.
+func (n *Node) judgeAnew(c *call.Call, table *route.Table) *result.Refusal {
+	path, _, _ := strings.Cut(c.Path, "?")
+	terms, refusal := table.Admit(route.Ask{
+		Host: c.Routed.Host,
+		Path: path,
+		Key:  c.Routed.Key,
+	})
+	if refusal != nil && refusal.Code != result.UnknownRoute {
+		return refusal
+	}
+	service := ""
+	if refusal == nil {
+		service = terms.Route.Pick(rand.Uint64())
+	}
+	if service == "" {
+		return result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM)
+	}
+	c.Service = service
+	c.Routed.Homes = terms.Homes
+	c.Routed.Rank = terms.Rank
+	c.Workspace = ""
+	if terms.Workspace != nil {
+		c.Workspace = terms.Workspace.Name
+	}
+	return nil
+}
+
 // yields says whether a call that another VM sent can no longer be on time here.
 // That VM knows what this region said a second ago; this one knows what its engines
 // have to read now. Where the sender decided, the mean worth of five days with
--- /dev/null
+++ b/site/keys_test.go
@@ -0,0 +1,108 @@
+package site
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/apikey"
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/route"
+)
+
+// judgedCase is a call that another VM admitted under an older table, and what the
+// newer one makes of it.
+type judgedCase struct {
+	Name       string
+	Keys       []string
+	Key        string
+	Path       string
+	Public     bool
+	Homes      []string
+	RouteHomes []string `json:"route_homes"`
+	Code       result.Code
+	Workspace  string
+	Rank       int
+}
+
+// TestJudgeAnew holds that a VM with a newer table judges a call that another VM sent
+// by its own: a key that was taken away serves nowhere that knows of it.
+func TestJudgeAnew(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	n := newFleetNode(func() time.Time { return now })
+	for _, c := range datatest.Read[[]judgedCase](t, "testdata/judged_anew.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			forwarded := routedCall(c.Key)
+			if c.Path != "" {
+				forwarded.Path = c.Path
+			}
+			refusal := n.judgeAnew(forwarded, c.table())
+			if c.Code != 0 {
+				assert.Assert(t, refusal != nil)
+				assert.Equal(t, refusal.Code, c.Code)
+				return
+			}
+			assert.Assert(t, refusal == nil, "%v", refusal)
+			assert.Equal(t, forwarded.Workspace, c.Workspace)
+			assert.Equal(t, forwarded.Routed.Rank, c.Rank)
+			assert.Equal(t, forwarded.Service, "s")
+		})
+	}
+}
+
+func (c judgedCase) table() *route.Table {
+	w := route.Workspace{
+		Name:  "renamed",
+		Homes: c.Homes,
+	}
+	for _, key := range c.Keys {
+		w.Keys = append(w.Keys, apikey.Sum(key))
+	}
+	return route.New(route.Options{
+		Version: 9,
+		Routes: []route.Route{{
+			Host:   "h",
+			Prefix: "/p/",
+			Rank:   3,
+			Shares: []route.Share{{Service: "s", Weight: 1}},
+			Homes:  c.RouteHomes,
+			Public: c.Public,
+		}},
+		Keyed:      true,
+		Workspaces: []route.Workspace{w},
+	})
+}
+
+// TestKeyStays holds that no message to another VM carries a caller's key.
+func TestKeyStays(t *testing.T) {
+	const key = "m68k7b2ex5wa5xwyhks8"
+	m, err := proto.Marshal(peer.CallMessage(routedCall(key), time.Unix(1e9, 0)))
+	assert.NilError(t, err)
+	assert.Assert(t, !strings.Contains(string(m), key))
+	assert.Assert(t, !strings.Contains(fmt.Sprintf("%+v", routedCall(key).Routed), key))
+}
+
+func routedCall(key string) *call.Call {
+	c := &call.Call{
+		ID:        "a1",
+		Kind:      call.KindRouted,
+		Workspace: "w",
+		Method:    "POST",
+		Path:      "/p/x?q=1",
+		Routed: &call.Routed{
+			Host:    "h",
+			Version: 8,
+		},
+	}
+	if key != "" {
+		c.Routed.Key = apikey.Sum(key)
+	}
+	return c
+}
--- a/site/place.go
+++ b/site/place.go
@@ -201,7 +201,7 @@
 	}
 	expected, ok := pool.Endpoints.Expect(routing.Request{
 		PrefixHash:   c.PrefixHash,
-		Prefixes:     routing.Prefixes(c.Routed.Parts),
+		Prefixes:     routing.Prefixes(c.Workspace, c.Routed.Parts),
 		Homes:        c.Routed.Homes,
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
--- a/site/site.go
+++ b/site/site.go
@@ -224,7 +224,7 @@
 	ingress := platform.NewIngress(platform.IngressOptions{
 		Now:    n.now,
 		Log:    n.log,
-		Match:  n.match,
+		Admit:  n.admit,
 		Limits: n.limits,
 		Draw:   mathrand.Uint64,
 		Serve:  n.serve,
@@ -241,17 +241,13 @@
 	}
 }
 
-// match finds the terms of a request in the table in force.
-func (n *Node) match(host, path string) (*route.Route, *route.Table, *result.Refusal) {
+// admit finds the terms of a request in the table in force.
+func (n *Node) admit(a route.Ask) (route.Terms, *result.Refusal) {
 	table := n.control.picture().table
 	if table == nil {
-		return nil, nil, result.Refuse(result.NotReady, "no configuration is known yet").Until(n.now().Add(notReadyFor))
+		return route.Terms{}, result.Refuse(result.NotReady, "no configuration is known yet").Until(n.now().Add(notReadyFor))
 	}
-	found, ok := table.Match(host, path)
-	if !ok {
-		return nil, nil, result.Refuse(result.UnknownRoute, "no route begins the path")
-	}
-	return found, table, nil
+	return table.Admit(a)
 }
 
 // notReadyFor is when a VM without a configuration may be asked again: a read
--- a/testscripts/emulator/store.go
+++ b/testscripts/emulator/store.go
@@ -79,19 +79,23 @@
 }
 
 func (s *store) table() *route.Table {
-	return route.New(s.version, []route.Route{{
-		Name:        "a",
-		Host:        hostName,
-		Prefix:      pathPrefix,
-		Kind:        route.KindIdempotent,
-		Timeout:     routeWithin,
-		MaxAttempts: 2,
-		Shares:      []route.Share{{Service: serviceName, Weight: 1}},
-	}}, []route.Service{{
-		Name:       serviceName,
-		HealthPath: "/health",
-		ColdFor:    coldFor,
-	}}, route.Limits{})
+	return route.New(route.Options{
+		Version: s.version,
+		Routes: []route.Route{{
+			Name:        "a",
+			Host:        hostName,
+			Prefix:      pathPrefix,
+			Kind:        route.KindIdempotent,
+			Timeout:     routeWithin,
+			MaxAttempts: 2,
+			Shares:      []route.Share{{Service: serviceName, Weight: 1}},
+		}},
+		Services: []route.Service{{
+			Name:       serviceName,
+			HealthPath: "/health",
+			ColdFor:    coldFor,
+		}},
+	})
 }
 
 func engineKey(e *engine) string {
