Limits of workspaces hold over all VMs under routes

Cause: RatePerS and Burst of workspaces were not read; a hot workspace was served whatever it sent.

Change: package metering. One VM by rank keeps a region's part of a limit in the buckets of package limit; other VMs admit and tell it later, or ask while the limit is scarce or the call is large for it. Regions' parts follow demand and add up to one also while regions are parted. limit.Ledger takes a burst, an opening level and charges for what was admitted elsewhere; contracts are as before.

Ruled out: leases as contracts have them, which end after a second: a VM has less than one call a second of a workspace.

--- a/limit/account.go
+++ b/limit/account.go
@@ -95,6 +95,8 @@
 	level levels
 	rate  levels
 	share float64
+	// capacity is what the buckets hold at full share.
+	capacity levels
 	// filledAt is the time up to which the buckets were filled; zero for a new account.
 	filledAt time.Time
 	usedAt   time.Time
@@ -111,13 +113,15 @@
 	if a.filledAt.IsZero() {
 		a.open(r, rate, now)
 	}
+	capacity := r.capacity(rate)
 	floor, held := a.held(r, now)
 	for d := range a.level {
-		most := rate[d] * r.Share * windows[d]
-		kept := min(a.level[d], min(rate[d], a.rate[d])*floor*windows[d])
+		most := capacity[d] * r.Share
+		kept := min(a.level[d], min(capacity[d], a.capacity[d])*floor)
 		a.level[d] = min(kept+min(rate[d], a.rate[d])*held, most)
 	}
 	a.rate = rate
+	a.capacity = capacity
 	a.share = r.Share
 	if now.After(a.filledAt) {
 		a.filledAt = now
@@ -125,10 +129,26 @@
 	a.usedAt = a.filledAt
 }
 
-// open starts an account, empty, at the time from which its share was held.
+// capacity returns what the buckets hold at full share.
+func (r *Request) capacity(rate levels) levels {
+	out := levelsOf(&r.Burst)
+	for d := range out {
+		if out[d] <= 0 {
+			out[d] = rate[d] * windows[d]
+		}
+	}
+	return out
+}
+
+// open starts an account at the time from which its share was held, empty but for
+// the part that the request names.
 func (a *account) open(r *Request, rate levels, now time.Time) {
 	a.rate = rate
 	a.share = r.Share
+	a.capacity = r.capacity(rate)
+	for d := range a.level {
+		a.level[d] = a.capacity[d] * r.Share * r.Opening
+	}
 	a.filledAt = now
 	switch {
 	case r.Base > 0 && !r.BaseSince.IsZero():
@@ -196,7 +216,7 @@
 			continue
 		}
 		rate := a.rate[d] * r.Share
-		lack := min(c, rate*windows[d])*(1-rounding) - a.level[d]
+		lack := min(c, a.capacity[d]*r.Share)*(1-rounding) - a.level[d]
 		if rate > 0 && lack <= 0 {
 			continue
 		}
@@ -246,6 +266,18 @@
 	a.inFlight += cost.Concurrency
 }
 
+// filled returns the part, at most 1, that the least filled bucket holds of those
+// that a cost draws on.
+func (a *account) filled(r *Request) float64 {
+	least := 1.0
+	for d, c := range levelsOf(&r.Cost) {
+		if most := a.capacity[d] * r.Share; c != 0 && most > 0 {
+			least = min(least, a.level[d]/most)
+		}
+	}
+	return least
+}
+
 // giveBack returns the difference between a charge and its use.
 func (a *account) giveBack(r *Reservation, used Amounts, now time.Time) {
 	charged := levelsOf(&r.Charged)
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -303,7 +303,7 @@
 	back := levelsOf(&unused)
 	for d := range back {
 		credit := min(max(back[d], 0), g.level[d])
-		a.level[d] = min(a.level[d]+credit, max(a.level[d], a.rate[d]*a.share*windows[d]))
+		a.level[d] = min(a.level[d]+credit, max(a.level[d], a.capacity[d]*a.share))
 		g.level[d] -= credit
 	}
 	if !now.Before(g.until) {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -70,6 +70,11 @@
 	VMs int
 	// Owner says that this VM owns the workspace by its own view.
 	Owner bool
+	// Burst is what the buckets hold at full share. Where it is zero, a bucket holds
+	// what its rate brings in one second, or that of spend in one minute.
+	Burst Amounts
+	// Opening is the part of them, from 0 to 1, that a new account holds.
+	Opening float64
 	// From is the VM that a lease is granted to; only Grant reads it.
 	From string
 	// Cost is what the call is estimated to use.
@@ -192,6 +197,20 @@
 	l.Settle(r, Amounts{}, now)
 }
 
+// Charge takes a cost that was admitted elsewhere, whatever the buckets hold; a
+// negative cost is given back. It returns how full the buckets then are that the cost
+// draws on, at most 1 and negative for a debt.
+func (l *Ledger) Charge(r Request, now time.Time) (filled float64) {
+	l.apply(&r)
+	s := l.shard(r.Workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.account(r.Workspace)
+	a.refill(&r, now)
+	a.charge(&r.Cost)
+	return a.filled(&r)
+}
+
 // Sweep forgets accounts that were not used for so long that a new one would
 // hold the same, and gives the number of those left.
 func (l *Ledger) Sweep(now time.Time) int {
--- /dev/null
+++ b/metering/world_test.go
@@ -0,0 +1,559 @@
+package metering
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/limit"
+	"github.com/fuchsianotch/fuchsianotch/route"
+)
+
+// way is how the VMs of a world hold limits.
+type way string
+
+const (
+	// wayKeeper is the one that is built.
+	wayKeeper way = "keeper"
+	// wayEven gives each VM an equal part for good.
+	wayEven way = "even"
+	// wayWhole gives each VM the whole limit.
+	wayWhole way = "whole"
+	// waySync asks the keeper for each call.
+	waySync way = "sync"
+)
+
+// The world's times: ways within a region and between two, how long VMs believe what
+// is no longer so, and how long a VM that starts knows nobody.
+const (
+	nearWay      = time.Millisecond
+	farWay       = 80 * time.Millisecond
+	noticedAfter = 2500 * time.Millisecond
+	lookEvery    = 50 * time.Millisecond
+	learntAfter  = 300 * time.Millisecond
+	window       = 8 * time.Second
+	// tidePart of the callers are in one region, and move to the next within tideTurn.
+	tidePart  = 0.8
+	tideTurn  = 3 * time.Second
+	overshoot = 0.25
+)
+
+// scenario is one load with its faults, as the table of scenarios has it. Times are
+// seconds from the start.
+type scenario struct {
+	Name       string
+	Regions    int
+	VMs        int `json:"vms_per_region"`
+	Workspaces int
+	// PerSecond is the limit of the largest workspace; the next ones have the half, the
+	// third and so on, but at least Floor.
+	PerSecond float64 `json:"per_second"`
+	Floor     float64
+	Slack     float64
+	Cost      float64
+	// Load is the part of its limit that each workspace asks for.
+	Load   float64
+	Length float64
+	// OneRegion has all callers at the first region, OneVM at its first VM.
+	OneRegion bool `json:"one_region"`
+	OneVM     bool `json:"one_vm"`
+	// Tide moves the callers from region to region in so many seconds.
+	Tide float64
+	Hot  []spell
+	// Cut parts all regions from each other, Apart one VM of each region from all
+	// others, Half one half of each region from the other.
+	Cut   []spell
+	Apart []spell
+	Half  []spell
+	// Kill ends a part of the VMs for a while.
+	Kill []spell
+	// Lower has the limits at a part of what they were.
+	Lower []spell
+	// Served is the least part of what one bucket would admit that must be admitted.
+	Served float64
+}
+
+// spell is a time with a strength.
+type spell struct {
+	From float64
+	For  float64
+	X    float64
+}
+
+func (s spell) has(at time.Duration) bool {
+	return at.Seconds() >= s.From && at.Seconds() < s.From+s.For
+}
+
+func within(list []spell, at time.Duration) (spell, bool) {
+	i := slices.IndexFunc(list, func(s spell) bool { return s.has(at) })
+	if i < 0 {
+		return spell{}, false
+	}
+	return list[i], true
+}
+
+// world plays a scenario in virtual time.
+type world struct {
+	scenario
+	way    way
+	rand   *rand.Rand
+	now    time.Duration
+	queue  events
+	order  int
+	vms    []*vm
+	tables map[float64]*route.Table
+	// ideal admits as one bucket for the whole fleet would.
+	ideal   map[string]*limit.Ledger
+	admits  map[string][]admitted
+	served  float64
+	owed    float64
+	waits   int
+	calls   int
+	notes   int
+	entries int
+	// told counts the notes with uses and those with demands.
+	told [2]int
+}
+
+// admitted is one call that ran.
+type admitted struct {
+	at   time.Duration
+	cost float64
+}
+
+type vm struct {
+	fleet.VM
+	index  int
+	region int
+	// believed is what the VM believes of the others until believedUntil.
+	believed      Fleet
+	believedUntil time.Duration
+	meter         *Meter
+	even          *limit.Ledger
+	// startedAt is when this life began; down is set while the VM is killed.
+	startedAt time.Duration
+	down      bool
+}
+
+type event struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || (e[i].at == e[j].at && e[i].order < e[j].order)
+}
+
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+var origin = time.Unix(1e9, 0)
+
+func (w *world) clock() time.Time { return origin.Add(w.now) }
+
+func (w *world) after(d time.Duration, do func()) {
+	w.order++
+	heap.Push(&w.queue, event{at: w.now + d, order: w.order, do: do})
+}
+
+func newWorld(s scenario, by way, seed uint64) *world {
+	w := &world{
+		scenario: s,
+		way:      by,
+		rand:     rand.New(rand.NewPCG(seed, 1)),
+		tables:   make(map[float64]*route.Table),
+		ideal:    make(map[string]*limit.Ledger),
+		admits:   make(map[string][]admitted),
+	}
+	for region := range s.Regions {
+		for range s.VMs {
+			v := &vm{
+				VM: fleet.VM{
+					ID:     fmt.Sprintf("vm-%d", len(w.vms)),
+					Region: regionName(region),
+				},
+				index:  len(w.vms),
+				region: region,
+				// All VMs run long before traffic starts.
+				startedAt: -time.Minute,
+			}
+			w.vms = append(w.vms, v)
+			w.begin(v)
+		}
+	}
+	for _, v := range w.vms {
+		v.meter.learn(w.look(v), origin.Add(v.startedAt))
+	}
+	return w
+}
+
+func regionName(region int) string { return fmt.Sprintf("r%d", region) }
+
+func (w *world) begin(v *vm) {
+	var regions []string
+	for region := range w.Regions {
+		regions = append(regions, regionName(region))
+	}
+	v.down = false
+	v.believedUntil = v.startedAt
+	v.even = limit.New(limit.Options{})
+	v.meter = New(Options{
+		VM:      v.ID,
+		Region:  v.Region,
+		Regions: regions,
+		Tolerance: Tolerance{
+			Window: window,
+			Part:   overshoot,
+			Amount: w.Slack,
+		},
+		StartedAt: origin.Add(v.startedAt),
+	})
+}
+
+// table is the configuration in force, with limits that may be lowered.
+func (w *world) table() *route.Table {
+	factor := 1.0
+	if lower, ok := within(w.Lower, w.now); ok {
+		factor = lower.X
+	}
+	if w.tables[factor] == nil {
+		var list []route.Workspace
+		for i := range w.Workspaces {
+			perSecond := max(w.PerSecond/float64(i+1), w.Floor) * factor
+			list = append(list, route.Workspace{
+				Name: fmt.Sprintf("w%d", i),
+				Limit: route.Limit{
+					Unit:      route.UnitTokens,
+					PerSecond: perSecond,
+					Burst:     perSecond,
+				},
+			})
+		}
+		w.tables[factor] = route.New(route.Options{Version: 1, Keyed: true, Workspaces: list})
+	}
+	return w.tables[factor]
+}
+
+// reaches reports whether two VMs could talk at a time.
+func (w *world) reaches(a, b *vm, at time.Duration) bool {
+	if a == b {
+		return true
+	}
+	if _, cut := within(w.Cut, at); cut && a.region != b.region {
+		return false
+	}
+	if _, apart := within(w.Apart, at); apart && (a.index%w.VMs == 0 || b.index%w.VMs == 0) {
+		return false
+	}
+	if _, half := within(w.Half, at); half && a.region == b.region && a.index%2 != b.index%2 {
+		return false
+	}
+	return true
+}
+
+// fleet is what a VM believes of the others, which it looks at every now and then.
+func (w *world) fleet(v *vm) Fleet {
+	if w.now >= v.believedUntil {
+		v.believed = w.look(v)
+		v.believedUntil = w.now + lookEvery
+	}
+	return v.believed
+}
+
+func (w *world) look(v *vm) Fleet {
+	f := Fleet{
+		Far: make(map[string][]fleet.VM),
+	}
+	if w.now-v.startedAt < learntAfter {
+		f.Near = []fleet.VM{v.VM}
+		f.Known = 1
+		return f
+	}
+	for _, other := range w.vms {
+		// A VM that is killed is noticed at once, as its machine refuses connections.
+		if other.down || !w.reaches(v, other, max(w.now-noticedAfter, v.startedAt)) {
+			continue
+		}
+		if other.region == v.region {
+			f.Near = append(f.Near, other.VM)
+			continue
+		}
+		f.Far[other.Region] = append(f.Far[other.Region], other.VM)
+	}
+	f.Known = len(f.Near)
+	return f
+}
+
+func (w *world) travel(a, b *vm) time.Duration {
+	if a.region == b.region {
+		return nearWay
+	}
+	return farWay
+}
+
+// play runs the scenario.
+func (w *world) play() {
+	for i := range w.Workspaces {
+		w.arrive(i)
+	}
+	for _, v := range w.vms {
+		w.after(time.Duration(w.rand.Int64N(int64(noteWithin))), func() { w.tell(v) })
+	}
+	for _, k := range w.Kill {
+		w.after(seconds(k.From), func() { w.kill(k) })
+	}
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		if e.at > seconds(w.Length) {
+			return
+		}
+		w.now = e.at
+		e.do()
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// kill ends a part of the VMs, which are back after a while without memory.
+func (w *world) kill(k spell) {
+	for _, v := range w.vms {
+		if w.rand.Float64() >= k.X {
+			continue
+		}
+		v.down = true
+		w.after(seconds(k.For), func() {
+			v.startedAt = w.now
+			w.begin(v)
+		})
+	}
+}
+
+// arrive has the next call of a workspace come.
+func (w *world) arrive(i int) {
+	ws := w.table().Workspaces()[i]
+	perSecond := w.Load * max(w.PerSecond/float64(i+1), w.Floor) / w.Cost
+	if hot, ok := within(w.Hot, w.now); ok && i == 0 {
+		perSecond *= hot.X
+	}
+	w.after(time.Duration(w.rand.ExpFloat64()/perSecond*float64(time.Second)), func() {
+		cost := w.Cost * math.Exp(w.rand.NormFloat64()*0.8-0.32)
+		w.call(w.pick(), &ws, math.Ceil(cost))
+		w.arrive(i)
+	})
+}
+
+// pick draws the VM that a caller is connected to. Callers of VMs that are down are
+// at others.
+func (w *world) pick() *vm {
+	for {
+		v := w.vms[w.rand.IntN(len(w.vms))]
+		if w.OneVM {
+			v = w.vms[0]
+		}
+		if w.OneRegion || w.OneVM {
+			v = w.vms[v.index%w.VMs]
+		}
+		if w.Tide > 0 && w.rand.Float64() < tidePart {
+			v = w.vms[w.highRegion()*w.VMs+v.index%w.VMs]
+		}
+		if !v.down || w.allDown() {
+			return v
+		}
+	}
+}
+
+// highRegion draws the region in which most callers are: it changes within tideTurn.
+func (w *world) highRegion() int {
+	number := w.now.Seconds() / w.Tide
+	region := int(number)
+	left := (float64(region+1) - number) * w.Tide
+	if w.rand.Float64() < 1-left/tideTurn.Seconds() {
+		region++
+	}
+	return region % w.Regions
+}
+
+func (w *world) allDown() bool {
+	return !slices.ContainsFunc(w.vms, func(v *vm) bool { return !v.down })
+}
+
+// call has one call decided, and counts what one bucket would have made of it.
+func (w *world) call(v *vm, ws *route.Workspace, cost float64) {
+	if v.down {
+		return
+	}
+	current, _ := w.table().Workspace(ws.Name)
+	w.calls++
+	if w.idealTakes(current, cost) {
+		w.owed += cost
+	}
+	switch w.way {
+	case wayEven, wayWhole:
+		w.end(v, current, cost, w.takeFixed(v, current, cost))
+	default:
+		w.take(v, current, cost)
+	}
+}
+
+func (w *world) idealTakes(ws *route.Workspace, cost float64) bool {
+	if w.ideal[ws.Name] == nil {
+		w.ideal[ws.Name] = limit.New(limit.Options{})
+	}
+	whole := New(Options{StartedAt: origin.Add(-time.Minute)})
+	r := whole.request(ws, 1, cost, w.clock())
+	r.Opening = 1
+	_, refused := w.ideal[ws.Name].Take(r, w.clock())
+	return refused == nil
+}
+
+func (w *world) takeFixed(v *vm, ws *route.Workspace, cost float64) bool {
+	share := 1.0
+	if w.way == wayEven {
+		share = 1 / float64(len(w.vms))
+	}
+	_, refused := v.even.Take(v.meter.request(ws, share, cost, w.clock()), w.clock())
+	return refused == nil
+}
+
+func (w *world) take(v *vm, ws *route.Workspace, cost float64) {
+	verdict := v.meter.Take(ws, cost, w.fleet(v), w.clock())
+	keeper := verdict.Keeper
+	if w.way == waySync && verdict.Refusal == nil && keeper == nil {
+		v.meter.GiveBack(ws, cost, w.fleet(v), w.clock())
+		first := v.meter.keeper(ws.Name, w.fleet(v))
+		keeper = &first
+	}
+	if keeper == nil {
+		w.hurry(v)
+		w.end(v, ws, cost, verdict.Refusal == nil)
+		return
+	}
+	w.waits++
+	w.send(v, w.byID(keeper.ID), Note{
+		Uses: []Use{{Workspace: ws.Name, Wanted: cost}},
+	}, 150*time.Millisecond, func(r *Reply) {
+		if r != nil && r.Answers[0].Kept {
+			w.end(v, ws, cost, v.meter.Answered(ws, cost, r.Answers[0]).Refusal == nil)
+			return
+		}
+		w.end(v, ws, cost, v.meter.TakeAlone(ws, *keeper, cost, w.clock()).Refusal == nil)
+	})
+}
+
+func (w *world) byID(id string) *vm {
+	return w.vms[slices.IndexFunc(w.vms, func(v *vm) bool { return v.ID == id })]
+}
+
+// end counts a call that was admitted, where its VM still runs.
+func (w *world) end(v *vm, ws *route.Workspace, cost float64, ok bool) {
+	if !ok || v.down {
+		return
+	}
+	w.served += cost
+	w.admits[ws.Name] = append(w.admits[ws.Name], admitted{at: w.now, cost: cost})
+}
+
+// hurry sends the notes that should not wait.
+func (w *world) hurry(v *vm) {
+	select {
+	case <-v.meter.Due:
+		w.sendNotes(v)
+	default:
+	}
+}
+
+// tell sends a VM's notes when they are due.
+func (w *world) tell(v *vm) {
+	if !v.down {
+		w.sendNotes(v)
+	}
+	next := v.meter.NextNote(w.clock()).Sub(w.clock())
+	w.after(max(next, 20*time.Millisecond), func() { w.tell(v) })
+}
+
+func (w *world) sendNotes(v *vm) {
+	if w.way == wayEven || w.way == wayWhole {
+		return
+	}
+	life := v.meter
+	for _, note := range life.Notes(w.table(), w.fleet(v), w.clock()) {
+		w.send(v, w.byID(note.To.ID), note.Note, time.Second, func(r *Reply) {
+			if r == nil {
+				life.Failed(note, w.clock())
+				return
+			}
+			life.Sent(note, *r, w.clock())
+		})
+	}
+}
+
+// send carries a note there and its answers back; no reply means that none came in time.
+func (w *world) send(from, to *vm, n Note, within time.Duration, done func(*Reply)) {
+	w.notes++
+	w.entries += len(n.Uses) + len(n.Demands)
+	for i, count := range [...]int{len(n.Uses), len(n.Demands)} {
+		if count > 0 {
+			w.told[i]++
+		}
+	}
+	w.after(w.travel(from, to), func() {
+		if to.down || !w.reaches(from, to, w.now) {
+			wait := within
+			if to.down {
+				wait = w.travel(from, to)
+			}
+			w.after(wait, func() { done(nil) })
+			return
+		}
+		r := to.meter.Receive(n, w.table(), w.fleet(to), w.clock())
+		w.after(w.travel(from, to), func() {
+			for i := range r.Answers {
+				r.Answers[i].At = w.clock()
+			}
+			done(&r)
+		})
+	})
+}
+
+// most is the greatest part of its bound that a workspace's work came to in a window.
+func (w *world) most() (part float64, workspace string) {
+	for name, list := range w.admits {
+		sum, from := 0.0, 0
+		for _, a := range list {
+			sum += a.cost
+			for a.at-list[from].at > window {
+				sum -= list[from].cost
+				from++
+			}
+			if used := sum / w.bound(name, list[from].at); used > part {
+				part, workspace = used, name
+			}
+		}
+	}
+	return part, workspace
+}
+
+// bound is what a workspace may come to in a window that begins at a moment: the
+// operators' rule. A lower limit binds one window after it is known.
+func (w *world) bound(name string, from time.Duration) float64 {
+	w.now = from - window
+	ws, _ := w.table().Workspace(name)
+	return (ws.Limit.PerSecond*window.Seconds()+ws.Limit.Burst)*(1+overshoot) + w.Slack
+}
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -65,6 +65,10 @@
 	forwards   *prometheus.CounterVec
 	retries    prometheus.Counter
 
+	limitRefused *prometheus.CounterVec
+	limitAsked   *prometheus.CounterVec
+	workspaces   workspaceNames
+
 	refused   prometheus.Gauge
 	revision  prometheus.Gauge
 	reachable prometheus.Gauge
@@ -97,6 +101,9 @@
 		forwards:   counters("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:    counter("retries_total", "Attempts after the first of a call."),
 
+		limitRefused: counters("limit_refused_total", "Calls that the limits of their workspaces did not admit, by workspace.", "workspace"),
+		limitAsked:   counters("limit_asked_total", "Calls that waited for the word of the VM that keeps their workspace's limit.", "outcome"),
+
 		refused:   gauge("refused_documents", "Documents refused whose key has no accepted higher revision."),
 		revision:  gauge("documents_revision", "Highest revision of a document seen."),
 		reachable: gauge("vms_reachable", "VMs of the own region that are reached, with this one."),
@@ -116,6 +123,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.firstToken, m.answer, m.tokens, m.spend, m.sentAway, m.forwards, m.retries,
+		m.limitRefused, m.limitAsked,
 		m.refused, m.revision, m.reachable, m.queue, m.inFlight,
 		m.controlBytes, m.controlMessages, m.platformReads,
 		m.members, m.endpoints, m.held, m.version, m.age, m.linesLost,
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -55,6 +55,9 @@
 	m.SetEndpoints(3, 1)
 	m.SetRoutes(7)
 	m.SetHeld(4)
+	m.LimitRefused("hule930")
+	m.LimitAsked(true)
+	m.LimitAsked(false)
 	m.SetPublishedAge(time.Second)
 	m.LinesDropped(2)
 	m.PlatformRead(nil)
@@ -117,10 +120,14 @@
 		"fuchsianotch_published_age_seconds ":               1,
 		"fuchsianotch_routes_version ":                      7,
 		"fuchsianotch_calls_held ":                          4,
+		"fuchsianotch_limit_refused_total hule930":          1,
+		"fuchsianotch_limit_asked_total answered":           1,
+		"fuchsianotch_limit_asked_total unanswered":         1,
 	})
 }
 
-// TestNothingOfACall proves that no series shows the workspace, the request, the
+// TestNothingOfACall proves that a call's end shows no workspace in any series, and
+// that none shows the request, the
 // target's path or the payload.
 func TestNothingOfACall(t *testing.T) {
 	for name := range series(t, used()) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/metering"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
 )
@@ -34,6 +35,8 @@
 	Unread func(in *peerpb.UnreadNote, sentAt time.Time)
 	// Crashes takes under which calls endpoints crashed, and which are held.
 	Crashes func(n quarantine.Note)
+	// Limits takes what other VMs say of workspaces' limits, and answers it.
+	Limits func(n metering.Note) metering.Reply
 	// Forward runs the call and never forwards it again.
 	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
 	// Stamp and Witness keep the time line's clock on forwarded calls.
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -22,12 +22,18 @@
 	if c.Forwarded {
 		return s.attempt(ctx, c, sink, nil)
 	}
+	if r := s.options.Limits.Take(ctx, c); r != nil {
+		return call.Refused(r)
+	}
 	seen := &passed{
 		sink: sink,
 		now:  s.options.Now,
 	}
 	outcome := s.serveSomewhere(ctx, c, seen)
 	outcome.Pause = seen.pause
+	if outcome.Code.Class() == result.ClassNotRun {
+		s.options.Limits.GiveBack(c)
+	}
 	return outcome
 }
 
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -56,6 +56,19 @@
 	EndedWell: func(uint64) {},
 }
 
+// Limits charges routed calls to the limits of their workspaces.
+type Limits struct {
+	Take func(ctx context.Context, c *call.Call) *result.Refusal
+	// GiveBack returns the charge of a call that certainly did not run.
+	GiveBack func(c *call.Call)
+}
+
+// noLimits charges nothing.
+var noLimits = Limits{
+	Take:     func(context.Context, *call.Call) *result.Refusal { return nil },
+	GiveBack: func(*call.Call) {},
+}
+
 // PlaceRouted decides where a routed call is served: here if ok is false, or on
 // a VM of another region. A refusal means nowhere. tried are the VMs that did
 // not look at the call.
@@ -88,8 +101,9 @@
 	Desk     *ticket.Desk
 	Endpoint *endpoint.Client
 	Budget   Budget
-	// Crashes may be left out.
+	// Crashes and Limits may be left out.
 	Crashes Crashes
+	Limits  Limits
 	Ring    *timeline.Ring
 	Metrics *metrics.Metrics
 }
@@ -117,6 +131,9 @@
 	if o.Crashes.Admit == nil {
 		o.Crashes = noCrashes
 	}
+	if o.Limits.Take == nil {
+		o.Limits = noLimits
+	}
 	return &Server{
 		options: o,
 		spend:   (*ticket.Entry).Sending,
--- a/site/control.go
+++ b/site/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/common/mailbox"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/metering"
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/route"
 )
@@ -35,6 +36,8 @@
 	table     *route.Table
 	endpoints []discovery.Ready
 	members   *roster.Picture
+	// fleet is what the meter needs to know of the members.
+	fleet metering.Fleet
 	// loads are those of other regions by their own word, by service.
 	loads map[string][]regionLoad
 	// revision is the store's revision that this VM holds.
@@ -78,9 +81,11 @@
 		loads: make(map[loadKey]regionLoad),
 		ways:  make(map[string]time.Duration),
 	}
-	c.published.Store(&picture{
+	first := &picture{
 		members: c.roster.Picture(),
-	})
+	}
+	first.fleet = c.fleet(first)
+	c.published.Store(first)
 	return c
 }
 
@@ -158,6 +163,10 @@
 	}
 	c.roster.SetReady(after.table != nil && !c.node.leaving.Load())
 	after.members = c.roster.Picture()
+	after.fleet = before.fleet
+	if before.members.Generation != after.members.Generation {
+		after.fleet = c.fleet(after)
+	}
 	if c.changed {
 		after.endpoints = c.discovery.Endpoints(now)
 	}
--- a/site/forward.go
+++ b/site/forward.go
@@ -69,6 +69,7 @@
 		Reports:   n.pools.takeReportNote,
 		Unread:    n.pools.takeUnread,
 		Crashes:   n.crashes.Take,
+		Limits:    n.takeLimits,
 		Forward:   n.serveForwarded,
 		Stamp:     func() uint64 { return 0 },
 		Witness:   func(uint64) {},
--- a/site/site.go
+++ b/site/site.go
@@ -27,6 +27,7 @@
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/metering"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/placement"
@@ -95,6 +96,7 @@
 	late    *placement.Late
 	crashes *agent.Agent
 	serving *serving.Server
+	meter   *metering.Meter
 	control *control
 	callers *http.Server
 
@@ -161,6 +163,7 @@
 	n.control = newControl(n)
 	n.pools = newPools(n)
 	n.crashes = n.newCrashes()
+	n.meter = newMeter(n)
 	n.serving = n.newServing()
 	n.callers = n.newCallers()
 	limitMemory(d.MemoryBytes)
@@ -215,6 +218,10 @@
 			Cut:       n.crashes.Cut,
 			EndedWell: n.crashes.EndedWell,
 		},
+		Limits: serving.Limits{
+			Take:     n.takeLimit,
+			GiveBack: n.giveBackLimit,
+		},
 		Ring:    n.ring,
 		Metrics: n.metrics,
 	})
@@ -317,6 +324,7 @@
 	worker.Add(&group, n.pools.run)
 	worker.Add(&group, n.pools.tellUnread)
 	worker.Add(&group, n.crashes.Run)
+	worker.Add(&group, n.tellLimits)
 	worker.AddStop(ctx, &group, n.gone, n.stop)
 	n.log.Info("started",
 		"region", n.deployment.Region,
