Test of a held forward waits for its own message

Cause: the test takes the first piece that the way holds for the second call, and moves the clock then. That piece may be what ends the first call; the second call is then stamped after the clock has moved, and nothing was held.

Change: the way holds from the piece with the second call's id on. The check and its bound stay.

--- a/peer/transit_test.go
+++ b/peer/transit_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -91,13 +92,16 @@
 	mu     sync.Mutex
 	free   *sync.Cond
 	held   bool
-	// waits is told of each piece that is held.
+	// mark is in the first piece that is held, of which waits is told. What ends the call
+	// before may be under way yet, and passes.
+	mark  []byte
 	waits chan struct{}
 }
 
-func newHoldingWay(target string) *holdingWay {
+func newHoldingWay(target, mark string) *holdingWay {
 	w := &holdingWay{
 		target: target,
+		mark:   []byte(mark),
 		waits:  make(chan struct{}, 16),
 	}
 	w.free = sync.NewCond(&w.mu)
@@ -131,16 +135,19 @@
 			_ = to.Close()
 			return
 		}
-		w.await()
+		w.await(buffer[:n])
 		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
 	}
 }
 
-func (w *holdingWay) await() {
+func (w *holdingWay) await(piece []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if !bytes.Contains(piece, w.mark) {
+		return
+	}
 	if w.held {
 		w.waits <- struct{}{}
 	}
@@ -157,22 +164,22 @@
 	}
 	came := make(chan *call.Call, 1)
 	addr := listenFor(t, clock, came)
-	way := newHoldingWay(addr)
+	way := newHoldingWay(addr, "held-call")
 	client := New(Options{
 		Dial: way.dial,
 		Now:  clock.Now,
 	})
 	defer func() { _ = client.Close() }()
-	forward := func() { forwardRouted(t, client, clock) }
+	forward := func(id string) { forwardRouted(t, client, clock, id) }
 
-	forward()
+	forward("first-call")
 	assert.Equal(t, (<-came).WholeBy, epoch.Add(2400*time.Millisecond))
 
 	way.set(true)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		forward()
+		forward("held-call")
 	}()
 	<-way.waits
 	clock.advance(3 * time.Second)
@@ -205,10 +212,10 @@
 }
 
 // forwardRouted sends a call with 2.4 s left.
-func forwardRouted(t *testing.T, client *Client, clock *steadyClock) {
+func forwardRouted(t *testing.T, client *Client, clock *steadyClock, id string) {
 	now := clock.Now()
 	c := &call.Call{
-		ID:      "id",
+		ID:      id,
 		Kind:    call.KindRouted,
 		WholeBy: now.Add(2400 * time.Millisecond),
 		Routed: &call.Routed{
