Bytes between VMs are counted by kind of message, and between regions

The counter of bytes covered connections only.

Change: the client of other VMs counts the messages of each kind of call, sent and received, within the region and between regions (control_payload_bytes_total).

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -76,6 +76,7 @@
 	inFlight  prometheus.Gauge
 
 	controlBytes    *prometheus.CounterVec
+	controlPayload  *prometheus.CounterVec
 	controlMessages *prometheus.CounterVec
 	platformReads   *prometheus.CounterVec
 
@@ -111,6 +112,7 @@
 		inFlight:  gauge("in_flight", "Calls being served."),
 
 		controlBytes:    counters("control_bytes_total", "Bytes on the connections between VMs, forwarded calls included.", "direction"),
+		controlPayload:  counters("control_payload_bytes_total", "Bytes of the messages with which this VM asked others and of their answers, without frames.", "kind", "scope", "direction"),
 		controlMessages: counters("control_messages_total", "Control messages sent to other VMs.", "kind"),
 		platformReads:   counters("platform_reads_total", "Reads at the platform.", "outcome"),
 
@@ -125,7 +127,7 @@
 		m.calls, m.firstToken, m.answer, m.tokens, m.spend, m.sentAway, m.forwards, m.retries,
 		m.limitRefused, m.limitAsked,
 		m.refused, m.revision, m.reachable, m.queue, m.inFlight,
-		m.controlBytes, m.controlMessages, m.platformReads,
+		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
 		m.members, m.endpoints, m.held, m.version, m.age, m.linesLost,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
@@ -206,6 +208,16 @@
 	m.controlBytes.WithLabelValues(string(d)).Add(float64(bytes))
 }
 
+// ControlPayload counts the bytes of messages to another VM, and of its answers.
+func (m *Metrics) ControlPayload(kind string, far bool, sent, received int) {
+	scope := "region"
+	if far {
+		scope = "between_regions"
+	}
+	m.controlPayload.WithLabelValues(kind, scope, string(DirectionOut)).Add(float64(sent))
+	m.controlPayload.WithLabelValues(kind, scope, string(DirectionIn)).Add(float64(received))
+}
+
 // ControlMessage counts a control message sent to another VM.
 func (m *Metrics) ControlMessage(kind Message) {
 	m.controlMessages.WithLabelValues(string(kind)).Inc()
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -51,6 +51,7 @@
 	m.AddInFlight(-1)
 	m.Control(DirectionOut, 100)
 	m.ControlMessage(MessageHeartbeat)
+	m.ControlPayload("gossip", true, 30, 20)
 	m.SetMembers(map[string]int{"a": 2}, map[string]int{"a": 1})
 	m.SetEndpoints(3, 1)
 	m.SetRoutes(7)
@@ -108,21 +109,25 @@
 		"fuchsianotch_queue_length ":                        3,
 		"fuchsianotch_in_flight ":                           1,
 		"fuchsianotch_control_bytes_total out":              100,
-		"fuchsianotch_control_messages_total heartbeat":     1,
-		"fuchsianotch_platform_reads_total ok":              1,
-		"fuchsianotch_platform_reads_total outage":          1,
-		"fuchsianotch_platform_reads_total stale":           1,
-		"fuchsianotch_endpoints cold":                       1,
-		"fuchsianotch_endpoints warm":                       3,
-		"fuchsianotch_log_lines_dropped_total ":             2,
-		"fuchsianotch_members a reached":                    2,
-		"fuchsianotch_members a suspected":                  1,
-		"fuchsianotch_published_age_seconds ":               1,
-		"fuchsianotch_routes_version ":                      7,
-		"fuchsianotch_calls_held ":                          4,
-		"fuchsianotch_limit_refused_total hule930":          1,
-		"fuchsianotch_limit_asked_total answered":           1,
-		"fuchsianotch_limit_asked_total unanswered":         1,
+
+		"fuchsianotch_control_payload_bytes_total out gossip between_regions": 30,
+		"fuchsianotch_control_payload_bytes_total in gossip between_regions":  20,
+
+		"fuchsianotch_control_messages_total heartbeat": 1,
+		"fuchsianotch_platform_reads_total ok":          1,
+		"fuchsianotch_platform_reads_total outage":      1,
+		"fuchsianotch_platform_reads_total stale":       1,
+		"fuchsianotch_endpoints cold":                   1,
+		"fuchsianotch_endpoints warm":                   3,
+		"fuchsianotch_log_lines_dropped_total ":         2,
+		"fuchsianotch_members a reached":                2,
+		"fuchsianotch_members a suspected":              1,
+		"fuchsianotch_published_age_seconds ":           1,
+		"fuchsianotch_routes_version ":                  7,
+		"fuchsianotch_calls_held ":                      4,
+		"fuchsianotch_limit_refused_total hule930":      1,
+		"fuchsianotch_limit_asked_total answered":       1,
+		"fuchsianotch_limit_asked_total unanswered":     1,
 	})
 }
 
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -41,6 +41,10 @@
 	Routes func(vm string) (addr string, ok bool)
 	// CountBytes is told of bytes sent and received; nil means nobody counts.
 	CountBytes func(sent, received int)
+	// CountMessage is told of messages by kind, and Region is the own one, which tells
+	// far VMs from near ones; nil means nobody counts.
+	CountMessage CountMessage
+	Region       string
 	// TLS is TLS's configuration of the shared secret; nil means plain TCP.
 	TLS *tls.Config
 	// Now is a steady clock; nil means time.Now. Transit stamps what is sent and
@@ -135,7 +139,15 @@
 }
 
 func (c *Client) client(ctx context.Context, vm fleet.VM) peerpb.DRPCPeerClient {
-	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, c.address(vm), c.dial))
+	conn := c.pool.Get(ctx, c.address(vm), c.dial)
+	if c.options.CountMessage == nil {
+		return peerpb.NewDRPCPeerClient(conn)
+	}
+	return peerpb.NewDRPCPeerClient(&countedConn{
+		Conn:  conn,
+		far:   vm.Region != c.options.Region,
+		count: c.options.CountMessage,
+	})
 }
 
 func (c *Client) address(vm fleet.VM) string {
--- a/site/site.go
+++ b/site/site.go
@@ -155,6 +155,9 @@
 		CountBytes: n.countBytes,
 		Now:        n.now,
 		Transit:    n.transit,
+
+		CountMessage: n.countMessage,
+		Region:       d.Region,
 	})
 	n.client = endpoint.New(endpoint.Options{
 		Now:     n.now,
@@ -179,6 +182,11 @@
 	n.metrics.Control(metrics.DirectionIn, received)
 }
 
+// countMessage counts those that this VM asked with and those that it was answered.
+func (n *Node) countMessage(kind string, far bool, sent, received int) {
+	n.metrics.ControlPayload(kind, far, sent, received)
+}
+
 // newIncarnation numbers this life of the process: later lives have higher
 // numbers, and two that start at the same time differ.
 func newIncarnation(now time.Time) uint64 {
