A VM pulls the store's content from one VM at a time, packed; few read it at a start

Cause: each message that told of a newer revision began a pull of its own, also from other regions, so that a VM of 100 pulled 54 to 162 times in its first 10 s. All VMs that start read the whole store, hundreds of them over the links between regions.

Change: one pull at a time; while it runs the newest offer is kept, one of the own region first, and VMs of other regions are asked 300 ms later while there are any in the own one. Replies over 4 KB are packed with DEFLATE, a whole one once for all that ask: 3,000 entries 419,974 bytes before, 51,203 after. At a start the seeds read the store at once; others do if they know nothing after 600 ms.

Ruled out: each region's part of the store only. Any VM is then no source for all.

--- /dev/null
+++ b/peer/packed_test.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+)
+
+func manyItems(count int) *peerpb.PublishedReply {
+	r := &peerpb.PublishedReply{
+		Revision: 9,
+		Whole:    true,
+	}
+	for i := range count {
+		r.Items = append(r.Items, &peerpb.PublishedItem{
+			Key:      fmt.Sprintf("endpoints/i-%08x", i*7919),
+			Revision: uint64(i),
+			Value:    fmt.Appendf(nil, `{"Service":"bany54a","Addr":"10.%d.%d.%d:8148","Zone":"a","Slots":64,"State":"ready","ColdLeftMs":0,"Seq":%d}`, i%3, i%64, i%250, i),
+		})
+	}
+	return r
+}
+
+// TestPack holds that packed items come out as they went in, and that 3,000 entries of
+// endpoints take less than a sixth: 419,974 bytes before, 51,203 after.
+func TestPack(t *testing.T) {
+	for _, count := range []int{0, 3, 3000} {
+		sent := manyItems(count)
+		packed, err := Pack(sent)
+		assert.NilError(t, err)
+		got := proto.Clone(packed).(*peerpb.PublishedReply)
+		assert.NilError(t, unpack(got))
+		assert.Assert(t, proto.Equal(got, sent))
+		if count == 3000 {
+			t.Log(proto.Size(sent), proto.Size(packed))
+			assert.Assert(t, proto.Size(packed) < proto.Size(sent)/6)
+		}
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	packed, err := Pack(manyItems(200))
+	assert.NilError(f, err)
+	f.Add(packed.GetPacked())
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r := &peerpb.PublishedReply{
+			Packed: data,
+		}
+		if unpack(r) == nil {
+			assert.Assert(t, len(data) == 0 || r.GetPacked() == nil)
+		}
+	})
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -130,7 +130,11 @@
 
 // Published asks a VM for what it holds of the store.
 func (c *Client) Published(ctx context.Context, vm fleet.VM, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
-	return c.client(ctx, vm).Published(ctx, in)
+	reply, err := c.client(ctx, vm).Published(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	return reply, unpack(reply)
 }
 
 // Events asks a VM for a part of its time line.
--- a/site/forward.go
+++ b/site/forward.go
@@ -65,7 +65,7 @@
 func (n *Node) handlers() peer.Handlers {
 	return peer.Handlers{
 		Gossip:    n.answerGossip,
-		Published: n.published,
+		Published: n.puller.published,
 		Reports:   n.pools.takeReportNote,
 		Unread:    n.pools.takeUnread,
 		Crashes:   n.crashes.Take,
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -18,11 +18,6 @@
 	// exchangeWithin bounds one exchange: the way there and back between regions
 	// with a new connection, several times over.
 	exchangeWithin = time.Second
-	// pullWithin bounds the pull of what a peer holds of the store.
-	pullWithin = 2 * time.Second
-	// pullAfter is how long this VM's own read may lag behind a peer's before it
-	// asks the peer: both are told at nearly the same time.
-	pullAfter = 300 * time.Millisecond
 )
 
 // question begins an exchange with a VM of a region.
@@ -120,7 +115,10 @@
 		c.node.current()
 	}
 	if m.GetPublishedRevision() > c.mirror.Revision() {
-		go c.node.pullSoon(ctx, from.VM, m.GetPublishedRevision())
+		c.node.puller.hear(ctx, offer{
+			vm:       from.VM,
+			revision: m.GetPublishedRevision(),
+		})
 	}
 }
 
@@ -151,36 +149,6 @@
 	return n.transit.SentAt(from.GetVm(), from.GetIncarnation(), m.GetSentUs())
 }
 
-// pullSoon asks a peer for what it holds of the store, unless this VM's own
-// read brings it soon.
-func (n *Node) pullSoon(ctx context.Context, vm fleet.VM, revision uint64) {
-	if n.isReader() {
-		time.Sleep(pullAfter)
-	}
-	after := n.control.picture().revision
-	if after >= revision {
-		return
-	}
-	trip, cancel := context.WithTimeout(ctx, pullWithin)
-	defer cancel()
-	reply, err := n.peers.Published(trip, vm, &peerpb.PublishedRequest{
-		AfterRevision: after,
-	})
-	if err != nil {
-		n.log.Warn("pull_failed", "peer", vm.ID, "reason", err.Error())
-		return
-	}
-	got := read{
-		items:    itemsFromMessage(reply.GetItems()),
-		revision: reply.GetRevision(),
-		whole:    reply.GetWhole(),
-	}
-	n.control.send(trip, func(c *control, now time.Time) {
-		c.discovery.SettleUntil(now.Add(time.Duration(reply.GetSettlingMs()) * time.Millisecond))
-		c.takeNew(ctx, c.merge(got), now)
-	})
-}
-
 // spreadTo is how many VMs of the region are told of a change at once: the
 // rumor then reaches 30 of them in three steps of a few milliseconds.
 const spreadTo = 2
@@ -207,40 +175,6 @@
 	}
 }
 
-// published answers a peer with what this VM holds of the store.
-func (n *Node) published(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
-	return ask(ctx, n.control, func(c *control, now time.Time) *peerpb.PublishedReply {
-		items, whole := c.mirror.Since(in.GetAfterRevision())
-		reply := &peerpb.PublishedReply{
-			Revision:   c.mirror.Revision(),
-			Whole:      whole,
-			SettlingMs: uint32(c.discovery.Settling(now).Milliseconds()),
-		}
-		for _, item := range items {
-			reply.Items = append(reply.Items, &peerpb.PublishedItem{
-				Key:      item.Key,
-				Revision: item.Revision,
-				Value:    item.Value,
-				Removed:  item.Removed,
-			})
-		}
-		return reply
-	})
-}
-
-func itemsFromMessage(list []*peerpb.PublishedItem) []discovery.Item {
-	out := make([]discovery.Item, 0, len(list))
-	for _, i := range list {
-		out = append(out, discovery.Item{
-			Key:      i.GetKey(),
-			Revision: i.GetRevision(),
-			Value:    i.GetValue(),
-			Removed:  i.GetRemoved(),
-		})
-	}
-	return out
-}
-
 func rumorMessage(r roster.Rumor) *peerpb.Rumor {
 	return &peerpb.Rumor{
 		Vm:          r.VM.ID,
--- /dev/null
+++ b/site/pull.go
@@ -0,0 +1,175 @@
+package site
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+)
+
+const (
+	// pullWithin bounds the pull of what a peer holds of the store.
+	pullWithin = 2 * time.Second
+	// pullAfter is how long this VM waits for its own read, or for a VM of its region,
+	// before it pulls from one further away: all are told at nearly the same time.
+	pullAfter = 300 * time.Millisecond
+)
+
+// puller pulls what other VMs hold of the store, from one at a time: many tell of a
+// new revision at once, and what one holds all do.
+type puller struct {
+	node *Node
+
+	mu sync.Mutex
+	// pulling is set while a pull is under way; next is what was heard meanwhile.
+	pulling bool
+	next    offer
+	// whole is the last reply that held everything.
+	whole *peerpb.PublishedReply
+}
+
+// offer is a VM's word that it holds the store up to a revision.
+type offer struct {
+	vm       fleet.VM
+	revision uint64
+}
+
+// hear takes an offer, and pulls unless that is under way.
+func (p *puller) hear(ctx context.Context, o offer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.pulling {
+		if o.revision > p.next.revision || o.vm.Region == p.node.deployment.Region {
+			p.next = o
+		}
+		return
+	}
+	p.pulling = true
+	go p.pullAll(ctx, o)
+}
+
+// pullAll takes one offer after the other until none is left.
+func (p *puller) pullAll(ctx context.Context, o offer) {
+	for {
+		p.pull(ctx, o)
+		p.mu.Lock()
+		o = p.next
+		p.next = offer{}
+		p.pulling = o.revision > 0
+		p.mu.Unlock()
+		if o.revision == 0 {
+			return
+		}
+	}
+}
+
+// isPulling reports whether a pull is under way.
+func (p *puller) isPulling() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pulling
+}
+
+// pull asks a peer for what it holds of the store, unless it comes sooner otherwise.
+func (p *puller) pull(ctx context.Context, o offer) {
+	n := p.node
+	if n.isReader() || p.isFarther(o.vm) {
+		worker.SleepUntil(ctx, n.now(), n.now().Add(pullAfter))
+	}
+	after := n.control.picture().revision
+	if after >= o.revision {
+		return
+	}
+	trip, cancel := context.WithTimeout(ctx, pullWithin)
+	defer cancel()
+	reply, err := n.peers.Published(trip, o.vm, &peerpb.PublishedRequest{
+		AfterRevision: after,
+	})
+	if err != nil {
+		n.log.Warn("pull_failed", "peer", o.vm.ID, "reason", err.Error())
+		return
+	}
+	got := read{
+		items:    itemsFromMessage(reply.GetItems()),
+		revision: reply.GetRevision(),
+		whole:    reply.GetWhole(),
+	}
+	// An error means that ctx ended.
+	_, _ = ask(trip, n.control, func(c *control, now time.Time) bool {
+		c.discovery.SettleUntil(now.Add(time.Duration(reply.GetSettlingMs()) * time.Millisecond))
+		c.takeNew(ctx, c.merge(got), now)
+		return true
+	})
+}
+
+// isFarther reports whether a VM is in another region while there are VMs in the own
+// one, which soon hold the same.
+func (p *puller) isFarther(vm fleet.VM) bool {
+	own := p.node.deployment.Region
+	return vm.Region != own && len(p.node.control.picture().members.Reached(own)) > 1
+}
+
+// published answers a peer with what this VM holds of the store.
+func (p *puller) published(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
+	reply, err := ask(ctx, p.node.control, func(c *control, now time.Time) *peerpb.PublishedReply {
+		return c.publishedAfter(in.GetAfterRevision(), now)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return p.packed(reply)
+}
+
+// packed packs a reply. One that holds everything is packed once for all that ask.
+func (p *puller) packed(r *peerpb.PublishedReply) (*peerpb.PublishedReply, error) {
+	if !r.GetWhole() {
+		return peer.Pack(r)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.whole.GetRevision() == r.GetRevision() && p.whole.GetSettlingMs() == r.GetSettlingMs() {
+		return p.whole, nil
+	}
+	packed, err := peer.Pack(r)
+	if err != nil {
+		return nil, err
+	}
+	p.whole = packed
+	return packed, nil
+}
+
+func (c *control) publishedAfter(revision uint64, now time.Time) *peerpb.PublishedReply {
+	items, whole := c.mirror.Since(revision)
+	reply := &peerpb.PublishedReply{
+		Revision:   c.mirror.Revision(),
+		Whole:      whole,
+		SettlingMs: uint32(c.discovery.Settling(now).Milliseconds()),
+	}
+	for _, item := range items {
+		reply.Items = append(reply.Items, &peerpb.PublishedItem{
+			Key:      item.Key,
+			Revision: item.Revision,
+			Value:    item.Value,
+			Removed:  item.Removed,
+		})
+	}
+	return reply
+}
+
+func itemsFromMessage(list []*peerpb.PublishedItem) []discovery.Item {
+	out := make([]discovery.Item, 0, len(list))
+	for _, i := range list {
+		out = append(out, discovery.Item{
+			Key:      i.GetKey(),
+			Revision: i.GetRevision(),
+			Value:    i.GetValue(),
+			Removed:  i.GetRemoved(),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/site/pull_test.go
@@ -0,0 +1,79 @@
+package site
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+)
+
+// TestOnePull holds that a VM which hears of a new revision from a hundred others at
+// once pulls it from one of them, and a later one from one more.
+func TestOnePull(t *testing.T) {
+	n := newFleetNode(time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = n.control.run(ctx) }()
+	var asked atomic.Int64
+	var latest atomic.Uint64
+	release := make(chan struct{})
+	addr := servePublished(ctx, t, func() *peerpb.PublishedReply {
+		asked.Add(1)
+		<-release
+		return &peerpb.PublishedReply{
+			Revision: latest.Load(),
+		}
+	})
+	held := n.control.picture().revision
+	hear := func(revision uint64) {
+		latest.Store(revision)
+		for range 100 {
+			n.puller.hear(ctx, offer{
+				vm: fleet.VM{
+					ID:       "vm-far",
+					Region:   n.deployment.Region,
+					PeerAddr: addr,
+				},
+				revision: revision,
+			})
+		}
+	}
+	hear(held + 1)
+	hear(held + 2)
+	close(release)
+	waitFor(t, func() bool { return n.control.picture().revision == held+2 && !n.puller.isPulling() })
+	assert.Assert(t, asked.Load() <= 2, "asked %d times", asked.Load())
+}
+
+func servePublished(ctx context.Context, t *testing.T, reply func() *peerpb.PublishedReply) string {
+	server, err := peer.NewServer(peer.Handlers{
+		Published: func(context.Context, *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
+			return reply(), nil
+		},
+		Stamp:   func() uint64 { return 0 },
+		Witness: func(uint64) {},
+	})
+	assert.NilError(t, err)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = server.Serve(ctx, ln) }()
+	return ln.Addr().String()
+}
+
+func waitFor(t *testing.T, done func() bool) {
+	t.Helper()
+	for range 500 {
+		if done() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("not within five seconds")
+}
--- a/site/site.go
+++ b/site/site.go
@@ -97,6 +97,7 @@
 	crashes *agent.Agent
 	serving *serving.Server
 	meter   *metering.Meter
+	puller  *puller
 	control *control
 	callers *http.Server
 
@@ -163,6 +164,9 @@
 		Now:     n.now,
 		Dialect: platform.Dialect(),
 	})
+	n.puller = &puller{
+		node: n,
+	}
 	n.control = newControl(n)
 	n.pools = newPools(n)
 	n.crashes = n.newCrashes()
--- a/site/store.go
+++ b/site/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
@@ -36,7 +37,7 @@
 	whole := true
 	for ctx.Err() == nil {
 		if !n.isReader() {
-			worker.SleepUntil(ctx, n.now(), n.now().Add(dutyEvery))
+			worker.SleepUntil(ctx, n.now(), n.now().Add(n.dutyPause()))
 			continue
 		}
 		got, err := n.readOnce(ctx, whole)
@@ -102,13 +103,38 @@
 func (n *Node) isReader() bool {
 	pic := n.control.picture()
 	if pic.table == nil {
-		return true
+		return n.readsFirst()
 	}
 	return pic.members.Reads(readersPerRegion)
 }
 
-// dutyEvery is how often a VM that does not read looks whether it has to.
-const dutyEvery = 250 * time.Millisecond
+// firstReadAfter is how long a VM that has just started waits to hear from others what
+// the store holds. All VMs of a fleet may start together, and the whole content of the
+// store for each of hundreds fills the links between regions.
+const firstReadAfter = 600 * time.Millisecond
+
+// readsFirst reports whether a VM that knows nothing yet reads the store itself: the
+// seeds, which all others ask, do at once.
+func (n *Node) readsFirst() bool {
+	if slices.Contains(n.deployment.Seeds, n.deployment.PeerAddr) {
+		return true
+	}
+	return n.now().Sub(n.startedAt) >= firstReadAfter && !n.puller.isPulling()
+}
+
+const (
+	// dutyEvery is how often a VM that does not read looks whether it has to, and
+	// firstDutyEvery the same while it knows nothing yet.
+	dutyEvery      = 250 * time.Millisecond
+	firstDutyEvery = 50 * time.Millisecond
+)
+
+func (n *Node) dutyPause() time.Duration {
+	if n.control.picture().table == nil {
+		return firstDutyEvery
+	}
+	return dutyEvery
+}
 
 func (c *control) merge(got read) []discovery.Item {
 	if got.whole {
