Loads of engines are told as news, by way of relays

Cause: nine VMs of a region asked each engine each second, and told each other VM all that they heard: 36 bytes for each engine, VM and second. Of 1,000 engines most had nothing to do.

Change: package survey decides. An engine without work is asked every 3 s, and its health with it, and other VMs are told of a load that changed, or that lasts for 2 s. A note goes to as many heads as each of them has VMs to pass it on to (package relay); which those are changes with each note.

Ruled out: a subset of the engines for each VM.

--- a/site/asking.go
+++ b/site/asking.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/relay"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/settings"
 )
@@ -65,7 +67,7 @@
 	by := from.Add(p.askEvery())
 	if engines := p.ownEngines(); len(engines) > 0 {
 		p.askTogether(ctx, engines)
-		p.tellReports(ctx, p.reportsSince(engines, from))
+		p.tellReports(ctx, p.newsSince(engines, from))
 	}
 	worker.SleepUntil(ctx, p.node.now(), by)
 }
@@ -98,30 +100,46 @@
 	}
 }
 
-// tellReports sends loads to all other VMs of the region.
+// tellReports sends loads to all other VMs of the region, by way of relays.
 func (p *pools) tellReports(ctx context.Context, list []*peerpb.EngineReport) {
 	if len(list) == 0 {
 		return
 	}
-	for _, vm := range p.regionPeers() {
-		go func() {
-			trip, cancel := context.WithTimeout(ctx, tellReportsWithin)
-			defer cancel()
-			err := p.node.peers.Reports(trip, vm, &peerpb.ReportNote{
-				From:    p.node.identity(),
-				Reports: list,
-			})
-			if err != nil {
-				p.node.log.Debug("reports_failed", "peer", vm.ID, "reason", err.Error())
-			}
-		}()
+	salt := rand.Uint64() | 1
+	for _, vm := range relay.Heads(p.node.deployment.VM, salt, p.regionVMs()) {
+		go p.sendReports(ctx, vm, list, salt)
 	}
 }
 
-// takeReportNote takes what another VM of the region has asked.
+func (p *pools) sendReports(ctx context.Context, vm fleet.VM, list []*peerpb.EngineReport, salt uint64) {
+	trip, cancel := context.WithTimeout(ctx, tellReportsWithin)
+	defer cancel()
+	err := p.node.peers.Reports(trip, vm, &peerpb.ReportNote{
+		From:      p.node.identity(),
+		Reports:   list,
+		RelaySalt: salt,
+	})
+	if err != nil {
+		p.node.log.Debug("reports_failed", "peer", vm.ID, "reason", err.Error())
+	}
+}
+
+// takeReportNote takes what another VM of the region has asked, and passes it on if
+// this VM is to.
 func (p *pools) takeReportNote(m *peerpb.ReportNote, sentAt time.Time) {
-	if m.GetFrom().GetRegion() == p.node.deployment.Region {
-		p.takeReports(m.GetReports(), sentAt)
+	if m.GetFrom().GetRegion() != p.node.deployment.Region {
+		return
+	}
+	p.takeReports(m.GetReports(), sentAt)
+	if m.GetRelaySalt() == 0 {
+		return
+	}
+	later := uint32(max(p.node.now().Sub(sentAt).Milliseconds(), 0))
+	for _, r := range m.GetReports() {
+		r.AgeMs += later
+	}
+	for _, vm := range relay.Children(p.node.deployment.VM, m.GetFrom().GetVm(), m.GetRelaySalt(), p.regionVMs()) {
+		go p.sendReports(context.Background(), vm, m.GetReports(), 0)
 	}
 }
 
@@ -155,9 +173,13 @@
 	return p.node.control.picture().members.Reached(p.node.deployment.Region)
 }
 
+// askReport asks an engine for its load when that is due, and whether it is cold.
 func (p *pools) askReport(ctx context.Context, e fleet.Endpoint) {
-	go p.askCold(ctx, e)
-	if !p.node.settings.Has(settings.Reports) || p.hasReport(e.ID, p.node.now().Add(-reportFresh)) {
+	due := p.isDue(e)
+	if due || p.node.control.picture().members.StoreAway() {
+		go p.askCold(ctx, e)
+	}
+	if !due || !p.node.settings.Has(settings.Reports) {
 		return
 	}
 	trip, cancel := context.WithTimeout(ctx, reportWithin)
--- a/site/pools.go
+++ b/site/pools.go
@@ -40,6 +40,7 @@
 		node: n,
 	}
 	p.reports.held = make(map[string]heldReport)
+	p.reports.told = make(map[string]routing.Load)
 	p.table.Store(&poolTable{
 		byService: make(map[string]*pool),
 	})
--- a/site/reports.go
+++ b/site/reports.go
@@ -7,6 +7,7 @@
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/survey"
 )
 
 const (
@@ -14,12 +15,10 @@
 	// for its load, which it tells some 100 ms late. Twice as often gained nothing,
 	// as VMs know what waits for their own calls: the mean worth of five days with
 	// faults was 0.7204, with this 0.7218 (eight plays each), with 90 VMs 0.655 and 0.656.
-	reportEvery = time.Second
+	reportEvery = survey.BusyEvery
 	// coldEvery is the same while the store is away, which else tells at once that an
 	// endpoint is cold: one that bears five requests a second may get ten.
 	coldEvery = 150 * time.Millisecond
-	// reportFresh is how old a report is at least when it is asked for again.
-	reportFresh = reportEvery - coldEvery
 	// reportWithin bounds one question: an engine answers it beside its work in some
 	// milliseconds, and a lost packet is sent again after 0.3 s.
 	reportWithin = 600 * time.Millisecond
@@ -38,6 +37,8 @@
 type reports struct {
 	mu   sync.Mutex
 	held map[string]heldReport
+	// told is what the other VMs were told last, by this VM.
+	told map[string]routing.Load
 }
 
 type heldReport struct {
@@ -45,12 +46,15 @@
 	load    routing.Load
 }
 
-// hasReport says whether an engine's load as of a moment or later is known.
-func (p *pools) hasReport(id string, since time.Time) bool {
+// isDue reports whether an engine is to be asked for its load.
+func (p *pools) isDue(e fleet.Endpoint) bool {
+	inFlight := false
+	if pool := p.table.Load().byService[e.Service]; pool != nil {
+		inFlight = pool.Endpoints.InFlight(e.ID) > 0
+	}
 	p.reports.mu.Lock()
 	defer p.reports.mu.Unlock()
-	held, ok := p.reports.held[id]
-	return ok && held.load.At.After(since)
+	return survey.IsDue(p.reports.held[e.ID].load, inFlight, p.node.now())
 }
 
 // takeReport keeps a report if it is newer than the one held.
@@ -86,14 +90,17 @@
 	return out
 }
 
-// reportsSince are those of some engines that were asked since a moment.
-func (p *pools) reportsSince(engines []fleet.Endpoint, since time.Time) []*peerpb.EngineReport {
+// newsSince are the reports of some engines that were asked since a moment and of
+// which others are to hear.
+func (p *pools) newsSince(engines []fleet.Endpoint, since time.Time) []*peerpb.EngineReport {
 	p.reports.mu.Lock()
 	defer p.reports.mu.Unlock()
 	now := p.node.now()
 	var out []*peerpb.EngineReport
 	for _, e := range engines {
-		if r, ok := p.reports.held[e.ID]; ok && !r.load.At.Before(since) {
+		r, ok := p.reports.held[e.ID]
+		if ok && !r.load.At.Before(since) && survey.IsNews(p.reports.told[e.ID], r.load) {
+			p.reports.told[e.ID] = r.load
 			out = append(out, r.message(e.ID, now))
 		}
 	}
