Keys end in time also on VMs that do not hear of the store, where operators say so

Cause: StrictRevoke and RevokeMs were not read. A VM that hears nothing of the store serves by the last table it has, also with a key that was taken away meanwhile.

Change: with StrictRevoke each VM knows as of when it holds all that the store held, by its own reads or by the word of VMs that heard it, and answers 503 on routes that need keys once that is longer ago than RevokeMs. Readers then hear of the store four times within that. Without StrictRevoke all is as it was.

Weighed: the word that another VM holds the same revision, which is there already; it does not say that either has heard of the store of late.

--- a/site/gossip.go
+++ b/site/gossip.go
@@ -34,6 +34,7 @@
 	m := &peerpb.GossipMessage{
 		From:              rumorMessage(c.roster.Self()),
 		PublishedRevision: c.mirror.Revision(),
+		CompleteMs:        c.node.completeMilli(now),
 	}
 	if region == c.node.deployment.Region {
 		held := c.heldHere(now)
@@ -111,6 +112,7 @@
 	c.takeUnreached(ctx, m.GetUnreached(), sentAt, now)
 	c.node.pools.takeReports(m.GetReports(), sentAt)
 	c.node.pools.takeHoldings(m.GetHoldings(), sentAt, now)
+	c.heardComplete(m.GetPublishedRevision(), m.GetCompleteMs(), sentAt)
 	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
 		c.node.current()
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -111,6 +111,9 @@
 	// nanoseconds since the epoch, and droppedTold the dropped lines counted so far.
 	currentAt   atomic.Int64
 	droppedTold atomic.Int64
+	// completeAt is when the store held nothing beyond what this VM holds, by the word of
+	// the store or of VMs that heard it, in nanoseconds since the epoch.
+	completeAt atomic.Int64
 	// gone is closed when the planned stop is over.
 	gone chan struct{}
 }
@@ -266,6 +269,9 @@
 	if table == nil {
 		return route.Terms{}, result.Refuse(result.NotReady, "no configuration is known yet").Until(n.now().Add(notReadyFor))
 	}
+	if table.Keyed() && n.keysMayHaveEnded() {
+		return route.Terms{}, result.Refuse(result.NotReady, "VM %s has not heard of the store for too long to know which keys have ended", n.deployment.VM).Until(n.now().Add(notReadyFor))
+	}
 	return table.Admit(a)
 }
 
--- a/site/store.go
+++ b/site/store.go
@@ -29,6 +29,8 @@
 	revision uint64
 	// whole says that items are all that there are.
 	whole bool
+	// completeAt is when, at the earliest, the store held nothing beyond them.
+	completeAt time.Time
 }
 
 // readStore follows the store until ctx ends.
@@ -65,26 +67,40 @@
 }
 
 func (n *Node) readOnce(ctx context.Context, whole bool) (read, error) {
+	began := n.now()
 	if whole {
 		items, revision, err := n.store.All(ctx, platform.Everything)
 		return read{
-			items:    items,
-			revision: revision,
-			whole:    true,
+			items:      items,
+			revision:   revision,
+			whole:      true,
+			completeAt: began,
 		}, err
 	}
 	after := n.control.picture().revision
-	items, revision, err := n.store.Changes(ctx, platform.Everything, after, n.now().Add(watchFor))
+	until := began.Add(n.watchWithin())
+	items, revision, err := n.store.Changes(ctx, platform.Everything, after, until)
 	return read{
-		items:    items,
-		revision: revision,
+		items:      items,
+		revision:   revision,
+		completeAt: completeWatch(began, until, n.now(), len(items)),
 	}, err
 }
 
+// completeWatch is as of when a watch that began, was to wait until a moment and came
+// back tells that there were so many changes: one without any has waited.
+func completeWatch(began, until, came time.Time, changes int) time.Time {
+	if changes > 0 || came.Before(until) {
+		return began
+	}
+	return until
+}
+
 // takeRead gives a read to the control goroutine and waits until it is taken.
 func (n *Node) takeRead(ctx context.Context, got read) {
 	// An error means that ctx ended.
 	_, _ = ask(ctx, n.control, func(c *control, now time.Time) bool {
+		defer n.completeAsOf(got.completeAt)
 		if c.discovery.StoreBack(now) {
 			n.log.Info("store_back", "revision", got.revision)
 		}
