A VM that knows nobody reads the store 150 ms after its start

Change: a VM waits 600 ms for others to tell what the store holds only once it knows any of them, and 150 ms while it knows none.

--- a/site/store.go
+++ b/site/store.go
@@ -124,10 +124,15 @@
 	return pic.members.Reads(readersPerRegion)
 }
 
-// firstReadAfter is how long a VM that has just started waits to hear from others what
-// the store holds. All VMs of a fleet may start together, and the whole content of the
-// store for each of hundreds fills the links between regions.
-const firstReadAfter = 600 * time.Millisecond
+const (
+	// firstReadAfter is how long a VM that has just started and knows others waits to
+	// hear from them what the store holds. All VMs of a fleet may start together, and the
+	// whole content of the store for each of hundreds fills the links between regions.
+	firstReadAfter = 600 * time.Millisecond
+	// firstReadAlone is the same while it knows nobody: the seeds may start later than
+	// it, and callers come as soon as it listens.
+	firstReadAlone = 150 * time.Millisecond
+)
 
 // readsFirst reports whether a VM that knows nothing yet reads the store itself: the
 // seeds, which all others ask, do at once.
@@ -135,7 +140,11 @@
 	if slices.Contains(n.deployment.Seeds, n.deployment.PeerAddr) {
 		return true
 	}
-	return n.now().Sub(n.startedAt) >= firstReadAfter && !n.puller.isPulling()
+	wait := firstReadAfter
+	if len(n.control.picture().members.Members) <= 1 {
+		wait = firstReadAlone
+	}
+	return n.now().Sub(n.startedAt) >= wait && !n.puller.isPulling()
 }
 
 const (
