A call is expected to be as long as its caller estimates

A call was expected to generate as many tokens as others of the region in the mean, 0.3 of its bound; answers of the shifted work are up to three times as long as the mean, and at the pace of a full batch (10 ms a token) those that are end after their deadline. Callers send an estimate, which was not read.

Without an estimate all is as it was.

Ruled out: fewer calls at once at an engine (0.5 and 0.7 of its slots) as a factor in routing: slots only weigh in the choice among engines there, calls start at once.

--- a/call/routed.go
+++ b/call/routed.go
@@ -44,6 +44,9 @@
 	CallerBy time.Time
 	// ResumeAfter is the id of the last event that the caller has of a stream.
 	ResumeAfter string
+	// AnswerTokens is the caller's estimate of the tokens that will be generated, right
+	// in the middle and often far off; zero means that there is none.
+	AnswerTokens int
 	// EventTokens is how many generated tokens one event of the stream holds.
 	EventTokens int
 	// Gap is the longest pause between events of a stream that is still on time;
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -31,6 +31,7 @@
 	m.ResumeAfter = r.ResumeAfter
 	m.RepeatedBefore = r.Repeated
 	m.EventTokens = uint32(r.EventTokens)
+	m.AnswerTokens = uint32(r.AnswerTokens)
 	m.GapMs = uint32(r.Gap.Milliseconds())
 	for _, p := range r.Parts {
 		m.Parts = append(m.Parts, &peerpb.PromptPart{
@@ -63,7 +64,9 @@
 		ResumeAfter: m.GetResumeAfter(),
 		Repeated:    m.GetRepeatedBefore(),
 		EventTokens: int(m.GetEventTokens()),
-		Gap:         time.Duration(m.GetGapMs()) * time.Millisecond,
+
+		AnswerTokens: int(m.GetAnswerTokens()),
+		Gap:          time.Duration(m.GetGapMs()) * time.Millisecond,
 	}
 	if key, ok := apikey.FromBytes(m.GetKeyDigest()); ok {
 		c.Routed.Key = key
--- a/routing/expect_test.go
+++ b/routing/expect_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/routing/enginetest"
@@ -177,3 +178,28 @@
 		},
 	})
 }
+
+// TestAnswerTokens holds that a call is expected to be as long as its caller says, and
+// not longer than it may be; without a word, as long as others were.
+func TestAnswerTokens(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, c := range datatest.Read[[]struct {
+		Name         string
+		MaxTokens    int `json:"max_tokens"`
+		AnswerTokens int `json:"answer_tokens"`
+		Answer       float64
+		Long         float64
+	}](t, "testdata/answers.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			p := routing.New(routing.Options{})
+			p.SetEndpoints([]fleet.Endpoint{{ID: "a", Slots: 64, State: fleet.StateLive}}, now)
+			e, ok := p.Expect(routing.Request{
+				MaxTokens:    c.MaxTokens,
+				AnswerTokens: c.AnswerTokens,
+			}, now)
+			assert.Assert(t, ok)
+			assert.Equal(t, e.Answer, c.Answer)
+			assert.Equal(t, e.Long, c.Long)
+		})
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -73,6 +73,9 @@
 	Prefixes     []Prefix
 	PromptTokens int
 	MaxTokens    int
+	// AnswerTokens is the caller's estimate of those that will be generated; zero means
+	// that there is none.
+	AnswerTokens int
 	Priority     call.Priority
 	// Turn is the call's place in the order at an endpoint, 0 first; those from
 	// call.Turns on count as the last.
--- a/site/place.go
+++ b/site/place.go
@@ -87,7 +87,9 @@
 	now := n.now()
 	pic := n.control.picture()
 	own := n.ownLoad(c, now)
-	own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
+	if c.Routed.AnswerTokens == 0 {
+		own.Answer = max(own.Answer, leastAnswer*float64(c.MaxTokens))
+	}
 	others := n.otherLoads(c, pic, tried, own)
 	decision := placement.Decide(placement.Request{
 		Own:        own,
@@ -205,6 +207,7 @@
 		Homes:        c.Routed.Homes,
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
+		AnswerTokens: c.Routed.AnswerTokens,
 		Priority:     c.Priority,
 		Turn:         c.Routed.Turn(),
 	}, now)
