Rumors between VMs are packed where there are many

VMs that start together exchange the rumors of all members many times over; in its first 10 s a VM of 100 took in 50 to 60 KB of them from other regions (trial).

Change: rumors over 1 KB are packed with DEFLATE, as the store's content is; the compressors are kept. Those of 300 VMs: 24,570 bytes before, 4,088 after, 366 µs.

Ruled out: answers to other regions with the own region's members only. A VM that starts would depend on one of its own region for the rest.

--- a/peer/packed_test.go
+++ b/peer/packed_test.go
@@ -42,6 +42,54 @@
 	}
 }
 
+// manyRumors are those of a region's VMs.
+func manyRumors(count int) *peerpb.GossipMessage {
+	m := &peerpb.GossipMessage{}
+	for i := range count {
+		m.Rumors = append(m.Rumors, &peerpb.Rumor{
+			Vm:          fmt.Sprintf("edge-addis-a-%d", i),
+			Incarnation: 0x19a0<<48 | uint64(i)*0x9e3779b97f4a7c15>>40,
+			Version:     1,
+			Ready:       true,
+			Region:      "addis",
+			DataCentre:  "addis-a",
+			CallerAddr:  fmt.Sprintf("10.1.0.%d:8149", i),
+			PeerAddr:    fmt.Sprintf("10.1.0.%d:8144", i),
+		})
+	}
+	return m
+}
+
+// TestPackRumors holds the same of rumors: of 300 VMs 24,570 bytes before, 4,088 after.
+func TestPackRumors(t *testing.T) {
+	for _, count := range []int{0, 3, 300} {
+		m := manyRumors(count)
+		sent := proto.Clone(m)
+		assert.NilError(t, packRumors(m))
+		size := proto.Size(m)
+		assert.NilError(t, unpackRumors(m))
+		assert.Assert(t, proto.Equal(m, sent))
+		if count == 300 {
+			t.Log(proto.Size(sent), size)
+			assert.Assert(t, size < proto.Size(sent)/4)
+		}
+	}
+}
+
+// BenchmarkPackRumors packs those of 300 VMs: 366 µs, 41 KB allocated.
+func BenchmarkPackRumors(b *testing.B) {
+	rumors := manyRumors(300).GetRumors()
+	b.ReportAllocs()
+	for b.Loop() {
+		m := &peerpb.GossipMessage{
+			Rumors: rumors,
+		}
+		if err := packRumors(m); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	packed, err := Pack(manyItems(200))
 	assert.NilError(f, err)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -110,8 +110,15 @@
 
 // Gossip exchanges what both VMs know of the members.
 func (c *Client) Gossip(ctx context.Context, vm fleet.VM, in *peerpb.GossipMessage) (*peerpb.GossipMessage, error) {
+	if err := packRumors(in); err != nil {
+		return nil, err
+	}
 	in.SentUs = c.options.Transit.stamp()
-	return c.client(ctx, vm).Gossip(ctx, in)
+	reply, err := c.client(ctx, vm).Gossip(ctx, in)
+	if err != nil {
+		return nil, err
+	}
+	return reply, unpackRumors(reply)
 }
 
 // Unread tells a VM of the region which prompts wait at engines for this VM's calls.
--- a/peer/server.go
+++ b/peer/server.go
@@ -154,10 +154,16 @@
 	if s.handlers.Gossip == nil {
 		return nil, errNotServed
 	}
+	if err := unpackRumors(in); err != nil {
+		return nil, err
+	}
 	reply, err := s.handlers.Gossip(ctx, in)
 	if err != nil {
 		return nil, err
 	}
+	if err := packRumors(reply); err != nil {
+		return nil, err
+	}
 	reply.SentUs = s.handlers.Transit.stamp()
 	return reply, nil
 }
