Who makes room in an overload follows from the order of the ranks in force

Cause: refusals by the expected end took ranks for measures: 0 from 1.5 of the deadline on, 1 from 1.0, 2 and more from 0.6, and only the last looked at long answers. Under workspaces nearly all calls have ranks 0 and 1, so that nobody made room and long answers ended after their deadline.

Change: route.Table.Standing says where a rank stands among those that calls may have: first, middle or last. Ranks 0, 1 and 2 of routes stand as before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -84,7 +84,8 @@
 	// FirstBy is the objective and WholeBy the deadline; zero means none.
 	FirstBy time.Time
 	WholeBy time.Time
-	// Rank is the call's priority, 0 first.
+	// Rank is where the call's priority stands among those in force: 0 for the first,
+	// 1 for the middle ones and 2 for the last.
 	Rank int
 	// Missed is the part of late calls like this one that was not served of late.
 	Missed float64
--- a/route/route.go
+++ b/route/route.go
@@ -102,6 +102,7 @@
 	byHost     map[string][]Route
 	services   map[string]Service
 	keyed      bool
+	lastRank   int
 	workspaces []Workspace
 	byName     map[string]*Workspace
 	byKey      map[apikey.Digest]keyEntry
@@ -125,6 +126,7 @@
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	t.lastRank = t.findLastRank()
 	for _, s := range o.Services {
 		t.services[s.Name] = s
 	}
--- a/site/place.go
+++ b/site/place.go
@@ -98,7 +98,7 @@
 		Moved:      len(tried) > 0,
 		FirstBy:    c.FirstBy,
 		WholeBy:    c.WholeBy,
-		Rank:       c.Routed.Rank,
+		Rank:       pic.standing(c.Routed.Rank),
 		Missed:     n.late.Missed(lateGroup(c), now),
 		EndDraw:    rand.Float64(),
 		LateDraw:   rand.Float64(),
@@ -114,6 +114,14 @@
 	}
 }
 
+// standing returns where a rank stands among those in force.
+func (pic *picture) standing(rank int) int {
+	if pic.table == nil {
+		return rank
+	}
+	return int(pic.table.Standing(rank))
+}
+
 // pickVM draws one of the VMs that take calls, but for those tried. It is false
 // where there is no other.
 func pickVM(vms []fleet.VM, tried []string) (fleet.VM, bool) {
