Soak: callers have keys and workspaces with a limit and homes

Replicas tell which workspace a request names and whether it bears a key. Callers present present keys, withdrawn ones and one that never was, and name a workspace that must not count. The share of calls served counts those that are owed.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -24,6 +24,7 @@
 	headerLastEvent = "Last-Event-Id"
 	headerCold      = "X-Fuchsianotch-Cold-Ms"
 	headerSelf      = "X-Fuchsianotch-Instance-Id"
+	headerWorkspace = "X-Fuchsianotch-Tenant"
 )
 
 // StreamPath begins the paths that are answered by a stream.
@@ -56,6 +57,11 @@
 	From    string
 	At      time.Time
 	Refused bool
+	// Zone is the replica's, Workspace the one that the request names, and HasKey says
+	// that it bears a caller's key.
+	Zone      string
+	Workspace string
+	HasKey    bool
 }
 
 // Options set up a Replica.
@@ -179,6 +185,10 @@
 		From:    req.RemoteAddr,
 		At:      time.Now(),
 		Refused: fault == FaultShed,
+
+		Zone:      r.Zone,
+		Workspace: req.Header.Get(headerWorkspace),
+		HasKey:    req.Header.Get("Authorization") != "",
 	}
 	r.Observe(run)
 	if fault == FaultShed {
--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -125,6 +125,8 @@
 		return "/post/x", servicePlain, http.MethodPost
 	case n < 19:
 		return "/home/x", servicePlain, http.MethodGet
+	case n < 20 && rand.IntN(3) == 0:
+		return publicPath, servicePlain, http.MethodGet
 	default:
 		c.world.mu.Lock()
 		version := c.world.version
@@ -143,6 +145,11 @@
 		vm:      v.name,
 		sentAt:  time.Now(),
 	}
+	held := c.world.drawCredential(path)
+	a.workspace = held.workspace
+	a.key = held.key
+	a.keyVersion = held.version
+	a.owed = held.owed || path == publicPath
 	defer func() {
 		if ctx.Err() != nil {
 			// The soak itself ended the attempt.
@@ -166,6 +173,9 @@
 	req.GetBody = nil
 	req.Host = "soak.example"
 	req.Header.Set(attemptHeader, id)
+	req.Header.Set("Authorization", "Bearer "+held.key)
+	// What the caller says of its workspace must not count.
+	req.Header.Set("X-Fuchsianotch-Tenant", workspaceNames[rand.IntN(len(workspaceNames))])
 	req.Header.Set("X-Fuchsianotch-Deadline-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
 	resp, err := c.http.Transport.RoundTrip(req)
 	if err != nil {
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -23,8 +23,13 @@
 type attempt struct {
 	id, path, service string
 	vm                string
-	sentAt, endedAt   time.Time
-	status            int
+	// workspace and key are what the attempt presents; keyVersion is that of the key.
+	workspace, key string
+	keyVersion     int
+	// owed says that the attempt is to be served, as its key and workspace go.
+	owed            bool
+	sentAt, endedAt time.Time
+	status          int
 	// whole says that a success came with its whole, right answer.
 	whole bool
 	// closed says that the connection ended without a whole answer.
@@ -157,6 +162,9 @@
 		{name: "planned_stop", do: l.checkStops},
 		{name: "unasked", do: l.checkAsked},
 		{name: "crashing_calls", do: l.checkCrashing},
+		{name: "keys", do: l.checkKeys},
+		{name: "limit", do: l.checkLimit},
+		{name: "homes", do: l.checkHomes},
 	} {
 		for _, detail := range check.do() {
 			out = append(out, Violation{Check: check.name, Detail: detail})
@@ -338,7 +346,7 @@
 	defer l.mu.Unlock()
 	good := 0
 	for _, a := range l.attempts {
-		if a.sentAt.Before(from) || a.sentAt.After(to) || strings.HasPrefix(a.path, "/v") || crashes(a.path) {
+		if !a.owed || a.sentAt.Before(from) || a.sentAt.After(to) || strings.HasPrefix(a.path, "/v") || crashes(a.path) {
 			continue
 		}
 		sent++
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -115,6 +115,38 @@
 				l.runs = append(l.runs, ran(id, path, "i-"+id, at))
 			}
 		}},
+		{check: "keys", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x", workspace: "free", key: strayKey}}
+			l.runs = []replica.Run{{Attempt: "a", Path: "/get/x", Replica: "i", Workspace: "free"}}
+		}},
+		{check: "keys", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x", workspace: "free", key: "k"}}
+			l.runs = []replica.Run{{Attempt: "a", Path: "/get/x", Replica: "i", Workspace: "limited"}}
+		}},
+		{check: "keys", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: publicPath, workspace: "free", key: "k"}}
+			l.runs = []replica.Run{{Attempt: "a", Path: publicPath, Replica: "i", HasKey: true}}
+		}},
+		{check: "keys", make: func(l *ledger) {
+			l.versions = []time.Time{now, now, now}
+			l.attempts = []attempt{{id: "a", path: "/get/x", workspace: "free", key: "k", keyVersion: 1, sentAt: now.Add(appliesWithin + time.Second)}}
+			l.runs = []replica.Run{{Attempt: "a", Path: "/get/x", Replica: "i", Workspace: "free"}}
+		}},
+		{check: "keys", make: func(l *ledger) {
+			l.versions = []time.Time{now}
+			l.attempts = []attempt{{id: "a", path: "/get/x", workspace: "free", key: "k", keyVersion: 1, status: 401, sentAt: now.Add(appliesWithin + time.Second)}}
+		}},
+		{check: "limit", make: func(l *ledger) {
+			for n := range 40 {
+				id := string(rune('a' + n))
+				l.attempts = append(l.attempts, attempt{id: id, path: "/get/x", workspace: workspaceLimited})
+				l.runs = append(l.runs, replica.Run{Attempt: id, Path: "/get/x", Replica: "i", Workspace: workspaceLimited, At: now.Add(time.Duration(n) * 100 * time.Millisecond)})
+			}
+		}},
+		{check: "homes", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x", workspace: workspaceHomed}}
+			l.runs = []replica.Run{{Attempt: "a", Path: "/get/x", Replica: "i", Workspace: workspaceHomed, Zone: zoneOf(regionName(2))}}
+		}},
 		{check: "unasked", make: func(l *ledger) {
 			l.runs = []replica.Run{ran("b", "/get/x", "i", 0)}
 		}},
