--- a/admission/admission.go
+++ b/admission/admission.go
@@ -246,7 +246,7 @@
 	q.arm()
 }
 
-// place gives the call an endpoint; it returns false when none is left for it.
+// place returns the call an endpoint; it returns false when none is left for it.
 func (q *Queue) place(id uint64, w waiter, now time.Time) bool {
 	choice, ok := q.pool.Choose(w.request.routing(), now)
 	if !ok {
--- a/admission/forecast.go
+++ b/admission/forecast.go
@@ -103,7 +103,7 @@
 	return latest
 }
 
-// allowed says whether a call of the priority may take a free slot.
+// allowed reports whether a call of the priority may take a free slot.
 func (s *State) allowed(p call.Priority, supply routing.Supply, now time.Time) bool {
 	if p == call.PriorityUrgent {
 		return supply.Free >= 1
@@ -224,7 +224,7 @@
 	}
 }
 
-// misses says whether a call behind so many others is expected to start too late.
+// misses reports whether a call behind so many others is expected to start too late.
 func (s *State) misses(e entry, ahead int, margin float64, supply routing.Supply, now time.Time) bool {
 	if e.request.Priority == call.PriorityReport {
 		margin = reportMargin
--- a/admission/line.go
+++ b/admission/line.go
@@ -30,7 +30,7 @@
 	l.entries = slices.Insert(l.entries, at, e)
 }
 
-// index gives the position of a call, or -1.
+// index returns the position of a call, or -1.
 func (l *line) index(id uint64) int {
 	return slices.IndexFunc(l.entries, func(e entry) bool { return e.id == id })
 }
--- a/borrow/borrow.go
+++ b/borrow/borrow.go
@@ -79,7 +79,7 @@
 	return best, r.Damper.Allow(best, r.tokens(), now)
 }
 
-// best gives the offer with the earliest first token among those that serve in
+// best returns the offer with the earliest first token among those that serve in
 // time and that the damper leaves open.
 func (r Request) best(offers []Offer, now time.Time) (Offer, bool) {
 	var best Offer
@@ -98,12 +98,12 @@
 	return best, found
 }
 
-// damped says whether the damper limits the call.
+// damped reports whether the damper limits the call.
 func (r Request) damped() bool {
 	return r.Policy != PolicyAlways && r.Damper != nil
 }
 
-// fits says whether the offer can be used for the call.
+// fits reports whether the offer can be used for the call.
 func (r Request) fits(o Offer, now time.Time) bool {
 	switch {
 	case o.Target != r.Target, !slices.Contains(r.Regions, o.Region):
@@ -129,7 +129,7 @@
 	return 2*o.OneWay + o.Wait + cold
 }
 
-// meets says whether a call that starts at the moment is on time.
+// meets reports whether a call that starts at the moment is on time.
 func (r Request) meets(start time.Time) bool {
 	if !r.FirstBy.IsZero() && start.Add(r.First).After(r.FirstBy) {
 		return false
--- a/borrow/damper.go
+++ b/borrow/damper.go
@@ -53,7 +53,7 @@
 	d.asking = max(n, 1)
 }
 
-// Open says whether anything is left of this VM's part of the offer.
+// Open reports whether anything is left of this VM's part of the offer.
 func (d *Damper) Open(o Offer, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/borrow/surplus.go
+++ b/borrow/surplus.go
@@ -39,7 +39,7 @@
 	Until time.Time
 }
 
-// Surplus gives what the VM offers to other regions: its part of the capacity
+// Surplus returns what the VM offers to other regions: its part of the capacity
 // that the own mean demand and a reserve leave. What is free at one moment is
 // left to Gate, as it changes faster than an offer travels. TokensPerSecond is
 // zero when there is none or own calls wait.
@@ -69,7 +69,7 @@
 	at     time.Time
 }
 
-// Accept says whether a call of another region with so many tokens may enter.
+// Accept reports whether a call of another region with so many tokens may enter.
 // State must be of now: own calls that wait, too few empty slots or a spent
 // surplus refuse it.
 func (g *Gate) Accept(s State, tokens float64, now time.Time) bool {
--- a/call/call.go
+++ b/call/call.go
@@ -37,7 +37,7 @@
 
 var priorityNames = [Priorities]string{"urgent", "chat", "report"}
 
-// String gives the name used in documents and headers.
+// String returns the name used in documents and headers.
 func (p Priority) String() string {
 	return priorityNames[p]
 }
--- a/call/routed.go
+++ b/call/routed.go
@@ -75,13 +75,13 @@
 	return turn
 }
 
-// Yields says whether a place in the order is of calls that make way for those
+// Yields reports whether a place in the order is of calls that make way for those
 // that can be on time.
 func Yields(turn int) bool {
 	return turn >= lateTurns
 }
 
-// Allows says whether the call may be served in a region.
+// Allows reports whether the call may be served in a region.
 func (r *Routed) Allows(region string) bool {
 	if len(r.Homes) == 0 {
 		return true
--- a/caller/unchecked.go
+++ b/caller/unchecked.go
@@ -14,7 +14,7 @@
 	result.BodyTooSlow:    true,
 }
 
-// unchecked gives the refusal as a caller with a ticket may be told it. Before
+// unchecked returns the refusal as a caller with a ticket may be told it. Before
 // the executor was asked nobody here knows whether an earlier ask with the
 // ticket has run, so that the call must not be told as not run.
 func unchecked(q *request, r *result.Refusal) *result.Refusal {
--- a/common/clock/clock.go
+++ b/common/clock/clock.go
@@ -18,10 +18,10 @@
 
 // Options set up a Clock.
 type Options struct {
-	// Read gives the time of day, and how long the steady clock went since the clock was
+	// Read returns the time of day, and how long the steady clock went since the clock was
 	// made; nil means the process's.
 	Read func() (day time.Time, steady time.Duration)
-	// SinceBoot gives the time since the VM started, suspensions included; nil means
+	// SinceBoot returns the time since the VM started, suspensions included; nil means
 	// the kernel's.
 	SinceBoot func() (time.Duration, error)
 }
@@ -74,7 +74,7 @@
 	c.woken.Store(&woken)
 }
 
-// Now gives the time. It costs the kernel's time of day, and a question more after that
+// Now returns the time. It costs the kernel's time of day, and a question more after that
 // has jumped.
 func (c *Clock) Now() time.Time {
 	day, steady := c.read()
--- a/common/jsonc/jsonc.go
+++ b/common/jsonc/jsonc.go
@@ -41,7 +41,7 @@
 	Kind  Kind
 }
 
-// Error gives the file, the line, the field and what would be right.
+// Error returns the file, the line, the field and what would be right.
 func (p *Problem) Error() string {
 	if p.Field == "" {
 		return fmt.Sprintf("%s:%d: %s", p.File, p.Line, p.Want)
@@ -90,7 +90,7 @@
 	}
 }
 
-// Line gives the line of the value that a JSON pointer names. For an absent
+// Line returns the line of the value that a JSON pointer names. For an absent
 // value it gives the line of the nearest parent, and 1 when data is no JSON.
 func Line(data []byte, pointer string) int {
 	root, problem := parse("", data)
@@ -105,7 +105,7 @@
 	}
 }
 
-// Field gives the path form of a JSON pointer: "/contracts/0/home" becomes
+// Field returns the path form of a JSON pointer: "/contracts/0/home" becomes
 // "contracts[0].home".
 func Field(pointer string) string {
 	var b strings.Builder
--- a/common/jsonc/verify.go
+++ b/common/jsonc/verify.go
@@ -21,7 +21,7 @@
 	first *Problem
 }
 
-// Problem gives the first problem, or nil.
+// Problem returns the first problem, or nil.
 func (v *Verifier) Problem() *Problem {
 	return v.first
 }
--- a/common/listen/listen.go
+++ b/common/listen/listen.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// Accept gives the next connection within the bounds.
+// Accept returns the next connection within the bounds.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
@@ -91,7 +91,7 @@
 	leave func()
 }
 
-// NetConn gives the connection without its place.
+// NetConn returns the connection without its place.
 func (c *boundConn) NetConn() net.Conn {
 	return c.Conn
 }
--- a/common/listen/stopping.go
+++ b/common/listen/stopping.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// Accept gives the next connection. After Stop it waits for Close.
+// Accept returns the next connection. After Stop it waits for Close.
 func (l *Stopping) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
 	if err == nil {
--- a/common/tcp/tcp.go
+++ b/common/tcp/tcp.go
@@ -24,7 +24,7 @@
 	probes     = 2
 )
 
-// Dialer gives a dialer whose connections are lost after some 2 s of silence.
+// Dialer returns a dialer whose connections are lost after some 2 s of silence.
 func Dialer(within time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         within,
--- a/configuration/bench_test.go
+++ b/configuration/bench_test.go
@@ -17,7 +17,7 @@
 
 const contractsPerBucket = 60
 
-// published gives the bucket documents of so many workspaces at one revision.
+// published returns the bucket documents of so many workspaces at one revision.
 func published(count, buckets int, revision uint64) []Document {
 	texts := make([][]string, buckets)
 	for i := range count {
--- a/configuration/configuration.go
+++ b/configuration/configuration.go
@@ -225,7 +225,7 @@
 	return true
 }
 
-// Snapshot gives the state for traffic. It is made once after each change.
+// Snapshot returns the state for traffic. It is made once after each change.
 func (s *Store) Snapshot() *Snapshot {
 	if s.snapshot == nil {
 		s.snapshot = newSnapshot(s)
--- a/configuration/converge_test.go
+++ b/configuration/converge_test.go
@@ -83,7 +83,7 @@
 	return w
 }
 
-// platform gives what a replica holds that has seen the first writes: the last
+// platform returns what a replica holds that has seen the first writes: the last
 // value of each key.
 func (r run) platform(seen int) []Document {
 	last := make(map[string]Document)
@@ -157,7 +157,7 @@
 	}
 }
 
-// sources gives the revision that decides each sample workspace; 0 means none.
+// sources returns the revision that decides each sample workspace; 0 means none.
 func sources(s *Store) [residues]uint64 {
 	var out [residues]uint64
 	snapshot := s.Snapshot()
--- a/configuration/digest.go
+++ b/configuration/digest.go
@@ -38,7 +38,7 @@
 	Revision uint64
 }
 
-// Digest gives the sum of what is held.
+// Digest returns the sum of what is held.
 func (s *Store) Digest() Digest {
 	return s.digest
 }
@@ -53,7 +53,7 @@
 	return held
 }
 
-// Newer gives the documents that another VM lacks, for it to judge. First come
+// Newer returns the documents that another VM lacks, for it to judge. First come
 // those above all that the other holds under the key, which are news to it. Then
 // come those below: the accepted one beneath a refused one, one of an earlier
 // number of buckets, or one that this VM is behind with. Each part starts with
@@ -78,7 +78,7 @@
 	return append(news, below...)
 }
 
-// Page gives the first documents whose values are up to size bytes together,
+// Page returns the first documents whose values are up to size bytes together,
 // at least one, so that a reply stays bounded. The receiver pulls again until a
 // page changes nothing; what is left then waits until the sender has caught up.
 func Page(docs []Document, size int) []Document {
@@ -103,7 +103,7 @@
 	return false
 }
 
-// records gives all records by revision, then key.
+// records returns all records by revision, then key.
 func (s *Store) records() []*record {
 	records := make([]*record, 0, len(s.accepted)+len(s.refused))
 	for _, r := range s.accepted {
--- a/configuration/order_test.go
+++ b/configuration/order_test.go
@@ -84,7 +84,7 @@
 		"answer": {"first_token_within": "580ms", "whole_within": "20s", "report_within": "10m"}}`, workspace, requests, requests)
 }
 
-// decided gives the revision of the contract in force for the sample workspace,
+// decided returns the revision of the contract in force for the sample workspace,
 // 0 when a document decides that there is none, -1 when none decides.
 func decided(s *Snapshot, residue int) int {
 	c, ok := s.Contract(workspaces[residue])
--- a/configuration/record.go
+++ b/configuration/record.go
@@ -105,7 +105,7 @@
 	return out
 }
 
-// document gives the record in the form that passes between VMs.
+// document returns the record in the form that passes between VMs.
 func (r *record) document() Document {
 	return Document{
 		Key:      r.key,
--- a/configuration/relay.go
+++ b/configuration/relay.go
@@ -14,14 +14,14 @@
 // that its reads grow with data centres. Two stand in for each other.
 const watchersPerDataCentre = 2
 
-// Watchers gives the ids of the VMs that watch the platform, best first, out of
+// Watchers returns the ids of the VMs that watch the platform, best first, out of
 // the reachable VMs of one data centre. Leaving VMs do not count.
 func Watchers(vms []fleet.VM) []string {
 	ranked := ranked(vms)
 	return ids(ranked[:min(len(ranked), watchersPerDataCentre)])
 }
 
-// Sources gives the ids of the VMs to pull documents from, best first: the
+// Sources returns the ids of the VMs to pull documents from, best first: the
 // watchers of one's own data centre, the watchers of the others, one's own
 // region before the rest, then all VMs that do not watch in the same order.
 // vms are the reachable ones of all data centres, with self.
@@ -40,7 +40,7 @@
 	return ids(live)
 }
 
-// watching gives the watchers of all data centres.
+// watching returns the watchers of all data centres.
 func watching(vms []fleet.VM) map[string]bool {
 	centres := make(map[string][]fleet.VM)
 	for _, vm := range vms {
@@ -70,7 +70,7 @@
 	return d
 }
 
-// ranked gives the VMs that are not leaving, by the hash of their ids.
+// ranked returns the VMs that are not leaving, by the hash of their ids.
 func ranked(vms []fleet.VM) []fleet.VM {
 	live := slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VM) bool { return vm.State == fleet.StateLeaving })
 	slices.SortFunc(live, func(a, b fleet.VM) int {
@@ -123,7 +123,7 @@
 // RelayOptions set up a Relay.
 type RelayOptions struct {
 	Self string
-	// Rand gives random bits.
+	// Rand returns random bits.
 	Rand func() uint64
 }
 
@@ -135,7 +135,7 @@
 	}
 }
 
-// Duty gives the duty now. vms are the reachable VMs of the VM's own data
+// Duty returns the duty now. vms are the reachable VMs of the VM's own data
 // centre, with itself. A VM that is not among them watches: it knows no other.
 func (r *Relay) Duty(vms []fleet.VM, now time.Time) Duty {
 	if r.watches(vms) || now.Before(r.takenOver) {
--- a/configuration/snapshot.go
+++ b/configuration/snapshot.go
@@ -89,7 +89,7 @@
 	})
 }
 
-// Contract gives the workspace's contract. Of the buckets that the workspace
+// Contract returns the workspace's contract. Of the buckets that the workspace
 // falls in, the one of the highest revision decides, also that there is none.
 func (s *Snapshot) Contract(workspace string) (*contract.Contract, bool) {
 	r := s.decides(workspace)
@@ -120,7 +120,7 @@
 	return best
 }
 
-// Model gives a model by name.
+// Model returns a model by name.
 func (s *Snapshot) Model(name string) (*contract.Model, bool) {
 	if s.models == nil {
 		return nil, false
@@ -129,7 +129,7 @@
 	return m, ok
 }
 
-// Service gives a plain service by name.
+// Service returns a plain service by name.
 func (s *Snapshot) Service(name string) (*contract.Service, bool) {
 	if s.models == nil {
 		return nil, false
@@ -144,7 +144,7 @@
 	return s.models != nil && s.Regions != nil && s.List != nil && len(s.places) > 0
 }
 
-// status gives the state of each key, by key.
+// status returns the state of each key, by key.
 func (s *Store) status() []DocumentStatus {
 	out := make([]DocumentStatus, 0, len(s.latest)+len(s.refused))
 	for key, r := range s.latest {
--- a/configuration/visible.go
+++ b/configuration/visible.go
@@ -61,7 +61,7 @@
 	return search.open(uint64(r.bucket.number), uint64(r.buckets), 0)
 }
 
-// counts gives the numbers of buckets in use, ascending.
+// counts returns the numbers of buckets in use, ascending.
 func (s *Store) counts() []int {
 	seen := make(map[int]bool)
 	for at, r := range s.accepted {
--- a/console/console.go
+++ b/console/console.go
@@ -38,7 +38,7 @@
 	Result string
 }
 
-// Error gives the address with the status and the result code.
+// Error returns the address with the status and the result code.
 func (e *AnswerError) Error() string {
 	text := e.Addr + e.Path + " answered " + e.Status
 	if e.Result == "" {
--- a/console/fleet.go
+++ b/console/fleet.go
@@ -91,7 +91,7 @@
 	return slices.Compact(keys)
 }
 
-// documentOf gives the state of a key; a VM that does not name it holds none.
+// documentOf returns the state of a key; a VM that does not name it holds none.
 func documentOf(s *operator.Status, key string) operator.Document {
 	i := slices.IndexFunc(s.Documents, func(d operator.Document) bool { return d.Key == key })
 	if i < 0 {
@@ -102,7 +102,7 @@
 	return s.Documents[i]
 }
 
-// Agreed says whether every VM that answered holds the same revision of every
+// Agreed reports whether every VM that answered holds the same revision of every
 // document and none refuses one.
 func (f *Fleet) Agreed() bool {
 	holdings := f.Holdings()
--- a/console/table.go
+++ b/console/table.go
@@ -39,7 +39,7 @@
 	return t.flush()
 }
 
-// reaches gives the VMs of the region that are reached, out of all, and names the others.
+// reaches returns the VMs of the region that are reached, out of all, and names the others.
 func reaches(v operator.View) string {
 	var missing []string
 	for _, m := range v.Region {
--- a/contract/parse.go
+++ b/contract/parse.go
@@ -25,7 +25,7 @@
 	Regions *Regions
 }
 
-// KnownKey says whether documents are published under the key.
+// KnownKey reports whether documents are published under the key.
 func KnownKey(key string) bool {
 	if key == KeyModels || key == KeyRegions {
 		return true
--- a/contract/parse_test.go
+++ b/contract/parse_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// exampleDocuments gives the example documents of one deployment by key.
+// exampleDocuments returns the example documents of one deployment by key.
 func exampleDocuments(t testing.TB, deployment string) map[string][]byte {
 	t.Helper()
 	documents := map[string][]byte{}
--- a/contract/place.go
+++ b/contract/place.go
@@ -13,12 +13,12 @@
 	KeyBucketPrefix = "contracts/"
 )
 
-// BucketOf gives the bucket that the workspace's contract is published in.
+// BucketOf returns the bucket that the workspace's contract is published in.
 func BucketOf(workspace string, buckets int) int {
 	return int(xxhash.Sum64String(workspace) % uint64(buckets))
 }
 
-// Terms gives the contract's terms in a region, if the region may serve it.
+// Terms returns the contract's terms in a region, if the region may serve it.
 func (c *Contract) Terms(region string) (RegionTerms, bool) {
 	if c.Bound && region != c.Home {
 		return RegionTerms{}, false
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -108,7 +108,7 @@
 	return true
 }
 
-// Settling gives how long entries that lapsed in an outage may still come back.
+// Settling returns how long entries that lapsed in an outage may still come back.
 func (s *State) Settling(now time.Time) time.Duration {
 	if s.away {
 		return s.grace
@@ -312,7 +312,7 @@
 	UnreachedUntil time.Time
 }
 
-// Held gives those of Endpoints that get few calls or none now, as they are cold or do
+// Held returns those of Endpoints that get few calls or none now, as they are cold or do
 // not answer, in no order.
 func (s *State) Held(now time.Time) []Ready {
 	var out []Ready
@@ -342,7 +342,7 @@
 	return r
 }
 
-// Endpoints gives the endpoints that take new work, by id.
+// Endpoints returns the endpoints that take new work, by id.
 func (s *State) Endpoints(now time.Time) []Ready {
 	out := make([]Ready, 0, len(s.endpoints))
 	for _, k := range s.endpoints {
--- a/discovery/life.go
+++ b/discovery/life.go
@@ -14,7 +14,7 @@
 	forgetAt time.Time
 }
 
-// allows says whether an entry is not older than the newest one known: neither of
+// allows reports whether an entry is not older than the newest one known: neither of
 // an earlier life nor, within one that says when it began, of an earlier count.
 func (l life) allows(e Endpoint) bool {
 	if e.Incarnation != l.incarnation {
--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -96,7 +96,7 @@
 	return true
 }
 
-// removedSince says whether a removal of the key is known that is as new.
+// removedSince reports whether a removal of the key is known that is as new.
 func (m *Mirror) removedSince(c Item) bool {
 	for _, t := range m.tombstones {
 		if t.Key == c.Key && t.Revision >= c.Revision {
@@ -114,7 +114,7 @@
 	}
 }
 
-// Since gives the changes above a revision for a peer. Where removals may be
+// Since returns the changes above a revision for a peer. Where removals may be
 // missing it gives all items, and whole is true.
 func (m *Mirror) Since(after uint64) (items []Item, whole bool) {
 	whole = after == 0 || after < m.forgotten
--- a/endpoint/answer.go
+++ b/endpoint/answer.go
@@ -162,7 +162,7 @@
 	return `"chatcmpl-` + id + `"`
 }
 
-// renamed gives the answer the id that the caller knows.
+// renamed returns the answer the id that the caller knows.
 func (x *exchange) renamed(data []byte) []byte {
 	if x.attempt.AnswerID == "" || x.attempt.AnswerID == x.attempt.ID {
 		return data
@@ -171,7 +171,7 @@
 	return bytes.Replace(data, []byte(own), []byte(known), 1)
 }
 
-// present says whether a JSON value is there and isn't null or an empty string.
+// present reports whether a JSON value is there and isn't null or an empty string.
 func present(raw json.RawMessage) bool {
 	switch string(raw) {
 	case "", "null", `""`:
--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -21,7 +21,7 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// transports gives one transport that reuses connections and one that doesn't.
+// transports returns one transport that reuses connections and one that doesn't.
 // A non-idempotent call gets a connection of its own: the endpoint can't close
 // it as idle at the moment of sending, which would leave the outcome unknown.
 func transports(client *http.Client) (pooled, single http.RoundTripper) {
@@ -155,7 +155,7 @@
 	}
 }
 
-// stale says whether a reused connection broke before any byte went out.
+// stale reports whether a reused connection broke before any byte went out.
 func (t *track) stale() bool {
 	sent, denied := t.abort()
 	t.mu.Lock()
--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -57,7 +57,7 @@
 	ComeBackAt time.Time
 }
 
-// routedHeader gives the headers of a routed attempt.
+// routedHeader returns the headers of a routed attempt.
 func (c *Client) routedHeader(a Attempt) http.Header {
 	h := a.Call.Header.Clone()
 	if h == nil {
--- a/endpoint/events.go
+++ b/endpoint/events.go
@@ -55,7 +55,7 @@
 	eventReaders.Put(e)
 }
 
-// next gives the data of the next event and its name, valid until the next
+// next returns the data of the next event and its name, valid until the next
 // call. An unfinished event at the end is io.ErrUnexpectedEOF.
 func (e *events) next() (data []byte, named bool, err error) {
 	e.data = e.data[:0]
@@ -93,7 +93,7 @@
 	}
 }
 
-// readLine gives one line without its end. A line without an end is cut.
+// readLine returns one line without its end. A line without an end is cut.
 func (e *events) readLine() ([]byte, error) {
 	e.line = e.line[:0]
 	for {
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -77,7 +77,7 @@
 	return x.client.single
 }
 
-// admit says whether there is still time to send.
+// admit reports whether there is still time to send.
 func (x *exchange) admit() error {
 	if err := x.ctx.Err(); err != nil {
 		return err
@@ -197,7 +197,7 @@
 	return now.Add(time.Duration(seconds) * time.Second)
 }
 
-// passHead gives the head to the sink once, and never on a resumed attempt.
+// passHead passes the head to the sink once, and never on a resumed attempt.
 func (x *exchange) passHead(status int, header http.Header) *result.Refusal {
 	if x.headed {
 		return nil
@@ -245,7 +245,7 @@
 	return *o
 }
 
-// resumable says whether another endpoint may go on. What was passed on so far
+// resumable reports whether another endpoint may go on. What was passed on so far
 // is a number of whole tokens, or nothing.
 func (x *exchange) resumable(code result.Code) bool {
 	if x.sinkFailed || x.ctx.Err() != nil {
--- a/endpoint/fake_test.go
+++ b/endpoint/fake_test.go
@@ -123,7 +123,7 @@
 	_, _ = io.WriteString(conn, out)
 }
 
-// head gives a head from "STATUS Name: value|Name: value".
+// head returns a head from "STATUS Name: value|Name: value".
 func head(text string) string {
 	status, header, _ := strings.Cut(text, " ")
 	return "HTTP/1.1 " + status + " X\r\n" + strings.ReplaceAll(header, "|", "\r\n") + "\r\n\r\n"
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -87,7 +87,7 @@
 	return c.dialect.ReadColdFor(resp.Header), nil
 }
 
-// reportForm gives the path and the form of load reports.
+// reportForm returns the path and the form of load reports.
 func (c *Client) reportForm() (string, func(data []byte, now time.Time) (Load, error)) {
 	if c.dialect.DecodeReport != nil {
 		return c.dialect.ReportPath, c.dialect.DecodeReport
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -149,7 +149,7 @@
 	return x.passHead(resp.StatusCode, endToEnd(resp.Header))
 }
 
-// hasEvent says whether the caller has an event already, which guards against
+// hasEvent reports whether the caller has an event already, which guards against
 // an endpoint that resumes too early.
 func (x *exchange) hasEvent(id string) bool {
 	resumeAfter := cmp.Or(x.attempt.ResumeAfter, x.attempt.Call.Routed.ResumeAfter)
@@ -186,7 +186,7 @@
 	}
 }
 
-// next gives the next event, valid until the next call. The body's end is
+// next returns the next event, valid until the next call. The body's end is
 // io.EOF between two events and errPartialEvent within one.
 func (r *eventRelay) next(maxBytes int) (relayEvent, error) {
 	r.data = r.data[:0]
@@ -225,7 +225,7 @@
 	return err
 }
 
-// LastEventID gives the id of the last event in a piece of a relayed stream,
+// LastEventID returns the id of the last event in a piece of a relayed stream,
 // empty where it holds none.
 func LastEventID(piece []byte) string {
 	id := ""
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -176,7 +176,7 @@
 	return x.release(s, resp)
 }
 
-// count gives the tokens in the chunk, at most one for each choice.
+// count returns the tokens in the chunk, at most one for each choice.
 func (s *stream) count() (tokens int, refusal *result.Refusal) {
 	for i := range s.chunk.Choices {
 		choice := &s.chunk.Choices[i]
--- a/entry/elsewhere.go
+++ b/entry/elsewhere.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Elsewhere gives the regions whose VMs a client may use while none of its own
+// Elsewhere returns the regions whose VMs a client may use while none of its own
 // region takes calls. own is the region of the VM that is asked, reached those
 // with VMs that take calls, and bound the homes of each route that is bound to
 // some. A bound call must not come to a VM of a region that is neither the
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -22,12 +22,12 @@
 	RatePerVM = 5
 )
 
-// Hash gives the hash of a workspace or VM id that Score combines.
+// Hash returns the hash of a workspace or VM id that Score combines.
 func Hash(id string) uint64 {
 	return xxhash.Sum64String(id)
 }
 
-// Score gives the rank weight of a VM for a workspace from their hashes. The
+// Score returns the rank weight of a VM for a workspace from their hashes. The
 // VM with the highest score owns the workspace; on a tie the lower id does.
 func Score(workspace, vm uint64) uint64 {
 	return mix(workspace ^ mix(vm))
@@ -44,7 +44,7 @@
 	return x
 }
 
-// Rank gives the VMs in the workspace's order, the owner first. The result does
+// Rank returns the VMs in the workspace's order, the owner first. The result does
 // not depend on the order of the input, which is left as it is.
 func Rank(workspace string, vms []fleet.VM) []fleet.VM {
 	h := Hash(workspace)
@@ -70,7 +70,7 @@
 	score uint64
 }
 
-// Owner gives the id that Rank puts first, or "" when there are none. It does not allocate.
+// Owner returns the id that Rank puts first, or "" when there are none. It does not allocate.
 func Owner(workspace string, ids []string) string {
 	h := Hash(workspace)
 	var owner string
@@ -85,7 +85,7 @@
 	return owner
 }
 
-// Spread gives the number of entry VMs of a workspace. It depends on the
+// Spread returns the number of entry VMs of a workspace. It depends on the
 // contract and the number of VMs alone, so that all VMs agree.
 func Spread(terms contract.RegionTerms, vms int) int {
 	k := vms
@@ -95,7 +95,7 @@
 	return min(max(k, MinSpread), vms)
 }
 
-// Order gives the VMs in the order in which one caller should try them. The k
+// Order returns the VMs in the order in which one caller should try them. The k
 // entry VMs come first. A workspace with more than MinSpread of them is hot:
 // nonce, which differs from caller to caller, rotates them to spread its calls.
 func Order(workspace string, vms []fleet.VM, k int, nonce uint64) []fleet.VM {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -34,7 +34,7 @@
 	return out
 }
 
-// zipf gives the contracted requests per second of each workspace, with a Zipf
+// zipf returns the contracted requests per second of each workspace, with a Zipf
 // skew of exponent one, for a mean of perVM requests per second on each VM.
 func zipf(vms int, perVM float64) []contract.RegionTerms {
 	sum := 0.0
@@ -48,7 +48,7 @@
 	return terms
 }
 
-// load gives each VM's load over the mean when each workspace uses its contract.
+// load is each VM's load over the mean when each workspace uses its contract.
 func load(list []fleet.VM, terms []contract.RegionTerms, seed, spread int) []float64 {
 	sums := make(map[string]float64)
 	total := 0.0
--- a/entry/near.go
+++ b/entry/near.go
@@ -11,7 +11,7 @@
 // calls of one that is lost there too.
 const nearLeast = 0.75
 
-// Near gives the VMs that a client is told of, at most so many: those of its data
+// Near returns the VMs that a client is told of, at most so many: those of its data
 // centre, whose bytes do not cross to another one, while enough of them take calls,
 // or else those of all data centres. Where that is too many, each client is told of
 // others, and of the same ones each time: clients leave the connections to VMs that
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -122,7 +122,7 @@
 	return ""
 }
 
-// Request gives the lines of a request in the order of their times, with the
+// Request returns the lines of a request in the order of their times, with the
 // beliefs of the VMs that had it, from shortly before it on until its end.
 func Request(lines []Line, id string) []Line {
 	var own []Line
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -4,7 +4,7 @@
 
 import "cmp"
 
-// State says whether a VM or an endpoint takes new work.
+// State reports whether a VM or an endpoint takes new work.
 type State string
 
 // The states that the platform's list shows.
@@ -38,7 +38,7 @@
 	Service string `json:"service,omitempty"`
 	// Slots is how many requests the engine batches at once; zero means unknown.
 	Slots int `json:"slots,omitempty"`
-	// ChecksFence says whether the endpoint refuses an order with an old fencing number.
+	// ChecksFence reports whether the endpoint refuses an order with an old fencing number.
 	ChecksFence bool  `json:"checks_fence,omitempty"`
 	State       State `json:"state"`
 	// Incarnation is when this life of the endpoint began, by its own clock in
--- a/limit/account.go
+++ b/limit/account.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// held gives the least share held since the last refill, and the integral of
+// held returns the least share held since the last refill, and the integral of
 // the share over that time in seconds.
 func (a *account) held(r *Request, now time.Time) (floor, seconds float64) {
 	if r.Since.IsZero() {
@@ -238,7 +238,7 @@
 	return worst
 }
 
-// comeBack gives the time at which a bucket has filled up by lack; it is zero
+// comeBack returns the time at which a bucket has filled up by lack; it is zero
 // when it never will.
 func comeBack(lack, rate float64, filledAt time.Time) time.Time {
 	if rate <= 0 {
@@ -248,7 +248,7 @@
 	return filledAt.Add(time.Duration(min(wait, float64(farAway))) + 1)
 }
 
-// slots gives the calls in flight that a share allows. A fraction is rounded
+// slots returns the calls in flight that a share allows. A fraction is rounded
 // down, or up for a share above one half: of all holders of a workspace's
 // limit only one can hold that much, so the sum stays within the limit.
 func slots(concurrency int, share float64) int {
@@ -293,7 +293,7 @@
 	a.inFlight -= r.Charged.Concurrency
 }
 
-// idle says whether a new account would hold the same.
+// idle reports whether a new account would hold the same.
 func (a *account) idle(now time.Time) bool {
 	return a.inFlight == 0 && a.leases.idle(now) && now.Sub(a.usedAt) > idleBeforeSweep && a.level.paid()
 }
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -180,7 +180,7 @@
 	return -time.Duration(i) * beatEvery / 2
 }
 
-// local gives the process's own clock reading.
+// local returns the process's own clock reading.
 func (p *process) local(now time.Duration) time.Time {
 	return time.Unix(1e9, 0).Add(p.offset + now + time.Duration(float64(now)*p.drift))
 }
--- a/limit/lease.go
+++ b/limit/lease.go
@@ -60,7 +60,7 @@
 	until time.Time
 }
 
-// lease gives the account's leases, made if needed.
+// lease returns the account's leases, made if needed.
 func (a *account) lease() *leases {
 	if a.leases == nil {
 		a.leases = &leases{
@@ -70,7 +70,7 @@
 	return a.leases
 }
 
-// slots gives the calls in flight that other VMs may have now.
+// slots returns the calls in flight that other VMs may have now.
 func (l *leases) slots(now time.Time) int {
 	if l == nil {
 		return 0
@@ -180,7 +180,7 @@
 	return want, back.amounts(), true
 }
 
-// due says whether the lease is to be renewed or given back.
+// due reports whether the lease is to be renewed or given back.
 func (l *leases) due(now time.Time) bool {
 	if l.refused {
 		return true
@@ -200,7 +200,7 @@
 	return false
 }
 
-// forecast gives the amounts for a lease term at the rate asked since the last
+// forecast returns the amounts for a lease term at the rate asked since the last
 // time, and at most the contract's.
 func (l *leases) forecast(rate levels, now time.Time) levels {
 	elapsed := min(max(now.Sub(l.askedAt), askEvery), LeaseTerm)
@@ -216,7 +216,7 @@
 	return wanted
 }
 
-// forecastSlots gives the calls in flight for a lease term. A refused call
+// forecastSlots returns the calls in flight for a lease term. A refused call
 // does not say how many more there were, so the number is doubled.
 func (l *leases) forecastSlots(concurrency int, now time.Time) int {
 	slots := max(l.wantSlots, l.inFlight)
@@ -229,7 +229,7 @@
 	return slots
 }
 
-// cold says whether no lease is held.
+// cold reports whether no lease is held.
 func (l *leases) cold(now time.Time) bool {
 	return !now.Before(l.until())
 }
@@ -334,12 +334,12 @@
 	return out
 }
 
-// grantSlots gives the calls in flight that one lease may take of the free ones.
+// grantSlots returns the calls in flight that one lease may take of the free ones.
 func grantSlots(free int) int {
 	return int(math.Ceil(grantPart * float64(free)))
 }
 
-// idle says whether nothing is leased in or out, in use or owed.
+// idle reports whether nothing is leased in or out, in use or owed.
 func (l *leases) idle(now time.Time) bool {
 	if l == nil {
 		return true
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -120,7 +120,7 @@
 	return &l.shards[xxhash.Sum64String(workspace)>>(64-shardBits)]
 }
 
-// account gives the workspace's account, made if needed. The shard is locked.
+// account returns the workspace's account, made if needed. The shard is locked.
 func (s *shard) account(workspace string) *account {
 	a := s.accounts[workspace]
 	if a == nil {
@@ -130,7 +130,7 @@
 	return a
 }
 
-// apply gives the request as the ledger's policy sees it.
+// apply returns the request as the ledger's policy sees it.
 func (l *Ledger) apply(r *Request) {
 	switch l.policy {
 	case PolicyStaticSplit:
--- a/limit/measure_test.go
+++ b/limit/measure_test.go
@@ -175,7 +175,7 @@
 	},
 }
 
-// usable gives the calls admitted over the contract: the mean of all
+// usable returns the calls admitted over the contract: the mean of all
 // workspaces, and the one with the most.
 func usable(w way, sc scene, ld load, seed int) (mean, most float64) {
 	n := newNetwork(w.variant, measuredVMs)
--- a/limit/network_test.go
+++ b/limit/network_test.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// hold gives the share as the variant sees it.
+// hold returns the share as the variant sees it.
 func (n *network) hold(p *process, workspace string, now time.Time) membership.Holding {
 	held := p.view.Hold(workspace, now)
 	switch n.variant {
@@ -185,7 +185,7 @@
 	})
 }
 
-// way gives the delay from one process to another; ok is false when it is cut.
+// way returns the delay from one process to another; ok is false when it is cut.
 // A process is named by its VM, one that was replaced by its VM and "'".
 func (n *network) way(from, to *process) (delay time.Duration, ok bool) {
 	delay = oneWay
@@ -213,7 +213,7 @@
 	return ""
 }
 
-// process gives the latest life of a VM's process, or nil.
+// process returns the latest life of a VM's process, or nil.
 func (n *network) process(id string) *process {
 	for _, p := range slices.Backward(n.processes) {
 		if p.vm.ID == id {
@@ -223,7 +223,7 @@
 	return nil
 }
 
-// publish gives a new list to every process, to the i-th after i parts of the lag.
+// publish sends a new list to every process, to the i-th after i parts of the lag.
 func (n *network) publish(vms []fleet.VM) {
 	list := &fleet.List{
 		Revision: n.list.Revision + 1,
@@ -239,7 +239,7 @@
 	}
 }
 
-// shares gives the sum of the shares of a workspace over all running processes.
+// shares returns the sum of the shares of a workspace over all running processes.
 func (n *network) shares(workspace string) float64 {
 	sum := 0.0
 	for _, p := range n.processes {
--- a/limit/property_test.go
+++ b/limit/property_test.go
@@ -115,7 +115,7 @@
 	return st
 }
 
-// drawList gives a list with the first VMs as live, leaving or gone, and perhaps a new one.
+// drawList returns a list with the first VMs as live, leaving or gone, and perhaps a new one.
 func drawList(t *rapid.T, names []string) []string {
 	var list []string
 	for _, name := range append(names, "x") {
--- a/limit/schedule_test.go
+++ b/limit/schedule_test.go
@@ -28,7 +28,7 @@
 	Steps []step
 }
 
-// String gives the text that parseSchedule reads.
+// String returns the text that parseSchedule reads.
 func (s schedule) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "vms %d\nlag %v\nuntil %v\n", s.VMs, s.Lag, s.Until)
@@ -92,7 +92,7 @@
 	return nil
 }
 
-// listBound gives the VMs that any list shows as live over the fewest that one does.
+// listBound returns the VMs that any list shows as live over the fewest that one does.
 func (s schedule) listBound() float64 {
 	ever := make(map[string]bool)
 	for i := range s.VMs {
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -58,7 +58,7 @@
 	return w
 }
 
-// Logger gives the logger whose lines go through the ring.
+// Logger returns the logger whose lines go through the ring.
 func (w *Writer) Logger() *slog.Logger {
 	return w.logger
 }
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -12,7 +12,7 @@
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 )
 
-// healthy gives a State whose region has n VMs that all reach and lend to it,
+// healthy returns a State whose region has n VMs that all reach and lend to it,
 // for the number of heartbeats given. After ten of them all its loans have
 // been steady for long; after three they still have the steps of the start.
 func healthy(n, heartbeats int) (s *State, now time.Time) {
--- a/membership/borrow.go
+++ b/membership/borrow.go
@@ -53,7 +53,7 @@
 	}
 }
 
-// HeldLoan gives the number of the last loan taken from a VM's present
+// HeldLoan returns the number of the last loan taken from a VM's present
 // incarnation, to be said on the next heartbeat to it; zero means none.
 func (s *State) HeldLoan(from string) uint64 {
 	l := s.loans[from]
@@ -63,7 +63,7 @@
 	return l.id
 }
 
-// lenderOf gives the incarnation that lends under a VM's id.
+// lenderOf returns the incarnation that lends under a VM's id.
 func (s *State) lenderOf(vm string) uint64 {
 	if p := s.peers[vm]; p != nil {
 		return p.beat.Incarnation
@@ -121,7 +121,7 @@
 	return changed
 }
 
-// resolve gives the loan's member set, which is one of the own recent ones when it was left out.
+// resolve returns the loan's member set, which is one of the own recent ones when it was left out.
 func (s *State) resolve(l Loan) *memberSet {
 	if len(l.Members) > 0 {
 		return newMemberSet(slices.Clone(l.Members))
--- a/membership/catchup.go
+++ b/membership/catchup.go
@@ -8,7 +8,7 @@
 	ListRevision      uint64
 }
 
-// CaughtUp says whether a VM that has just started knows what its peers know:
+// CaughtUp reports whether a VM that has just started knows what its peers know:
 // each listed VM of its region has answered a heartbeat and holds nothing
 // newer, or was found out of reach. When none of its region is in reach, it
 // asks those of other regions, until its hold after it was listed has passed;
@@ -31,7 +31,7 @@
 	return heard && settled
 }
 
-// catchUp says whether any of the peers was heard, and whether none is still
+// catchUp reports whether any of the peers was heard, and whether none is still
 // to be heard or holds something newer.
 func catchUp(peers []*peer, k Known) (heard, settled bool) {
 	settled = true
--- a/membership/holding.go
+++ b/membership/holding.go
@@ -88,7 +88,7 @@
 	return h
 }
 
-// lenders gives the VMs whose loans count: those that this VM lists as live.
+// lenders returns the VMs whose loans count: those that this VM lists as live.
 func (s *State) lenders() []string {
 	var from []string
 	if s.selfLive {
@@ -102,7 +102,7 @@
 	return from
 }
 
-// lentIDs gives all ids of all member sets in sorted order.
+// lentIDs returns all ids of all member sets in sorted order.
 func (s *State) lentIDs(now time.Time) []string {
 	var ids []string
 	seen := make(map[uint64]bool)
@@ -140,7 +140,7 @@
 	h.loans = append(h.loans, held)
 }
 
-// newBitSet gives the members as indexes into ids. A set without this VM is
+// newBitSet returns the members as indexes into ids. A set without this VM is
 // given as nil: it assigns nothing to it.
 func newBitSet(members *memberSet, ids []string, self string) bitSet {
 	if !members.has(self) {
@@ -154,7 +154,7 @@
 	return set
 }
 
-// owns says whether none of the VMs that rank before this one is in the set.
+// owns reports whether none of the VMs that rank before this one is in the set.
 func (set bitSet) owns(before bitSet) bool {
 	for i, word := range set {
 		if word&before[i] != 0 {
@@ -164,13 +164,13 @@
 	return set != nil
 }
 
-// Share gives the part, from 0 to 1, of the region's limit of a workspace that
+// Share returns the part, from 0 to 1, of the region's limit of a workspace that
 // this VM may use as owner now.
 func (v *View) Share(workspace string, now time.Time) float64 {
 	return v.Hold(workspace, now).Share
 }
 
-// Hold gives the share with its past, so that a limit is saved up only for the
+// Hold returns the share with its past, so that a limit is saved up only for the
 // time in which the share was held.
 func (v *View) Hold(workspace string, now time.Time) Holding {
 	h := &v.holdings
@@ -187,7 +187,7 @@
 	return h.sum(owned, now)
 }
 
-// before gives the VMs that rank before this one for the workspace, in buf if it is large enough.
+// before returns the VMs that rank before this one for the workspace, in buf if it is large enough.
 func (h *holdings) before(workspace uint64, buf bitSet) bitSet {
 	for range (len(h.seeds) + wordBits - 1) / wordBits {
 		buf = append(buf, 0)
@@ -227,7 +227,7 @@
 	return out
 }
 
-// since gives the time from which the loan has assigned the workspace to this VM without a gap.
+// since returns the time from which the loan has assigned the workspace to this VM without a gap.
 func (l *heldLoan) since(owned []bool) (since time.Time, ok bool) {
 	for i := len(l.epochs) - 1; i >= 0; i-- {
 		e := l.epochs[i]
--- a/membership/interval.go
+++ b/membership/interval.go
@@ -15,13 +15,13 @@
 	marginPart = 50
 )
 
-// DefaultHeartbeatEvery gives the default interval for the number of VMs that
+// DefaultHeartbeatEvery returns the default interval for the number of VMs that
 // are sent heartbeats.
 func DefaultHeartbeatEvery(peers int) time.Duration {
 	return max(heartbeatLeast, time.Duration(peers)*heartbeatPerPeer)
 }
 
-// DefaultLeaseTerm gives the default lease term for a heartbeat interval.
+// DefaultLeaseTerm returns the default lease term for a heartbeat interval.
 func DefaultLeaseTerm(heartbeatEvery time.Duration) time.Duration {
 	return heartbeatsPerTerm * heartbeatEvery
 }
--- a/membership/list.go
+++ b/membership/list.go
@@ -76,7 +76,7 @@
 	s.self.OperatorAddr = listed.OperatorAddr
 }
 
-// relist gives the peer for a listed VM. One that moved to another address is a new one.
+// relist returns the peer of a listed VM. One that moved to another address is a new one.
 func (s *State) relist(vm fleet.VM, now time.Time) *peer {
 	p := s.peers[vm.ID]
 	if p == nil || p.vm.PeerAddr != vm.PeerAddr {
@@ -130,7 +130,7 @@
 	return n
 }
 
-// knows says whether the VM's present process ran for a hold before the list
+// knows reports whether the VM's present process ran for a hold before the list
 // shrank, so that it divides by the larger number too. Another one would count
 // a part that is lent to it as more than it is. A VM that lends nothing yet
 // can't tell, and needn't.
--- a/membership/loan.go
+++ b/membership/loan.go
@@ -73,7 +73,7 @@
 	until time.Time
 }
 
-// lend gives the set to lend for and the number of the loan, and records it;
+// lend returns the set to lend for and the number of the loan, and records it;
 // ok is false when nothing may be lent to the holder now.
 func (l *lender) lend(to holder, reach *memberSet, until, now time.Time) (members *memberSet, id uint64, ok bool) {
 	l.expire(now)
@@ -207,7 +207,7 @@
 	return s.lent.lend(to, s.reach, now.Add(withMargin(s.term)), now)
 }
 
-// behind says whether another VM has a newer list. By an old one this VM might
+// behind reports whether another VM has a newer list. By an old one this VM might
 // lend a part that is no longer its own.
 func (s *State) behind() bool {
 	for _, p := range s.region {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -109,7 +109,7 @@
 	s.term = s.termFor(peers)
 }
 
-// SetReady says whether this VM has a configuration to serve by; it starts as true.
+// SetReady reports whether this VM has a configuration to serve by; it starts as true.
 func (s *State) SetReady(ready bool, now time.Time) {
 	s.step(now)
 	s.ready = ready
@@ -171,7 +171,7 @@
 	s.dirty = true
 }
 
-// Due gives the VMs to send a heartbeat now and marks them as sent: all of the
+// Due returns the VMs to send a heartbeat now and marks them as sent: all of the
 // own region, and a few of each other region by rank.
 func (s *State) Due(now time.Time) []fleet.VM {
 	s.step(now)
@@ -186,7 +186,7 @@
 	return due
 }
 
-// Next gives the time of the next Due, at most one heartbeat interval away.
+// Next returns the time of the next Due, at most one heartbeat interval away.
 func (s *State) Next(now time.Time) time.Time {
 	next := now.Add(s.every)
 	for _, p := range s.watched() {
@@ -197,7 +197,7 @@
 	return next
 }
 
-// watched gives the peers that are sent heartbeats. In another region those
+// watched returns the peers that are sent heartbeats. In another region those
 // that are out of reach are passed over, except the first, which is asked until it returns.
 func (s *State) watched() []*peer {
 	watched := slices.Clone(s.region)
@@ -264,7 +264,7 @@
 	s.dirty = true
 }
 
-// Beat gives what this VM says about itself; the caller adds revisions of
+// Beat returns what this VM says about itself; the caller adds revisions of
 // documents, adoptions, surplus, load and the stamp.
 func (s *State) Beat(now time.Time) Beat {
 	s.step(now)
--- a/membership/peer.go
+++ b/membership/peer.go
@@ -70,12 +70,12 @@
 	next      time.Time
 }
 
-// takesWork says whether the VM may own workspaces.
+// takesWork reports whether the VM may own workspaces.
 func (p *peer) takesWork() bool {
 	return p.reachable && p.vm.State == fleet.StateLive && !p.beat.Leaving && p.beat.Ready
 }
 
-// lost says whether the VM was found out of reach, not just never tried.
+// lost reports whether the VM was found out of reach, not just never tried.
 func (p *peer) lost() bool {
 	return !p.reachable && p.misses >= missesToLose
 }
@@ -155,7 +155,7 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
-// rankOthers gives the peers of other regions, region by region, each in this
+// rankOthers returns the peers of other regions, region by region, each in this
 // VM's rank order, so that the VMs of one region ask different ones of another.
 func rankOthers(self fleet.VM, vms []fleet.VM, peers map[string]*peer) []*peer {
 	var others []*peer
--- a/membership/rights.go
+++ b/membership/rights.go
@@ -16,7 +16,7 @@
 	s.rights[vm] = rights
 }
 
-// adoptions gives the VM that holds the rights of each incarnation that gave
+// adoptions returns the VM that holds the rights of each incarnation that gave
 // them up: as known at first hand, else as the beats say. What a VM that leaves
 // said counts least, since it may have handed on what it had.
 func (s *State) adoptions() map[holder]adopter {
--- a/membership/view.go
+++ b/membership/view.go
@@ -62,7 +62,7 @@
 	until time.Time
 }
 
-// View gives the picture of now. It renews this VM's loan to itself, so it is
+// View returns the picture of now. It renews this VM's loan to itself, so it is
 // to be called and published after every step of the control state.
 func (s *State) View(now time.Time) *View {
 	s.step(now)
@@ -155,7 +155,7 @@
 	return offers
 }
 
-// Entries gives the VMs of the region that take work, in the workspace's rank order.
+// Entries returns the VMs of the region that take work, in the workspace's rank order.
 func (v *View) Entries(workspace string) []fleet.VM {
 	vms := make([]fleet.VM, 0, len(v.entries))
 	for _, e := range v.entries {
@@ -164,7 +164,7 @@
 	return entry.Rank(workspace, vms)
 }
 
-// Owner gives the first of Entries without allocating; ok is false when there is none.
+// Owner returns the first of Entries without allocating; ok is false when there is none.
 func (v *View) Owner(workspace string) (vm fleet.VM, ok bool) {
 	h := entry.Hash(workspace)
 	owner := -1
@@ -182,7 +182,7 @@
 	return v.entries[owner].vm, true
 }
 
-// EntriesIn gives the listed live VMs of another region in the workspace's rank
+// EntriesIn returns the listed live VMs of another region in the workspace's rank
 // order, those known to be leaving left out and those not reached put last.
 func (v *View) EntriesIn(region, workspace string) []fleet.VM {
 	if region == v.Self.Region {
@@ -204,7 +204,7 @@
 	return append(entry.Rank(workspace, reached), entry.Rank(workspace, rest)...)
 }
 
-// Executor gives the VM to ask for a ticket of an incarnation: the one that
+// Executor returns the VM to ask for a ticket of an incarnation: the one that
 // adopted it, or the VM itself unless it is known to run another incarnation.
 func (v *View) Executor(vm string, incarnation uint64) (fleet.VM, bool) {
 	of := holder{
@@ -224,7 +224,7 @@
 	return fleet.VM{}, false
 }
 
-// Surplus gives what other regions offer for a target and have not withdrawn.
+// Surplus returns what other regions offer for a target and have not withdrawn.
 func (v *View) Surplus(target string, now time.Time) []Surplus {
 	var offers []Surplus
 	for _, o := range v.surplus[target] {
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -50,7 +50,7 @@
 	notes float64
 }
 
-// String gives the figures.
+// String returns the figures.
 func (o outcome) String() string {
 	return fmt.Sprintf("%.2f of the bound, back %.3f, served %.3f, waits %.3f, notes %.1f", o.most, o.back, o.served, o.waits, o.notes)
 }
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -70,7 +70,7 @@
 	return m
 }
 
-// series gives each series of the system's own with its value or count.
+// series returns each series of the system's own with its value or count.
 func series(t *testing.T, m *Metrics) map[string]float64 {
 	families, err := m.registry.Gather()
 	assert.NilError(t, err)
--- a/node/away.go
+++ b/node/away.go
@@ -54,7 +54,7 @@
 	}
 }
 
-// always says whether strangers are taken and sent whatever is free.
+// always reports whether strangers are taken and sent whatever is free.
 func (p *pools) always() bool {
 	return p.node.settings.Policies.Borrowing == borrow.PolicyAlways
 }
--- a/node/crashes.go
+++ b/node/crashes.go
@@ -26,14 +26,14 @@
 	})
 }
 
-// listed says whether this life of an endpoint takes work by the platform's list.
+// listed reports whether this life of an endpoint takes work by the platform's list.
 func (n *Node) listed(e fleet.Endpoint) bool {
 	return slices.ContainsFunc(n.pools.table.Load().endpoints, func(known fleet.Endpoint) bool {
 		return known.ID == e.ID && known.Incarnation == e.Incarnation && known.State == fleet.StateLive
 	})
 }
 
-// vmsInReach gives this VM and those in reach, and whether others are listed.
+// vmsInReach returns this VM and those in reach, and whether others are listed.
 func (n *Node) vmsInReach() (vms []quarantine.Peer, parted bool) {
 	view := n.view()
 	for _, m := range slices.Concat(view.Region, view.Others) {
--- a/node/demand.go
+++ b/node/demand.go
@@ -55,7 +55,7 @@
 	d.strangers += calls
 }
 
-// own gives the region's mean demand without strangers. The other VMs are taken
+// own returns the region's mean demand without strangers. The other VMs are taken
 // to serve as many as this one; over all VMs the sum is right however they spread.
 func (d *demand) own(vms int, now time.Time) float64 {
 	d.mu.Lock()
--- a/node/documents.go
+++ b/node/documents.go
@@ -105,7 +105,7 @@
 	return nil
 }
 
-// isWatcher says whether this VM watches; one that knows no others does.
+// isWatcher reports whether this VM watches; one that knows no others does.
 func (n *Node) isWatcher() bool {
 	vms := n.dataCentre()
 	known := false
@@ -123,7 +123,7 @@
 	return false
 }
 
-// dataCentre gives the reachable VMs of this data centre with this one.
+// dataCentre returns the reachable VMs of this data centre with this one.
 func (n *Node) dataCentre() []fleet.VM {
 	view := n.view()
 	var out []fleet.VM
@@ -136,7 +136,7 @@
 	return out
 }
 
-// reachableVMs gives the reachable VMs of all regions with this one.
+// reachableVMs returns the reachable VMs of all regions with this one.
 func reachableVMs(view *membership.View) []fleet.VM {
 	out := []fleet.VM{view.Self}
 	for _, members := range [][]membership.Member{view.Region, view.Others} {
--- a/node/handlers.go
+++ b/node/handlers.go
@@ -84,7 +84,7 @@
 	return out
 }
 
-// isPeerLost says whether a forward's code speaks of the VM asked. Once the
+// isPeerLost reports whether a forward's code speaks of the VM asked. Once the
 // caller has left and ended its ctx, the call ends whatever the VM does.
 func isPeerLost(ctx context.Context, code result.Code) bool {
 	if ctx.Err() != nil {
--- a/node/pools.go
+++ b/node/pools.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// find gives the pool of a target of this region.
+// find returns the pool of a target of this region.
 func (p *pools) find(target string) (*serving.Pool, bool) {
 	pool, ok := p.table.Load().byTarget[target]
 	if !ok {
--- a/node/status.go
+++ b/node/status.go
@@ -28,7 +28,7 @@
 	}
 }
 
-// ready says whether this VM takes callers: it has a configuration, is not
+// ready reports whether this VM takes callers: it has a configuration, is not
 // stopping, and has been listed for long enough to lend its shares.
 func (n *Node) ready() bool {
 	view := n.view()
@@ -36,7 +36,7 @@
 	return n.caughtUp() && listed && !n.stopping.Load()
 }
 
-// caughtUp says whether this VM has a configuration to serve by.
+// caughtUp reports whether this VM has a configuration to serve by.
 func (n *Node) caughtUp() bool {
 	return n.control.published.Load().ready
 }
--- a/node/stop.go
+++ b/node/stop.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// handOver gives the rights on this incarnation's tickets up for good and
+// handOver returns the rights on this incarnation's tickets up for good and
 // offers them, with the records, to one successor of the region. It reports
 // whether one accepted; calls with the tickets are then sent on to that one.
 func (n *Node) handOver(ctx context.Context) bool {
--- a/notchctl/command_check.go
+++ b/notchctl/command_check.go
@@ -62,7 +62,7 @@
 	return refusal
 }
 
-// keyOf gives the key that a file is published under.
+// keyOf returns the key that a file is published under.
 func keyOf(file string) string {
 	path := filepath.ToSlash(file)
 	name := strings.TrimSuffix(path[strings.LastIndexByte(path, '/')+1:], ".json")
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -18,11 +18,11 @@
 type Options struct {
 	// Ready tells whether the VM takes calls.
 	Ready func() bool
-	// Status gives the VM's state now.
+	// Status returns the VM's state now.
 	Status func() Status
-	// Events gives this VM's own events, oldest first.
+	// Events returns this VM's own events, oldest first.
 	Events func(timeline.Query) []timeline.Event
-	// Merged gives the events of all VMs reached, in causal order, and the ids of
+	// Merged returns the events of all VMs reached, in causal order, and the ids of
 	// those not reached.
 	Merged func(context.Context, timeline.Query) (events []timeline.Event, unreached []string)
 	// Metrics serves the metrics.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// events gives one event that shows the query it was asked with.
+// events returns one event that shows the query it was asked with.
 func events(kind string, q timeline.Query) []timeline.Event {
 	if q.Request == "none" {
 		return nil
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -164,7 +164,7 @@
 	}
 }
 
-// endsTooLate says whether a call that ends at such a part of the time to its
+// endsTooLate reports whether a call that ends at such a part of the time to its
 // deadline is refused.
 func (r Request) endsTooLate(end float64) bool {
 	from := r.refuseFrom()
@@ -204,12 +204,12 @@
 	return best
 }
 
-// late says whether the first token comes well after the objective.
+// late reports whether the first token comes well after the objective.
 func (r Request) late(l Load, now time.Time) bool {
 	return Yields(l, r.FirstBy, now)
 }
 
-// Yields says whether a call that is served at such a load cannot be on time any
+// Yields reports whether a call that is served at such a load cannot be on time any
 // more, so that it makes way for those that can.
 func Yields(l Load, firstBy, now time.Time) bool {
 	return part(l.First+l.Way, firstBy, now) > lateFrom
@@ -225,7 +225,7 @@
 	return max(whole, refuseLow*part(l.LongWhole+l.Way, r.WholeBy, now))
 }
 
-// used gives the parts of the times to the objective and to the deadline that
+// used returns the parts of the times to the objective and to the deadline that
 // the call would take in a region.
 func (r Request) used(l Load, now time.Time) (first, whole float64) {
 	return part(l.First+l.Way, r.FirstBy, now), part(l.Whole+l.Way, r.WholeBy, now)
--- a/placement/sent.go
+++ b/placement/sent.go
@@ -61,7 +61,7 @@
 	ring.next = (ring.next + 1) % sentKept
 }
 
-// Since gives the tokens that the VMs of the own region, so many, are taken to
+// Since returns the tokens that the VMs of the own region, so many, are taken to
 // have sent after a moment.
 func (s *Sent) Since(region, service string, moment time.Time, vms int) float64 {
 	s.mu.Lock()
--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -20,7 +20,7 @@
 	// inboxLength is how many messages may wait: one crash cuts some hundred calls of
 	// a VM at the most.
 	inboxLength = 512
-	// stepEvery is how often it is looked whether a note is due: what a VM that starts
+	// stepEvery is the interval at which notes fall due: what a VM that starts
 	// or comes back has to hear waits for that.
 	stepEvery = time.Second
 	// tellWithin bounds one note with a new connection between the most distant regions.
@@ -39,10 +39,10 @@
 	Now func() time.Time
 	// Dial opens a connection to an address and closes it.
 	Dial func(ctx context.Context, addr string) error
-	// Listed says whether an endpoint takes work by what is published: one that leaves
+	// Listed reports whether an endpoint takes work by what is published: one that leaves
 	// ends as planned, with calls that it has.
 	Listed func(e fleet.Endpoint) bool
-	// VMs gives those in reach with this one, and whether others are out of reach.
+	// VMs returns those in reach with this one, and whether others are out of reach.
 	VMs func() (vms []quarantine.Peer, parted bool)
 	// Tell sends a note to a VM.
 	Tell func(ctx context.Context, to fleet.VM, n quarantine.Note) error
@@ -161,7 +161,7 @@
 	})
 }
 
-// Admit says whether endpoints may get a call. One that is held may still, as a trial,
+// Admit reports whether endpoints may get a call. One that is held may still, as a trial,
 // once it is this VM's to try it.
 func (a *Agent) Admit(content uint64) (refusal *result.Refusal, trial bool) {
 	h := (*a.held.Load())[content]
--- a/quarantine/held.go
+++ b/quarantine/held.go
@@ -20,7 +20,7 @@
 	TryAt time.Time
 }
 
-// Held gives the calls that are held, in no order. vms are those in reach with this one.
+// Held returns the calls that are held, in no order. vms are those in reach with this one.
 func (l *List) Held(vms []Peer) []Held {
 	var out []Held
 	for content, v := range l.verdicts {
--- a/quarantine/note.go
+++ b/quarantine/note.go
@@ -48,7 +48,7 @@
 	sending bool
 }
 
-// Due gives the notes to send now, one for each VM at the most. vms are those in
+// Due returns the notes to send now, one for each VM at the most. vms are those in
 // reach with this one, parted says that others are out of reach. What nobody took is
 // due again, also for a VM that starts, or comes back from behind a cut: this VM
 // keeps what it saw, and those that rank first for a content keep the verdict.
@@ -111,7 +111,7 @@
 	}
 }
 
-// toldOf gives what a VM knows; a new life of it knows nothing.
+// toldOf returns what a VM knows; a new life of it knows nothing.
 func (l *List) toldOf(p Peer) *toldVM {
 	known := l.told[p.VM.ID]
 	if known == nil || known.incarnation != p.Incarnation {
@@ -159,7 +159,7 @@
 	return found
 }
 
-// firstOf gives the VM that ranks first, outside of a region; nil where there is none.
+// firstOf returns the VM that ranks first, outside of a region; nil where there is none.
 func firstOf(key string, vms []Peer, outside string) *Peer {
 	h := entry.Hash(key)
 	var first *Peer
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -48,7 +48,7 @@
 // fault of that: endpoints crash within some 0.1 s of beginning to run what does it.
 const beganWellFor = 2 * time.Second
 
-// Suspects says whether an endpoint may have crashed under a call whose answer began and
+// Suspects reports whether an endpoint may have crashed under a call whose answer began and
 // broke off then; a zero time means that it never began.
 func Suspects(firstAt, brokeAt time.Time) bool {
 	return firstAt.IsZero() || brokeAt.Sub(firstAt) < beganWellFor
@@ -86,7 +86,7 @@
 // List is what one VM knows. It is not safe for concurrent use.
 type List struct {
 	self string
-	// parted says whether a part of the fleet is out of reach.
+	// parted reports whether a part of the fleet is out of reach.
 	parted    bool
 	witnessed []*witnessed
 	suspects  map[uint64]*suspect
@@ -231,7 +231,7 @@
 	l.witnessed = slices.DeleteFunc(l.witnessed, func(w *witnessed) bool { return w.Content == content })
 }
 
-// suspect gives the entry of a content, and makes room for it.
+// suspect returns the entry of a content, and makes room for it.
 func (l *List) suspect(content uint64) *suspect {
 	if s, ok := l.suspects[content]; ok {
 		return s
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -47,7 +47,7 @@
 	l.down[name] = false
 }
 
-// inReach gives the VMs that one reaches, with itself.
+// inReach returns the VMs that one reaches, with itself.
 func (l *lists) inReach(name string) (vms []Peer, parted bool) {
 	for _, other := range l.order {
 		if l.down[other] || l.apart[other] != l.apart[name] {
--- a/result/refusal.go
+++ b/result/refusal.go
@@ -38,17 +38,17 @@
 	return r
 }
 
-// Error gives the code's number and name with the message.
+// Error returns the code's number and name with the message.
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("%d %s: %s", r.Code, r.Code, r.Message)
 }
 
-// Unwrap gives the cause.
+// Unwrap returns the cause.
 func (r *Refusal) Unwrap() error {
 	return r.Cause
 }
 
-// Of gives the refusal inside err. An error without one becomes fallback.
+// Of returns the refusal inside err. An error without one becomes fallback.
 func Of(err error, fallback Code) *Refusal {
 	var r *Refusal
 	if errors.As(err, &r) {
--- a/result/result.go
+++ b/result/result.go
@@ -172,7 +172,7 @@
 	}
 }
 
-// Lookup gives the description of a code; ok is false for an unknown code.
+// Lookup returns the description of a code; ok is false for an unknown code.
 func Lookup(code Code) (info Info, ok bool) {
 	info, ok = byCode[code]
 	return info, ok
@@ -188,7 +188,7 @@
 	return m
 }
 
-// Class gives the code's class, or ClassUnknown for a code that is not in Table.
+// Class returns the code's class, or ClassUnknown for a code that is not in Table.
 func (c Code) Class() Class {
 	if info, ok := byCode[c]; ok {
 		return info.Class
@@ -196,7 +196,7 @@
 	return ClassUnknown
 }
 
-// String gives the code's name.
+// String returns the code's name.
 func (c Code) String() string {
 	if info, ok := byCode[c]; ok {
 		return info.Name
--- a/retry/history.go
+++ b/retry/history.go
@@ -41,7 +41,7 @@
 	return last
 }
 
-// Routed gives how often a routed call was tried and may be tried. The route
+// Routed returns how often a routed call was tried and may be tried. The route
 // bounds the endpoints that may have run it; those that certainly have not are
 // bounded besides.
 func (h *History) Routed(mostRuns int) (attempts, most int) {
--- a/retry/places.go
+++ b/retry/places.go
@@ -28,7 +28,7 @@
 	return most - p.Ran
 }
 
-// MayMove says whether the call may go to another place: it did not run at this
+// MayMove reports whether the call may go to another place: it did not run at this
 // one, or it may run again and the caller can be given the rest.
 func (p Place) MayMove() bool {
 	switch p.Code {
@@ -41,7 +41,7 @@
 	}
 }
 
-// IsRepeat says whether the next place's first attempt is one more of the call's.
+// IsRepeat reports whether the next place's first attempt is one more of the call's.
 func (p Place) IsRepeat() bool {
 	return p.Code.Class() != result.ClassNotRun || p.Code == result.EndpointRefused
 }
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -90,7 +90,7 @@
 	result.AnswerCrossed:   true,
 }
 
-// Decide says whether a call may be sent again. It does not ask the budget.
+// Decide reports whether a call may be sent again. It does not ask the budget.
 // Only the VM that sends to endpoints retries: the one that forwarded a call
 // never does, so the layers do not multiply.
 func Decide(a Attempt, now time.Time) Verdict {
--- a/retry/window.go
+++ b/retry/window.go
@@ -21,7 +21,7 @@
 	Slack float64
 	// Length is that of the window, in which both count.
 	Length time.Duration
-	// VMs gives the number of VMs that share the slack; zero or less means that
+	// VMs returns the number of VMs that share the slack; zero or less means that
 	// it is not known yet, and that nothing of the slack is used.
 	VMs func() int
 	// SlackFrom is from when on this VM uses its part of the slack: one Length after
--- a/roster/digest.go
+++ b/roster/digest.go
@@ -49,7 +49,7 @@
 	return d
 }
 
-// Differing gives the rumors that another VM may lack, by its digest.
+// Differing returns the rumors that another VM may lack, by its digest.
 func (r *Roster) Differing(theirs Digest) []Rumor {
 	own := r.Digest()
 	var out []Rumor
@@ -68,7 +68,7 @@
 	return out
 }
 
-// Recent gives the rumors that this VM took last, to be told unasked.
+// Recent returns the rumors that this VM took last, to be told unasked.
 func (r *Roster) Recent(now time.Time) []Rumor {
 	var recent []*member
 	for _, m := range r.members {
--- a/roster/picture.go
+++ b/roster/picture.go
@@ -49,30 +49,30 @@
 	taking     map[string][]fleet.VM
 }
 
-// Reached gives the VMs of a region that are in reach. It must not be changed.
+// Reached returns the VMs of a region that are in reach. It must not be changed.
 func (p *Picture) Reached(region string) []fleet.VM {
 	return p.reached[region]
 }
 
-// Taking gives the VMs of a region that are in reach and take calls. It must not
+// Taking returns the VMs of a region that are in reach and take calls. It must not
 // be changed.
 func (p *Picture) Taking(region string) []fleet.VM {
 	return p.taking[region]
 }
 
-// TakingRegions gives the regions that have such VMs, by name.
+// TakingRegions returns the regions that have such VMs, by name.
 func (p *Picture) TakingRegions() []string {
 	return slices.Sorted(maps.Keys(p.taking))
 }
 
-// Current says whether what this VM believes is from now, and not from before a
+// Current reports whether what this VM believes is from now, and not from before a
 // pause of its process: endpoints may have become cold meanwhile, and calls that
 // have waited would all go there at once.
 func (p *Picture) Current(now time.Time) bool {
 	return !p.Waking && (p.SteppedAt.IsZero() || now.Sub(p.SteppedAt) <= p.longestStep)
 }
 
-// Picture gives the picture of now.
+// Picture returns the picture of now.
 func (r *Roster) Picture() *Picture {
 	if r.shown == nil || r.shownStale {
 		r.show()
@@ -136,7 +136,7 @@
 	r.shownStale = false
 }
 
-// StoreAway says whether a VM of the own region cannot read the store: nobody
+// StoreAway reports whether a VM of the own region cannot read the store: nobody
 // there may then hear of changes.
 func (p *Picture) StoreAway() bool {
 	return slices.ContainsFunc(p.Members, func(m Member) bool {
@@ -148,7 +148,7 @@
 // readersRank is what the VMs of a region are ranked for.
 const readersRank = "readers"
 
-// Reads says whether this VM is among so many of its region that follow the
+// Reads reports whether this VM is among so many of its region that follow the
 // store: by rank among those reached that the store does not turn away. A VM that
 // is turned away tries on, in case all are.
 func (p *Picture) Reads(readers int) bool {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -77,7 +77,7 @@
 	TurnedAway bool
 }
 
-// newer says whether r replaces what is held.
+// newer reports whether r replaces what is held.
 func (r Rumor) newer(held Rumor) bool {
 	return cmp.Or(
 		cmp.Compare(r.Incarnation, held.Incarnation),
@@ -164,7 +164,7 @@
 	})
 }
 
-// SetReady says whether this VM takes calls.
+// SetReady reports whether this VM takes calls.
 func (r *Roster) SetReady(ready bool) {
 	if r.self.Ready == ready {
 		return
@@ -175,7 +175,7 @@
 	})
 }
 
-// SetTurnedAway says whether this VM cannot read the store.
+// SetTurnedAway reports whether this VM cannot read the store.
 func (r *Roster) SetTurnedAway(away bool) {
 	if r.self.TurnedAway == away {
 		return
@@ -236,7 +236,7 @@
 	return r.every
 }
 
-// starting says whether this VM has just begun and has yet to find regions.
+// starting reports whether this VM has just begun and has yet to find regions.
 func (r *Roster) starting() bool {
 	if r.round >= startRounds {
 		return false
@@ -297,7 +297,7 @@
 	return suspectIntervals * r.every
 }
 
-// Waking says whether the process has paused and there was no news since.
+// Waking reports whether the process has paused and there was no news since.
 func (r *Roster) Waking() bool {
 	return r.waking
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -147,7 +147,7 @@
 		w.cuts[[2]string{a.vm.ID, ""}] || w.cuts[[2]string{b.vm.ID, ""}]
 }
 
-// reached gives the ids that a VM would send others to.
+// reached returns the ids that a VM would send others to.
 func (w *world) reached(id string) string {
 	var out []string
 	for _, m := range w.vms[id].roster.Picture().Members {
@@ -163,7 +163,7 @@
 	Regions   int
 	PerRegion int `json:"per_region"`
 	Steps     []string
-	// Want gives what a VM reaches: "VM: ids", or "all" for every VM.
+	// Want returns what a VM reaches: "VM: ids", or "all" for every VM.
 	Want []string
 }
 
--- a/roster/target.go
+++ b/roster/target.go
@@ -7,7 +7,7 @@
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
-// near gives the next member of the own region in a shuffled round, so that
+// near returns the next member of the own region in a shuffled round, so that
 // each is asked by somebody within about one interval, however many there are.
 func (r *Roster) near() []Target {
 	for range 2 {
@@ -36,7 +36,7 @@
 	}
 }
 
-// Spread gives a few random members of the own region, to be told of something new.
+// Spread returns a few random members of the own region, to be told of something new.
 func (r *Roster) Spread(count int) []Target {
 	var near []*member
 	for _, m := range r.sorted() {
@@ -53,7 +53,7 @@
 	return out
 }
 
-// far gives random living members of the other regions: one of each that this
+// far returns random living members of the other regions: one of each that this
 // member is drawn to ask in this round, and several of one where members are in
 // doubt, as a region is lost as a whole more often than one VM of it. Those in
 // doubt are asked anyway.
@@ -114,7 +114,7 @@
 	return out
 }
 
-// dead gives one random member that counts as dead.
+// dead returns one random member that counts as dead.
 func (r *Roster) dead() []Target {
 	var list []*member
 	for _, m := range r.sorted() {
@@ -137,7 +137,7 @@
 	return list
 }
 
-// seedTargets gives the seeds at which no living member is known.
+// seedTargets returns the seeds at which no living member is known.
 func (r *Roster) seedTargets() []Target {
 	known := make(map[string]bool)
 	for _, m := range r.members {
--- a/route/route.go
+++ b/route/route.go
@@ -144,7 +144,7 @@
 	return nil, false
 }
 
-// Bound gives the homes of each route of a host that is bound to some.
+// Bound returns the homes of each route of a host that is bound to some.
 func (t *Table) Bound(host string) [][]string {
 	var bound [][]string
 	for _, r := range t.byHost[normalHost(host)] {
@@ -155,7 +155,7 @@
 	return bound
 }
 
-// normalHost gives a host without its port, in lower case.
+// normalHost returns a host without its port, in lower case.
 func normalHost(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
@@ -163,7 +163,7 @@
 	return strings.ToLower(host)
 }
 
-// Service gives what is known of a service.
+// Service returns what is known of a service.
 func (t *Table) Service(name string) (Service, bool) {
 	s, ok := t.services[name]
 	return s, ok
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -32,7 +32,7 @@
 	Tokens int
 }
 
-// Prefixes gives the beginnings that a prompt shares with others: up to the end
+// Prefixes returns the beginnings that a prompt shares with others: up to the end
 // of each part but the last, which is the call's own.
 func Prefixes(workspace string, parts []call.PromptPart) []Prefix {
 	if len(parts) < 2 {
@@ -101,7 +101,7 @@
 	delete(c.held, oldest)
 }
 
-// warm gives how many tokens from the prompt's beginning are held.
+// warm returns how many tokens from the prompt's beginning are held.
 func (c *cache) warm(prefixes []Prefix, now time.Time) int {
 	for i := len(prefixes) - 1; i >= 0; i-- {
 		h := c.held[prefixes[i].Hash]
@@ -153,7 +153,7 @@
 	FarHoldingLeast = 1000
 )
 
-// FarHoldings gives those of other regions, at most so many of them.
+// FarHoldings returns those of other regions, at most so many of them.
 func (p *Pool) FarHoldings(since time.Time, most int) []Holding {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -119,7 +119,7 @@
 	return choice
 }
 
-// probe gives an endpoint whose back-off is over and that no call tests yet.
+// probe returns an endpoint whose back-off is over and that no call tests yet.
 // Urgent calls do not test unless nothing else has done so for as long again.
 func (p *Pool) probe(r Request, now time.Time) *endpoint {
 	for _, e := range p.ejected {
@@ -260,7 +260,7 @@
 	}
 }
 
-// cached gives how many tokens of the prompt the endpoint need not read, and how
+// cached returns how many tokens of the prompt the endpoint need not read, and how
 // many of them it has to fetch.
 func (e *endpoint) cached(r Request, now time.Time) (cached, fetched int) {
 	own := e.cache.warm(r.Prefixes, now)
--- a/routing/decision_test.go
+++ b/routing/decision_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// report gives the median over the seeds and half of the range around it.
+// report returns the median over the seeds and half of the range around it.
 func report(b *testing.B, name string, values []float64) {
 	slices.Sort(values)
 	b.ReportMetric(values[len(values)/2], name)
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -90,12 +90,12 @@
 	e.counted = counted{}
 }
 
-// leaves says whether the endpoint gets no new call.
+// leaves reports whether the endpoint gets no new call.
 func (e *endpoint) leaves() bool {
 	return e.unlisted || e.State == fleet.StateLeaving || e.load.Leaving
 }
 
-// ejected says whether the endpoint is in back-off or waits for its probe.
+// ejected reports whether the endpoint is in back-off or waits for its probe.
 func (e *endpoint) ejected() bool {
 	return !e.retryAt.IsZero()
 }
@@ -248,7 +248,7 @@
 	}
 }
 
-// at gives the count at a moment; current is the count now.
+// at returns the count at a moment; current is the count now.
 func (h *history) at(moment time.Time, current int) int {
 	step := moment.UnixNano()/int64(historyStep) + 1
 	if step > h.step {
--- a/routing/enginetest/enginetest.go
+++ b/routing/enginetest/enginetest.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// touch says whether the prefix was cached, and caches it.
+// touch reports whether the prefix was cached, and caches it.
 func (e *Engine) touch(prefix uint64) bool {
 	if e.cache == nil {
 		e.cache = map[uint64]*list.Element{}
@@ -205,7 +205,7 @@
 	_ = l.histogram.RecordValue(max(us, 1))
 }
 
-// Milliseconds gives the time that the percent of all are within.
+// Milliseconds returns the time that the percent of all are within.
 func (l *Latencies) Milliseconds(percent float64) float64 {
 	return math.Round(float64(l.histogram.ValueAtPercentile(percent))/100) / 10
 }
--- a/routing/enginetest/pools.go
+++ b/routing/enginetest/pools.go
@@ -11,7 +11,7 @@
 // engineSlots is the batch of the listed engines.
 const engineSlots = 64
 
-// Pools gives the pools of VMs that choose among the same engines, named by their ids.
+// Pools returns the pools of VMs that choose among the same engines, named by their ids.
 func Pools(vms int, ids []string, random *rand.Rand, now time.Time) []*routing.Pool {
 	engines := listed(ids)
 	pools := make([]*routing.Pool, 0, vms)
--- a/routing/learnt.go
+++ b/routing/learnt.go
@@ -309,7 +309,7 @@
 	}
 }
 
-// mostEjected says whether one more endpoint in back-off would make more than half
+// mostEjected reports whether one more endpoint in back-off would make more than half
 // of them, which would say more of this VM than of them.
 func (p *Pool) mostEjected() bool {
 	return 2*(len(p.ejected)+1) > len(p.endpoints)
--- a/routing/life.go
+++ b/routing/life.go
@@ -34,7 +34,7 @@
 	return e
 }
 
-// describes says whether a load is of this life: by the incarnation where it is
+// describes reports whether a load is of this life: by the incarnation where it is
 // told, and by its time where another VM passed it on.
 func (l Load) describes(e *endpoint) bool {
 	if l.Incarnation != 0 {
@@ -43,12 +43,12 @@
 	return e.livedAt(l.At)
 }
 
-// livedAt says whether what happened at a moment happened to this life of the endpoint.
+// livedAt reports whether what happened at a moment happened to this life of the endpoint.
 func (e *endpoint) livedAt(at time.Time) bool {
 	return !at.Before(e.restartedAt)
 }
 
-// since gives what a VM told of the prompts that wait at an endpoint without those
+// since returns what a VM told of the prompts that wait at an endpoint without those
 // that were sent to an earlier life of it.
 func (o otherReading) since(restartedAt time.Time) otherReading {
 	if restartedAt.IsZero() {
--- a/routing/ring.go
+++ b/routing/ring.go
@@ -44,7 +44,7 @@
 	r.endpoints = endpoints
 }
 
-// search gives the position of the first point at or after hash.
+// search returns the position of the first point at or after hash.
 func (r *ring) search(hash uint64) int {
 	low, high := 0, len(r.points)
 	for low < high {
@@ -58,7 +58,7 @@
 	return low
 }
 
-// pair gives the first two different eligible endpoints from hash on. Either may
+// pair returns the first two different eligible endpoints from hash on. Either may
 // be nil; both are for hash zero, which means no prefix.
 func (r *ring) pair(hash uint64) (first, second *endpoint) {
 	if len(r.points) == 0 || hash == 0 {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -25,7 +25,7 @@
 type Options struct {
 	// Policy is one of the constants; empty means PolicyAffinity.
 	Policy string
-	// Rand gives random bits; nil means the runtime's generator.
+	// Rand returns random bits; nil means the runtime's generator.
 	Rand func() uint64
 	// Without switches mechanisms off, to measure what each is worth.
 	Without Without
@@ -171,7 +171,7 @@
 	next     int
 	learnt   learnt
 	total    total
-	// holders gives the engine that was last sent each prefix.
+	// holders returns the engine that was last sent each prefix.
 	holders map[uint64]*endpoint
 	far     far
 	// readingChanges counts the changes of the own prompts that wait, tellers when
--- a/routing/source.go
+++ b/routing/source.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// source gives the engine from which the most of a prompt can be fetched; homes
+// source returns the engine from which the most of a prompt can be fetched; homes
 // are the regions that may hold it, none means all.
 func (f *far) source(prefixes []Prefix, homes []string, now time.Time) source {
 	for i := len(prefixes) - 1; i >= 0; i-- {
@@ -89,7 +89,7 @@
 	return source{}
 }
 
-// source gives the engine from which another one may fetch the most of a
+// source returns the engine from which another one may fetch the most of a
 // prompt: the prompt's home on the ring, which all VMs of the region agree on,
 // one of the region that was sent it, or one of another region.
 func (p *Pool) source(home *endpoint, r Request, now time.Time) source {
--- a/routing/supply.go
+++ b/routing/supply.go
@@ -65,7 +65,7 @@
 	p.total.own += e.counted.own
 }
 
-// Supply gives the sums in constant time; each endpoint's part is as of its
+// Supply returns the sums in constant time; each endpoint's part is as of its
 // last report, choice or outcome.
 func (p *Pool) Supply(_ time.Time) Supply {
 	p.mu.Lock()
--- a/routing/unread.go
+++ b/routing/unread.go
@@ -26,7 +26,7 @@
 // tells them: it tells every second while it lives.
 const tellerGoodFor = 3 * time.Second
 
-// Unread gives what waits for this VM's calls; changes says how often that has
+// Unread returns what waits for this VM's calls; changes says how often that has
 // changed so far.
 func (p *Pool) Unread() (list []Unread, changes uint64) {
 	p.mu.Lock()
--- a/serving/away.go
+++ b/serving/away.go
@@ -12,7 +12,7 @@
 // lendersPerCall is how many VMs of other regions one call is sent to at most.
 const lendersPerCall = 2
 
-// mayBorrow says whether a call that this region could not serve may go to
+// mayBorrow reports whether a call that this region could not serve may go to
 // another one: nothing ran, it did not come from another VM, and it is
 // idempotent, so no ticket ties it to this one.
 func mayBorrow(c *call.Call, o call.Outcome) bool {
--- a/serving/charge.go
+++ b/serving/charge.go
@@ -51,7 +51,7 @@
 	return r
 }
 
-// LimitRequest gives what the ledger needs to know of this VM's place in the
+// LimitRequest returns what the ledger needs to know of this VM's place in the
 // view, without a cost.
 func LimitRequest(workspace string, terms contract.RegionTerms, view *membership.View, now time.Time) limit.Request {
 	owner, ok := view.Owner(workspace)
--- a/serving/crashes_test.go
+++ b/serving/crashes_test.go
@@ -91,7 +91,7 @@
 	}
 }
 
-// poolAt gives a pool of two endpoints at one address.
+// poolAt returns a pool of two endpoints at one address.
 func poolAt(addr string) func(string) (*Pool, bool) {
 	endpoints := routing.New(routing.Options{})
 	var list []fleet.Endpoint
--- a/serving/once_test.go
+++ b/serving/once_test.go
@@ -222,7 +222,7 @@
 	return n
 }
 
-// tokens gives the text of a stream, with "done" at its whole end.
+// tokens returns the text of a stream, with "done" at its whole end.
 func tokens(text string) string {
 	var out strings.Builder
 	for event := range strings.SplitSeq(text, "\n\n") {
--- a/serving/placement_test.go
+++ b/serving/placement_test.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// homeRanked gives the home region's VMs in the workspace's order.
+// homeRanked returns the home region's VMs in the workspace's order.
 func homeRanked() []fleet.VM {
 	var vms []fleet.VM
 	for i := range homeVMs {
@@ -200,7 +200,7 @@
 	assert.Equal(t, left, 0, "a bound workspace's call was forwarded out of its region")
 }
 
-// mostForwards gives the most forwards of one call, and how many calls of a
+// mostForwards returns the most forwards of one call, and how many calls of a
 // bound workspace left its region.
 func mostForwards(place hop) (most, left int) {
 	views := allViews()
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -87,7 +87,7 @@
 	return o
 }
 
-// unlessTried gives the outcome of the last place that looked at the call.
+// unlessTried returns the outcome of the last place that looked at the call.
 func unlessTried(o call.Outcome, tried []string, r *result.Refusal) call.Outcome {
 	if len(tried) == 0 {
 		return call.Refused(r)
--- a/serving/run.go
+++ b/serving/run.go
@@ -167,7 +167,7 @@
 	}
 }
 
-// routedAttempt gives the attempt the caller's own id: one try of a client has
+// routedAttempt returns the attempt the caller's own id: one try of a client has
 // one id, also where it is sent twice.
 func (s *Server) routedAttempt(c *call.Call, slot admission.Slot, p *progress) endpoint.Attempt {
 	return endpoint.Attempt{
@@ -258,7 +258,7 @@
 	p.explain()
 }
 
-// explain gives the outcome its refusal.
+// explain returns the outcome its refusal.
 func (p *progress) explain() {
 	if p.last.Code.Class() == result.ClassDone {
 		return
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -40,7 +40,7 @@
 
 // Crashes keeps calls from endpoints that these crash under.
 type Crashes struct {
-	// Admit says whether endpoints may get a call, maybe as a trial.
+	// Admit reports whether endpoints may get a call, maybe as a trial.
 	Admit func(content uint64) (refusal *result.Refusal, trial bool)
 	// Cut is told that the connection broke off on which an endpoint had a call, and when
 	// its answer began, if it did.
--- a/settings/platform.go
+++ b/settings/platform.go
@@ -46,7 +46,7 @@
 	Yielding, LateRefusal, EndRefusal, RankOrder, LivePace, BackOff, Corrections,
 }
 
-// Has says whether a mechanism is on.
+// Has reports whether a mechanism is on.
 func (s *Platform) Has(mechanism string) bool {
 	return !slices.Contains(s.Without, mechanism)
 }
@@ -57,7 +57,7 @@
 	maxPort     = 65_535
 )
 
-// DefaultPlatform gives the settings with every default.
+// DefaultPlatform returns the settings with every default.
 func DefaultPlatform() Platform {
 	return Platform{
 		LogLevel:       "info",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -104,7 +104,7 @@
 	Limits    string `json:"limits"`
 }
 
-// Default gives the settings with every default. VM, Region, DataCentre and
+// Default returns the settings with every default. VM, Region, DataCentre and
 // PlatformURL have none.
 func Default() Settings {
 	return Settings{
--- a/site/asking.go
+++ b/site/asking.go
@@ -44,7 +44,7 @@
 	return nil
 }
 
-// tellsAll says whether the region has so many VMs that those that ask tell all others.
+// tellsAll reports whether the region has so many VMs that those that ask tell all others.
 func (p *pools) tellsAll() bool {
 	return len(p.regionVMs()) > askersMost
 }
--- a/site/cold.go
+++ b/site/cold.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// coldMessage gives those of some endpoints that are cold.
+// coldMessage lists those of some endpoints that are cold.
 func coldMessage(held []discovery.Ready, now time.Time) []*peerpb.ColdEndpoint {
 	var out []*peerpb.ColdEndpoint
 	for _, e := range held {
--- a/site/control.go
+++ b/site/control.go
@@ -89,7 +89,7 @@
 	return c
 }
 
-// regionsOf gives the regions of all data centres.
+// regionsOf returns the regions of all data centres.
 func regionsOf(byDataCentre map[string]string) []string {
 	var out []string
 	for _, region := range byDataCentre {
--- a/site/crashes.go
+++ b/site/crashes.go
@@ -27,14 +27,14 @@
 	})
 }
 
-// listed says whether this life of an endpoint takes work by what is published.
+// listed reports whether this life of an endpoint takes work by what is published.
 func (n *Node) listed(e fleet.Endpoint) bool {
 	return slices.ContainsFunc(n.control.picture().endpoints, func(known discovery.Ready) bool {
 		return known.ID == e.ID && known.Incarnation == e.Incarnation
 	})
 }
 
-// vmsInReach gives this VM and those in reach, and whether there have been more.
+// vmsInReach returns this VM and those in reach, and whether there have been more.
 func (n *Node) vmsInReach() (vms []quarantine.Peer, parted bool) {
 	members := n.control.picture().members
 	for _, m := range members.Members {
--- a/site/forward.go
+++ b/site/forward.go
@@ -134,7 +134,7 @@
 	return nil
 }
 
-// yields says whether a call that another VM sent can no longer be on time here.
+// yields reports whether a call that another VM sent can no longer be on time here.
 // That VM knows what this region said a second ago; this one knows what its engines
 // have to read now. Where the sender decided, the mean worth of five days with
 // faults was 0.7156 in place of 0.7203, of the heaviest one 0.554 in place of 0.565
--- a/site/loads.go
+++ b/site/loads.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// loadsByService gives the loads that still count.
+// loadsByService returns the loads that still count.
 func (c *control) loadsByService(now time.Time) map[string][]regionLoad {
 	out := make(map[string][]regionLoad)
 	for key, load := range c.loads {
--- a/site/place.go
+++ b/site/place.go
@@ -143,7 +143,7 @@
 	// VM there that has to start as well.
 	learnsFor = 3 * time.Second
 	// learnsWithin is how long a call waits for that, which is when its caller would
-	// else be told to come back; learnsEvery how often it is looked.
+	// else be told to come back; learnsEvery is the interval between two looks.
 	learnsWithin = 500 * time.Millisecond
 	learnsEvery  = 10 * time.Millisecond
 )
--- a/site/pools.go
+++ b/site/pools.go
@@ -90,7 +90,7 @@
 	p.updateMembers(pic)
 }
 
-// silentServices gives the services of a region of which more than half of the
+// silentServices returns the services of a region of which more than half of the
 // endpoints do not answer: that says more of the VMs that ask than of the endpoints,
 // and they go on being used.
 func silentServices(endpoints []discovery.Ready, region string) map[string]bool {
@@ -134,7 +134,7 @@
 	return out
 }
 
-// service gives a service that the configuration names: an entry in the store of one
+// service returns a service that the configuration names: an entry in the store of one
 // that it does not is no endpoint of ours.
 func (pic *picture) service(name string) (route.Service, bool) {
 	if pic.table == nil {
@@ -215,7 +215,7 @@
 	}
 }
 
-// find gives the pool of a service of this region.
+// find returns the pool of a service of this region.
 func (p *pools) find(service string) (*serving.Pool, bool) {
 	pool, ok := p.table.Load().byService[service]
 	if !ok {
--- a/site/site.go
+++ b/site/site.go
@@ -68,7 +68,7 @@
 	Logger     *slog.Logger
 	// Settings are our own.
 	Settings *settings.Platform
-	// Dropped gives how many log lines were dropped so far; nil means none.
+	// Dropped returns how many log lines were dropped so far; nil means none.
 	Dropped func() int64
 	// Now is the clock; nil means one that goes on while the VM is suspended.
 	Now func() time.Time
@@ -287,12 +287,12 @@
 	return table.Limits
 }
 
-// ready says whether this VM takes calls.
+// ready reports whether this VM takes calls.
 func (n *Node) ready() bool {
 	return !n.leaving.Load() && n.control.picture().table != nil
 }
 
-// entries gives the addresses of the VMs that a client may use: those of its region
+// entries returns the addresses of the VMs that a client may use: those of its region
 // that take calls, or those of others where none of the client's is known.
 func (n *Node) entries(l platform.Lookup) []string {
 	pic := n.control.picture()
--- a/site/store.go
+++ b/site/store.go
@@ -96,7 +96,7 @@
 	return until
 }
 
-// takeRead gives a read to the control goroutine and waits until it is taken.
+// takeRead hands a read to the control goroutine and waits until it is taken.
 func (n *Node) takeRead(ctx context.Context, got read) {
 	// An error means that ctx ended.
 	_, _ = ask(ctx, n.control, func(c *control, now time.Time) bool {
@@ -114,7 +114,7 @@
 // hear of changes from them. Two, so that one that is lost is not missed.
 const readersPerRegion = 2
 
-// isReader says whether this VM follows the store itself: by rank among those
+// isReader reports whether this VM follows the store itself: by rank among those
 // of its region that the store does not turn away. A VM that knows nothing yet reads too.
 func (n *Node) isReader() bool {
 	pic := n.control.picture()
--- a/site/unreached.go
+++ b/site/unreached.go
@@ -55,7 +55,7 @@
 	}
 }
 
-// unreachedMessage gives those of some endpoints that do not answer.
+// unreachedMessage lists those of some endpoints that do not answer.
 func unreachedMessage(held []discovery.Ready, now time.Time) []*peerpb.UnreachedEndpoint {
 	var out []*peerpb.UnreachedEndpoint
 	for _, e := range held {
--- a/standin/caller/attempt.go
+++ b/standin/caller/attempt.go
@@ -94,7 +94,7 @@
 	return r, nil
 }
 
-// mayBeSent says whether a failed try may have reached the VM as a whole call.
+// mayBeSent reports whether a failed try may have reached the VM as a whole call.
 // A call whose body was not begun, or whose connection was never made, did not.
 func mayBeSent(err error, q *request, sending *body) bool {
 	var network *net.OpError
--- a/standin/caller/body.go
+++ b/standin/caller/body.go
@@ -26,7 +26,7 @@
 	data  []byte
 }
 
-// Read gives the next bytes, or fails if the body was revoked before.
+// Read returns the next bytes, or fails if the body was revoked before.
 func (b *body) Read(into []byte) (int, error) {
 	if b.state.Load() != bodyReading && !b.state.CompareAndSwap(bodyUnread, bodyReading) {
 		return 0, errRevoked
--- a/standin/caller/entries.go
+++ b/standin/caller/entries.go
@@ -34,7 +34,7 @@
 	}
 }
 
-// Entries gives the VMs to use, best first, and asks for them when those
+// Entries returns the VMs to use, best first, and asks for them when those
 // remembered are no longer good.
 func (c *Caller) Entries(ctx context.Context) ([]Entry, error) {
 	if c.options.Direct {
@@ -62,7 +62,7 @@
 	return fresh.Entries, nil
 }
 
-// direct gives the configured VMs without asking.
+// direct returns the configured VMs without asking.
 func (c *Caller) direct() []Entry {
 	out := make([]Entry, 0, len(c.options.VMs))
 	for _, addr := range c.options.VMs {
@@ -122,7 +122,7 @@
 	c.entries.held.Entries = slices.Concat(held[:i], held[i+1:], held[i:i+1])
 }
 
-// askedAddrs gives the configured VMs, from another one each time.
+// askedAddrs returns the configured VMs, from another one each time.
 func (c *Caller) askedAddrs() []string {
 	vms := c.options.VMs
 	if len(vms) == 0 {
--- a/standin/caller/follow.go
+++ b/standin/caller/follow.go
@@ -22,7 +22,7 @@
 type action int
 
 const (
-	// actEnd gives the result to the caller.
+	// actEnd hands the result to the caller.
 	actEnd action = iota
 	// actSame sends again to the same VM, now with the ticket it gave.
 	actSame
--- a/standin/caller/request.go
+++ b/standin/caller/request.go
@@ -146,7 +146,7 @@
 	return header
 }
 
-// repeatable says whether a try with an unknown outcome may be repeated: the
+// repeatable reports whether a try with an unknown outcome may be repeated: the
 // method changes nothing, or the ticket lets the call run at most once.
 func (q *request) repeatable() bool {
 	return q.ticket != "" || q.method == http.MethodGet || q.method == http.MethodHead
--- a/standin/endpoint/cache.go
+++ b/standin/endpoint/cache.go
@@ -59,7 +59,7 @@
 	}
 }
 
-// match gives how many leading blocks are in the cache.
+// match returns how many leading blocks are in the cache.
 func (c *cache) match(blocks []uint64) int {
 	for i, hash := range blocks {
 		if _, ok := c.byHash[hash]; !ok {
@@ -105,7 +105,7 @@
 	}
 }
 
-// after gives the events above a sequence number that are older than until.
+// after returns the events above a sequence number that are older than until.
 func (c *cache) after(sequence uint64, until time.Time) []CacheEvent {
 	var found []CacheEvent
 	for _, event := range c.events {
--- a/standin/endpoint/endpoint.go
+++ b/standin/endpoint/endpoint.go
@@ -28,7 +28,7 @@
 	CacheBlocks int
 	// ReportLag is how far load reports and cache events lag behind.
 	ReportLag time.Duration
-	// Resumes says whether the engine honours X-Resume-From.
+	// Resumes reports whether the engine honours X-Resume-From.
 	Resumes bool
 }
 
--- a/standin/endpoint/engine.go
+++ b/standin/endpoint/engine.go
@@ -178,7 +178,7 @@
 	return j.cancelled.Load() || j.prefill == 0 && j.produced.Load() >= int64(j.total)
 }
 
-// other gives the id and marker of another request, for crossed answers.
+// other returns the id and marker of another request, for crossed answers.
 func (e *engine) other(own *job) (id, marker string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/endpoint/load.go
+++ b/standin/endpoint/load.go
@@ -64,7 +64,7 @@
 	return r.shown
 }
 
-// report gives the lagging load, or what a fault makes of it.
+// report returns the lagging load, or what a fault makes of it.
 func (e *Endpoint) report(f fault.Faults) load {
 	l := e.reports.get()
 	l.Slots = e.options.Slots
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// Get gives the faults in force.
+// Get returns the faults in force.
 func (s *Switch) Get() Faults {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/fault/seen.go
+++ b/standin/fault/seen.go
@@ -12,7 +12,7 @@
 
 var markerPattern = regexp.MustCompile(`marker=([\w.-]+)`)
 
-// Marker gives the text after "marker=" in a text; empty if there is none.
+// Marker returns the text after "marker=" in a text; empty if there is none.
 func Marker(text []byte) string {
 	found := markerPattern.FindSubmatch(text)
 	if found == nil {
@@ -54,7 +54,7 @@
 	}
 }
 
-// Has says whether a body held the text: any marker, or any text of the last bodies.
+// Has reports whether a body held the text: any marker, or any text of the last bodies.
 func (s *Seen) Has(text string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/load/arrival.go
+++ b/standin/load/arrival.go
@@ -157,7 +157,7 @@
 	return a.Kind.Path + "/" + strconv.Itoa(a.Number)
 }
 
-// isAnswer says whether a text is the whole own answer.
+// isAnswer reports whether a text is the whole own answer.
 func (a *Arrival) isAnswer(text string) bool {
 	if a.Kind.Service {
 		return strings.Contains(text, a.path()+`"`)
--- a/standin/load/mix.go
+++ b/standin/load/mix.go
@@ -49,7 +49,7 @@
 // The mixes by name.
 var mixes = []Mix{tesfaye(), planhigion()}
 
-// FindMix gives the mix of a user.
+// FindMix returns the mix of a user.
 func FindMix(name string) (Mix, bool) {
 	for _, m := range mixes {
 		if m.Name == name {
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -105,7 +105,7 @@
 	ControlBytes int `json:"control_bytes"`
 }
 
-// Find gives the latencies of one name, or zeros.
+// Find returns the latencies of one name, or zeros.
 func Find(groups []Latency, name string) Latency {
 	for _, l := range groups {
 		if l.Name == name {
--- a/standin/platform/history.go
+++ b/standin/platform/history.go
@@ -51,7 +51,7 @@
 	return h.revision
 }
 
-// get gives the value of a key as of a revision.
+// get returns the value of a key as of a revision.
 func (h *history) get(key string, asOf uint64) (Value, bool) {
 	for _, v := range slices.Backward(h.values) {
 		if v.Key == key && v.Revision <= asOf {
@@ -61,7 +61,7 @@
 	return Value{}, false
 }
 
-// newer gives the last write of each key in (after, asOf], sorted by key.
+// newer returns the last write of each key in (after, asOf], sorted by key.
 func (h *history) newer(after, asOf uint64) []Value {
 	seen := map[string]bool{}
 	found := []Value{}
@@ -81,7 +81,7 @@
 	return found
 }
 
-// listAt gives the newest list as of a revision that was written by a time.
+// listAt returns the newest list as of a revision that was written by a time.
 func (h *history) listAt(asOf uint64, by time.Time) (fleet.List, bool) {
 	for _, p := range slices.Backward(h.lists) {
 		if p.list.Revision <= asOf && !p.at.After(by) {
@@ -91,7 +91,7 @@
 	return fleet.List{}, false
 }
 
-// listRevision gives the revision of the newest list, or zero.
+// listRevision returns the revision of the newest list, or zero.
 func (h *history) listRevision() uint64 {
 	if len(h.lists) == 0 {
 		return 0
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -120,7 +120,7 @@
 	Values   []Value `json:"values"`
 }
 
-// Watch gives all values newer than a revision as soon as there are any, or
+// Watch returns all values newer than a revision as soon as there are any, or
 // none when the deadline passes first. It costs one read for each second.
 func (p *Platform) Watch(ctx context.Context, after uint64, until time.Time) (Changes, error) {
 	return poll(ctx, p, until, func(time.Time) look[Changes] {
@@ -135,7 +135,7 @@
 	})
 }
 
-// WatchList gives the list as soon as it is newer than a revision, or nil when
+// WatchList returns the list as soon as it is newer than a revision, or nil when
 // the deadline passes first. It costs one read for each second.
 func (p *Platform) WatchList(ctx context.Context, after uint64, until time.Time) (*fleet.List, error) {
 	return poll(ctx, p, until, func(now time.Time) look[*fleet.List] {
@@ -158,7 +158,7 @@
 	})
 }
 
-// Switches gives the switches in force.
+// Switches returns the switches in force.
 func (p *Platform) Switches() Switches {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -173,7 +173,7 @@
 	p.changed()
 }
 
-// Counters gives the counters as of now.
+// Counters returns the counters as of now.
 func (p *Platform) Counters() Counters {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -192,7 +192,7 @@
 	return nil
 }
 
-// asOf gives the revision that readers see.
+// asOf returns the revision that readers see.
 func (p *Platform) asOf() uint64 {
 	return p.switches.asOf(p.history.revision)
 }
--- a/standin/platform/switches.go
+++ b/standin/platform/switches.go
@@ -17,7 +17,7 @@
 	ReadsPerSecond int `json:"reads_per_second"`
 }
 
-// limit gives the cap in force.
+// limit returns the cap in force.
 func (s Switches) limit() uint64 {
 	if s.ReadsPerSecond <= 0 {
 		return defaultReadsPerSecond
@@ -25,7 +25,7 @@
 	return uint64(s.ReadsPerSecond)
 }
 
-// asOf gives the revision to serve when the newest is the given one.
+// asOf returns the revision to serve when the newest is the given one.
 func (s Switches) asOf(newest uint64) uint64 {
 	if s.StaleAtRevision == 0 {
 		return newest
--- a/standin/service/load.go
+++ b/standin/service/load.go
@@ -27,7 +27,7 @@
 	})
 }
 
-// encode gives the answer's JSON; an Answer always has one.
+// encode returns the answer's JSON; an Answer always has one.
 func encode(answer Answer) []byte {
 	data, err := json.Marshal(answer)
 	if err != nil {
--- a/standin/service/service.go
+++ b/standin/service/service.go
@@ -123,7 +123,7 @@
 	}
 }
 
-// cross gives the answer of the call before, and keeps this one for the next.
+// cross returns the answer of the call before, and keeps this one for the next.
 func (s *Service) cross(own Answer) Answer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/testscripts/demo/main.go
+++ b/testscripts/demo/main.go
@@ -119,7 +119,7 @@
 }
 
 // each sends the same call straight to every VM, whoever serves the workspace,
-// and gives the request that another VM served.
+// and returns the request that another VM served.
 func (d *demo) each(ctx context.Context, workspace string, vms []*rig.VM) string {
 	forwarded := ""
 	for _, vm := range vms {
--- a/testscripts/emulator/fault.go
+++ b/testscripts/emulator/fault.go
@@ -46,7 +46,7 @@
 	return w.vms[w.rand.IntN(len(w.vms))]
 }
 
-// anyEngine gives one that runs and does not leave; nil where there is none.
+// anyEngine returns one that runs and does not leave; nil where there is none.
 func (w *world) anyEngine() *engine {
 	var up []*engine
 	for _, e := range w.engines {
--- a/testscripts/emulator/health.go
+++ b/testscripts/emulator/health.go
@@ -41,7 +41,7 @@
 	v.waking = waking
 }
 
-// nearVMs gives the ids of the VMs of the own region that are in reach.
+// nearVMs returns the ids of the VMs of the own region that are in reach.
 func (v *vm) nearVMs() []string {
 	var out []string
 	for _, vm := range v.picture().Reached(v.vm.Region) {
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -87,7 +87,7 @@
 	})
 }
 
-// inTouch says whether the bounds in time hold for a VM now.
+// inTouch reports whether the bounds in time hold for a VM now.
 func (l *ledger) inTouch(v *vm) bool {
 	now := l.world.clock.now
 	s := l.world.store
--- a/testscripts/emulator/quarantine.go
+++ b/testscripts/emulator/quarantine.go
@@ -95,7 +95,7 @@
 	})
 }
 
-// admits says whether endpoints may get a request, maybe as a trial.
+// admits reports whether endpoints may get a request, maybe as a trial.
 func (c *crashes) admits(r *request) bool {
 	content := r.call.Content
 	h, isHeld := c.held[content]
@@ -141,7 +141,7 @@
 	}
 }
 
-// lists says whether an endpoint takes work by what the VM knows.
+// lists reports whether an endpoint takes work by what the VM knows.
 func (v *vm) lists(id string) bool {
 	for _, e := range v.discovery.Endpoints(v.now()) {
 		if e.ID == id {
--- a/testscripts/emulator/store.go
+++ b/testscripts/emulator/store.go
@@ -178,7 +178,7 @@
 	})
 }
 
-// decode gives what an item says. A removal that a mirror concluded from a whole
+// decode returns what an item says. A removal that a mirror concluded from a whole
 // read has no change of its own.
 func (s *store) decode(i discovery.Item) discovery.Change {
 	c, ok := s.decoded[i.Revision]
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -168,7 +168,7 @@
 	return v.world.clock.now
 }
 
-// running says whether a life of the VM runs now.
+// running reports whether a life of the VM runs now.
 func (v *vm) running(life uint64) bool {
 	return v.up && v.life == life && !v.frozen
 }
@@ -261,7 +261,7 @@
 	return out
 }
 
-// directory gives the VMs that callers of the own region are told.
+// directory returns the VMs that callers of the own region are told.
 func (v *vm) directory() []*vm {
 	var out []*vm
 	for _, other := range v.world.vms {
--- a/testscripts/losses/kind.go
+++ b/testscripts/losses/kind.go
@@ -35,7 +35,7 @@
 	return out.Classes, err
 }
 
-// matches says whether an attempt is of the kind. Routes have no names that
+// matches reports whether an attempt is of the kind. Routes have no names that
 // tell it, but rank, form and what may be repeated do.
 func (k kind) matches(a attempt) bool {
 	stream := k.Kind == kindStream
--- a/testscripts/measure/entry.go
+++ b/testscripts/measure/entry.go
@@ -177,7 +177,7 @@
 	return c.Entries(ctx)
 }
 
-// owners gives the first entry VM of each workspace as the first VM tells it.
+// owners returns the first entry VM of each workspace as the first VM tells it.
 func (w *world) owners(ctx context.Context, vms []*rig.VM) map[string]string {
 	client := &http.Client{}
 	defer client.CloseIdleConnections()
--- a/testscripts/measure/main.go
+++ b/testscripts/measure/main.go
@@ -117,7 +117,7 @@
 	app.FatalIfError(err, "")
 }
 
-// skips says whether the run is limited to other variants.
+// skips reports whether the run is limited to other variants.
 func (b *bench) skips(name string) bool {
 	return !strings.Contains(name, b.only)
 }
--- a/testscripts/measure/report.go
+++ b/testscripts/measure/report.go
@@ -114,7 +114,7 @@
 	}
 }
 
-// named gives the records of one variant, one for each seed.
+// named returns the records of one variant, one for each seed.
 func (r *report) named(name string) []*load.Record {
 	var out []*load.Record
 	for _, rec := range r.Records {
@@ -125,7 +125,7 @@
 	return out
 }
 
-// over gives one figure of each record of a variant.
+// over returns one figure of each record of a variant.
 func (r *report) over(name string, figure func(*load.Record) float64) spread {
 	var s spread
 	for _, rec := range r.named(name) {
@@ -134,7 +134,7 @@
 	return s
 }
 
-// pointsOf gives the values of the points of one name.
+// pointsOf returns the values of the points of one name.
 func (r *report) pointsOf(name string) spread {
 	var s spread
 	for _, p := range r.Points {
@@ -182,7 +182,7 @@
 	return s
 }
 
-// millis gives a duration in milliseconds.
+// millis returns a duration in milliseconds.
 func millis(d time.Duration) float64 {
 	return float64(d) / float64(time.Millisecond)
 }
--- a/testscripts/measure/routing.go
+++ b/testscripts/measure/routing.go
@@ -147,7 +147,7 @@
 		r.over(name, func(rec *load.Record) float64 { return float64(rec.Unknown) }).format("%.0f"))
 }
 
-// firstOf gives a quantile of the first token over all calls, in milliseconds.
+// firstOf returns a quantile of the first token over all calls, in milliseconds.
 func firstOf(q float64) func(*load.Record) float64 {
 	return func(rec *load.Record) float64 { return millis(quantile(rec.Origins[0].First, q)) }
 }
--- a/testscripts/measure/spread.go
+++ b/testscripts/measure/spread.go
@@ -135,7 +135,7 @@
 	return u
 }
 
-// since gives what was used per second; memory stays as it is.
+// since returns what was used per second; memory stays as it is.
 func (u usage) since(before usage) usage {
 	s := u.at.Sub(before.at).Seconds()
 	return usage{
--- a/testscripts/measure/world.go
+++ b/testscripts/measure/world.go
@@ -158,7 +158,7 @@
 	}
 }
 
-// engine gives the arguments of a stand-in engine.
+// engine returns the arguments of a stand-in engine.
 func engine(step time.Duration, prefillRate, cacheBlocks int) []string {
 	return []string{
 		"--step", step.String(),
--- a/testscripts/rig/find.go
+++ b/testscripts/rig/find.go
@@ -1,6 +1,6 @@
 package rig
 
-// VMsOf gives the VMs of a region.
+// VMsOf returns the VMs of a region.
 func (r *Rig) VMsOf(region string) []*VM {
 	var out []*VM
 	for _, vm := range r.VMs {
@@ -21,7 +21,7 @@
 	return nil
 }
 
-// EndpointsOf gives the endpoints of a model or service.
+// EndpointsOf returns the endpoints of a model or service.
 func (r *Rig) EndpointsOf(target string) []*Endpoint {
 	var out []*Endpoint
 	for _, e := range r.Endpoints {
--- a/testscripts/rig/process.go
+++ b/testscripts/rig/process.go
@@ -96,7 +96,7 @@
 	p.log = append(p.log, line)
 }
 
-// Log gives the last lines that the process wrote.
+// Log returns the last lines that the process wrote.
 func (p *Process) Log() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,7 +108,7 @@
 	return p.cmd.Process.Pid
 }
 
-// Alive says whether the process has not ended.
+// Alive reports whether the process has not ended.
 func (p *Process) Alive() bool {
 	select {
 	case <-p.done:
--- a/testscripts/rig/rig.go
+++ b/testscripts/rig/rig.go
@@ -184,7 +184,7 @@
 	return fmt.Errorf("not in time: %s", what)
 }
 
-// Logs gives the last log lines of every VM, for the report of a failed test.
+// Logs returns the last log lines of every VM, for the report of a failed test.
 func (r *Rig) Logs() string {
 	var out strings.Builder
 	for _, vm := range r.VMs {
--- a/testscripts/scenario/held.go
+++ b/testscripts/scenario/held.go
@@ -29,7 +29,7 @@
 	printf(ts, "holders=%d\n", found)
 }
 
-// outside gives the processes of the system and its endpoints outside a region.
+// outside returns the processes of the system and its endpoints outside a region.
 func (w *world) outside(region string) []*rig.Process {
 	var out []*rig.Process
 	for _, vm := range w.rig.VMs {
--- a/testscripts/scenario/scenario.go
+++ b/testscripts/scenario/scenario.go
@@ -37,7 +37,7 @@
 // command is one command of a script.
 type command func(w *world, ts *testscript.TestScript, args []string)
 
-// Commands gives the commands for testscript.Params.
+// Commands returns the commands for testscript.Params.
 func Commands(o Options) map[string]func(*testscript.TestScript, bool, []string) {
 	worlds := &worlds{
 		options: o,
@@ -202,7 +202,7 @@
 	ts.Fatalf("unknown setting %q", name)
 }
 
-// find gives the VMs that a comma-separated list names; a region's name stands
+// find returns the VMs that a comma-separated list names; a region's name stands
 // for all of its VMs.
 func (w *world) find(ts *testscript.TestScript, list string) []*rig.VM {
 	var out []*rig.VM
@@ -232,7 +232,7 @@
 	return workspace + secretOf + workspace
 }
 
-// option gives the value of name=value among the arguments.
+// option returns the value of name=value among the arguments.
 func option(args []string, name, fallback string) string {
 	for _, arg := range args {
 		if value, ok := strings.CutPrefix(arg, name+"="); ok {
@@ -292,7 +292,7 @@
 	ts.Setenv("REQUEST", r.RequestID)
 }
 
-// file gives the path of a file of the script.
+// file returns the path of a file of the script.
 func file(ts *testscript.TestScript, name string) string {
 	return filepath.Join(ts.Getenv("WORK"), name)
 }
--- a/testscripts/scenario/streams.go
+++ b/testscripts/scenario/streams.go
@@ -64,7 +64,7 @@
 	printf(ts, "whole=%d errors=%d silent=%d wrong=%d sum=%d\n", c.whole, c.errors, c.silent, c.wrong, c.whole+c.errors+c.silent+c.wrong)
 }
 
-// crowdSender gives what sends one chat of the crowd.
+// crowdSender returns what sends one chat of the crowd.
 func (w *world) crowdSender(ctx context.Context, ts *testscript.TestScript, client *http.Client, args []string, tokens int) func(mark string) caller.Result {
 	if bare := option(args, "bare", ""); bare != "" {
 		addr := w.endpoint(ts, bare).Fleet.Addr
@@ -112,7 +112,7 @@
 	}
 }
 
-// isOwnPart says whether a broken answer's text is a beginning of the own one.
+// isOwnPart reports whether a broken answer's text is a beginning of the own one.
 func isOwnPart(text, want string) bool {
 	return len(text) <= len(want) && want[:len(text)] == text
 }
--- a/testscripts/soak/crashing.go
+++ b/testscripts/soak/crashing.go
@@ -152,7 +152,7 @@
 	return time.Time{}
 }
 
-// answeredLate gives the tries that had no final answer at once.
+// answeredLate returns the tries that had no final answer at once.
 func (l *ledger) answeredLate(path string, known time.Time) (out []string) {
 	for _, a := range l.attempts {
 		if a.path != path || a.sentAt.Before(known) || !l.calm(a.sentAt) {
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -37,12 +37,12 @@
 	wrong  string
 }
 
-// isOnce says whether the attempt may run once at most.
+// isOnce reports whether the attempt may run once at most.
 func (a attempt) isOnce() bool {
 	return strings.HasPrefix(a.path, "/post/") || strings.HasPrefix(a.path, "/stream/once/")
 }
 
-// promised says whether the client was told that the attempt has not run.
+// promised reports whether the client was told that the attempt has not run.
 func (a attempt) promised() bool {
 	switch a.status {
 	case 408, 421, 429, 503:
@@ -128,7 +128,7 @@
 	l.disturbed = append(l.disturbed, span{from: from, to: time.Now()})
 }
 
-// calm says whether nothing was disturbed for a while before a moment.
+// calm reports whether nothing was disturbed for a while before a moment.
 func (l *ledger) calm(at time.Time) bool {
 	for _, s := range l.disturbed {
 		if s.from.Before(at) && s.to.Add(calmFor).After(at) {
@@ -143,7 +143,7 @@
 	Check, Detail string
 }
 
-// check gives the broken promises.
+// check returns the broken promises.
 func (l *ledger) check() []Violation {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -340,7 +340,7 @@
 	return slices.ContainsFunc(l.runs, func(r replica.Run) bool { return r.Attempt == id && !r.Refused })
 }
 
-// served gives the share of the attempts sent in a span that were answered whole.
+// served returns the share of the attempts sent in a span that were answered whole.
 func (l *ledger) served(from, to time.Time) (share float64, sent int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/ticket/desk.go
+++ b/ticket/desk.go
@@ -32,7 +32,7 @@
 	Count       int
 	Bytes       int
 	AnswerBytes int
-	// Retain gives the moment until which the record of a ticket is kept, from
+	// Retain returns the moment until which the record of a ticket is kept, from
 	// the ticket's good-until; nil means DefaultRetention after it. It must
 	// never go down when its argument goes up.
 	Retain func(goodUntil time.Time) time.Time
@@ -117,7 +117,7 @@
 	return fallback
 }
 
-// Issue gives the text of a new ticket. It costs no memory. It is empty when
+// Issue returns the text of a new ticket. It costs no memory. It is empty when
 // the VM's or the workspace's name is over its bound.
 func (d *Desk) Issue(workspace string, goodUntil time.Time) string {
 	if len(workspace) > MaxWorkspace || len(d.self.VM) > MaxVM {
--- a/ticket/entry.go
+++ b/ticket/entry.go
@@ -139,7 +139,7 @@
 	e.wake()
 }
 
-// bounded gives the record, or RecordLost in its place when it is too large.
+// bounded returns the record, or RecordLost in its place when it is too large.
 // Of a call that did not end as done only the code is kept.
 func (d *Desk) bounded(r Record) Record {
 	if r.Code.Class() != result.ClassDone {
--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -45,13 +45,13 @@
 	Record    Record
 }
 
-// Addressed gives the hand-over with its receiver set.
+// Addressed returns the hand-over with its receiver set.
 func (h HandOver) Addressed(to Holder) HandOver {
 	h.To = to
 	return h
 }
 
-// Copy gives the hand-over without rights, for others than the successor.
+// Copy returns the hand-over without rights, for others than the successor.
 func (h HandOver) Copy() HandOver {
 	rights := slices.Clone(h.Rights)
 	for i := range rights {
--- a/ticket/plan.go
+++ b/ticket/plan.go
@@ -40,7 +40,7 @@
 	Copied []Holder
 }
 
-// Next gives the next offer among the candidates, best first; ok is false
+// Next returns the next offer among the candidates, best first; ok is false
 // when there is none. A lost offer is made again to the same incarnation for
 // as long as it is a candidate; the others get copies then.
 func (p HandOverPlan) Next(candidates []Holder) (offer Offer, ok bool) {
@@ -82,7 +82,7 @@
 	return Offer{}, false
 }
 
-// After gives the plan once the offer's outcome is known. A refusal that
+// After returns the plan once the offer's outcome is known. A refusal that
 // follows a lost offer does not free the rights: the lost one may yet arrive.
 func (p HandOverPlan) After(o Offer, outcome Outcome) HandOverPlan {
 	if !o.Rights {
--- a/ticket/schedule_test.go
+++ b/ticket/schedule_test.go
@@ -104,7 +104,7 @@
 	}
 }
 
-// searchSteps gives a short schedule that breaks, from the steps there are if they do.
+// searchSteps returns a short schedule that breaks, from the steps there are if they do.
 func searchSteps(t *testing.T, one *rapid.Generator[step], steps []step, breaks func([]step) bool) []step {
 	t.Helper()
 	many := rapid.SliceOfN(one, 80, 80)
--- a/ticket/ticket.go
+++ b/ticket/ticket.go
@@ -76,12 +76,12 @@
 	}
 }
 
-// Text gives the form that Parse reads.
+// Text returns the form that Parse reads.
 func (t Ticket) Text() string {
 	return textEncoding.EncodeToString(append(t.payload(), t.MAC[:]...))
 }
 
-// payload gives the bytes that the MAC covers.
+// payload returns the bytes that the MAC covers.
 func (t Ticket) payload() []byte {
 	b := make([]byte, 0, MaxLength)
 	b = append(b, formatVersion)
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -21,7 +21,7 @@
 // order with that VM is lost, the order among the others is kept.
 const maxSkew = time.Hour
 
-// Time gives the physical part of the stamp.
+// Time returns the physical part of the stamp.
 func (s Stamp) Time() time.Time {
 	return time.UnixMilli(int64(s >> logicalBits))
 }
@@ -84,7 +84,7 @@
 	}
 }
 
-// Stamp gives a new reading to put on an outgoing message.
+// Stamp returns a new reading to put on an outgoing message.
 func (r *Ring) Stamp() Stamp {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -107,7 +107,7 @@
 	return r.last
 }
 
-// stampAt gives the first stamp of a millisecond.
+// stampAt returns the first stamp of a millisecond.
 func stampAt(t time.Time) Stamp {
 	return Stamp(t.UnixMilli()) << logicalBits
 }
@@ -120,7 +120,7 @@
 	To        time.Time
 }
 
-// Select gives the events that match, oldest first.
+// Select returns the events that match, oldest first.
 func (r *Ring) Select(q Query) []Event {
 	r.mu.Lock()
 	defer r.mu.Unlock()
