--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -89,20 +89,29 @@
 	}
 }
 
-// TestComeBack holds that a refused call is told when it will be admitted, and is
-// admitted then.
-func TestComeBack(t *testing.T) {
-	now := time.Unix(1e9, 0)
+// single returns a meter that is the only VM of the only region, with its fleet.
+func single(now time.Time) (*Meter, Fleet) {
+	vm := fleet.VM{
+		ID:     "a",
+		Region: "r",
+	}
 	m := New(Options{
-		VM:        "a",
-		Region:    "r",
-		Regions:   []string{"r"},
+		VM:        vm.ID,
+		Region:    vm.Region,
+		Regions:   []string{vm.Region},
 		StartedAt: now.Add(-time.Minute),
 	})
-	f := Fleet{
-		Near:  []fleet.VM{{ID: "a", Region: "r"}},
+	return m, Fleet{
+		Near:  []fleet.VM{vm},
 		Known: 1,
 	}
+}
+
+// TestComeBack holds that a refused call is told when it will be admitted, and is
+// admitted then.
+func TestComeBack(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	m, f := single(now)
 	for _, unit := range []route.Unit{route.UnitRequests, route.UnitTokens} {
 		w := &route.Workspace{
 			Name: string(unit),
@@ -129,16 +138,7 @@
 // TestGiveBack holds that what did not run is not charged.
 func TestGiveBack(t *testing.T) {
 	now := time.Unix(1e9, 0)
-	m := New(Options{
-		VM:        "a",
-		Region:    "r",
-		Regions:   []string{"r"},
-		StartedAt: now.Add(-time.Minute),
-	})
-	f := Fleet{
-		Near:  []fleet.VM{{ID: "a", Region: "r"}},
-		Known: 1,
-	}
+	m, f := single(now)
 	w := &route.Workspace{
 		Name: "w",
 		Limit: route.Limit{
