A VM remembers that a limit is scarce while it has calls of it

Cause: found by reading. What a VM knows of a limit was dropped with each round of notes where all its calls had been asked for, as they left no use to tell; the next small call was then admitted unasked.

The ledger forgets workspaces without calls too. TestRemembersScarcity fails on the code before.

--- a/metering/metering.go
+++ b/metering/metering.go
@@ -99,11 +99,15 @@
 	kept        map[string]*kept
 	// lost are the keepers that did not answer, with the time until which they are not asked.
 	lost map[string]time.Time
+	// sweptAt is when the ledger last forgot workspaces without calls.
+	sweptAt time.Time
 }
 
 // use is what this VM admitted of a workspace that another one keeps.
 type use struct {
 	workspace *route.Workspace
+	// usedAt is when the workspace last had a call here.
+	usedAt time.Time
 	// unsent was not told yet, since unsentSince.
 	unsent      float64
 	unsentSince time.Time
@@ -141,6 +145,7 @@
 		return m.takeAlone(w, cost, now)
 	}
 	u := m.use(w)
+	u.usedAt = now
 	if now.Before(u.comeBackAt) && cost >= u.refused {
 		return Verdict{
 			Refusal: refusal(w).Until(u.comeBackAt),
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -152,3 +152,48 @@
 		m.GiveBack(w, 1, f, now)
 	}
 }
+
+// TestRemembersScarcity holds that a VM goes on asking for the calls of a scarce limit
+// that were all asked for so far, and forgets a workspace that has no calls.
+func TestRemembersScarcity(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	f := Fleet{
+		Near:  []fleet.VM{{ID: "a", Region: "r"}, {ID: "b", Region: "r"}},
+		Known: 2,
+	}
+	w := &route.Workspace{
+		Name: "w",
+		Limit: route.Limit{
+			Unit:      route.UnitRequests,
+			PerSecond: 1000,
+			Burst:     1000,
+		},
+	}
+	table := route.New(route.Options{
+		Keyed:      true,
+		Workspaces: []route.Workspace{*w},
+	})
+	self := "a"
+	if keeperOf(w.Name, f.Near).ID == self {
+		self = "b"
+	}
+	m := New(Options{
+		VM:        self,
+		Region:    "r",
+		Regions:   []string{"r"},
+		StartedAt: now.Add(-time.Minute),
+	})
+	const large = 5000
+	assert.Assert(t, m.Take(w, large, f, now).Keeper != nil)
+	m.Answered(w, large, Answer{
+		Kept:     true,
+		Admitted: true,
+		Scarce:   true,
+		At:       now,
+	})
+	m.Notes(table, f, now)
+	m.Notes(table, f, now.Add(time.Second))
+	assert.Assert(t, m.Take(w, 1, f, now.Add(time.Second)).Keeper != nil)
+	m.Notes(table, f, now.Add(idleFor+2*time.Second))
+	assert.Equal(t, len(m.uses), 0)
+}
--- a/metering/note.go
+++ b/metering/note.go
@@ -81,7 +81,7 @@
 	var out outbox
 	for name, u := range m.uses {
 		w, ok := table.Workspace(name)
-		if !ok || (u.unsent == 0 && now.Sub(u.unsentSince) > idleFor) {
+		if !ok || (u.unsent == 0 && now.Sub(u.usedAt) > idleFor) {
 			delete(m.uses, name)
 			continue
 		}
@@ -98,6 +98,10 @@
 		}
 		delete(m.kept, name)
 	}
+	if now.Sub(m.sweptAt) > idleFor {
+		m.sweptAt = now
+		m.ledger.Sweep(now)
+	}
 	return out.notes
 }
 
