A VM without a table leads no caller to another region

A VM that has just started may have heard of VMs of another region before those of its own, and without a table it took no region for a home of the caller's routes.

Change: it names nobody until it has a table; a caller without an answer asks another VM. TestEntriesWithoutTable fails on the code before.

--- /dev/null
+++ b/site/entries_test.go
@@ -0,0 +1,53 @@
+package site
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/roster"
+	"github.com/fuchsianotch/fuchsianotch/settings"
+)
+
+// TestEntriesWithoutTable holds that a VM which has just started leads no caller to
+// another region before it knows which regions are homes of the caller's routes.
+func TestEntriesWithoutTable(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	n := New(Options{
+		Deployment: &platform.Deployment{
+			VM:         "vm-0",
+			Region:     "r0",
+			DataCentre: "r0-a",
+			Regions:    map[string]string{"r0-a": "r0", "r1-a": "r1", "r2-a": "r2"},
+		},
+		Logger:   slog.New(slog.DiscardHandler),
+		Settings: &settings.Platform{},
+		Now:      func() time.Time { return now },
+	})
+	c := n.control
+	for _, far := range fleetRumorsOf() {
+		if far.VM.Region == "r2" {
+			c.roster.Heard(far, []roster.Rumor{far}, now)
+			break
+		}
+	}
+	c.publish(now)
+	lookup := platform.Lookup{
+		Host:       "h",
+		Region:     "r0",
+		DataCentre: "r0-a",
+	}
+	assert.Equal(t, len(n.entries(lookup)), 0)
+
+	c.take([]discovery.Item{{
+		Key:      "op/config",
+		Revision: 1,
+		Value:    []byte(`{"Version":1,"Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"idempotent"}]}`),
+	}}, now)
+	c.publish(now)
+	assert.Assert(t, len(n.entries(lookup)) > 0)
+}
--- a/site/site.go
+++ b/site/site.go
@@ -307,13 +307,14 @@
 	return out
 }
 
+// entriesElsewhere returns VMs of other regions. Without a table none: which regions are
+// homes is not known yet, and a caller that gets no answer asks another VM.
 func (n *Node) entriesElsewhere(host string, pic *picture) []fleet.VM {
-	var bound [][]string
-	if pic.table != nil {
-		bound = pic.table.Bound(host)
+	if pic.table == nil {
+		return nil
 	}
 	var out []fleet.VM
-	for _, other := range entry.Elsewhere(n.deployment.Region, bound, pic.members.TakingRegions()) {
+	for _, other := range entry.Elsewhere(n.deployment.Region, pic.table.Bound(host), pic.members.TakingRegions()) {
 		out = append(out, pic.members.Taking(other)...)
 	}
 	return out
