The keeper of a limit is found by entry, and uses are noted in one place

metering.keeperOf walked the VMs by score as entry.Owner does over ids. What is yet to be told was added to in three places with the same lines; use.admit does it. A call that its bucket covers charged the ledger a second time, with nothing.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -72,17 +72,36 @@
 
 // Owner returns the id that Rank puts first, or "" when there are none. It does not allocate.
 func Owner(workspace string, ids []string) string {
-	h := Hash(workspace)
-	var owner string
-	var best uint64
-	for i, id := range ids {
-		score := Score(h, Hash(id))
-		if i == 0 || score > best || (score == best && id < owner) {
-			owner = id
-			best = score
+	first := best(Hash(workspace), len(ids), func(i int) string { return ids[i] })
+	if first < 0 {
+		return ""
+	}
+	return ids[first]
+}
+
+// First returns the VM that ranks first for a hash, and false when there are none. It
+// does not allocate.
+func First(hash uint64, vms []fleet.VM) (fleet.VM, bool) {
+	first := best(hash, len(vms), func(i int) string { return vms[i].ID })
+	if first < 0 {
+		return fleet.VM{}, false
+	}
+	return vms[first], true
+}
+
+// best returns the index of the id with the highest score, or -1 when there are none;
+// on a tie the lower id wins.
+func best(hash uint64, count int, id func(int) string) int {
+	first := -1
+	var highest uint64
+	for i := range count {
+		score := Score(hash, Hash(id(i)))
+		if first < 0 || score > highest || (score == highest && id(i) < id(first)) {
+			first = i
+			highest = score
 		}
 	}
-	return owner
+	return first
 }
 
 // Spread returns the number of entry VMs of a workspace. It depends on the
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -114,10 +114,16 @@
 		ranked := Rank(w, shuffled)
 		assert.DeepEqual(t, ranked, Rank(w, list))
 		assert.Equal(t, Owner(w, ids(shuffled)), ranked[0].ID)
+		first, ok := First(Hash(w), shuffled)
+		assert.Assert(t, ok)
+		assert.Equal(t, first, ranked[0])
 	}
 	assert.Equal(t, Owner("ws", nil), "")
+	_, ok := First(Hash("ws"), nil)
+	assert.Assert(t, !ok)
 	names := ids(list)
 	assert.Equal(t, testing.AllocsPerRun(100, func() { Owner("ws-1", names) }), 0.0)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { First(7, list) }), 0.0)
 }
 
 func TestSpread(t *testing.T) {
--- a/metering/metering.go
+++ b/metering/metering.go
@@ -11,7 +11,6 @@
 package metering
 
 import (
-	"cmp"
 	"sync"
 	"time"
 
@@ -157,10 +156,7 @@
 			Keeper: &keeper,
 		}
 	}
-	if u.unsent == 0 {
-		u.unsentSince = now
-	}
-	u.unsent += cost
+	u.admit(cost, now)
 	if 2*u.unsent >= most {
 		m.hurry()
 	}
@@ -211,7 +207,9 @@
 			Refusal: refused,
 		}
 	}
-	m.ledger.Charge(m.request(w, share, cost-enough, now), now)
+	if cost > enough {
+		m.ledger.Charge(m.request(w, share, cost-enough, now), now)
+	}
 	return Verdict{}
 }
 
@@ -249,11 +247,15 @@
 		m.charge(w, -cost, f, now)
 		return
 	}
-	u := m.use(w)
+	m.use(w).admit(-cost, now)
+}
+
+// admit notes what is yet to be told; a negative amount was given back.
+func (u *use) admit(amount float64, now time.Time) {
 	if u.unsent == 0 {
 		u.unsentSince = now
 	}
-	u.unsent -= cost
+	u.unsent += amount
 }
 
 // learn keeps the largest number of VMs of the region, and since when as many are in reach.
@@ -271,30 +273,21 @@
 // keeper is the VM of the region that keeps a workspace's limit. All VMs that reach
 // each other agree on it.
 func (m *Meter) keeper(workspace string, f Fleet) fleet.VM {
-	if len(f.Near) == 0 {
-		return fleet.VM{
-			ID: m.options.VM,
-		}
+	if keeper, ok := keeperOf(workspace, f.Near); ok {
+		return keeper
+	}
+	return fleet.VM{
+		ID: m.options.VM,
 	}
-	return keeperOf(workspace, f.Near)
 }
 
 // keeperGroups is in how many groups workspaces have the same keeper, so that what
 // keepers of two regions tell each other goes into few notes.
 const keeperGroups = 32
 
-// keeperOf returns the keeper of a workspace among the VMs of a region.
-func keeperOf(workspace string, vms []fleet.VM) fleet.VM {
-	group := entry.Hash(workspace) % keeperGroups
-	first := vms[0]
-	best := entry.Score(group, entry.Hash(first.ID))
-	for _, vm := range vms[1:] {
-		score := entry.Score(group, entry.Hash(vm.ID))
-		if cmp.Or(cmp.Compare(score, best), cmp.Compare(first.ID, vm.ID)) > 0 {
-			first, best = vm, score
-		}
-	}
-	return first
+// keeperOf returns the keeper of a workspace among the VMs of a region, if there are any.
+func keeperOf(workspace string, vms []fleet.VM) (fleet.VM, bool) {
+	return entry.First(entry.Hash(workspace)%keeperGroups, vms)
 }
 
 func (m *Meter) use(w *route.Workspace) *use {
--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -174,7 +174,7 @@
 		Workspaces: []route.Workspace{*w},
 	})
 	self := "a"
-	if keeperOf(w.Name, f.Near).ID == self {
+	if keeper, _ := keeperOf(w.Name, f.Near); keeper.ID == self {
 		self = "b"
 	}
 	m := New(Options{
--- a/metering/note.go
+++ b/metering/note.go
@@ -141,7 +141,11 @@
 	k.toldAt = now
 	k.told = asked
 	for _, vms := range f.Far {
-		note := out.to(keeperOf(name, vms))
+		keeper, ok := keeperOf(name, vms)
+		if !ok {
+			continue
+		}
+		note := out.to(keeper)
 		note.Demands = append(note.Demands, Demand{
 			Region:    m.options.Region,
 			Workspace: name,
@@ -205,10 +209,7 @@
 
 func (m *Meter) putBack(used Use, now time.Time) {
 	if u := m.uses[used.Workspace]; u != nil {
-		if u.unsent == 0 {
-			u.unsentSince = now
-		}
-		u.unsent += used.Used
+		u.admit(used.Used, now)
 	}
 }
 
