One picture decides on a call's limit; soak compares zones as they are

A call's workspace and the VMs that keep its limit were read from two pictures, which could differ; one load of the picture gives both. The soak turned a replica's zone back into a region by trying twelve names to compare it with two; it compares zones.

--- a/site/limits.go
+++ b/site/limits.go
@@ -35,21 +35,21 @@
 }
 
 // limited returns the workspace of a call that counts against a limit.
-func (n *Node) limited(c *call.Call) (*route.Workspace, bool) {
-	table := n.control.picture().table
-	if c.Workspace == "" || c.Routed.Cost <= 0 || table == nil {
+func (pic *picture) limited(c *call.Call) (*route.Workspace, bool) {
+	if c.Workspace == "" || c.Routed.Cost <= 0 || pic.table == nil {
 		return nil, false
 	}
-	return table.Workspace(c.Workspace)
+	return pic.table.Workspace(c.Workspace)
 }
 
 // takeLimit charges a call to the limit of its workspace.
 func (n *Node) takeLimit(ctx context.Context, c *call.Call) *result.Refusal {
-	w, ok := n.limited(c)
+	pic := n.control.picture()
+	w, ok := pic.limited(c)
 	if !ok {
 		return nil
 	}
-	verdict := n.meter.Take(w, c.Routed.Cost, n.control.picture().fleet, n.now())
+	verdict := n.meter.Take(w, c.Routed.Cost, pic.fleet, n.now())
 	if verdict.Keeper != nil {
 		verdict = n.askKeeper(ctx, w, *verdict.Keeper, c.Routed.Cost)
 	}
@@ -82,8 +82,9 @@
 
 // giveBackLimit returns what a call was charged that certainly did not run.
 func (n *Node) giveBackLimit(c *call.Call) {
-	if w, ok := n.limited(c); ok {
-		n.meter.GiveBack(w, c.Routed.Cost, n.control.picture().fleet, n.now())
+	pic := n.control.picture()
+	if w, ok := pic.limited(c); ok {
+		n.meter.GiveBack(w, c.Routed.Cost, pic.fleet, n.now())
 	}
 }
 
--- a/testscripts/soak/workspaces.go
+++ b/testscripts/soak/workspaces.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/fuchsianotch/fuchsianotch/standin/replica"
 )
 
 // The workspaces of a soak: their callers present keys on all routes but the public
@@ -183,20 +181,11 @@
 
 // checkHomes holds that calls of a homed workspace run in its homes only.
 func (l *ledger) checkHomes() (out []string) {
-	homes := []string{regionName(0), regionName(1)}
+	homes := []string{zoneOf(regionName(0)), zoneOf(regionName(1))}
 	for _, r := range l.runs {
-		if r.Workspace == workspaceHomed && !slices.Contains(homes, l.regionOf(r)) {
-			out = append(out, fmt.Sprintf("%s %s of workspace %s ran at %s in %s", r.Attempt, r.Path, workspaceHomed, r.Replica, l.regionOf(r)))
+		if r.Workspace == workspaceHomed && !slices.Contains(homes, r.Zone) {
+			out = append(out, fmt.Sprintf("%s %s of workspace %s ran at %s in %s", r.Attempt, r.Path, workspaceHomed, r.Replica, r.Zone))
 		}
 	}
 	return out
 }
-
-func (l *ledger) regionOf(r replica.Run) string {
-	for n := range 12 {
-		if zoneOf(regionName(n)) == r.Zone {
-			return regionName(n)
-		}
-	}
-	return ""
-}
