The ledger begins a request in one place

Take, Grant and Charge each applied the policy, locked the shard, found the account and filled it up; Ledger.begin does that for all three. Whether a lease's demand is noted before or after the account is filled up makes no difference: filling reads no lease.

--- a/limit/lease.go
+++ b/limit/lease.go
@@ -280,12 +280,8 @@
 // what it gives back has been put in. It grants at most a part of what the
 // buckets hold. Calls in flight are granted as a number that replaces the earlier one.
 func (l *Ledger) Grant(r Request, want, unused Amounts, now time.Time) (Amounts, *result.Refusal) {
-	l.apply(&r)
-	s := l.shard(r.Workspace)
-	s.mu.Lock()
+	s, a := l.begin(&r, now)
 	defer s.mu.Unlock()
-	a := s.account(r.Workspace)
-	a.refill(&r, now)
 	a.takeBack(r.From, unused, now)
 	if r.Share <= 0 {
 		short := a.shortage(&r, now)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -130,7 +130,7 @@
 	return a
 }
 
-// apply returns the request as the ledger's policy sees it.
+// apply sets the request's share as the ledger's policy sees it.
 func (l *Ledger) apply(r *Request) {
 	switch l.policy {
 	case PolicyStaticSplit:
@@ -146,20 +146,27 @@
 	r.BaseSince = r.Since
 }
 
+// begin returns the request's account, filled up to now. Its shard is locked, and the
+// one who asked unlocks it.
+func (l *Ledger) begin(r *Request, now time.Time) (*shard, *account) {
+	l.apply(r)
+	s := l.shard(r.Workspace)
+	s.mu.Lock()
+	a := s.account(r.Workspace)
+	a.refill(r, now)
+	return s, a
+}
+
 // Take charges the whole cost or nothing. It admits from the share of this VM,
 // or else from its lease. A refusal names the limit that is free last, with the
 // time at which the same cost will be admitted if nothing else is. LimitNoShare
 // means that this VM holds neither share nor lease: the owner is the one to ask.
 func (l *Ledger) Take(r Request, now time.Time) (Reservation, *result.Refusal) {
-	l.apply(&r)
-	s := l.shard(r.Workspace)
-	s.mu.Lock()
+	s, a := l.begin(&r, now)
 	defer s.mu.Unlock()
-	a := s.account(r.Workspace)
 	if !r.Owner && l.policy == PolicyShare {
 		a.lease().demand(&r.Cost)
 	}
-	a.refill(&r, now)
 	short := a.shortage(&r, now)
 	if !short.none() && a.takeLeased(&r.Cost, now) {
 		return Reservation{
@@ -201,12 +208,8 @@
 // negative cost is given back. It returns how full the buckets then are that the cost
 // draws on, at most 1 and negative for a debt.
 func (l *Ledger) Charge(r Request, now time.Time) (filled float64) {
-	l.apply(&r)
-	s := l.shard(r.Workspace)
-	s.mu.Lock()
+	s, a := l.begin(&r, now)
 	defer s.mu.Unlock()
-	a := s.account(r.Workspace)
-	a.refill(&r, now)
 	a.charge(&r.Cost)
 	return a.filled(&r)
 }
