Played fleet of the limits: scenarios, calls and notes have files of their own

The bucket that stands in for the whole fleet is made once, not for each workspace, and the meter that phrases its requests not for each call.

--- a/metering/world_test.go
+++ b/metering/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,20 +12,6 @@
 	"github.com/fuchsianotch/fuchsianotch/route"
 )
 
-// way is how the VMs of a world hold limits.
-type way string
-
-const (
-	// wayKeeper is the one that is built.
-	wayKeeper way = "keeper"
-	// wayEven gives each VM an equal part for good.
-	wayEven way = "even"
-	// wayWhole gives each VM the whole limit.
-	wayWhole way = "whole"
-	// waySync asks the keeper for each call.
-	waySync way = "sync"
-)
-
 // The world's times: ways within a region and between two, how long VMs believe what
 // is no longer so, and how long a VM that starts knows nobody.
 const (
@@ -46,62 +31,6 @@
 	overshoot = 0.25
 )
 
-// scenario is one load with its faults, as the table of scenarios has it. Times are
-// seconds from the start.
-type scenario struct {
-	Name       string
-	Regions    int
-	VMs        int `json:"vms_per_region"`
-	Workspaces int
-	// PerSecond is the limit of the largest workspace; the next ones have the half, the
-	// third and so on, but at least Floor.
-	PerSecond float64 `json:"per_second"`
-	Floor     float64
-	Slack     float64
-	Cost      float64
-	// Load is the part of its limit that each workspace asks for.
-	Load   float64
-	Length float64
-	// OneRegion has all callers at the first region, OneVM at its first VM.
-	OneRegion bool `json:"one_region"`
-	OneVM     bool `json:"one_vm"`
-	// Tide moves the callers from region to region in so many seconds.
-	Tide float64
-	Hot  []spell
-	// Cut parts all regions from each other, Apart one VM of each region from all
-	// others, Half one half of each region from the other.
-	Cut   []spell
-	Apart []spell
-	Half  []spell
-	// Kill ends a part of the VMs for a while.
-	Kill []spell
-	// Lower has the limits at a part of what they were.
-	Lower []spell
-	// Served is the least part of what one bucket would admit that must be admitted.
-	Served float64
-	// Back is the same of the calls in the seconds after VMs that were killed are back.
-	Back float64
-}
-
-// spell is a time with a strength.
-type spell struct {
-	From float64
-	For  float64
-	X    float64
-}
-
-func (s spell) has(at time.Duration) bool {
-	return at.Seconds() >= s.From && at.Seconds() < s.From+s.For
-}
-
-func within(list []spell, at time.Duration) (spell, bool) {
-	i := slices.IndexFunc(list, func(s spell) bool { return s.has(at) })
-	if i < 0 {
-		return spell{}, false
-	}
-	return list[i], true
-}
-
 // world plays a scenario in virtual time.
 type world struct {
 	scenario
@@ -112,8 +41,9 @@
 	order  int
 	vms    []*vm
 	tables map[float64]*route.Table
-	// ideal admits as one bucket for the whole fleet would.
-	ideal  map[string]*limit.Ledger
+	// ideal admits as one bucket for the whole fleet would, by requests of whole.
+	ideal  *limit.Ledger
+	whole  *Meter
 	admits map[string][]admitted
 	served float64
 	owed   float64
@@ -190,7 +120,8 @@
 		way:      by,
 		rand:     rand.New(rand.NewPCG(seed, 1)),
 		tables:   make(map[float64]*route.Table),
-		ideal:    make(map[string]*limit.Ledger),
+		ideal:    limit.New(limit.Options{}),
+		whole:    New(Options{}),
 		admits:   make(map[string][]admitted),
 	}
 	for region := range s.Regions {
@@ -357,121 +288,6 @@
 	}
 }
 
-// arrive has the next call of a workspace come.
-func (w *world) arrive(i int) {
-	ws := w.table().Workspaces()[i]
-	perSecond := w.Load * max(w.PerSecond/float64(i+1), w.Floor) / w.Cost
-	if hot, ok := within(w.Hot, w.now); ok && i == 0 {
-		perSecond *= hot.X
-	}
-	w.after(time.Duration(w.rand.ExpFloat64()/perSecond*float64(time.Second)), func() {
-		cost := w.Cost * math.Exp(w.rand.NormFloat64()*0.8-0.32)
-		w.call(w.pick(), &ws, math.Ceil(cost))
-		w.arrive(i)
-	})
-}
-
-// pick draws the VM that a caller is connected to. Callers of VMs that are down are
-// at others.
-func (w *world) pick() *vm {
-	for {
-		v := w.vms[w.rand.IntN(len(w.vms))]
-		if w.OneVM {
-			v = w.vms[0]
-		}
-		if w.OneRegion || w.OneVM {
-			v = w.vms[v.index%w.VMs]
-		}
-		if w.Tide > 0 && w.rand.Float64() < tidePart {
-			v = w.vms[w.highRegion()*w.VMs+v.index%w.VMs]
-		}
-		if !v.down || w.allDown() {
-			return v
-		}
-	}
-}
-
-// highRegion draws the region in which most callers are: it changes within tideTurn.
-func (w *world) highRegion() int {
-	number := w.now.Seconds() / w.Tide
-	region := int(number)
-	left := (float64(region+1) - number) * w.Tide
-	if w.rand.Float64() < 1-left/tideTurn.Seconds() {
-		region++
-	}
-	return region % w.Regions
-}
-
-func (w *world) allDown() bool {
-	return !slices.ContainsFunc(w.vms, func(v *vm) bool { return !v.down })
-}
-
-// call has one call decided, and counts what one bucket would have made of it.
-func (w *world) call(v *vm, ws *route.Workspace, cost float64) {
-	if v.down || w.now < v.tableAt {
-		return
-	}
-	current, _ := w.table().Workspace(ws.Name)
-	w.calls++
-	if w.idealTakes(current, cost) {
-		w.owed += cost
-		if w.isBack() {
-			w.backOwed += cost
-		}
-	}
-	switch w.way {
-	case wayEven, wayWhole:
-		w.end(v, current, cost, w.takeFixed(v, current, cost))
-	default:
-		w.take(v, current, cost)
-	}
-}
-
-func (w *world) idealTakes(ws *route.Workspace, cost float64) bool {
-	if w.ideal[ws.Name] == nil {
-		w.ideal[ws.Name] = limit.New(limit.Options{})
-	}
-	whole := New(Options{StartedAt: origin.Add(-time.Minute)})
-	r := whole.request(ws, 1, cost, w.clock())
-	r.Opening = 1
-	_, refused := w.ideal[ws.Name].Take(r, w.clock())
-	return refused == nil
-}
-
-func (w *world) takeFixed(v *vm, ws *route.Workspace, cost float64) bool {
-	share := 1.0
-	if w.way == wayEven {
-		share = 1 / float64(len(w.vms))
-	}
-	_, refused := v.even.Take(v.meter.request(ws, share, cost, w.clock()), w.clock())
-	return refused == nil
-}
-
-func (w *world) take(v *vm, ws *route.Workspace, cost float64) {
-	verdict := v.meter.Take(ws, cost, w.fleet(v), w.clock())
-	keeper := verdict.Keeper
-	if w.way == waySync && verdict.Refusal == nil && keeper == nil {
-		v.meter.GiveBack(ws, cost, w.fleet(v), w.clock())
-		first := v.meter.keeper(ws.Name, w.fleet(v))
-		keeper = &first
-	}
-	if keeper == nil {
-		w.hurry(v)
-		w.end(v, ws, cost, verdict.Refusal == nil)
-		return
-	}
-	w.waits++
-	w.send(v, w.byID(keeper.ID), Note{
-		Uses: []Use{{Workspace: ws.Name, Wanted: cost}},
-	}, 150*time.Millisecond, func(r *Reply) {
-		if r != nil && len(r.Answers) == 1 && r.Answers[0].Kept {
-			w.end(v, ws, cost, v.meter.Answered(ws, cost, r.Answers[0]).Refusal == nil)
-			return
-		}
-		w.end(v, ws, cost, v.meter.TakeAlone(ws, *keeper, cost, w.clock()).Refusal == nil)
-	})
-}
-
 // isBack reports whether VMs came back of late.
 func (w *world) isBack() bool {
 	return slices.ContainsFunc(w.Kill, func(k spell) bool {
@@ -496,71 +312,6 @@
 	w.admits[ws.Name] = append(w.admits[ws.Name], admitted{at: w.now, cost: cost})
 }
 
-// hurry sends the notes that should not wait.
-func (w *world) hurry(v *vm) {
-	select {
-	case <-v.meter.Due:
-		w.sendNotes(v)
-	default:
-	}
-}
-
-// tell sends a VM's notes when they are due.
-func (w *world) tell(v *vm) {
-	if !v.down {
-		w.sendNotes(v)
-	}
-	next := v.meter.NextNote(w.clock()).Sub(w.clock())
-	w.after(max(next, 20*time.Millisecond), func() { w.tell(v) })
-}
-
-func (w *world) sendNotes(v *vm) {
-	if w.way == wayEven || w.way == wayWhole {
-		return
-	}
-	life := v.meter
-	for _, note := range life.Notes(w.table(), w.fleet(v), w.clock()) {
-		w.send(v, w.byID(note.To.ID), note.Note, time.Second, func(r *Reply) {
-			if r == nil {
-				life.Failed(note, w.clock())
-				return
-			}
-			life.Sent(note, *r, w.clock())
-		})
-	}
-}
-
-// send carries a note there and its answers back; no reply means that none came in time.
-func (w *world) send(from, to *vm, n Note, within time.Duration, done func(*Reply)) {
-	w.notes++
-	w.entries += len(n.Uses) + len(n.Demands)
-	for i, count := range [...]int{len(n.Uses), len(n.Demands)} {
-		if count > 0 {
-			w.told[i]++
-		}
-	}
-	w.after(w.travel(from, to), func() {
-		if to.down || !w.reaches(from, to, w.now) {
-			wait := within
-			if to.down {
-				wait = w.travel(from, to)
-			}
-			w.after(wait, func() { done(nil) })
-			return
-		}
-		var r Reply
-		if w.now >= to.tableAt {
-			r = to.meter.Receive(n, w.table(), w.fleet(to), w.clock())
-		}
-		w.after(w.travel(from, to), func() {
-			for i := range r.Answers {
-				r.Answers[i].At = w.clock()
-			}
-			done(&r)
-		})
-	})
-}
-
 // most is the greatest part of its bound that a workspace's work came to in a window.
 func (w *world) most() (part float64, workspace string) {
 	for name, list := range w.admits {
