--- a/endpoint/request.go
+++ b/endpoint/request.go
@@ -117,7 +117,7 @@
 	return h
 }
 
-// setBody returns the request a body without GetBody, which net/http would need
+// setBody gives the request a body without GetBody, which net/http would need
 // to send it again. Where a method usually lacks a body, the transport probes
 // the empty one and sends none; elsewhere NoBody keeps "Content-Length: 0".
 func setBody(req *http.Request, body []byte) {
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -109,7 +109,7 @@
 	s.term = s.termFor(peers)
 }
 
-// SetReady reports whether this VM has a configuration to serve by; it starts as true.
+// SetReady takes whether this VM has a configuration to serve by; it starts as true.
 func (s *State) SetReady(ready bool, now time.Time) {
 	s.step(now)
 	s.ready = ready
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -164,7 +164,7 @@
 	})
 }
 
-// SetReady reports whether this VM takes calls.
+// SetReady takes whether this VM takes calls.
 func (r *Roster) SetReady(ready bool) {
 	if r.self.Ready == ready {
 		return
@@ -175,7 +175,7 @@
 	})
 }
 
-// SetTurnedAway reports whether this VM cannot read the store.
+// SetTurnedAway takes whether this VM cannot read the store.
 func (r *Roster) SetTurnedAway(away bool) {
 	if r.self.TurnedAway == away {
 		return
--- a/serving/run.go
+++ b/serving/run.go
@@ -258,7 +258,7 @@
 	p.explain()
 }
 
-// explain returns the outcome its refusal.
+// explain gives the outcome its refusal.
 func (p *progress) explain() {
 	if p.last.Code.Class() == result.ClassDone {
 		return
