VMs read the limit that an endpoint names, log it and count what goes there

No decision changes.

The header is read in platform/, from own answers only: with the attempt's id, of this instance, signed or a refusal. throttle keeps the word of each endpoint: its life, a number for each change, and the rate. Lines endpoint_limited, endpoint_unlimited, endpoint_limit_unreadable; counter throttled_sends_total by way (call, forwarded, repeat, resumed).

An answer to a request that was sent before the word came can be from before it, so it neither ends a limit nor raises it; a lower limit counts at once. What is no number changes nothing.

Tests: throttle/testdata/words.json, seven rows of endpoint/testdata/relay.json, the platform's dialect.

--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
 // Dialect is how the endpoints of routed calls spell what goes with a request
@@ -14,6 +15,8 @@
 	SetHeader func(h http.Header, t Terms)
 	// ReadHead reads what an answer's head says besides its status.
 	ReadHead func(status int, h http.Header, now time.Time) Head
+	// ReadRate reads from the head of any answer at which rate the endpoint takes requests.
+	ReadRate func(h http.Header) fleet.Rate
 	// ReadColdFor reads from an answer to a health check how long the endpoint is
 	// cold yet; zero for a warm one.
 	ReadColdFor func(h http.Header) time.Duration
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -82,6 +82,9 @@
 	// Paced, if set, is told of the time between two pieces of a routed stream,
 	// with the tokens of the later one.
 	Paced func(gap time.Duration, tokens int)
+	// Rated, if set, is told what the head of an own answer says of the rate at which
+	// the endpoint takes requests.
+	Rated func(fleet.Rate)
 	// Sending, if set, is called once right before the first byte goes out.
 	// Its error stops the attempt with nothing sent.
 	Sending func() error
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -39,6 +39,9 @@
 		x.track.distrust()
 		return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
 	}
+	if head.ID != "" && !head.OtherInstance && (head.Signed || head.NotRun) {
+		x.rated(resp.Header)
+	}
 	if head.NotRun {
 		x.outcome.ComeBackAt = head.ComeBackAt
 		x.outcome.OtherInstance = head.OtherInstance
@@ -53,6 +56,13 @@
 	return x.relayWhole(resp)
 }
 
+// rated tells what an own answer says of the endpoint's rate.
+func (x *exchange) rated(h http.Header) {
+	if x.attempt.Rated != nil && x.client.dialect.ReadRate != nil {
+		x.attempt.Rated(x.client.dialect.ReadRate(h))
+	}
+}
+
 func isEventStream(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return err == nil && mediaType == eventStream
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,8 @@
 	LastEvent     string `json:"last_event"`
 	OtherInstance bool   `json:"other_instance"`
 	Held          int
+	// Rated is what is told of the endpoint's rate, empty for nothing.
+	Rated string
 }
 
 // testDialect has names of its own, so that none is built into the client.
@@ -49,6 +52,11 @@
 			Signed:        h.Get("Signed") != "",
 		}
 	},
+	ReadRate: func(h http.Header) fleet.Rate {
+		return fleet.Rate{
+			Named: h.Get("Rate") != "",
+		}
+	},
 }
 
 func TestRelay(t *testing.T) {
@@ -58,7 +66,10 @@
 			addr := serveRaw(t, answer, c.End)
 			status, body := 0, ""
 			header := http.Header{}
-			out := newRelayClient(t).Send(t.Context(), routedCall(addr, c.Resume), Sink{
+			rated := "none"
+			attempt := routedCall(addr, c.Resume)
+			attempt.Rated = func(r fleet.Rate) { rated = strconv.FormatBool(r.Named) }
+			out := newRelayClient(t).Send(t.Context(), attempt, Sink{
 				Head: func(s int, h http.Header) error {
 					status = s
 					header = h.Clone()
@@ -70,6 +81,9 @@
 				},
 			})
 			assert.Equal(t, out.Code, c.Code, "%v", out.Err)
+			if c.Rated != "" {
+				assert.Equal(t, rated, c.Rated)
+			}
 			assert.Equal(t, status, c.Status)
 			assert.Equal(t, body, c.Body)
 			assert.Equal(t, out.Delivered, c.Events)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -16,6 +16,7 @@
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 const namespace = "fuchsianotch"
@@ -67,6 +68,7 @@
 
 	limitRefused *prometheus.CounterVec
 	limitAsked   *prometheus.CounterVec
+	throttled    *prometheus.CounterVec
 	workspaces   workspaceNames
 
 	refused   prometheus.Gauge
@@ -105,6 +107,8 @@
 		limitRefused: counters("limit_refused_total", "Calls that the limits of their workspaces did not admit, by workspace.", "workspace"),
 		limitAsked:   counters("limit_asked_total", "Calls that waited for the word of the VM that keeps their workspace's limit.", "outcome"),
 
+		throttled: counters("throttled_sends_total", "Requests sent to endpoints that have named a limit, by the way on which they came.", "way"),
+
 		refused:   gauge("refused_documents", "Documents refused whose key has no accepted higher revision."),
 		revision:  gauge("documents_revision", "Highest revision of a document seen."),
 		reachable: gauge("vms_reachable", "VMs of the own region that are reached, with this one."),
@@ -125,7 +129,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.firstToken, m.answer, m.tokens, m.spend, m.sentAway, m.forwards, m.retries,
-		m.limitRefused, m.limitAsked,
+		m.limitRefused, m.limitAsked, m.throttled,
 		m.refused, m.revision, m.reachable, m.queue, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
 		m.members, m.endpoints, m.held, m.version, m.age, m.linesLost,
@@ -269,6 +273,11 @@
 	m.age.Set(age.Seconds())
 }
 
+// ThrottledSend counts a request to an endpoint that has named a limit.
+func (m *Metrics) ThrottledSend(way throttle.Way) {
+	m.throttled.WithLabelValues(string(way)).Inc()
+}
+
 // LinesDropped counts log lines that were dropped.
 func (m *Metrics) LinesDropped(lines int64) {
 	m.linesLost.Add(float64(lines))
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -15,6 +15,7 @@
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 const secret = "tee-time-club"
@@ -58,6 +59,7 @@
 	m.SetHeld(4)
 	m.LimitRefused("hule930")
 	m.LimitAsked(true)
+	m.ThrottledSend(throttle.WayRepeat)
 	m.LimitAsked(false)
 	m.SetPublishedAge(time.Second)
 	m.LinesDropped(2)
@@ -97,6 +99,7 @@
 		"fuchsianotch_first_token_seconds urgent":           1,
 		"fuchsianotch_answer_seconds urgent":                2,
 		"fuchsianotch_tokens_total prompt":                  5,
+		"fuchsianotch_throttled_sends_total repeat":         1,
 		"fuchsianotch_tokens_total cached":                  3,
 		"fuchsianotch_tokens_total generated":               2,
 		"fuchsianotch_spend_millionths_total ":              40,
--- a/serving/run.go
+++ b/serving/run.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -170,13 +171,18 @@
 // routedAttempt returns the attempt the caller's own id: one try of a client has
 // one id, also where it is sent twice.
 func (s *Server) routedAttempt(c *call.Call, slot admission.Slot, p *progress) endpoint.Attempt {
+	e, way, from := slot.Choice.Endpoint, p.way(c), s.options.Now()
 	return endpoint.Attempt{
 		ID:          c.ID,
-		Endpoint:    slot.Choice.Endpoint,
+		Endpoint:    e,
 		Call:        c,
 		ResumeAfter: p.lastEvent,
 		FetchFrom:   slot.Choice.FetchFrom,
-		Sending:     s.beforeSending(c, nil),
+		Rated:       func(r fleet.Rate) { s.options.Throttle.Answered(e, r, from) },
+		Sending: s.beforeSending(c, func() error {
+			s.options.Throttle.Sending(e, way)
+			return nil
+		}),
 	}
 }
 
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -101,11 +101,12 @@
 	Desk     *ticket.Desk
 	Endpoint *endpoint.Client
 	Budget   Budget
-	// Crashes and Limits may be left out.
-	Crashes Crashes
-	Limits  Limits
-	Ring    *timeline.Ring
-	Metrics *metrics.Metrics
+	// Crashes, Limits and Throttle may be left out.
+	Crashes  Crashes
+	Limits   Limits
+	Throttle Throttle
+	Ring     *timeline.Ring
+	Metrics  *metrics.Metrics
 }
 
 // Lease is a part of a workspace's limits with its end.
@@ -134,6 +135,9 @@
 	if o.Limits.Take == nil {
 		o.Limits = noLimits
 	}
+	if o.Throttle.Answered == nil {
+		o.Throttle = noThrottle
+	}
 	return &Server{
 		options: o,
 		spend:   (*ticket.Entry).Sending,
--- a/site/site.go
+++ b/site/site.go
@@ -37,6 +37,7 @@
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/serving"
 	"github.com/fuchsianotch/fuchsianotch/settings"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
@@ -97,6 +98,7 @@
 	crashes *agent.Agent
 	serving *serving.Server
 	meter   *metering.Meter
+	rates   *throttle.Throttle
 	puller  *puller
 	control *control
 	callers *http.Server
@@ -174,6 +176,7 @@
 	n.pools = newPools(n)
 	n.crashes = n.newCrashes()
 	n.meter = newMeter(n)
+	n.rates = throttle.New()
 	n.serving = n.newServing()
 	n.callers = n.newCallers()
 	limitMemory(d.MemoryBytes)
@@ -237,6 +240,10 @@
 			Take:     n.takeLimit,
 			GiveBack: n.giveBackLimit,
 		},
+		Throttle: serving.Throttle{
+			Answered: n.answeredRate,
+			Sending:  n.countThrottled,
+		},
 		Ring:    n.ring,
 		Metrics: n.metrics,
 	})
