--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -25,6 +25,7 @@
 	headerCold      = "X-Fuchsianotch-Cold-Ms"
 	headerSelf      = "X-Fuchsianotch-Instance-Id"
 	headerWorkspace = "X-Fuchsianotch-Tenant"
+	headerLimit     = "Server-Limit"
 )
 
 // StreamPath begins the paths that are answered by a stream.
@@ -76,8 +77,10 @@
 	Work       time.Duration
 	// Fault decides how a request fails; nil means not at all.
 	Fault func() Fault
-	// Observe is told of each request.
+	// Observe is told of each request, and Asked of each question for its load or health;
+	// nil means nobody is.
 	Observe func(Run)
+	Asked   func(id string)
 	// Crashes says which requests crash the replica that begins to run them; nil means
 	// none. Crashed is told of it once.
 	Crashes func(path string) bool
@@ -99,6 +102,8 @@
 	written int
 	// coldUntil is what its health check tells.
 	coldUntil time.Time
+	// limit is what its answers name, empty for none.
+	limit string
 }
 
 // Start serves on an address.
@@ -127,6 +132,22 @@
 	r.coldUntil = until
 }
 
+// SetLimit lets its answers name a limit in requests a second; an empty one names none.
+func (r *Replica) SetLimit(perSecond string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limit = perSecond
+}
+
+// nameLimit puts the limit into an answer.
+func (r *Replica) nameLimit(w http.ResponseWriter) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.limit != "" {
+		w.Header().Set(headerLimit, r.limit)
+	}
+}
+
 // ColdFor is how long it is cold yet.
 func (r *Replica) ColdFor() time.Duration {
 	r.mu.Lock()
@@ -158,6 +179,10 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	r.nameLimit(w)
+	if r.Asked != nil && (req.URL.Path == "/report" || req.URL.Path == "/health") {
+		r.Asked(r.ID)
+	}
 	if req.URL.Path == "/report" {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -43,6 +43,9 @@
 	// Crashing are calls that crash the endpoints which run them; they change nothing
 	// that a seed draws otherwise.
 	Crashing Crashing
+	// Limiting are engines that name limits; they change nothing that a seed draws
+	// otherwise.
+	Limiting Limiting
 }
 
 // Report is what became of a run.
@@ -58,6 +61,10 @@
 	// were held although they crash nothing.
 	Repeated int
 	Wronged  int
+	// Limited counts what reached engines while they named limits, and Allowed what these
+	// allowed.
+	Limited int
+	Allowed float64
 	// Steps are the events that were handled.
 	Steps      int
 	Violations []Violation
@@ -82,11 +89,12 @@
 func Run(o Options) Report {
 	w := newWorld(o)
 	w.start()
-	if !o.Crashing.Calm {
+	if !o.Crashing.Calm && !o.Limiting.Calm {
 		w.injectFaults()
 	}
 	w.sendRequests()
 	w.sendCrashing(o.Crashing)
+	w.nameLimits(o.Limiting)
 	w.clock.run(w.end.Add(settleFor))
 	return Report{
 		Seed:       o.Seed,
@@ -98,6 +106,8 @@
 		Crashed:    w.ledger.crashedInAll(),
 		Repeated:   w.ledger.repeated,
 		Wronged:    w.ledger.heldWrongly,
+		Limited:    w.ledger.limited,
+		Allowed:    w.allowed,
 		Violations: w.ledger.violations,
 	}
 }
@@ -119,6 +129,8 @@
 	serial  int
 	// crashDraws are the draws of the crashing calls.
 	crashDraws *rand.Rand
+	// allowed is how many requests the limits that engines named have allowed.
+	allowed float64
 	// repeats is how often a caller sends a request again that broke off.
 	repeats int
 }
@@ -149,6 +161,7 @@
 		homes:     w.rand.IntN(2) == 0,
 	}
 	o.Crashing.shape(&w.shape)
+	o.Limiting.shape(&w.shape)
 	w.repeats = o.Crashing.Repeats
 	w.network = newNetwork(w)
 	w.ledger = newLedger(w)
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -33,6 +33,8 @@
 	lostPart, refusedPart, failedPart float64
 	// arrivals are the requests that it got lately.
 	arrivals []arrival
+	// limit is what its answers name.
+	limit engineLimit
 }
 
 type arrival struct {
@@ -46,7 +48,9 @@
 	instance string
 	from     *vm
 	sentAt   time.Time
-	done     func(result.Code, bool)
+	// rated takes what the answer says of the engine's rate, before done takes the rest.
+	rated func(fleet.Rate)
+	done  func(result.Code, bool)
 }
 
 func (w *world) addEngine(region string) *engine {
@@ -155,7 +159,13 @@
 }
 
 func (a attempt) answer(e *engine, code result.Code, sent bool) {
-	e.world.network.send(e.endpoint.Region, a.from.vm.Region, func() { a.done(code, sent) })
+	rate, says := e.limit.rate, e.endpoint.ID == a.instance && sent && code != result.EndpointCut
+	e.world.network.send(e.endpoint.Region, a.from.vm.Region, func() {
+		if says {
+			a.rated(rate)
+		}
+		a.done(code, sent)
+	})
 }
 
 // request is what one caller asked once.
--- a/testscripts/emulator/health.go
+++ b/testscripts/emulator/health.go
@@ -54,7 +54,11 @@
 	w := v.world
 	w.after(2*nearWay, func() {
 		found := w.engineAt(e.ID)
-		if found == nil || !found.up || !found.cold() {
+		if found == nil || !found.up {
+			return
+		}
+		w.ledger.checkLimit(found, v)
+		if !found.cold() {
 			return
 		}
 		until := found.coldUntil
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -26,6 +26,7 @@
 	CheckLeaving     Check = "leaving"
 	CheckUnanswered  Check = "unanswered"
 	CheckCrashing    Check = "crashing"
+	CheckLimit       Check = "limit"
 )
 
 const (
@@ -67,6 +68,8 @@
 	// that were held although they crash nothing.
 	repeated    int
 	heldWrongly int
+	// limited counts what reached engines while they named limits.
+	limited int
 }
 
 func newLedger(w *world) *ledger {
@@ -147,6 +150,7 @@
 	}
 	l.checkCold(e, a, now)
 	l.checkCrashing(a)
+	l.checkLimit(e, a.from)
 	if l.inTouch(a.from) {
 		l.checkAcknowledged(e, a)
 	}
--- a/testscripts/emulator/play.go
+++ b/testscripts/emulator/play.go
@@ -17,6 +17,8 @@
 	Crashed  int
 	Repeated int
 	Wronged  int
+	Limited  int
+	Allowed  float64
 	Steps    int
 	// Bad are the runs with violations, by seed.
 	Bad []Report
@@ -53,6 +55,8 @@
 	s.Crashed += r.Crashed
 	s.Repeated += r.Repeated
 	s.Wronged += r.Wronged
+	s.Limited += r.Limited
+	s.Allowed += r.Allowed
 	s.Steps += r.Steps
 	if len(r.Violations) > 0 {
 		s.Bad = append(s.Bad, r)
--- a/testscripts/emulator/request.go
+++ b/testscripts/emulator/request.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -260,12 +261,15 @@
 		s.end(s.history.Code(result.NoEndpoint))
 		return
 	}
-	w, answered := v.world, false
+	w, answered, sentAt := v.world, false, v.now()
 	a := attempt{
 		request:  s.request,
 		instance: choice.Endpoint.ID,
 		from:     v,
 		sentAt:   w.clock.now,
+		rated: func(r fleet.Rate) {
+			v.do(s.life, func() { v.answeredRate(choice.Endpoint, r, sentAt) })
+		},
 		done: func(code result.Code, sent bool) {
 			v.do(s.life, func() {
 				if answered {
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -10,6 +10,7 @@
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 const (
@@ -54,6 +55,7 @@
 	pool     *routing.Pool
 	window   *retry.Window
 	crashes  *crashes
+	rates    *throttle.Throttle
 	whole    bool
 	// reading is set while a read is under way.
 	reading bool
@@ -119,6 +121,7 @@
 	v.waking = false
 	v.window = v.newWindow()
 	v.crashes = newCrashes(v)
+	v.rates = throttle.New()
 	life := v.life
 	w.after(0, func() { v.step(life) })
 	w.after(w.between(0, healthEvery), func() { v.askHealth(life) })
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -73,9 +73,13 @@
 	disturbed []span
 	// versions is when each version of the table was published.
 	versions []time.Time
-	stopped  []span
-	faults   map[string]int
-	marks    []faultMark
+	// limits are those that replicas named, and questions when these were asked for their
+	// load or health.
+	limits    map[string][]limitSpan
+	questions map[string][]time.Time
+	stopped   []span
+	faults    map[string]int
+	marks     []faultMark
 }
 
 func newLedger() *ledger {
@@ -83,6 +87,9 @@
 		drained: make(map[string]time.Time),
 		colds:   make(map[string][]span),
 		faults:  make(map[string]int),
+
+		limits:    make(map[string][]limitSpan),
+		questions: make(map[string][]time.Time),
 	}
 }
 
@@ -165,6 +172,7 @@
 		{name: "keys", do: l.checkKeys},
 		{name: "limit", do: l.checkLimit},
 		{name: "homes", do: l.checkHomes},
+		{name: "endpoint_limit", do: l.checkEndpointLimits},
 	} {
 		for _, detail := range check.do() {
 			out = append(out, Violation{Check: check.name, Detail: detail})
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -29,6 +29,7 @@
 	clients := app.Flag("clients", "Clients in all.").Default("18").Int()
 	kept := app.Flag("kept", "Play the seeds that ever failed in place of --seed and --count.").Bool()
 	crashing := app.Flag("crashing", "Send calls that crash the replicas which run them in place of random faults.").Bool()
+	limited := app.Flag("limited", "Let replicas name limits, before the random faults and while they last.").Bool()
 	plotFile := app.Flag("plot", "File for an SVG of the last seed.").String()
 	keep := app.Flag("keep", "Folder for the logs of seeds that fail.").Default("soak-logs").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -48,6 +49,7 @@
 		For:      *long,
 		Plot:     *plotFile,
 		Crashing: *crashing,
+		Limited:  *limited,
 	})
 	stop()
 	app.FatalIfError(err, "build")
@@ -137,8 +139,11 @@
 	o.Dir = dir
 	o.Out = schedule
 	play := Run
-	if o.Crashing {
+	switch {
+	case o.Crashing:
 		play = RunCrashing
+	case o.Limited:
+		play = RunLimited
 	}
 	report, err := play(ctx, o)
 	_ = schedule.Close()
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -37,6 +37,18 @@
 	})
 }
 
+// TestNamedLimit lets replicas of real programs name limits.
+func TestNamedLimit(t *testing.T) {
+	playTest(t, RunLimited, Options{
+		Seed:    3,
+		Regions: 3,
+		VMs:     3,
+		Engines: 3,
+		Clients: 12,
+		For:     15 * time.Second,
+	})
+}
+
 // playTest plays a run of the real programs, in which nothing may be violated.
 func playTest(t *testing.T, play func(context.Context, Options) (*Report, error), o Options) {
 	t.Helper()
@@ -143,6 +155,20 @@
 				l.runs = append(l.runs, replica.Run{Attempt: id, Path: "/get/x", Replica: "i", Workspace: workspaceLimited, At: now.Add(time.Duration(n) * 100 * time.Millisecond)})
 			}
 		}},
+		{check: "endpoint_limit", make: func(l *ledger) {
+			l.limits["i"] = []limitSpan{{span: span{from: now}, perSecond: 1}}
+			for n := range 12 {
+				id := string(rune('a' + n))
+				l.attempts = append(l.attempts, attempt{id: id, path: "/get/x"})
+				l.runs = append(l.runs, ran(id, "/get/x", "i", limitKnown+time.Duration(n)*100*time.Millisecond))
+			}
+		}},
+		{check: "endpoint_limit", make: func(l *ledger) {
+			l.limits["i"] = []limitSpan{{span: span{from: now}, perSecond: 1}}
+			for n := range 12 {
+				l.questions["i"] = append(l.questions["i"], now.Add(limitKnown+time.Duration(n)*100*time.Millisecond))
+			}
+		}},
 		{check: "homes", make: func(l *ledger) {
 			l.attempts = []attempt{{id: "a", path: "/get/x", workspace: workspaceHomed}}
 			l.runs = []replica.Run{{Attempt: "a", Path: "/get/x", Replica: "i", Workspace: workspaceHomed, Zone: zoneOf(regionName(2))}}
--- a/testscripts/soak/world.go
+++ b/testscripts/soak/world.go
@@ -55,6 +55,8 @@
 	Without []string
 	// Crashing sends calls that crash replicas, in place of random faults.
 	Crashing bool
+	// Limited lets replicas name limits.
+	Limited bool
 	// Plot is a file for an SVG of the run; empty means none.
 	Plot string
 }
@@ -294,6 +296,7 @@
 		Work:       10 * time.Millisecond,
 		Fault:      w.drawFault,
 		Observe:    w.ledger.ran,
+		Asked:      w.ledger.asked,
 		Crashes:    crashes,
 		Crashed:    w.crashed,
 	}, addr)
