What a VM knows of the number of VMs in its region has a type of its own

fleet.Census comes out of metering, as the limits of endpoints need the same: the most VMs of the last ten minutes, the part of them in reach, since when it is unchanged, and that a VM which has just started takes its region to have several.

--- a/metering/keeper.go
+++ b/metering/keeper.go
@@ -74,8 +74,7 @@
 // region's VMs as it reaches. The rest is kept by the others, in as many parts as the
 // region may have fallen into.
 func (m *Meter) share(k *kept, f Fleet, now time.Time) float64 {
-	near := min(float64(max(len(f.Near), 1))/float64(m.vmsKnown(now)), 1)
-	return near * m.part(k, f, now)
+	return m.census.Part(now) * m.part(k, f, now)
 }
 
 // part is the region's part of a limit. Those of all regions add up to 1 wherever
--- a/metering/metering.go
+++ b/metering/metering.go
@@ -32,9 +32,6 @@
 	scarceFor = 3 * time.Second
 	// keeperLostFor is how long a keeper that did not answer is not asked again.
 	keeperLostFor = 500 * time.Millisecond
-	// knownFor is how long VMs that are gone count as part of their region: regions
-	// may lose a part of their VMs for minutes, which then serve on by themselves.
-	knownFor = 10 * time.Minute
 )
 
 // Options set up a Meter. Every field is required but Tolerance.
@@ -87,15 +84,10 @@
 	// Due is sent to when a note should not wait.
 	Due chan struct{}
 
-	mu sync.Mutex
-	// known is the largest number of VMs of the region, and knownAt when there were so many.
-	known   int
-	knownAt time.Time
-	// near is how many VMs of the region were in reach, unchanged since steadySince.
-	near        int
-	steadySince time.Time
-	uses        map[string]*use
-	kept        map[string]*kept
+	mu     sync.Mutex
+	census fleet.Census
+	uses   map[string]*use
+	kept   map[string]*kept
 	// lost are the keepers that did not answer, with the time until which they are not asked.
 	lost map[string]time.Time
 	// sweptAt is when the ledger last forgot workspaces without calls.
@@ -122,9 +114,12 @@
 		options: o,
 		ledger:  limit.New(limit.Options{}),
 		Due:     make(chan struct{}, 1),
-		uses:    make(map[string]*use),
-		kept:    make(map[string]*kept),
-		lost:    make(map[string]time.Time),
+		census: fleet.Census{
+			StartedAt: o.StartedAt,
+		},
+		uses: make(map[string]*use),
+		kept: make(map[string]*kept),
+		lost: make(map[string]time.Time),
 	}
 }
 
@@ -195,7 +190,7 @@
 }
 
 func (m *Meter) takeAlone(w *route.Workspace, cost float64, now time.Time) Verdict {
-	share := alonePart / float64(max(len(m.options.Regions), 1)*m.vmsKnown(now))
+	share := alonePart / float64(max(len(m.options.Regions), 1)*m.census.VMs(now))
 	return m.takeFrom(w, share, cost, now)
 }
 
@@ -258,16 +253,9 @@
 	u.unsent += amount
 }
 
-// learn keeps the largest number of VMs of the region, and since when as many are in reach.
+// learn takes how many VMs the region has.
 func (m *Meter) learn(f Fleet, now time.Time) {
-	if len(f.Near) != m.near {
-		m.near = len(f.Near)
-		m.steadySince = now
-	}
-	if count := max(f.Known, len(f.Near)); count >= m.known || now.Sub(m.knownAt) > knownFor {
-		m.known = count
-		m.knownAt = now
-	}
+	m.census.Learn(len(f.Near), f.Known, now)
 }
 
 // keeper is the VM of the region that keeps a workspace's limit. All VMs that reach
@@ -329,27 +317,13 @@
 	// opening is the part of its buckets that a keeper begins with that took over: the
 	// one before may have given out all, and has the rest.
 	opening = 0.25
-	// learnsFor is how long after its start a VM may not know yet who else there is, and
-	// learnsVMs how many it takes its region to have at least until then: hundreds may
-	// start together and each take itself for the keeper.
-	learnsFor = 1500 * time.Millisecond
-	learnsVMs = 16
 )
 
 // opening returns how full buckets begin that this VM keeps from now on. They are full
 // where it would have kept them for a whole window and nobody asked.
 func (m *Meter) opening(now time.Time) float64 {
-	steady := min(now.Sub(m.options.StartedAt), now.Sub(m.steadySince))
-	whole := max(m.options.Tolerance.Window, learnsFor)
-	return min(1, max(opening, steady.Seconds()/whole.Seconds()))
-}
-
-// vmsKnown returns how many VMs the region is taken to have.
-func (m *Meter) vmsKnown(now time.Time) int {
-	if now.Sub(m.options.StartedAt) < learnsFor {
-		return max(m.known, learnsVMs)
-	}
-	return max(m.known, 1)
+	whole := max(m.options.Tolerance.Window, fleet.StartsFor)
+	return min(1, max(opening, m.census.SteadyFor(now).Seconds()/whole.Seconds()))
 }
 
 func refusal(w *route.Workspace) *result.Refusal {
