One VM of the region permits each request to an endpoint that has named a limit

What callers saw: nothing at first. An endpoint in need that named a limit of 1 request a second got 34 to 37 in 4 s (allowed 11) and answered later and later.

Cause: nothing read the limit. A VM chose endpoints by what it expected of them alone, so each of them sent as if it were alone and as if nothing had been said; an endpoint in need that ended calls soon even looked like the best one.

The class: a bound over the whole fleet that a VM learns from an endpoint, and not from the settings or the store. For such bounds there was neither a word that VMs pass on nor one place that all requests pass.

Now: throttle holds the word of each endpoint (life, number of the change, rate), VMs of a region tell each other at once and compare digests with each exchange. One VM by rank, the keeper, has a bucket for each such endpoint and permits single requests; serving asks for a permit between the choice of an endpoint and the first byte, for first sends, repeats, forwarded calls and resumed streams alike, and questions for load and health ask too. A permit is good for one request within a second. Without one the endpoint is closed for this VM until the keeper's next turn: the call goes to another endpoint, another region, or back to its caller at once (2016) with a time of its own.

Without shared state: a bucket begins empty, a keeper permits nothing in its first three seconds, and it permits the part of the rate that the VMs in its reach are of those known, so that two halves of a region keep the bound together. A keeper that does not answer is taken to have permitted.

Why it works: every way to an endpoint passes the gate before the first byte, and the sum that two keepers permit is the rate.

Ruled out as the cause: repeats and forwarded calls. In the calm part of soak.TestNamedLimit's schedule on the code before, nine VMs had sent 215 requests to endpoints with a limit: 185 as first sends of own callers, 29 as forwarded calls, 1 as a repeat (throttled_sends_total).

New: serving.TestThrottle, routing.TestClosed, and two deliberate mistakes that the emulator's check finds.

--- a/fleet/census_test.go
+++ b/fleet/census_test.go
@@ -14,7 +14,7 @@
 	c := Census{
 		StartedAt: start,
 	}
-	at := func(d time.Duration) time.Time { return start.Add(d) }
+	at := start.Add
 	assert.Equal(t, c.VMs(at(0)), startVMs)
 	c.Learn(1, 1, at(0))
 	assert.Equal(t, c.Part(at(time.Second)), 1.0/startVMs)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -69,6 +69,7 @@
 	limitRefused *prometheus.CounterVec
 	limitAsked   *prometheus.CounterVec
 	throttled    *prometheus.CounterVec
+	permits      *prometheus.CounterVec
 	workspaces   workspaceNames
 
 	refused   prometheus.Gauge
@@ -108,6 +109,7 @@
 		limitAsked:   counters("limit_asked_total", "Calls that waited for the word of the VM that keeps their workspace's limit.", "outcome"),
 
 		throttled: counters("throttled_sends_total", "Requests sent to endpoints that have named a limit, by the way on which they came.", "way"),
+		permits:   counters("permits_asked_total", "Questions to the VMs that keep endpoints' limits for one request each.", "outcome"),
 
 		refused:   gauge("refused_documents", "Documents refused whose key has no accepted higher revision."),
 		revision:  gauge("documents_revision", "Highest revision of a document seen."),
@@ -129,7 +131,7 @@
 	}
 	m.registry.MustRegister(
 		m.calls, m.firstToken, m.answer, m.tokens, m.spend, m.sentAway, m.forwards, m.retries,
-		m.limitRefused, m.limitAsked, m.throttled,
+		m.limitRefused, m.limitAsked, m.throttled, m.permits,
 		m.refused, m.revision, m.reachable, m.queue, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
 		m.members, m.endpoints, m.held, m.version, m.age, m.linesLost,
@@ -278,6 +280,11 @@
 	m.throttled.WithLabelValues(string(way)).Inc()
 }
 
+// PermitAsked counts a question for a request to an endpoint with a limit.
+func (m *Metrics) PermitAsked(outcome string) {
+	m.permits.WithLabelValues(outcome).Inc()
+}
+
 // LinesDropped counts log lines that were dropped.
 func (m *Metrics) LinesDropped(lines int64) {
 	m.linesLost.Add(float64(lines))
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -60,6 +60,7 @@
 	m.LimitRefused("hule930")
 	m.LimitAsked(true)
 	m.ThrottledSend(throttle.WayRepeat)
+	m.PermitAsked("granted")
 	m.LimitAsked(false)
 	m.SetPublishedAge(time.Second)
 	m.LinesDropped(2)
@@ -99,6 +100,7 @@
 		"fuchsianotch_first_token_seconds urgent":           1,
 		"fuchsianotch_answer_seconds urgent":                2,
 		"fuchsianotch_tokens_total prompt":                  5,
+		"fuchsianotch_permits_asked_total granted":          1,
 		"fuchsianotch_throttled_sends_total repeat":         1,
 		"fuchsianotch_tokens_total cached":                  3,
 		"fuchsianotch_tokens_total generated":               2,
--- a/result/result.go
+++ b/result/result.go
@@ -43,6 +43,7 @@
 	LimitConcurrency   Code = 2013
 	LimitNoShare       Code = 2014
 	LimitBorrow        Code = 2015
+	LimitEndpoint      Code = 2016
 	DeadlineUnmeetable Code = 2020
 	QueueFull          Code = 2021
 	NoEndpoint         Code = 2022
@@ -121,6 +122,7 @@
 	row(LimitConcurrency, "limit_concurrency", ClassNotRun, http.StatusTooManyRequests, "The contract's calls in flight are all in use.", "Come back when a call has ended."),
 	row(LimitNoShare, "limit_no_share", ClassNotRun, http.StatusServiceUnavailable, "This VM holds no share of the workspace's limit now.", "Use the VMs named."),
 	row(LimitBorrow, "limit_borrow", ClassNotRun, http.StatusTooManyRequests, "The contract's borrowing share is used up.", "Come back at the given time."),
+	row(LimitEndpoint, "limit_endpoint", ClassNotRun, http.StatusServiceUnavailable, "The endpoints that could take the call have named a limit, which is used up.", "Come back at the given time."),
 	row(DeadlineUnmeetable, "deadline_unmeetable", ClassNotRun, http.StatusServiceUnavailable, "The deadline cannot be met now.", "Come back at the given time."),
 	row(QueueFull, "queue_full", ClassNotRun, http.StatusServiceUnavailable, "Too many calls wait already.", "Come back at the given time."),
 	row(NoEndpoint, "no_endpoint", ClassNotRun, http.StatusServiceUnavailable, "No endpoint of the target takes work in an allowed region.", "Come back at the given time."),
--- a/retry/places.go
+++ b/retry/places.go
@@ -32,7 +32,7 @@
 // one, or it may run again and the caller can be given the rest.
 func (p Place) MayMove() bool {
 	switch p.Code {
-	case result.EndpointRefused, result.NoEndpoint, result.PeerUnreachable, result.Stopping, result.NotReady, result.DeadlineUnmeetable, result.QueueFull:
+	case result.EndpointRefused, result.LimitEndpoint, result.NoEndpoint, result.PeerUnreachable, result.Stopping, result.NotReady, result.DeadlineUnmeetable, result.QueueFull:
 		return !p.Headed || p.Resumable
 	case result.PeerLost, result.EndpointCut:
 		return p.Idempotent && (!p.Headed || (p.Resumable && p.HasEvent))
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -85,6 +85,7 @@
 // repeatable lists the codes after which another endpoint may do better.
 var repeatable = map[result.Code]bool{
 	result.EndpointRefused: true,
+	result.LimitEndpoint:   true,
 	result.EndpointCut:     true,
 	result.EndpointFailed:  true,
 	result.AnswerCrossed:   true,
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -127,7 +127,7 @@
 		if r.Priority == call.PriorityUrgent && len(p.eligible) > 0 {
 			due = due.Add(e.backoff)
 		}
-		if !e.probing && !now.Before(due) && !e.leaves() && !r.excludes(e) {
+		if !e.probing && !now.Before(due) && !e.leaves() && !e.closed(now) && !r.excludes(e) {
 			return e
 		}
 	}
@@ -151,7 +151,7 @@
 	for range p.eligible {
 		p.next++
 		e := p.eligible[p.next%len(p.eligible)]
-		if !r.excludes(e) {
+		if !e.closed(now) && !r.excludes(e) {
 			return p.weigh(e, r, now), true
 		}
 	}
@@ -163,7 +163,7 @@
 	offset := p.draw()
 	for i := range p.eligible {
 		e := p.eligible[(offset+i)%len(p.eligible)]
-		if !r.excludes(e) && (best == nil || e.inFlight < best.inFlight) {
+		if !e.closed(now) && !r.excludes(e) && (best == nil || e.inFlight < best.inFlight) {
 			best = e
 		}
 	}
@@ -205,7 +205,7 @@
 
 // better replaces best by e if e scores less.
 func (p *Pool) better(best *candidate, e *endpoint, r Request, now time.Time) {
-	if e == nil || e.place < 0 || r.excludes(e) {
+	if e == nil || e.place < 0 || e.closed(now) || r.excludes(e) {
 		return
 	}
 	c := p.weigh(e, r, now)
--- /dev/null
+++ b/routing/closed.go
@@ -0,0 +1,29 @@
+package routing
+
+import "time"
+
+// CloseUntil keeps calls from an endpoint until a moment; a zero time opens it.
+func (p *Pool) CloseUntil(id string, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e := p.byID[id]; e != nil {
+		e.closedUntil = until
+	}
+}
+
+// Closed returns the endpoints that would take work but are closed now, and when the first
+// of them opens.
+func (p *Pool) Closed(now time.Time) (ids []string, opensAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.eligible {
+		if !e.closed(now) {
+			continue
+		}
+		ids = append(ids, e.ID)
+		if opensAt.IsZero() || e.closedUntil.Before(opensAt) {
+			opensAt = e.closedUntil
+		}
+	}
+	return ids, opensAt
+}
--- /dev/null
+++ b/routing/closed_test.go
@@ -0,0 +1,39 @@
+package routing
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+// TestClosed holds that no policy chooses a closed endpoint, and that it opens by itself.
+func TestClosed(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, policy := range []string{PolicyAffinity, PolicyRoundRobin, PolicyLeastInFlight} {
+		p := New(Options{
+			Policy: policy,
+		})
+		p.SetEndpoints([]fleet.Endpoint{{ID: "a"}, {ID: "b"}}, now)
+		p.CloseUntil("a", now.Add(time.Second))
+		for range 20 {
+			c, ok := p.Choose(Request{}, now)
+			assert.Assert(t, ok && c.Endpoint.ID == "b")
+		}
+		p.CloseUntil("b", now.Add(2*time.Second))
+		_, ok := p.Choose(Request{Again: true}, now)
+		assert.Assert(t, !ok)
+		_, ok = p.Expect(Request{}, now)
+		assert.Assert(t, !ok)
+		ids, opensAt := p.Closed(now)
+		assert.Equal(t, len(ids), 2)
+		assert.Equal(t, opensAt, now.Add(time.Second))
+		c, ok := p.Choose(Request{}, opensAt)
+		assert.Assert(t, ok && c.Endpoint.ID == "a")
+		p.CloseUntil("b", time.Time{})
+		ids, _ = p.Closed(opensAt)
+		assert.Equal(t, len(ids), 0)
+	}
+}
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -67,6 +67,9 @@
 	// is in.
 	doubtedAt time.Time
 
+	// closedUntil is until when the endpoint takes no request of this VM.
+	closedUntil time.Time
+
 	failures int
 	backoff  time.Duration
 	retryAt  time.Time
@@ -100,6 +103,11 @@
 	return !e.retryAt.IsZero()
 }
 
+// closed reports whether the endpoint takes no request of this VM now.
+func (e *endpoint) closed(now time.Time) bool {
+	return now.Before(e.closedUntil)
+}
+
 // slots prefers the list, which the endpoint cannot get wrong.
 func (e *endpoint) slots() float64 {
 	switch {
--- a/serving/crashes.go
+++ b/serving/crashes.go
@@ -32,9 +32,6 @@
 		if refusal := s.admitCrashing(c); refusal != nil {
 			return refusal
 		}
-		if before == nil {
-			return nil
-		}
 		return before()
 	}
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -14,6 +14,7 @@
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
@@ -120,7 +121,7 @@
 	if !ok {
 		return result.Refuse(result.NoEndpoint, "no endpoint of %s in region %s", c.Target(), s.options.Region)
 	}
-	slot, refusal := pool.Queue.Admit(ctx, p.admission(c), s.options.Now())
+	slot, permit, refusal := s.admit(ctx, c, pool, p)
 	if refusal != nil {
 		return refusal
 	}
@@ -129,7 +130,7 @@
 	s.event(c, "call_admitted", timeline.Event{
 		Endpoint: chosen,
 	})
-	attempt := s.newAttempt(c, slot, before, p)
+	attempt := s.newAttempt(c, slot, permit, before, p)
 	attempt.Began = func() {
 		pool.Endpoints.Began(slot.Choice, s.options.Now())
 	}
@@ -153,9 +154,18 @@
 	}
 }
 
-func (s *Server) newAttempt(c *call.Call, slot admission.Slot, before sending, p *progress) endpoint.Attempt {
+func (s *Server) newAttempt(c *call.Call, slot admission.Slot, permit *throttle.Permit, before sending, p *progress) endpoint.Attempt {
+	sending := s.beforeSending(c, func() error {
+		if err := s.options.Throttle.Sending(slot.Choice.Endpoint, permit, p.way(c)); err != nil {
+			return err
+		}
+		if before == nil {
+			return nil
+		}
+		return before()
+	})
 	if c.Kind == call.KindRouted {
-		return s.routedAttempt(c, slot, p)
+		return s.routedAttempt(c, slot, sending, p)
 	}
 	n := s.attempts.Add(1)
 	return endpoint.Attempt{
@@ -164,14 +174,14 @@
 		Endpoint:   slot.Choice.Endpoint,
 		Call:       c,
 		ResumeFrom: p.delivered,
-		Sending:    s.beforeSending(c, before),
+		Sending:    sending,
 	}
 }
 
 // routedAttempt returns the attempt the caller's own id: one try of a client has
 // one id, also where it is sent twice.
-func (s *Server) routedAttempt(c *call.Call, slot admission.Slot, p *progress) endpoint.Attempt {
-	e, way, from := slot.Choice.Endpoint, p.way(c), s.options.Now()
+func (s *Server) routedAttempt(c *call.Call, slot admission.Slot, sending sending, p *progress) endpoint.Attempt {
+	e, from := slot.Choice.Endpoint, s.options.Now()
 	return endpoint.Attempt{
 		ID:          c.ID,
 		Endpoint:    e,
@@ -179,10 +189,7 @@
 		ResumeAfter: p.lastEvent,
 		FetchFrom:   slot.Choice.FetchFrom,
 		Rated:       func(r fleet.Rate) { s.options.Throttle.Answered(e, r, from) },
-		Sending: s.beforeSending(c, func() error {
-			s.options.Throttle.Sending(e, way)
-			return nil
-		}),
+		Sending:     sending,
 	}
 }
 
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -135,7 +135,7 @@
 	if o.Limits.Take == nil {
 		o.Limits = noLimits
 	}
-	if o.Throttle.Answered == nil {
+	if o.Throttle.Take == nil {
 		o.Throttle = noThrottle
 	}
 	return &Server{
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -130,3 +130,10 @@
 	}
 	c.Trail.Fail("call_ended", attrs...)
 }
+
+func traceClosed(c *call.Call, e fleet.Endpoint, left time.Duration) {
+	c.Trail.Add("endpoint_closed",
+		slog.String("endpoint", e.ID),
+		milliseconds("opens_in_ms", left),
+	)
+}
--- a/site/asking.go
+++ b/site/asking.go
@@ -13,6 +13,7 @@
 	"github.com/fuchsianotch/fuchsianotch/relay"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/settings"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 const (
@@ -28,6 +29,9 @@
 	roundFor = 150 * time.Millisecond
 	// tellReportsWithin bounds one note with loads.
 	tellReportsWithin = 300 * time.Millisecond
+	// questionsTogether is how many requests an engine is asked by: for its load, and for
+	// its health.
+	questionsTogether = 2
 	// askersRank is what the VMs of a region are ranked for.
 	askersRank = "askers"
 )
@@ -176,10 +180,12 @@
 // askReport asks an engine for its load when that is due, and whether it is cold.
 func (p *pools) askReport(ctx context.Context, e fleet.Endpoint) {
 	due := p.isDue(e)
-	if due || p.node.control.picture().members.StoreAway() {
-		go p.askCold(ctx, e)
+	asksCold := due || p.node.control.picture().members.StoreAway()
+	if !asksCold || !p.node.rates.QuestionDue(e, questionsTogether, p.node.now()) {
+		return
 	}
-	if !due || !p.node.settings.Has(settings.Reports) {
+	go p.askCold(ctx, e)
+	if !due || !p.node.settings.Has(settings.Reports) || !p.node.mayAsk(ctx, e, throttle.WayReport) {
 		return
 	}
 	trip, cancel := context.WithTimeout(ctx, reportWithin)
--- a/site/cold.go
+++ b/site/cold.go
@@ -7,6 +7,7 @@
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 // coldTellTo is how many VMs of the region are told at once that an endpoint is
@@ -25,6 +26,9 @@
 	if !ok || service.ColdFor <= 0 || service.HealthPath == "" {
 		return
 	}
+	if !p.node.mayAsk(ctx, e, throttle.WayHealth) {
+		return
+	}
 	trip, cancel := context.WithTimeout(ctx, healthWithin)
 	defer cancel()
 	left, err := p.node.client.ColdFor(trip, e, service.HealthPath)
--- a/site/forward.go
+++ b/site/forward.go
@@ -70,6 +70,7 @@
 		Unread:    n.pools.takeUnread,
 		Crashes:   n.crashes.Take,
 		Limits:    n.takeLimits,
+		Permit:    n.decidePermit,
 		Forward:   n.serveForwarded,
 		Stamp:     func() uint64 { return 0 },
 		Witness:   func(uint64) {},
--- a/site/place.go
+++ b/site/place.go
@@ -64,7 +64,7 @@
 	region := p.decision.Region
 	if p.decision.Refused != "" {
 		p.trace(c)
-		return vm, false, refusalOf(p.decision)
+		return vm, false, n.unlessClosed(c, refusalOf(p.decision))
 	}
 	if region == n.deployment.Region {
 		return vm, false, nil
@@ -171,6 +171,16 @@
 	return result.Refuse(code, "%s", d.Refused).Until(d.ComeBackAt)
 }
 
+// unlessClosed tells the caller when an endpoint of the own region takes a call again, where
+// all of them are closed and no other region takes it.
+func (n *Node) unlessClosed(c *call.Call, refusal *result.Refusal) *result.Refusal {
+	pool, ok := n.pools.find(c.Target())
+	if !ok || !c.Routed.Allows(n.deployment.Region) {
+		return refusal
+	}
+	return n.serving.UntilOpen(c, pool, refusal)
+}
+
 // withoutPlacement are the mechanisms of placement that the settings switch off.
 func (n *Node) withoutPlacement() placement.Without {
 	return placement.Without{
--- a/site/site.go
+++ b/site/site.go
@@ -99,9 +99,11 @@
 	serving *serving.Server
 	meter   *metering.Meter
 	rates   *throttle.Throttle
-	puller  *puller
-	control *control
-	callers *http.Server
+	// ratesDue is set while the control goroutine is to tell others of endpoints' rates.
+	ratesDue atomic.Bool
+	puller   *puller
+	control  *control
+	callers  *http.Server
 
 	// bounds are those of the settings in force; they may change while the process runs.
 	bounds  atomic.Pointer[platform.Bounds]
@@ -176,7 +178,11 @@
 	n.pools = newPools(n)
 	n.crashes = n.newCrashes()
 	n.meter = newMeter(n)
-	n.rates = throttle.New()
+	n.rates = throttle.New(throttle.Options{
+		VM:        d.VM,
+		StartedAt: n.startedAt,
+		Changed:   n.rateChanged,
+	})
 	n.serving = n.newServing()
 	n.callers = n.newCallers()
 	limitMemory(d.MemoryBytes)
@@ -241,8 +247,10 @@
 			GiveBack: n.giveBackLimit,
 		},
 		Throttle: serving.Throttle{
-			Answered: n.answeredRate,
-			Sending:  n.countThrottled,
+			Take:       n.takePermit,
+			Sending:    n.usePermit,
+			Answered:   n.answeredRate,
+			ComeBackAt: n.comeBackAt,
 		},
 		Ring:    n.ring,
 		Metrics: n.metrics,
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -32,6 +32,9 @@
 	SteadyClock   Fault = "steady_clock"
 	ForgetCrashes Fault = "forget_crashes"
 	TellNoCrashes Fault = "tell_no_crashes"
+	IgnoreLimits  Fault = "ignore_limits"
+	// LimitsAlone has each VM keep to limits by itself.
+	LimitsAlone Fault = "limits_alone"
 )
 
 // Options are one run.
--- a/testscripts/emulator/emulator_test.go
+++ b/testscripts/emulator/emulator_test.go
@@ -52,6 +52,7 @@
 		// Seeds is within how many the mistake must show.
 		Seeds    uint64
 		Crashing Crashing
+		Limiting Limiting
 	}](t, "testdata/faults.json") {
 		t.Run(string(c.Fault), func(t *testing.T) {
 			for first := uint64(1); first <= c.Seeds; first += atOnce {
@@ -60,6 +61,7 @@
 					Fault:    c.Fault,
 					For:      playFor,
 					Crashing: c.Crashing,
+					Limiting: c.Limiting,
 				}, atOnce)
 				if slices.ContainsFunc(sum.Bad, func(r Report) bool { return r.violates(c.Check) }) {
 					return
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -5,6 +5,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/route"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 // pullAfter is how long a reader waits for its own read before it asks a peer.
@@ -17,7 +18,10 @@
 	rumors   []roster.Rumor
 	revision uint64
 	cold     []coldWord
-	table    *route.Table
+	rates    []throttle.Word
+	// ratesDigest shows whether two VMs hold the same words on rates.
+	ratesDigest uint64
+	table       *route.Table
 	// sender and life say whom to pull from.
 	sender *vm
 	life   uint64
@@ -40,6 +44,8 @@
 		life:     v.life,
 	}
 	now := v.now()
+	m.rates = v.rates.Recent(now)
+	m.ratesDigest = v.rates.Digest()
 	for _, e := range v.discovery.Endpoints(now) {
 		if e.Region == v.vm.Region && !e.ColdUntil.IsZero() {
 			m.cold = append(m.cold, coldWord{
@@ -85,6 +91,9 @@
 		to.do(to.life, func() {
 			to.heard(m)
 			reply := to.message(to.roster.Differing(m.digest))
+			if reply.ratesDigest != m.ratesDigest {
+				reply.rates = to.rates.Words()
+			}
 			w.network.send(to.vm.Region, v.vm.Region, func() {
 				if answered {
 					return
@@ -120,6 +129,11 @@
 		v.publish()
 		v.exchange(v.roster.Spread(coldTellTo))
 	}
+	if m.sender.vm.Region == v.vm.Region {
+		for _, w := range m.rates {
+			v.rates.Learn(w, now)
+		}
+	}
 	if m.revision > v.mirror.Revision() {
 		v.pullSoon(m)
 	}
--- a/testscripts/emulator/health.go
+++ b/testscripts/emulator/health.go
@@ -1,8 +1,11 @@
 package emulator
 
 import (
+	"time"
+
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 // askHealth asks one after the other of the endpoints for which the VM ranks
@@ -11,7 +14,7 @@
 	v.do(life, func() {
 		near := v.nearVMs()
 		for _, e := range v.endpoints() {
-			if entry.Owner(e.ID, near) == v.vm.ID {
+			if entry.Owner(e.ID, near) == v.vm.ID && v.rates.QuestionDue(e, 1, v.now()) {
 				v.askOne(life, e)
 			}
 		}
@@ -50,7 +53,16 @@
 	return out
 }
 
+// askOne asks an endpoint whether it is cold, if it may be sent a request now.
 func (v *vm) askOne(life uint64, e fleet.Endpoint) {
+	v.permit(life, e, func(p *throttle.Permit, _ time.Time) {
+		if p != nil && v.uses(e, p) {
+			v.askPermitted(life, e)
+		}
+	})
+}
+
+func (v *vm) askPermitted(life uint64, e fleet.Endpoint) {
 	w := v.world
 	w.after(2*nearWay, func() {
 		found := w.engineAt(e.ID)
--- a/testscripts/emulator/limiting.go
+++ b/testscripts/emulator/limiting.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 const (
@@ -119,6 +120,94 @@
 	v.rates.Answered(e, r, sentAt, v.now())
 }
 
+// askPermitWithin is that of the gateway.
+const askPermitWithin = 100 * time.Millisecond
+
+func (v *vm) newThrottle() *throttle.Throttle {
+	life := v.life
+	return throttle.New(throttle.Options{
+		VM:        v.vm.ID,
+		StartedAt: v.startedAt,
+		Changed: func(w throttle.Word) {
+			if !w.Limited {
+				v.pool.CloseUntil(w.Endpoint, time.Time{})
+			}
+			v.world.after(0, func() {
+				v.do(life, func() { v.exchange(v.roster.Spread(coldTellTo)) })
+			})
+		},
+	})
+}
+
+// nearRegion is what the throttle needs to know of the members.
+func (v *vm) nearRegion() throttle.Region {
+	if v.world.fault == LimitsAlone {
+		return throttle.Region{
+			Near:  []fleet.VM{v.vm},
+			Known: 1,
+		}
+	}
+	r := throttle.Region{
+		Near: v.picture().Reached(v.vm.Region),
+	}
+	for _, m := range v.picture().Members {
+		if m.VM.Region == v.vm.Region {
+			r.Known++
+		}
+	}
+	return r
+}
+
+// permit asks for a permit to send a request to an endpoint; without one it gives when the
+// endpoint takes the next.
+func (v *vm) permit(life uint64, e fleet.Endpoint, then func(p *throttle.Permit, opensAt time.Time)) {
+	if v.world.fault == IgnoreLimits {
+		then(&throttle.Permit{}, time.Time{})
+		return
+	}
+	verdict := v.rates.Take(e, v.nearRegion(), v.now())
+	if verdict.Keeper == nil {
+		then(verdict.Permit, verdict.OpensAt)
+		return
+	}
+	v.askKeeper(life, verdict, func(verdict throttle.Verdict) { then(verdict.Permit, verdict.OpensAt) })
+}
+
+// askKeeper has the VM decide that keeps an endpoint's rate.
+func (v *vm) askKeeper(life uint64, verdict throttle.Verdict, then func(throttle.Verdict)) {
+	w := v.world
+	keeper := w.vmByID(verdict.Keeper.ID)
+	answered := false
+	answer := func(decide func() throttle.Verdict) {
+		v.do(life, func() {
+			if !answered {
+				answered = true
+				then(decide())
+			}
+		})
+	}
+	w.after(askPermitWithin, func() {
+		answer(func() throttle.Verdict { return v.rates.Unanswered(verdict, v.now()) })
+	})
+	w.network.send(v.vm.Region, keeper.vm.Region, func() {
+		keeper.do(keeper.life, func() {
+			a := keeper.rates.Ask(verdict.Word, keeper.nearRegion(), keeper.now())
+			left := a.NextAt.Sub(keeper.now())
+			w.network.send(keeper.vm.Region, v.vm.Region, func() {
+				answer(func() throttle.Verdict {
+					a.NextAt = v.now().Add(left)
+					return v.rates.Decided(verdict, a, v.now())
+				})
+			})
+		})
+	})
+}
+
+// uses reports whether a request may be sent with a permit right now.
+func (v *vm) uses(e fleet.Endpoint, p *throttle.Permit) bool {
+	return v.world.fault == IgnoreLimits || v.rates.Sending(e, p, v.now()) == nil
+}
+
 // checkLimit holds what reaches an engine from VMs that it has told of its limit against
 // that limit.
 func (l *ledger) checkLimit(e *engine, from *vm) {
--- a/testscripts/emulator/request.go
+++ b/testscripts/emulator/request.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 const (
@@ -261,6 +262,25 @@
 		s.end(s.history.Code(result.NoEndpoint))
 		return
 	}
+	v.permit(s.life, choice.Endpoint, func(p *throttle.Permit, opensAt time.Time) {
+		switch {
+		case s.ended:
+			v.pool.Done(choice, routing.Outcome{Canceled: true}, v.now())
+		case p == nil:
+			v.pool.CloseUntil(choice.Endpoint.ID, opensAt)
+			v.pool.Done(choice, routing.Outcome{Canceled: true}, v.now())
+			s.attempt()
+		case !v.uses(choice.Endpoint, p):
+			s.took(choice, result.LimitEndpoint, false)
+		default:
+			s.send(choice)
+		}
+	})
+}
+
+// send sends the request to the endpoint that was chosen.
+func (s *serving) send(choice routing.Choice) {
+	v := s.vm
 	w, answered, sentAt := v.world, false, v.now()
 	a := attempt{
 		request:  s.request,
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -121,7 +121,7 @@
 	v.waking = false
 	v.window = v.newWindow()
 	v.crashes = newCrashes(v)
-	v.rates = throttle.New()
+	v.rates = v.newThrottle()
 	life := v.life
 	w.after(0, func() { v.step(life) })
 	w.after(w.between(0, healthEvery), func() { v.askHealth(life) })
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -28,18 +28,21 @@
 		PerSecond float64
 	}](t, "testdata/words.json") {
 		t.Run(c.Name, func(t *testing.T) {
-			throttle := New()
-			e := fleet.Endpoint{ID: "e"}
 			var last Word
+			throttle := New(Options{
+				Changed: func(w Word) { last = w },
+			})
+			e := fleet.Endpoint{ID: "e"}
 			for _, a := range c.Answers {
 				e.Incarnation = a.Incarnation
 				at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-				w, isNew := throttle.Answered(e, a.Rate, at(a.SentMS), at(a.AtMS))
-				assert.Equal(t, isNew, a.Want > 0)
-				if isNew {
-					assert.Equal(t, w.Number, a.Want)
-					last = w
+				before := last
+				throttle.Answered(e, a.Rate, at(a.SentMS), at(a.AtMS))
+				if a.Want == 0 {
+					assert.Equal(t, last, before)
+					continue
 				}
+				assert.Equal(t, last.Number, a.Want)
 			}
 			assert.Equal(t, throttle.IsLimited(e), c.Limited)
 			assert.Equal(t, last.PerSecond, c.PerSecond)
--- a/throttle/word.go
+++ b/throttle/word.go
@@ -1,6 +1,13 @@
 package throttle
 
-import "github.com/fuchsianotch/fuchsianotch/fleet"
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
 
 // Word is what is known of the rate of one life of an endpoint.
 type Word struct {
@@ -54,3 +61,59 @@
 		PerSecond:   r.PerSecond,
 	}
 }
+
+// supersedes reports whether a word takes the place of another one. Of two with one number,
+// which two VMs have read at the same time, the stricter one counts.
+func (w Word) supersedes(other Word) bool {
+	switch {
+	case w.Incarnation != other.Incarnation:
+		return w.Incarnation > other.Incarnation
+	case w.Number != other.Number:
+		return w.Number > other.Number
+	case w.Limited != other.Limited:
+		return w.Limited
+	default:
+		return w.Limited && w.PerSecond < other.PerSecond
+	}
+}
+
+// recentFor is how long a word is told unasked.
+const recentFor = 2 * time.Second
+
+// Recent returns the words that this VM has learnt of late.
+func (t *Throttle) Recent(now time.Time) []Word {
+	return t.words(func(l *limited) bool { return now.Sub(l.learntAt) < recentFor })
+}
+
+// Words returns all words.
+func (t *Throttle) Words() []Word {
+	return t.words(func(*limited) bool { return true })
+}
+
+func (t *Throttle) words(wanted func(*limited) bool) []Word {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Word
+	for _, held := range t.endpoints {
+		if wanted(held) {
+			out = append(out, held.word)
+		}
+	}
+	return out
+}
+
+// Digest is the same at two VMs that hold the same words; zero without any.
+func (t *Throttle) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum uint64
+	for _, held := range t.endpoints {
+		sum ^= held.word.hash()
+	}
+	return sum
+}
+
+func (w Word) hash() uint64 {
+	text := fmt.Sprintf("%s %d %d %t %g", w.Endpoint, w.Incarnation, w.Number, w.Limited, w.PerSecond)
+	return xxhash.Sum64String(text)
+}
