--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
@@ -49,3 +50,90 @@
 		})
 	}
 }
+
+// TestWordsConverge holds that VMs which hear the same words in any order hold the same.
+func TestWordsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Word {
+			return Word{
+				Endpoint:    rapid.SampledFrom([]string{"a", "b"}).Draw(t, "endpoint"),
+				Incarnation: rapid.Int64Range(0, 2).Draw(t, "incarnation"),
+				Number:      rapid.Uint32Range(1, 3).Draw(t, "number"),
+				Limited:     rapid.Bool().Draw(t, "limited"),
+				PerSecond:   rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "per_second"),
+			}
+		}), 1, 12).Draw(t, "words")
+		for i := range words {
+			if !words[i].Limited {
+				words[i].PerSecond = 0
+			}
+		}
+		now := time.Unix(1e9, 0)
+		one, two := New(Options{}), New(Options{})
+		for _, w := range words {
+			one.Learn(w, now)
+		}
+		for _, w := range rapid.Permutation(words).Draw(t, "order") {
+			two.Learn(w, now)
+		}
+		assert.Equal(t, one.Digest(), two.Digest())
+	})
+}
+
+// TestPermit holds that a permit is good for one request, for a short time, and for the life
+// of the endpoint that named the limit.
+func TestPermit(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	alone := Region{
+		Near:  []fleet.VM{{ID: "a"}},
+		Known: 1,
+	}
+	e := fleet.Endpoint{
+		ID: "e",
+	}
+	throttle := New(Options{
+		VM:        "a",
+		StartedAt: now.Add(-time.Minute),
+	})
+	free := throttle.Take(e, alone, now).Permit
+	assert.Assert(t, free != nil)
+	throttle.Answered(e, fleet.Rate{Named: true, PerSecond: 1}, now, now)
+	assert.Assert(t, throttle.Sending(e, free, now) != nil, "the limit was named since")
+
+	assert.Equal(t, throttle.Take(e, alone, now).OpensAt, now.Add(time.Second))
+	now = now.Add(time.Second)
+	permit := throttle.Take(e, alone, now).Permit
+	assert.Assert(t, throttle.Sending(e, permit, now) == nil)
+	assert.Assert(t, throttle.Sending(e, permit, now) != nil, "it is sent once more")
+	assert.Assert(t, throttle.Take(e, alone, now).Permit == nil)
+
+	now = now.Add(time.Second)
+	late := throttle.Take(e, alone, now).Permit
+	assert.Assert(t, throttle.Sending(e, late, now.Add(permitFor+time.Millisecond)) != nil, "it has waited too long")
+
+	next := e
+	next.Incarnation = 1
+	assert.Assert(t, throttle.Take(next, alone, now).Permit != nil, "another life has no limit")
+	assert.Assert(t, throttle.Sending(next, free, now) == nil)
+}
+
+// TestComeBack holds that callers who are refused together are told times one after the
+// other, at the pace of this VM's part.
+func TestComeBack(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	throttle := New(Options{
+		VM: "a",
+	})
+	throttle.Learn(Word{Endpoint: "e", Number: 1, Limited: true, PerSecond: 2}, now)
+	r := Region{
+		Near: make([]fleet.VM, 4),
+	}
+	opensAt := now.Add(300 * time.Millisecond)
+	for i := range 8 {
+		want := opensAt.Add(time.Duration(i) * 2 * time.Second)
+		if most := now.Add(comeBackWithin); want.After(most) {
+			want = most
+		}
+		assert.Equal(t, throttle.ComeBackAt("s", []string{"e"}, opensAt, r, now), want)
+	}
+}
