--- a/serving/crashes_test.go
+++ b/serving/crashes_test.go
@@ -10,7 +10,6 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
@@ -18,7 +17,6 @@
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
-	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
 
@@ -53,7 +51,7 @@
 			s := New(Options{
 				Now:      time.Now,
 				VM:       "a",
-				Pool:     poolAt(server.Listener.Addr().String()),
+				Pool:     poolOf(2, server.Listener.Addr().String()),
 				Endpoint: endpoint.New(endpoint.Options{}),
 				Budget:   budgetOf(retry.New(1)),
 				Ring:     timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
@@ -91,21 +89,6 @@
 	}
 }
 
-// poolAt returns a pool of two endpoints at one address.
-func poolAt(addr string) func(string) (*Pool, bool) {
-	endpoints := routing.New(routing.Options{})
-	var list []fleet.Endpoint
-	for _, id := range []string{"a", "b"} {
-		list = append(list, fleet.Endpoint{ID: id, Addr: addr, Slots: 4, State: fleet.StateLive})
-	}
-	endpoints.SetEndpoints(list, time.Now())
-	pool := &Pool{
-		Endpoints: endpoints,
-		Queue:     admission.New(admission.Options{Length: 4}, endpoints),
-	}
-	return func(string) (*Pool, bool) { return pool, true }
-}
-
 // TestHeldAtArrival holds that a call which is held is refused before it is looked for
 // a place, also one that another VM has sent.
 func TestHeldAtArrival(t *testing.T) {
--- a/serving/throttle_test.go
+++ b/serving/throttle_test.go
@@ -127,6 +127,7 @@
 		list = append(list, fleet.Endpoint{
 			ID:    string(rune('a' + i)),
 			Addr:  addr,
+			Slots: 4,
 			State: fleet.StateLive,
 		})
 	}
@@ -134,7 +135,7 @@
 	pool := &Pool{
 		Endpoints: endpoints,
 		Queue: admission.New(admission.Options{
-			Policy: admission.PolicyEngine,
+			Length: 4,
 		}, endpoints),
 	}
 	return func(string) (*Pool, bool) { return pool, true }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -125,36 +125,6 @@
 	return r, nil
 }
 
-// SetCold lets its health check tell that it is cold.
-func (r *Replica) SetCold(until time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.coldUntil = until
-}
-
-// SetLimit lets its answers name a limit in requests a second; an empty one names none.
-func (r *Replica) SetLimit(perSecond string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.limit = perSecond
-}
-
-// nameLimit puts the limit into an answer.
-func (r *Replica) nameLimit(w http.ResponseWriter) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.limit != "" {
-		w.Header().Set(headerLimit, r.limit)
-	}
-}
-
-// ColdFor is how long it is cold yet.
-func (r *Replica) ColdFor() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return max(time.Until(r.coldUntil), 0)
-}
-
 // Crash ends it at once, with all its connections.
 func (r *Replica) Crash() {
 	_ = r.server.Close()
@@ -184,9 +154,7 @@
 		r.Asked(r.ID)
 	}
 	if req.URL.Path == "/report" {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		_, _ = fmt.Fprintf(w, `{"Stage":"hybrid","Queued":0,"Active":%d,"KvUsed":%d,"KvTotal":300000,"born":%d}`, r.active, 1000*r.active, r.Born)
+		r.report(w)
 		return
 	}
 	if req.URL.Path == "/health" {
@@ -248,15 +216,6 @@
 	})
 }
 
-func (r *Replica) health(w http.ResponseWriter) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	w.Header().Set(headerSelf, r.ID)
-	if left := time.Until(r.coldUntil); left > 0 {
-		w.Header().Set(headerCold, strconv.FormatInt(left.Milliseconds(), 10))
-	}
-}
-
 func (r *Replica) enter(n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/testscripts/soak/crashing.go
+++ b/testscripts/soak/crashing.go
@@ -62,38 +62,22 @@
 	})
 }
 
-// RunCrashing lets callers send calls that crash replicas, among others.
-func RunCrashing(ctx context.Context, o Options) (*Report, error) {
-	w, err := begin(ctx, o)
-	if w != nil {
-		defer w.close()
-	}
-	if err != nil {
-		return nil, err
-	}
-	load := w.startClients(ctx)
-	defer load.stop()
-	from := time.Now()
+// playCrashing lets callers send calls that crash replicas, among others.
+func playCrashing(ctx context.Context, w *world, load *load) (out []Violation) {
 	sleepFor(ctx, calmFor)
-	report := &Report{
-		Seed: o.Seed,
-	}
 	for _, path := range crashingPaths {
 		begun := time.Now()
 		w.sendCrashing(load, path)
 		share, _ := w.ledger.served(begun.Add(othersWithin), time.Now().Add(-time.Second))
 		w.tell("%s is over, %.3f of other calls served", path, share)
 		if share < othersShare {
-			report.Violations = append(report.Violations, Violation{
+			out = append(out, Violation{
 				Check:  "crashing_calls",
 				Detail: fmt.Sprintf("%.2f of other calls were served after %v of %s", share, othersWithin, path),
 			})
 		}
 	}
-	load.stop()
-	report.Served, report.Attempts = w.ledger.served(from, time.Now())
-	report.Violations = append(report.Violations, w.ledger.check()...)
-	return report, ctx.Err()
+	return out
 }
 
 // sendCrashing sends a call at any VM again and again for as long as the options say.
--- a/testscripts/soak/limited.go
+++ b/testscripts/soak/limited.go
@@ -66,24 +66,11 @@
 	r.SetLimit(strconv.FormatFloat(perSecond, 'g', -1, 64))
 }
 
-// RunLimited lets one engine of each region and the only plain service of one name limits,
+// playLimited lets one engine of each region and the only plain service of one name limits,
 // calmly at first and among faults then. In the end the limits of engines rise, and that
 // of the plain service goes.
-func RunLimited(ctx context.Context, o Options) (*Report, error) {
-	w, err := begin(ctx, o)
-	if w != nil {
-		defer w.close()
-	}
-	if err != nil {
-		return nil, err
-	}
-	load := w.startClients(ctx)
-	defer load.stop()
-	from := time.Now()
+func playLimited(ctx context.Context, w *world, _ *load) (out []Violation) {
 	sleepFor(ctx, calmFor)
-	report := &Report{
-		Seed: o.Seed,
-	}
 	engines, plain := w.toLimit()
 	for _, r := range append(slices.Clone(engines), plain) {
 		w.setLimit(r, firstLimit)
@@ -91,7 +78,7 @@
 	named := time.Now()
 	sleepFor(ctx, namedFor)
 	if share, _ := w.ledger.served(named, time.Now().Add(-time.Second)); share < limitedShare {
-		report.Violations = append(report.Violations, Violation{
+		out = append(out, Violation{
 			Check:  "endpoint_limit",
 			Detail: fmt.Sprintf("%.2f of all calls were served while a part of the replicas named limits", share),
 		})
@@ -102,11 +89,7 @@
 	}
 	w.setLimit(plain, -1)
 	sleepFor(ctx, namedFor)
-	load.stop()
-	report.Served, report.Attempts = w.ledger.served(from, time.Now())
-	report.Faults = w.ledger.faults
-	report.Violations = append(report.Violations, w.ledger.check()...)
-	return report, ctx.Err()
+	return out
 }
 
 // toLimit returns the first engine of each region, and the plain replica of the last one,
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -138,14 +138,14 @@
 	}
 	o.Dir = dir
 	o.Out = schedule
-	play := Run
+	played := play(playFaults)
 	switch {
 	case o.Crashing:
-		play = RunCrashing
+		played = playCrashing
 	case o.Limited:
-		play = RunLimited
+		played = playLimited
 	}
-	report, err := play(ctx, o)
+	report, err := played.run(ctx, o)
 	_ = schedule.Close()
 	if err == nil && len(report.Violations) == 0 {
 		return report, os.RemoveAll(dir)
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -29,9 +29,12 @@
 	Violations []Violation
 }
 
-// Run plays one seed: faults under load, a planned stop of every VM in a calm
-// fleet, and a kill of all at once.
-func Run(ctx context.Context, o Options) (*Report, error) {
+// play is a run of a deployment that takes requests from clients. What it returns was
+// violated besides what the ledger shows.
+type play func(ctx context.Context, w *world, l *load) []Violation
+
+// run plays one seed.
+func (p play) run(ctx context.Context, o Options) (*Report, error) {
 	w, err := begin(ctx, o)
 	if w != nil {
 		defer w.close()
@@ -42,9 +45,7 @@
 	load := w.startClients(ctx)
 	defer load.stop()
 	from := time.Now()
-	w.inject(ctx)
-	w.rollAll(ctx)
-	recovered := w.killAll(ctx)
+	violations := p(ctx, w, load)
 	load.stop()
 	served, sent := w.ledger.served(from, time.Now())
 	report := &Report{
@@ -52,16 +53,10 @@
 		Attempts:   sent,
 		Served:     served,
 		Faults:     w.ledger.faults,
-		Violations: w.ledger.check(),
-	}
-	if recovered < recoveredShare {
-		report.Violations = append(report.Violations, Violation{
-			Check:  "recovery",
-			Detail: fmt.Sprintf("%.2f were served %v after all VMs were killed", recovered, recoverWithin),
-		})
+		Violations: append(violations, w.ledger.check()...),
 	}
 	if o.Plot != "" {
-		title := fmt.Sprintf("soak, seed %d: faults, planned stops, kill of all", o.Seed)
+		title := fmt.Sprintf("soak, seed %d", o.Seed)
 		if err := w.ledger.writePlot(o.Plot, title, w.start); err != nil {
 			return report, err
 		}
@@ -69,6 +64,20 @@
 	return report, ctx.Err()
 }
 
+// playFaults injects faults under load, and then a planned stop of every VM in a calm fleet
+// and a kill of all at once.
+func playFaults(ctx context.Context, w *world, _ *load) (out []Violation) {
+	w.inject(ctx)
+	w.rollAll(ctx)
+	if recovered := w.killAll(ctx); recovered < recoveredShare {
+		out = append(out, Violation{
+			Check:  "recovery",
+			Detail: fmt.Sprintf("%.2f were served %v after all VMs were killed", recovered, recoverWithin),
+		})
+	}
+	return out
+}
+
 // begin starts a deployment and waits until it takes requests. What was started is to
 // be closed also where it fails.
 func begin(ctx context.Context, o Options) (*world, error) {
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,7 +13,7 @@
 
 // TestSeed plays a short schedule of the real programs.
 func TestSeed(t *testing.T) {
-	playTest(t, Run, Options{
+	playTest(t, playFaults, Options{
 		Seed:    1,
 		Regions: 3,
 		VMs:     2,
@@ -27,7 +26,7 @@
 // TestCrashingCalls sends calls to real programs that crash the replicas which run
 // them, as described at the emulator's test of that name.
 func TestCrashingCalls(t *testing.T) {
-	playTest(t, RunCrashing, Options{
+	playTest(t, playCrashing, Options{
 		Seed:    2,
 		Regions: 3,
 		VMs:     2,
@@ -39,7 +38,7 @@
 
 // TestNamedLimit lets replicas of real programs name limits.
 func TestNamedLimit(t *testing.T) {
-	playTest(t, RunLimited, Options{
+	playTest(t, playLimited, Options{
 		Seed:    3,
 		Regions: 3,
 		VMs:     3,
@@ -50,7 +49,7 @@
 }
 
 // playTest plays a run of the real programs, in which nothing may be violated.
-func playTest(t *testing.T, play func(context.Context, Options) (*Report, error), o Options) {
+func playTest(t *testing.T, played play, o Options) {
 	t.Helper()
 	var err error
 	o.Gateway, err = buildGateway()
@@ -61,7 +60,7 @@
 	assert.NilError(t, err)
 	defer func() { _ = out.Close() }()
 	o.Out = out
-	report, err := play(t.Context(), o)
+	report, err := played.run(t.Context(), o)
 	assert.NilError(t, err)
 	assert.Assert(t, report.Attempts > 100, report.Attempts)
 	for _, v := range report.Violations {
