A question for a permit takes 36 bytes and its answer 7

It told who asks, which nobody read, and the answer always repeated the word (81 and 43 bytes). TestPermitMessages keeps the sizes.

--- a/peer/permit.go
+++ b/peer/permit.go
@@ -11,9 +11,8 @@
 )
 
 // Permit asks the VM that keeps an endpoint's rate for one request to it.
-func (c *Client) Permit(ctx context.Context, vm fleet.VM, from *peerpb.Identity, w throttle.Word) (throttle.Answer, error) {
+func (c *Client) Permit(ctx context.Context, vm fleet.VM, w throttle.Word) (throttle.Answer, error) {
 	reply, err := c.client(ctx, vm).Permit(ctx, &peerpb.PermitRequest{
-		From: from,
 		Word: RateWordMessage(w),
 	})
 	if err != nil {
@@ -32,12 +31,15 @@
 
 // permitMessage writes an answer that is sent now.
 func permitMessage(a throttle.Answer, now time.Time) *peerpb.PermitReply {
-	return &peerpb.PermitReply{
+	m := &peerpb.PermitReply{
 		Kept:     a.Kept,
 		Granted:  a.Granted,
 		NextInMs: leftMilli(a.NextAt, now),
-		Word:     RateWordMessage(a.Word),
 	}
+	if a.Word.Number > 0 {
+		m.Word = RateWordMessage(a.Word)
+	}
+	return m
 }
 
 func permitFromMessage(m *peerpb.PermitReply, now time.Time) throttle.Answer {
--- /dev/null
+++ b/peer/permit_test.go
@@ -0,0 +1,41 @@
+package peer
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
+)
+
+// TestPermitMessages holds that a word and an answer come through as they were, and that the
+// messages stay as small as the capacity page counts them.
+func TestPermitMessages(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	word := throttle.Word{
+		Endpoint:    "i-604c01f936",
+		Incarnation: 1764700000123,
+		Number:      3,
+		Limited:     true,
+		PerSecond:   1.5,
+	}
+	assert.Equal(t, RateWordFromMessage(RateWordMessage(word)), word)
+	assert.Equal(t, proto.Size(&peerpb.PermitRequest{Word: RateWordMessage(word)}), 36)
+	answer := throttle.Answer{
+		Kept:    true,
+		Granted: true,
+		NextAt:  now.Add(time.Second),
+	}
+	assert.Equal(t, proto.Size(permitMessage(answer, now)), 7)
+	assert.DeepEqual(t, permitFromMessage(permitMessage(answer, now), now), answer)
+	answer.Word = word
+	assert.DeepEqual(t, permitFromMessage(permitMessage(answer, now), now), answer)
+	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1)} {
+		word.PerSecond = perSecond
+		assert.Equal(t, RateWordFromMessage(RateWordMessage(word)), throttle.Word{})
+	}
+}
--- a/site/rates.go
+++ b/site/rates.go
@@ -33,7 +33,7 @@
 func (n *Node) askPermit(ctx context.Context, v throttle.Verdict) throttle.Verdict {
 	trip, cancel := context.WithTimeout(ctx, askPermitWithin)
 	defer cancel()
-	a, err := n.peers.Permit(trip, *v.Keeper, n.identity(), v.Word)
+	a, err := n.peers.Permit(trip, *v.Keeper, v.Word)
 	if err != nil {
 		n.log.Debug("permit_failed", "peer", v.Keeper.ID, "endpoint", v.Word.Endpoint, "reason", err.Error())
 		n.metrics.PermitAsked(permitUnanswered)
--- a/throttle/keeper.go
+++ b/throttle/keeper.go
@@ -27,7 +27,7 @@
 	Granted bool
 	// NextAt is when the asker may ask for the next one.
 	NextAt time.Time
-	// Word is the one that the VM holds.
+	// Word is the one that the VM holds, where it is another one than the asker's.
 	Word Word
 }
 
@@ -44,7 +44,9 @@
 	a := Answer{
 		Kept:    true,
 		Granted: true,
-		Word:    held.word,
+	}
+	if held.word != w {
+		a.Word = held.word
 	}
 	if !held.word.Limited {
 		return a
