--- a/testscripts/emulator/limiting.go
+++ b/testscripts/emulator/limiting.go
@@ -52,10 +52,9 @@
 // engineLimit is what an engine names.
 type engineLimit struct {
 	rate fleet.Rate
-	// namedAt is when it named a limit first, and changedAt when it named another one.
-	namedAt   time.Time
-	changedAt time.Time
-	// told is when each life of a VM first got an answer with a limit.
+	// namedAt is when it named a limit first.
+	namedAt time.Time
+	// told is when each life of a VM first got an answer with the present limit.
 	told map[uint64]time.Time
 	// arrivals are from lives that had been told.
 	arrivals []time.Time
@@ -97,12 +96,11 @@
 }
 
 func (e *engine) nameLimit(perSecond float64) {
-	now := e.world.clock.now
-	e.limit.changedAt = now
 	if e.limit.namedAt.IsZero() {
-		e.limit.namedAt = now
-		e.limit.told = make(map[uint64]time.Time)
+		e.limit.namedAt = e.world.clock.now
 	}
+	e.limit.told = make(map[uint64]time.Time)
+	e.limit.arrivals = nil
 	e.limit.rate = fleet.Rate{}
 	if perSecond >= 0 {
 		e.limit.rate = fleet.Rate{
@@ -114,7 +112,7 @@
 
 // answeredRate takes what an engine says of its rate.
 func (v *vm) answeredRate(e fleet.Endpoint, r fleet.Rate, sentAt time.Time) {
-	if found := v.world.engineAt(e.ID); r.Named && found.limit.told[v.life].IsZero() {
+	if found := v.world.engineAt(e.ID); r == found.limit.rate && r.Named && found.limit.told[v.life].IsZero() {
 		found.limit.told[v.life] = v.world.clock.now
 	}
 	v.rates.Answered(e, r, sentAt, v.now())
@@ -222,7 +220,7 @@
 	if toldAt.IsZero() || now.Sub(toldAt) < toldFor {
 		return
 	}
-	if now.Sub(limit.namedAt) < limitKnown || now.Sub(limit.changedAt) < limitKnown {
+	if now.Sub(limit.namedAt) < limitKnown {
 		return
 	}
 	limit.arrivals = append(limit.arrivals, now)
