A call that an endpoint with a limit does not take leaves nothing there

Found by reading: the choice of an endpoint notes that it holds the call's prompt from now on. Where no permit came, the call went elsewhere, and later calls were drawn to the limited endpoint, or fetched the prompt from it, for a prefix that it never read. Now the choice is tentative until the permit is there (Pool.Confirm).

Besides, a caller who leaves while a permit is asked for no longer makes the keeper count as lost.

TestTentativeChoice fails without the change (5,000 tokens taken as cached).

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -62,6 +62,8 @@
 	Exclude [2]string
 	// Again lets one of them be tried again where no other takes work.
 	Again bool
+	// Tentative is as in routing.Request.
+	Tentative bool
 }
 
 // Slot is a place at an endpoint. It must be given back by Release exactly once.
@@ -290,6 +292,7 @@
 		Turn:         r.Turn,
 		Exclude:      r.Exclude,
 		Again:        r.Again,
+		Tentative:    r.Tentative,
 	}
 }
 
--- a/routing/cache.go
+++ b/routing/cache.go
@@ -121,6 +121,15 @@
 	return int(float64(tokens) * cacheShare)
 }
 
+// Confirm takes that a call with these prefixes is sent where it was tentatively chosen to go.
+func (p *Pool) Confirm(c Choice, prefixes []Prefix, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.state != nil {
+		p.hold(c.state, prefixes, now)
+	}
+}
+
 // hold records that an engine is sent a call with these prefixes.
 func (p *Pool) hold(e *endpoint, prefixes []Prefix, now time.Time) {
 	if len(prefixes) == 0 {
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -113,7 +113,9 @@
 	c.state.enter(now)
 	choice.prompt = c.state.reading.enter(c.tokens, r.turn(), now)
 	p.readingChanges++
-	p.hold(c.state, r.Prefixes, now)
+	if !r.Tentative {
+		p.hold(c.state, r.Prefixes, now)
+	}
 	p.learnt.learnLong(r.MaxTokens)
 	p.refresh(c.state, now)
 	return choice
--- a/routing/closed_test.go
+++ b/routing/closed_test.go
@@ -37,3 +37,30 @@
 		assert.Equal(t, len(ids), 0)
 	}
 }
+
+// TestTentativeChoice holds that an endpoint which was chosen for a call that was not sent
+// there does not count as holding its prompt.
+func TestTentativeChoice(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := New(Options{})
+	p.SetEndpoints([]fleet.Endpoint{{ID: "a"}, {ID: "b"}}, now)
+	r := Request{
+		Prefixes: []Prefix{{
+			Hash:   7,
+			Tokens: 5000,
+		}},
+		PromptTokens: 6000,
+		Tentative:    true,
+	}
+	c, ok := p.Choose(r, now)
+	assert.Assert(t, ok)
+	p.Done(c, Outcome{Canceled: true}, now)
+	c, ok = p.Choose(r, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Cached, 0)
+	p.Confirm(c, r.Prefixes, now)
+	r.Exclude[0] = c.Endpoint.ID
+	again, ok := p.Choose(r, now)
+	assert.Assert(t, ok)
+	assert.Assert(t, again.FetchFrom == c.Endpoint.Addr && again.Cached == 5000)
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -87,6 +87,9 @@
 	// Again lets an excluded endpoint be chosen where no other takes work: the
 	// call ran there and failed by itself, which the next run may not.
 	Again bool
+	// Tentative is set for a call that may yet not be sent where it is chosen to go.
+	// Confirm notes what it leaves there once it is.
+	Tentative bool
 
 	// home and second are the prefix's endpoints, found once for each choice.
 	home, second *endpoint
--- a/serving/throttle.go
+++ b/serving/throttle.go
@@ -51,17 +51,20 @@
 func (s *Server) admit(ctx context.Context, c *call.Call, pool *Pool, p *progress) (admission.Slot, *throttle.Permit, *result.Refusal) {
 	asking, cancel := context.WithTimeout(ctx, permitWithin)
 	defer cancel()
+	r := p.admission(c)
+	r.Tentative = true
 	for range choicesMost {
-		slot, refusal := pool.Queue.Admit(ctx, p.admission(c), s.options.Now())
+		slot, refusal := pool.Queue.Admit(ctx, r, s.options.Now())
 		if refusal != nil {
 			return slot, nil, s.UntilOpen(c, pool, refusal)
 		}
 		e := slot.Choice.Endpoint
 		permit, opensAt := s.options.Throttle.Take(asking, e)
+		now := s.options.Now()
 		if permit != nil {
+			pool.Endpoints.Confirm(slot.Choice, r.Prefixes, now)
 			return slot, permit, nil
 		}
-		now := s.options.Now()
 		if least := now.Add(closedLeast); opensAt.Before(least) {
 			opensAt = least
 		}
--- a/site/rates.go
+++ b/site/rates.go
@@ -34,6 +34,12 @@
 	trip, cancel := context.WithTimeout(ctx, askPermitWithin)
 	defer cancel()
 	a, err := n.peers.Permit(trip, *v.Keeper, v.Word)
+	if err != nil && ctx.Err() != nil {
+		// The caller left, or others were asked for too long: that says nothing of this one.
+		return throttle.Verdict{
+			OpensAt: n.now(),
+		}
+	}
 	if err != nil {
 		n.log.Debug("permit_failed", "peer", v.Keeper.ID, "endpoint", v.Word.Endpoint, "reason", err.Error())
 		n.metrics.PermitAsked(permitUnanswered)
