Soak: a replica that starts again under its id names no limit until it is told to

Traced by its schedule and the VMs' lines: the replica had been restarted under its id 13 s before, its new life named no limit, and both VMs said so (endpoint_unlimited with the new incarnation); the ledger went on with the limit of the former life. The limit now ends with the life, and the last phase lets the engines that run name theirs, so that what names a limit is held to it as before.

--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -188,7 +188,7 @@
 	if r == nil {
 		return nil
 	}
-	r.Crash()
+	w.end(r)
 	sleepFor(ctx, lapsesAfter)
 	w.store.Remove("servers/" + r.ID)
 	return w.addReplica(r.Service, r.region, coldFor)
@@ -202,7 +202,7 @@
 		return nil
 	}
 	late := r.Entry("ready", 0)
-	r.Crash()
+	w.end(r)
 	sleepFor(ctx, d.long/8)
 	if err := w.startReplica(r.ID, r.Service, r.region, r.Addr, coldFor); err != nil {
 		return err
@@ -266,7 +266,7 @@
 	w.ledger.leaves(r.ID)
 	sleepFor(ctx, appliesWithin+2*time.Second)
 	w.store.Remove("servers/" + r.ID)
-	r.Crash()
+	w.end(r)
 	return nil
 }
 
--- a/testscripts/soak/limited.go
+++ b/testscripts/soak/limited.go
@@ -66,6 +66,17 @@
 	r.SetLimit(strconv.FormatFloat(perSecond, 'g', -1, 64))
 }
 
+// end ends a replica. Its next life names no limit until it is told to.
+func (w *world) end(r *servingReplica) {
+	r.Crash()
+	w.ledger.mu.Lock()
+	spans := w.ledger.limits[r.ID]
+	w.ledger.mu.Unlock()
+	if len(spans) > 0 {
+		w.ledger.limited(r.ID, -1)
+	}
+}
+
 // playLimited lets one engine of each region and the only plain service of one name limits,
 // calmly at first and among faults then. In the end the limits of engines rise, and that
 // of the plain service goes.
@@ -84,6 +95,7 @@
 		})
 	}
 	w.inject(ctx)
+	engines, plain = w.toLimit()
 	for _, r := range engines {
 		w.setLimit(r, lastLimit)
 	}
@@ -92,14 +104,15 @@
 	return out
 }
 
-// toLimit returns the first engine of each region, and the plain replica of the last one,
-// which is no home of any route.
+// toLimit returns the first engine of each region that runs, and the plain replica of the
+// last one, which is no home of any route.
 func (w *world) toLimit() (engines []*servingReplica, plain *servingReplica) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	seen := make(map[string]bool)
 	for _, r := range w.replicas {
 		switch {
+		case r.gone:
 		case r.Service == servicePlain:
 			plain = r
 		case !seen[r.region]:
