The limit of an endpoint is called a limit with a version, in place of a word with a number

Names only: throttle.Limit with Version and Active, EndpointLimit on the wire, site/throttle.go; lines endpoint_limited and endpoint_unlimited have version in place of number. What a newcomer would have asked of the first reading of the diff; no behaviour changes.

--- a/peer/permit.go
+++ b/peer/permit.go
@@ -11,9 +11,9 @@
 )
 
 // Permit asks the VM that keeps an endpoint's rate for one request to it.
-func (c *Client) Permit(ctx context.Context, vm fleet.VM, w throttle.Word) (throttle.Answer, error) {
+func (c *Client) Permit(ctx context.Context, vm fleet.VM, l throttle.Limit) (throttle.Answer, error) {
 	reply, err := c.client(ctx, vm).Permit(ctx, &peerpb.PermitRequest{
-		Word: RateWordMessage(w),
+		Limit: EndpointLimitMessage(l),
 	})
 	if err != nil {
 		return throttle.Answer{}, err
@@ -26,7 +26,7 @@
 	if s.handlers.Permit == nil {
 		return nil, errNotServed
 	}
-	return permitMessage(s.handlers.Permit(RateWordFromMessage(in.GetWord())), s.handlers.Now()), nil
+	return permitMessage(s.handlers.Permit(EndpointLimitFromMessage(in.GetLimit())), s.handlers.Now()), nil
 }
 
 // permitMessage writes an answer that is sent now.
@@ -36,8 +36,8 @@
 		Granted:  a.Granted,
 		NextInMs: leftMilli(a.NextAt, now),
 	}
-	if a.Word.Number > 0 {
-		m.Word = RateWordMessage(a.Word)
+	if a.Limit.Version > 0 {
+		m.Limit = EndpointLimitMessage(a.Limit)
 	}
 	return m
 }
@@ -47,32 +47,32 @@
 		Kept:    m.GetKept(),
 		Granted: m.GetGranted(),
 		NextAt:  deadlineIn(m.GetNextInMs(), now),
-		Word:    RateWordFromMessage(m.GetWord()),
+		Limit:   EndpointLimitFromMessage(m.GetLimit()),
 	}
 }
 
-// RateWordMessage writes a word.
-func RateWordMessage(w throttle.Word) *peerpb.RateWord {
-	return &peerpb.RateWord{
-		Endpoint:    w.Endpoint,
-		Incarnation: w.Incarnation,
-		Number:      w.Number,
-		Limited:     w.Limited,
-		PerSecond:   w.PerSecond,
+// EndpointLimitMessage writes a limit.
+func EndpointLimitMessage(l throttle.Limit) *peerpb.EndpointLimit {
+	return &peerpb.EndpointLimit{
+		Endpoint:    l.Endpoint,
+		Incarnation: l.Incarnation,
+		Version:     l.Version,
+		Active:      l.Active,
+		PerSecond:   l.PerSecond,
 	}
 }
 
-// RateWordFromMessage reads a word. One that names no rate a VM could keep to is as none.
-func RateWordFromMessage(m *peerpb.RateWord) throttle.Word {
+// EndpointLimitFromMessage reads a limit. One that names no rate a VM could keep to is as none.
+func EndpointLimitFromMessage(m *peerpb.EndpointLimit) throttle.Limit {
 	perSecond := m.GetPerSecond()
 	if perSecond < 0 || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) {
-		return throttle.Word{}
+		return throttle.Limit{}
 	}
-	return throttle.Word{
+	return throttle.Limit{
 		Endpoint:    m.GetEndpoint(),
 		Incarnation: m.GetIncarnation(),
-		Number:      m.GetNumber(),
-		Limited:     m.GetLimited(),
+		Version:     m.GetVersion(),
+		Active:      m.GetActive(),
 		PerSecond:   perSecond,
 	}
 }
--- a/peer/permit_test.go
+++ b/peer/permit_test.go
@@ -12,19 +12,19 @@
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
-// TestPermitMessages holds that a word and an answer come through as they were, and that the
+// TestPermitMessages holds that a limit and an answer come through as they were, and that the
 // messages stay as small as the capacity page counts them.
 func TestPermitMessages(t *testing.T) {
 	now := time.Unix(1e9, 0)
-	word := throttle.Word{
+	limit := throttle.Limit{
 		Endpoint:    "i-604c01f936",
 		Incarnation: 1764700000123,
-		Number:      3,
-		Limited:     true,
+		Version:     3,
+		Active:      true,
 		PerSecond:   1.5,
 	}
-	assert.Equal(t, RateWordFromMessage(RateWordMessage(word)), word)
-	assert.Equal(t, proto.Size(&peerpb.PermitRequest{Word: RateWordMessage(word)}), 36)
+	assert.Equal(t, EndpointLimitFromMessage(EndpointLimitMessage(limit)), limit)
+	assert.Equal(t, proto.Size(&peerpb.PermitRequest{Limit: EndpointLimitMessage(limit)}), 36)
 	answer := throttle.Answer{
 		Kept:    true,
 		Granted: true,
@@ -32,10 +32,10 @@
 	}
 	assert.Equal(t, proto.Size(permitMessage(answer, now)), 7)
 	assert.DeepEqual(t, permitFromMessage(permitMessage(answer, now), now), answer)
-	answer.Word = word
+	answer.Limit = limit
 	assert.DeepEqual(t, permitFromMessage(permitMessage(answer, now), now), answer)
 	for _, perSecond := range []float64{-1, math.NaN(), math.Inf(1)} {
-		word.PerSecond = perSecond
-		assert.Equal(t, RateWordFromMessage(RateWordMessage(word)), throttle.Word{})
+		limit.PerSecond = perSecond
+		assert.Equal(t, EndpointLimitFromMessage(EndpointLimitMessage(limit)), throttle.Limit{})
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -38,9 +38,9 @@
 	Crashes func(n quarantine.Note)
 	// Limits takes what other VMs say of workspaces' limits, and answers it.
 	Limits func(n metering.Note) metering.Reply
-	// Permit decides on a request to an endpoint with a limit for a VM that holds a word
-	// on it.
-	Permit func(w throttle.Word) throttle.Answer
+	// Permit decides on a request to an endpoint with a limit for a VM that knows
+	// of that.
+	Permit func(l throttle.Limit) throttle.Answer
 	// Forward runs the call and never forwards it again.
 	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
 	// Stamp and Witness keep the time line's clock on forwarded calls.
--- a/site/asking.go
+++ b/site/asking.go
@@ -181,7 +181,7 @@
 func (p *pools) askReport(ctx context.Context, e fleet.Endpoint) {
 	due := p.isDue(e)
 	asksCold := due || p.node.control.picture().members.StoreAway()
-	if !asksCold || !p.node.rates.QuestionDue(e, questionsTogether, p.node.now()) {
+	if !asksCold || !p.node.throttle.QuestionDue(e, questionsTogether, p.node.now()) {
 		return
 	}
 	go p.askCold(ctx, e)
--- a/site/control.go
+++ b/site/control.go
@@ -169,7 +169,7 @@
 	}
 	if c.changed {
 		after.endpoints = c.discovery.Endpoints(now)
-		c.forgetRates(after.endpoints, now)
+		c.forgetEndpointLimits(after.endpoints, now)
 	}
 	c.published.Store(after)
 	if c.changed {
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -40,8 +40,8 @@
 		held := c.heldHere(now)
 		m.Cold = coldMessage(held, now)
 		m.Unreached = unreachedMessage(held, now)
-		m.Rates = ratesMessage(c.node.rates.Recent(now))
-		m.RatesDigest = c.node.rates.Digest()
+		m.Limits = endpointLimitsMessage(c.node.throttle.Recent(now))
+		m.LimitsDigest = c.node.throttle.Digest()
 	}
 	return m
 }
@@ -112,7 +112,7 @@
 	c.takeLoads(m.GetLoads(), sentAt)
 	c.takeCold(ctx, m.GetCold(), sentAt, now)
 	c.takeUnreached(ctx, m.GetUnreached(), sentAt, now)
-	c.takeRates(m.GetRates(), now)
+	c.takeEndpointLimits(m.GetLimits(), now)
 	c.node.pools.takeReports(m.GetReports(), sentAt)
 	c.node.pools.takeHoldings(m.GetHoldings(), sentAt, now)
 	c.heardComplete(m.GetPublishedRevision(), m.GetCompleteMs(), sentAt)
@@ -136,8 +136,8 @@
 			return c.brief(in.GetFrom().GetRegion(), now)
 		}
 		m := c.message(in.GetFrom().GetRegion(), c.roster.Differing(digestOf(in)), now)
-		if m.GetRatesDigest() != in.GetRatesDigest() {
-			m.Rates = ratesMessage(c.node.rates.Words())
+		if m.GetLimitsDigest() != in.GetLimitsDigest() {
+			m.Limits = endpointLimitsMessage(c.node.throttle.Limits())
 		}
 		return m
 	})
--- a/site/site.go
+++ b/site/site.go
@@ -84,25 +84,25 @@
 	incarnation uint64
 	startedAt   time.Time
 
-	ring    *timeline.Ring
-	metrics *metrics.Metrics
-	store   *platform.Client
-	decoder platform.Decoder
-	peers   *peer.Client
-	transit *peer.Transit
-	client  *endpoint.Client
-	pools   *pools
-	sent    *placement.Sent
-	late    *placement.Late
-	crashes *agent.Agent
-	serving *serving.Server
-	meter   *metering.Meter
-	rates   *throttle.Throttle
-	// ratesDue is set while the control goroutine is to tell others of endpoints' rates.
-	ratesDue atomic.Bool
-	puller   *puller
-	control  *control
-	callers  *http.Server
+	ring     *timeline.Ring
+	metrics  *metrics.Metrics
+	store    *platform.Client
+	decoder  platform.Decoder
+	peers    *peer.Client
+	transit  *peer.Transit
+	client   *endpoint.Client
+	pools    *pools
+	sent     *placement.Sent
+	late     *placement.Late
+	crashes  *agent.Agent
+	serving  *serving.Server
+	meter    *metering.Meter
+	throttle *throttle.Throttle
+	// endpointLimitsDue is set while the control goroutine is to tell others of endpoints' limits.
+	endpointLimitsDue atomic.Bool
+	puller            *puller
+	control           *control
+	callers           *http.Server
 
 	// bounds are those of the settings in force; they may change while the process runs.
 	bounds  atomic.Pointer[platform.Bounds]
@@ -177,10 +177,10 @@
 	n.pools = newPools(n)
 	n.crashes = n.newCrashes()
 	n.meter = newMeter(n)
-	n.rates = throttle.New(throttle.Options{
+	n.throttle = throttle.New(throttle.Options{
 		VM:        d.VM,
 		StartedAt: n.startedAt,
-		Changed:   n.rateChanged,
+		Changed:   n.limitChanged,
 	})
 	n.serving = n.newServing()
 	n.callers = n.newCallers()
--- a/site/rates.go
+++ b/site/throttle.go
@@ -14,15 +14,15 @@
 const (
 	// askPermitWithin bounds the question for one permit, within the region.
 	askPermitWithin = 100 * time.Millisecond
-	// rateTellTo is how many VMs of the region are told at once of a new word on an
-	// endpoint's rate. They tell as many others.
-	rateTellTo = 8
+	// limitTellTo is how many VMs of the region are told at once of a new limit of an
+	// endpoint. They tell as many others.
+	limitTellTo = 8
 )
 
 // takePermit asks for a permit to send one request to an endpoint. Without one it returns
 // when the endpoint takes the next.
 func (n *Node) takePermit(ctx context.Context, e fleet.Endpoint) (permit *throttle.Permit, opensAt time.Time) {
-	v := n.rates.Take(e, n.control.picture().nearRegion(), n.now())
+	v := n.throttle.Take(e, n.control.picture().nearRegion(), n.now())
 	if v.Keeper != nil {
 		v = n.askPermit(ctx, v)
 	}
@@ -33,7 +33,7 @@
 func (n *Node) askPermit(ctx context.Context, v throttle.Verdict) throttle.Verdict {
 	trip, cancel := context.WithTimeout(ctx, askPermitWithin)
 	defer cancel()
-	a, err := n.peers.Permit(trip, *v.Keeper, v.Word)
+	a, err := n.peers.Permit(trip, *v.Keeper, v.Limit)
 	if err != nil && ctx.Err() != nil {
 		// The caller left, or others were asked for too long: that says nothing of this one.
 		return throttle.Verdict{
@@ -41,12 +41,12 @@
 		}
 	}
 	if err != nil {
-		n.log.Debug("permit_failed", "peer", v.Keeper.ID, "endpoint", v.Word.Endpoint, "reason", err.Error())
+		n.log.Debug("permit_failed", "peer", v.Keeper.ID, "endpoint", v.Limit.Endpoint, "reason", err.Error())
 		n.metrics.PermitAsked(permitUnanswered)
-		return n.rates.Unanswered(v, n.now())
+		return n.throttle.Unanswered(v, n.now())
 	}
 	n.metrics.PermitAsked(permitOutcome(a))
-	return n.rates.Decided(v, a, n.now())
+	return n.throttle.Decided(v, a, n.now())
 }
 
 // The outcomes of a question for a permit, as the metrics have them.
@@ -69,16 +69,16 @@
 }
 
 // decidePermit answers another VM's question for a permit.
-func (n *Node) decidePermit(w throttle.Word) throttle.Answer {
-	return n.rates.Ask(w, n.control.picture().nearRegion(), n.now())
+func (n *Node) decidePermit(l throttle.Limit) throttle.Answer {
+	return n.throttle.Ask(l, n.control.picture().nearRegion(), n.now())
 }
 
 // usePermit is asked right before the first byte of a request goes to an endpoint.
 func (n *Node) usePermit(e fleet.Endpoint, p *throttle.Permit, way throttle.Way) error {
-	if refusal := n.rates.Sending(e, p, n.now()); refusal != nil {
+	if refusal := n.throttle.Sending(e, p, n.now()); refusal != nil {
 		return refusal
 	}
-	if n.rates.IsLimited(e) {
+	if n.throttle.IsLimited(e) {
 		n.metrics.ThrottledSend(way)
 	}
 	return nil
@@ -86,7 +86,7 @@
 
 // comeBackAt is when a caller may come back for whom all endpoints of a service are closed.
 func (n *Node) comeBackAt(service string, endpointIDs []string, opensAt time.Time) time.Time {
-	return n.rates.ComeBackAt(service, endpointIDs, opensAt, n.control.picture().nearRegion(), n.now())
+	return n.throttle.ComeBackAt(service, endpointIDs, opensAt, n.control.picture().nearRegion(), n.now())
 }
 
 // mayAsk reports whether an endpoint may be asked for its load or health now, by a request
@@ -101,42 +101,42 @@
 	if r.Unreadable {
 		n.log.Warn("endpoint_limit_unreadable", "endpoint", e.ID)
 	}
-	n.rates.Answered(e, r, sentAt, n.now())
+	n.throttle.Answered(e, r, sentAt, n.now())
 }
 
-// rateChanged logs a new word on an endpoint's rate, opens the endpoint if it has no limit
+// limitChanged logs a new limit of an endpoint, opens the endpoint if it has no limit
 // any more, and tells others of the region.
-func (n *Node) rateChanged(w throttle.Word) {
-	if w.Limited {
-		n.log.Info("endpoint_limited", "endpoint", w.Endpoint, "incarnation", w.Incarnation, "per_second", w.PerSecond, "number", w.Number)
+func (n *Node) limitChanged(l throttle.Limit) {
+	if l.Active {
+		n.log.Info("endpoint_limited", "endpoint", l.Endpoint, "incarnation", l.Incarnation, "per_second", l.PerSecond, "version", l.Version)
 	} else {
-		n.log.Info("endpoint_unlimited", "endpoint", w.Endpoint, "incarnation", w.Incarnation, "number", w.Number)
-		n.pools.open(w.Endpoint)
+		n.log.Info("endpoint_unlimited", "endpoint", l.Endpoint, "incarnation", l.Incarnation, "version", l.Version)
+		n.pools.open(l.Endpoint)
 	}
-	n.tellRates()
+	n.tellEndpointLimits()
 }
 
-// tellRates tells others of the region what this VM has learnt. It may be called on the
+// tellEndpointLimits tells others of the region what this VM has learnt. It may be called on the
 // control goroutine, which nothing may make wait: what is not told at once goes with the
 // next exchanges.
-func (n *Node) tellRates() {
-	if !n.ratesDue.CompareAndSwap(false, true) {
+func (n *Node) tellEndpointLimits() {
+	if !n.endpointLimitsDue.CompareAndSwap(false, true) {
 		return
 	}
 	told := n.control.inbox.Offer(func(c *control, now time.Time) {
-		n.ratesDue.Store(false)
-		c.spread(context.Background(), rateTellTo, now)
+		n.endpointLimitsDue.Store(false)
+		c.spread(context.Background(), limitTellTo, now)
 	})
 	if !told {
-		n.ratesDue.Store(false)
+		n.endpointLimitsDue.Store(false)
 	}
 }
 
-// ratesMessage lists words on endpoints' rates.
-func ratesMessage(words []throttle.Word) []*peerpb.RateWord {
-	out := make([]*peerpb.RateWord, 0, len(words))
-	for _, w := range words {
-		out = append(out, peer.RateWordMessage(w))
+// endpointLimitsMessage lists limits of endpoints.
+func endpointLimitsMessage(limits []throttle.Limit) []*peerpb.EndpointLimit {
+	out := make([]*peerpb.EndpointLimit, 0, len(limits))
+	for _, l := range limits {
+		out = append(out, peer.EndpointLimitMessage(l))
 	}
 	return out
 }
@@ -156,18 +156,18 @@
 	}
 }
 
-// takeRates takes what another VM of the region says of endpoints' rates.
-func (c *control) takeRates(list []*peerpb.RateWord, now time.Time) {
+// takeEndpointLimits takes what another VM of the region says of endpoints' limits.
+func (c *control) takeEndpointLimits(list []*peerpb.EndpointLimit, now time.Time) {
 	for _, m := range list {
-		c.node.rates.Learn(peer.RateWordFromMessage(m), now)
+		c.node.throttle.Learn(peer.EndpointLimitFromMessage(m), now)
 	}
 }
 
-// forgetRates drops the words on endpoints that are gone.
-func (c *control) forgetRates(endpoints []discovery.Ready, now time.Time) {
+// forgetEndpointLimits drops the limits of endpoints that are gone.
+func (c *control) forgetEndpointLimits(endpoints []discovery.Ready, now time.Time) {
 	listed := make(map[string]bool, len(endpoints))
 	for _, e := range endpoints {
 		listed[e.ID] = true
 	}
-	c.node.rates.Listed(func(id string) bool { return listed[id] }, now)
+	c.node.throttle.Listed(func(id string) bool { return listed[id] }, now)
 }
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -18,10 +18,10 @@
 	rumors   []roster.Rumor
 	revision uint64
 	cold     []coldWord
-	rates    []throttle.Word
-	// ratesDigest shows whether two VMs hold the same words on rates.
-	ratesDigest uint64
-	table       *route.Table
+	limits   []throttle.Limit
+	// limitsDigest shows whether two VMs hold the same limits of engines.
+	limitsDigest uint64
+	table        *route.Table
 	// sender and life say whom to pull from.
 	sender *vm
 	life   uint64
@@ -44,8 +44,8 @@
 		life:     v.life,
 	}
 	now := v.now()
-	m.rates = v.rates.Recent(now)
-	m.ratesDigest = v.rates.Digest()
+	m.limits = v.throttle.Recent(now)
+	m.limitsDigest = v.throttle.Digest()
 	for _, e := range v.discovery.Endpoints(now) {
 		if e.Region == v.vm.Region && !e.ColdUntil.IsZero() {
 			m.cold = append(m.cold, coldWord{
@@ -91,8 +91,8 @@
 		to.do(to.life, func() {
 			to.heard(m)
 			reply := to.message(to.roster.Differing(m.digest))
-			if reply.ratesDigest != m.ratesDigest {
-				reply.rates = to.rates.Words()
+			if reply.limitsDigest != m.limitsDigest {
+				reply.limits = to.throttle.Limits()
 			}
 			w.network.send(to.vm.Region, v.vm.Region, func() {
 				if answered {
@@ -130,8 +130,8 @@
 		v.exchange(v.roster.Spread(coldTellTo))
 	}
 	if m.sender.vm.Region == v.vm.Region {
-		for _, w := range m.rates {
-			v.rates.Learn(w, now)
+		for _, w := range m.limits {
+			v.throttle.Learn(w, now)
 		}
 	}
 	if m.revision > v.mirror.Revision() {
--- a/testscripts/emulator/health.go
+++ b/testscripts/emulator/health.go
@@ -14,7 +14,7 @@
 	v.do(life, func() {
 		near := v.nearVMs()
 		for _, e := range v.endpoints() {
-			if entry.Owner(e.ID, near) == v.vm.ID && v.rates.QuestionDue(e, 1, v.now()) {
+			if entry.Owner(e.ID, near) == v.vm.ID && v.throttle.QuestionDue(e, 1, v.now()) {
 				v.askOne(life, e)
 			}
 		}
--- a/testscripts/emulator/limiting.go
+++ b/testscripts/emulator/limiting.go
@@ -115,7 +115,7 @@
 	if found := v.world.engineAt(e.ID); r == found.limit.rate && r.Named && found.limit.told[v.life].IsZero() {
 		found.limit.told[v.life] = v.world.clock.now
 	}
-	v.rates.Answered(e, r, sentAt, v.now())
+	v.throttle.Answered(e, r, sentAt, v.now())
 }
 
 // askPermitWithin is that of the gateway.
@@ -126,8 +126,8 @@
 	return throttle.New(throttle.Options{
 		VM:        v.vm.ID,
 		StartedAt: v.startedAt,
-		Changed: func(w throttle.Word) {
-			if !w.Limited {
+		Changed: func(w throttle.Limit) {
+			if !w.Active {
 				v.pool.CloseUntil(w.Endpoint, time.Time{})
 			}
 			v.world.after(0, func() {
@@ -163,7 +163,7 @@
 		then(&throttle.Permit{}, time.Time{})
 		return
 	}
-	verdict := v.rates.Take(e, v.nearRegion(), v.now())
+	verdict := v.throttle.Take(e, v.nearRegion(), v.now())
 	if verdict.Keeper == nil {
 		then(verdict.Permit, verdict.OpensAt)
 		return
@@ -185,16 +185,16 @@
 		})
 	}
 	w.after(askPermitWithin, func() {
-		answer(func() throttle.Verdict { return v.rates.Unanswered(verdict, v.now()) })
+		answer(func() throttle.Verdict { return v.throttle.Unanswered(verdict, v.now()) })
 	})
 	w.network.send(v.vm.Region, keeper.vm.Region, func() {
 		keeper.do(keeper.life, func() {
-			a := keeper.rates.Ask(verdict.Word, keeper.nearRegion(), keeper.now())
+			a := keeper.throttle.Ask(verdict.Limit, keeper.nearRegion(), keeper.now())
 			left := a.NextAt.Sub(keeper.now())
 			w.network.send(keeper.vm.Region, v.vm.Region, func() {
 				answer(func() throttle.Verdict {
 					a.NextAt = v.now().Add(left)
-					return v.rates.Decided(verdict, a, v.now())
+					return v.throttle.Decided(verdict, a, v.now())
 				})
 			})
 		})
@@ -203,7 +203,7 @@
 
 // uses reports whether a request may be sent with a permit right now.
 func (v *vm) uses(e fleet.Endpoint, p *throttle.Permit) bool {
-	return v.world.fault == IgnoreLimits || v.rates.Sending(e, p, v.now()) == nil
+	return v.world.fault == IgnoreLimits || v.throttle.Sending(e, p, v.now()) == nil
 }
 
 // checkLimit holds what reaches an engine from VMs that it has told of its limit against
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -55,7 +55,7 @@
 	pool     *routing.Pool
 	window   *retry.Window
 	crashes  *crashes
-	rates    *throttle.Throttle
+	throttle *throttle.Throttle
 	whole    bool
 	// reading is set while a read is under way.
 	reading bool
@@ -121,7 +121,7 @@
 	v.waking = false
 	v.window = v.newWindow()
 	v.crashes = newCrashes(v)
-	v.rates = v.newThrottle()
+	v.throttle = v.newThrottle()
 	life := v.life
 	w.after(0, func() { v.step(life) })
 	w.after(w.between(0, healthEvery), func() { v.askHealth(life) })
--- a/throttle/keeper.go
+++ b/throttle/keeper.go
@@ -27,33 +27,33 @@
 	Granted bool
 	// NextAt is when the asker may ask for the next one.
 	NextAt time.Time
-	// Word is the one that the VM holds, where it is another one than the asker's.
-	Word Word
+	// Limit is the one that the VM holds, where it is another one than the asker's.
+	Limit Limit
 }
 
-// Ask decides for another VM, which holds a word on the endpoint.
-func (t *Throttle) Ask(w Word, r Region, now time.Time) Answer {
-	t.Learn(w, now)
+// Ask decides for another VM, which knows of the limit.
+func (t *Throttle) Ask(l Limit, r Region, now time.Time) Answer {
+	t.Learn(l, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.census.Learn(len(r.Near), r.Known, now)
-	held := t.endpoints[w.Endpoint]
-	if held == nil || t.keeper(w.Endpoint, r).ID != t.options.VM {
+	held := t.endpoints[l.Endpoint]
+	if held == nil || t.keeper(l.Endpoint, r).ID != t.options.VM {
 		return Answer{}
 	}
 	a := Answer{
 		Kept:    true,
 		Granted: true,
 	}
-	if held.word != w {
-		a.Word = held.word
+	if held.limit != l {
+		a.Limit = held.limit
 	}
-	if !held.word.Limited {
+	if !held.limit.Active {
 		return a
 	}
 	a.Granted, a.NextAt = t.grant(held, now)
 	if !a.Granted {
-		a.NextAt = held.turns.next(a.NextAt, interval(t.rate(held.word, now)), now.Add(turnsWithin))
+		a.NextAt = held.turns.next(a.NextAt, interval(t.rate(held.limit, now)), now.Add(turnsWithin))
 	}
 	return a
 }
@@ -64,7 +64,7 @@
 		held.bucket.at = now
 		return false, settledAt
 	}
-	rate := t.rate(held.word, now)
+	rate := t.rate(held.limit, now)
 	held.bucket.fill(rate, now)
 	granted = held.bucket.take()
 	return granted, held.bucket.nextAt(rate, now)
@@ -72,8 +72,8 @@
 
 // rate is the part of an endpoint's rate that this VM permits: that of the VMs of the
 // region which it reaches. The others may have a keeper of their own.
-func (t *Throttle) rate(w Word, now time.Time) float64 {
-	return max(w.PerSecond, leastPerSecond) * t.census.Part(now)
+func (t *Throttle) rate(l Limit, now time.Time) float64 {
+	return max(l.PerSecond, leastPerSecond) * t.census.Part(now)
 }
 
 // bucket holds the requests that may be sent now.
--- a/throttle/permit.go
+++ b/throttle/permit.go
@@ -25,11 +25,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.endpoints[e.ID]
-	if held == nil || !held.word.binds(e) {
+	if held == nil || !held.limit.binds(e) {
 		return nil
 	}
 	if p.used || now.After(p.Until) {
-		return result.Refuse(result.LimitEndpoint, "the endpoint takes %g requests a second, and this one is not permitted now", held.word.PerSecond)
+		return result.Refuse(result.LimitEndpoint, "the endpoint takes %g requests a second, and this one is not permitted now", held.limit.PerSecond)
 	}
 	p.used = true
 	return nil
@@ -44,8 +44,8 @@
 	defer t.mu.Unlock()
 	perSecond := 0.0
 	for _, id := range endpointIDs {
-		if held := t.endpoints[id]; held != nil && held.word.Limited {
-			perSecond += max(held.word.PerSecond, leastPerSecond)
+		if held := t.endpoints[id]; held != nil && held.limit.Active {
+			perSecond += max(held.limit.PerSecond, leastPerSecond)
 		}
 	}
 	if perSecond == 0 {
@@ -69,12 +69,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.endpoints[e.ID]
-	if held == nil || !held.word.binds(e) {
+	if held == nil || !held.limit.binds(e) {
 		return true
 	}
 	if now.Before(held.questionAt) {
 		return false
 	}
-	held.questionAt = now.Add(time.Duration(requests) * interval(questionPart*max(held.word.PerSecond, leastPerSecond)))
+	held.questionAt = now.Add(time.Duration(requests) * interval(questionPart*max(held.limit.PerSecond, leastPerSecond)))
 	return true
 }
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -3,7 +3,7 @@
 //
 // An endpoint is reached from its own region only. There one VM by rank, the keeper,
 // permits each request to it, whichever VM sends it and on whatever way it came. What one
-// VM reads from an answer all VMs of the region are told as a word.
+// VM reads from an answer is told to all VMs of the region.
 //
 // The package imports no network and no clock. The methods of a Throttle may be called
 // from any goroutine.
@@ -24,7 +24,7 @@
 	keeperLostFor = 500 * time.Millisecond
 	// againAfter is when an endpoint is tried again whose keeper is not agreed on.
 	againAfter = 100 * time.Millisecond
-	// forgetAfter is how long a word on an endpoint is kept that is not published: entries
+	// forgetAfter is how long the limit of an endpoint is kept that is not published: entries
 	// may lapse for as long as the store is away.
 	forgetAfter = time.Minute
 )
@@ -34,8 +34,8 @@
 	VM string
 	// StartedAt is when the process started: what its earlier life permitted is not known.
 	StartedAt time.Time
-	// Changed, if set, is told of each new word.
-	Changed func(w Word)
+	// Changed, if set, is told of each new limit.
+	Changed func(l Limit)
 }
 
 // Region is what this VM knows of the others of its region.
@@ -61,8 +61,8 @@
 
 // limited is an endpoint that has named a rate.
 type limited struct {
-	word Word
-	// learntAt is when this VM took the word, listedAt when the endpoint was last published.
+	limit Limit
+	// learntAt is when this VM took the limit, listedAt when the endpoint was last published.
 	learntAt time.Time
 	listedAt time.Time
 	// closedUntil is until when the keeper permits this VM nothing.
@@ -77,7 +77,7 @@
 // New makes a Throttle that knows of no rate.
 func New(o Options) *Throttle {
 	if o.Changed == nil {
-		o.Changed = func(Word) {}
+		o.Changed = func(Limit) {}
 	}
 	return &Throttle{
 		options: o,
@@ -96,10 +96,10 @@
 	Permit *Permit
 	// OpensAt is when this VM may send the next one, where it may not.
 	OpensAt time.Time
-	// Keeper is set where that VM decides, which is to be asked with the word. AskedAt is
+	// Keeper is set where that VM decides, which is to be asked with the limit. AskedAt is
 	// from when on its permit counts.
 	Keeper  *fleet.VM
-	Word    Word
+	Limit   Limit
 	AskedAt time.Time
 }
 
@@ -109,7 +109,7 @@
 	defer t.mu.Unlock()
 	t.census.Learn(len(r.Near), r.Known, now)
 	held := t.endpoints[e.ID]
-	if held == nil || !held.word.binds(e) {
+	if held == nil || !held.limit.binds(e) {
 		return Verdict{
 			Permit: &Permit{},
 		}
@@ -127,7 +127,7 @@
 	if keeper.ID != t.options.VM {
 		return Verdict{
 			Keeper:  &keeper,
-			Word:    held.word,
+			Limit:   held.limit,
 			AskedAt: now,
 		}
 	}
@@ -154,13 +154,13 @@
 
 // Decided takes the answer of the VM that a verdict named.
 func (t *Throttle) Decided(v Verdict, a Answer, now time.Time) Verdict {
-	t.Learn(a.Word, now)
+	t.Learn(a.Limit, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.lost, v.Keeper.ID)
-	held := t.endpoints[v.Word.Endpoint]
+	held := t.endpoints[v.Limit.Endpoint]
 	switch {
-	case held == nil || !held.word.Limited:
+	case held == nil || !held.limit.Active:
 		return Verdict{
 			Permit: &Permit{},
 		}
@@ -194,14 +194,14 @@
 }
 
 // Answered takes what an answer of an endpoint says of its rate. The request was sent at
-// sentAt: an answer to an earlier one may be from before the word that is held, so that it
+// sentAt: an answer to an earlier one may be from before the limit that is held, so that it
 // neither ends a limit nor raises it.
 func (t *Throttle) Answered(e fleet.Endpoint, r fleet.Rate, sentAt, now time.Time) {
 	t.mu.Lock()
-	var held Word
+	var held Limit
 	isLater := true
 	if known := t.endpoints[e.ID]; known != nil {
-		held = known.word
+		held = known.limit
 		isLater = sentAt.After(known.learntAt)
 	}
 	if !held.mayChange(e.Incarnation, r, isLater) {
@@ -214,38 +214,38 @@
 	t.options.Changed(next)
 }
 
-// Learn takes another VM's word, if it is newer than the one held.
-func (t *Throttle) Learn(w Word, now time.Time) (isNew bool) {
+// Learn takes another VM's limit, if it is newer than the one held.
+func (t *Throttle) Learn(l Limit, now time.Time) (isNew bool) {
 	t.mu.Lock()
-	known := t.endpoints[w.Endpoint]
-	isNew = w.Number > 0 && (known == nil || w.supersedes(known.word))
+	known := t.endpoints[l.Endpoint]
+	isNew = l.Version > 0 && (known == nil || l.supersedes(known.limit))
 	if isNew {
-		t.take(w, now)
+		t.take(l, now)
 	}
 	t.mu.Unlock()
 	if isNew {
-		t.options.Changed(w)
+		t.options.Changed(l)
 	}
 	return isNew
 }
 
-// take holds a word. Its bucket begins empty: what was sent before is not known.
-func (t *Throttle) take(w Word, now time.Time) {
-	held := t.endpoints[w.Endpoint]
+// take holds a limit. Its bucket begins empty: what was sent before is not known.
+func (t *Throttle) take(l Limit, now time.Time) {
+	held := t.endpoints[l.Endpoint]
 	if held == nil {
 		held = &limited{
 			listedAt: now,
 		}
-		t.endpoints[w.Endpoint] = held
+		t.endpoints[l.Endpoint] = held
 	}
-	if w.Incarnation != held.word.Incarnation || !held.word.Limited || !w.Limited {
+	if l.Incarnation != held.limit.Incarnation || !held.limit.Active || !l.Active {
 		held.bucket = bucket{
 			at: now,
 		}
 	}
-	held.word = w
+	held.limit = l
 	held.learntAt = now
-	if !w.Limited {
+	if !l.Active {
 		held.closedUntil = time.Time{}
 	}
 }
@@ -255,7 +255,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.endpoints[e.ID]
-	return held != nil && held.word.binds(e)
+	return held != nil && held.limit.binds(e)
 }
 
 // Listed takes which endpoints are published, and forgets others after a while.
--- a/throttle/throttle_test.go
+++ b/throttle/throttle_test.go
@@ -11,8 +11,8 @@
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
-// TestWords reads what answers say, in their order, and the words that this makes.
-func TestWords(t *testing.T) {
+// TestLimits reads what answers say, in their order, and the limits that this makes.
+func TestLimits(t *testing.T) {
 	start := time.Unix(1e9, 0)
 	for _, c := range datatest.Read[[]struct {
 		Name    string
@@ -22,16 +22,16 @@
 			AtMS        int
 			Incarnation int64
 			Rate        fleet.Rate
-			// Want is the number of the new word, zero for none.
+			// Want is the number of the new limit, zero for none.
 			Want uint32
 		}
 		Limited   bool
 		PerSecond float64
-	}](t, "testdata/words.json") {
+	}](t, "testdata/limits.json") {
 		t.Run(c.Name, func(t *testing.T) {
-			var last Word
+			var last Limit
 			throttle := New(Options{
-				Changed: func(w Word) { last = w },
+				Changed: func(w Limit) { last = w },
 			})
 			e := fleet.Endpoint{ID: "e"}
 			for _, a := range c.Answers {
@@ -43,7 +43,7 @@
 					assert.Equal(t, last, before)
 					continue
 				}
-				assert.Equal(t, last.Number, a.Want)
+				assert.Equal(t, last.Version, a.Want)
 			}
 			assert.Equal(t, throttle.IsLimited(e), c.Limited)
 			assert.Equal(t, last.PerSecond, c.PerSecond)
@@ -51,29 +51,29 @@
 	}
 }
 
-// TestWordsConverge holds that VMs which hear the same words in any order hold the same.
-func TestWordsConverge(t *testing.T) {
+// TestLimitsConverge holds that VMs which hear the same limits in any order hold the same.
+func TestLimitsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		words := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Word {
-			return Word{
+		limits := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Limit {
+			return Limit{
 				Endpoint:    rapid.SampledFrom([]string{"a", "b"}).Draw(t, "endpoint"),
 				Incarnation: rapid.Int64Range(0, 2).Draw(t, "incarnation"),
-				Number:      rapid.Uint32Range(1, 3).Draw(t, "number"),
-				Limited:     rapid.Bool().Draw(t, "limited"),
+				Version:     rapid.Uint32Range(1, 3).Draw(t, "number"),
+				Active:      rapid.Bool().Draw(t, "limited"),
 				PerSecond:   rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, "per_second"),
 			}
-		}), 1, 12).Draw(t, "words")
-		for i := range words {
-			if !words[i].Limited {
-				words[i].PerSecond = 0
+		}), 1, 12).Draw(t, "limits")
+		for i := range limits {
+			if !limits[i].Active {
+				limits[i].PerSecond = 0
 			}
 		}
 		now := time.Unix(1e9, 0)
 		one, two := New(Options{}), New(Options{})
-		for _, w := range words {
+		for _, w := range limits {
 			one.Learn(w, now)
 		}
-		for _, w := range rapid.Permutation(words).Draw(t, "order") {
+		for _, w := range rapid.Permutation(limits).Draw(t, "order") {
 			two.Learn(w, now)
 		}
 		assert.Equal(t, one.Digest(), two.Digest())
@@ -124,7 +124,7 @@
 	throttle := New(Options{
 		VM: "a",
 	})
-	throttle.Learn(Word{Endpoint: "e", Number: 1, Limited: true, PerSecond: 2}, now)
+	throttle.Learn(Limit{Endpoint: "e", Version: 1, Active: true, PerSecond: 2}, now)
 	r := Region{
 		Near: make([]fleet.VM, 4),
 	}
--- a/throttle/world_test.go
+++ b/throttle/world_test.go
@@ -112,10 +112,10 @@
 		StartedAt: at,
 	})
 	for i := range w.Endpoints {
-		v.throttle.Learn(Word{
+		v.throttle.Learn(Limit{
 			Endpoint:  endpointName(i),
-			Number:    1,
-			Limited:   true,
+			Version:   1,
+			Active:    true,
 			PerSecond: w.PerSecond,
 		}, at)
 	}
@@ -237,7 +237,7 @@
 	if !w.reaches(v, keeper, w.now) || w.now.Before(keeper.startedAt) {
 		return v.throttle.Unanswered(verdict, w.now).Permit != nil
 	}
-	a := keeper.throttle.Ask(verdict.Word, w.region(keeper), w.now)
+	a := keeper.throttle.Ask(verdict.Limit, w.region(keeper), w.now)
 	return v.throttle.Decided(verdict, a, w.now).Permit != nil
 }
 
