--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -48,6 +48,18 @@
 	})
 }
 
+// TestColdAgain plays an engine that starts again while it is cold and the store refuses reads.
+func TestColdAgain(t *testing.T) {
+	playTest(t, playLimited, Options{
+		Seed:    303,
+		Regions: 3,
+		VMs:     2,
+		Engines: 2,
+		Clients: 9,
+		For:     8 * time.Second,
+	})
+}
+
 // playTest plays a run of the real programs, in which nothing may be violated.
 func playTest(t *testing.T, played play, o Options) {
 	t.Helper()
