Routing: a change of one endpoint costs the same in a pool of any size

Callers of a large region saw late first tokens whenever endpoints came and went. Each change of one endpoint put the whole pool together anew: the map, the list of eligible endpoints and, where an id was new, the hash ring, which hashes and sorts 64 points for each endpoint. A release of a service changes as many endpoints as there are, so its cost grew with their square.

Pool.Update takes the endpoints that changed and those that are gone. SetEndpoints is built of the same parts.

Endpoints in backoff that drain stay among the ejected ones, so that the two agree; they were skipped there before too.

--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -33,8 +33,11 @@
 	// to the earlier one. It is zero for the first incarnation that this VM knows.
 	restartedAt time.Time
 	unlisted    bool
-	// eligibleIndex is the index in Pool.eligible, or -1.
+	// eligibleIndex is the index in Pool.eligible, or -1. listIndex is the index in
+	// Pool.endpoints, ringIndex that in ring.endpoints.
 	eligibleIndex int
+	listIndex     int
+	ringIndex     int32
 
 	inFlight int
 	history  inFlightHistory
@@ -88,13 +91,6 @@
 	}
 }
 
-// unlist removes the endpoint from its pool; calls in flight still end at it.
-func (e *endpoint) unlist() {
-	e.unlisted = true
-	e.eligibleIndex = -1
-	e.contribution = contribution{}
-}
-
 // draining reports whether the endpoint gets no new calls.
 func (e *endpoint) draining() bool {
 	return e.unlisted || e.State == fleet.StateLeaving || e.load.Leaving
--- a/routing/incarnation.go
+++ b/routing/incarnation.go
@@ -20,16 +20,8 @@
 func (p *Pool) restartEndpoint(old *endpoint, incarnation int64, now time.Time) *endpoint {
 	listed := old.Endpoint
 	listed.Incarnation = incarnation
-	e := newIncarnation(listed, now)
-	old.unlist()
-	p.byID[e.ID] = e
-	for i := range p.endpoints {
-		if p.endpoints[i] == old {
-			p.endpoints[i] = e
-		}
-	}
-	p.ring.bind(p.endpoints)
-	p.rebuildEligible(now)
+	e := p.replace(old, newIncarnation(listed, now), now)
+	p.updateEligibility(e, now)
 	return e
 }
 
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -170,7 +170,7 @@
 	vms       int
 	endpoints []*endpoint
 	byID      map[string]*endpoint
-	// eligible endpoints accept calls; ejected ones are in backoff.
+	// eligible endpoints accept calls; ejected ones are in backoff, draining ones included.
 	eligible       []*endpoint
 	ejected        []*endpoint
 	ring           ring
@@ -222,65 +222,117 @@
 func (p *Pool) SetEndpoints(list []fleet.Endpoint, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := p.ringFor(list)
-	byID := make(map[string]*endpoint, len(list))
-	endpoints := make([]*endpoint, 0, len(list))
-	for _, listed := range list {
-		e, ok := p.byID[listed.ID]
-		switch {
-		case !ok || e.Addr != listed.Addr:
-			e = newEndpoint(listed)
-		case listed.Incarnation > e.Incarnation:
-			e = newIncarnation(listed, now)
-		default:
-			// The list may be older than the incarnation that the endpoint reported.
-			listed.Incarnation = e.Incarnation
-		}
-		e.Endpoint = listed
-		byID[listed.ID] = e
-		endpoints = append(endpoints, e)
+	listed := make(map[string]bool, len(list))
+	for _, e := range list {
+		listed[e.ID] = true
 	}
-	for _, old := range p.endpoints {
-		if byID[old.ID] != old {
-			old.unlist()
+	for _, e := range slices.Clone(p.endpoints) {
+		if !listed[e.ID] {
+			p.remove(e, now)
 		}
 	}
-	p.byID = byID
-	p.endpoints = endpoints
-	p.ring = r
-	p.ring.bind(endpoints)
+	ordered := make([]*endpoint, 0, len(list))
+	for _, listed := range list {
+		e := p.put(listed, now)
+		e.listIndex = len(ordered)
+		ordered = append(ordered, e)
+	}
+	p.endpoints = ordered
 	p.rebuildEligible(now)
 }
 
-// ringFor reuses the ring if the list has the same endpoints, as building one sorts
-// pointsPerEndpoint entries for each.
-func (p *Pool) ringFor(list []fleet.Endpoint) ring {
-	same := slices.EqualFunc(p.endpoints, list, func(e *endpoint, listed fleet.Endpoint) bool {
-		return e.ID == listed.ID
-	})
-	if same {
-		return p.ring
+// Update adds or changes some of the listed endpoints and removes others, at a cost that
+// does not depend on how many are listed.
+func (p *Pool) Update(changed []fleet.Endpoint, removed []string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range removed {
+		if e := p.byID[id]; e != nil {
+			p.remove(e, now)
+		}
+	}
+	for _, listed := range changed {
+		p.updateEligibility(p.put(listed, now), now)
 	}
-	return newRing(list)
 }
 
-// rebuildEligible sorts all endpoints into eligible and ejected ones and recomputes the
+// put lists an endpoint or updates it. The caller updates its eligibility.
+func (p *Pool) put(listed fleet.Endpoint, now time.Time) *endpoint {
+	old := p.byID[listed.ID]
+	switch {
+	case old == nil:
+		e := newEndpoint(listed)
+		p.byID[e.ID] = e
+		e.listIndex = len(p.endpoints)
+		p.endpoints = append(p.endpoints, e)
+		p.ring.add(e)
+		return e
+	case old.Addr != listed.Addr:
+		return p.replace(old, newEndpoint(listed), now)
+	case listed.Incarnation > old.Incarnation:
+		return p.replace(old, newIncarnation(listed, now), now)
+	default:
+		// The list may be older than the incarnation that the endpoint reported.
+		listed.Incarnation = old.Incarnation
+		old.Endpoint = listed
+		return old
+	}
+}
+
+// replace puts e in the place of an endpoint with the same ID. Calls in flight end at the
+// old one.
+func (p *Pool) replace(old, e *endpoint, now time.Time) *endpoint {
+	p.unlist(old, now)
+	p.byID[e.ID] = e
+	e.listIndex = old.listIndex
+	p.endpoints[e.listIndex] = e
+	p.ring.replace(old, e)
+	return e
+}
+
+func (p *Pool) remove(e *endpoint, now time.Time) {
+	p.unlist(e, now)
+	delete(p.byID, e.ID)
+	last := p.endpoints[len(p.endpoints)-1]
+	p.endpoints[e.listIndex] = last
+	last.listIndex = e.listIndex
+	p.endpoints = p.endpoints[:len(p.endpoints)-1]
+	p.ring.remove(e)
+}
+
+// unlist takes an endpoint out of the eligible and the ejected ones.
+func (p *Pool) unlist(e *endpoint, now time.Time) {
+	e.unlisted = true
+	p.updateEligibility(e, now)
+	p.ejected = slices.DeleteFunc(p.ejected, func(other *endpoint) bool { return other == e })
+}
+
+// updateEligibility adds an endpoint to the eligible ones or removes it, and updates the
 // totals.
+func (p *Pool) updateEligibility(e *endpoint, now time.Time) {
+	accepts := !e.draining() && !e.ejected()
+	switch {
+	case accepts && e.eligibleIndex < 0:
+		p.addEligible(e)
+	case !accepts && e.eligibleIndex >= 0:
+		p.removeEligible(e)
+	}
+	p.updateTotals(e, now)
+}
+
+// rebuildEligible sorts all endpoints into eligible and ejected ones, in the order of the
+// list, and recomputes the totals.
 func (p *Pool) rebuildEligible(now time.Time) {
 	p.eligible = make([]*endpoint, 0, len(p.endpoints))
-	p.ejected = make([]*endpoint, 0, len(p.endpoints))
+	p.ejected = make([]*endpoint, 0, len(p.ejected))
 	p.totals = poolTotals{}
 	for _, e := range p.endpoints {
 		e.contribution = contribution{}
 		e.eligibleIndex = -1
-		switch {
-		case e.draining():
-		case e.ejected():
+		if e.ejected() {
 			p.ejected = append(p.ejected, e)
-		default:
-			p.addEligible(e)
 		}
-		p.updateTotals(e, now)
+		p.updateEligibility(e, now)
 	}
 }
 
@@ -301,13 +353,7 @@
 	}
 	p.clearSuspicion(e, l.At)
 	p.estimates.updateLoadShare(float64(e.ownInReport), float64(l.Running+l.Waiting), p.vms)
-	switch {
-	case e.draining() && e.eligibleIndex >= 0:
-		p.removeEligible(e)
-	case !e.draining() && !e.ejected() && e.eligibleIndex < 0:
-		p.addEligible(e)
-	}
-	p.updateTotals(e, now)
+	p.updateEligibility(e, now)
 }
 
 // Done releases a choice and updates the estimates from its outcome.
