Discovery: time passes without a look at every endpoint

VMs of a large fleet used up their processors without calls. With each message the control goroutine walked over all endpoints and all versions of their entries, to remove what had lapsed, to find the next deadline and, for each message it sent, to list what is cold: 0.41 ms of a full core for a message with 6,000 endpoints, 2 ms on a VM with a fifth of one.

Deadlines are in a priority queue, versions of removed endpoints in the order in which they expire, and degraded endpoints in a set. State says which endpoints changed since it was last asked, for those who keep lists of their own. An entry that is written anew and says the same is no change.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -59,6 +59,14 @@
 	// expired during its last outage are removed unless they were renewed.
 	storeLost   bool
 	graceEndsAt time.Time
+	// deadlines holds the times at which endpoints change without a message, expiring the
+	// versions of removed endpoints in the order in which they expire.
+	deadlines deadlines
+	expiring  []string
+	// degraded holds the endpoints that are cold or unreachable, and some that were.
+	// changed holds those that changed since the last TakeChanges.
+	degraded map[string]bool
+	changed  map[string]bool
 }
 
 // endpointState is an endpoint with the times at which its state changes.
@@ -83,6 +91,8 @@
 		endpoints: make(map[string]*endpointState),
 		versions:  make(map[string]entryVersion),
 		evacuated: make(map[string]bool),
+		degraded:  make(map[string]bool),
+		changed:   make(map[string]bool),
 	}
 }
 
@@ -131,9 +141,7 @@
 	case c.Table != nil:
 		return s.applyTable(c.Table)
 	case c.Evacuated != "":
-		was := s.evacuated[c.Evacuated]
-		s.evacuated[c.Evacuated] = !c.Removed
-		return was == c.Removed
+		return s.evacuate(c.Evacuated, !c.Removed)
 	case c.Endpoint != nil && c.Removed:
 		return s.removeEndpoint(c.Endpoint.ID, now)
 	case c.Endpoint != nil && c.Unreadable:
@@ -154,7 +162,22 @@
 	return true
 }
 
-// putEndpoint stores an endpoint's entry unless a newer one is known.
+// evacuate marks a data centre as evacuated or as back in use.
+func (s *State) evacuate(dataCentre string, evacuated bool) bool {
+	if s.evacuated[dataCentre] == evacuated {
+		return false
+	}
+	s.evacuated[dataCentre] = evacuated
+	for id, k := range s.endpoints {
+		if k.DataCentre == dataCentre {
+			s.changed[id] = true
+		}
+	}
+	return true
+}
+
+// putEndpoint stores an endpoint's entry unless a newer one is known. It reports whether
+// the entry says anything new.
 func (s *State) putEndpoint(e Endpoint, now time.Time) bool {
 	if !s.versions[e.ID].accepts(e) {
 		return false
@@ -172,10 +195,30 @@
 	if e.Remaining > 0 {
 		k.stopsAt = now.Add(e.Remaining)
 	}
+	before := s.endpoints[e.ID]
 	s.endpoints[e.ID] = k
+	if before != nil && before.settled() && k.settled() && before.Endpoint == k.Endpoint {
+		return false
+	}
+	s.schedule(k, k.coldUntil)
 	return true
 }
 
+// settled reports whether an endpoint does not change without a message.
+func (k *endpointState) settled() bool {
+	return k.coldUntil.IsZero() && k.unreachableUntil.IsZero() && k.removeAt.IsZero()
+}
+
+// schedule records that an endpoint has changed and changes again at the given time; zero
+// means not again.
+func (s *State) schedule(k *endpointState, at time.Time) {
+	s.changed[k.ID] = true
+	s.deadlines.add(k.ID, at)
+	if !k.coldUntil.IsZero() || !k.unreachableUntil.IsZero() {
+		s.degraded[k.ID] = true
+	}
+}
+
 // ReportCold records an endpoint's own report to this VM that it is cold, and returns whether
 // the report is new. The store reports it too, but not during an outage.
 func (s *State) ReportCold(id string, until, now time.Time) bool {
@@ -184,6 +227,7 @@
 		return false
 	}
 	k.coldReportNumber++
+	s.schedule(k, until)
 	return true
 }
 
@@ -199,7 +243,11 @@
 		return false
 	}
 	k.coldReportNumber = number
-	return k.extendCold(until)
+	if !k.extendCold(until) {
+		return false
+	}
+	s.schedule(k, until)
+	return true
 }
 
 // ReportUnreachable records that an endpoint did not answer the VM of the region that probes it,
@@ -210,6 +258,7 @@
 		return false
 	}
 	k.unreachableUntil = until
+	s.schedule(k, until)
 	return true
 }
 
@@ -249,7 +298,9 @@
 		k.removeAt = s.graceEndsAt
 	default:
 		s.deleteEndpoint(id, now)
+		return true
 	}
+	s.schedule(k, k.removeAt)
 	return true
 }
 
@@ -265,37 +316,53 @@
 
 func (s *State) deleteEndpoint(id string, now time.Time) {
 	delete(s.endpoints, id)
+	delete(s.degraded, id)
+	s.changed[id] = true
 	version := s.versions[id]
 	version.expiresAt = now.Add(versionRetention)
 	s.versions[id] = version
+	s.expiring = append(s.expiring, id)
 }
 
-// RemoveExpired removes endpoints whose grace period is over and expired versions.
-func (s *State) RemoveExpired(now time.Time) {
-	for id, k := range s.endpoints {
+// Advance applies the deadlines up to now: endpoints become warm or reachable again, and
+// those whose grace period is over are removed.
+func (s *State) Advance(now time.Time) {
+	for id, due := s.deadlines.takeDue(now); due; id, due = s.deadlines.takeDue(now) {
+		k, ok := s.endpoints[id]
+		if !ok {
+			continue
+		}
+		s.changed[id] = true
 		if !k.removeAt.IsZero() && !now.Before(k.removeAt) {
 			s.deleteEndpoint(id, now)
 		}
 	}
-	for id, version := range s.versions {
-		if !version.expiresAt.IsZero() && !now.Before(version.expiresAt) {
+	s.expireVersions(now)
+}
+
+// expireVersions forgets the versions of endpoints that were removed long ago. One that
+// returned and was removed again is listed twice.
+func (s *State) expireVersions(now time.Time) {
+	for len(s.expiring) > 0 {
+		id := s.expiring[0]
+		version, ok := s.versions[id]
+		if ok && now.Before(version.expiresAt) {
+			return
+		}
+		s.expiring = s.expiring[1:]
+		if ok && !version.expiresAt.IsZero() {
 			delete(s.versions, id)
 		}
 	}
 }
 
-// NextChange returns the earliest time after now at which an endpoint is removed, becomes warm
-// or counts as reachable again; zero means never.
-func (s *State) NextChange(now time.Time) time.Time {
-	var next time.Time
-	for _, k := range s.endpoints {
-		for _, at := range []time.Time{k.removeAt, k.coldUntil, k.unreachableUntil} {
-			if at.After(now) && (next.IsZero() || at.Before(next)) {
-				next = at
-			}
-		}
-	}
-	return next
+// NextChange returns the earliest time at which an endpoint is removed, becomes warm or
+// counts as reachable again; zero means never. Advance must have been called before.
+func (s *State) NextChange() time.Time {
+	return s.deadlines.next(func(d deadline) bool {
+		k, ok := s.endpoints[d.id]
+		return ok && (d.at.Equal(k.removeAt) || d.at.Equal(k.coldUntil) || d.at.Equal(k.unreachableUntil))
+	})
 }
 
 // Table returns the newest routing table, or nil if none is known.
@@ -318,14 +385,46 @@
 // order.
 func (s *State) Degraded(now time.Time) []AvailableEndpoint {
 	var out []AvailableEndpoint
-	for _, k := range s.endpoints {
-		if s.acceptsCalls(k) && (k.coldUntil.After(now) || k.unreachableUntil.After(now)) {
+	for id := range s.degraded {
+		k := s.endpoints[id]
+		switch {
+		case !k.coldUntil.After(now) && !k.unreachableUntil.After(now):
+			delete(s.degraded, id)
+		case s.acceptsCalls(k):
 			out = append(out, k.ready(now))
 		}
 	}
 	return out
 }
 
+// EndpointChange says what became of one endpoint.
+type EndpointChange struct {
+	ID string
+	// Endpoint is nil if the endpoint no longer accepts calls.
+	Endpoint *AvailableEndpoint
+}
+
+// TakeChanges returns the endpoints that may have changed since the last call, in no
+// particular order.
+func (s *State) TakeChanges(now time.Time) []EndpointChange {
+	if len(s.changed) == 0 {
+		return nil
+	}
+	out := make([]EndpointChange, 0, len(s.changed))
+	for id := range s.changed {
+		c := EndpointChange{
+			ID: id,
+		}
+		if k, ok := s.endpoints[id]; ok && s.acceptsCalls(k) {
+			ready := k.ready(now)
+			c.Endpoint = &ready
+		}
+		out = append(out, c)
+	}
+	clear(s.changed)
+	return out
+}
+
 func (s *State) acceptsCalls(k *endpointState) bool {
 	return k.State == fleet.StateLive && !s.evacuated[k.DataCentre]
 }
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -43,7 +43,7 @@
 			s := New(Options{Grace: 2 * time.Second})
 			for _, step := range c.Steps {
 				now = applyStep(t, s, step, now)
-				s.RemoveExpired(now)
+				s.Advance(now)
 			}
 			got := []string{}
 			for _, e := range s.Endpoints(now) {
--- a/site/control.go
+++ b/site/control.go
@@ -154,8 +154,8 @@
 	if !c.nextEndpointChange.IsZero() && !now.Before(c.nextEndpointChange) {
 		c.endpointsChanged = true
 	}
-	c.discovery.RemoveExpired(now)
-	c.nextEndpointChange = c.discovery.NextChange(now)
+	c.discovery.Advance(now)
+	c.nextEndpointChange = c.discovery.NextChange()
 	before := c.snapshot()
 	after := &snapshot{
 		table:       c.discovery.Table(),
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -238,8 +238,8 @@
 		return
 	}
 	v.endpointsChanged = false
-	v.discovery.RemoveExpired(now)
-	v.endpointsDueAt = v.discovery.NextChange(now)
+	v.discovery.Advance(now)
+	v.endpointsDueAt = v.discovery.NextChange()
 	v.pool.SetVMs(len(v.snapshot().Members))
 	v.pool.SetEndpoints(v.endpoints(), now)
 }
