Site: a change of one endpoint touches its own pool alone

Late first tokens and late news of other changes, on each VM of the fleet at once, whenever an endpoint came, went, became cold or was renewed. For each such change a VM copied and sorted all 6,000 endpoints, counted them by service twice, sorted them into pools anew and put a map of all engines of other regions together, the latter also for each change of a member, of which a start of 584 VMs brings hundreds.

The pools are updated with the changes that discovery names. endpointIndex holds what accepts calls and its counts; a service whose endpoints are used in another way than before (configured now, most of them unreachable) is updated as a whole. Whether a region is in reach is asked when an engine there is chosen as a source. VMs that poll no engine no longer work out who does.

A change of a member still grows with the members. Tests of sources name changes in place of whole lists; what they check is the same.

--- a/routing/incarnation_test.go
+++ b/routing/incarnation_test.go
@@ -132,13 +132,14 @@
 	now := time.Unix(1e9, 0)
 	p := New(Options{})
 	p.SetEndpoints([]fleet.Endpoint{endpointIncarnation("a", 1)}, now)
-	p.SetRemoteEndpoints([]fleet.Endpoint{endpointIncarnation("x", 1), endpointIncarnation("y", 1)})
+	p.SetReachableRegions([]string{""})
+	p.UpdateRemote([]fleet.Endpoint{endpointIncarnation("x", 1), endpointIncarnation("y", 1)}, nil)
 	prefixes := sharedPromptRequest().Prefixes
 	p.AddHoldings([]Holding{
 		{Hash: prefixes[0].Hash, Tokens: prefixes[0].Tokens, Endpoint: "y", UsedAt: now},
 		{Hash: prefixes[1].Hash, Tokens: prefixes[1].Tokens, Endpoint: "x", UsedAt: now},
 	}, now)
 	assert.Equal(t, p.remote.bestSource(prefixes, nil, now).addr, "addr-x")
-	p.SetRemoteEndpoints([]fleet.Endpoint{endpointIncarnation("x", 2), endpointIncarnation("y", 1)})
+	p.UpdateRemote([]fleet.Endpoint{endpointIncarnation("x", 2)}, nil)
 	assert.Equal(t, p.remote.bestSource(prefixes, nil, now).addr, "addr-y")
 }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -201,7 +201,8 @@
 		prefixHolders: map[uint64]*endpoint{},
 		peersHeardAt:  map[string]time.Time{},
 		remote: remoteEngines{
-			holders: map[uint64]Holding{},
+			endpoints: map[string]fleet.Endpoint{},
+			holders:   map[uint64]Holding{},
 		},
 	}
 }
--- a/routing/source.go
+++ b/routing/source.go
@@ -24,24 +24,32 @@
 type remoteEngines struct {
 	endpoints map[string]fleet.Endpoint
 	holders   map[uint64]Holding
+	// reachable are the regions that are in reach.
+	reachable []string
 }
 
-// SetRemoteEndpoints replaces the engines of other regions.
-func (p *Pool) SetRemoteEndpoints(list []fleet.Endpoint) {
-	endpoints := make(map[string]fleet.Endpoint, len(list))
-	for _, e := range list {
-		endpoints[e.ID] = e
-	}
+// UpdateRemote adds or changes some engines of other regions and removes others.
+func (p *Pool) UpdateRemote(changed []fleet.Endpoint, removed []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, id := range removed {
+		delete(p.remote.endpoints, id)
+	}
 	restarted := make(map[string]bool)
-	for id, e := range endpoints {
-		if old, ok := p.remote.endpoints[id]; ok && old.Incarnation < e.Incarnation {
-			restarted[id] = true
+	for _, e := range changed {
+		if old, ok := p.remote.endpoints[e.ID]; ok && old.Incarnation < e.Incarnation {
+			restarted[e.ID] = true
 		}
+		p.remote.endpoints[e.ID] = e
 	}
 	p.remote.dropHoldings(restarted)
-	p.remote.endpoints = endpoints
+}
+
+// SetReachableRegions sets the other regions whose engines may be used as fetch sources.
+func (p *Pool) SetReachableRegions(regions []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remote.reachable = regions
 }
 
 // record stores a holding of another region's engine.
@@ -75,7 +83,7 @@
 			continue
 		}
 		e, ok := f.endpoints[h.Endpoint]
-		if !ok || len(homes) > 0 && !slices.Contains(homes, e.Region) {
+		if !ok || !slices.Contains(f.reachable, e.Region) || len(homes) > 0 && !slices.Contains(homes, e.Region) {
 			continue
 		}
 		return fetchSource{
--- a/routing/source_test.go
+++ b/routing/source_test.go
@@ -38,14 +38,13 @@
 		t.Run(c.Name, func(t *testing.T) {
 			p := New(Options{})
 			p.SetEndpoints(enginesInRegion("near", "a", "b"), now)
-			p.SetRemoteEndpoints(enginesInRegion("far", "x", "y"))
+			p.SetReachableRegions([]string{"far"})
+			p.UpdateRemote(enginesInRegion("far", "x", "y"), nil)
 			prefixes := Prefixes("", promptParts(9))
 			for _, h := range c.Held {
 				p.AddHoldings([]Holding{newHolding(h, prefixes, now)}, now)
 			}
-			p.SetRemoteEndpoints(slices.DeleteFunc(enginesInRegion("far", "x", "y"), func(e fleet.Endpoint) bool {
-				return slices.Contains(c.Gone, e.ID)
-			}))
+			p.UpdateRemote(nil, c.Gone)
 			got := p.findSource(p.byID[c.Ring], Request{Prefixes: prefixes, Homes: c.Homes}, now)
 			assert.Equal(t, got.addr, c.Want.Addr)
 			assert.Equal(t, got.tokens, c.Want.Tokens)
@@ -83,7 +82,8 @@
 	now := time.Unix(1e9, 0)
 	p := New(Options{})
 	p.SetEndpoints(enginesInRegion("near", "a", "b"), now)
-	p.SetRemoteEndpoints(enginesInRegion("far", "x"))
+	p.SetReachableRegions([]string{"far"})
+	p.UpdateRemote(enginesInRegion("far", "x"), nil)
 	prefixes := Prefixes("", promptParts(9))
 	p.AddHoldings([]Holding{newHolding(holdingRow{Endpoint: "x", Tokens: 5000}, prefixes, now)}, now)
 	r := Request{
@@ -109,7 +109,8 @@
 func TestRemoteHoldingsPruned(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	p := New(Options{})
-	p.SetRemoteEndpoints(enginesInRegion("far", "x"))
+	p.SetReachableRegions([]string{"far"})
+	p.UpdateRemote(enginesInRegion("far", "x"), nil)
 	for i := range uint64(maxHolders) {
 		p.AddHoldings([]Holding{{Hash: i + 1, Tokens: 5000, Endpoint: "x", UsedAt: now}}, now)
 	}
--- a/site/cold.go
+++ b/site/cold.go
@@ -48,7 +48,6 @@
 }
 
 func (c *control) markCold(id string, until, now time.Time) {
-	c.endpointsChanged = true
 	c.node.log.Info("endpoint_cold", "endpoint", id, "left_ms", until.Sub(now).Milliseconds())
 }
 
--- a/site/control.go
+++ b/site/control.go
@@ -33,9 +33,8 @@
 
 // snapshot is the immutable state that request goroutines read.
 type snapshot struct {
-	table     *route.Table
-	endpoints []discovery.AvailableEndpoint
-	members   *roster.Snapshot
+	table   *route.Table
+	members *roster.Snapshot
 	// meteringFleet holds the members as the limit meter sees them.
 	meteringFleet metering.Fleet
 	// regionLoads holds the latest load reports of other regions by service.
@@ -57,7 +56,6 @@
 	published atomic.Pointer[snapshot]
 	// nextEndpointChange is when the state of an endpoint next changes without a message.
 	nextEndpointChange time.Time
-	endpointsChanged   bool
 	// resuming is the result of Roster.Resuming at the previous step, to detect the
 	// transition.
 	resuming bool
@@ -151,82 +149,33 @@
 
 // publish replaces the snapshot and notifies the components that depend on it.
 func (c *control) publish(now time.Time) {
-	if !c.nextEndpointChange.IsZero() && !now.Before(c.nextEndpointChange) {
-		c.endpointsChanged = true
-	}
 	c.discovery.Advance(now)
 	c.nextEndpointChange = c.discovery.NextChange()
 	before := c.snapshot()
 	after := &snapshot{
 		table:       c.discovery.Table(),
-		endpoints:   before.endpoints,
 		regionLoads: c.regionLoadsByService(now),
 		revision:    c.mirror.Revision(),
 	}
 	c.roster.SetReady(after.table != nil && !c.node.draining.Load())
 	after.members = c.roster.Snapshot()
 	after.meteringFleet = before.meteringFleet
-	if before.members.Generation != after.members.Generation {
+	membersChanged := before.members.Generation != after.members.Generation
+	if membersChanged {
 		after.meteringFleet = c.buildMeteringFleet(after)
 	}
-	if c.endpointsChanged {
-		after.endpoints = c.discovery.Endpoints(now)
-		c.pruneEndpointLimits(after.endpoints, now)
-	}
 	c.published.Store(after)
-	if c.endpointsChanged {
-		c.logEndpointChanges(before, after)
+	if changes := c.discovery.TakeChanges(now); len(changes) > 0 || before.table != after.table {
+		c.node.pools.applyChanges(changes, after, now)
+		c.node.throttle.SetPublished(c.node.pools.index.has, now)
 	}
-	switch {
-	case c.endpointsChanged:
-		c.node.pools.applySnapshot(after, now)
-	case before.members.Generation != after.members.Generation:
+	if membersChanged {
 		c.node.pools.updateMembers(after)
-	}
-	if before.members.Generation != after.members.Generation {
 		c.node.quarantine.MembersChanged()
 	}
-	c.endpointsChanged = false
 	c.logChanges(before, after)
 }
 
-// endpointCount counts the endpoints of one service that accept work.
-type endpointCount struct {
-	warm, cold int
-}
-
-// logEndpointChanges logs the services of the local region whose endpoint counts
-// changed.
-func (c *control) logEndpointChanges(before, after *snapshot) {
-	beforeCounts, afterCounts := c.countEndpoints(before), c.countEndpoints(after)
-	for service, count := range afterCounts {
-		if beforeCounts[service] != count {
-			c.node.log.Info("endpoints_changed", "service", service, "warm", count.warm, "cold", count.cold)
-		}
-		delete(beforeCounts, service)
-	}
-	for service := range beforeCounts {
-		c.node.log.Warn("endpoints_changed", "service", service, "warm", 0, "cold", 0)
-	}
-}
-
-func (c *control) countEndpoints(snap *snapshot) map[string]endpointCount {
-	out := make(map[string]endpointCount)
-	for _, e := range snap.endpoints {
-		if e.Region != c.node.deployment.Region {
-			continue
-		}
-		count := out[e.Service]
-		if e.ColdUntil.IsZero() {
-			count.warm++
-		} else {
-			count.cold++
-		}
-		out[e.Service] = count
-	}
-	return out
-}
-
 // observeRTT adds a measurement of the round-trip time to a region.
 func (c *control) observeRTT(region string, measured time.Duration) {
 	known, ok := c.rtts[region]
@@ -278,8 +227,6 @@
 				continue
 			}
 		}
-		if c.discovery.Apply(change, now) {
-			c.endpointsChanged = true
-		}
+		c.discovery.Apply(change, now)
 	}
 }
--- a/site/entries_test.go
+++ b/site/entries_test.go
@@ -29,7 +29,7 @@
 		Now:      func() time.Time { return now },
 	})
 	c := n.control
-	for _, remote := range fleetRumors() {
+	for _, remote := range fleetRumors(largeFleet.vms) {
 		if remote.VM.Region == "r2" {
 			c.roster.Receive(remote, []roster.Rumor{remote}, now)
 			break
--- a/site/freshness_test.go
+++ b/site/freshness_test.go
@@ -37,7 +37,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			now := time.Unix(1e9, 0)
 			at := func(ms int64) time.Time { return time.Unix(1e9, 0).Add(time.Duration(ms) * time.Millisecond) }
-			n := newFleetNode(func() time.Time { return now })
+			n := newFleetNode(largeFleet, func() time.Time { return now })
 			n.bounds.Load().KeyRevocationTimeout = time.Duration(c.WithinMs) * time.Millisecond
 			n.control.applyItems([]discovery.Item{{
 				Key:      "op/config",
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -15,14 +15,9 @@
 	}
 	n.metrics.SetMembers(reached, suspected)
 	warm, cold := 0, 0
-	for _, e := range snap.endpoints {
-		switch {
-		case e.Region != n.deployment.Region:
-		case e.ColdUntil.IsZero():
-			warm++
-		default:
-			cold++
-		}
+	for _, counts := range n.pools.index.serviceCounts() {
+		warm += counts.warm
+		cold += counts.cold
 	}
 	n.metrics.SetEndpoints(warm, cold)
 	if snap.table != nil {
--- a/site/holdings.go
+++ b/site/holdings.go
@@ -44,7 +44,7 @@
 
 func (p *pools) holdingMessages(limit int, now time.Time, list func(*pool) []routing.Holding) []*peerpb.PrefixHolding {
 	var out []*peerpb.PrefixHolding
-	for service, pool := range p.table.Load().byService {
+	for service, pool := range p.all() {
 		for _, h := range list(pool) {
 			if len(out) == limit {
 				return out
@@ -72,7 +72,7 @@
 		})
 	}
 	for service, holdings := range byService {
-		if pool := p.table.Load().byService[service]; pool != nil {
+		if pool := p.all()[service]; pool != nil {
 			pool.Endpoints.AddHoldings(holdings, now)
 		}
 	}
--- a/site/keys_test.go
+++ b/site/keys_test.go
@@ -36,7 +36,7 @@
 // table, so that a revoked key is refused.
 func TestJudgeAnew(t *testing.T) {
 	now := time.Unix(1e9, 0)
-	n := newFleetNode(func() time.Time { return now })
+	n := newFleetNode(largeFleet, func() time.Time { return now })
 	for _, c := range datatest.Read[[]readmitCase](t, "testdata/readmit.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			forwarded := routedCall(c.Key)
--- a/site/loads.go
+++ b/site/loads.go
@@ -108,7 +108,7 @@
 // localLoadMessages lists the load of this region by service for VMs of other regions.
 func (p *pools) localLoadMessages(now time.Time) []*peerpb.RegionLoad {
 	var out []*peerpb.RegionLoad
-	for service, pool := range p.table.Load().byService {
+	for service, pool := range p.all() {
 		expected, ok := pool.Endpoints.Expect(routing.Request{
 			PromptTokens: referencePromptTokens,
 		}, now)
--- a/site/pending.go
+++ b/site/pending.go
@@ -79,7 +79,7 @@
 	note = &peerpb.UnreadNote{
 		From: p.node.identity(),
 	}
-	for _, pool := range p.table.Load().byService {
+	for _, pool := range p.all() {
 		list, poolChanges := pool.Endpoints.PrefillQueues()
 		changes += poolChanges
 		for _, u := range list {
@@ -110,7 +110,7 @@
 	for _, e := range m.GetEngines() {
 		list = append(list, pendingPromptsFromMessage(e, sentAt))
 	}
-	for _, pool := range p.table.Load().byService {
+	for _, pool := range p.all() {
 		pool.Endpoints.SetPeerQueues(m.GetFrom().GetVm(), list, sentAt, p.node.now())
 	}
 }
--- a/site/polling.go
+++ b/site/polling.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -146,13 +148,14 @@
 // enginesToPoll returns the engines assigned to this VM.
 func (p *pools) enginesToPoll() []fleet.Endpoint {
 	pollers := p.pollers()
-	var out []fleet.Endpoint
-	for _, e := range p.table.Load().engines {
-		if owner := entry.Owner(e.ID, pollers); owner == "" || owner == p.node.deployment.VM {
-			out = append(out, e)
-		}
+	if !slices.Contains(pollers, p.node.deployment.VM) {
+		return nil
 	}
-	return out
+	snap := p.node.control.snapshot()
+	return p.index.localEndpoints(func(e discovery.AvailableEndpoint) bool {
+		service, configured := snap.service(e.Service)
+		return configured && service.IsEngine && e.ColdUntil.IsZero() && entry.Owner(e.ID, pollers) == p.node.deployment.VM
+	})
 }
 
 // pollers returns the ids of the VMs of the region that poll engines.
--- a/site/pools.go
+++ b/site/pools.go
@@ -1,12 +1,13 @@
 package site
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -14,20 +15,17 @@
 	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
-// pools holds the endpoints of the region by service. The control goroutine replaces the
-// table; requests read it without locks.
+// pools holds the endpoints of the region by service. The control goroutine updates them
+// with the endpoints that changed; requests read them without its help.
 type pools struct {
 	node    *Node
 	reports loadReports
-	table   atomic.Pointer[poolTable]
-}
-
-type poolTable struct {
-	byService map[string]*pool
-	// available holds the endpoints that accept work, engines those that report their load,
-	// unreachable ones included.
-	available []fleet.Endpoint
-	engines   []fleet.Endpoint
+	index   *endpointIndex
+	// byService is replaced when a service gets its pool, which it keeps.
+	byService atomic.Pointer[map[string]*pool]
+	// inUse are the services whose endpoints are in their pools. Only the control
+	// goroutine accesses it.
+	inUse map[string]bool
 }
 
 type pool struct {
@@ -37,101 +35,86 @@
 
 func newPools(n *Node) *pools {
 	p := &pools{
-		node: n,
+		node:  n,
+		index: newEndpointIndex(n.deployment.Region),
+		inUse: make(map[string]bool),
 	}
 	p.reports.latest = make(map[string]loadReport)
 	p.reports.lastBroadcast = make(map[string]routing.Load)
-	p.table.Store(&poolTable{
-		byService: make(map[string]*pool),
-	})
+	p.byService.Store(&map[string]*pool{})
 	return p
 }
 
-// applySnapshot updates the pools with the endpoints and members of a snapshot.
-func (p *pools) applySnapshot(snap *snapshot, now time.Time) {
-	before := p.table.Load()
-	after := &poolTable{
-		byService: make(map[string]*pool),
-	}
-	warm := make(map[string][]fleet.Endpoint)
-	unreachableServices := mostlyUnreachable(snap.endpoints, p.node.deployment.Region)
-	for _, e := range snap.endpoints {
-		service, named := snap.service(e.Service)
-		if e.Region != p.node.deployment.Region || !named {
-			continue
-		}
-		if after.byService[e.Service] == nil {
-			after.byService[e.Service] = p.poolFor(before, e.Service)
-		}
-		if !e.ColdUntil.IsZero() {
-			continue
-		}
-		if service.IsEngine {
-			after.engines = append(after.engines, e.Endpoint)
-		}
-		endpoint := e.Endpoint
-		if e.UnreachableUntil.IsZero() || unreachableServices[e.Service] {
-			after.available = append(after.available, endpoint)
-		} else {
-			// A leaving endpoint gets no calls, but the pool retains its statistics.
-			endpoint.State = fleet.StateLeaving
+// all returns the pools by service. The caller must not modify the map.
+func (p *pools) all() map[string]*pool {
+	return *p.byService.Load()
+}
+
+// applyChanges updates the pools with the endpoints that changed, and with all endpoints of
+// the services that are used in another way than before.
+func (p *pools) applyChanges(changes []discovery.EndpointChange, snap *snapshot, now time.Time) {
+	updates := newPoolUpdates(p.node.deployment.Region)
+	countsBefore := p.index.serviceCounts()
+	for _, c := range changes {
+		if before, known := p.index.apply(c); known {
+			updates.replace(before, c.Endpoint)
 		}
-		warm[e.Service] = append(warm[e.Service], endpoint)
 	}
-	for service, existing := range before.byService {
-		if after.byService[service] == nil {
-			after.byService[service] = existing
+	counts := p.index.serviceCounts()
+	p.reviewServices(updates, snap, countsBefore, counts)
+	for _, c := range changes {
+		if c.Endpoint != nil && p.inUse[c.Endpoint.Service] {
+			updates.put(*c.Endpoint, counts[c.Endpoint.Service])
 		}
 	}
-	for service, pool := range after.byService {
-		pool.Endpoints.SetEndpoints(warm[service], now)
+	for service, u := range updates.byService {
+		if pool := p.all()[service]; pool != nil {
+			pool.Endpoints.Update(u.local, u.localRemoved, now)
+			pool.Endpoints.UpdateRemote(u.remote, u.remoteRemoved)
+		}
 	}
-	p.table.Store(after)
-	p.updateMembers(snap)
+	p.logCounts(countsBefore, counts)
 }
 
-// mostlyUnreachable returns the services of a region with more than half of their
-// endpoints unreachable. The cause is then likely on the side of the VMs, so the
-// endpoints stay in use.
-func mostlyUnreachable(endpoints []discovery.AvailableEndpoint, region string) map[string]bool {
-	total, unreached := make(map[string]int), make(map[string]int)
-	for _, e := range endpoints {
-		if e.Region != region {
+// reviewServices adds all endpoints of services that are configured from now on, removes
+// those of services that no longer are, and adds those of services anew whose unreachable
+// endpoints are used from now on or no longer are.
+func (p *pools) reviewServices(updates *poolUpdates, snap *snapshot, before, after map[string]endpointCounts) {
+	for service := range p.inUse {
+		if _, configured := snap.service(service); !configured {
+			delete(p.inUse, service)
+			for _, e := range p.index.ofService(service) {
+				updates.remove(e)
+			}
+		}
+	}
+	for service, counts := range after {
+		if _, configured := snap.service(service); !configured {
 			continue
 		}
-		total[e.Service]++
-		if !e.UnreachableUntil.IsZero() {
-			unreached[e.Service]++
+		flipped := counts.mostlyUnreachable() != before[service].mostlyUnreachable()
+		if p.inUse[service] && !flipped {
+			continue
+		}
+		p.inUse[service] = true
+		p.ensurePool(service, snap)
+		for _, e := range p.index.ofService(service) {
+			updates.put(e, counts)
 		}
 	}
-	out := make(map[string]bool)
-	for service, count := range unreached {
-		out[service] = 2*count > total[service]
-	}
-	return out
 }
 
-// updateMembers updates the pools with the members only, which change far more often
-// than the endpoints while a fleet starts.
+// updateMembers updates the pools with the members, which change far more often than the
+// endpoints while a fleet starts.
 func (p *pools) updateMembers(snap *snapshot) {
-	remote := p.remoteEndpoints(snap)
-	vms := p.countRegionVMs(snap)
-	for service, pool := range p.table.Load().byService {
-		pool.Endpoints.SetRemoteEndpoints(remote[service])
-		pool.Endpoints.SetVMs(vms)
+	for _, pool := range p.all() {
+		p.setMembers(pool, snap)
 	}
 }
 
-// remoteEndpoints returns the endpoints of other reachable regions by service. Engines
-// fetch cached prefixes from them.
-func (p *pools) remoteEndpoints(snap *snapshot) map[string][]fleet.Endpoint {
-	out := make(map[string][]fleet.Endpoint)
-	for _, e := range snap.endpoints {
-		if e.Region != p.node.deployment.Region && len(snap.members.ReachableVMs(e.Region)) > 0 {
-			out[e.Service] = append(out[e.Service], e.Endpoint)
-		}
-	}
-	return out
+func (p *pools) setMembers(pool *pool, snap *snapshot) {
+	pool.Endpoints.SetVMs(max(snap.meteringFleet.Known, 1))
+	pool.Endpoints.SetReachableRegions(slices.Collect(maps.Keys(snap.meteringFleet.Remote)))
 }
 
 // service returns a configured service. Endpoints of other services are ignored.
@@ -142,26 +125,15 @@
 	return snap.table.Service(name)
 }
 
-// countRegionVMs counts the VMs of the region, which share its endpoints.
-func (p *pools) countRegionVMs(snap *snapshot) int {
-	n := 0
-	for i := range snap.members.Members {
-		m := &snap.members.Members[i]
-		if m.VM.Region == p.node.deployment.Region {
-			n++
-		}
-	}
-	return max(n, 1)
-}
-
-func (p *pools) poolFor(before *poolTable, service string) *pool {
-	if existing := before.byService[service]; existing != nil {
-		return existing
+// ensurePool creates the pool of a service unless there is one.
+func (p *pools) ensurePool(service string, snap *snapshot) {
+	if p.all()[service] != nil {
+		return
 	}
 	endpoints := routing.New(routing.Options{
 		Disabled: p.disabledRouting(),
 	})
-	return &pool{
+	created := &pool{
 		Pool: serving.Pool{
 			Endpoints: endpoints,
 			Queue: admission.New(admission.Options{
@@ -171,6 +143,10 @@
 		},
 		budget: p.newRetryWindow(),
 	}
+	p.setMembers(created, snap)
+	pools := maps.Clone(p.all())
+	pools[service] = created
+	p.byService.Store(&pools)
 }
 
 // disabledRouting returns the routing mechanisms that the settings disable.
@@ -203,12 +179,12 @@
 func (p *pools) retryBudget() serving.Budget {
 	return serving.Budget{
 		OnRequest: func(service string) {
-			if pool := p.table.Load().byService[service]; pool != nil {
+			if pool := p.all()[service]; pool != nil {
 				pool.budget.OnRequest()
 			}
 		},
 		Allow: func(service string) bool {
-			pool := p.table.Load().byService[service]
+			pool := p.all()[service]
 			return pool != nil && pool.budget.Allow()
 		},
 	}
@@ -216,7 +192,7 @@
 
 // find returns the pool of a service in this region.
 func (p *pools) find(service string) (*serving.Pool, bool) {
-	pool, ok := p.table.Load().byService[service]
+	pool, ok := p.all()[service]
 	if !ok {
 		return nil, false
 	}
--- a/site/pull_test.go
+++ b/site/pull_test.go
@@ -17,7 +17,7 @@
 // TestSinglePull checks that a VM notified of a new revision by many peers at once pulls
 // it from one of them only, and a later revision once more.
 func TestSinglePull(t *testing.T) {
-	n := newFleetNode(time.Now)
+	n := newFleetNode(largeFleet, time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = n.control.run(ctx) }()
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"slices"
 
 	"github.com/fuchsianotch/fuchsianotch/common/tcp"
-	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/quarantine/agent"
@@ -30,9 +28,7 @@
 // isPublished reports whether the store lists this incarnation of an endpoint as
 // accepting work.
 func (n *Node) isPublished(e fleet.Endpoint) bool {
-	return slices.ContainsFunc(n.control.snapshot().endpoints, func(known discovery.AvailableEndpoint) bool {
-		return known.ID == e.ID && known.Incarnation == e.Incarnation
-	})
+	return n.pools.index.contains(e.ID, e.Incarnation)
 }
 
 // reachableMembers returns this VM and all reachable ones; partitioned is set if more
--- a/site/reports.go
+++ b/site/reports.go
@@ -45,7 +45,7 @@
 // reportDue reports whether the load of an engine has to be requested.
 func (p *pools) reportDue(e fleet.Endpoint) bool {
 	inFlight := false
-	if pool := p.table.Load().byService[e.Service]; pool != nil {
+	if pool := p.all()[e.Service]; pool != nil {
 		inFlight = pool.Endpoints.InFlight(e.ID) > 0
 	}
 	p.reports.mu.Lock()
@@ -62,7 +62,7 @@
 		p.reports.latest[id] = r
 	}
 	p.reports.mu.Unlock()
-	if pool := p.table.Load().byService[r.service]; newer && pool != nil {
+	if pool := p.all()[r.service]; newer && pool != nil {
 		pool.Endpoints.Report(id, r.load, p.node.now())
 	}
 }
--- a/site/resume.go
+++ b/site/resume.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -38,13 +40,24 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
 	var probes sync.WaitGroup
-	for _, e := range p.table.Load().available {
+	for _, e := range p.warmEndpoints() {
 		probes.Go(func() { p.probeCold(timeoutCtx, e) })
 	}
 	probes.Wait()
 	p.node.control.send(ctx, func(c *control, _ time.Time) { c.roster.RecordProbe(startedAt) })
 }
 
+// warmEndpoints returns the endpoints of the region that the pools use.
+func (p *pools) warmEndpoints() []fleet.Endpoint {
+	snap := p.node.control.snapshot()
+	counts := p.index.serviceCounts()
+	return p.index.localEndpoints(func(e discovery.AvailableEndpoint) bool {
+		_, configured := snap.service(e.Service)
+		usable := e.UnreachableUntil.IsZero() || counts[e.Service].mostlyUnreachable()
+		return configured && e.ColdUntil.IsZero() && usable
+	})
+}
+
 // awaitFreshState blocks until the endpoint state is newer than the last process pause.
 // Otherwise all calls that queued up during the pause could go to endpoints that have
 // become cold.
--- a/site/throttle.go
+++ b/site/throttle.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -143,7 +142,7 @@
 
 // reopen lets calls go to a closed endpoint again.
 func (p *pools) reopen(endpointID string) {
-	for _, pool := range p.table.Load().byService {
+	for _, pool := range p.all() {
 		pool.Endpoints.PauseUntil(endpointID, time.Time{})
 	}
 }
@@ -162,12 +161,3 @@
 		c.node.throttle.Learn(peer.EndpointLimitFromProto(m), now)
 	}
 }
-
-// pruneEndpointLimits drops the limits of endpoints that are no longer published.
-func (c *control) pruneEndpointLimits(endpoints []discovery.AvailableEndpoint, now time.Time) {
-	published := make(map[string]bool, len(endpoints))
-	for _, e := range endpoints {
-		published[e.ID] = true
-	}
-	c.node.throttle.SetPublished(func(id string) bool { return published[id] }, now)
-}
--- a/site/unreachable.go
+++ b/site/unreachable.go
@@ -35,7 +35,6 @@
 }
 
 func (c *control) markUnreachable(id string, until, now time.Time) {
-	c.endpointsChanged = true
 	c.node.log.Info("endpoint_unreached", "endpoint", id, "left_ms", until.Sub(now).Milliseconds())
 }
 
