Mirror: a peer's question costs what has changed, and many removals are kept

With each change in the store every VM answers two peers that ask for it, and walked all 6,000 items to find the one or two. Each removal copied the list of the 512 latest. And that list was the same whatever the store holds: after the loss of more endpoints than that, as of a region of the users' whole fleet, all who were behind read everything anew, hundreds of VMs at a time.

Items and removals are listed by revision; the list is searched and drops what is outdated now and then. As many removals are kept as there are items, 512 at least.

TestMirrorAfterLossOfManyItems fails on the code before (everything is read anew after 1,365 of 4,096 items were removed).

TestMirrorSendsAllAfterCompaction removed one key again and again.

--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -1,10 +1,14 @@
 package discovery
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
-// maxTombstones is the number of removals that a mirror keeps for its readers. A reader
-// that is further behind gets a full snapshot.
-const maxTombstones = 512
+// minTombstones is the number of removals that a mirror at least keeps for its readers. It
+// keeps as many as it has items if those are more, so that the loss of a large part of them
+// does not make all readers read everything anew.
+const minTombstones = 512
 
 // Item is an item of the store, or its removal.
 type Item struct {
@@ -19,16 +23,20 @@
 type Mirror struct {
 	revision uint64
 	items    map[string]Item
-	// tombstones holds removals in the order of their revisions; those up to
-	// compactedRevision were discarded.
-	tombstones        []Item
+	// tombstones holds the latest removals; those up to compactedRevision may have been
+	// discarded.
+	tombstones        map[string]Item
 	compactedRevision uint64
+	// history and removals list the items and the tombstones by revision.
+	history  revisionLog
+	removals revisionLog
 }
 
 // NewMirror returns an empty mirror.
 func NewMirror() *Mirror {
 	return &Mirror{
-		items: make(map[string]Item),
+		items:      make(map[string]Item),
+		tombstones: make(map[string]Item),
 	}
 }
 
@@ -45,6 +53,9 @@
 			applied = append(applied, c)
 		}
 	}
+	m.history.sort(m.items)
+	m.removals.sort(m.tombstones)
+	m.dropTombstones()
 	m.revision = max(m.revision, revision)
 	return applied
 }
@@ -80,55 +91,90 @@
 	if ok && held.Revision >= c.Revision {
 		return false
 	}
+	if removal, removed := m.tombstones[c.Key]; removed && removal.Revision >= c.Revision {
+		return false
+	}
 	if c.Removed {
-		if !ok || m.removedSince(c) {
-			return false
+		if ok {
+			delete(m.items, c.Key)
+			m.tombstones[c.Key] = c
+			m.removals.add(c)
 		}
-		delete(m.items, c.Key)
-		m.addTombstone(c)
-		return true
-	}
-	if m.removedSince(c) {
-		return false
+		return ok
 	}
 	m.items[c.Key] = c
+	m.history.add(c)
 	return true
 }
 
-// removedSince reports whether a removal of the key at c's revision or later is known.
-func (m *Mirror) removedSince(c Item) bool {
-	for _, t := range m.tombstones {
-		if t.Key == c.Key && t.Revision >= c.Revision {
-			return true
+// dropTombstones discards the oldest removals beyond the number that is kept.
+func (m *Mirror) dropTombstones() {
+	for len(m.tombstones) > max(minTombstones, len(m.items)) {
+		first := m.removals.entries[0]
+		m.removals.entries = m.removals.entries[1:]
+		if m.tombstones[first.key].Revision == first.revision {
+			delete(m.tombstones, first.key)
+			m.compactedRevision = max(m.compactedRevision, first.revision)
 		}
 	}
-	return false
-}
-
-func (m *Mirror) addTombstone(c Item) {
-	m.tombstones = append(m.tombstones, c)
-	if over := len(m.tombstones) - maxTombstones; over > 0 {
-		m.compactedRevision = m.tombstones[over-1].Revision
-		m.tombstones = slices.Clone(m.tombstones[over:])
-	}
 }
 
 // ChangesSince returns the changes after a revision for a peer. If removals may be missing, it
 // returns all items and full is true.
 func (m *Mirror) ChangesSince(after uint64) (items []Item, full bool) {
-	full = after == 0 || after < m.compactedRevision
-	for _, item := range m.items {
-		if full || item.Revision > after {
+	if after == 0 || after < m.compactedRevision {
+		items = make([]Item, 0, len(m.items))
+		for _, item := range m.items {
 			items = append(items, item)
 		}
-	}
-	if full {
 		return items, true
 	}
-	for _, t := range m.tombstones {
-		if t.Revision > after {
-			items = append(items, t)
+	items = m.history.appendSince(items, after, m.items)
+	return m.removals.appendSince(items, after, m.tombstones), false
+}
+
+// revisionLog lists keys by the revision at which they changed. Entries of keys that have
+// changed again since are outdated.
+type revisionLog struct {
+	entries  []revisionEntry
+	unsorted bool
+}
+
+type revisionEntry struct {
+	revision uint64
+	key      string
+}
+
+func (l *revisionLog) add(item Item) {
+	if last := len(l.entries) - 1; last >= 0 && l.entries[last].revision > item.Revision {
+		l.unsorted = true
+	}
+	l.entries = append(l.entries, revisionEntry{
+		revision: item.Revision,
+		key:      item.Key,
+	})
+}
+
+// sort restores the order after additions, and drops outdated entries if most are.
+func (l *revisionLog) sort(current map[string]Item) {
+	if l.unsorted {
+		slices.SortStableFunc(l.entries, func(a, b revisionEntry) int { return cmp.Compare(a.revision, b.revision) })
+		l.unsorted = false
+	}
+	if len(l.entries) > 2*len(current)+minTombstones {
+		l.entries = slices.DeleteFunc(l.entries, func(e revisionEntry) bool { return current[e.key].Revision != e.revision })
+	}
+}
+
+// appendSince appends the current items that changed after a revision.
+func (l *revisionLog) appendSince(items []Item, after uint64, current map[string]Item) []Item {
+	first, _ := slices.BinarySearchFunc(l.entries, after+1, func(e revisionEntry, revision uint64) int {
+		return cmp.Compare(e.revision, revision)
+	})
+	for _, e := range l.entries[first:] {
+		if item, ok := current[e.key]; ok && item.Revision == e.revision {
+			items = append(items, item)
 		}
 	}
-	return items, false
+	return items
 }
--- a/discovery/mirror_test.go
+++ b/discovery/mirror_test.go
@@ -56,9 +56,10 @@
 // full snapshot.
 func TestMirrorSendsAllAfterCompaction(t *testing.T) {
 	m := NewMirror()
-	for i := range uint64(maxTombstones + 10) {
-		m.Apply([]Item{{Key: "k", Revision: 2*i + 1}}, 2*i+1)
-		m.Apply([]Item{{Key: "k", Revision: 2*i + 2, Removed: true}}, 2*i+2)
+	for i := range uint64(minTombstones + 10) {
+		key := fmt.Sprintf("k%d", i)
+		m.Apply([]Item{{Key: key, Revision: 2*i + 1}}, 2*i+1)
+		m.Apply([]Item{{Key: key, Revision: 2*i + 2, Removed: true}}, 2*i+2)
 	}
 	_, full := m.ChangesSince(2)
 	assert.Assert(t, full)
@@ -67,6 +68,56 @@
 	assert.Equal(t, len(items), 1)
 }
 
+// TestMirrorAfterLossOfManyItems guards against readers that read everything anew as more
+// items were removed than a mirror of few items keeps removals.
+func TestMirrorAfterLossOfManyItems(t *testing.T) {
+	const items = 8 * minTombstones
+	m := NewMirror()
+	var all []Item
+	for i := range uint64(items) {
+		all = append(all, Item{
+			Key:      fmt.Sprintf("k%d", i),
+			Revision: i + 1,
+		})
+	}
+	m.Replace(all, items)
+	for i := range uint64(items / 3) {
+		revision := items + i + 1
+		m.Apply([]Item{{
+			Key:      fmt.Sprintf("k%d", i),
+			Revision: revision,
+			Removed:  true,
+		}}, revision)
+	}
+	changes, full := m.ChangesSince(items)
+	assert.Assert(t, !full)
+	assert.Equal(t, len(changes), items/3)
+	changes, full = m.ChangesSince(m.Revision() - 2)
+	assert.Assert(t, !full)
+	assert.Equal(t, len(changes), 2)
+}
+
+// BenchmarkChangesSince measures what a VM does for one that is a few changes behind, and
+// for a removal.
+func BenchmarkChangesSince(b *testing.B) {
+	for _, n := range []uint64{600, 6000, 12000} {
+		b.Run(fmt.Sprintf("items=%d", n), func(b *testing.B) {
+			m := NewMirror()
+			for i := range n {
+				m.Apply([]Item{{Key: fmt.Sprintf("k%d", i), Revision: i + 1}}, i+1)
+			}
+			revision := n
+			b.ReportAllocs()
+			for b.Loop() {
+				m.Apply([]Item{{Key: fmt.Sprintf("k%d", revision%n), Revision: revision + 1, Removed: true}}, revision+1)
+				m.Apply([]Item{{Key: fmt.Sprintf("k%d", revision%n), Revision: revision + 2}}, revision+2)
+				revision += 2
+				m.ChangesSince(revision - 4)
+			}
+		})
+	}
+}
+
 func syncFrom(peer, reader *Mirror) {
 	items, full := reader.ChangesSince(peer.Revision())
 	if full {
