--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -119,10 +119,16 @@
 	}
 }
 
-// ChangesSince returns the changes after a revision for a peer. If removals may be missing, it
-// returns all items and full is true.
+// NeedsSnapshot reports whether a peer at a revision needs all items, as removals may be
+// missing among the changes.
+func (m *Mirror) NeedsSnapshot(after uint64) bool {
+	return after == 0 || after < m.compactedRevision
+}
+
+// ChangesSince returns the changes after a revision for a peer, or all items if the peer
+// needs a snapshot; then full is true.
 func (m *Mirror) ChangesSince(after uint64) (items []Item, full bool) {
-	if after == 0 || after < m.compactedRevision {
+	if m.NeedsSnapshot(after) {
 		items = make([]Item, 0, len(m.items))
 		for _, item := range m.items {
 			items = append(items, item)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -137,12 +137,13 @@
 }
 
 // Published fetches items of the store that a VM holds.
-func (c *Client) Published(ctx context.Context, vm fleet.VM, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
-	reply, err := c.client(ctx, vm).Published(ctx, in)
+func (c *Client) Published(ctx context.Context, vm fleet.VM, in *peerpb.PublishedRequest) (reply *peerpb.PublishedReply, packed []byte, err error) {
+	reply, err = c.client(ctx, vm).Published(ctx, in)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return reply, decompressItems(reply)
+	packed = reply.GetPacked()
+	return reply, packed, decompressItems(reply)
 }
 
 // Events fetches events of a VM's timeline.
--- a/site/pull.go
+++ b/site/pull.go
@@ -29,8 +29,6 @@
 	// pulling is set during a pull; nextNotice is the best notice received meanwhile.
 	pulling    bool
 	nextNotice revisionNotice
-	// fullReply caches the last encoded reply with the full contents.
-	fullReply *peerpb.PublishedReply
 }
 
 // revisionNotice says that a VM holds the store up to a revision.
@@ -86,13 +84,20 @@
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	reply, err := n.peers.Published(timeoutCtx, notice.vm, &peerpb.PublishedRequest{
+	reply, packed, err := n.peers.Published(timeoutCtx, notice.vm, &peerpb.PublishedRequest{
 		AfterRevision: after,
 	})
 	if err != nil {
 		n.log.Warn("pull_failed", "peer", notice.vm.ID, "reason", err.Error())
 		return
 	}
+	if reply.GetRevision() <= after {
+		n.log.Debug("pull_refused", "peer", notice.vm.ID, "revision", notice.revision)
+		return
+	}
+	if reply.GetWhole() {
+		n.snapshots.keep(reply.GetRevision(), packed)
+	}
 	read := storeRead{
 		items:    itemsFromMessage(reply.GetItems()),
 		revision: reply.GetRevision(),
@@ -113,42 +118,37 @@
 	return vm.Region != own && len(p.node.control.snapshot().members.ReachableVMs(own)) > 1
 }
 
-// handlePublished returns the store contents that this VM holds after a revision.
+// handlePublished returns the changes after a revision, or all that this VM holds.
 func (p *puller) handlePublished(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
 	reply, err := query(ctx, p.node.control, func(c *control, now time.Time) *peerpb.PublishedReply {
-		return c.publishedReply(in.GetAfterRevision(), now)
+		return c.changesReply(in.GetAfterRevision(), now)
 	})
 	if err != nil {
 		return nil, err
 	}
-	return p.packReply(reply)
-}
-
-// packReply encodes a reply. A full reply is encoded once for all requests.
-func (p *puller) packReply(r *peerpb.PublishedReply) (*peerpb.PublishedReply, error) {
-	if !r.GetWhole() {
-		return peer.CompressItems(r)
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.fullReply.GetRevision() == r.GetRevision() && p.fullReply.GetSettlingMs() == r.GetSettlingMs() {
-		return p.fullReply, nil
-	}
-	packed, err := peer.CompressItems(r)
-	if err != nil {
-		return nil, err
+	if reply.GetWhole() {
+		return p.node.snapshots.reply(ctx, in.GetAfterRevision(), reply)
 	}
-	p.fullReply = packed
-	return packed, nil
+	return peer.CompressItems(reply)
 }
 
-func (c *control) publishedReply(revision uint64, now time.Time) *peerpb.PublishedReply {
-	items, full := c.mirror.ChangesSince(revision)
+// changesReply returns the changes after a revision. To a peer that needs all items the
+// reply has none yet.
+func (c *control) changesReply(after uint64, now time.Time) *peerpb.PublishedReply {
 	reply := &peerpb.PublishedReply{
 		Revision:   c.mirror.Revision(),
-		Whole:      full,
+		Whole:      c.mirror.NeedsSnapshot(after),
 		SettlingMs: uint32(c.discovery.GraceRemaining(now).Milliseconds()),
 	}
+	if !reply.GetWhole() {
+		c.addItems(reply, after)
+	}
+	return reply
+}
+
+func (c *control) addItems(reply *peerpb.PublishedReply, after uint64) {
+	items, _ := c.mirror.ChangesSince(after)
+	reply.Items = make([]*peerpb.PublishedItem, 0, len(items))
 	for _, item := range items {
 		reply.Items = append(reply.Items, &peerpb.PublishedItem{
 			Key:      item.Key,
@@ -157,7 +157,6 @@
 			Removed:  item.Removed,
 		})
 	}
-	return reply
 }
 
 func itemsFromMessage(list []*peerpb.PublishedItem) []discovery.Item {
--- a/site/site.go
+++ b/site/site.go
@@ -101,6 +101,7 @@
 	// endpointLimitsPending is set while a spread of endpoint rate limits is queued.
 	endpointLimitsPending atomic.Bool
 	puller                *puller
+	snapshots             *snapshots
 	control               *control
 	callerServer          *http.Server
 
@@ -174,6 +175,7 @@
 	n.puller = &puller{
 		node: n,
 	}
+	n.snapshots = newSnapshots(n)
 	n.control = newControl(n)
 	n.pools = newPools(n)
 	n.quarantine = n.newQuarantineAgent()
--- /dev/null
+++ b/site/snapshots.go
@@ -0,0 +1,101 @@
+package site
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/peer"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+)
+
+// snapshotReuse is how long an encoded snapshot is sent to peers, which then ask for what
+// has changed since. Encoding one for each revision takes longer than revisions last.
+const snapshotReuse = 2 * time.Second
+
+// snapshots sends all that this VM holds of the store to VMs that have just started or are
+// far behind.
+type snapshots struct {
+	node *Node
+
+	mu     sync.Mutex
+	budget discovery.SnapshotBudget
+	// packed are the compressed items at a revision, as encoded or received at packedAt.
+	packed   []byte
+	revision uint64
+	packedAt time.Time
+}
+
+func newSnapshots(n *Node) *snapshots {
+	return &snapshots{
+		node: n,
+		budget: discovery.SnapshotBudget{
+			LinkBytesPerSecond: n.deployment.LinkBytesPerSecond,
+		},
+	}
+}
+
+// keep stores a snapshot that was received, to be passed on as it is.
+func (s *snapshots) keep(revision uint64, packed []byte) {
+	if len(packed) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision > s.revision {
+		s.packed = packed
+		s.revision = revision
+		s.packedAt = s.node.now()
+	}
+}
+
+// reply completes a reply to a peer at a revision with a snapshot. If no other may be sent
+// now, the reply stays at the peer's revision, and the peer asks another VM.
+func (s *snapshots) reply(ctx context.Context, after uint64, reply *peerpb.PublishedReply) (*peerpb.PublishedReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.node.now()
+	if !s.budget.IsOpen(now) {
+		return &peerpb.PublishedReply{
+			Revision: after,
+		}, nil
+	}
+	if s.revision <= after || now.Sub(s.packedAt) > snapshotReuse {
+		full, err := s.build(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if len(full.GetPacked()) == 0 {
+			// Too small to be compressed.
+			s.budget.Add(proto.Size(full), now)
+			full.SettlingMs = reply.GetSettlingMs()
+			return full, nil
+		}
+		s.packed = full.GetPacked()
+		s.revision = full.GetRevision()
+		s.packedAt = now
+	}
+	s.budget.Add(len(s.packed), now)
+	reply.Revision = s.revision
+	reply.Packed = s.packed
+	return reply, nil
+}
+
+// build encodes all items that this VM holds.
+func (s *snapshots) build(ctx context.Context) (*peerpb.PublishedReply, error) {
+	reply, err := query(ctx, s.node.control, func(c *control, _ time.Time) *peerpb.PublishedReply {
+		reply := &peerpb.PublishedReply{
+			Revision: c.mirror.Revision(),
+			Whole:    true,
+		}
+		c.addItems(reply, 0)
+		return reply
+	})
+	if err != nil {
+		return nil, err
+	}
+	return peer.CompressItems(reply)
+}
--- a/site/store.go
+++ b/site/store.go
@@ -127,8 +127,9 @@
 
 const (
 	// initialReadDelay is how long a VM that has just started waits for the store contents
-	// from its peers. If a whole fleet starts at once, reads by every VM would saturate the
-	// links between regions.
+	// from its peers. Then the first readersPerRegion by rank read the store, after each
+	// further delay as many more: the store must not be read by every VM of a fleet that
+	// starts, and not be left unread if those VMs cannot reach it.
 	initialReadDelay = 600 * time.Millisecond
 	// initialReadDelayAlone applies while no peers are known: the seeds may start later, and
 	// callers connect as soon as this VM listens.
@@ -141,11 +142,16 @@
 	if slices.Contains(n.deployment.Seeds, n.deployment.PeerAddr) {
 		return true
 	}
-	wait := initialReadDelay
-	if len(n.control.snapshot().members.Members) <= 1 {
-		wait = initialReadDelayAlone
+	waited := n.now().Sub(n.startedAt)
+	members := n.control.snapshot().members
+	switch {
+	case n.puller.isPulling():
+		return false
+	case len(members.Members) <= 1:
+		return waited >= initialReadDelayAlone
+	default:
+		return members.ReadsStore(readersPerRegion * int(waited/initialReadDelay))
 	}
-	return n.now().Sub(n.startedAt) >= wait && !n.puller.isPulling()
 }
 
 const (
