Roster: a change of one member rebuilds the lists of its region alone

A start of 584 VMs and each round of planned stops bring hundreds of changes of members, and each made every VM sort all members, copy them into three lists and put two maps together to log the difference; the steps in between sorted the members again to draw a target, and walked maps.

Members are kept sorted.

--- a/roster/digest.go
+++ b/roster/digest.go
@@ -59,8 +59,8 @@
 	if differs(r.self.VM.ID) {
 		out = append(out, r.self)
 	}
-	for id, m := range r.members {
-		if differs(id) {
+	for _, m := range r.sorted {
+		if differs(m.VM.ID) {
 			out = append(out, m.Rumor)
 		}
 	}
@@ -70,7 +70,7 @@
 // RecentRumors returns the latest rumors, to be pushed with the next message.
 func (r *Roster) RecentRumors(now time.Time) []Rumor {
 	var recent []*member
-	for _, m := range r.members {
+	for _, m := range r.sorted {
 		if now.Sub(m.updatedAt) < recentPeriod {
 			recent = append(recent, m)
 		}
--- a/roster/member_index_test.go
+++ b/roster/member_index_test.go
@@ -47,10 +47,12 @@
 
 // recomputeSums recomputes the sums and invalidates the member index.
 func (r *Roster) recomputeSums() {
-	r.memberIndexStale = true
+	r.memberIndex = nil
+	r.shownSelf = nil
 	r.bucketSums = bucketSums{}
 	r.bucketSums.add(r.self)
 	for _, m := range r.members {
+		m.shown = nil
 		r.bucketSums.add(m.Rumor)
 	}
 }
@@ -68,7 +70,7 @@
 func drawRumor(t *rapid.T, id string) Rumor {
 	version := rapid.Uint32Range(1, 3).Draw(t, "version")
 	return Rumor{
-		VM:          fleet.VM{ID: id, Region: "one"},
+		VM:          fleet.VM{ID: id, Region: regionOf(id)},
 		Incarnation: rapid.Uint64Range(1, 2).Draw(t, "incarnation"),
 		Version:     version,
 		State:       State(rapid.IntRange(int(StateAlive), int(StateLeft)).Draw(t, "state")),
@@ -76,6 +78,13 @@
 	}
 }
 
+func regionOf(id string) string {
+	if id == "vm-1" || id == "vm-5" {
+		return "two"
+	}
+	return "one"
+}
+
 // fleetSize is the number of VMs in the benchmarks.
 const fleetSize = 295
 
--- a/roster/receive.go
+++ b/roster/receive.go
@@ -24,11 +24,7 @@
 		return
 	}
 	if !ok {
-		m = &member{
-			Rumor: rumor,
-		}
-		r.members[rumor.VM.ID] = m
-		r.bucketSums.add(rumor)
+		m = r.addMember(rumor)
 	}
 	if rumor.Incarnation != m.Incarnation || rumor.State == StateAlive {
 		m.misses = 0
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -109,7 +109,9 @@
 	regions        []string
 	rand           func() uint64
 	members        map[string]*member
-	bucketSums     bucketSums
+	// sorted holds the members by ID.
+	sorted     []*member
+	bucketSums bucketSums
 	// localRound holds the members of the own region still to contact, in random order.
 	localRound  []string
 	nextRoundAt time.Time
@@ -126,6 +128,8 @@
 	// changed.
 	memberIndex      *memberIndex
 	memberIndexStale bool
+	// shownSelf is this VM as Snapshots show it.
+	shownSelf *Member
 }
 
 // member is a rumor with this VM's own observations.
@@ -137,6 +141,8 @@
 	nextExchangeAt time.Time
 	// updatedAt is when the rumor was received or created.
 	updatedAt time.Time
+	// shown is the member as Snapshots show it; nil if they don't.
+	shown *Member
 }
 
 // New returns a Roster that knows only itself.
@@ -208,7 +214,7 @@
 	r.detectPause(now)
 	r.expireMembers(now)
 	var due []Target
-	for _, m := range r.members {
+	for _, m := range r.sorted {
 		if m.doubtful() && !now.Before(m.nextExchangeAt) {
 			m.nextExchangeAt = now.Add(r.gossipInterval / doubtfulIntervalDivisor)
 			due = append(due, r.target(m))
@@ -246,7 +252,7 @@
 	found := map[string]bool{
 		r.self.VM.Region: true,
 	}
-	for _, m := range r.members {
+	for _, m := range r.sorted {
 		if m.State < StateDead {
 			found[m.VM.Region] = true
 		}
@@ -257,7 +263,7 @@
 // Next returns when Step must be called again.
 func (r *Roster) Next(now time.Time) time.Time {
 	next := r.nextRoundAt
-	for _, m := range r.members {
+	for _, m := range r.sorted {
 		if m.doubtful() && m.nextExchangeAt.Before(next) {
 			next = m.nextExchangeAt
 		}
@@ -285,7 +291,7 @@
 		r.resumedAt = now
 		r.resuming = true
 		r.memberIndexStale = true
-		for _, m := range r.members {
+		for _, m := range r.sorted {
 			m.misses = 0
 			if m.State == StateSuspect {
 				m.suspectAt = now
@@ -317,16 +323,30 @@
 // expireMembers marks members dead whose suspicion has lasted too long, and removes
 // those that have been dead for long.
 func (r *Roster) expireMembers(now time.Time) {
-	for id, m := range r.members {
+	r.sorted = slices.DeleteFunc(r.sorted, func(m *member) bool {
 		switch {
 		case m.State == StateSuspect && !now.Before(m.suspectAt.Add(suspectIntervals*r.gossipInterval)):
 			m.deadAt = now
 			r.setState(m, StateDead, now)
 		case m.State >= StateDead && !now.Before(m.deadAt.Add(deadRetentionIntervals*r.gossipInterval)):
 			r.bucketSums.remove(m.Rumor)
-			delete(r.members, id)
+			delete(r.members, m.VM.ID)
+			return true
 		}
+		return false
+	})
+}
+
+// addMember adds a member with its first rumor.
+func (r *Roster) addMember(rumor Rumor) *member {
+	m := &member{
+		Rumor: rumor,
 	}
+	r.members[rumor.VM.ID] = m
+	at, _ := slices.BinarySearchFunc(r.sorted, rumor.VM.ID, func(m *member, id string) int { return cmp.Compare(m.VM.ID, id) })
+	r.sorted = slices.Insert(r.sorted, at, m)
+	r.bucketSums.add(rumor)
+	return m
 }
 
 func (r *Roster) target(m *member) Target {
--- a/roster/snapshot.go
+++ b/roster/snapshot.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -23,8 +22,9 @@
 // Snapshot is an immutable snapshot of the roster that request handlers read.
 type Snapshot struct {
 	Self fleet.VM
-	// Members holds all members that aren't dead, including this VM, sorted by ID.
-	Members []Member
+	// Members holds all members that aren't dead, including this VM, sorted by ID. They
+	// must not be modified.
+	Members []*Member
 	// Generation changes whenever Members does.
 	Generation uint64
 	// MaxKnown is the largest number of VMs known at once.
@@ -41,15 +41,6 @@
 	taking  map[string][]fleet.VM
 }
 
-// memberIndex holds the members shown by Snapshots. It is immutable, so Snapshots share
-// it until a member changes.
-type memberIndex struct {
-	generation uint64
-	members    []Member
-	reached    map[string][]fleet.VM
-	taking     map[string][]fleet.VM
-}
-
 // ReachableVMs returns a region's reachable VMs. The result must not be modified.
 func (s *Snapshot) ReachableVMs(region string) []fleet.VM {
 	return s.reached[region]
@@ -91,55 +82,10 @@
 	}
 }
 
-// rebuildMemberIndex rebuilds the index after a change. Most messages change nothing,
-// and their Snapshots reuse the previous index.
-func (r *Roster) rebuildMemberIndex() {
-	next := &memberIndex{
-		generation: 1,
-		members:    make([]Member, 0, len(r.members)+1),
-		reached:    make(map[string][]fleet.VM),
-		taking:     make(map[string][]fleet.VM),
-	}
-	if r.memberIndex != nil {
-		next.generation = r.memberIndex.generation + 1
-	}
-	next.members = append(next.members, Member{
-		VM:              r.self.VM,
-		Incarnation:     r.self.Incarnation,
-		Reachable:       r.self.State == StateAlive,
-		Ready:           r.self.Ready,
-		StoreUnreadable: r.self.StoreUnreadable,
-	})
-	for _, m := range r.members {
-		if m.State >= StateDead {
-			continue
-		}
-		next.members = append(next.members, Member{
-			VM:              m.VM,
-			Incarnation:     m.Incarnation,
-			Reachable:       m.State == StateAlive && m.misses < missesToSuspect,
-			Ready:           m.Ready,
-			StoreUnreadable: m.StoreUnreadable,
-		})
-	}
-	slices.SortFunc(next.members, func(a, b Member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
-	for _, m := range next.members {
-		if !m.Reachable {
-			continue
-		}
-		next.reached[m.VM.Region] = append(next.reached[m.VM.Region], m.VM)
-		if m.Ready {
-			next.taking[m.VM.Region] = append(next.taking[m.VM.Region], m.VM)
-		}
-	}
-	r.memberIndex = next
-	r.memberIndexStale = false
-}
-
 // StoreUnreadable reports whether a VM of the own region fails to read the store. The region
 // may then miss changes.
 func (s *Snapshot) StoreUnreadable() bool {
-	return slices.ContainsFunc(s.Members, func(m Member) bool {
+	return slices.ContainsFunc(s.Members, func(m *Member) bool {
 		isSelf := m.VM.ID == s.Self.ID
 		return m.StoreUnreadable && m.VM.Region == s.Self.Region && (isSelf || m.Reachable)
 	})
--- a/roster/snapshot_test.go
+++ b/roster/snapshot_test.go
@@ -11,7 +11,7 @@
 
 // countReaders counts the VMs of a region that read the store, each judging by its own
 // Snapshot.
-func countReaders(members []Member) int {
+func countReaders(members []*Member) int {
 	count := 0
 	for _, m := range members {
 		s := &Snapshot{Self: m.VM, Members: members}
@@ -26,9 +26,9 @@
 // failed ones, and that all keep reading if the store turns all of them away.
 func TestReads(t *testing.T) {
 	for _, vms := range []int{1, 2, 3, 40} {
-		members := make([]Member, 0, vms)
+		members := make([]*Member, 0, vms)
 		for i := range vms {
-			members = append(members, Member{
+			members = append(members, &Member{
 				VM:        fleet.VM{ID: fmt.Sprintf("vm-%d", i), Region: "r"},
 				Reachable: true,
 			})
@@ -46,7 +46,7 @@
 		members[first].StoreUnreadable = true
 		// The VM that is turned away keeps trying, and another one replaces it.
 		assert.Assert(t, countReaders(members) >= 2)
-		others := append([]Member{}, members[:first]...)
+		others := append([]*Member{}, members[:first]...)
 		assert.Equal(t, countReaders(append(others, members[first+1:]...)), 2)
 		for i := range members {
 			members[i].StoreUnreadable = true
--- a/roster/target.go
+++ b/roster/target.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/fuchsianotch/fuchsianotch/fleet"
@@ -18,12 +17,11 @@
 				return []Target{r.target(m)}
 			}
 		}
-		for id, m := range r.members {
+		for _, m := range r.sorted {
 			if m.VM.Region == r.self.VM.Region && m.State < StateDead {
-				r.localRound = append(r.localRound, id)
+				r.localRound = append(r.localRound, m.VM.ID)
 			}
 		}
-		slices.Sort(r.localRound)
 		r.shuffleLocalRound()
 	}
 	return nil
@@ -39,7 +37,7 @@
 // RandomTargets returns up to count random members of the own region, to receive a new rumor.
 func (r *Roster) RandomTargets(count int) []Target {
 	var alive []*member
-	for _, m := range r.sortedMembers() {
+	for _, m := range r.sorted {
 		if m.VM.Region == r.self.VM.Region && m.State == StateAlive {
 			alive = append(alive, m)
 		}
@@ -77,7 +75,7 @@
 // countLocalAlive counts the alive members of the own region, including this one.
 func (r *Roster) countLocalAlive() int {
 	count := 1
-	for _, m := range r.members {
+	for _, m := range r.sorted {
 		if m.VM.Region == r.self.VM.Region && m.State == StateAlive {
 			count++
 		}
@@ -96,7 +94,7 @@
 func (r *Roster) remoteRegions() []*remoteRegion {
 	var out []*remoteRegion
 	byName := make(map[string]*remoteRegion)
-	for _, m := range r.sortedMembers() {
+	for _, m := range r.sorted {
 		if m.VM.Region == r.self.VM.Region || m.State >= StateDead {
 			continue
 		}
@@ -118,7 +116,7 @@
 // deadTargets returns one random dead member.
 func (r *Roster) deadTargets() []Target {
 	var list []*member
-	for _, m := range r.sortedMembers() {
+	for _, m := range r.sorted {
 		if m.State == StateDead {
 			list = append(list, m)
 		}
@@ -129,19 +127,10 @@
 	return []Target{r.target(list[r.rand()%uint64(len(list))])}
 }
 
-func (r *Roster) sortedMembers() []*member {
-	list := make([]*member, 0, len(r.members))
-	for _, m := range r.members {
-		list = append(list, m)
-	}
-	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.VM.ID, b.VM.ID) })
-	return list
-}
-
 // seedTargets returns the seeds at which no alive member is known.
 func (r *Roster) seedTargets() []Target {
 	known := make(map[string]bool)
-	for _, m := range r.members {
+	for _, m := range r.sorted {
 		if m.State < StateDead {
 			known[m.VM.PeerAddr] = true
 		}
--- a/site/control.go
+++ b/site/control.go
@@ -201,22 +201,35 @@
 	if before.members.Generation == after.members.Generation {
 		return
 	}
-	previous := make(map[string]roster.Member, len(before.members.Members))
-	for _, m := range before.members.Members {
-		previous[m.VM.ID] = m
-	}
-	for _, m := range after.members.Members {
-		prev, known := previous[m.VM.ID]
-		if !known || prev.Reachable != m.Reachable || prev.Ready != m.Ready || prev.Incarnation != m.Incarnation {
+	c.logMemberChanges(before.members.Members, after.members.Members)
+}
+
+// logMemberChanges logs the members that changed. Both lists are sorted by ID.
+func (c *control) logMemberChanges(before, after []*roster.Member) {
+	for _, m := range after {
+		for len(before) > 0 && before[0].VM.ID < m.VM.ID {
+			c.logMemberLost(before[0])
+			before = before[1:]
+		}
+		changed := true
+		if len(before) > 0 && before[0].VM.ID == m.VM.ID {
+			previous := before[0]
+			changed = previous.Reachable != m.Reachable || previous.Ready != m.Ready || previous.Incarnation != m.Incarnation
+			before = before[1:]
+		}
+		if changed {
 			c.node.log.Info("member_changed", "peer", m.VM.ID, "incarnation", m.Incarnation, "reachable", m.Reachable, "ready", m.Ready)
 		}
-		delete(previous, m.VM.ID)
 	}
-	for id, m := range previous {
-		c.node.log.Info("member_lost", "peer", id, "incarnation", m.Incarnation)
+	for _, m := range before {
+		c.logMemberLost(m)
 	}
 }
 
+func (c *control) logMemberLost(m *roster.Member) {
+	c.node.log.Info("member_lost", "peer", m.VM.ID, "incarnation", m.Incarnation)
+}
+
 // applyItems applies store changes, whether read from the store or pulled from a peer.
 func (c *control) applyItems(items []discovery.Item, now time.Time) {
 	for _, item := range items {
--- a/site/fleet_test.go
+++ b/site/fleet_test.go
@@ -190,6 +190,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				rumor.Version++
+				rumor.Ready = !rumor.Ready
 				n.control.roster.Receive(rumor, nil, now)
 				n.control.publish(now)
 			}
