Cold endpoints: one that counts as warm soon is asked again

VMs knew until when its former life was cold and took it for warm from then on; cold engines are not asked for their health, and the next question came up to a second later.

The VM that polls an engine asks for its health every 0.3 s during the last 0.7 s of its cold period. A longer one is told to the region; no answer makes the engine unreachable, as it may be restarting. What was ruled out when the failure was traced still is: no limit has a part in it.

--- a/site/cold.go
+++ b/site/cold.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -16,25 +17,26 @@
 const coldFanout = 8
 
 // probeCold queries the health path of an endpoint to learn whether it is cold. The
-// store publishes this as well, except during a store outage.
-func (p *pools) probeCold(ctx context.Context, e fleet.Endpoint) {
+// store publishes this as well, except during a store outage. The error says that the
+// endpoint did not answer.
+func (p *pools) probeCold(ctx context.Context, e fleet.Endpoint) error {
 	table := p.node.control.snapshot().table
 	if table == nil {
-		return
+		return nil
 	}
 	service, ok := table.Service(e.Service)
 	if !ok || service.ColdFor <= 0 || service.HealthPath == "" {
-		return
+		return nil
 	}
 	if !p.node.acquireProbePermit(ctx, e, throttle.KindHealth) {
-		return
+		return nil
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	remaining, err := p.node.endpointClient.FetchColdStart(timeoutCtx, e, service.HealthPath)
 	if err != nil {
 		p.node.log.Debug("health_failed", "endpoint", e.ID, "reason", err.Error())
-		return
+		return err
 	}
 	if remaining > 0 {
 		p.node.control.send(ctx, func(c *control, now time.Time) {
@@ -45,6 +47,34 @@
 			}
 		})
 	}
+	return nil
+}
+
+const (
+	// warmingPeriod is the end of an engine's cold period in which it is probed again, and
+	// warmingProbeInterval how often. An engine that has restarted stays cold for longer than
+	// its entry says, and the store may not tell.
+	warmingPeriod        = 700 * time.Millisecond
+	warmingProbeInterval = 300 * time.Millisecond
+)
+
+// probeWarming probes the cold engines assigned to this VM that count as warm soon. One that
+// does not answer counts as unreachable, as it may be restarting.
+func (p *pools) probeWarming(ctx context.Context) error {
+	for ctx.Err() == nil {
+		now := p.node.now()
+		for _, e := range p.assignedEngines(func(e discovery.AvailableEndpoint) bool {
+			return !e.ColdUntil.IsZero() && e.ColdUntil.Sub(now) <= warmingPeriod
+		}) {
+			go func() {
+				if err := p.probeCold(ctx, e); err != nil {
+					p.reportUnreachable(ctx, e)
+				}
+			}()
+		}
+		worker.SleepUntil(ctx, now, now.Add(warmingProbeInterval))
+	}
+	return nil
 }
 
 func (c *control) markCold(id string, until, now time.Time) {
--- a/site/polling.go
+++ b/site/polling.go
@@ -145,8 +145,13 @@
 	}
 }
 
-// enginesToPoll returns the engines assigned to this VM.
+// enginesToPoll returns the warm engines assigned to this VM.
 func (p *pools) enginesToPoll() []fleet.Endpoint {
+	return p.assignedEngines(func(e discovery.AvailableEndpoint) bool { return e.ColdUntil.IsZero() })
+}
+
+// assignedEngines returns the engines that this VM polls and include selects.
+func (p *pools) assignedEngines(include func(discovery.AvailableEndpoint) bool) []fleet.Endpoint {
 	pollers := p.pollers()
 	if !slices.Contains(pollers, p.node.deployment.VM) {
 		return nil
@@ -154,7 +159,7 @@
 	snap := p.node.control.snapshot()
 	return p.index.localEndpoints(func(e discovery.AvailableEndpoint) bool {
 		service, configured := snap.service(e.Service)
-		return configured && service.IsEngine && e.ColdUntil.IsZero() && entry.Owner(e.ID, pollers) == p.node.deployment.VM
+		return configured && service.IsEngine && include(e) && entry.Owner(e.ID, pollers) == p.node.deployment.VM
 	})
 }
 
@@ -184,7 +189,7 @@
 	if !asksCold || !p.node.throttle.ProbeDue(e, requestsPerPoll, p.node.now()) {
 		return
 	}
-	go p.probeCold(ctx, e)
+	go func() { _ = p.probeCold(ctx, e) }()
 	if !due || !p.node.settings.Enabled(settings.Reports) || !p.node.acquireProbePermit(ctx, e, throttle.KindReport) {
 		return
 	}
--- a/site/resume.go
+++ b/site/resume.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	var probes sync.WaitGroup
 	for _, e := range p.warmEndpoints() {
-		probes.Go(func() { p.probeCold(timeoutCtx, e) })
+		probes.Go(func() { _ = p.probeCold(timeoutCtx, e) })
 	}
 	probes.Wait()
 	p.node.control.send(ctx, func(c *control, _ time.Time) { c.roster.RecordProbe(startedAt) })
--- a/site/site.go
+++ b/site/site.go
@@ -357,6 +357,7 @@
 	worker.Add(&group, n.control.run)
 	worker.Add(&group, n.followStore)
 	worker.Add(&group, n.pools.run)
+	worker.Add(&group, n.pools.probeWarming)
 	worker.Add(&group, n.pools.sharePendingPrompts)
 	worker.Add(&group, n.quarantine.Run)
 	worker.Add(&group, n.sendLimitNotes)
