Polls: as many VMs poll as a region's engines need

Nine VMs of a region polled all its engines, however many: 289 each in the users' largest region, some 190 requests a second on a fifth of a core (computed: two requests for each idle engine in 3 s), twice that at twice the size, and their callers waited for it.

survey.Pollers assigns each engine to one of nine collectors, which broadcast load reports as the nine pollers did, and to one of the VMs that poll for it: one for each 64 engines of the collector, itself first. A poller sends what has changed to the collector, which passes it on with its next round, so a report of a shared engine is older by half a round on average. Up to 576 engines in a region nothing changes.

What broadcasts cost each VM still grows with the changed reports of its region; a poller's notes did before, too.

Weighed: all VMs broadcast what they poll (200 notes a second at each VM); fewer polls where engines are many (a lost engine is found out later).

--- a/site/polling.go
+++ b/site/polling.go
@@ -3,26 +3,21 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
-	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/relay"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/settings"
+	"github.com/fuchsianotch/fuchsianotch/survey"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
 const (
-	// maxPollers bounds the VMs of a region that poll its engines. With no more VMs than
-	// that, all poll and reports travel by gossip. In a larger region gossip takes seconds
-	// to reach all VMs, so pollers broadcast their reports.
-	maxPollers = 9
 	// pollRoundTimeout bounds the wait for the answers of one round before they are
 	// broadcast. Engines answer within milliseconds.
 	pollRoundTimeout = 150 * time.Millisecond
@@ -30,29 +25,20 @@
 	reportNoteTimeout = 300 * time.Millisecond
 	// requestsPerPoll is the number of requests to an engine per poll: load and health.
 	requestsPerPoll = 2
-	// pollerRankKey is the key of rendezvous hashing that ranks the VMs of a region as
-	// pollers.
-	pollerRankKey = "askers"
 )
 
 // run polls the engines assigned to this VM until ctx ends.
 func (p *pools) run(ctx context.Context) error {
 	for next := 0; ctx.Err() == nil; next++ {
-		if p.broadcastsReports() {
-			p.pollRound(ctx)
-			continue
+		if plan := p.pollers(); plan.Broadcast() {
+			p.pollRound(ctx, plan)
+		} else {
+			p.pollNext(ctx, next)
 		}
-		p.pollNext(ctx, next)
 	}
 	return nil
 }
 
-// broadcastsReports reports whether pollers broadcast load reports in place of gossiping
-// them.
-func (p *pools) broadcastsReports() bool {
-	return len(p.reachableVMs()) > maxPollers
-}
-
 // pollNext polls one engine, so that polls are spread evenly over the interval.
 func (p *pools) pollNext(ctx context.Context, index int) {
 	engines := p.enginesToPoll()
@@ -64,15 +50,44 @@
 	worker.SleepUntil(ctx, p.node.now(), p.node.now().Add(interval))
 }
 
-// pollRound polls all engines assigned to this VM at once and broadcasts what changed.
-func (p *pools) pollRound(ctx context.Context) {
+// pollRound polls all engines assigned to this VM at once and publishes what changed.
+func (p *pools) pollRound(ctx context.Context, plan *survey.Pollers) {
 	startedAt := p.node.now()
-	endsAt := startedAt.Add(p.pollInterval())
-	if engines := p.enginesToPoll(); len(engines) > 0 {
+	interval := p.pollInterval()
+	engines := p.enginesToPoll()
+	if len(engines) > 0 {
 		p.pollAll(ctx, engines)
-		p.broadcastReports(ctx, p.changedReports(engines, startedAt))
 	}
-	worker.SleepUntil(ctx, p.node.now(), endsAt)
+	if plan.IsCollector(p.node.deployment.VM) {
+		// Reports of other pollers date from their last round.
+		p.broadcastReports(ctx, p.changedReports(p.collectedEngines(plan), startedAt.Add(-interval)))
+	}
+	p.sendToCollectors(ctx, plan, engines, startedAt)
+	worker.SleepUntil(ctx, p.node.now(), startedAt.Add(interval))
+}
+
+// collectedEngines returns the engines whose reports this VM broadcasts.
+func (p *pools) collectedEngines(plan *survey.Pollers) []fleet.Endpoint {
+	return p.index.localEndpoints(func(e discovery.AvailableEndpoint) bool {
+		return e.ColdUntil.IsZero() && plan.Collector(e.ID).ID == p.node.deployment.VM
+	})
+}
+
+// sendToCollectors sends the changed reports of engines to the VMs that broadcast them.
+func (p *pools) sendToCollectors(ctx context.Context, plan *survey.Pollers, engines []fleet.Endpoint, since time.Time) {
+	byCollector := make(map[string][]fleet.Endpoint)
+	collectors := make(map[string]fleet.VM)
+	for _, e := range engines {
+		if collector := plan.Collector(e.ID); collector.ID != p.node.deployment.VM {
+			collectors[collector.ID] = collector
+			byCollector[collector.ID] = append(byCollector[collector.ID], e)
+		}
+	}
+	for id, list := range byCollector {
+		if changed := p.changedReports(list, since); len(changed) > 0 {
+			go p.sendReports(ctx, collectors[id], changed, 0)
+		}
+	}
 }
 
 // pollInterval returns the interval at which each engine is polled.
@@ -152,28 +167,43 @@
 
 // assignedEngines returns the engines that this VM polls and include selects.
 func (p *pools) assignedEngines(include func(discovery.AvailableEndpoint) bool) []fleet.Endpoint {
-	pollers := p.pollers()
-	if !slices.Contains(pollers, p.node.deployment.VM) {
+	plan := p.pollers()
+	if !plan.Polls(p.node.deployment.VM) {
 		return nil
 	}
 	snap := p.node.control.snapshot()
 	return p.index.localEndpoints(func(e discovery.AvailableEndpoint) bool {
 		service, configured := snap.service(e.Service)
-		return configured && service.IsEngine && include(e) && entry.Owner(e.ID, pollers) == p.node.deployment.VM
+		return configured && service.IsEngine && include(e) && plan.Poller(e.ID) == p.node.deployment.VM
 	})
 }
 
-// pollers returns the ids of the VMs of the region that poll engines.
-func (p *pools) pollers() []string {
-	vms := p.reachableVMs()
-	if len(vms) > maxPollers {
-		vms = entry.Rank(pollerRankKey, vms)[:maxPollers]
+// pollers returns the current assignment of engines to pollers.
+func (p *pools) pollers() *survey.Pollers {
+	snap := p.node.control.snapshot()
+	engines := 0
+	for name, counts := range p.index.serviceCounts() {
+		if service, configured := snap.service(name); configured && service.IsEngine {
+			engines += counts.warm + counts.cold
+		}
 	}
-	var ids []string
-	for _, vm := range vms {
-		ids = append(ids, vm.ID)
+	cached := p.pollPlan.Load()
+	if cached == nil || cached.generation != snap.members.Generation || cached.engines != engines {
+		cached = &pollPlan{
+			Pollers:    survey.NewPollers(p.reachableVMs(), engines),
+			generation: snap.members.Generation,
+			engines:    engines,
+		}
+		p.pollPlan.Store(cached)
 	}
-	return ids
+	return cached.Pollers
+}
+
+// pollPlan is an assignment of engines to pollers and what it was made from.
+type pollPlan struct {
+	*survey.Pollers
+	generation uint64
+	engines    int
 }
 
 // reachableVMs returns the reachable VMs of the region. The caller must not modify them.
--- a/site/pools.go
+++ b/site/pools.go
@@ -21,6 +21,8 @@
 	node    *Node
 	reports loadReports
 	index   *endpointIndex
+	// pollPlan caches the assignment of engines to pollers.
+	pollPlan atomic.Pointer[pollPlan]
 	// byService is replaced when a service gets its pool, which it keeps.
 	byService atomic.Pointer[map[string]*pool]
 	// inUse are the services whose endpoints are in their pools. Only the control
--- a/site/reports.go
+++ b/site/reports.go
@@ -69,7 +69,7 @@
 
 // recentReports returns recent reports for gossip, or none if pollers broadcast them.
 func (p *pools) recentReports(now time.Time) []*peerpb.EngineReport {
-	if p.broadcastsReports() {
+	if p.pollers().Broadcast() {
 		return nil
 	}
 	p.reports.mu.Lock()
