Store: at most five batches of changes a second where it changes all the time

Each batch that a reader takes from the store is told through the region at once: every VM sends two messages, takes two in, pulls the batch and gives it to two others.

discovery.WatchPacer leaves 50 ms after the first batch and 200 ms while batches follow each other. A change then waits 0.2 s at the most, against bounds of 4 s and more; a single change is read at once, as before.

Weighed: fewer VMs told at once (the last ones hear later, also of single changes).

--- a/site/store.go
+++ b/site/store.go
@@ -15,8 +15,6 @@
 	// maxWatchTimeout bounds one watch, and thereby how long the recovery of an unresponsive
 	// store goes unnoticed.
 	maxWatchTimeout = 2500 * time.Millisecond
-	// watchBatchDelay lets changes accumulate, so that one reply carries several.
-	watchBatchDelay = 50 * time.Millisecond
 	// Backoff after a failed read. The maximum is below the time allowed for a change to
 	// take effect after the store recovers.
 	minReadBackoff = 200 * time.Millisecond
@@ -37,6 +35,7 @@
 func (n *Node) followStore(ctx context.Context) error {
 	backoff := minReadBackoff
 	full := true
+	var pacer discovery.WatchPacer
 	for ctx.Err() == nil {
 		if !n.isReader() {
 			worker.SleepUntil(ctx, n.now(), n.now().Add(n.readerCheckDelay()))
@@ -60,7 +59,8 @@
 		n.markInSync()
 		n.applyRead(ctx, read)
 		if len(read.items) > 0 {
-			worker.SleepUntil(ctx, n.now(), n.now().Add(watchBatchDelay))
+			now := n.now()
+			worker.SleepUntil(ctx, now, pacer.NextWatchAt(now))
 		}
 	}
 	return nil
