--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -70,6 +70,7 @@
 	limitRequests    *prometheus.CounterVec
 	rateLimitedSends *prometheus.CounterVec
 	permitRequests   *prometheus.CounterVec
+	snapshots        *prometheus.CounterVec
 	workspaces       workspaceLabels
 
 	rejectedDocuments prometheus.Gauge
@@ -109,6 +110,7 @@
 		limitRequests:   newCounterVec("limit_asked_total", "Calls that waited for the word of the VM that keeps their workspace's limit.", "outcome"),
 
 		rateLimitedSends: newCounterVec("throttled_sends_total", "Requests sent to endpoints that have named a limit, by the way on which they came.", "way"),
+		snapshots:        newCounterVec("snapshots_total", "Requests of other VMs for all that the store holds.", "outcome"),
 		permitRequests:   newCounterVec("permits_asked_total", "Questions to the VMs that keep endpoints' limits for one request each.", "outcome"),
 
 		rejectedDocuments: newGauge("refused_documents", "Documents refused whose key has no accepted higher revision."),
@@ -131,7 +133,7 @@
 	}
 	m.registry.MustRegister(
 		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries,
-		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.permitRequests,
+		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.permitRequests, m.snapshots,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
 		m.members, m.endpoints, m.quarantinedCalls, m.routesVersion, m.publishedAge, m.linesDropped,
@@ -282,6 +284,15 @@
 	m.rateLimitedSends.WithLabelValues(string(way)).Inc()
 }
 
+// CountSnapshot counts a request of another VM for all that the store holds.
+func (m *Metrics) CountSnapshot(sent bool) {
+	outcome := "refused"
+	if sent {
+		outcome = "sent"
+	}
+	m.snapshots.WithLabelValues(outcome).Inc()
+}
+
 // CountPermitRequest counts a request for a permit to use an endpoint that has a rate
 // limit, by its outcome.
 func (m *Metrics) CountPermitRequest(outcome string) {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -61,6 +61,8 @@
 	m.CountLimitRequest(true)
 	m.CountRateLimitedSend(throttle.KindRepeat)
 	m.CountPermitRequest("granted")
+	m.CountSnapshot(true)
+	m.CountSnapshot(false)
 	m.CountLimitRequest(false)
 	m.SetPublishedAge(time.Second)
 	m.LinesDropped(2)
@@ -102,6 +104,8 @@
 		"fuchsianotch_answer_seconds urgent":                2,
 		"fuchsianotch_tokens_total prompt":                  5,
 		"fuchsianotch_permits_asked_total granted":          1,
+		"fuchsianotch_snapshots_total sent":                 1,
+		"fuchsianotch_snapshots_total refused":              1,
 		"fuchsianotch_throttled_sends_total repeat":         1,
 		"fuchsianotch_tokens_total cached":                  3,
 		"fuchsianotch_tokens_total generated":               2,
--- a/site/snapshots.go
+++ b/site/snapshots.go
@@ -58,7 +58,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.node.now()
-	if !s.budget.IsOpen(now) {
+	isOpen := s.budget.IsOpen(now)
+	s.node.metrics.CountSnapshot(isOpen)
+	if !isOpen {
 		return &peerpb.PublishedReply{
 			Revision: after,
 		}, nil
