Cold probes: idle engines of a large region are probed less often in an outage of the store

While a VM of a region cannot read the store, each engine's health was asked every 150 ms, however many engines there are: 17,300 requests a second for 2,602 engines, 1,900 for each of nine pollers (computed), on a fifth of a core, and all of them VMs that serve callers.

A cold engine takes some six requests in a second, so one with few calls needs few probes. survey.IsColdProbeDue probes as often as before where a VM polls up to 19 engines, idle ones of more every (engines / 128) s, a second at most, and more often by the calls at the engine.

A first form without the number of engines let 13 calls to one of five engines pass, as an idle one was probed once a second.

What polls remember of an endpoint is dropped when it is gone; it stayed for ever.

--- a/site/polling.go
+++ b/site/polling.go
@@ -44,7 +44,7 @@
 	engines := p.enginesToPoll()
 	interval := p.pollInterval()
 	if count := len(engines); count > 0 {
-		go p.pollEngine(ctx, engines[index%count])
+		go p.pollEngine(ctx, engines[index%count], count)
 		interval /= time.Duration(count)
 	}
 	worker.SleepUntil(ctx, p.node.now(), p.node.now().Add(interval))
@@ -93,7 +93,7 @@
 // pollInterval returns the interval at which each engine is polled.
 func (p *pools) pollInterval() time.Duration {
 	if p.node.control.snapshot().members.StoreUnreadable() {
-		return storeLostReportInterval
+		return survey.ColdProbeRound
 	}
 	return reportInterval
 }
@@ -102,7 +102,7 @@
 func (p *pools) pollAll(ctx context.Context, engines []fleet.Endpoint) {
 	var polls sync.WaitGroup
 	for _, e := range engines {
-		polls.Go(func() { p.pollEngine(ctx, e) })
+		polls.Go(func() { p.pollEngine(ctx, e, len(engines)) })
 	}
 	done := make(chan struct{})
 	go func() {
@@ -212,10 +212,10 @@
 }
 
 // pollEngine requests the load of an engine if that is due, and probes whether it is
-// cold.
-func (p *pools) pollEngine(ctx context.Context, e fleet.Endpoint) {
+// cold. polled is the number of engines that this VM polls.
+func (p *pools) pollEngine(ctx context.Context, e fleet.Endpoint, polled int) {
 	due := p.reportDue(e)
-	asksCold := due || p.node.control.snapshot().members.StoreUnreadable()
+	asksCold := due || p.node.control.snapshot().members.StoreUnreadable() && p.coldProbeDue(e, polled)
 	if !asksCold || !p.node.throttle.ProbeDue(e, requestsPerPoll, p.node.now()) {
 		return
 	}
--- a/site/pools.go
+++ b/site/pools.go
@@ -42,6 +42,7 @@
 		inUse: make(map[string]bool),
 	}
 	p.reports.latest = make(map[string]loadReport)
+	p.reports.coldProbedAt = make(map[string]time.Time)
 	p.reports.lastBroadcast = make(map[string]routing.Load)
 	p.byService.Store(&map[string]*pool{})
 	return p
@@ -61,6 +62,9 @@
 		if before, known := p.index.apply(c); known {
 			updates.replace(before, c.Endpoint)
 		}
+		if c.Endpoint == nil {
+			p.reports.forget(c.ID)
+		}
 	}
 	counts := p.index.serviceCounts()
 	p.reviewServices(updates, snap, countsBefore, counts)
--- a/site/reports.go
+++ b/site/reports.go
@@ -14,9 +14,6 @@
 	// reportInterval is the interval at which one VM of the region polls the load of an
 	// engine.
 	reportInterval = survey.BusyPollInterval
-	// storeLostReportInterval replaces reportInterval during a store outage, when polls are
-	// the only way to learn that an endpoint is cold.
-	storeLostReportInterval = 150 * time.Millisecond
 	// reportTimeout bounds one load request; it covers one retransmission after 0.3 s.
 	reportTimeout = 600 * time.Millisecond
 	// healthTimeout bounds a health check, which waits for a slot like a call.
@@ -33,6 +30,8 @@
 type loadReports struct {
 	mu     sync.Mutex
 	latest map[string]loadReport
+	// coldProbedAt is when this VM last probed each engine for being cold.
+	coldProbedAt map[string]time.Time
 	// lastBroadcast is the load of each engine that this VM broadcast last.
 	lastBroadcast map[string]routing.Load
 }
@@ -53,6 +52,32 @@
 	return survey.IsPollDue(p.reports.latest[e.ID].load, inFlight, p.node.now())
 }
 
+// coldProbeDue reports whether an engine has to be probed for being cold while the store
+// cannot be read, and records the probe. polled is the number of engines that this VM polls.
+func (p *pools) coldProbeDue(e fleet.Endpoint, polled int) bool {
+	inFlight := 0
+	if pool := p.all()[e.Service]; pool != nil {
+		inFlight = pool.Endpoints.InFlight(e.ID)
+	}
+	p.reports.mu.Lock()
+	defer p.reports.mu.Unlock()
+	now := p.node.now()
+	if !survey.IsColdProbeDue(polled, p.reports.latest[e.ID].load, inFlight, p.reports.coldProbedAt[e.ID], now) {
+		return false
+	}
+	p.reports.coldProbedAt[e.ID] = now
+	return true
+}
+
+// forget drops what is known of an endpoint that is gone.
+func (r *loadReports) forget(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.latest, id)
+	delete(r.coldProbedAt, id)
+	delete(r.lastBroadcast, id)
+}
+
 // recordReport stores a report if it is newer than the current one.
 func (p *pools) recordReport(id string, r loadReport) {
 	p.reports.mu.Lock()
--- a/survey/survey.go
+++ b/survey/survey.go
@@ -39,6 +39,35 @@
 	return now.Sub(l.At) >= interval-pollTolerance
 }
 
+const (
+	// minColdProbeInterval and maxColdProbeInterval bound the interval at which an engine
+	// is probed for being cold while the store cannot tell.
+	minColdProbeInterval = 150 * time.Millisecond
+	maxColdProbeInterval = time.Second
+	// maxIdleColdProbes is the number of probes of idle engines a second from which a VM
+	// probes them less often.
+	maxIdleColdProbes = 128
+	// callsPerColdProbe shortens the interval with the calls at the engine. A cold engine
+	// takes a few calls a second, and one with few calls gets no more before its next probe.
+	callsPerColdProbe = 3
+	// coldProbeTolerance is how early a probe may start.
+	coldProbeTolerance = 20 * time.Millisecond
+)
+
+// ColdProbeRound is the interval at which to look for due probes while the store cannot
+// tell which engines are cold.
+const ColdProbeRound = minColdProbeInterval
+
+// IsColdProbeDue reports whether to probe an engine again for being cold while the store
+// cannot tell. polled is the number of engines that this VM polls, l the engine's last load
+// report and inFlight the number of this VM's calls there.
+func IsColdProbeDue(polled int, l routing.Load, inFlight int, probedAt, now time.Time) bool {
+	idleInterval := min(time.Duration(polled)*time.Second/maxIdleColdProbes, maxColdProbeInterval)
+	calls := l.Running + l.Waiting + inFlight
+	interval := max(idleInterval/time.Duration(1+callsPerColdProbe*calls), minColdProbeInterval)
+	return now.Sub(probedAt) >= interval-coldProbeTolerance
+}
+
 // ShouldPublish reports whether to publish load l, given the load published last, which is
 // zero if there is none.
 func ShouldPublish(published, l routing.Load) bool {
--- a/survey/survey_test.go
+++ b/survey/survey_test.go
@@ -139,3 +139,74 @@
 	engineSeconds := simulatedEngines * simulatedSteps * simulatedStep.Seconds()
 	return polled / engineSeconds, published / engineSeconds, deviation / max(calls, 1)
 }
+
+// TestColdProbes guards against probing all engines of a large region several times a
+// second while the store is away, and against calls that go to a cold engine before its
+// next probe.
+func TestColdProbes(t *testing.T) {
+	for _, c := range datatest.Read[[]struct {
+		Name string
+		// Engines share PerSecond calls of one second on average.
+		Engines   int
+		PerSecond float64 `json:"per_second"`
+		// Polled is the number of engines that one VM polls.
+		Polled int
+		// MostProbes bounds the probes per engine and second, MostCalls the calls that an
+		// engine gets between two probes, for all but one in a thousand.
+		MostProbes float64 `json:"most_probes"`
+		MostCalls  int     `json:"most_calls"`
+	}](t, "testdata/cold_probes.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			probes, calls := simulateColdProbes(c.Engines, c.Polled, c.PerSecond)
+			t.Logf("%.2f probes per engine and second, %d calls between two", probes, calls)
+			assert.Assert(t, probes <= c.MostProbes, "%.2f probes", probes)
+			assert.Assert(t, calls <= c.MostCalls, "%d calls", calls)
+		})
+	}
+}
+
+// simulateColdProbes plays calls that end after a second on average, at engines whose load
+// is polled each second. It returns the probes per engine and second, and how many calls
+// an engine gets between two probes in all but one in a thousand cases.
+func simulateColdProbes(engines, polled int, perSecond float64) (probes float64, calls int) {
+	const (
+		step  = 50 * time.Millisecond
+		steps = 1200
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	running, since := make([]int, engines), make([]int, engines)
+	loads, probedAt := make([]routing.Load, engines), make([]time.Time, engines)
+	histogram := make(map[int]int)
+	count := 0
+	for n := range steps {
+		now := origin.Add(time.Duration(n) * step)
+		for i := range running {
+			for range running[i] {
+				if random.Float64() < step.Seconds() {
+					running[i]--
+				}
+			}
+		}
+		for arrivals := perSecond * step.Seconds(); arrivals > random.Float64(); arrivals-- {
+			i := random.IntN(engines)
+			running[i]++
+			since[i]++
+		}
+		for i := range running {
+			if IsPollDue(loads[i], false, now) {
+				loads[i] = routing.Load{At: now, Running: running[i]}
+			}
+			if IsColdProbeDue(polled, loads[i], 0, probedAt[i], now) {
+				probedAt[i] = now
+				histogram[since[i]]++
+				since[i] = 0
+				count++
+			}
+		}
+	}
+	beyond := 0
+	for calls = 100; beyond+histogram[calls] <= count/1000 && calls > 0; calls-- {
+		beyond += histogram[calls]
+	}
+	return float64(count) / (float64(engines) * steps * step.Seconds()), calls
+}
