Resume: a VM probes 64 endpoints of a service after a pause, not thousands

After a pause of its process a VM asked all endpoints of its region for their health before it used any: 2,674 requests at once on connections that are all new, in the largest region of the users' fleet, for which a fifth of a core takes longer than the pause that counts as one (1.5 s), so that a VM that was short of processor time could not come back.

Of each service 64 random ones are probed.

--- a/site/resume.go
+++ b/site/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,6 +17,10 @@
 	// pause. Endpoints answer within milliseconds unless they are full.
 	resumeTimeout      = 250 * time.Millisecond
 	resumePollInterval = 5 * time.Millisecond
+	// maxResumeProbes bounds the endpoints of a service that are probed after a pause. The
+	// others get no calls for resumeHoldTime, in which polls and gossip catch up.
+	maxResumeProbes = 64
+	resumeHoldTime  = 3 * gossipInterval
 )
 
 // onResume wakes the control goroutine after the VM was suspended. Timers do not advance
@@ -25,8 +30,8 @@
 	n.control.send(context.Background(), func(*control, time.Time) {})
 }
 
-// probeAfterPause probes all endpoints of the region once after each process pause.
-// Other VMs may have been paused too, pollers included.
+// probeAfterPause probes endpoints of the region once after each process pause. Other VMs
+// may have been paused too, pollers included.
 func (c *control) probeAfterPause(ctx context.Context, now time.Time) {
 	resuming := c.roster.Resuming()
 	if resuming && !c.resuming {
@@ -35,18 +40,41 @@
 	c.resuming = resuming
 }
 
-// probeAllCold probes the available endpoints and marks the endpoint state as fresh.
+// probeAllCold probes the available endpoints and marks the endpoint state as fresh. Of a
+// large service it probes some and holds back the others, as probing thousands would pause
+// the VM again.
 func (p *pools) probeAllCold(ctx context.Context, startedAt time.Time) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
+	probed, held := splitResumeProbes(p.warmEndpoints())
+	for _, e := range held {
+		if pool := p.all()[e.Service]; pool != nil {
+			pool.Endpoints.PauseUntil(e.ID, startedAt.Add(resumeHoldTime))
+		}
+	}
 	var probes sync.WaitGroup
-	for _, e := range p.warmEndpoints() {
+	for _, e := range probed {
 		probes.Go(func() { _ = p.probeCold(timeoutCtx, e) })
 	}
 	probes.Wait()
 	p.node.control.send(ctx, func(c *control, _ time.Time) { c.roster.RecordProbe(startedAt) })
 }
 
+// splitResumeProbes selects the endpoints to probe after a pause, maxResumeProbes random
+// ones of each service, and those to hold back.
+func splitResumeProbes(endpoints []fleet.Endpoint) (probed, held []fleet.Endpoint) {
+	count := make(map[string]int)
+	for _, i := range rand.Perm(len(endpoints)) {
+		e := endpoints[i]
+		if count[e.Service]++; count[e.Service] <= maxResumeProbes {
+			probed = append(probed, e)
+		} else {
+			held = append(held, e)
+		}
+	}
+	return probed, held
+}
+
 // warmEndpoints returns the endpoints of the region that the pools use.
 func (p *pools) warmEndpoints() []fleet.Endpoint {
 	snap := p.node.control.snapshot()
