--- a/site/cold.go
+++ b/site/cold.go
@@ -63,9 +63,7 @@
 func (p *pools) probeWarming(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := p.node.now()
-		for _, e := range p.assignedEngines(func(e discovery.AvailableEndpoint) bool {
-			return !e.ColdUntil.IsZero() && e.ColdUntil.Sub(now) <= warmingPeriod
-		}) {
+		for _, e := range p.warmingEngines(now) {
 			go func() {
 				if err := p.probeCold(ctx, e); err != nil {
 					p.reportUnreachable(ctx, e)
@@ -77,6 +75,16 @@
 	return nil
 }
 
+// warmingEngines returns the assigned engines that count as warm within warmingPeriod.
+func (p *pools) warmingEngines(now time.Time) []fleet.Endpoint {
+	if !p.index.anyCold() {
+		return nil
+	}
+	return p.assignedEngines(func(e discovery.AvailableEndpoint) bool {
+		return !e.ColdUntil.IsZero() && e.ColdUntil.Sub(now) <= warmingPeriod
+	})
+}
+
 func (c *control) markCold(id string, until, now time.Time) {
 	c.node.log.Info("endpoint_cold", "endpoint", id, "left_ms", until.Sub(now).Milliseconds())
 }
--- a/site/endpoints.go
+++ b/site/endpoints.go
@@ -117,6 +117,18 @@
 	return maps.Clone(x.counts)
 }
 
+// anyCold reports whether an endpoint of the own region is cold.
+func (x *endpointIndex) anyCold() bool {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	for _, counts := range x.counts {
+		if counts.cold > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // localEndpoints returns the endpoints of the own region that include selects, sorted by
 // ID.
 func (x *endpointIndex) localEndpoints(include func(discovery.AvailableEndpoint) bool) []fleet.Endpoint {
