Rumors: the whole list is packed once for all VMs that start

When a fleet starts, each VM asks the seeds every 0.1 s until it knows a VM of each region, and a VM that knows nobody was told all members: a list that was built and compressed for each request.

To a VM whose digest differs in most buckets a VM sends one packed list, made anew after 0.25 s; what came later follows with the next exchange, and rumors only replace older ones.

Weighed: one exchange with a seed at a time (after an outage the first ones hang at VMs that are not back yet, and the next would wait for them); fewer rumors in a reply (members are known after some ten exchanges in place of one).

--- a/peer/compress.go
+++ b/peer/compress.go
@@ -54,6 +54,13 @@
 	return nil
 }
 
+// PackRumors compresses a list of rumors for GossipMessage.PackedRumors.
+func PackRumors(rumors []*peerpb.Rumor) ([]byte, error) {
+	return deflate(&peerpb.GossipMessage{
+		Rumors: rumors,
+	})
+}
+
 // compressRumors compresses the rumors of a message in place, unless they are small.
 func compressRumors(m *peerpb.GossipMessage) error {
 	list := &peerpb.GossipMessage{
@@ -62,7 +69,7 @@
 	if proto.Size(list) < minCompressBytes {
 		return nil
 	}
-	packed, err := deflate(list)
+	packed, err := PackRumors(m.GetRumors())
 	if err != nil {
 		return err
 	}
@@ -76,15 +83,24 @@
 	if len(m.GetPackedRumors()) == 0 {
 		return nil
 	}
-	var list peerpb.GossipMessage
-	if err := inflate(m.GetPackedRumors(), &list); err != nil {
+	rumors, err := UnpackRumors(m.GetPackedRumors())
+	if err != nil {
 		return err
 	}
-	m.Rumors = list.GetRumors()
+	m.Rumors = rumors
 	m.PackedRumors = nil
 	return nil
 }
 
+// UnpackRumors reverses PackRumors.
+func UnpackRumors(packed []byte) ([]*peerpb.Rumor, error) {
+	var list peerpb.GossipMessage
+	if err := inflate(packed, &list); err != nil {
+		return nil, err
+	}
+	return list.GetRumors(), nil
+}
+
 // flateWriters reuses compressors, each of which holds some hundred kilobytes.
 var flateWriters = sync.Pool{
 	New: func() any {
--- a/roster/digest.go
+++ b/roster/digest.go
@@ -67,6 +67,29 @@
 	return out
 }
 
+// DiffersMostly reports whether another VM's digest differs in most buckets, as that of a
+// VM that has just started.
+func (r *Roster) DiffersMostly(theirs Digest) bool {
+	own := r.Digest()
+	differing := 0
+	for i := range own {
+		if own[i] != theirs[i] {
+			differing++
+		}
+	}
+	return 2*differing > digestBuckets
+}
+
+// Rumors returns all rumors held, including the own one.
+func (r *Roster) Rumors() []Rumor {
+	out := make([]Rumor, 0, len(r.sorted)+1)
+	out = append(out, r.self)
+	for _, m := range r.sorted {
+		out = append(out, m.Rumor)
+	}
+	return out
+}
+
 // RecentRumors returns the latest rumors, to be pushed with the next message.
 func (r *Roster) RecentRumors(now time.Time) []Rumor {
 	var recent []*member
--- a/site/control.go
+++ b/site/control.go
@@ -54,6 +54,8 @@
 	// rtts holds the smoothed round-trip time to each other region.
 	rtts      map[string]time.Duration
 	published atomic.Pointer[snapshot]
+	// packedRumors caches all rumors in packed form.
+	packedRumors packedRumors
 	// nextEndpointChange is when the state of an endpoint next changes without a message.
 	nextEndpointChange time.Time
 	// resuming is the result of Roster.Resuming at the previous step, to detect the
--- a/site/fleet_test.go
+++ b/site/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/roster"
@@ -137,7 +138,9 @@
 	assert.NilError(tb, proto.Unmarshal(data, &in))
 	c := n.control
 	c.applyGossip(tb.Context(), &in, now, now)
-	answer, err := proto.Marshal(c.gossipMessage(in.GetFrom().GetRegion(), c.roster.DifferingRumors(digestOf(&in)), now))
+	reply := c.gossipMessage(in.GetFrom().GetRegion(), now)
+	c.addRumors(reply, digestOf(&in), now)
+	answer, err := proto.Marshal(reply)
 	assert.NilError(tb, err)
 	c.publish(now)
 	return answer
@@ -163,6 +166,25 @@
 	}
 }
 
+// BenchmarkExchangeWithNewVM measures how a VM answers one that knows nobody.
+func BenchmarkExchangeWithNewVM(b *testing.B) {
+	for _, size := range []fleetSize{largeFleet, wholeFleet, doubleFleet} {
+		b.Run(size.String(), func(b *testing.B) {
+			now := time.Unix(1e9, 0)
+			n := newFleetNode(size, func() time.Time { return now })
+			request := newControl(n).gossipRequest("r0", now)
+			request.From = rumorMessage(fleetRumor(3))
+			bytes := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(5 * time.Millisecond)
+				bytes = len(gossipRoundTrip(b, n, request, now))
+			}
+			b.ReportMetric(float64(bytes), "bytes/answer")
+		})
+	}
+}
+
 // BenchmarkEndpointChange measures what a VM does when one engine takes the place of
 // another.
 func BenchmarkEndpointChange(b *testing.B) {
@@ -239,6 +261,26 @@
 	return (after.TotalAlloc - before.TotalAlloc) / changes
 }
 
+// TestNewVMGetsAllRumors guards against a seed that packs all rumors anew for each of
+// hundreds of VMs that start, and checks that they can be unpacked.
+func TestNewVMGetsAllRumors(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	n := newFleetNode(largeFleet, func() time.Time { return now })
+	request := newControl(n).gossipRequest("r0", now)
+	reply, again := &peerpb.GossipMessage{}, &peerpb.GossipMessage{}
+	n.control.addRumors(reply, digestOf(request), now)
+	n.control.addRumors(again, digestOf(request), now.Add(packedRumorsReuse))
+	assert.Assert(t, &reply.PackedRumors[0] == &again.PackedRumors[0])
+	n.control.addRumors(again, digestOf(request), now.Add(packedRumorsReuse+time.Millisecond))
+	assert.Assert(t, &reply.PackedRumors[0] != &again.PackedRumors[0])
+	rumors, err := peer.UnpackRumors(reply.GetPackedRumors())
+	assert.NilError(t, err)
+	assert.Equal(t, len(rumors), largeFleet.vms+1)
+	known := &peerpb.GossipMessage{}
+	n.control.addRumors(known, n.control.roster.Digest(), now)
+	assert.Equal(t, len(known.GetPackedRumors())+len(known.GetRumors()), 0)
+}
+
 // TestFleetNode checks that the benchmark fleet has the intended size.
 func TestFleetNode(t *testing.T) {
 	now := time.Unix(1e9, 0)
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -23,7 +23,10 @@
 // gossipRequest builds the message that starts an exchange with a VM of the given
 // region.
 func (c *control) gossipRequest(region string, now time.Time) *peerpb.GossipMessage {
-	m := c.gossipMessage(region, c.roster.RecentRumors(now), now)
+	m := c.gossipMessage(region, now)
+	for _, r := range c.roster.RecentRumors(now) {
+		m.Rumors = append(m.Rumors, rumorMessage(r))
+	}
 	digest := c.roster.Digest()
 	m.Digest = digest[:]
 	return m
@@ -55,8 +58,8 @@
 	})
 }
 
-// gossipMessage builds a full message with rumors about members.
-func (c *control) gossipMessage(region string, rumors []roster.Rumor, now time.Time) *peerpb.GossipMessage {
+// gossipMessage builds a full message without rumors.
+func (c *control) gossipMessage(region string, now time.Time) *peerpb.GossipMessage {
 	m := c.urgentMessage(region, now)
 	if region == c.node.deployment.Region {
 		m.Reports = c.node.pools.recentReports(now)
@@ -66,9 +69,6 @@
 		m.Loads = c.node.pools.localLoadMessages(now)
 		m.Holdings = c.node.pools.crossRegionHoldings(now)
 	}
-	for _, r := range rumors {
-		m.Rumors = append(m.Rumors, rumorMessage(r))
-	}
 	return m
 }
 
@@ -138,7 +138,8 @@
 		if len(in.GetDigest()) == 0 {
 			return c.urgentMessage(in.GetFrom().GetRegion(), now)
 		}
-		m := c.gossipMessage(in.GetFrom().GetRegion(), c.roster.DifferingRumors(digestOf(in)), now)
+		m := c.gossipMessage(in.GetFrom().GetRegion(), now)
+		c.addRumors(m, digestOf(in), now)
 		if m.GetLimitsDigest() != in.GetLimitsDigest() {
 			m.Limits = endpointLimitMessages(c.node.throttle.Limits())
 		}
