--- a/site/cold.go
+++ b/site/cold.go
@@ -56,6 +56,9 @@
 	// its entry says, and the store may not tell.
 	warmingPeriod        = 700 * time.Millisecond
 	warmingProbeInterval = 300 * time.Millisecond
+	// coldCheckInterval is the interval at which to look for cold engines while there are
+	// none.
+	coldCheckInterval = time.Second
 )
 
 // probeWarming probes the cold engines assigned to this VM that count as warm soon. One that
@@ -70,7 +73,11 @@
 				}
 			}()
 		}
-		worker.SleepUntil(ctx, now, now.Add(warmingProbeInterval))
+		interval := coldCheckInterval
+		if p.index.anyCold() {
+			interval = warmingProbeInterval
+		}
+		worker.SleepUntil(ctx, now, now.Add(interval))
 	}
 	return nil
 }
