Polls: a collector passes on reports that are up to 1.2 s old

With the interval of a round as the bound, 0.15 s in an outage of the store, reports that other pollers had taken before the collector's round were never passed on. What was passed on before is not again (survey.ShouldPublish).

--- a/site/polling.go
+++ b/site/polling.go
@@ -59,8 +59,8 @@
 		p.pollAll(ctx, engines)
 	}
 	if plan.IsCollector(p.node.deployment.VM) {
-		// Reports of other pollers date from their last round.
-		p.broadcastReports(ctx, p.changedReports(p.collectedEngines(plan), startedAt.Add(-interval)))
+		// Reports of other pollers date from before this round.
+		p.broadcastReports(ctx, p.changedReports(p.collectedEngines(plan), startedAt.Add(-reportMaxAge)))
 	}
 	p.sendToCollectors(ctx, plan, engines, startedAt)
 	worker.SleepUntil(ctx, p.node.now(), startedAt.Add(interval))
