Polls: an engine's load and health are asked on one connection

A poll asked for load and health at the same time, so it opened two connections to each engine.

They are asked one after the other; an engine that does not answer the first is not asked the second.

--- a/site/polling.go
+++ b/site/polling.go
@@ -219,20 +219,29 @@
 	if !asksCold || !p.node.throttle.ProbeDue(e, requestsPerPoll, p.node.now()) {
 		return
 	}
-	go func() { _ = p.probeCold(ctx, e) }()
-	if !due || !p.node.settings.Enabled(settings.Reports) || !p.node.acquireProbePermit(ctx, e, throttle.KindReport) {
+	// One after the other, so that both use the same connection.
+	if due && p.node.settings.Enabled(settings.Reports) && !p.fetchLoad(ctx, e) {
 		return
 	}
+	_ = p.probeCold(ctx, e)
+}
+
+// fetchLoad requests the load of an engine. It returns false if the engine did not answer.
+func (p *pools) fetchLoad(ctx context.Context, e fleet.Endpoint) bool {
+	if !p.node.acquireProbePermit(ctx, e, throttle.KindReport) {
+		return true
+	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	load, err := p.node.endpointClient.FetchLoad(timeoutCtx, e)
 	if err != nil {
 		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
 		p.reportUnreachable(ctx, e)
-		return
+		return false
 	}
 	p.recordReport(e.ID, loadReport{
 		service: e.Service,
 		load:    routing.Load(load),
 	})
+	return true
 }
