--- a/site/snapshots.go
+++ b/site/snapshots.go
@@ -65,28 +65,27 @@
 			Revision: after,
 		}, nil
 	}
-	if s.revision <= after || now.Sub(s.packedAt) > snapshotReuse {
-		full, err := s.build(ctx)
-		if err != nil {
-			return nil, err
-		}
-		if len(full.GetPacked()) == 0 {
-			// Too small to be compressed.
-			s.budget.Add(proto.Size(full), now)
-			full.SettlingMs = reply.GetSettlingMs()
-			return full, nil
-		}
-		s.packed = full.GetPacked()
-		s.revision = full.GetRevision()
+	if s.revision > after && now.Sub(s.packedAt) <= snapshotReuse {
+		reply.Revision = s.revision
+		reply.Packed = s.packed
+		s.budget.Add(len(s.packed), now)
+		return reply, nil
+	}
+	built, err := s.build(ctx)
+	if err != nil {
+		return nil, err
+	}
+	built.SettlingMs = reply.GetSettlingMs()
+	s.budget.Add(proto.Size(built), now)
+	if len(built.GetPacked()) > 0 {
+		s.packed = built.GetPacked()
+		s.revision = built.GetRevision()
 		s.packedAt = now
 	}
-	s.budget.Add(len(s.packed), now)
-	reply.Revision = s.revision
-	reply.Packed = s.packed
-	return reply, nil
+	return built, nil
 }
 
-// build encodes all items that this VM holds.
+// build encodes all items that this VM holds. Few items are not compressed.
 func (s *snapshots) build(ctx context.Context) (*peerpb.PublishedReply, error) {
 	reply, err := query(ctx, s.node.control, func(c *control, _ time.Time) *peerpb.PublishedReply {
 		reply := &peerpb.PublishedReply{
