--- a/discovery/snapshot.go
+++ b/discovery/snapshot.go
@@ -24,8 +24,12 @@
 	sentAt time.Time
 }
 
-// IsOpen reports whether another snapshot may be sent.
-func (b *SnapshotBudget) IsOpen(now time.Time) bool {
+// IsOpen reports whether another snapshot may be sent to a peer. One that holds contents
+// already waits until nothing else is being sent.
+func (b *SnapshotBudget) IsOpen(holdsContents bool, now time.Time) bool {
+	if holdsContents {
+		return !b.sentAt.After(now)
+	}
 	return b.sentAt.Sub(now) <= maxSnapshotBacklog
 }
 
--- a/discovery/snapshot_test.go
+++ b/discovery/snapshot_test.go
@@ -137,7 +137,7 @@
 func (s *startSimulation) pull(vm *startingVM) {
 	source := vm.notice
 	vm.notice = nil
-	if vm.holds || !s.Unlimited && !source.budget.IsOpen(s.now) {
+	if vm.holds || !s.Unlimited && !source.budget.IsOpen(false, s.now) {
 		return
 	}
 	source.budget.Add(s.SnapshotBytes, s.now)
@@ -175,7 +175,7 @@
 	now := simulationStart
 	sent := 0
 	for now.Sub(simulationStart) < 10*time.Second {
-		if b.IsOpen(now) {
+		if b.IsOpen(false, now) {
 			b.Add(100_000, now)
 			sent++
 		}
@@ -183,3 +183,17 @@
 	}
 	assert.Assert(t, sent >= 100 && sent <= 107, "sent %d snapshots of a tenth of a second each", sent)
 }
+
+// TestSnapshotsForNewVMsFirst guards against peers that are a little behind and take the
+// place of those that have nothing.
+func TestSnapshotsForNewVMsFirst(t *testing.T) {
+	b := SnapshotBudget{
+		LinkBytesPerSecond: 2e6,
+	}
+	now := simulationStart
+	assert.Assert(t, b.IsOpen(true, now))
+	b.Add(100_000, now)
+	assert.Assert(t, !b.IsOpen(true, now))
+	assert.Assert(t, b.IsOpen(false, now))
+	assert.Assert(t, b.IsOpen(true, now.Add(100*time.Millisecond)))
+}
--- a/site/snapshots.go
+++ b/site/snapshots.go
@@ -58,7 +58,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.node.now()
-	isOpen := s.budget.IsOpen(now)
+	isOpen := s.budget.IsOpen(after > 0, now)
 	s.node.metrics.CountSnapshot(isOpen)
 	if !isOpen {
 		return &peerpb.PublishedReply{
--- a/site/snapshots_test.go
+++ b/site/snapshots_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 )
 
@@ -60,3 +61,25 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(changes.GetItems()), 1)
 }
+
+// TestLateWholeReadIsDropped guards against a VM that reads the store as a whole while a peer
+// sends it the contents, and behind whose read all others then need everything anew.
+func TestLateWholeReadIsDropped(t *testing.T) {
+	n := runningFleetNode(t, fleetSize{vms: 10, engines: 100})
+	held := n.control.snapshot().revision
+	whole := []discovery.Item{fleetEngine(1000, held+7)}
+	n.applyRead(t.Context(), storeRead{
+		items:    whole,
+		revision: held + 7,
+		full:     true,
+		initial:  true,
+	})
+	assert.Equal(t, n.control.snapshot().revision, held)
+	assert.Assert(t, !n.control.mirror.NeedsSnapshot(held))
+	n.applyRead(t.Context(), storeRead{
+		items:    whole,
+		revision: held + 7,
+		full:     true,
+	})
+	waitFor(t, func() bool { return n.control.snapshot().revision == held+7 })
+}
--- a/site/store.go
+++ b/site/store.go
@@ -25,8 +25,10 @@
 type storeRead struct {
 	items    []discovery.Item
 	revision uint64
-	// full is set if items are the entire contents of the store.
-	full bool
+	// full is set if items are the entire contents of the store, initial if they were read
+	// because this VM held nothing.
+	full    bool
+	initial bool
 	// freshAsOf is a time at which the store held nothing newer than revision.
 	freshAsOf time.Time
 }
@@ -34,18 +36,18 @@
 // followStore reads and watches the store until ctx ends.
 func (n *Node) followStore(ctx context.Context) error {
 	backoff := minReadBackoff
-	full := true
+	historyLost := false
 	var pacer discovery.WatchPacer
 	for ctx.Err() == nil {
 		if !n.isReader() {
 			worker.SleepUntil(ctx, n.now(), n.now().Add(n.readerCheckDelay()))
 			continue
 		}
-		read, err := n.readOnce(ctx, full)
+		read, err := n.readOnce(ctx, historyLost)
 		n.metrics.PlatformRead(err)
 		if errors.Is(err, platform.ErrHistoryLost) {
 			n.log.Info("store_history_lost", "revision", n.control.snapshot().revision)
-			full = true
+			historyLost = true
 			continue
 		}
 		if err != nil {
@@ -55,7 +57,7 @@
 			continue
 		}
 		backoff = minReadBackoff
-		full = false
+		historyLost = false
 		n.markInSync()
 		n.applyRead(ctx, read)
 		if len(read.items) > 0 {
@@ -66,18 +68,20 @@
 	return nil
 }
 
-func (n *Node) readOnce(ctx context.Context, full bool) (storeRead, error) {
+// readOnce watches the store from the revision that this VM holds, or reads it as a whole.
+func (n *Node) readOnce(ctx context.Context, historyLost bool) (storeRead, error) {
 	startedAt := n.now()
-	if full {
+	after := n.control.snapshot().revision
+	if historyLost || after == 0 {
 		items, revision, err := n.store.All(ctx, platform.AllKeysPrefix)
 		return storeRead{
 			items:     items,
 			revision:  revision,
 			full:      true,
+			initial:   !historyLost,
 			freshAsOf: startedAt,
 		}, err
 	}
-	after := n.control.snapshot().revision
 	deadline := startedAt.Add(n.watchTimeout())
 	items, revision, err := n.store.Changes(ctx, platform.AllKeysPrefix, after, deadline)
 	return storeRead{
@@ -100,12 +104,17 @@
 func (n *Node) applyRead(ctx context.Context, read storeRead) {
 	// The only error is the end of the context.
 	_, _ = query(ctx, n.control, func(c *control, now time.Time) bool {
-		defer n.advanceFreshness(read.freshAsOf)
 		if c.discovery.StoreRecovered(now) {
 			n.log.Info("store_back", "revision", read.revision)
 		}
 		c.roster.SetStoreUnreadable(false)
+		if read.initial && c.mirror.Revision() > 0 {
+			// A peer was faster. Peers behind a whole read need all contents anew, so it is
+			// not applied without need; the next watch brings what is newer.
+			return true
+		}
 		c.applyAndSpread(ctx, c.mergeRead(read), now)
+		n.advanceFreshness(read.freshAsOf)
 		return true
 	})
 }
