--- a/survey/pollers.go
+++ b/survey/pollers.go
@@ -14,8 +14,7 @@
 	// broadcasts as there are collectors.
 	maxCollectors = 9
 	// maxEnginesPerPoller is the number of engines, on average, from which a collector
-	// shares its engines with another VM. Polls of so many take a few percent of a small
-	// VM's processor.
+	// shares its engines with another VM, so that a VM's polls do not grow with the region.
 	maxEnginesPerPoller = 64
 	// collectorsKey is the key of rendezvous hashing that ranks the VMs of a region as
 	// collectors.
