Answers of endpoints: lines and counters for an endpoint that leaves or wants rest

What an endpoint says of itself in the head of an answer is parsed in one place, endpoint.Notice, of calls and of questions for load and health: the limit as before, and now Server-Leaving and the Retry-After of a 503. Nothing decides by them yet.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -67,6 +67,8 @@
 	// changed holds those that changed since the last TakeChanges.
 	degraded map[string]bool
 	changed  map[string]bool
+	// leaving holds the endpoints that said in a response that they leave.
+	leaving map[string]leavingNotice
 }
 
 // endpointState is an endpoint with the times at which its state changes.
@@ -93,6 +95,7 @@
 		evacuated: make(map[string]bool),
 		degraded:  make(map[string]bool),
 		changed:   make(map[string]bool),
+		leaving:   make(map[string]leavingNotice),
 	}
 }
 
@@ -338,6 +341,7 @@
 		}
 	}
 	s.expireVersions(now)
+	s.forgetLeaving(now)
 }
 
 // expireVersions forgets the versions of endpoints that were removed long ago. One that
--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
 // Dialect is the header names and formats of the protocol of routed endpoints.
@@ -14,8 +13,8 @@
 	SetRequestHeader func(h http.Header, t RequestParams)
 	// ReadResponseHead parses the response head apart from its status.
 	ReadResponseHead func(status int, h http.Header, now time.Time) ResponseHead
-	// ReadRateLimit parses the rate limit in the head of any response.
-	ReadRateLimit func(h http.Header) fleet.Rate
+	// ReadNotice parses what an endpoint says about itself in the head of any response.
+	ReadNotice func(status int, h http.Header, now time.Time) Notice
 	// ReadColdFor parses the remaining cold-start time from a health check response;
 	// zero for a warm endpoint.
 	ReadColdFor func(h http.Header) time.Duration
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -82,8 +82,9 @@
 	// OnEventGap, if set, receives the time between two events of a routed stream and
 	// the number of tokens in the later one.
 	OnEventGap func(gap time.Duration, tokens int)
-	// OnRateLimit, if set, receives the rate limit from the head of a verified response.
-	OnRateLimit func(fleet.Rate)
+	// OnNotice, if set, receives what the endpoint says about itself in the head of a
+	// verified response.
+	OnNotice func(Notice)
 	// BeforeSend, if set, is called once, right before the first byte is written.
 	// An error stops the attempt with nothing sent.
 	BeforeSend func() error
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -41,18 +41,23 @@
 }
 
 // FetchLoad requests an endpoint's load. It fails if the connection, the status or
-// the format of the report is bad.
-func (c *Client) FetchLoad(ctx context.Context, e fleet.Endpoint) (Load, error) {
+// the format of the report is bad. The notice is valid even then.
+func (c *Client) FetchLoad(ctx context.Context, e fleet.Endpoint) (Load, Notice, error) {
 	path, decode := c.reportFormat()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr+path, nil)
 	if err != nil {
-		return Load{}, merry.Wrap(err)
+		return Load{}, Notice{}, merry.Wrap(err)
 	}
 	resp, err := c.pooled.RoundTrip(req)
 	if err != nil {
-		return Load{}, merry.Wrap(err)
+		return Load{}, Notice{}, merry.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	load, err := c.readLoad(resp, e, decode)
+	return load, c.readNotice(resp.StatusCode, resp.Header), err
+}
+
+func (c *Client) readLoad(resp *http.Response, e fleet.Endpoint, decode loadDecoder) (Load, error) {
 	if resp.StatusCode != http.StatusOK {
 		return Load{}, merry.Errorf("load report of %s: status %d", e.ID, resp.StatusCode)
 	}
@@ -72,24 +77,28 @@
 
 // FetchColdStart requests an endpoint's remaining cold-start time. The health check
 // occupies a slot like any request.
-func (c *Client) FetchColdStart(ctx context.Context, e fleet.Endpoint, path string) (time.Duration, error) {
+func (c *Client) FetchColdStart(ctx context.Context, e fleet.Endpoint, path string) (time.Duration, Notice, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Addr+path, nil)
 	if err != nil {
-		return 0, merry.Wrap(err)
+		return 0, Notice{}, merry.Wrap(err)
 	}
 	resp, err := c.pooled.RoundTrip(req)
 	if err != nil {
-		return 0, merry.Wrap(err)
+		return 0, Notice{}, merry.Wrap(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	notice := c.readNotice(resp.StatusCode, resp.Header)
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxReportBytes)); err != nil {
-		return 0, merry.Wrap(err)
+		return 0, notice, merry.Wrap(err)
 	}
-	return c.dialect.ReadColdFor(resp.Header), nil
+	return c.dialect.ReadColdFor(resp.Header), notice, nil
 }
 
+// loadDecoder decodes the body of a load report.
+type loadDecoder func(data []byte, now time.Time) (Load, error)
+
 // reportFormat returns the path and the decoder of load reports.
-func (c *Client) reportFormat() (string, func(data []byte, now time.Time) (Load, error)) {
+func (c *Client) reportFormat() (string, loadDecoder) {
 	if c.dialect.DecodeReport != nil {
 		return c.dialect.ReportPath, c.dialect.DecodeReport
 	}
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -40,7 +40,7 @@
 		return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
 	}
 	if head.ID != "" && !head.InstanceMismatch && (head.Signed || head.NotRun) {
-		x.reportRateLimit(resp.Header)
+		x.reportNotice(resp)
 	}
 	if head.NotRun {
 		x.outcome.RetryAt = head.RetryAt
@@ -56,10 +56,10 @@
 	return x.relayBody(resp)
 }
 
-// reportRateLimit passes the rate limit in a verified response to Attempt.OnRateLimit.
-func (x *exchange) reportRateLimit(h http.Header) {
-	if x.attempt.OnRateLimit != nil && x.client.dialect.ReadRateLimit != nil {
-		x.attempt.OnRateLimit(x.client.dialect.ReadRateLimit(h))
+// reportNotice passes the notice in a verified response to Attempt.OnNotice.
+func (x *exchange) reportNotice(resp *http.Response) {
+	if x.attempt.OnNotice != nil {
+		x.attempt.OnNotice(x.client.readNotice(resp.StatusCode, resp.Header))
 	}
 }
 
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -54,9 +54,11 @@
 			Signed:           h.Get("Signed") != "",
 		}
 	},
-	ReadRateLimit: func(h http.Header) fleet.Rate {
-		return fleet.Rate{
-			Named: h.Get("Rate") != "",
+	ReadNotice: func(_ int, h http.Header, _ time.Time) Notice {
+		return Notice{
+			Rate: fleet.Rate{
+				Named: h.Get("Rate") != "",
+			},
 		}
 	},
 }
@@ -70,7 +72,7 @@
 			header := http.Header{}
 			rated := "none"
 			attempt := routedCall(addr, c.Resume)
-			attempt.OnRateLimit = func(r fleet.Rate) { rated = strconv.FormatBool(r.Named) }
+			attempt.OnNotice = func(n Notice) { rated = strconv.FormatBool(n.Rate.Named) }
 			out := newRelayClient(t).Send(t.Context(), attempt, Sink{
 				Head: func(s int, h http.Header) error {
 					status = s
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -69,6 +69,8 @@
 	limitRejections  *prometheus.CounterVec
 	limitRequests    *prometheus.CounterVec
 	rateLimitedSends *prometheus.CounterVec
+	endpointNotices  *prometheus.CounterVec
+	sendsAfterNotice *prometheus.CounterVec
 	permitRequests   *prometheus.CounterVec
 	snapshots        *prometheus.CounterVec
 	workspaces       workspaceLabels
@@ -110,6 +112,8 @@
 		limitRequests:   newCounterVec("limit_asked_total", "Calls that waited for the word of the VM that keeps their workspace's limit.", "outcome"),
 
 		rateLimitedSends: newCounterVec("throttled_sends_total", "Requests sent to endpoints that have named a limit, by the way on which they came.", "way"),
+		endpointNotices:  newCounterVec("endpoint_notices_total", "Times at which endpoints said to this VM that they leave, or rest for some time.", "notice"),
+		sendsAfterNotice: newCounterVec("sends_after_notice_total", "Requests sent to endpoints that had said that they leave, or rest, by the way on which they came.", "notice", "way"),
 		snapshots:        newCounterVec("snapshots_total", "Requests of other VMs for all that the store holds.", "outcome"),
 		permitRequests:   newCounterVec("permits_asked_total", "Questions to the VMs that keep endpoints' limits for one request each.", "outcome"),
 
@@ -133,7 +137,7 @@
 	}
 	m.registry.MustRegister(
 		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries,
-		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.permitRequests, m.snapshots,
+		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
 		m.members, m.endpoints, m.quarantinedCalls, m.routesVersion, m.publishedAge, m.linesDropped,
@@ -284,6 +288,25 @@
 	m.rateLimitedSends.WithLabelValues(string(way)).Inc()
 }
 
+// Notice is what an endpoint said about itself in a response.
+type Notice string
+
+// Notices of endpoints.
+const (
+	NoticeLeaving Notice = "leaving"
+	NoticeRest    Notice = "rest"
+)
+
+// CountEndpointNotice counts a new notice of an endpoint to this VM.
+func (m *Metrics) CountEndpointNotice(notice Notice) {
+	m.endpointNotices.WithLabelValues(string(notice)).Inc()
+}
+
+// CountSendAfterNotice counts a request sent to an endpoint that leaves or rests.
+func (m *Metrics) CountSendAfterNotice(notice Notice, way throttle.RequestKind) {
+	m.sendsAfterNotice.WithLabelValues(string(notice), string(way)).Inc()
+}
+
 // CountSnapshot counts a request of another VM for all that the store holds.
 func (m *Metrics) CountSnapshot(sent bool) {
 	outcome := "refused"
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -60,6 +60,8 @@
 	m.CountLimitRejection("hule930")
 	m.CountLimitRequest(true)
 	m.CountRateLimitedSend(throttle.KindRepeat)
+	m.CountEndpointNotice(NoticeLeaving)
+	m.CountSendAfterNotice(NoticeRest, throttle.KindForwarded)
 	m.CountPermitRequest("granted")
 	m.CountSnapshot(true)
 	m.CountSnapshot(false)
@@ -99,26 +101,28 @@
 
 func TestSeries(t *testing.T) {
 	assert.DeepEqual(t, series(t, populatedMetrics()), map[string]float64{
-		"fuchsianotch_calls_total done 1000 service urgent": 1,
-		"fuchsianotch_first_token_seconds urgent":           1,
-		"fuchsianotch_answer_seconds urgent":                2,
-		"fuchsianotch_tokens_total prompt":                  5,
-		"fuchsianotch_permits_asked_total granted":          1,
-		"fuchsianotch_snapshots_total sent":                 1,
-		"fuchsianotch_snapshots_total refused":              1,
-		"fuchsianotch_throttled_sends_total repeat":         1,
-		"fuchsianotch_tokens_total cached":                  3,
-		"fuchsianotch_tokens_total generated":               2,
-		"fuchsianotch_spend_millionths_total ":              40,
-		"fuchsianotch_sent_away_total b":                    1,
-		"fuchsianotch_forwards_total unknown":               1,
-		"fuchsianotch_retries_total ":                       1,
-		"fuchsianotch_refused_documents ":                   1,
-		"fuchsianotch_documents_revision ":                  9,
-		"fuchsianotch_vms_reachable ":                       4,
-		"fuchsianotch_queue_length ":                        3,
-		"fuchsianotch_in_flight ":                           1,
-		"fuchsianotch_control_bytes_total out":              100,
+		"fuchsianotch_calls_total done 1000 service urgent":    1,
+		"fuchsianotch_first_token_seconds urgent":              1,
+		"fuchsianotch_answer_seconds urgent":                   2,
+		"fuchsianotch_tokens_total prompt":                     5,
+		"fuchsianotch_permits_asked_total granted":             1,
+		"fuchsianotch_endpoint_notices_total leaving":          1,
+		"fuchsianotch_sends_after_notice_total rest forwarded": 1,
+		"fuchsianotch_snapshots_total sent":                    1,
+		"fuchsianotch_snapshots_total refused":                 1,
+		"fuchsianotch_throttled_sends_total repeat":            1,
+		"fuchsianotch_tokens_total cached":                     3,
+		"fuchsianotch_tokens_total generated":                  2,
+		"fuchsianotch_spend_millionths_total ":                 40,
+		"fuchsianotch_sent_away_total b":                       1,
+		"fuchsianotch_forwards_total unknown":                  1,
+		"fuchsianotch_retries_total ":                          1,
+		"fuchsianotch_refused_documents ":                      1,
+		"fuchsianotch_documents_revision ":                     9,
+		"fuchsianotch_vms_reachable ":                          4,
+		"fuchsianotch_queue_length ":                           3,
+		"fuchsianotch_in_flight ":                              1,
+		"fuchsianotch_control_bytes_total out":                 100,
 
 		"fuchsianotch_control_payload_bytes_total out gossip between_regions": 30,
 		"fuchsianotch_control_payload_bytes_total in gossip between_regions":  20,
--- a/node/pools.go
+++ b/node/pools.go
@@ -170,7 +170,7 @@
 func (p *pools) fetchLoadReport(ctx context.Context, table *poolTable, e fleet.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, loadReportTimeout)
 	defer cancel()
-	load, err := p.client.FetchLoad(ctx, e)
+	load, _, err := p.client.FetchLoad(ctx, e)
 	if err != nil {
 		return
 	}
--- a/serving/run.go
+++ b/serving/run.go
@@ -9,7 +9,6 @@
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -193,7 +192,7 @@
 		Call:        c,
 		ResumeAfter: p.lastEventID,
 		FetchFrom:   slot.Choice.FetchFrom,
-		OnRateLimit: func(r fleet.Rate) { s.options.Throttle.ObserveRate(e, r, startedAt) },
+		OnNotice:    func(notice endpoint.Notice) { s.options.Throttle.ObserveNotice(e, notice, startedAt) },
 		BeforeSend:  beforeSend,
 	}
 }
--- a/serving/throttle.go
+++ b/serving/throttle.go
@@ -6,21 +6,23 @@
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
-// Throttle enforces the rate limits that endpoints announce.
+// Throttle enforces what endpoints announce about the requests they accept.
 type Throttle struct {
 	// Take returns a permit for one request to an endpoint, or nil and when the endpoint
 	// accepts the next request.
 	Take func(ctx context.Context, e fleet.Endpoint) (permit *throttle.Permit, opensAt time.Time)
 	// UsePermit consumes a permit right before the first byte of the request is sent.
 	UsePermit func(e fleet.Endpoint, permit *throttle.Permit, way throttle.RequestKind) error
-	// ObserveRate reports the rate limit in a response, and when its request was sent.
-	ObserveRate func(e fleet.Endpoint, r fleet.Rate, sentAt time.Time)
+	// ObserveNotice reports what an endpoint says about itself in a response, and when the
+	// request was sent.
+	ObserveNotice func(e fleet.Endpoint, notice endpoint.Notice, sentAt time.Time)
 	// CallerRetryAt returns the retry-after time for a caller when all endpoints of a target
 	// are closed; opensAt is when the first of them opens.
 	CallerRetryAt func(target string, endpointIDs []string, opensAt time.Time) time.Time
@@ -32,7 +34,7 @@
 		return &throttle.Permit{}, time.Time{}
 	},
 	UsePermit:     func(fleet.Endpoint, *throttle.Permit, throttle.RequestKind) error { return nil },
-	ObserveRate:   func(fleet.Endpoint, fleet.Rate, time.Time) {},
+	ObserveNotice: func(fleet.Endpoint, endpoint.Notice, time.Time) {},
 	CallerRetryAt: func(_ string, _ []string, opensAt time.Time) time.Time { return opensAt },
 }
 
--- a/site/control.go
+++ b/site/control.go
@@ -41,6 +41,9 @@
 	regionLoads map[string][]regionLoad
 	// revision is the store revision that this VM has applied.
 	revision uint64
+	// leaving holds the incarnations of the endpoints that said in a response that they
+	// leave.
+	leaving map[string]int64
 }
 
 // control owns all control state. Only the control goroutine accesses it.
@@ -158,6 +161,7 @@
 		table:       c.discovery.Table(),
 		regionLoads: c.regionLoadsByService(now),
 		revision:    c.mirror.Revision(),
+		leaving:     c.leavingByID(before.leaving),
 	}
 	c.roster.SetReady(after.table != nil && !c.node.draining.Load())
 	after.members = c.roster.Snapshot()
--- /dev/null
+++ b/site/notices.go
@@ -0,0 +1,86 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/throttle"
+)
+
+// observeNotice applies what an endpoint says about itself in the response to a call.
+func (n *Node) observeNotice(e fleet.Endpoint, notice endpoint.Notice, sentAt time.Time) {
+	n.observeRate(e, notice.Rate, sentAt)
+	n.observeState(e, notice)
+}
+
+// observeState applies the notice in any response, also to a load or health request.
+func (n *Node) observeState(e fleet.Endpoint, notice endpoint.Notice) {
+	if notice.Leaving && !n.control.snapshot().saysLeaving(e) {
+		n.control.sendSoon(func(c *control, now time.Time) { c.observeLeaving(e, now) })
+	}
+	if now := n.now(); notice.RestUntil.After(now) && n.throttle.ObserveRest(e, notice.RestUntil, now) {
+		n.metrics.CountEndpointNotice(metrics.NoticeRest)
+		n.log.Info("endpoint_rests", "endpoint", e.ID, "incarnation", e.Incarnation, "left_ms", notice.RestUntil.Sub(now).Milliseconds())
+	}
+}
+
+// observeLeaving records that an endpoint said to this VM that it leaves.
+func (c *control) observeLeaving(e fleet.Endpoint, now time.Time) {
+	leaving := discovery.LeavingEndpoint{
+		ID:          e.ID,
+		Incarnation: e.Incarnation,
+	}
+	if !c.discovery.ReportLeaving(leaving, now) {
+		return
+	}
+	c.node.metrics.CountEndpointNotice(metrics.NoticeLeaving)
+	c.logLeaving(leaving)
+}
+
+func (c *control) logLeaving(e discovery.LeavingEndpoint) {
+	c.node.log.Info("endpoint_leaves", "endpoint", e.ID, "incarnation", e.Incarnation)
+}
+
+// saysLeaving reports whether an endpoint said itself that it leaves.
+func (snap *snapshot) saysLeaving(e fleet.Endpoint) bool {
+	incarnation, ok := snap.leaving[e.ID]
+	return ok && incarnation >= e.Incarnation
+}
+
+// countSendAfterNotice counts a request to an endpoint that leaves or rests.
+func (n *Node) countSendAfterNotice(e fleet.Endpoint, purpose throttle.RequestKind) {
+	if n.control.snapshot().saysLeaving(e) {
+		n.metrics.CountSendAfterNotice(metrics.NoticeLeaving, purpose)
+	}
+	if !n.throttle.RestsUntil(e, n.now()).IsZero() {
+		n.metrics.CountSendAfterNotice(metrics.NoticeRest, purpose)
+	}
+}
+
+// sendSoon queues a command without blocking the caller. It is lost only at the end of the
+// process.
+func (c *control) sendSoon(m command) {
+	if !c.inbox.TrySend(m) {
+		go c.send(context.Background(), m)
+	}
+}
+
+// leavingByID returns the incarnations of the endpoints that said that they leave. It
+// reuses the previous result if nothing changed.
+func (c *control) leavingByID(before map[string]int64) map[string]int64 {
+	list := c.discovery.Leaving()
+	unchanged := len(list) == len(before)
+	out := make(map[string]int64, len(list))
+	for _, e := range list {
+		out[e.ID] = e.Incarnation
+		unchanged = unchanged && before[e.ID] == e.Incarnation
+	}
+	if unchanged {
+		return before
+	}
+	return out
+}
--- a/site/site.go
+++ b/site/site.go
@@ -251,7 +251,7 @@
 		Throttle: serving.Throttle{
 			Take:          n.acquirePermit,
 			UsePermit:     n.usePermit,
-			ObserveRate:   n.observeRate,
+			ObserveNotice: n.observeNotice,
 			CallerRetryAt: n.retryAt,
 		},
 		Timeline: n.timeline,
--- a/site/throttle.go
+++ b/site/throttle.go
@@ -81,6 +81,7 @@
 	if n.throttle.IsLimited(e) {
 		n.metrics.CountRateLimitedSend(purpose)
 	}
+	n.countSendAfterNotice(e, purpose)
 	return nil
 }
 
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -62,6 +62,8 @@
 	coordinatorBackoff map[string]time.Time
 	// callerRetries are the retry times given to refused callers, by target.
 	callerRetries map[string]*retrySchedule
+	// rests are the times in which endpoints want no requests from this VM.
+	rests map[string]rest
 }
 
 // limitedEndpoint is the state of an endpoint that has named a limit.
@@ -93,6 +95,7 @@
 		endpoints:          make(map[string]*limitedEndpoint),
 		coordinatorBackoff: make(map[string]time.Time),
 		callerRetries:      make(map[string]*retrySchedule),
+		rests:              make(map[string]rest),
 	}
 }
 
