Endpoints that say in an answer that they leave get no calls any more

Callers' requests went on to an endpoint that had said it leaves: 2 to 17 a second for up to 12 s, until the store could say it too. Cause: the word was read by nobody; whether an endpoint leaves was taken from the store alone, and while the store is silent it says "ready".

The view of the store (discovery) now holds what an endpoint has said of itself, by incarnation: it takes no calls for the rest of that life, whatever its entry says, also where the entry lapses and an older one returns (kept 30 s after the entry is gone); a later life takes calls again. The VM that hears it tells three of its region at once, these as many, and exchanges carry it to the rest as long as the entry says otherwise, so that VMs that start anew, or never ask that endpoint, know it too. It lives beside what endpoints say of being cold, so all ways of choosing an endpoint obey it.

A defect that trusts the store alone is found by the new check.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -430,7 +430,7 @@
 }
 
 func (s *State) acceptsCalls(k *endpointState) bool {
-	return k.State == fleet.StateLive && !s.evacuated[k.DataCentre]
+	return k.State == fleet.StateLive && !s.evacuated[k.DataCentre] && !s.saysLeaving(k)
 }
 
 func (k *endpointState) ready(now time.Time) AvailableEndpoint {
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -12,10 +12,12 @@
 )
 
 type schedule struct {
-	Name    string
-	Steps   []step
-	Want    []string
-	Version uint64
+	Name  string
+	Steps []step
+	Want  []string
+	// Unpublished are the endpoints that leave and whose entries say otherwise.
+	Unpublished []string
+	Version     uint64
 }
 
 type step struct {
@@ -27,13 +29,15 @@
 	// Unreached names an endpoint that counts as unreachable for Long.
 	Unreached, Long string
 	SaysCold        string `json:"says_cold"`
-	Remove          string
-	Store           string
-	Wait            string
-	Evacuate        string
-	TakeBack        string `json:"take_back"`
-	Table           uint64
-	OtherKey        bool `json:"other_key"`
+	// SaysLeaving names an endpoint that said in a response that it leaves.
+	SaysLeaving string `json:"says_leaving"`
+	Remove      string
+	Store       string
+	Wait        string
+	Evacuate    string
+	TakeBack    string `json:"take_back"`
+	Table       uint64
+	OtherKey    bool `json:"other_key"`
 }
 
 func TestSchedules(t *testing.T) {
@@ -57,6 +61,11 @@
 				got = append(got, name)
 			}
 			assert.DeepEqual(t, got, c.Want)
+			var unpublished []string
+			for _, e := range s.UnpublishedLeaving() {
+				unpublished = append(unpublished, e.ID)
+			}
+			assert.DeepEqual(t, unpublished, c.Unpublished)
 			if c.Version > 0 {
 				assert.Equal(t, s.Table().Version, c.Version)
 			}
@@ -75,6 +84,8 @@
 		s.ReportUnreachable(step.Unreached, now.Add(parseDuration(t, step.Long)), now)
 	case step.SaysCold != "":
 		s.ReportCold(step.SaysCold, now.Add(parseDuration(t, step.Cold)), now)
+	case step.SaysLeaving != "":
+		s.ReportLeaving(LeavingEndpoint{ID: step.SaysLeaving, Incarnation: step.Incarnation}, now)
 	case step.Remove != "":
 		s.Apply(Change{Removed: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Remove}}}, now)
 	case step.Store == "lost":
--- a/discovery/leaving.go
+++ b/discovery/leaving.go
@@ -1,6 +1,11 @@
 package discovery
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
 
 // leavingRetention is how long it is remembered that an endpoint leaves after its entry is
 // gone. An older copy of the entry may return meanwhile.
@@ -50,6 +55,15 @@
 	return out
 }
 
+// UnpublishedLeaving returns the endpoints that said that they leave and whose entries still
+// say otherwise, in no particular order.
+func (s *State) UnpublishedLeaving() []LeavingEndpoint {
+	return slices.DeleteFunc(s.Leaving(), func(e LeavingEndpoint) bool {
+		k, listed := s.endpoints[e.ID]
+		return !listed || k.State != fleet.StateLive || !s.saysLeaving(k)
+	})
+}
+
 // saysLeaving reports whether an endpoint said itself that it leaves.
 func (s *State) saysLeaving(k *endpointState) bool {
 	notice, ok := s.leaving[k.ID]
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -44,6 +44,7 @@
 		unavailable := c.localUnavailable(now)
 		m.Cold = coldEndpointMessages(unavailable, now)
 		m.Unreached = unreachableMessages(unavailable, now)
+		m.Leaving = leavingMessages(c.discovery.UnpublishedLeaving())
 		m.Limits = endpointLimitMessages(c.node.throttle.Recent(now))
 		m.LimitsDigest = c.node.throttle.Digest()
 	}
@@ -115,6 +116,7 @@
 	c.applyRegionLoads(m.GetLoads(), sentAt)
 	c.applyCold(ctx, m.GetCold(), sentAt, now)
 	c.applyUnreachable(ctx, m.GetUnreached(), sentAt, now)
+	c.applyLeaving(ctx, m.GetLeaving(), now)
 	c.applyEndpointLimits(m.GetLimits(), now)
 	c.node.pools.applyReports(m.GetReports(), sentAt)
 	c.node.pools.applyHoldings(m.GetHoldings(), sentAt, now)
--- a/site/notices.go
+++ b/site/notices.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
@@ -39,6 +40,41 @@
 	}
 	c.node.metrics.CountEndpointNotice(metrics.NoticeLeaving)
 	c.logLeaving(leaving)
+	c.spread(context.Background(), leavingFanout, now)
+}
+
+// leavingFanout is the number of VMs of the region that are told at once of an endpoint that
+// leaves; each passes it on to as many, and the others learn of it in exchanges.
+const leavingFanout = 3
+
+// applyLeaving merges leaving endpoints reported by a peer and spreads those that were not
+// known yet.
+func (c *control) applyLeaving(ctx context.Context, list []*peerpb.LeavingEndpoint, now time.Time) {
+	changed := false
+	for _, m := range list {
+		e := discovery.LeavingEndpoint{
+			ID:          m.GetEndpoint(),
+			Incarnation: m.GetIncarnation(),
+		}
+		if c.discovery.ReportLeaving(e, now) {
+			c.logLeaving(e)
+			changed = true
+		}
+	}
+	if changed {
+		c.spread(ctx, leavingFanout, now)
+	}
+}
+
+func leavingMessages(list []discovery.LeavingEndpoint) []*peerpb.LeavingEndpoint {
+	out := make([]*peerpb.LeavingEndpoint, 0, len(list))
+	for _, e := range list {
+		out = append(out, &peerpb.LeavingEndpoint{
+			Endpoint:    e.ID,
+			Incarnation: e.Incarnation,
+		})
+	}
+	return out
 }
 
 func (c *control) logLeaving(e discovery.LeavingEndpoint) {
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -34,6 +34,8 @@
 	IgnoreLimits          Defect = "ignore_limits"
 	// EnforceLimitsLocally makes each VM enforce limits without the others.
 	EnforceLimitsLocally Defect = "limits_alone"
+	// IgnoreLeavingNotices trusts the store alone on whether an endpoint leaves.
+	IgnoreLeavingNotices Defect = "ignore_leaving_answers"
 )
 
 // Options configures one run.
--- a/testscripts/emulator/emulator_test.go
+++ b/testscripts/emulator/emulator_test.go
@@ -51,6 +51,7 @@
 		Seeds    uint64
 		Crashing CrashingCalls
 		Limiting EngineLimits
+		Notices  EngineNotices
 	}](t, "testdata/faults.json") {
 		t.Run(string(c.Fault), func(t *testing.T) {
 			for first := uint64(1); first <= c.Seeds; first += batchSize {
@@ -60,6 +61,7 @@
 					Duration:      runDuration,
 					CrashingCalls: c.Crashing,
 					EngineLimits:  c.Limiting,
+					EngineNotices: c.Notices,
 				}, batchSize)
 				if slices.ContainsFunc(sum.Failed, func(r Report) bool { return r.violates(c.Check) }) {
 					return
--- a/testscripts/emulator/engine_notices.go
+++ b/testscripts/emulator/engine_notices.go
@@ -169,14 +169,23 @@
 	}
 }
 
-// learnLeaving records endpoints that leave.
+// leavingFanout equals the gateway's.
+const leavingFanout = 3
+
+// learnLeaving records endpoints that leave, and passes on those that were not known.
 func (v *vm) learnLeaving(list []discovery.LeavingEndpoint) {
+	if v.world.defect == IgnoreDraining || v.world.defect == IgnoreLeavingNotices {
+		return
+	}
+	changed := false
 	for _, e := range list {
-		if v.discovery.ReportLeaving(e, v.now()) {
-			v.endpointsChanged = true
-		}
+		changed = v.discovery.ReportLeaving(e, v.now()) || changed
+	}
+	if changed {
+		v.endpointsChanged = true
+		v.applyState()
+		v.gossipTo(v.roster.RandomTargets(leavingFanout))
 	}
-	v.applyState()
 }
 
 // checkNotices checks a request, or a probe, against what the engine told the VM before. A
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
@@ -18,6 +19,7 @@
 	rumors        []roster.Rumor
 	revision      uint64
 	coldEndpoints []coldEndpoint
+	leaving       []discovery.LeavingEndpoint
 	limits        []throttle.Limit
 	// limitsDigest differs if two VMs know different engine limits.
 	limitsDigest uint64
@@ -44,6 +46,7 @@
 		senderIncarnation: v.incarnation,
 	}
 	now := v.now()
+	m.leaving = v.discovery.UnpublishedLeaving()
 	m.limits = v.throttle.Recent(now)
 	m.limitsDigest = v.throttle.Digest()
 	for _, e := range v.discovery.Endpoints(now) {
@@ -130,6 +133,7 @@
 		v.gossipTo(v.roster.RandomTargets(coldFanout))
 	}
 	if m.senderVM.member.Region == v.member.Region {
+		v.learnLeaving(m.leaving)
 		for _, w := range m.limits {
 			v.throttle.Learn(w, now)
 		}
