Emulator: the budget of repeats counts the requests that callers sent

The check took the requests that reached endpoints for the requests of a service. The stated rule counts those that clients sent, whether they arrived or not; while all endpoints of a region are closed for a time the two are far apart, and repeats that the rule allows failed.

--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -59,7 +59,6 @@
 	violations    []Violation
 	versions      map[uint64]uint64
 	retryArrivals []time.Time
-	firstArrivals []time.Time
 	// runOverruns counts runs on more endpoints than the route allows.
 	runOverruns int
 	// crashes holds the times of the crashes that each content caused, and
@@ -142,9 +141,7 @@
 	now := l.world.clock.now
 	r := a.request
 	r.outcome.arrivals++
-	if r.outcome.arrivals == 1 {
-		l.firstArrivals = append(l.firstArrivals, now)
-	} else {
+	if r.outcome.arrivals > 1 {
 		l.retryArrivals = append(l.retryArrivals, now)
 		l.checkBudget(now)
 	}
@@ -180,11 +177,12 @@
 	}
 }
 
-// checkBudget checks the ratio of retries to requests in the last window.
+// checkBudget checks the ratio of retries to the requests that callers sent, whether these
+// arrived or not.
 func (l *ledger) checkBudget(now time.Time) {
 	requests := 0
 	for _, age := range []time.Duration{0, retryWindow / 2, retryWindow} {
-		requests = max(requests, countBetween(l.firstArrivals, now.Add(-age-retryWindow), now.Add(-age)))
+		requests = max(requests, l.sentBetween(now.Add(-age-retryWindow), now.Add(-age)))
 	}
 	retries := countBetween(l.retryArrivals, now.Add(-retryWindow), now)
 	if bound := retryRatio*float64(requests) + retryBurst; float64(retries) > bound {
@@ -192,6 +190,17 @@
 	}
 }
 
+// sentBetween counts the requests that callers sent after one time and until another.
+func (l *ledger) sentBetween(after, until time.Time) int {
+	n := 0
+	for i := len(l.requests) - 1; i >= 0 && l.requests[i].sentAt.After(after); i-- {
+		if !l.requests[i].sentAt.After(until) {
+			n++
+		}
+	}
+	return n
+}
+
 func countBetween(list []time.Time, after, until time.Time) int {
 	n := 0
 	for i := len(list) - 1; i >= 0 && list[i].After(after); i-- {
