Endpoints that want rest get nothing from the VM that they told so

An endpoint that turns a request away with 503 may name a time in which it wants nothing from that VM. The time went to callers only, and the VM went on choosing the endpoint by what it expects of it: 3 and 5 requests in 3 s, two allowed after the first half second.

The throttle, which every request to an endpoint passes, now holds these times for this VM by endpoint and incarnation: nothing is chosen for a resting endpoint, a request that was chosen before is stopped right before its first byte, and questions for load and health wait as well. A later answer can only extend the time. It is kept apart from the pool of the service, which forgets an endpoint that becomes cold or whose entry lapses. Calls go to other endpoints or regions; where all rest they are refused at once with 2016 and the time at which the first of them takes requests again, 10 s at the most.

A defect that ignores the times is found by the new check.

--- a/result/result.go
+++ b/result/result.go
@@ -123,7 +123,7 @@
 	row(LimitConcurrency, "limit_concurrency", ClassNotRun, http.StatusTooManyRequests, "The contract's calls in flight are all in use.", "Retry when a call has finished."),
 	row(LimitNoShare, "limit_no_share", ClassNotRun, http.StatusServiceUnavailable, "This VM holds no share of the workspace's limit now.", "Use the listed VMs."),
 	row(LimitBorrow, "limit_borrow", ClassNotRun, http.StatusTooManyRequests, "The contract's borrowing share is used up.", "Retry at the given time."),
-	row(LimitEndpoint, "limit_endpoint", ClassNotRun, http.StatusServiceUnavailable, "The endpoints that could take the call have named a limit, which is used up.", "Retry at the given time."),
+	row(LimitEndpoint, "limit_endpoint", ClassNotRun, http.StatusServiceUnavailable, "The endpoints that could take the call have named a limit, which is used up, or want no requests for a time.", "Retry at the given time."),
 	row(DeadlineUnmeetable, "deadline_unmeetable", ClassNotRun, http.StatusServiceUnavailable, "The deadline cannot be met now.", "Retry at the given time."),
 	row(QueueFull, "queue_full", ClassNotRun, http.StatusServiceUnavailable, "Too many calls wait already.", "Retry at the given time."),
 	row(NoEndpoint, "no_endpoint", ClassNotRun, http.StatusServiceUnavailable, "No endpoint of the target takes work in an allowed region.", "Retry at the given time."),
--- a/serving/throttle.go
+++ b/serving/throttle.go
@@ -77,7 +77,7 @@
 }
 
 // RateLimitRefusal converts a NoEndpoint refusal into LimitEndpoint with a retry-after time if
-// endpoints are closed by their rate limits. Other refusals are returned unchanged.
+// endpoints are closed by their rate limits or rest. Other refusals are returned unchanged.
 func (s *Server) RateLimitRefusal(c *call.Call, pool *Pool, refusal *result.Refusal) *result.Refusal {
 	if refusal.Code != result.NoEndpoint {
 		return refusal
@@ -86,7 +86,7 @@
 	if len(ids) == 0 {
 		return refusal
 	}
-	refusal = result.Refuse(result.LimitEndpoint, "%d endpoints of %s have named limits and take no request now", len(ids), c.Target())
+	refusal = result.Refuse(result.LimitEndpoint, "%d endpoints of %s have named limits or asked for a rest, and take no request now", len(ids), c.Target())
 	return refusal.WithRetryAt(s.options.Throttle.CallerRetryAt(c.Target(), ids, opensAt))
 }
 
--- a/site/notices.go
+++ b/site/notices.go
@@ -23,9 +23,29 @@
 	if notice.Leaving && !n.control.snapshot().saysLeaving(e) {
 		n.control.sendSoon(func(c *control, now time.Time) { c.observeLeaving(e, now) })
 	}
-	if now := n.now(); notice.RestUntil.After(now) && n.throttle.ObserveRest(e, notice.RestUntil, now) {
-		n.metrics.CountEndpointNotice(metrics.NoticeRest)
-		n.log.Info("endpoint_rests", "endpoint", e.ID, "incarnation", e.Incarnation, "left_ms", notice.RestUntil.Sub(now).Milliseconds())
+	if !notice.RestUntil.IsZero() {
+		n.observeRest(e, notice.RestUntil)
+	}
+}
+
+// observeRest records that an endpoint wants no requests from this VM until the given time.
+func (n *Node) observeRest(e fleet.Endpoint, until time.Time) {
+	now := n.now()
+	begins := n.throttle.RestsUntil(e, now).IsZero()
+	if !n.throttle.ObserveRest(e, until, now) {
+		return
+	}
+	n.metrics.CountEndpointNotice(metrics.NoticeRest)
+	n.pools.pause(e, until)
+	if begins {
+		n.log.Info("endpoint_rests", "endpoint", e.ID, "incarnation", e.Incarnation, "left_ms", until.Sub(now).Milliseconds())
+	}
+}
+
+// pause keeps the choice of endpoints from one that takes no requests from this VM.
+func (p *pools) pause(e fleet.Endpoint, until time.Time) {
+	if pool := p.all()[e.Service]; pool != nil {
+		pool.Endpoints.PauseUntil(e.ID, until)
 	}
 }
 
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -36,6 +36,7 @@
 	EnforceLimitsLocally Defect = "limits_alone"
 	// IgnoreLeavingNotices trusts the store alone on whether an endpoint leaves.
 	IgnoreLeavingNotices Defect = "ignore_leaving_answers"
+	IgnoreRests          Defect = "ignore_rests"
 )
 
 // Options configures one run.
--- a/testscripts/emulator/engine_notices.go
+++ b/testscripts/emulator/engine_notices.go
@@ -154,8 +154,8 @@
 			Incarnation: e.Incarnation,
 		}})
 	}
-	if n.RestUntil.After(now) {
-		v.throttle.ObserveRest(e, n.RestUntil, now)
+	if v.world.defect != IgnoreRests && v.throttle.ObserveRest(e, n.RestUntil, now) {
+		v.pool.PauseUntil(e.ID, n.RestUntil)
 	}
 }
 
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -48,6 +48,19 @@
 	})
 }
 
+// TestNoticesInAnswers guards against VMs that send requests to a replica after it told them
+// in an answer that it leaves or rests.
+func TestNoticesInAnswers(t *testing.T) {
+	runScenario(t, runEndpointNotices, Options{
+		Seed:          1,
+		Regions:       3,
+		VMs:           3,
+		Engines:       3,
+		Clients:       12,
+		FaultDuration: 3 * time.Second,
+	})
+}
+
 // TestColdAgain guards against overloading a cold engine that restarts while the store
 // refuses reads.
 func TestColdAgain(t *testing.T) {
--- a/throttle/permit.go
+++ b/throttle/permit.go
@@ -19,11 +19,14 @@
 }
 
 // UsePermit uses a permit right before the first byte of the request is written. It
-// refuses a request whose permit has expired, or that is sent again without a new
-// permit.
+// refuses a request whose permit has expired, that is sent again without a new permit, or
+// whose endpoint has asked this VM for a rest since.
 func (t *Throttle) UsePermit(e fleet.Endpoint, p *Permit, now time.Time) *result.Refusal {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if until := t.restsUntil(e, now); !until.IsZero() {
+		return result.Refuse(result.LimitEndpoint, "the endpoint wants no requests from this VM now").WithRetryAt(until)
+	}
 	endpoint := t.endpoints[e.ID]
 	if endpoint == nil || !endpoint.limit.appliesTo(e) {
 		return nil
@@ -47,6 +50,9 @@
 			perSecond += max(endpoint.limit.PerSecond, minPerSecond)
 		}
 	}
+	if latest := now.Add(maxCallerRetryDelay); perSecond == 0 && opensAt.After(latest) {
+		return latest
+	}
 	if perSecond == 0 {
 		return opensAt
 	}
--- a/throttle/rest.go
+++ b/throttle/rest.go
@@ -26,7 +26,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	held := t.rests[e.ID]
-	if e.Incarnation < held.incarnation || held.appliesTo(e, now) && !until.After(held.until) {
+	if !now.Before(until) || e.Incarnation < held.incarnation || held.appliesTo(e, now) && !until.After(held.until) {
 		return false
 	}
 	t.forgetRests(now)
--- a/throttle/throttle.go
+++ b/throttle/throttle.go
@@ -1,5 +1,6 @@
-// Package throttle enforces the rate limits that endpoints name in their answers, in
-// requests per second from all VMs together.
+// Package throttle enforces what endpoints say in their answers about the requests that
+// they accept: a rate limit, in requests per second from all VMs together, and a rest, a
+// time in which they want no requests from the VM that they refused.
 //
 // An endpoint is reached only from its own region. For each endpoint one VM of the
 // region, the coordinator, is chosen by rendezvous hashing and grants a permit for every
@@ -118,6 +119,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.census.Observe(len(r.Reachable), r.Known, now)
+	if until := t.restsUntil(e, now); !until.IsZero() {
+		return Verdict{
+			RetryAt: until,
+		}
+	}
 	endpoint := t.endpoints[e.ID]
 	if endpoint == nil || !endpoint.limit.appliesTo(e) {
 		return Verdict{
