A limit that an endpoint names only in answers to questions is kept to

Found by looking for the same class: notices in answers to questions for load and health were not read, so a limit that stood only there held nobody. It is taken now where it is named or lowered; such an answer without one lifts none, as the rule speaks of answers to calls.

--- a/site/cold.go
+++ b/site/cold.go
@@ -34,7 +34,7 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	remaining, notice, err := p.node.endpointClient.FetchColdStart(timeoutCtx, e, service.HealthPath)
-	p.node.observeState(e, notice)
+	p.node.observeProbeNotice(e, notice)
 	if err != nil {
 		p.node.log.Debug("health_failed", "endpoint", e.ID, "reason", err.Error())
 		return err
--- a/site/notices.go
+++ b/site/notices.go
@@ -18,7 +18,16 @@
 	n.observeState(e, notice)
 }
 
-// observeState applies the notice in any response, also to a load or health request.
+// observeProbeNotice applies the notice in the response to a load or health request. It may
+// name or lower a rate limit, but not lift one, as only responses to calls have to name it.
+func (n *Node) observeProbeNotice(e fleet.Endpoint, notice endpoint.Notice) {
+	if notice.Rate.Named {
+		n.observeRate(e, notice.Rate, time.Time{})
+	}
+	n.observeState(e, notice)
+}
+
+// observeState applies the notice in any response, apart from rate limits.
 func (n *Node) observeState(e fleet.Endpoint, notice endpoint.Notice) {
 	if notice.Leaving && !n.control.snapshot().saysLeaving(e) {
 		n.control.sendSoon(func(c *control, now time.Time) { c.observeLeaving(e, now) })
--- a/site/polling.go
+++ b/site/polling.go
@@ -234,7 +234,7 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	load, notice, err := p.node.endpointClient.FetchLoad(timeoutCtx, e)
-	p.node.observeState(e, notice)
+	p.node.observeProbeNotice(e, notice)
 	if err != nil {
 		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
 		p.reportUnreachable(ctx, e)
