Load reports of endpoints that drain are read

Another word of the same class: a load report has the state of the endpoint, as its entry has, and only the entry was read. The report also names the life that speaks, so it counts for that one.

--- a/site/polling.go
+++ b/site/polling.go
@@ -234,7 +234,11 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	load, notice, err := p.node.endpointClient.FetchLoad(timeoutCtx, e)
-	p.node.observeProbeNotice(e, notice)
+	// The report tells which incarnation speaks.
+	reporting := e
+	reporting.Incarnation = max(e.Incarnation, load.Incarnation)
+	notice.Leaving = notice.Leaving || load.Leaving
+	p.node.observeProbeNotice(reporting, notice)
 	if err != nil {
 		p.node.log.Debug("report_failed", "endpoint", e.ID, "reason", err.Error())
 		p.reportUnreachable(ctx, e)
--- a/standin/replica/state.go
+++ b/standin/replica/state.go
@@ -76,5 +76,9 @@
 func (r *Replica) serveReport(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, _ = fmt.Fprintf(w, `{"Stage":"hybrid","Queued":0,"Active":%d,"KvUsed":%d,"KvTotal":300000,"born":%d}`, r.active, 1000*r.active, r.StartedAtMillis)
+	state := "ready"
+	if r.leaving {
+		state = "draining"
+	}
+	_, _ = fmt.Fprintf(w, `{"Stage":"hybrid","State":%q,"Queued":0,"Active":%d,"KvUsed":%d,"KvTotal":300000,"born":%d}`, state, r.active, 1000*r.active, r.StartedAtMillis)
 }
