Reads of the store: the era of its replies, in lines and a metric

The position of a reply is now its era and its revision (discovery.Position), of which only the revision is used as before. Lines store_back and store_read_ignored and the metric store_era show which era a VM reads and that a whole read is older than what the VM holds. Nothing else decides by the era yet.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -91,6 +91,7 @@
 	quarantinedCalls prometheus.Gauge
 	routesVersion    prometheus.Gauge
 	publishedAge     prometheus.Gauge
+	storeEra         prometheus.Gauge
 	linesDropped     prometheus.Counter
 }
 
@@ -132,6 +133,7 @@
 		endpoints:        newGaugeVec("endpoints", "Endpoints of the own region, by state.", "state"),
 		quarantinedCalls: newGauge("calls_held", "Calls that endpoints do not get, as those that ran them crashed."),
 		routesVersion:    newGauge("routes_version", "Version of the table of routes in force."),
+		storeEra:         newGauge("store_era", "Era of the store's last reply; it rises as the store comes back from an older copy."),
 		publishedAge:     newGauge("published_age_seconds", "Time since this VM last knew that it holds what the store holds."),
 		linesDropped:     newCounter("log_lines_dropped_total", "Log lines dropped as the ring was full."),
 	}
@@ -140,7 +142,7 @@
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
-		m.members, m.endpoints, m.quarantinedCalls, m.routesVersion, m.publishedAge, m.linesDropped,
+		m.members, m.endpoints, m.quarantinedCalls, m.routesVersion, m.publishedAge, m.storeEra, m.linesDropped,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -283,6 +285,11 @@
 	m.publishedAge.Set(age.Seconds())
 }
 
+// SetStoreEra sets the era of the store's last reply.
+func (m *Metrics) SetStoreEra(era uint64) {
+	m.storeEra.Set(float64(era))
+}
+
 // CountRateLimitedSend counts a request sent to an endpoint that has a rate limit.
 func (m *Metrics) CountRateLimitedSend(way throttle.RequestKind) {
 	m.rateLimitedSends.WithLabelValues(string(way)).Inc()
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -67,6 +67,7 @@
 	m.CountSnapshot(false)
 	m.CountLimitRequest(false)
 	m.SetPublishedAge(time.Second)
+	m.SetStoreEra(3)
 	m.LinesDropped(2)
 	m.PlatformRead(nil)
 	m.PlatformRead(errors.New("lost"))
@@ -137,6 +138,7 @@
 		"fuchsianotch_members a reached":                2,
 		"fuchsianotch_members a suspected":              1,
 		"fuchsianotch_published_age_seconds ":           1,
+		"fuchsianotch_store_era ":                       3,
 		"fuchsianotch_routes_version ":                  7,
 		"fuchsianotch_calls_held ":                      4,
 		"fuchsianotch_limit_refused_total hule930":      1,
--- a/site/control.go
+++ b/site/control.go
@@ -39,8 +39,8 @@
 	meteringFleet metering.Fleet
 	// regionLoads holds the latest load reports of other regions by service.
 	regionLoads map[string][]regionLoad
-	// revision is the store revision that this VM has applied.
-	revision uint64
+	// position is that of the store contents that this VM has applied.
+	position discovery.Position
 	// leaving holds the incarnations of the endpoints that said in a response that they
 	// leave.
 	leaving map[string]int64
@@ -160,8 +160,10 @@
 	after := &snapshot{
 		table:       c.discovery.Table(),
 		regionLoads: c.regionLoadsByService(now),
-		revision:    c.mirror.Revision(),
-		leaving:     c.leavingByID(before.leaving),
+		position: discovery.Position{
+			Revision: c.mirror.Revision(),
+		},
+		leaving: c.leavingByID(before.leaving),
 	}
 	c.roster.SetReady(after.table != nil && !c.node.draining.Load())
 	after.members = c.roster.Snapshot()
@@ -202,7 +204,7 @@
 // logChanges logs changes of the configuration and of the members.
 func (c *control) logChanges(before, after *snapshot) {
 	if before.table != after.table {
-		c.node.log.Info("configuration_taken", "version", after.table.Version, "revision", after.revision)
+		c.node.log.Info("configuration_taken", "version", after.table.Version, "revision", after.position.Revision)
 	}
 	if before.members.Generation == after.members.Generation {
 		return
--- a/site/pull.go
+++ b/site/pull.go
@@ -78,7 +78,7 @@
 	if n.isReader() || p.prefersLocal(notice.vm) {
 		worker.SleepUntil(ctx, n.now(), n.now().Add(pullDelay))
 	}
-	after := n.control.snapshot().revision
+	after := n.control.snapshot().position.Revision
 	if after >= notice.revision {
 		return
 	}
@@ -99,9 +99,11 @@
 		n.snapshots.keep(reply.GetRevision(), packed)
 	}
 	read := storeRead{
-		items:    itemsFromMessage(reply.GetItems()),
-		revision: reply.GetRevision(),
-		full:     reply.GetWhole(),
+		items: itemsFromMessage(reply.GetItems()),
+		position: discovery.Position{
+			Revision: reply.GetRevision(),
+		},
+		full: reply.GetWhole(),
 	}
 	// The only error is the end of the context.
 	_, _ = query(timeoutCtx, n.control, func(c *control, now time.Time) bool {
--- a/site/pull_test.go
+++ b/site/pull_test.go
@@ -31,7 +31,7 @@
 			Revision: latest.Load(),
 		}
 	})
-	initial := n.control.snapshot().revision
+	initial := n.control.snapshot().position.Revision
 	notify := func(revision uint64) {
 		latest.Store(revision)
 		for range 100 {
@@ -48,7 +48,7 @@
 	notify(initial + 1)
 	notify(initial + 2)
 	close(release)
-	waitFor(t, func() bool { return n.control.snapshot().revision == initial+2 && !n.puller.isPulling() })
+	waitFor(t, func() bool { return n.control.snapshot().position.Revision == initial+2 && !n.puller.isPulling() })
 	assert.Assert(t, pulls.Load() <= 2, "pulled %d times", pulls.Load())
 }
 
--- a/site/snapshots_test.go
+++ b/site/snapshots_test.go
@@ -38,7 +38,7 @@
 	}
 	assert.Assert(t, sent > 0 && sent < 50 && refused > 50, "%d sent, %d refused", sent, refused)
 	changes, err := n.puller.handlePublished(t.Context(), &peerpb.PublishedRequest{
-		AfterRevision: n.control.snapshot().revision - 2,
+		AfterRevision: n.control.snapshot().position.Revision - 2,
 	})
 	assert.NilError(t, err)
 	assert.Equal(t, len(changes.GetItems()), 2)
@@ -48,7 +48,7 @@
 // that a peer then asks for what has changed since.
 func TestReceivedSnapshotIsPassedOn(t *testing.T) {
 	n := runningFleetNode(t, fleetSize{vms: 10, engines: 100})
-	revision := n.control.snapshot().revision
+	revision := n.control.snapshot().position.Revision
 	packed := []byte("a compressed list")
 	n.snapshots.keep(revision-1, packed)
 	reply, err := n.puller.handlePublished(t.Context(), &peerpb.PublishedRequest{})
@@ -66,20 +66,20 @@
 // sends it the contents, and behind whose read all others then need everything anew.
 func TestLateWholeReadIsDropped(t *testing.T) {
 	n := runningFleetNode(t, fleetSize{vms: 10, engines: 100})
-	held := n.control.snapshot().revision
+	held := n.control.snapshot().position.Revision
 	whole := []discovery.Item{fleetEngine(1000, held+7)}
 	n.applyRead(t.Context(), storeRead{
 		items:    whole,
-		revision: held + 7,
+		position: discovery.Position{Revision: held + 7},
 		full:     true,
 		initial:  true,
 	})
-	assert.Equal(t, n.control.snapshot().revision, held)
+	assert.Equal(t, n.control.snapshot().position.Revision, held)
 	assert.Assert(t, !n.control.mirror.NeedsSnapshot(held))
 	n.applyRead(t.Context(), storeRead{
 		items:    whole,
-		revision: held + 7,
+		position: discovery.Position{Revision: held + 7},
 		full:     true,
 	})
-	waitFor(t, func() bool { return n.control.snapshot().revision == held+7 })
+	waitFor(t, func() bool { return n.control.snapshot().position.Revision == held+7 })
 }
--- a/site/store.go
+++ b/site/store.go
@@ -24,12 +24,12 @@
 // storeRead is the result of one read of the store.
 type storeRead struct {
 	items    []discovery.Item
-	revision uint64
+	position discovery.Position
 	// full is set if items are the entire contents of the store, initial if they were read
 	// because this VM held nothing.
 	full    bool
 	initial bool
-	// freshAsOf is a time at which the store held nothing newer than revision.
+	// freshAsOf is a time at which the store held nothing newer than position.
 	freshAsOf time.Time
 }
 
@@ -46,7 +46,7 @@
 		read, err := n.readOnce(ctx, historyLost)
 		n.metrics.PlatformRead(err)
 		if errors.Is(err, platform.ErrHistoryLost) {
-			n.log.Info("store_history_lost", "revision", n.control.snapshot().revision)
+			n.log.Info("store_history_lost", "revision", n.control.snapshot().position.Revision)
 			historyLost = true
 			continue
 		}
@@ -71,22 +71,22 @@
 // readOnce watches the store from the revision that this VM holds, or reads it as a whole.
 func (n *Node) readOnce(ctx context.Context, historyLost bool) (storeRead, error) {
 	startedAt := n.now()
-	after := n.control.snapshot().revision
-	if historyLost || after == 0 {
-		items, revision, err := n.store.All(ctx, platform.AllKeysPrefix)
+	held := n.control.snapshot().position
+	if historyLost || held.IsZero() {
+		items, position, err := n.store.All(ctx, platform.AllKeysPrefix, held)
 		return storeRead{
 			items:     items,
-			revision:  revision,
+			position:  position,
 			full:      true,
 			initial:   !historyLost,
 			freshAsOf: startedAt,
 		}, err
 	}
 	deadline := startedAt.Add(n.watchTimeout())
-	items, revision, err := n.store.Changes(ctx, platform.AllKeysPrefix, after, deadline)
+	items, position, err := n.store.Changes(ctx, platform.AllKeysPrefix, held, deadline)
 	return storeRead{
 		items:     items,
-		revision:  revision,
+		position:  position,
 		freshAsOf: watchFreshness(startedAt, deadline, n.now(), len(items)),
 	}, err
 }
@@ -105,7 +105,7 @@
 	// The only error is the end of the context.
 	_, _ = query(ctx, n.control, func(c *control, now time.Time) bool {
 		if c.discovery.StoreRecovered(now) {
-			n.log.Info("store_back", "revision", read.revision)
+			n.log.Info("store_back", "era", read.position.Era, "revision", read.position.Revision)
 		}
 		c.roster.SetStoreUnreadable(false)
 		if read.initial && c.mirror.Revision() > 0 {
@@ -113,6 +113,10 @@
 			// not applied without need; the next watch brings what is newer.
 			return true
 		}
+		if read.full && read.position.Revision < c.mirror.Revision() {
+			n.log.Warn("store_read_ignored", "era", read.position.Era, "revision", read.position.Revision, "held", c.mirror.Revision())
+		}
+		n.metrics.SetStoreEra(read.position.Era)
 		c.applyAndSpread(ctx, c.mergeRead(read), now)
 		n.advanceFreshness(read.freshAsOf)
 		return true
@@ -179,9 +183,9 @@
 
 func (c *control) mergeRead(read storeRead) []discovery.Item {
 	if read.full {
-		return c.mirror.Replace(read.items, read.revision)
+		return c.mirror.Replace(read.items, read.position.Revision)
 	}
-	return c.mirror.Apply(read.items, read.revision)
+	return c.mirror.Apply(read.items, read.position.Revision)
 }
 
 func (n *Node) handleStoreError(ctx context.Context, err error) {
