Test that fails: a store that comes back from an older copy is ignored

The emulator's store saves a copy, takes writes, goes away and comes back from the copy with one more era; revisions are given out again, a watch from one that it does not have is refused, and what was lost is written again within 1.5 s. Changes of the emulator's store are looked up by what was written, no longer by the revision.

--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -1,6 +1,7 @@
 // Package store is an in-memory fake of the platform's key-value store of routes
 // and endpoints. It serves paginated ranges and watches by revision over the
-// store's HTTP API, supports compaction, and fails on demand.
+// store's HTTP API, supports compaction, comes back from older copies of itself, and fails
+// on demand.
 package store
 
 import (
@@ -44,7 +45,9 @@
 
 // Store is a fake key-value store. It is safe for concurrent use.
 type Store struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era counts the restores; revisions are given out again after each.
+	era      uint64
 	revision uint64
 	items    map[string]Item
 	history  []Item
@@ -157,6 +160,7 @@
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
 	mux.HandleFunc("GET /kv-key", s.serveKey)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerEra, strconv.FormatUint(s.currentEra(), 10))
 		if s.applyMode(w, r) {
 			return
 		}
@@ -248,14 +252,16 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
+	era := s.currentEra()
 	for {
 		s.mu.Lock()
 		events, revision, compacted := s.eventsSince(query.Get("PathPrefix"), after)
-		changed, mode := s.changed, s.mode
+		changed, mode, restored := s.changed, s.mode, s.era != era
 		s.mu.Unlock()
 		switch {
-		case mode != ModeServing:
-			// A failing store never completes the watches that are waiting.
+		case mode != ModeServing || restored:
+			// A failing store never completes the watches that are waiting, nor does one that
+			// has come back.
 			<-r.Context().Done()
 			return
 		case compacted:
@@ -279,7 +285,7 @@
 }
 
 func (s *Store) eventsSince(prefix string, after uint64) (events []Item, revision uint64, compacted bool) {
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.revision {
 		return nil, 0, true
 	}
 	events = []Item{}
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -54,6 +54,9 @@
 	// EngineNotices adds engines that say that they leave or rest, without changing the
 	// other random choices of a seed.
 	EngineNotices EngineNotices
+	// StoreRestores adds restores of the store from older copies, without changing the other
+	// random choices of a seed.
+	StoreRestores StoreRestores
 }
 
 // Report is the result of one run.
@@ -99,13 +102,14 @@
 func Run(o Options) Report {
 	w := newWorld(o)
 	w.start()
-	if !o.CrashingCalls.NoOtherFaults && !o.EngineLimits.NoFaults && !o.EngineNotices.NoFaults {
+	if !o.CrashingCalls.NoOtherFaults && !o.EngineLimits.NoFaults && !o.EngineNotices.NoFaults && !o.StoreRestores.NoFaults {
 		w.injectFaults()
 	}
 	w.scheduleRequests()
 	w.scheduleCrashingCalls(o.CrashingCalls)
 	w.scheduleLimits(o.EngineLimits)
 	w.scheduleNotices(o.EngineNotices)
+	w.scheduleRestores(o.StoreRestores)
 	w.clock.run(w.end.Add(settleDuration))
 	return Report{
 		Seed:             o.Seed,
@@ -175,6 +179,7 @@
 	o.CrashingCalls.override(&w.topology)
 	o.EngineLimits.override(&w.topology)
 	o.EngineNotices.override(&w.topology)
+	o.StoreRestores.override(&w.topology)
 	w.maxCallerRetries = o.CrashingCalls.CallerRetries
 	w.network = newNetwork(w)
 	w.ledger = newLedger(w)
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -166,7 +166,7 @@
 		from.run(fromIncarnation, func() {
 			var result readResult
 			result.items, result.full = from.mirror.ChangesSince(knownRevision)
-			result.revision = from.mirror.Revision()
+			result.position.Revision = from.mirror.Revision()
 			settling := from.discovery.GraceRemaining(from.now())
 			w.network.send(from.member.Region, v.member.Region, func() {
 				v.run(incarnation, func() { v.applyPull(result, settling) })
--- a/testscripts/emulator/store.go
+++ b/testscripts/emulator/store.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/discovery"
@@ -35,14 +36,16 @@
 
 // store simulates the central store, which VMs only read.
 type store struct {
-	world    *world
-	revision uint64
+	world *world
+	// position is that of the latest change.
+	position discovery.Position
 	entries  map[string]discovery.Item
 	// history holds the changes after compactedRevision.
 	history           []discovery.Item
 	compactedRevision uint64
-	changes           map[uint64]discovery.Change
-	configVersion     uint64
+	// changes holds all changes ever written; an item's value is the index of its change.
+	changes       []discovery.Change
+	configVersion uint64
 	// outages and silentOutages count the outages in progress, and denied those of single regions.
 	outages, silentOutages int
 	denied                 map[string]int
@@ -63,7 +66,6 @@
 	return &store{
 		world:   w,
 		entries: make(map[string]discovery.Item),
-		changes: make(map[uint64]discovery.Change),
 		denied:  make(map[string]int),
 	}
 }
@@ -157,33 +159,32 @@
 }
 
 func (s *store) write(key string, c discovery.Change) {
-	s.revision++
-	s.changes[s.revision] = c
-	item := discovery.Item{
-		Key:      key,
-		Revision: s.revision,
-	}
-	s.entries[key] = item
-	s.history = append(s.history, item)
+	s.record(key, c)
+	s.entries[key] = s.history[len(s.history)-1]
 }
 
 func (s *store) deleteKey(key string, c discovery.Change) {
-	s.revision++
-	s.changes[s.revision] = c
+	s.record(key, c)
 	delete(s.entries, key)
+}
+
+// record appends a change to the history.
+func (s *store) record(key string, c discovery.Change) {
+	s.position.Revision++
 	s.history = append(s.history, discovery.Item{
 		Key:      key,
-		Revision: s.revision,
-		Removed:  true,
+		Revision: s.position.Revision,
+		Value:    binary.BigEndian.AppendUint32(nil, uint32(len(s.changes))),
+		Removed:  c.Removed,
 	})
+	s.changes = append(s.changes, c)
 }
 
 // decode returns the change behind an item. A removal inferred from a full read has
 // no change of its own.
 func (s *store) decode(i discovery.Item) discovery.Change {
-	c, ok := s.changes[i.Revision]
-	if ok && c.Key == i.Key && c.Removed == i.Removed {
-		return c
+	if len(i.Value) > 0 {
+		return s.changes[binary.BigEndian.Uint32(i.Value)]
 	}
 	for _, known := range s.changes {
 		if known.Key == i.Key {
@@ -198,13 +199,13 @@
 // readResult is the answer to one read of the store.
 type readResult struct {
 	items    []discovery.Item
-	revision uint64
+	position discovery.Position
 	full     bool
 }
 
 // read returns the changes after a revision, or all entries.
 func (s *store) read(after uint64, full bool) (r readResult, historyLost bool) {
-	r.revision = s.revision
+	r.position = s.position
 	if full {
 		r.full = true
 		for _, item := range s.entries {
@@ -213,7 +214,7 @@
 		sortItems(r.items)
 		return r, false
 	}
-	if after < s.compactedRevision {
+	if after < s.compactedRevision || after > s.position.Revision {
 		return r, true
 	}
 	for _, item := range s.history {
@@ -227,7 +228,7 @@
 // compact drops the history.
 func (s *store) compact() {
 	s.history = nil
-	s.compactedRevision = s.revision
+	s.compactedRevision = s.position.Revision
 }
 
 // outage makes the store unavailable for the duration. Leases expire meanwhile, and live
--- a/testscripts/emulator/store_reader.go
+++ b/testscripts/emulator/store_reader.go
@@ -68,9 +68,9 @@
 
 func (v *vm) merge(result readResult) []discovery.Item {
 	if result.full {
-		return v.mirror.Replace(result.items, result.revision)
+		return v.mirror.Replace(result.items, result.position.Revision)
 	}
-	return v.mirror.Apply(result.items, result.revision)
+	return v.mirror.Apply(result.items, result.position.Revision)
 }
 
 // applyItems applies changes and gossips to some VMs.
--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -41,6 +41,7 @@
 	{name: "store", disturbs: true, do: (*testbed).breakStore},
 	{name: "store_link", disturbs: true, do: (*testbed).breakStoreLink},
 	{name: "front_link", disturbs: true, do: (*testbed).breakFrontLink},
+	{name: "restore", disturbs: true, do: (*testbed).restoreOlderStore},
 	{name: "history", do: (*testbed).forgetHistory},
 	{name: "crash", do: (*testbed).crashReplica},
 	{name: "again", do: (*testbed).restartReplica},
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -31,6 +31,7 @@
 	crashing := app.Flag("crashing", "Send calls that crash the replicas running them, instead of random faults.").Bool()
 	limited := app.Flag("limited", "Have replicas announce rate limits, before and during the random faults.").Bool()
 	notices := app.Flag("notices", "Have replicas leave and refuse with a rest while the store is silent, before the random faults.").Bool()
+	restores := app.Flag("restores", "Have the store come back from older copies, before the random faults.").Bool()
 	plotFile := app.Flag("plot", "Write an SVG plot of the last seed to this file.").String()
 	logDir := app.Flag("keep", "Directory for the schedules and logs of failed seeds.").Default("soak-logs").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -53,6 +54,7 @@
 		EndpointLimits: *limited,
 
 		EndpointNotices: *notices,
+		StoreRestores:   *restores,
 	})
 	stop()
 	app.FatalIfError(err, "build gateway")
@@ -150,6 +152,8 @@
 		selected = runEndpointLimits
 	case o.EndpointNotices:
 		selected = runEndpointNotices
+	case o.StoreRestores:
+		selected = runStoreRestores
 	}
 	report, err := selected.run(ctx, o)
 	_ = schedule.Close()
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -20,6 +20,8 @@
 		Engines:       2,
 		Clients:       6,
 		FaultDuration: 10 * time.Second,
+		// The schedules of these seeds are older than this fault.
+		ExcludedFaults: []string{"restore"},
 	})
 }
 
@@ -33,6 +35,8 @@
 		Engines:       3,
 		Clients:       6,
 		FaultDuration: 16 * time.Second,
+		// The schedules of these seeds are older than this fault.
+		ExcludedFaults: []string{"restore"},
 	})
 }
 
@@ -45,6 +49,8 @@
 		Engines:       3,
 		Clients:       12,
 		FaultDuration: 15 * time.Second,
+		// The schedules of these seeds are older than this fault.
+		ExcludedFaults: []string{"restore"},
 	})
 }
 
@@ -58,6 +64,8 @@
 		Engines:       3,
 		Clients:       12,
 		FaultDuration: 3 * time.Second,
+		// The schedules of these seeds are older than this fault.
+		ExcludedFaults: []string{"restore"},
 	})
 }
 
@@ -71,6 +79,8 @@
 		Engines:       2,
 		Clients:       9,
 		FaultDuration: 8 * time.Second,
+		// The schedules of these seeds are older than this fault.
+		ExcludedFaults: []string{"restore"},
 	})
 }
 
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -59,6 +59,8 @@
 	// EndpointNotices has replicas say in their answers that they leave, or rest, before the
 	// random faults.
 	EndpointNotices bool
+	// StoreRestores has the store come back from older copies, before the random faults.
+	StoreRestores bool
 	// Plot is the path of an SVG plot of the run; empty disables it.
 	Plot string
 }
