The store's contents are ordered by era, then by revision

After the store came back from a copy some seconds old, callers were handled by replaced configurations and sent to endpoints that had left, 6 to 8 s long, and the readers asked the store 9 to 36 times a second. Cause: revisions were taken for ever-rising. A VM held the highest that it had seen; the whole read after a 410 was below it and dropped, the next watch asked from the old revision again, and once the store had given that number out anew, what it had written under the numbers before was never read.

A reply of another era than the held one is not a continuation: everything is read again, and a whole read of a later era replaces what is held, whatever its revision. Peers of another era get everything, so a VM that missed eras or reads through peers only comes along.

A whole read that is older than what is held is followed by a pause in place of the next read at once.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -26,6 +26,9 @@
 	// Evacuated is set for an evacuated data centre, which gets no new calls until the
 	// item is removed.
 	Evacuated string
+	// Restored says that the store has come back from an older copy of itself, which holds
+	// the item or, if it is removed, lacks it.
+	Restored bool
 }
 
 // Endpoint is an endpoint's entry in the store.
@@ -59,6 +62,9 @@
 	// expired during its last outage are removed unless they were renewed.
 	storeLost   bool
 	graceEndsAt time.Time
+	// evacuationEnds holds the evacuations that an older copy of the store lacks, with the
+	// time at which they end unless they are written again.
+	evacuationEnds map[string]time.Time
 	// deadlines holds the times at which endpoints change without a message, expiring the
 	// versions of removed endpoints in the order in which they expire.
 	deadlines deadlines
@@ -93,9 +99,12 @@
 		endpoints: make(map[string]*endpointState),
 		versions:  make(map[string]entryVersion),
 		evacuated: make(map[string]bool),
-		degraded:  make(map[string]bool),
-		changed:   make(map[string]bool),
-		leaving:   make(map[string]leavingNotice),
+
+		evacuationEnds: make(map[string]time.Time),
+
+		degraded: make(map[string]bool),
+		changed:  make(map[string]bool),
+		leaving:  make(map[string]leavingNotice),
 	}
 }
 
@@ -143,10 +152,15 @@
 	switch {
 	case c.Table != nil:
 		return s.applyTable(c.Table)
+	case c.Evacuated != "" && c.Removed && c.Restored:
+		return s.endEvacuationLater(c.Evacuated, now)
 	case c.Evacuated != "":
+		delete(s.evacuationEnds, c.Evacuated)
 		return s.evacuate(c.Evacuated, !c.Removed)
 	case c.Endpoint != nil && c.Removed:
 		return s.removeEndpoint(c.Endpoint.ID, now)
+	case c.Endpoint != nil && c.Restored && !s.isNewerThanKnown(c):
+		return false
 	case c.Endpoint != nil && c.Unreadable:
 		return s.dropEndpoint(c.Endpoint.ID, now)
 	case c.Endpoint != nil:
@@ -342,6 +356,7 @@
 	}
 	s.expireVersions(now)
 	s.forgetLeaving(now)
+	s.endEvacuations(now)
 }
 
 // expireVersions forgets the versions of endpoints that were removed long ago. One that
@@ -361,12 +376,19 @@
 }
 
 // NextChange returns the earliest time at which an endpoint is removed, becomes warm or
-// counts as reachable again; zero means never. Advance must have been called before.
+// counts as reachable again, or an evacuation ends; zero means never. Advance must have been
+// called before.
 func (s *State) NextChange() time.Time {
-	return s.deadlines.next(func(d deadline) bool {
+	next := s.deadlines.next(func(d deadline) bool {
 		k, ok := s.endpoints[d.id]
 		return ok && (d.at.Equal(k.removeAt) || d.at.Equal(k.coldUntil) || d.at.Equal(k.unreachableUntil))
 	})
+	for _, at := range s.evacuationEnds {
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
 }
 
 // Table returns the newest routing table, or nil if none is known.
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -38,6 +38,8 @@
 	TakeBack    string `json:"take_back"`
 	Table       uint64
 	OtherKey    bool `json:"other_key"`
+	// Restored says that the step comes from an older copy of the store.
+	Restored bool
 }
 
 func TestSchedules(t *testing.T) {
@@ -77,9 +79,9 @@
 	t.Helper()
 	switch {
 	case step.Put != "":
-		s.Apply(Change{Endpoint: newEndpoint(t, step)}, now)
+		s.Apply(Change{Restored: step.Restored, Endpoint: newEndpoint(t, step)}, now)
 	case step.Unreadable != "":
-		s.Apply(Change{Unreadable: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Unreadable}}}, now)
+		s.Apply(Change{Restored: step.Restored, Unreadable: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Unreadable}}}, now)
 	case step.Unreached != "":
 		s.ReportUnreachable(step.Unreached, now.Add(parseDuration(t, step.Long)), now)
 	case step.SaysCold != "":
@@ -87,17 +89,19 @@
 	case step.SaysLeaving != "":
 		s.ReportLeaving(LeavingEndpoint{ID: step.SaysLeaving, Incarnation: step.Incarnation}, now)
 	case step.Remove != "":
-		s.Apply(Change{Removed: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Remove}}}, now)
+		s.Apply(Change{Restored: step.Restored, Removed: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: step.Remove}}}, now)
 	case step.Store == "lost":
 		s.StoreLost()
 	case step.Store == "back":
 		s.StoreRecovered(now)
+	case step.Store == "restored":
+		s.StoreRestored(now)
 	case step.Evacuate != "":
 		s.Apply(Change{Evacuated: step.Evacuate}, now)
 	case step.TakeBack != "":
-		s.Apply(Change{Evacuated: step.TakeBack, Removed: true}, now)
+		s.Apply(Change{Restored: step.Restored, Evacuated: step.TakeBack, Removed: true}, now)
 	case step.Table > 0:
-		s.Apply(Change{Table: route.New(route.Options{Version: step.Table})}, now)
+		s.Apply(Change{Restored: step.Restored, Table: route.New(route.Options{Version: step.Table})}, now)
 	case step.OtherKey:
 		s.Apply(Change{Key: "other", Removed: true}, now)
 	case step.Wait != "":
--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 )
@@ -18,10 +19,10 @@
 	Removed  bool
 }
 
-// Mirror is a copy of the store's items, read from the store or from a peer's mirror.
-// Its revision never decreases. It is not safe for concurrent use.
+// Mirror is a copy of the store's items, read from the store or from a peer's mirror. All of
+// them are of one era, and its position never goes back. It is not safe for concurrent use.
 type Mirror struct {
-	revision uint64
+	position Position
 	items    map[string]Item
 	// tombstones holds the latest removals; those up to compactedRevision may have been
 	// discarded.
@@ -40,13 +41,17 @@
 	}
 }
 
-// Revision returns the store revision up to which the mirror is complete.
-func (m *Mirror) Revision() uint64 {
-	return m.revision
+// Position returns the position in the store's history up to which the mirror is complete.
+func (m *Mirror) Position() Position {
+	return m.position
 }
 
-// Apply applies changes up to a revision and returns those that were new.
-func (m *Mirror) Apply(changes []Item, revision uint64) []Item {
+// Apply applies changes up to a position and returns those that were new. Changes of another
+// era are ignored.
+func (m *Mirror) Apply(changes []Item, position Position) []Item {
+	if position.Era != m.position.Era {
+		return nil
+	}
 	var applied []Item
 	for _, c := range changes {
 		if m.applyItem(c) {
@@ -56,34 +61,75 @@
 	m.history.sort(m.items)
 	m.removals.sort(m.tombstones)
 	m.dropTombstones()
-	m.revision = max(m.revision, revision)
+	m.position.Revision = max(m.position.Revision, position.Revision)
 	return applied
 }
 
-// Replace applies a full snapshot at a revision and returns the changes: items that are
+// Replace applies a full snapshot at a position and returns the changes: items that are
 // not in it were removed. A snapshot older than the mirror is ignored. It lacks items
 // that were added and removed in between, which a peer may hold, so peers behind it also
-// get a full snapshot.
-func (m *Mirror) Replace(items []Item, revision uint64) []Item {
-	if revision < m.revision {
-		return nil
+// get a full snapshot. restored is set if the snapshot begins an era, in which items may be
+// older than those held.
+func (m *Mirror) Replace(items []Item, position Position) (changes []Item, restored bool) {
+	if m.position.IsAfter(position) {
+		return nil, false
+	}
+	if position.Era != m.position.Era {
+		restored = !m.position.IsZero()
+		return m.beginEra(items, position), restored
+	}
+	changes = items
+	for _, held := range m.unlisted(items) {
+		if held.Revision <= position.Revision {
+			changes = append(slices.Clip(changes), removalAt(held.Key, position.Revision))
+		}
+	}
+	m.compactedRevision = max(m.compactedRevision, position.Revision)
+	return m.Apply(changes, position), false
+}
+
+// beginEra replaces all items by those of a new era and returns the changes. Revisions of the
+// previous era mean nothing any more.
+func (m *Mirror) beginEra(items []Item, position Position) (changes []Item) {
+	for _, held := range m.unlisted(items) {
+		changes = append(changes, removalAt(held.Key, position.Revision))
 	}
-	listed := make(map[string]bool, len(items))
+	before := m.items
+	*m = *NewMirror()
+	m.position = position
+	m.compactedRevision = position.Revision
 	for _, item := range items {
+		m.items[item.Key] = item
+		m.history.add(item)
+		if held, ok := before[item.Key]; !ok || !bytes.Equal(held.Value, item.Value) {
+			changes = append(changes, item)
+		}
+	}
+	m.history.sort(m.items)
+	return changes
+}
+
+// unlisted returns the items held that are not in a snapshot.
+func (m *Mirror) unlisted(snapshot []Item) []Item {
+	listed := make(map[string]bool, len(snapshot))
+	for _, item := range snapshot {
 		listed[item.Key] = true
 	}
-	changes := items
+	var out []Item
 	for key, held := range m.items {
-		if !listed[key] && held.Revision <= revision {
-			changes = append(slices.Clip(changes), Item{
-				Key:      key,
-				Revision: revision,
-				Removed:  true,
-			})
+		if !listed[key] {
+			out = append(out, held)
 		}
 	}
-	m.compactedRevision = max(m.compactedRevision, revision)
-	return m.Apply(changes, revision)
+	return out
+}
+
+func removalAt(key string, revision uint64) Item {
+	return Item{
+		Key:      key,
+		Revision: revision,
+		Removed:  true,
+	}
 }
 
 func (m *Mirror) applyItem(c Item) bool {
@@ -119,15 +165,15 @@
 	}
 }
 
-// NeedsSnapshot reports whether a peer at a revision needs all items, as removals may be
-// missing among the changes.
-func (m *Mirror) NeedsSnapshot(after uint64) bool {
-	return after == 0 || after < m.compactedRevision
+// NeedsSnapshot reports whether a peer at a position needs all items, as it is in another era
+// or removals may be missing among the changes.
+func (m *Mirror) NeedsSnapshot(after Position) bool {
+	return after.Era != m.position.Era || after.Revision == 0 || after.Revision < m.compactedRevision
 }
 
-// ChangesSince returns the changes after a revision for a peer, or all items if the peer
+// ChangesSince returns the changes after a position for a peer, or all items if the peer
 // needs a snapshot; then full is true.
-func (m *Mirror) ChangesSince(after uint64) (items []Item, full bool) {
+func (m *Mirror) ChangesSince(after Position) (items []Item, full bool) {
 	if m.NeedsSnapshot(after) {
 		items = make([]Item, 0, len(m.items))
 		for _, item := range m.items {
@@ -135,8 +181,8 @@
 		}
 		return items, true
 	}
-	items = m.history.appendSince(items, after, m.items)
-	return m.removals.appendSince(items, after, m.tombstones), false
+	items = m.history.appendSince(items, after.Revision, m.items)
+	return m.removals.appendSince(items, after.Revision, m.tombstones), false
 }
 
 // revisionLog lists keys by the revision at which they changed. Entries of keys that have
--- a/discovery/mirror_test.go
+++ b/discovery/mirror_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -9,31 +11,41 @@
 )
 
 // TestMirrorConverges applies random writes and removals to a store that one mirror reads
-// by watches and snapshots, including outdated ones, and a peer's mirror follows. Both
-// must converge to the store's items, and no key may return to an older revision.
+// by watches and snapshots, including outdated ones, and a peer's mirror follows. The store
+// comes back from older copies. Both mirrors must converge to the store's items, and within
+// an era no key may return to an older revision.
 func TestMirrorConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store := &fakeStore{items: make(map[string]Item)}
 		reader, peer := NewMirror(), NewMirror()
 		var snapshot []Item
-		var snapshotRevision uint64
+		var snapshotAt Position
+		saved := store.save()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			seen := revisionsByKey(reader)
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			seen, era := revisionsByKey(reader), reader.Position().Era
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0, 1:
 				store.put(drawKey(t))
 			case 2:
 				store.remove(drawKey(t))
 			case 3:
-				reader.Apply(store.since(reader.Revision()), store.revision)
+				reader.Apply(store.since(reader.Position().Revision), store.position)
 			case 4:
-				snapshot, snapshotRevision = store.all(), store.revision
+				snapshot, snapshotAt = store.all(), store.position
 			case 5:
-				reader.Replace(snapshot, snapshotRevision)
+				reader.Replace(snapshot, snapshotAt)
 			case 6:
 				// The peer now follows another VM, which has just started.
 				reader = NewMirror()
-				reader.Replace(store.all(), store.revision)
+				reader.Replace(store.all(), store.position)
+				seen = nil
+			case 7:
+				saved = store.save()
+			case 8:
+				store.restore(saved)
+				saved = store.save()
+			}
+			if reader.Position().Era != era {
 				seen = nil
 			}
 			for k, before := range seen {
@@ -45,7 +57,7 @@
 				syncFrom(peer, reader)
 			}
 		}
-		reader.Replace(store.all(), store.revision)
+		reader.Replace(store.all(), store.position)
 		syncFrom(peer, reader)
 		assert.DeepEqual(t, reader.items, store.items)
 		assert.DeepEqual(t, peer.items, store.items)
@@ -58,12 +70,12 @@
 	m := NewMirror()
 	for i := range uint64(minTombstones + 10) {
 		key := fmt.Sprintf("k%d", i)
-		m.Apply([]Item{{Key: key, Revision: 2*i + 1}}, 2*i+1)
-		m.Apply([]Item{{Key: key, Revision: 2*i + 2, Removed: true}}, 2*i+2)
+		m.Apply([]Item{{Key: key, Revision: 2*i + 1}}, Position{Revision: 2*i + 1})
+		m.Apply([]Item{{Key: key, Revision: 2*i + 2, Removed: true}}, Position{Revision: 2*i + 2})
 	}
-	_, full := m.ChangesSince(2)
+	_, full := m.ChangesSince(Position{Revision: 2})
 	assert.Assert(t, full)
-	items, full := m.ChangesSince(m.Revision() - 2)
+	items, full := m.ChangesSince(Position{Revision: m.Position().Revision - 2})
 	assert.Assert(t, !full)
 	assert.Equal(t, len(items), 1)
 }
@@ -80,19 +92,19 @@
 			Revision: i + 1,
 		})
 	}
-	m.Replace(all, items)
+	m.Replace(all, Position{Revision: items})
 	for i := range uint64(items / 3) {
 		revision := items + i + 1
 		m.Apply([]Item{{
 			Key:      fmt.Sprintf("k%d", i),
 			Revision: revision,
 			Removed:  true,
-		}}, revision)
+		}}, Position{Revision: revision})
 	}
-	changes, full := m.ChangesSince(items)
+	changes, full := m.ChangesSince(Position{Revision: items})
 	assert.Assert(t, !full)
 	assert.Equal(t, len(changes), items/3)
-	changes, full = m.ChangesSince(m.Revision() - 2)
+	changes, full = m.ChangesSince(Position{Revision: m.Position().Revision - 2})
 	assert.Assert(t, !full)
 	assert.Equal(t, len(changes), 2)
 }
@@ -104,27 +116,27 @@
 		b.Run(fmt.Sprintf("items=%d", n), func(b *testing.B) {
 			m := NewMirror()
 			for i := range n {
-				m.Apply([]Item{{Key: fmt.Sprintf("k%d", i), Revision: i + 1}}, i+1)
+				m.Apply([]Item{{Key: fmt.Sprintf("k%d", i), Revision: i + 1}}, Position{Revision: i + 1})
 			}
 			revision := n
 			b.ReportAllocs()
 			for b.Loop() {
-				m.Apply([]Item{{Key: fmt.Sprintf("k%d", revision%n), Revision: revision + 1, Removed: true}}, revision+1)
-				m.Apply([]Item{{Key: fmt.Sprintf("k%d", revision%n), Revision: revision + 2}}, revision+2)
+				m.Apply([]Item{{Key: fmt.Sprintf("k%d", revision%n), Revision: revision + 1, Removed: true}}, Position{Revision: revision + 1})
+				m.Apply([]Item{{Key: fmt.Sprintf("k%d", revision%n), Revision: revision + 2}}, Position{Revision: revision + 2})
 				revision += 2
-				m.ChangesSince(revision - 4)
+				m.ChangesSince(Position{Revision: revision - 4})
 			}
 		})
 	}
 }
 
 func syncFrom(peer, reader *Mirror) {
-	items, full := reader.ChangesSince(peer.Revision())
+	items, full := reader.ChangesSince(peer.Position())
 	if full {
-		peer.Replace(items, reader.Revision())
+		peer.Replace(items, reader.Position())
 		return
 	}
-	peer.Apply(items, reader.Revision())
+	peer.Apply(items, reader.Position())
 }
 
 func drawKey(t *rapid.T) string {
@@ -140,24 +152,49 @@
 }
 
 type fakeStore struct {
-	revision uint64
+	position Position
 	items    map[string]Item
 	history  []Item
 }
 
+// save returns a copy of the store.
+func (s *fakeStore) save() fakeStore {
+	return fakeStore{
+		position: s.position,
+		items:    maps.Clone(s.items),
+		history:  slices.Clone(s.history),
+	}
+}
+
+// restore begins an era with an older copy, and gives out its revisions again.
+func (s *fakeStore) restore(saved fakeStore) {
+	saved.position.Era = s.position.Era + 1
+	*s = saved
+}
+
+// record appends a change. Its value tells it from changes with the same revision in
+// another era.
+func (s *fakeStore) record(k string, removed bool) {
+	s.position.Revision++
+	s.history = append(s.history, Item{
+		Key:      k,
+		Revision: s.position.Revision,
+		Value:    fmt.Appendf(nil, "%v", s.position),
+		Removed:  removed,
+	})
+}
+
 func (s *fakeStore) put(k string) {
-	s.revision++
-	s.items[k] = Item{Key: k, Revision: s.revision}
-	s.history = append(s.history, s.items[k])
+	s.record(k, false)
+	s.items[k] = s.history[len(s.history)-1]
 }
 
 func (s *fakeStore) remove(k string) {
 	if _, ok := s.items[k]; !ok {
 		return
 	}
-	s.revision++
+	s.record(k, true)
 	delete(s.items, k)
-	s.history = append(s.history, Item{Key: k, Revision: s.revision, Removed: true})
 }
 
 func (s *fakeStore) since(after uint64) []Item {
--- a/peer/compress.go
+++ b/peer/compress.go
@@ -33,6 +33,7 @@
 		return nil, err
 	}
 	return &peerpb.PublishedReply{
+		Era:        r.GetEra(),
 		Revision:   r.GetRevision(),
 		Whole:      r.GetWhole(),
 		SettlingMs: r.GetSettlingMs(),
--- a/site/control.go
+++ b/site/control.go
@@ -160,10 +160,8 @@
 	after := &snapshot{
 		table:       c.discovery.Table(),
 		regionLoads: c.regionLoadsByService(now),
-		position: discovery.Position{
-			Revision: c.mirror.Revision(),
-		},
-		leaving: c.leavingByID(before.leaving),
+		position:    c.mirror.Position(),
+		leaving:     c.leavingByID(before.leaving),
 	}
 	c.roster.SetReady(after.table != nil && !c.node.draining.Load())
 	after.members = c.roster.Snapshot()
@@ -204,7 +202,7 @@
 // logChanges logs changes of the configuration and of the members.
 func (c *control) logChanges(before, after *snapshot) {
 	if before.table != after.table {
-		c.node.log.Info("configuration_taken", "version", after.table.Version, "revision", after.position.Revision)
+		c.node.log.Info("configuration_taken", "version", after.table.Version, "era", after.position.Era, "revision", after.position.Revision)
 	}
 	if before.members.Generation == after.members.Generation {
 		return
@@ -239,7 +237,8 @@
 }
 
 // applyItems applies store changes, whether read from the store or pulled from a peer.
-func (c *control) applyItems(items []discovery.Item, now time.Time) {
+// restored is set if they come from an older copy of the store.
+func (c *control) applyItems(items []discovery.Item, restored bool, now time.Time) {
 	for _, item := range items {
 		change, err := c.node.decoder.Decode(item)
 		if err != nil {
@@ -248,6 +247,7 @@
 				continue
 			}
 		}
+		change.Restored = restored
 		c.discovery.Apply(change, now)
 	}
 }
--- a/site/entries_test.go
+++ b/site/entries_test.go
@@ -47,7 +47,7 @@
 		Key:      "op/config",
 		Revision: 1,
 		Value:    []byte(`{"Version":1,"Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"idempotent"}]}`),
-	}}, now)
+	}}, false, now)
 	c.publish(now)
 	assert.Assert(t, len(n.entryAddrs(lookup)) > 0)
 }
--- a/site/fleet_test.go
+++ b/site/fleet_test.go
@@ -80,7 +80,11 @@
 
 // applyRevision applies an item as if it had been read from the store.
 func (c *control) applyRevision(item discovery.Item, now time.Time) {
-	c.applyItems(c.mirror.Apply([]discovery.Item{item}, item.Revision), now)
+	position := discovery.Position{
+		Era:      c.mirror.Position().Era,
+		Revision: item.Revision,
+	}
+	c.applyItems(c.mirror.Apply([]discovery.Item{item}, position), false, now)
 }
 
 // fillPool populates the pool with prefixes and load reports, as after some seconds of
@@ -229,7 +233,7 @@
 	if turn > 1 {
 		removed = firstAdded + 4*(turn-1)
 	}
-	revision := c.mirror.Revision() + 1
+	revision := c.mirror.Position().Revision + 1
 	c.applyRevision(discovery.Item{
 		Key:      fmt.Sprintf("servers/i-%d", removed),
 		Revision: revision,
--- a/site/freshness.go
+++ b/site/freshness.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/discovery"
 )
 
 // keysTooStale reports whether this VM has gone without confirmation from the store for
@@ -37,10 +39,10 @@
 	return uint32(max(now.Sub(time.Unix(0, at)).Milliseconds(), 0)) + 1
 }
 
-// applyPeerFreshness adopts the freshness of a peer if this VM holds at least the peer's
-// revision.
-func (c *control) applyPeerFreshness(revision uint64, ageMs uint32, sentAt time.Time) {
-	if ageMs > 0 && c.mirror.Revision() >= revision {
+// applyPeerFreshness adopts the freshness of a peer if this VM is at least at the peer's
+// position.
+func (c *control) applyPeerFreshness(position discovery.Position, ageMs uint32, sentAt time.Time) {
+	if ageMs > 0 && !position.IsAfter(c.mirror.Position()) {
 		c.node.advanceFreshness(sentAt.Add(-time.Duration(ageMs-1) * time.Millisecond))
 	}
 }
--- a/site/freshness_test.go
+++ b/site/freshness_test.go
@@ -9,7 +9,6 @@
 	"github.com/fuchsianotch/fuchsianotch/apikey"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
-	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/route"
 )
@@ -43,15 +42,13 @@
 				Key:      "op/config",
 				Revision: 900,
 				Value:    []byte(`{"Version":9,"Routes":[{"Host":"h","PathPrefix":"/p/","Kind":"idempotent"}],"Tenants":[{"Name":"w","ApiKeys":["k"]}]}`),
-			}}, now)
+			}}, false, now)
 			n.control.publish(now)
 			n.advanceFreshness(at(c.OwnMs))
 			if c.HeardMs > 0 {
-				m := &peerpb.GossipMessage{
-					PublishedRevision: n.control.mirror.Revision() + c.Ahead,
-					CompleteMs:        uint32(c.AgeMs) + 1,
-				}
-				n.control.applyPeerFreshness(m.GetPublishedRevision(), m.GetCompleteMs(), at(c.HeardMs))
+				position := n.control.mirror.Position()
+				position.Revision += c.Ahead
+				n.control.applyPeerFreshness(position, uint32(c.AgeMs)+1, at(c.HeardMs))
 			}
 			now = at(c.NowMs)
 			_, refusal := n.admit(route.AdmitRequest{
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -23,6 +23,7 @@
 	if snap.table != nil {
 		n.metrics.SetRoutesVersion(snap.table.Version)
 	}
+	n.metrics.SetStoreEra(snap.position.Era)
 	if at := n.inSyncAt.Load(); at > 0 {
 		n.metrics.SetPublishedAge(n.now().Sub(time.Unix(0, at)))
 	}
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -37,7 +37,8 @@
 func (c *control) urgentMessage(region string, now time.Time) *peerpb.GossipMessage {
 	m := &peerpb.GossipMessage{
 		From:              rumorMessage(c.roster.Self()),
-		PublishedRevision: c.mirror.Revision(),
+		PublishedEra:      c.mirror.Position().Era,
+		PublishedRevision: c.mirror.Position().Revision,
 		CompleteMs:        c.node.freshnessAgeMs(now),
 	}
 	if region == c.node.deployment.Region {
@@ -120,14 +121,18 @@
 	c.applyEndpointLimits(m.GetLimits(), now)
 	c.node.pools.applyReports(m.GetReports(), sentAt)
 	c.node.pools.applyHoldings(m.GetHoldings(), sentAt, now)
-	c.applyPeerFreshness(m.GetPublishedRevision(), m.GetCompleteMs(), sentAt)
-	if m.GetPublishedRevision() == c.mirror.Revision() && !m.GetFrom().GetTurnedAway() {
+	published := discovery.Position{
+		Era:      m.GetPublishedEra(),
+		Revision: m.GetPublishedRevision(),
+	}
+	c.applyPeerFreshness(published, m.GetCompleteMs(), sentAt)
+	if published == c.mirror.Position() && !m.GetFrom().GetTurnedAway() {
 		c.node.markInSync()
 	}
-	if m.GetPublishedRevision() > c.mirror.Revision() {
-		c.node.puller.notify(ctx, revisionNotice{
+	if published.IsAfter(c.mirror.Position()) {
+		c.node.puller.notify(ctx, positionNotice{
 			vm:       from.VM,
-			revision: m.GetPublishedRevision(),
+			position: published,
 		})
 	}
 }
@@ -169,12 +174,18 @@
 // changes.
 const gossipFanout = 2
 
-// applyAndSpread applies store changes and notifies other VMs of the region.
-func (c *control) applyAndSpread(ctx context.Context, items []discovery.Item, now time.Time) {
-	if len(items) == 0 {
+// applyAndSpread applies a read of the store, or of a peer's copy, and notifies other VMs of
+// the region if it changes anything.
+func (c *control) applyAndSpread(ctx context.Context, read storeRead, now time.Time) {
+	items, restored := c.mergeRead(read)
+	if restored {
+		c.node.log.Warn("store_restored", "era", read.position.Era, "revision", read.position.Revision, "changes", len(items))
+		c.discovery.StoreRestored(now)
+	}
+	if len(items) == 0 && !restored {
 		return
 	}
-	c.applyItems(items, now)
+	c.applyItems(items, restored, now)
 	c.spread(ctx, gossipFanout, now)
 }
 
--- a/site/polling_test.go
+++ b/site/polling_test.go
@@ -41,7 +41,7 @@
 	n := newFleetNode(largeFleet, time.Now)
 	n.control.applyRevision(discovery.Item{
 		Key:      "op/config",
-		Revision: n.control.mirror.Revision() + 1,
+		Revision: n.control.mirror.Position().Revision + 1,
 		Value:    []byte(`{"Version":2,"Routes":[],"Services":[{"Name":"s","HealthPath":"/health","ColdS":3,"Engine":{"Slots":64}}]}`),
 	}, time.Now())
 	n.control.publish(time.Now())
--- a/site/pull.go
+++ b/site/pull.go
@@ -28,21 +28,21 @@
 	mu sync.Mutex
 	// pulling is set during a pull; nextNotice is the best notice received meanwhile.
 	pulling    bool
-	nextNotice revisionNotice
+	nextNotice positionNotice
 }
 
-// revisionNotice says that a VM holds the store up to a revision.
-type revisionNotice struct {
+// positionNotice says that a VM holds the store up to a position.
+type positionNotice struct {
 	vm       fleet.VM
-	revision uint64
+	position discovery.Position
 }
 
 // notify starts a pull, or records the notice if one is under way.
-func (p *puller) notify(ctx context.Context, notice revisionNotice) {
+func (p *puller) notify(ctx context.Context, notice positionNotice) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.pulling {
-		if notice.revision > p.nextNotice.revision || notice.vm.Region == p.node.deployment.Region {
+		if notice.position.IsAfter(p.nextNotice.position) || notice.vm.Region == p.node.deployment.Region {
 			p.nextNotice = notice
 		}
 		return
@@ -52,15 +52,15 @@
 }
 
 // pullPending pulls until no notice is left.
-func (p *puller) pullPending(ctx context.Context, notice revisionNotice) {
+func (p *puller) pullPending(ctx context.Context, notice positionNotice) {
 	for {
 		p.pull(ctx, notice)
 		p.mu.Lock()
 		notice = p.nextNotice
-		p.nextNotice = revisionNotice{}
-		p.pulling = notice.revision > 0
+		p.nextNotice = positionNotice{}
+		p.pulling = !notice.position.IsZero()
 		p.mu.Unlock()
-		if notice.revision == 0 {
+		if notice.position.IsZero() {
 			return
 		}
 	}
@@ -73,42 +73,42 @@
 }
 
 // pull fetches what a peer holds, unless the revision arrives otherwise in the meantime.
-func (p *puller) pull(ctx context.Context, notice revisionNotice) {
+func (p *puller) pull(ctx context.Context, notice positionNotice) {
 	n := p.node
 	if n.isReader() || p.prefersLocal(notice.vm) {
 		worker.SleepUntil(ctx, n.now(), n.now().Add(pullDelay))
 	}
-	after := n.control.snapshot().position.Revision
-	if after >= notice.revision {
+	after := n.control.snapshot().position
+	if !notice.position.IsAfter(after) {
 		return
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	reply, packed, err := n.peers.Published(timeoutCtx, notice.vm, &peerpb.PublishedRequest{
-		AfterRevision: after,
+		AfterEra:      after.Era,
+		AfterRevision: after.Revision,
 	})
 	if err != nil {
 		n.log.Warn("pull_failed", "peer", notice.vm.ID, "reason", err.Error())
 		return
 	}
-	if reply.GetRevision() <= after {
-		n.log.Debug("pull_refused", "peer", notice.vm.ID, "revision", notice.revision)
+	position := replyPosition(reply)
+	if !position.IsAfter(after) {
+		n.log.Debug("pull_refused", "peer", notice.vm.ID, "era", notice.position.Era, "revision", notice.position.Revision)
 		return
 	}
 	if reply.GetWhole() {
-		n.snapshots.keep(reply.GetRevision(), packed)
+		n.snapshots.keep(position, packed)
 	}
 	read := storeRead{
-		items: itemsFromMessage(reply.GetItems()),
-		position: discovery.Position{
-			Revision: reply.GetRevision(),
-		},
-		full: reply.GetWhole(),
+		items:    itemsFromMessage(reply.GetItems()),
+		position: position,
+		full:     reply.GetWhole(),
 	}
 	// The only error is the end of the context.
 	_, _ = query(timeoutCtx, n.control, func(c *control, now time.Time) bool {
 		c.discovery.ExtendGrace(now.Add(time.Duration(reply.GetSettlingMs()) * time.Millisecond))
-		c.applyAndSpread(ctx, c.mergeRead(read), now)
+		c.applyAndSpread(ctx, read, now)
 		return true
 	})
 }
@@ -120,25 +120,37 @@
 	return vm.Region != own && len(p.node.control.snapshot().members.ReachableVMs(own)) > 1
 }
 
-// handlePublished returns the changes after a revision, or all that this VM holds.
+func replyPosition(reply *peerpb.PublishedReply) discovery.Position {
+	return discovery.Position{
+		Era:      reply.GetEra(),
+		Revision: reply.GetRevision(),
+	}
+}
+
+// handlePublished returns the changes after a position, or all that this VM holds.
 func (p *puller) handlePublished(ctx context.Context, in *peerpb.PublishedRequest) (*peerpb.PublishedReply, error) {
+	after := discovery.Position{
+		Era:      in.GetAfterEra(),
+		Revision: in.GetAfterRevision(),
+	}
 	reply, err := query(ctx, p.node.control, func(c *control, now time.Time) *peerpb.PublishedReply {
-		return c.changesReply(in.GetAfterRevision(), now)
+		return c.changesReply(after, now)
 	})
 	if err != nil {
 		return nil, err
 	}
 	if reply.GetWhole() {
-		return p.node.snapshots.reply(ctx, in.GetAfterRevision(), reply)
+		return p.node.snapshots.reply(ctx, after, reply)
 	}
 	return peer.CompressItems(reply)
 }
 
-// changesReply returns the changes after a revision. To a peer that needs all items the
+// changesReply returns the changes after a position. To a peer that needs all items the
 // reply has none yet.
-func (c *control) changesReply(after uint64, now time.Time) *peerpb.PublishedReply {
+func (c *control) changesReply(after discovery.Position, now time.Time) *peerpb.PublishedReply {
 	reply := &peerpb.PublishedReply{
-		Revision:   c.mirror.Revision(),
+		Era:        c.mirror.Position().Era,
+		Revision:   c.mirror.Position().Revision,
 		Whole:      c.mirror.NeedsSnapshot(after),
 		SettlingMs: uint32(c.discovery.GraceRemaining(now).Milliseconds()),
 	}
@@ -148,7 +160,7 @@
 	return reply
 }
 
-func (c *control) addItems(reply *peerpb.PublishedReply, after uint64) {
+func (c *control) addItems(reply *peerpb.PublishedReply, after discovery.Position) {
 	items, _ := c.mirror.ChangesSince(after)
 	reply.Items = make([]*peerpb.PublishedItem, 0, len(items))
 	for _, item := range items {
--- a/site/pull_test.go
+++ b/site/pull_test.go
@@ -9,6 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -35,13 +36,13 @@
 	notify := func(revision uint64) {
 		latest.Store(revision)
 		for range 100 {
-			n.puller.notify(ctx, revisionNotice{
+			n.puller.notify(ctx, positionNotice{
 				vm: fleet.VM{
 					ID:       "vm-far",
 					Region:   n.deployment.Region,
 					PeerAddr: addr,
 				},
-				revision: revision,
+				position: discovery.Position{Revision: revision},
 			})
 		}
 	}
--- a/site/snapshots.go
+++ b/site/snapshots.go
@@ -23,9 +23,9 @@
 
 	mu     sync.Mutex
 	budget discovery.SnapshotBudget
-	// packed are the compressed items at a revision, as encoded or received at packedAt.
+	// packed are the compressed items at a position, as encoded or received at packedAt.
 	packed   []byte
-	revision uint64
+	position discovery.Position
 	packedAt time.Time
 }
 
@@ -39,34 +39,35 @@
 }
 
 // keep stores a snapshot that was received, to be passed on as it is.
-func (s *snapshots) keep(revision uint64, packed []byte) {
+func (s *snapshots) keep(position discovery.Position, packed []byte) {
 	if len(packed) == 0 {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if revision > s.revision {
+	if position.IsAfter(s.position) {
 		s.packed = packed
-		s.revision = revision
+		s.position = position
 		s.packedAt = s.node.now()
 	}
 }
 
-// reply completes a reply to a peer at a revision with a snapshot. If no other may be sent
-// now, the reply stays at the peer's revision, and the peer asks another VM.
-func (s *snapshots) reply(ctx context.Context, after uint64, reply *peerpb.PublishedReply) (*peerpb.PublishedReply, error) {
+// reply completes a reply to a peer at a position with a snapshot. If no other may be sent
+// now, the reply stays at the peer's position, and the peer asks another VM.
+func (s *snapshots) reply(ctx context.Context, after discovery.Position, reply *peerpb.PublishedReply) (*peerpb.PublishedReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.node.now()
-	isOpen := s.budget.IsOpen(after > 0, now)
+	isOpen := s.budget.IsOpen(!after.IsZero(), now)
 	s.node.metrics.CountSnapshot(isOpen)
 	if !isOpen {
 		return &peerpb.PublishedReply{
-			Revision: after,
+			Era:      after.Era,
+			Revision: after.Revision,
 		}, nil
 	}
-	if s.revision > after && now.Sub(s.packedAt) <= snapshotReuse {
-		reply.Revision = s.revision
+	if s.position.Era == reply.GetEra() && s.position.IsAfter(after) && now.Sub(s.packedAt) <= snapshotReuse {
+		reply.Revision = s.position.Revision
 		reply.Packed = s.packed
 		s.budget.Add(len(s.packed), now)
 		return reply, nil
@@ -79,7 +80,7 @@
 	s.budget.Add(proto.Size(built), now)
 	if len(built.GetPacked()) > 0 {
 		s.packed = built.GetPacked()
-		s.revision = built.GetRevision()
+		s.position = replyPosition(built)
 		s.packedAt = now
 	}
 	return built, nil
@@ -89,10 +90,11 @@
 func (s *snapshots) build(ctx context.Context) (*peerpb.PublishedReply, error) {
 	reply, err := query(ctx, s.node.control, func(c *control, _ time.Time) *peerpb.PublishedReply {
 		reply := &peerpb.PublishedReply{
-			Revision: c.mirror.Revision(),
+			Era:      c.mirror.Position().Era,
+			Revision: c.mirror.Position().Revision,
 			Whole:    true,
 		}
-		c.addItems(reply, 0)
+		c.addItems(reply, discovery.Position{})
 		return reply
 	})
 	if err != nil {
--- a/site/snapshots_test.go
+++ b/site/snapshots_test.go
@@ -50,7 +50,7 @@
 	n := runningFleetNode(t, fleetSize{vms: 10, engines: 100})
 	revision := n.control.snapshot().position.Revision
 	packed := []byte("a compressed list")
-	n.snapshots.keep(revision-1, packed)
+	n.snapshots.keep(discovery.Position{Revision: revision - 1}, packed)
 	reply, err := n.puller.handlePublished(t.Context(), &peerpb.PublishedRequest{})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, reply.GetPacked(), packed)
@@ -75,7 +75,7 @@
 		initial:  true,
 	})
 	assert.Equal(t, n.control.snapshot().position.Revision, held)
-	assert.Assert(t, !n.control.mirror.NeedsSnapshot(held))
+	assert.Assert(t, !n.control.mirror.NeedsSnapshot(discovery.Position{Revision: held}))
 	n.applyRead(t.Context(), storeRead{
 		items:    whole,
 		position: discovery.Position{Revision: held + 7},
--- a/site/store.go
+++ b/site/store.go
@@ -36,18 +36,19 @@
 // followStore reads and watches the store until ctx ends.
 func (n *Node) followStore(ctx context.Context) error {
 	backoff := minReadBackoff
-	historyLost := false
+	needsFullRead := false
 	var pacer discovery.WatchPacer
 	for ctx.Err() == nil {
 		if !n.isReader() {
 			worker.SleepUntil(ctx, n.now(), n.now().Add(n.readerCheckDelay()))
 			continue
 		}
-		read, err := n.readOnce(ctx, historyLost)
+		read, err := n.readOnce(ctx, needsFullRead)
 		n.metrics.PlatformRead(err)
 		if errors.Is(err, platform.ErrHistoryLost) {
-			n.log.Info("store_history_lost", "revision", n.control.snapshot().position.Revision)
-			historyLost = true
+			held := n.control.snapshot().position
+			n.log.Info("store_history_lost", "era", held.Era, "revision", held.Revision)
+			needsFullRead = true
 			continue
 		}
 		if err != nil {
@@ -56,8 +57,13 @@
 			backoff = min(2*backoff, maxReadBackoff)
 			continue
 		}
+		needsFullRead = false
+		if n.isOutdated(read) {
+			worker.SleepUntil(ctx, n.now(), n.now().Add(backoff))
+			backoff = min(2*backoff, maxReadBackoff)
+			continue
+		}
 		backoff = minReadBackoff
-		historyLost = false
 		n.markInSync()
 		n.applyRead(ctx, read)
 		if len(read.items) > 0 {
@@ -68,22 +74,37 @@
 	return nil
 }
 
-// readOnce watches the store from the revision that this VM holds, or reads it as a whole.
-func (n *Node) readOnce(ctx context.Context, historyLost bool) (storeRead, error) {
+// isOutdated reports whether all that the store holds is older than what this VM holds, which
+// a peer may have read later.
+func (n *Node) isOutdated(read storeRead) bool {
+	held := n.control.snapshot().position
+	if !read.full || !held.IsAfter(read.position) {
+		return false
+	}
+	n.log.Warn("store_read_ignored", "era", read.position.Era, "revision", read.position.Revision, "held_era", held.Era, "held", held.Revision)
+	return true
+}
+
+// readOnce watches the store from the position that this VM holds, or reads it as a whole.
+func (n *Node) readOnce(ctx context.Context, whole bool) (storeRead, error) {
 	startedAt := n.now()
 	held := n.control.snapshot().position
-	if historyLost || held.IsZero() {
+	if whole || held.IsZero() {
 		items, position, err := n.store.All(ctx, platform.AllKeysPrefix, held)
 		return storeRead{
 			items:     items,
 			position:  position,
 			full:      true,
-			initial:   !historyLost,
+			initial:   !whole,
 			freshAsOf: startedAt,
 		}, err
 	}
 	deadline := startedAt.Add(n.watchTimeout())
 	items, position, err := n.store.Changes(ctx, platform.AllKeysPrefix, held, deadline)
+	if err == nil && position.Era != held.Era {
+		// The store came back from an older copy; its changes continue another history.
+		return storeRead{}, platform.ErrHistoryLost
+	}
 	return storeRead{
 		items:     items,
 		position:  position,
@@ -108,16 +129,12 @@
 			n.log.Info("store_back", "era", read.position.Era, "revision", read.position.Revision)
 		}
 		c.roster.SetStoreUnreadable(false)
-		if read.initial && c.mirror.Revision() > 0 {
+		if held := c.mirror.Position(); read.initial && !held.IsZero() && held.Era == read.position.Era {
 			// A peer was faster. Peers behind a whole read need all contents anew, so it is
 			// not applied without need; the next watch brings what is newer.
 			return true
 		}
-		if read.full && read.position.Revision < c.mirror.Revision() {
-			n.log.Warn("store_read_ignored", "era", read.position.Era, "revision", read.position.Revision, "held", c.mirror.Revision())
-		}
-		n.metrics.SetStoreEra(read.position.Era)
-		c.applyAndSpread(ctx, c.mergeRead(read), now)
+		c.applyAndSpread(ctx, read, now)
 		n.advanceFreshness(read.freshAsOf)
 		return true
 	})
@@ -181,11 +198,13 @@
 	return readerCheckInterval
 }
 
-func (c *control) mergeRead(read storeRead) []discovery.Item {
+// mergeRead merges a read into the mirror and returns what changed. restored is set if the
+// read begins an era.
+func (c *control) mergeRead(read storeRead) (items []discovery.Item, restored bool) {
 	if read.full {
-		return c.mirror.Replace(read.items, read.position.Revision)
+		return c.mirror.Replace(read.items, read.position)
 	}
-	return c.mirror.Apply(read.items, read.position.Revision)
+	return c.mirror.Apply(read.items, read.position), false
 }
 
 func (n *Node) handleStoreError(ctx context.Context, err error) {
@@ -195,7 +214,7 @@
 	n.control.send(ctx, func(c *control, _ time.Time) {
 		c.roster.SetStoreUnreadable(true)
 		if c.discovery.StoreLost() {
-			n.log.Warn("store_lost", "reason", err.Error(), "revision", c.mirror.Revision())
+			n.log.Warn("store_lost", "reason", err.Error(), "era", c.mirror.Position().Era, "revision", c.mirror.Position().Revision)
 		}
 	})
 }
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -37,6 +37,8 @@
 	// IgnoreLeavingNotices trusts the store alone on whether an endpoint leaves.
 	IgnoreLeavingNotices Defect = "ignore_leaving_answers"
 	IgnoreRests          Defect = "ignore_rests"
+	// IgnoreEras compares revisions of different eras of the store.
+	IgnoreEras Defect = "ignore_eras"
 )
 
 // Options configures one run.
--- a/testscripts/emulator/emulator_test.go
+++ b/testscripts/emulator/emulator_test.go
@@ -52,6 +52,7 @@
 		Crashing CrashingCalls
 		Limiting EngineLimits
 		Notices  EngineNotices
+		Restores StoreRestores
 	}](t, "testdata/faults.json") {
 		t.Run(string(c.Fault), func(t *testing.T) {
 			for first := uint64(1); first <= c.Seeds; first += batchSize {
@@ -62,6 +63,7 @@
 					CrashingCalls: c.Crashing,
 					EngineLimits:  c.Limiting,
 					EngineNotices: c.Notices,
+					StoreRestores: c.Restores,
 				}, batchSize)
 				if slices.ContainsFunc(sum.Failed, func(r Report) bool { return r.violates(c.Check) }) {
 					return
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -17,7 +17,7 @@
 	sender        roster.Rumor
 	digest        roster.Digest
 	rumors        []roster.Rumor
-	revision      uint64
+	position      discovery.Position
 	coldEndpoints []coldEndpoint
 	leaving       []discovery.LeavingEndpoint
 	limits        []throttle.Limit
@@ -40,7 +40,7 @@
 		sender:            v.roster.Self(),
 		digest:            v.roster.Digest(),
 		rumors:            rumors,
-		revision:          v.mirror.Revision(),
+		position:          v.mirror.Position(),
 		table:             v.discovery.Table(),
 		senderVM:          v,
 		senderIncarnation: v.incarnation,
@@ -138,12 +138,12 @@
 			v.throttle.Learn(w, now)
 		}
 	}
-	if m.revision > v.mirror.Revision() {
+	if m.position.IsAfter(v.mirror.Position()) {
 		v.schedulePull(m)
 	}
 }
 
-// schedulePull pulls the store's contents from a peer that has a newer revision.
+// schedulePull pulls the store's contents from a peer that is at a later position.
 func (v *vm) schedulePull(m gossipMessage) {
 	w, incarnation := v.world, v.incarnation
 	wait := time.Duration(0)
@@ -152,7 +152,7 @@
 	}
 	w.after(wait, func() {
 		v.run(incarnation, func() {
-			if v.mirror.Revision() < m.revision {
+			if m.position.IsAfter(v.mirror.Position()) {
 				v.pullFrom(m.senderVM, m.senderIncarnation)
 			}
 		})
@@ -161,12 +161,12 @@
 
 func (v *vm) pullFrom(from *vm, fromIncarnation uint64) {
 	w, incarnation := v.world, v.incarnation
-	knownRevision := v.mirror.Revision()
+	known := v.mirror.Position()
 	w.network.send(v.member.Region, from.member.Region, func() {
 		from.run(fromIncarnation, func() {
 			var result readResult
-			result.items, result.full = from.mirror.ChangesSince(knownRevision)
-			result.position.Revision = from.mirror.Revision()
+			result.items, result.full = from.mirror.ChangesSince(known)
+			result.position = from.mirror.Position()
 			settling := from.discovery.GraceRemaining(from.now())
 			w.network.send(from.member.Region, v.member.Region, func() {
 				v.run(incarnation, func() { v.applyPull(result, settling) })
@@ -177,5 +177,5 @@
 
 func (v *vm) applyPull(pulled readResult, settleFor time.Duration) {
 	v.discovery.ExtendGrace(v.now().Add(settleFor))
-	v.applyItems(v.merge(pulled))
+	v.applyItems(pulled)
 }
--- a/testscripts/emulator/store.go
+++ b/testscripts/emulator/store.go
@@ -46,6 +46,8 @@
 	// changes holds all changes ever written; an item's value is the index of its change.
 	changes       []discovery.Change
 	configVersion uint64
+	// writtenAt is when each key was last written or removed.
+	writtenAt map[string]time.Time
 	// outages and silentOutages count the outages in progress, and denied those of single regions.
 	outages, silentOutages int
 	denied                 map[string]int
@@ -67,6 +69,8 @@
 		world:   w,
 		entries: make(map[string]discovery.Item),
 		denied:  make(map[string]int),
+
+		writtenAt: make(map[string]time.Time),
 	}
 }
 
@@ -178,6 +182,7 @@
 		Removed:  c.Removed,
 	})
 	s.changes = append(s.changes, c)
+	s.writtenAt[key] = s.world.clock.now
 }
 
 // decode returns the change behind an item. A removal inferred from a full read has
--- a/testscripts/emulator/store_reader.go
+++ b/testscripts/emulator/store_reader.go
@@ -31,7 +31,7 @@
 			return
 		}
 		failed := w.store.outages > 0 || w.store.denied[v.member.Region] > 0
-		result, historyLost := w.store.read(v.mirror.Revision(), v.needsFullRead)
+		result, historyLost := w.store.read(v.mirror.Position().Revision, v.needsFullRead)
 		w.after(storeLatency, func() {
 			w.network.send(storeRegion, v.member.Region, func() {
 				answered = true
@@ -52,13 +52,13 @@
 	case failed:
 		v.discovery.StoreLost()
 		v.roster.SetStoreUnreadable(true)
-	case historyLost:
+	case historyLost, !result.full && result.position.Era != v.mirror.Position().Era && v.world.defect != IgnoreEras:
 		v.needsFullRead = true
 	default:
 		v.needsFullRead = false
 		v.discovery.StoreRecovered(v.now())
 		v.roster.SetStoreUnreadable(false)
-		v.applyItems(v.merge(result))
+		v.applyItems(result)
 	}
 	incarnation := v.incarnation
 	v.world.after(readInterval, func() {
@@ -66,21 +66,30 @@
 	})
 }
 
-func (v *vm) merge(result readResult) []discovery.Item {
+func (v *vm) merge(result readResult) (items []discovery.Item, restored bool) {
+	if v.world.defect == IgnoreEras {
+		result.position.Era = 0
+	}
 	if result.full {
-		return v.mirror.Replace(result.items, result.position.Revision)
+		return v.mirror.Replace(result.items, result.position)
 	}
-	return v.mirror.Apply(result.items, result.position.Revision)
+	return v.mirror.Apply(result.items, result.position), false
 }
 
-// applyItems applies changes and gossips to some VMs.
-func (v *vm) applyItems(items []discovery.Item) {
-	if len(items) == 0 {
+// applyItems applies a read of the store, or of a peer's copy, and gossips to some VMs.
+func (v *vm) applyItems(result readResult) {
+	items, restored := v.merge(result)
+	if restored {
+		v.discovery.StoreRestored(v.now())
+	}
+	if len(items) == 0 && !restored {
 		return
 	}
 	sortItems(items)
 	for _, item := range items {
-		v.applyChange(v.world.store.decode(item))
+		change := v.world.store.decode(item)
+		change.Restored = restored
+		v.applyChange(change)
 	}
 	v.applyState()
 	v.gossipTo(v.roster.RandomTargets(configFanout))
--- a/testscripts/emulator/store_restore.go
+++ b/testscripts/emulator/store_restore.go
@@ -133,7 +133,8 @@
 	s.lastFaultAt = s.world.clock.now
 	for _, key := range s.differingKeys(lost) {
 		item, held := lost[key]
-		s.world.after(s.world.randomDuration(0, rewriteTime), func() { s.rewrite(key, item, held, c.revision) })
+		restoredAt := s.world.clock.now
+		s.world.after(s.world.randomDuration(0, rewriteTime), func() { s.rewrite(key, item, held, restoredAt) })
 	}
 }
 
@@ -150,10 +151,14 @@
 	return slices.Sorted(maps.Keys(keys))
 }
 
-// rewrite writes a lost item or removal again, unless the key has been written since the
-// copy, or the writer is gone.
-func (s *store) rewrite(key string, item discovery.Item, held bool, copied uint64) {
-	if s.outages > 0 || s.entries[key].Revision > copied {
+// rewrite writes a lost item or removal again once the store answers, unless the key has been
+// written since the restore, or the writer is gone.
+func (s *store) rewrite(key string, item discovery.Item, held bool, restoredAt time.Time) {
+	if s.writtenAt[key].After(restoredAt) {
+		return
+	}
+	if s.outages > 0 {
+		s.world.after(rewriteTime, func() { s.rewrite(key, item, held, restoredAt) })
 		return
 	}
 	if !held {
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -69,6 +69,19 @@
 	})
 }
 
+// TestStoreComesBackOlder guards against VMs that ignore what a store says which has come
+// back from an older copy and gives out revisions again.
+func TestStoreComesBackOlder(t *testing.T) {
+	runScenario(t, runStoreRestores, Options{
+		Seed:          4,
+		Regions:       3,
+		VMs:           2,
+		Engines:       5,
+		Clients:       9,
+		FaultDuration: 4 * time.Second,
+	})
+}
+
 // TestColdAgain guards against overloading a cold engine that restarts while the store
 // refuses reads.
 func TestColdAgain(t *testing.T) {
