Notices in refusals that lack the attempt's id are read

The platform's examples show a refusal with the not-executed header alone, and what an endpoint says of itself there was passed over, so that the rest which a refusal names would not have been taken. A refusal on the connection to an endpoint is that endpoint's own, as any other one at its address answers 421. The row of TestRelay failed before.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -39,7 +39,8 @@
 		x.conn.taint()
 		return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
 	}
-	if head.ID != "" && !head.InstanceMismatch && (head.Signed || head.NotRun) {
+	// Refusals may lack the attempt's id.
+	if !head.InstanceMismatch && (head.NotRun || head.Signed && head.ID != "") {
 		x.reportNotice(resp)
 	}
 	if head.NotRun {
