--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -237,8 +237,10 @@
 // shedRest is the rest that a random refusal names.
 const shedRest = time.Second
 
-// refuse rejects a request before it runs. restFor is the rest that it names; zero for none.
+// refuse rejects a request before it runs, without its attempt id, which refusals may lack.
+// restFor is the rest that it names; zero for none.
 func refuse(w http.ResponseWriter, restFor time.Duration) {
+	w.Header().Del(headerAttempt)
 	w.Header().Set(headerNotRun, "1")
 	if restFor > 0 {
 		w.Header().Set(headerRetry, strconv.FormatFloat(restFor.Seconds(), 'f', -1, 64))
