A store of an earlier era counts as unreadable

A VM that the store answers in an era which it has left already, as its peers know, went on counting as one of the readers of its region. It is told to the others as one that cannot read the store, so that the next by rank reads it.

--- a/site/store.go
+++ b/site/store.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		needsFullRead = false
-		if n.isOutdated(read) {
+		if n.isOutdated(ctx, read) {
 			worker.SleepUntil(ctx, n.now(), n.now().Add(backoff))
 			backoff = min(2*backoff, maxReadBackoff)
 			continue
@@ -74,13 +74,21 @@
 	return nil
 }
 
+// errEarlierEra means that the store is in an era that it has left already, as other VMs
+// know.
+var errEarlierEra = errors.New("the store is in an earlier era")
+
 // isOutdated reports whether all that the store holds is older than what this VM holds, which
-// a peer may have read later.
-func (n *Node) isOutdated(read storeRead) bool {
+// a peer may have read later. A store of an earlier era counts as unreadable, so that another
+// VM reads it.
+func (n *Node) isOutdated(ctx context.Context, read storeRead) bool {
 	held := n.control.snapshot().position
 	if !read.full || !held.IsAfter(read.position) {
 		return false
 	}
+	if read.position.Era < held.Era {
+		n.handleStoreError(ctx, errEarlierEra)
+	}
 	n.log.Warn("store_read_ignored", "era", read.position.Era, "revision", read.position.Revision, "held_era", held.Era, "held", held.Revision)
 	return true
 }
--- a/site/store_test.go
+++ b/site/store_test.go
@@ -37,13 +37,14 @@
 		position: discovery.Position{Era: held.Era + 1, Revision: 2},
 		full:     true,
 	}
-	assert.Assert(t, !n.isOutdated(restored))
+	assert.Assert(t, !n.isOutdated(t.Context(), restored))
 	n.applyRead(t.Context(), restored)
 	waitFor(t, func() bool { return n.control.snapshot().position == restored.position })
-	assert.Assert(t, n.isOutdated(storeRead{
+	assert.Assert(t, n.isOutdated(t.Context(), storeRead{
 		position: discovery.Position{Era: held.Era, Revision: held.Revision + 9},
 		full:     true,
 	}))
+	waitFor(t, func() bool { return n.control.snapshot().members.StoreUnreadable() })
 	reply, err := query(t.Context(), n.control, func(c *control, now time.Time) bool {
 		return c.changesReply(held, now).GetWhole()
 	})
