--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -95,16 +95,14 @@
 // New returns an empty State.
 func New(o Options) *State {
 	return &State{
-		grace:     o.Grace,
-		endpoints: make(map[string]*endpointState),
-		versions:  make(map[string]entryVersion),
-		evacuated: make(map[string]bool),
-
+		grace:          o.Grace,
+		endpoints:      make(map[string]*endpointState),
+		versions:       make(map[string]entryVersion),
+		evacuated:      make(map[string]bool),
 		evacuationEnds: make(map[string]time.Time),
-
-		degraded: make(map[string]bool),
-		changed:  make(map[string]bool),
-		leaving:  make(map[string]leavingNotice),
+		degraded:       make(map[string]bool),
+		changed:        make(map[string]bool),
+		leaving:        make(map[string]leavingNotice),
 	}
 }
 
--- a/site/control.go
+++ b/site/control.go
@@ -114,6 +114,14 @@
 	return c.inbox.Send(ctx, m)
 }
 
+// sendSoon queues a command without blocking the caller. It is lost only at the end of the
+// process.
+func (c *control) sendSoon(m command) {
+	if !c.inbox.TrySend(m) {
+		go c.send(context.Background(), m)
+	}
+}
+
 // query runs a request on the control goroutine and returns its result.
 func query[T any](ctx context.Context, c *control, request func(c *control, now time.Time) T) (T, error) {
 	return mailbox.Call(ctx, c.inbox, func(reply chan<- T) command {
--- a/site/notices.go
+++ b/site/notices.go
@@ -126,14 +126,6 @@
 	}
 }
 
-// sendSoon queues a command without blocking the caller. It is lost only at the end of the
-// process.
-func (c *control) sendSoon(m command) {
-	if !c.inbox.TrySend(m) {
-		go c.send(context.Background(), m)
-	}
-}
-
 // leavingByID returns the incarnations of the endpoints that said that they leave. It
 // reuses the previous result if nothing changed.
 func (c *control) leavingByID(before map[string]int64) map[string]int64 {
