Emulator: a VM that has read of a departure is bound by it, also after the store came back older

The check of what a VM has heard in answers counts what it has read in the store too, whatever the store says later.

--- a/testscripts/emulator/engine_notices.go
+++ b/testscripts/emulator/engine_notices.go
@@ -55,8 +55,8 @@
 	leaving bool
 	// restFor is the time named in refusals; zero for none.
 	restFor time.Duration
-	// leavingHeardAt is when each incarnation of a VM first got an answer that says that the
-	// engine leaves.
+	// leavingHeardAt is when each incarnation of a VM first got an answer, or read in the
+	// store, that the engine leaves.
 	leavingHeardAt map[uint64]time.Time
 	// rests are the times named to each incarnation of a VM.
 	rests map[uint64][]*restPeriod
@@ -159,6 +159,18 @@
 	}
 }
 
+// recordDeparture records that the store says that an engine leaves.
+func (v *vm) recordDeparture(c discovery.Change) {
+	if c.Endpoint == nil {
+		return
+	}
+	e := v.world.engineByID(c.Endpoint.ID)
+	published := c.Removed && !c.Restored || c.Endpoint.State != fleet.StateLive
+	if published && e.notices.leaving {
+		v.recordLeavingHeard(e.endpoint)
+	}
+}
+
 func (v *vm) recordLeavingHeard(e fleet.Endpoint) {
 	heard := &v.world.engineByID(e.ID).notices.leavingHeardAt
 	if *heard == nil {
@@ -194,7 +206,7 @@
 	n, now := &e.notices, l.world.clock.now
 	heardAt, heard := n.leavingHeardAt[from.incarnation]
 	if heard && !from.disturbedAt.After(heardAt) && sentByCallerAt.Sub(heardAt) > drainTimeout {
-		l.addViolation(CheckLeavingHeard, "%s sent a request to %s, which had told it %s earlier that it leaves", from.member.ID, e.endpoint.ID, sentByCallerAt.Sub(heardAt))
+		l.addViolation(CheckLeavingHeard, "%s sent a request to %s, of which it had heard %s earlier that it leaves", from.member.ID, e.endpoint.ID, sentByCallerAt.Sub(heardAt))
 	}
 	for _, r := range n.rests[from.incarnation] {
 		if now.Sub(r.namedAt) < restNoticeDelay || !now.Before(r.until) || from.disturbedAt.After(r.namedAt) {
--- a/testscripts/emulator/store_reader.go
+++ b/testscripts/emulator/store_reader.go
@@ -101,6 +101,7 @@
 	case c.Evacuated != "" && v.world.defect == IgnoreEvacuation:
 	case c.Endpoint != nil && !c.Removed && c.Endpoint.State != fleet.StateLive && v.world.defect == IgnoreDraining:
 	default:
+		v.recordDeparture(c)
 		v.discovery.Apply(c, v.now())
 		v.endpointsChanged = true
 	}
