--- a/testscripts/emulator/engine_notices_test.go
+++ b/testscripts/emulator/engine_notices_test.go
@@ -11,12 +11,14 @@
 // TestLeavingInAnswers guards against requests to an endpoint that has said in an answer
 // that it leaves, while the store cannot tell.
 func TestLeavingInAnswers(t *testing.T) {
+	t.Parallel()
 	runNotices(t, "testdata/leaving.json")
 }
 
 // TestRestInAnswers guards against requests to an endpoint in the time that its refusal
 // names.
 func TestRestInAnswers(t *testing.T) {
+	t.Parallel()
 	runNotices(t, "testdata/resting.json")
 }
 
--- a/testscripts/emulator/store_restore_test.go
+++ b/testscripts/emulator/store_restore_test.go
@@ -15,6 +15,7 @@
 // TestStoreComesBackOlder guards against VMs that ignore what a store says which has come
 // back from an older copy and gives out revisions again.
 func TestStoreComesBackOlder(t *testing.T) {
+	t.Parallel()
 	for _, c := range datatest.Read[[]struct {
 		Name     string
 		Seeds    uint64
