--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -133,7 +133,7 @@
 		endpoints:        newGaugeVec("endpoints", "Endpoints of the own region, by state.", "state"),
 		quarantinedCalls: newGauge("calls_held", "Calls that endpoints do not get, as those that ran them crashed."),
 		routesVersion:    newGauge("routes_version", "Version of the table of routes in force."),
-		storeEra:         newGauge("store_era", "Era of the store's last reply; it rises as the store comes back from an older copy."),
+		storeEra:         newGauge("store_era", "Era of the store's contents that this VM holds; it rises as the store comes back from an older copy."),
 		publishedAge:     newGauge("published_age_seconds", "Time since this VM last knew that it holds what the store holds."),
 		linesDropped:     newCounter("log_lines_dropped_total", "Log lines dropped as the ring was full."),
 	}
@@ -285,7 +285,7 @@
 	m.publishedAge.Set(age.Seconds())
 }
 
-// SetStoreEra sets the era of the store's last reply.
+// SetStoreEra sets the era of the store's contents that this VM holds.
 func (m *Metrics) SetStoreEra(era uint64) {
 	m.storeEra.Set(float64(era))
 }
--- a/site/store.go
+++ b/site/store.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		needsFullRead = false
-		if n.isOutdated(ctx, read) {
+		if n.rejectOutdated(ctx, read) {
 			worker.SleepUntil(ctx, n.now(), n.now().Add(backoff))
 			backoff = min(2*backoff, maxReadBackoff)
 			continue
@@ -78,10 +78,10 @@
 // know.
 var errEarlierEra = errors.New("the store is in an earlier era")
 
-// isOutdated reports whether all that the store holds is older than what this VM holds, which
-// a peer may have read later. A store of an earlier era counts as unreadable, so that another
-// VM reads it.
-func (n *Node) isOutdated(ctx context.Context, read storeRead) bool {
+// rejectOutdated reports whether a read is older than what this VM holds, which a peer may have
+// read later, and must not be applied. A store of an earlier era counts as unreadable, so that
+// another VM reads it.
+func (n *Node) rejectOutdated(ctx context.Context, read storeRead) bool {
 	held := n.control.snapshot().position
 	if !read.full || !held.IsAfter(read.position) {
 		return false
@@ -94,16 +94,16 @@
 }
 
 // readOnce watches the store from the position that this VM holds, or reads it as a whole.
-func (n *Node) readOnce(ctx context.Context, whole bool) (storeRead, error) {
+func (n *Node) readOnce(ctx context.Context, full bool) (storeRead, error) {
 	startedAt := n.now()
 	held := n.control.snapshot().position
-	if whole || held.IsZero() {
+	if full || held.IsZero() {
 		items, position, err := n.store.All(ctx, platform.AllKeysPrefix, held)
 		return storeRead{
 			items:     items,
 			position:  position,
 			full:      true,
-			initial:   !whole,
+			initial:   !full,
 			freshAsOf: startedAt,
 		}, err
 	}
--- a/site/store_test.go
+++ b/site/store_test.go
@@ -37,10 +37,10 @@
 		position: discovery.Position{Era: held.Era + 1, Revision: 2},
 		full:     true,
 	}
-	assert.Assert(t, !n.isOutdated(t.Context(), restored))
+	assert.Assert(t, !n.rejectOutdated(t.Context(), restored))
 	n.applyRead(t.Context(), restored)
 	waitFor(t, func() bool { return n.control.snapshot().position == restored.position })
-	assert.Assert(t, n.isOutdated(t.Context(), storeRead{
+	assert.Assert(t, n.rejectOutdated(t.Context(), storeRead{
 		position: discovery.Position{Era: held.Era, Revision: held.Revision + 9},
 		full:     true,
 	}))
