Emulator: the scenarios share their conditions; soak: one list of what old seeds leave out

Four scenarios each had the same five fields and the same override; they embed Conditions now, which also turns the random faults off. The key for the engines of a region is "of" in all data files (crashing.json said "engines").

--- a/testscripts/emulator/crashing_calls.go
+++ b/testscripts/emulator/crashing_calls.go
@@ -28,27 +28,14 @@
 // CrashingCalls configures calls that crash every endpoint that runs them. Their
 // callers retry them at random VMs until the end of the run.
 type CrashingCalls struct {
+	Conditions
+
 	// Calls is the number of crashing calls.
 	Calls int `json:"calls"`
 	// Idempotent allows several endpoints to run one try.
 	Idempotent bool `json:"idempotent"`
 	// CallerRetries is how often callers retry other requests that were interrupted.
 	CallerRetries int `json:"repeats"`
-	// NoOtherFaults disables random faults.
-	NoOtherFaults bool `json:"calm"`
-	// Regions, VMsPerRegion and EnginesPerRegion override the topology of the seed.
-	Regions          int `json:"regions"`
-	VMsPerRegion     int `json:"vms"`
-	EnginesPerRegion int `json:"engines"`
-}
-
-func (c CrashingCalls) override(s *topology) {
-	if c.Calls == 0 {
-		return
-	}
-	s.regions = c.Regions
-	s.vmsPerRegion = c.VMsPerRegion
-	s.enginesPerRegion = c.EnginesPerRegion
 }
 
 func (w *world) scheduleCrashingCalls(c CrashingCalls) {
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -104,7 +105,7 @@
 func Run(o Options) Report {
 	w := newWorld(o)
 	w.start()
-	if !o.CrashingCalls.NoOtherFaults && !o.EngineLimits.NoFaults && !o.EngineNotices.NoFaults && !o.StoreRestores.NoFaults {
+	if !slices.ContainsFunc(o.conditions(), func(c Conditions) bool { return c.NoFaults }) {
 		w.injectFaults()
 	}
 	w.scheduleRequests()
@@ -153,15 +154,6 @@
 	maxCallerRetries int
 }
 
-// topology is the size and load of the deployment, chosen by the seed.
-type topology struct {
-	regions           int
-	vmsPerRegion      int
-	enginesPerRegion  int
-	requestsPerSecond float64
-	homeRegions       bool
-}
-
 func newWorld(o Options) *world {
 	begin := time.Unix(1e9, 0)
 	w := &world{
@@ -178,10 +170,9 @@
 		requestsPerSecond: minRequestsPerSecond + w.rand.Float64()*(maxRequestsPerSecond-minRequestsPerSecond),
 		homeRegions:       w.rand.IntN(2) == 0,
 	}
-	o.CrashingCalls.override(&w.topology)
-	o.EngineLimits.override(&w.topology)
-	o.EngineNotices.override(&w.topology)
-	o.StoreRestores.override(&w.topology)
+	for _, c := range o.conditions() {
+		c.override(&w.topology)
+	}
 	w.maxCallerRetries = o.CrashingCalls.CallerRetries
 	w.network = newNetwork(w)
 	w.ledger = newLedger(w)
--- a/testscripts/emulator/engine_limits.go
+++ b/testscripts/emulator/engine_limits.go
@@ -23,30 +23,14 @@
 
 // EngineLimits configures engines that set rate limits.
 type EngineLimits struct {
+	Conditions
+
 	// LimitedEngines of each region set LimitsPerSecond one after the other, each for
 	// limitDuration and the last one until the end. A negative value removes the limit.
 	LimitedEngines  int       `json:"engines"`
 	LimitsPerSecond []float64 `json:"per_second"`
 	// Restart replaces these engines once, under new IDs.
 	Restart bool `json:"restart"`
-	// NoFaults disables all faults.
-	NoFaults bool `json:"calm"`
-	// Regions, VMsPerRegion, EnginesPerRegion and RequestsPerSecond override the
-	// topology of the seed.
-	Regions           int     `json:"regions"`
-	VMsPerRegion      int     `json:"vms"`
-	EnginesPerRegion  int     `json:"of"`
-	RequestsPerSecond float64 `json:"requests"`
-}
-
-func (l EngineLimits) override(s *topology) {
-	if l.LimitedEngines == 0 {
-		return
-	}
-	s.regions = l.Regions
-	s.vmsPerRegion = l.VMsPerRegion
-	s.enginesPerRegion = l.EnginesPerRegion
-	s.requestsPerSecond = l.RequestsPerSecond
 }
 
 // engineLimit is the rate limit of an engine.
--- a/testscripts/emulator/engine_notices.go
+++ b/testscripts/emulator/engine_notices.go
@@ -24,30 +24,14 @@
 
 // EngineNotices configures engines that say in their answers that they leave or rest.
 type EngineNotices struct {
+	Conditions
+
 	// LeavingEngines of each region leave while the store answers nobody.
 	LeavingEngines int `json:"leaving"`
 	// RestingEngines of each region refuse all requests for a time, and name RestSeconds in
 	// each refusal.
 	RestingEngines int     `json:"resting"`
 	RestSeconds    float64 `json:"rest_seconds"`
-	// NoFaults disables all other faults.
-	NoFaults bool `json:"calm"`
-	// Regions, VMsPerRegion, EnginesPerRegion and RequestsPerSecond override the
-	// topology of the seed.
-	Regions           int     `json:"regions"`
-	VMsPerRegion      int     `json:"vms"`
-	EnginesPerRegion  int     `json:"of"`
-	RequestsPerSecond float64 `json:"requests"`
-}
-
-func (n EngineNotices) override(s *topology) {
-	if n.LeavingEngines+n.RestingEngines == 0 {
-		return
-	}
-	s.regions = n.Regions
-	s.vmsPerRegion = n.VMsPerRegion
-	s.enginesPerRegion = n.EnginesPerRegion
-	s.requestsPerSecond = n.RequestsPerSecond
 }
 
 // engineNotices is what an engine says in its answers, and what reached it afterwards.
--- a/testscripts/emulator/store_restore.go
+++ b/testscripts/emulator/store_restore.go
@@ -25,6 +25,8 @@
 
 // StoreRestores configures a store that comes back from older copies of itself.
 type StoreRestores struct {
+	Conditions
+
 	// RestoreSeconds are the times of the restores after the warm-up. Each copy is
 	// LossSeconds old.
 	RestoreSeconds []float64 `json:"at"`
@@ -33,24 +35,6 @@
 	// of a region's VMs until after them.
 	FrozenVM     bool `json:"frozen"`
 	DeniedRegion bool `json:"denied"`
-	// NoFaults disables all other faults.
-	NoFaults bool `json:"calm"`
-	// Regions, VMsPerRegion, EnginesPerRegion and RequestsPerSecond override the
-	// topology of the seed.
-	Regions           int     `json:"regions"`
-	VMsPerRegion      int     `json:"vms"`
-	EnginesPerRegion  int     `json:"of"`
-	RequestsPerSecond float64 `json:"requests"`
-}
-
-func (r StoreRestores) override(s *topology) {
-	if len(r.RestoreSeconds) == 0 {
-		return
-	}
-	s.regions = r.Regions
-	s.vmsPerRegion = r.VMsPerRegion
-	s.enginesPerRegion = r.EnginesPerRegion
-	s.requestsPerSecond = r.RequestsPerSecond
 }
 
 func (r StoreRestores) loss() time.Duration {
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -11,17 +11,19 @@
 	"github.com/fuchsianotch/fuchsianotch/standin/replica"
 )
 
+// withoutRestores keeps the schedules of the seeds that were chosen for other faults.
+var withoutRestores = []string{"restore"}
+
 // TestSeed checks that no guarantee is violated under a short schedule of random faults.
 func TestSeed(t *testing.T) {
 	runScenario(t, runRandomFaults, Options{
-		Seed:          1,
-		Regions:       3,
-		VMs:           2,
-		Engines:       2,
-		Clients:       6,
-		FaultDuration: 10 * time.Second,
-		// The schedules of these seeds are older than this fault.
-		ExcludedFaults: []string{"restore"},
+		Seed:           1,
+		Regions:        3,
+		VMs:            2,
+		Engines:        2,
+		Clients:        6,
+		FaultDuration:  10 * time.Second,
+		ExcludedFaults: withoutRestores,
 	})
 }
 
@@ -29,28 +31,26 @@
 // is retried.
 func TestCrashingCalls(t *testing.T) {
 	runScenario(t, runCrashingCalls, Options{
-		Seed:          2,
-		Regions:       3,
-		VMs:           2,
-		Engines:       3,
-		Clients:       6,
-		FaultDuration: 16 * time.Second,
-		// The schedules of these seeds are older than this fault.
-		ExcludedFaults: []string{"restore"},
+		Seed:           2,
+		Regions:        3,
+		VMs:            2,
+		Engines:        3,
+		Clients:        6,
+		FaultDuration:  16 * time.Second,
+		ExcludedFaults: withoutRestores,
 	})
 }
 
 // TestNamedLimit guards against VMs exceeding a replica's announced rate limit together.
 func TestNamedLimit(t *testing.T) {
 	runScenario(t, runEndpointLimits, Options{
-		Seed:          3,
-		Regions:       3,
-		VMs:           3,
-		Engines:       3,
-		Clients:       12,
-		FaultDuration: 15 * time.Second,
-		// The schedules of these seeds are older than this fault.
-		ExcludedFaults: []string{"restore"},
+		Seed:           3,
+		Regions:        3,
+		VMs:            3,
+		Engines:        3,
+		Clients:        12,
+		FaultDuration:  15 * time.Second,
+		ExcludedFaults: withoutRestores,
 	})
 }
 
@@ -58,14 +58,13 @@
 // in an answer that it leaves or rests.
 func TestNoticesInAnswers(t *testing.T) {
 	runScenario(t, runEndpointNotices, Options{
-		Seed:          1,
-		Regions:       3,
-		VMs:           3,
-		Engines:       3,
-		Clients:       12,
-		FaultDuration: 3 * time.Second,
-		// The schedules of these seeds are older than this fault.
-		ExcludedFaults: []string{"restore"},
+		Seed:           1,
+		Regions:        3,
+		VMs:            3,
+		Engines:        3,
+		Clients:        12,
+		FaultDuration:  3 * time.Second,
+		ExcludedFaults: withoutRestores,
 	})
 }
 
@@ -86,14 +85,13 @@
 // refuses reads.
 func TestColdAgain(t *testing.T) {
 	runScenario(t, runEndpointLimits, Options{
-		Seed:          303,
-		Regions:       3,
-		VMs:           2,
-		Engines:       2,
-		Clients:       9,
-		FaultDuration: 8 * time.Second,
-		// The schedules of these seeds are older than this fault.
-		ExcludedFaults: []string{"restore"},
+		Seed:           303,
+		Regions:        3,
+		VMs:            2,
+		Engines:        2,
+		Clients:        9,
+		FaultDuration:  8 * time.Second,
+		ExcludedFaults: withoutRestores,
 	})
 }
 
