Retry budget: metrics of the requests counted, retries granted and refused, and VMs that share the slack

For the incident of retries beyond their budget: over all VMs, requests counted against those that callers sent tell a call that counts on several VMs, and the number of VMs that share the slack tells a part that is too large. No decision changes.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -65,6 +65,8 @@
 	crossRegionCalls *prometheus.CounterVec
 	forwards         *prometheus.CounterVec
 	retries          prometheus.Counter
+	retryBudget      *prometheus.CounterVec
+	retryBudgetVMs   prometheus.Gauge
 
 	limitRejections  *prometheus.CounterVec
 	limitRequests    *prometheus.CounterVec
@@ -108,6 +110,8 @@
 		crossRegionCalls: newCounterVec("sent_away_total", "Calls sent to another region.", "to"),
 		forwards:         newCounterVec("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:          newCounter("retries_total", "Attempts after the first of a call."),
+		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted or refused.", "event"),
+		retryBudgetVMs:   newGauge("retry_budget_vms", "VMs among which this VM divides the slack of the retry budget; zero while it uses none."),
 
 		limitRejections: newCounterVec("limit_refused_total", "Calls that the limits of their workspaces did not admit, by workspace.", "workspace"),
 		limitRequests:   newCounterVec("limit_asked_total", "Calls that waited for the word of the VM that keeps their workspace's limit.", "outcome"),
@@ -139,6 +143,7 @@
 	}
 	m.registry.MustRegister(
 		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries,
+		m.retryBudget, m.retryBudgetVMs,
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
@@ -196,6 +201,26 @@
 	m.retries.Inc()
 }
 
+// RetryBudgetEvent is a use of the retry budget.
+type RetryBudgetEvent string
+
+// Uses of the retry budget.
+const (
+	RetryBudgetRequest RetryBudgetEvent = "request"
+	RetryBudgetGranted RetryBudgetEvent = "granted"
+	RetryBudgetRefused RetryBudgetEvent = "refused"
+)
+
+// CountRetryBudget counts a use of the retry budget.
+func (m *Metrics) CountRetryBudget(event RetryBudgetEvent) {
+	m.retryBudget.WithLabelValues(string(event)).Inc()
+}
+
+// SetRetryBudgetVMs sets the number of VMs among which this VM divides the budget's slack.
+func (m *Metrics) SetRetryBudgetVMs(vms int) {
+	m.retryBudgetVMs.Set(float64(vms))
+}
+
 // SetDocuments sets the number of rejected documents and the highest revision seen.
 func (m *Metrics) SetDocuments(refused int, revision uint64) {
 	m.rejectedDocuments.Set(float64(refused))
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -45,6 +45,8 @@
 	m.CountCrossRegionCall("b")
 	m.Forwarded(result.ClassUnknown)
 	m.Retried()
+	m.CountRetryBudget(RetryBudgetGranted)
+	m.SetRetryBudgetVMs(6)
 	m.SetDocuments(1, 9)
 	m.SetReachable(4)
 	m.SetQueue(3)
@@ -118,6 +120,8 @@
 		"fuchsianotch_sent_away_total b":                       1,
 		"fuchsianotch_forwards_total unknown":                  1,
 		"fuchsianotch_retries_total ":                          1,
+		"fuchsianotch_retry_budget_total granted":              1,
+		"fuchsianotch_retry_budget_vms ":                       6,
 		"fuchsianotch_refused_documents ":                      1,
 		"fuchsianotch_documents_revision ":                     9,
 		"fuchsianotch_vms_reachable ":                          4,
--- a/site/pools.go
+++ b/site/pools.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -187,11 +188,17 @@
 		OnRequest: func(service string) {
 			if pool := p.all()[service]; pool != nil {
 				pool.budget.OnRequest()
+				p.node.metrics.CountRetryBudget(metrics.RetryBudgetRequest)
 			}
 		},
 		Allow: func(service string) bool {
 			pool := p.all()[service]
-			return pool != nil && pool.budget.Allow()
+			if pool == nil || !pool.budget.Allow() {
+				p.node.metrics.CountRetryBudget(metrics.RetryBudgetRefused)
+				return false
+			}
+			p.node.metrics.CountRetryBudget(metrics.RetryBudgetGranted)
+			return true
 		},
 	}
 }
