--- a/testscripts/emulator/conditions.go
+++ b/testscripts/emulator/conditions.go
@@ -29,6 +29,7 @@
 		o.EngineLimits.Conditions,
 		o.EngineNotices.Conditions,
 		o.StoreRestores.Conditions,
+		o.PlannedFaults.Conditions,
 	}
 }
 
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -60,6 +60,9 @@
 	// StoreRestores adds restores of the store from older copies, without changing the other
 	// random choices of a seed.
 	StoreRestores StoreRestores
+	// PlannedFaults adds faults at fixed times, without changing the other random choices of
+	// a seed.
+	PlannedFaults PlannedFaults
 }
 
 // Report is the result of one run.
@@ -70,7 +73,9 @@
 	// Served counts the requests that were answered with success.
 	Served int
 	Runs   int
-	Faults int
+	// Retries counts the arrivals at endpoints beyond the first of each request.
+	Retries int
+	Faults  int
 	// EndpointCrashes counts the endpoints that were crashed by calls.
 	EndpointCrashes int
 	// CallerRetries counts the interrupted requests that their callers sent again, and
@@ -113,6 +118,7 @@
 	w.scheduleLimits(o.EngineLimits)
 	w.scheduleNotices(o.EngineNotices)
 	w.scheduleRestores(o.StoreRestores)
+	w.schedulePlannedFaults(o.PlannedFaults)
 	w.clock.run(w.end.Add(settleDuration))
 	return Report{
 		Seed:             o.Seed,
@@ -120,6 +126,7 @@
 		Answered:         w.ledger.answered,
 		Served:           w.ledger.served,
 		Runs:             w.ledger.runs,
+		Retries:          len(w.ledger.retryArrivals),
 		Faults:           w.injectedFaults,
 		Events:           w.clock.events,
 		EndpointCrashes:  w.ledger.totalCrashes(),
--- a/testscripts/emulator/network.go
+++ b/testscripts/emulator/network.go
@@ -17,6 +17,8 @@
 	world      *world
 	latencies  map[link]time.Duration
 	partitions map[link]int
+	// peerPartitions do not affect reads of the store.
+	peerPartitions map[link]int
 }
 
 // link is one direction between two regions.
@@ -29,6 +31,8 @@
 		world:      w,
 		latencies:  make(map[link]time.Duration),
 		partitions: make(map[link]int),
+
+		peerPartitions: make(map[link]int),
 	}
 	for a := range w.topology.regions {
 		for b := range a {
@@ -49,6 +53,15 @@
 
 // send delivers a message after the latency of its link, unless the link is then partitioned.
 func (n *network) send(from, to string, do func()) {
+	n.sendStore(from, to, func() {
+		if n.peerPartitions[link{from: from, to: to}] == 0 {
+			do()
+		}
+	})
+}
+
+// sendStore is send for the messages of reads of the store.
+func (n *network) sendStore(from, to string, do func()) {
 	n.world.after(n.latency(from, to), func() {
 		if n.partitions[link{from: from, to: to}] == 0 {
 			do()
@@ -56,6 +69,17 @@
 	})
 }
 
+// partitionPeers separates the VMs of all regions, which all reach the store.
+func (n *network) partitionPeers(duration time.Duration) {
+	add := func(delta int) {
+		for l := range n.latencies {
+			n.peerPartitions[l] += delta
+		}
+	}
+	add(1)
+	n.world.after(duration, func() { add(-1) })
+}
+
 // partition drops messages between two regions in both directions for the duration.
 func (n *network) partition(a, b string, duration time.Duration) {
 	forward, backward := link{from: a, to: b}, link{from: b, to: a}
--- /dev/null
+++ b/testscripts/emulator/planned_faults.go
@@ -0,0 +1,90 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+)
+
+// PlannedFaults configures faults at fixed times. Times are in seconds after the warm-up.
+type PlannedFaults struct {
+	Conditions
+
+	Engines    []EngineFault `json:"engines"`
+	Partitions []Partition   `json:"partitions"`
+	Kills      []Kill        `json:"kills"`
+}
+
+// EngineFault makes all engines of some regions refuse requests, or lose their answers.
+type EngineFault struct {
+	AtSeconds  float64 `json:"at"`
+	ForSeconds float64 `json:"for"`
+	// Regions lists the regions by number; empty means all.
+	Regions []int   `json:"regions"`
+	Refused float64 `json:"refused"`
+	Lost    float64 `json:"lost"`
+	// RestSeconds is the time named in refusals; zero for none.
+	RestSeconds float64 `json:"rest_seconds"`
+}
+
+// Partition separates all regions from each other, or their VMs only, which still reach the
+// store.
+type Partition struct {
+	AtSeconds  float64 `json:"at"`
+	ForSeconds float64 `json:"for"`
+	VMsOnly    bool    `json:"vms_only"`
+}
+
+// Kill kills all VMs of some regions, which start again a moment later.
+type Kill struct {
+	AtSeconds float64 `json:"at"`
+	// Regions lists the regions by number; empty means all.
+	Regions []int `json:"regions"`
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
+
+// schedulePlannedFaults schedules the faults.
+func (w *world) schedulePlannedFaults(p PlannedFaults) {
+	for _, f := range p.Engines {
+		w.after(warmup+seconds(f.AtSeconds), func() { w.setEngineFault(f) })
+		w.after(warmup+seconds(f.AtSeconds+f.ForSeconds), func() { w.setEngineFault(EngineFault{Regions: f.Regions}) })
+	}
+	for _, c := range p.Partitions {
+		w.after(warmup+seconds(c.AtSeconds), func() { w.separateRegions(c) })
+	}
+	for _, k := range p.Kills {
+		w.after(warmup+seconds(k.AtSeconds), func() {
+			for _, v := range w.vms {
+				if includesRegion(k.Regions, v.member.Region) {
+					v.kill(minFaultDuration)
+				}
+			}
+		})
+	}
+}
+
+func (w *world) separateRegions(p Partition) {
+	if p.VMsOnly {
+		w.network.partitionPeers(seconds(p.ForSeconds))
+		return
+	}
+	w.partitionAllRegions(seconds(p.ForSeconds))
+}
+
+func (w *world) setEngineFault(f EngineFault) {
+	for _, e := range w.engines {
+		if includesRegion(f.Regions, e.endpoint.Region) {
+			e.refusedFraction = f.Refused
+			e.lostFraction = f.Lost
+			e.notices.restFor = seconds(f.RestSeconds)
+		}
+	}
+}
+
+// includesRegion reports whether a list of region numbers, empty for all, has a region.
+func includesRegion(numbers []int, region string) bool {
+	matches := func(i int) bool { return regionName(i) == region }
+	return len(numbers) == 0 || slices.ContainsFunc(numbers, matches)
+}
--- a/testscripts/emulator/run_all.go
+++ b/testscripts/emulator/run_all.go
@@ -14,6 +14,7 @@
 	Answered         int
 	Served           int
 	Runs             int
+	Retries          int
 	Faults           int
 	EndpointCrashes  int
 	CallerRetries    int
@@ -53,6 +54,7 @@
 	s.Answered += r.Answered
 	s.Served += r.Served
 	s.Runs += r.Runs
+	s.Retries += r.Retries
 	s.Faults += r.Faults
 	s.EndpointCrashes += r.EndpointCrashes
 	s.CallerRetries += r.CallerRetries
--- a/testscripts/emulator/store_reader.go
+++ b/testscripts/emulator/store_reader.go
@@ -26,14 +26,14 @@
 			v.run(incarnation, func() { v.readTimedOut() })
 		}
 	})
-	w.network.send(v.member.Region, storeRegion, func() {
+	w.network.sendStore(v.member.Region, storeRegion, func() {
 		if w.store.silentOutages > 0 {
 			return
 		}
 		failed := w.store.outages > 0 || w.store.denied[v.member.Region] > 0
 		result, historyLost := w.store.read(v.mirror.Position().Revision, v.needsFullRead)
 		w.after(storeLatency, func() {
-			w.network.send(storeRegion, v.member.Region, func() {
+			w.network.sendStore(storeRegion, v.member.Region, func() {
 				answered = true
 				v.run(incarnation, func() { v.applyRead(result, failed, historyLost) })
 			})
