A call counts for the retry budget once, on the VM that first sends it to an endpoint

Callers saw endpoints, in need already, get more repeats than is allowed. Cause: each VM that a call visited counted it as a request before it was admitted there, so that a call that no region could place earned three times the retries of one request.

The count moves to the moment right before the first byte is sent (retry.CallBudget), and whether the call was sent travels with its outcome between VMs in place of being concluded from its code. So over all VMs a call counts at most once, and each further arrival has a grant. A grant that was not sent is given back, where before a call that found no second endpoint used it up.

--- a/call/answer.go
+++ b/call/answer.go
@@ -26,6 +26,8 @@
 	Endpoint string
 	// EndpointsRun is the number of endpoints that may have run the call.
 	EndpointsRun int
+	// Sent is set if an attempt may have reached an endpoint, whether that ran it or not.
+	Sent bool
 	// LongestGap is the longest time between two chunks delivered to the caller. It is set
 	// on routed calls that arrived at this process.
 	LongestGap time.Duration
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -110,7 +110,7 @@
 		crossRegionCalls: newCounterVec("sent_away_total", "Calls sent to another region.", "to"),
 		forwards:         newCounterVec("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:          newCounter("retries_total", "Attempts after the first of a call."),
-		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted or refused.", "event"),
+		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event"),
 		retryBudgetVMs:   newGauge("retry_budget_vms", "VMs among which this VM divides the slack of the retry budget; zero while it uses none."),
 
 		limitRejections: newCounterVec("limit_refused_total", "Calls that the limits of their workspaces did not admit, by workspace.", "workspace"),
@@ -209,6 +209,8 @@
 	RetryBudgetRequest RetryBudgetEvent = "request"
 	RetryBudgetGranted RetryBudgetEvent = "granted"
 	RetryBudgetRefused RetryBudgetEvent = "refused"
+	// RetryBudgetReturned is a granted retry that was never sent.
+	RetryBudgetReturned RetryBudgetEvent = "returned"
 )
 
 // CountRetryBudget counts a use of the retry budget.
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -99,6 +99,7 @@
 		Stamp:           stamp,
 		Endpoint:        o.Endpoint,
 		Ran:             uint32(o.EndpointsRun),
+		Sent:            o.Sent,
 	}
 	if o.Refusal != nil {
 		end.Message = o.Refusal.Message
@@ -118,6 +119,7 @@
 		FirstChunkAt: firstAt,
 		Endpoint:     end.GetEndpoint(),
 		EndpointsRun: int(end.GetRan()),
+		Sent:         end.GetSent(),
 	}
 	if o.Code.Class() != result.ClassDone {
 		o.Refusal = result.Refuse(o.Code, "%s", end.GetMessage()).WithRetryAt(deadlineAfter(end.GetComeBackInMs(), now))
--- a/retry/history.go
+++ b/retry/history.go
@@ -11,6 +11,8 @@
 	Attempts int
 	// Refused is the number of attempts that certainly did not run.
 	Refused int
+	// Sent is set if an attempt may have reached an endpoint.
+	Sent bool
 	// Uncertain is the last code of class unknown that an attempt ended with; zero if
 	// there was none.
 	Uncertain result.Code
@@ -19,6 +21,7 @@
 // Record records an attempt. sent is set if a byte of it may have reached the endpoint.
 func (h *History) Record(code result.Code, sent bool) {
 	h.Attempts++
+	h.Sent = h.Sent || sent
 	if !sent || code.Class() == result.ClassNotRun {
 		h.Refused++
 	}
--- a/retry/places.go
+++ b/retry/places.go
@@ -9,6 +9,8 @@
 // ForwardResult is the result of one VM's attempts to serve a routed call.
 type ForwardResult struct {
 	Code result.Code
+	// Sent is set if that VM reported that an attempt may have reached an endpoint.
+	Sent bool
 	// Ran is the number of endpoints that may have run the call there, as far as that
 	// VM reported it.
 	Ran        int
@@ -43,7 +45,8 @@
 	}
 }
 
-// NextIsRetry reports whether the next VM's first attempt counts as a retry.
+// NextIsRetry reports whether the next VM's first attempt counts as a retry: an endpoint may
+// have had the call, as far as is known of a VM that was lost.
 func (p ForwardResult) NextIsRetry() bool {
-	return p.Code.Class() != result.ClassNotRun || p.Code == result.EndpointRefused
+	return p.Sent || p.Code.Class() != result.ClassNotRun
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -77,11 +77,21 @@
 	return true
 }
 
+// Return gives back a retry that was granted at a time and never sent.
+func (w *Window) Return(grantedAt time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	tick := w.tick(grantedAt)
+	bucket := &w.buckets[tick%windowBuckets]
+	if bucket.tick == tick && bucket.retries > 0 {
+		bucket.retries--
+	}
+}
+
 // bucket returns the bucket of the current time and clears what it held of an
 // earlier window.
 func (w *Window) bucket() *windowBucket {
-	length := w.options.Length / windowBuckets
-	tick := w.options.Now().UnixNano() / int64(max(length, 1))
+	tick := w.tick(w.options.Now())
 	bucket := &w.buckets[tick%windowBuckets]
 	if bucket.tick != tick {
 		*bucket = windowBucket{
@@ -91,6 +101,11 @@
 	return bucket
 }
 
+func (w *Window) tick(at time.Time) int64 {
+	length := w.options.Length / windowBuckets
+	return at.UnixNano() / int64(max(length, 1))
+}
+
 func (w *Window) totals(tick int64) (requests, retries int) {
 	for _, bucket := range w.buckets {
 		if bucket.tick > tick-windowBuckets {
--- a/serving/answer_tracker.go
+++ b/serving/answer_tracker.go
@@ -65,6 +65,7 @@
 func (t *answerTracker) placeResult(c *call.Call, o call.Outcome) retry.ForwardResult {
 	return retry.ForwardResult{
 		Code:       o.Code,
+		Sent:       o.Sent,
 		Ran:        o.EndpointsRun,
 		Idempotent: c.Idempotent,
 		HeadSent:   t.headSent,
--- a/serving/routed_test.go
+++ b/serving/routed_test.go
@@ -25,6 +25,8 @@
 	From   int
 	Events int
 	Code   result.Code
+	// Sent is set if an attempt reached an endpoint on the VM.
+	Sent bool
 	// WantResume and WantRepeated are the expected fields of the call sent to the VM.
 	WantResume   string `json:"want_resume"`
 	WantRepeated bool   `json:"want_repeated"`
@@ -69,6 +71,7 @@
 					}
 					out := place.serve(sink)
 					out.EndpointsRun = place.Ran
+					out.Sent = place.Sent
 					return out
 				},
 				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
--- a/serving/run.go
+++ b/serving/run.go
@@ -55,6 +55,7 @@
 	// excluded holds the endpoints of the last attempts, which the next one avoids.
 	excluded [2]string
 	history  retry.History
+	budget   *retry.CallBudget
 	// delivered is the number of generated tokens passed to the caller.
 	delivered int
 	// lastEventID is the id of the last event of a routed stream that the caller received.
@@ -67,19 +68,23 @@
 // nothing ran, or if the call is idempotent and its response was not started or can be
 // resumed.
 func (s *Server) sendWithRetries(ctx context.Context, c *call.Call, sink call.Sink, beforeSend beforeSendFunc) call.Outcome {
-	var p progress
-	if !s.countFirstAttempt(c) {
+	p := progress{
+		budget: s.newCallBudget(c),
+	}
+	if !p.budget.Begin() {
 		c.Log.Fail("repeat_refused", slog.String("service", c.Target()))
 		return call.Refused(result.Refuse(result.RetryBudget, "the retry budget is spent").WithRetryAt(s.options.Now().Add(defaultRetryAfter)))
 	}
 	for {
 		if refusal := s.attemptOnce(ctx, c, sink, beforeSend, &p); refusal != nil {
+			p.budget.End(false)
 			return s.finish(&p, sink, p.outcomeOnRefusal(refusal))
 		}
 		if p.lastAttempt.Code.Class() == result.ClassDone || !s.shouldRetry(c, &p) {
+			p.budget.End(p.lastAttempt.Sent)
 			return s.finish(&p, sink, p.outcome)
 		}
-		if p.lastAttempt.Sent && !s.options.Budget.Allow(c.Target()) {
+		if !p.budget.Allow(p.lastAttempt.Sent) {
 			c.Log.Fail("repeat_refused", slog.String("service", c.Target()))
 			return s.finish(&p, sink, p.outcomeOnBudgetExhausted())
 		}
@@ -87,20 +92,24 @@
 	}
 }
 
-// countFirstAttempt records the first attempt on this VM in the retry budget. If
-// another VM sent the call to an endpoint before, it is a retry, which the budget
-// may refuse.
-func (s *Server) countFirstAttempt(c *call.Call) bool {
-	if c.Routed != nil && c.Routed.Retry {
-		return s.options.Budget.Allow(c.Target())
-	}
-	s.options.Budget.OnRequest(c.Target())
-	return true
+// newCallBudget returns what the call takes from its target's retry budget on this VM.
+func (s *Server) newCallBudget(c *call.Call) *retry.CallBudget {
+	target, budget := c.Target(), s.options.Budget
+	a := retry.Allowance{
+		OnRequest: func() { budget.OnRequest(target) },
+		Allow:     func() bool { return budget.Allow(target) },
+		Now:       s.options.Now,
+	}
+	if budget.Return != nil {
+		a.Return = func(grantedAt time.Time) { budget.Return(target, grantedAt) }
+	}
+	return retry.NewCallBudget(a, c.Routed != nil && c.Routed.Retry)
 }
 
 // finish passes the endpoint's own error response on if no retry follows.
 func (s *Server) finish(p *progress, sink call.Sink, o call.Outcome) call.Outcome {
 	o.EndpointsRun = p.history.MayHaveRun()
+	o.Sent = p.history.Sent
 	held := p.lastAttempt.ErrorResponse
 	if held == nil || o.Code.Class() == result.ClassDone || p.delivered > 0 {
 		return o
@@ -163,10 +172,13 @@
 		if err := s.options.Throttle.UsePermit(slot.Choice.Endpoint, permit, p.attemptKind(c)); err != nil {
 			return err
 		}
-		if beforeSend == nil {
-			return nil
+		if beforeSend != nil {
+			if err := beforeSend(); err != nil {
+				return err
+			}
 		}
-		return beforeSend()
+		p.budget.OnSend()
+		return nil
 	})
 	if c.Kind == call.KindRouted {
 		return s.routedAttempt(c, slot, checkedBeforeSend, p)
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -36,6 +36,8 @@
 	OnRequest func(target string)
 	// Allow takes one retry from the budget and reports whether it had one.
 	Allow func(target string) bool
+	// Return gives back a retry that was granted at a time and never sent; nil keeps it.
+	Return func(target string, grantedAt time.Time)
 }
 
 // Quarantine quarantines calls whose content repeatedly crashed endpoints.
--- a/site/pools.go
+++ b/site/pools.go
@@ -200,6 +200,12 @@
 			p.node.metrics.CountRetryBudget(metrics.RetryBudgetGranted)
 			return true
 		},
+		Return: func(service string, grantedAt time.Time) {
+			if pool := p.all()[service]; pool != nil {
+				pool.budget.Return(grantedAt)
+				p.node.metrics.CountRetryBudget(metrics.RetryBudgetReturned)
+			}
+		},
 	}
 }
 
--- a/testscripts/emulator/attempts.go
+++ b/testscripts/emulator/attempts.go
@@ -17,46 +17,62 @@
 	request     *request
 	maxRuns     int
 	history     retry.History
+	budget      *retry.CallBudget
 	excluded    [2]string
-	onFinish    func(code result.Code, ran int)
+	onFinish    func(o vmOutcome)
 	lastFailed  bool
-	finished    bool
+	// lastSent is set while an attempt is under way that may have reached its endpoint, and
+	// after it.
+	lastSent bool
+	finished bool
+}
+
+// vmOutcome is what one VM reports of its attempts at a request.
+type vmOutcome struct {
+	code result.Code
+	// ran is the number of endpoints that may have run the request, sent is set if it may
+	// have reached one.
+	ran  int
+	sent bool
 }
 
 // serve sends the request to endpoints of the own region.
-func (v *vm) serve(r *request, maxRuns int, retried bool, done func(result.Code, int)) {
+func (v *vm) serve(r *request, maxRuns int, retried bool, done func(vmOutcome)) {
 	v.awaitFreshState(v.now().Add(freshStateTimeout), func(current bool) {
 		if !current {
-			done(result.NotReady, 0)
+			done(vmOutcome{code: result.NotReady})
 			return
 		}
 		v.serveNow(r, maxRuns, retried, done)
 	})
 }
 
-func (v *vm) serveNow(r *request, maxRuns int, retried bool, done func(result.Code, int)) {
+func (v *vm) serveNow(r *request, maxRuns int, retried bool, done func(vmOutcome)) {
 	s := &attempts{
 		vm:          v,
 		incarnation: v.incarnation,
 		request:     r,
 		maxRuns:     maxRuns,
 		onFinish:    done,
+		budget: retry.NewCallBudget(retry.Allowance{
+			OnRequest: v.window.OnRequest,
+			Allow:     v.window.Allow,
+			Return:    v.window.Return,
+			Now:       v.now,
+		}, retried),
 	}
 	if v.table() == nil || (!r.call.Routed.Allows(v.member.Region) && v.world.defect != IgnoreHomeRegions) {
-		done(result.NotReady, 0)
+		done(vmOutcome{code: result.NotReady})
 		return
 	}
 	if !v.crashTracker.admits(r) {
-		done(result.Quarantined, 0)
+		done(vmOutcome{code: result.Quarantined})
 		return
 	}
-	if retried && !v.window.Allow() {
-		done(result.RetryBudget, 0)
+	if !s.budget.Begin() {
+		done(vmOutcome{code: result.RetryBudget})
 		return
 	}
-	if !retried {
-		v.window.OnRequest()
-	}
 	v.world.clock.at(r.deadline, func() { v.run(s.incarnation, func() { s.finish(result.EndpointTimeout) }) })
 	s.tryEndpoint()
 }
@@ -64,6 +80,7 @@
 // tryEndpoint chooses an endpoint and sends the request once it has a permit.
 func (s *attempts) tryEndpoint() {
 	v := s.vm
+	s.lastSent = false
 	if !v.crashTracker.admits(s.request) {
 		s.finish(s.history.FinalCode(result.Quarantined))
 		return
@@ -95,6 +112,8 @@
 // send sends the request to the chosen endpoint.
 func (s *attempts) send(choice routing.Choice) {
 	v := s.vm
+	s.budget.OnSend()
+	s.lastSent = true
 	w, answered, sentAt := v.world, false, v.now()
 	a := attempt{
 		request:    s.request,
@@ -147,13 +166,14 @@
 	}
 	s.excluded[s.history.Attempts%len(s.excluded)] = choice.Endpoint.ID
 	s.history.Record(code, sent)
+	s.lastSent = sent
 	s.lastFailed = code == result.EndpointFailed && sent
 	if code == result.Done || !s.mayRetry(code, sent, now) {
 		s.finish(s.code(code))
 		return
 	}
-	if sent && !v.window.Allow() {
-		s.finish(s.code(code))
+	if !s.budget.Allow(sent) {
+		s.finish(s.codeOnBudgetExhausted(code))
 		return
 	}
 	s.tryEndpoint()
@@ -166,6 +186,15 @@
 	return s.history.FinalCode(last)
 }
 
+// codeOnBudgetExhausted returns the code of a request that could be retried but for the
+// retry budget.
+func (s *attempts) codeOnBudgetExhausted(last result.Code) result.Code {
+	if code := s.code(last); code.Class() != result.ClassNotRun {
+		return code
+	}
+	return result.RetryBudget
+}
+
 func (s *attempts) mayRetry(code result.Code, sent bool, now time.Time) bool {
 	a := retry.Attempt{
 		Code:       code,
@@ -182,5 +211,10 @@
 		return
 	}
 	s.finished = true
-	s.onFinish(code, s.history.MayHaveRun())
+	s.budget.End(s.lastSent)
+	s.onFinish(vmOutcome{
+		code: code,
+		ran:  s.history.MayHaveRun(),
+		sent: s.history.Sent,
+	})
 }
--- a/testscripts/emulator/routed_request.go
+++ b/testscripts/emulator/routed_request.go
@@ -125,45 +125,47 @@
 func (s *routedRequest) forward(to *vm) {
 	w := s.vm.world
 	answered := false
-	answer := func(code result.Code, ran int) {
+	answer := func(o vmOutcome) {
 		if !answered {
 			answered = true
-			s.vm.run(s.incarnation, func() { s.applyResult(code, ran) })
+			s.vm.run(s.incarnation, func() { s.applyResult(o) })
 		}
 	}
-	w.clock.at(s.request.deadline, func() { answer(result.EndpointTimeout, 0) })
+	w.clock.at(s.request.deadline, func() { answer(vmOutcome{code: result.EndpointTimeout}) })
 	reached := false
 	w.after(dialTimeout, func() {
 		if !reached {
-			answer(result.PeerUnreachable, 0)
+			answer(vmOutcome{code: result.PeerUnreachable})
 		}
 	})
 	w.network.send(s.vm.member.Region, to.member.Region, func() {
 		if !to.up {
-			w.network.send(to.member.Region, s.vm.member.Region, func() { answer(result.PeerUnreachable, 0) })
+			w.network.send(to.member.Region, s.vm.member.Region, func() { answer(vmOutcome{code: result.PeerUnreachable}) })
 			return
 		}
 		// The connection is open; from here on the request may be lost with the peer.
 		reached = true
 		incarnation := to.incarnation
 		to.run(incarnation, func() {
-			to.serve(s.request, s.runsLeft, s.retried, func(code result.Code, ran int) {
-				w.network.send(to.member.Region, s.vm.member.Region, func() { answer(code, ran) })
+			to.serve(s.request, s.runsLeft, s.retried, func(o vmOutcome) {
+				w.network.send(to.member.Region, s.vm.member.Region, func() { answer(o) })
 			})
 		})
 		w.after(dialTimeout, func() {
 			if !to.up || to.incarnation != incarnation {
-				answer(result.PeerLost, 0)
+				answer(vmOutcome{code: result.PeerLost})
 			}
 		})
 	})
 }
 
 // applyResult handles the answer of a VM and tries the next one if the request may move.
-func (s *routedRequest) applyResult(code result.Code, ran int) {
+func (s *routedRequest) applyResult(o vmOutcome) {
+	code := o.code
 	place := retry.ForwardResult{
 		Code:       code,
-		Ran:        ran,
+		Sent:       o.sent,
+		Ran:        o.ran,
 		Idempotent: s.request.idempotent,
 	}
 	s.runsLeft = place.RemainingRuns(s.runsLeft)
