A VM that starts while cut off uses no slack of the retry budget

Callers saw endpoints get more repeats than is allowed for all VMs together. Second cause: the slack was divided by the most VMs that a VM has known since its start, so that VMs that start in a region that is cut off from the others take half of it or all in place of a sixth.

Of two parts of a split fleet only one can have all seeds, so the parts of the slack that are used add up to one. A seed that is out of date counts as gone after a minute.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -125,6 +125,10 @@
 	resuming  bool
 	// maxKnown is the largest number of VMs known at once.
 	maxKnown int
+	// startedAt is the time of the first Step. fleetSeen is set once a member of each region
+	// and at each seed's address has been heard of, or fleetSeenTimeout after the start.
+	startedAt time.Time
+	fleetSeen bool
 	// memberIndex is shared by Snapshots. memberIndexStale is set once members have
 	// changed.
 	memberIndex      *memberIndex
@@ -213,6 +217,9 @@
 // Step advances the state to now and returns the targets that are due.
 func (r *Roster) Step(now time.Time) []Target {
 	r.detectPause(now)
+	if r.startedAt.IsZero() {
+		r.startedAt = now
+	}
 	r.expireMembers(now)
 	var due []Target
 	for _, m := range r.sorted {
@@ -244,6 +251,37 @@
 	return r.gossipInterval
 }
 
+// fleetSeenTimeout is how long after its start a VM waits for regions and seeds that it has
+// not heard of. Later they count as gone.
+const fleetSeenTimeout = time.Minute
+
+// fleetSize returns Snapshot.FleetSize. Of two parts of a split fleet only one can have all
+// seeds, so VMs that start in the other part don't divide limits by its size.
+func (r *Roster) fleetSize() int {
+	if !r.fleetSeen {
+		timedOut := !r.startedAt.IsZero() && r.advancedAt.Sub(r.startedAt) >= fleetSeenTimeout
+		r.fleetSeen = timedOut || r.knowsRegionsAndSeeds()
+	}
+	if !r.fleetSeen {
+		return 0
+	}
+	return r.maxKnown
+}
+
+func (r *Roster) knowsRegionsAndSeeds() bool {
+	regions := map[string]bool{
+		r.self.VM.Region: true,
+	}
+	addrs := make(map[string]bool)
+	for _, m := range r.sorted {
+		regions[m.VM.Region] = true
+		addrs[m.VM.PeerAddr] = true
+	}
+	unknownRegion := func(region string) bool { return !regions[region] }
+	unknownSeed := func(seed string) bool { return !addrs[seed] }
+	return !slices.ContainsFunc(r.regions, unknownRegion) && !slices.ContainsFunc(r.seeds, unknownSeed)
+}
+
 // starting reports whether this VM has just started and still lacks members of some
 // region.
 func (r *Roster) starting() bool {
--- a/roster/snapshot.go
+++ b/roster/snapshot.go
@@ -29,6 +29,10 @@
 	Generation uint64
 	// MaxKnown is the largest number of VMs known at once.
 	MaxKnown int
+	// FleetSize is the number of VMs among which limits on the whole fleet are divided:
+	// MaxKnown, or zero while it may be far too low because this VM has started while cut
+	// off from others.
+	FleetSize int
 	// AdvancedAt is the time of the roster's last Step. Resuming is set after a pause
 	// of the process until the endpoints have been probed again.
 	AdvancedAt time.Time
@@ -74,6 +78,7 @@
 		Members:    r.memberIndex.members,
 		Generation: r.memberIndex.generation,
 		MaxKnown:   r.maxKnown,
+		FleetSize:  r.fleetSize(),
 		AdvancedAt: r.advancedAt,
 		Resuming:   r.resuming,
 		maxStepGap: r.maxStepGap(),
--- a/site/pools.go
+++ b/site/pools.go
@@ -175,7 +175,7 @@
 		Ratio:  bounds.RetryRatio,
 		Slack:  bounds.RetrySlack,
 		Length: bounds.RetryWindow,
-		VMs:    func() int { return p.node.control.snapshot().members.MaxKnown },
+		VMs:    func() int { return p.node.control.snapshot().members.FleetSize },
 		Now:    p.node.now,
 
 		SlackFrom: p.node.startedAt.Add(bounds.RetryWindow),
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -75,7 +75,9 @@
 	Runs   int
 	// Retries counts the arrivals at endpoints beyond the first of each request.
 	Retries int
-	Faults  int
+	// Failures counts the arrivals that were refused or got no good answer.
+	Failures int
+	Faults   int
 	// EndpointCrashes counts the endpoints that were crashed by calls.
 	EndpointCrashes int
 	// CallerRetries counts the interrupted requests that their callers sent again, and
@@ -127,6 +129,7 @@
 		Served:           w.ledger.served,
 		Runs:             w.ledger.runs,
 		Retries:          len(w.ledger.retryArrivals),
+		Failures:         w.ledger.failures,
 		Faults:           w.injectedFaults,
 		Events:           w.clock.events,
 		EndpointCrashes:  w.ledger.totalCrashes(),
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -164,6 +164,9 @@
 }
 
 func (a attempt) reply(e *engine, code result.Code, sent bool) {
+	if sent && code != result.Done {
+		e.world.ledger.failures++
+	}
 	notice, hasNotice := e.notice(code == result.EndpointRefused), e.endpoint.ID == a.endpointID && sent && code != result.EndpointCut
 	if hasNotice {
 		e.notices.recordNotice(a.from, notice, e.world.clock.now)
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -56,6 +56,7 @@
 	answered      int
 	served        int
 	runs          int
+	failures      int
 	violations    []Violation
 	versions      map[uint64]uint64
 	retryArrivals []time.Time
--- a/testscripts/emulator/run_all.go
+++ b/testscripts/emulator/run_all.go
@@ -15,6 +15,7 @@
 	Served           int
 	Runs             int
 	Retries          int
+	Failures         int
 	Faults           int
 	EndpointCrashes  int
 	CallerRetries    int
@@ -55,6 +56,7 @@
 	s.Served += r.Served
 	s.Runs += r.Runs
 	s.Retries += r.Retries
+	s.Failures += r.Failures
 	s.Faults += r.Faults
 	s.EndpointCrashes += r.EndpointCrashes
 	s.CallerRetries += r.CallerRetries
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -141,7 +141,7 @@
 			if v.world.defect == UnsharedRetryBudget {
 				return 1
 			}
-			return v.snapshot().MaxKnown
+			return v.snapshot().FleetSize
 		},
 		SlackFrom: slackFrom,
 		Now:       func() time.Time { return v.now() },
