--- a/call/routed.go
+++ b/call/routed.go
@@ -45,6 +45,9 @@
 	CallerDeadline time.Time
 	// ResumeAfter is the id of the last stream event that the caller received.
 	ResumeAfter string
+	// Resumes is the id of the caller's request that brought the first event of the stream
+	// to resume; empty if the caller resumes none or does not say.
+	Resumes string
 	// AnswerTokens is the caller's estimate of the generated tokens. It is
 	// accurate in the median but often far off; zero means that there is none.
 	AnswerTokens int
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,8 @@
 	// Exactly one of Model and Service is set.
 	Model   string `json:"model,omitempty"`
 	Service string `json:"service,omitempty"`
+	// SoftwareVersion names the version of the endpoint's software. Versions have no order.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Slots is the engine's maximum batch size in requests. Zero means unknown.
 	Slots int `json:"slots,omitempty"`
 	// ChecksFence reports whether the endpoint refuses orders with an outdated fencing
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -33,6 +33,8 @@
 		milliseconds("first_in_ms", c.FirstTokenDeadline.Sub(now)),
 		milliseconds("whole_in_ms", c.Deadline.Sub(now)),
 		milliseconds("gap_ms", c.Routed.MaxEventGap),
+		slog.String("after_event", c.Routed.ResumeAfter),
+		slog.String("resumes", c.Routed.Resumes),
 		slog.Int("prompt_tokens", c.PromptTokens),
 		slog.Int("max_tokens", c.MaxTokens),
 		contentAttr(c),
@@ -51,6 +53,7 @@
 	choice := slot.Choice
 	c.Log.Add("endpoint_chosen",
 		slog.String("endpoint", choice.Endpoint.ID),
+		slog.String("software_version", choice.Endpoint.SoftwareVersion),
 		slog.Int("attempt", p.history.Attempts+1),
 		milliseconds("expected_first_ms", choice.TTFT),
 		milliseconds("expected_wait_ms", choice.QueueTime),
