Test that fails: streams go on at replicas of another software version

The soak's replicas have software versions, side by side and in releases that overlap; their events say which. Its clients resume streams that break off, at any VM, with the request that brought the first event. Two checks: streams of two versions (ORDER), and the share of resumed streams that go on while two replicas of their version serve (LOST).

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -80,6 +80,8 @@
 	ID      string
 	Service string
 	Zone    string
+	// Version is the version of the replica's software, which its events carry.
+	Version string
 	// Events is the number of events in a stream, EventEvery the interval between
 	// them.
 	Events     int
@@ -155,7 +157,7 @@
 		"Service":    r.Service,
 		"Addr":       r.Addr,
 		"Zone":       r.Zone,
-		"Version":    "v1",
+		"Version":    r.Version,
 		"Slots":      64,
 		"State":      state,
 		"ColdLeftMs": coldFor.Milliseconds(),
@@ -292,8 +294,8 @@
 }
 
 // Event returns one server-sent event of the stream for an attempt.
-func Event(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: %s.%d\n\n", number, id, number)
+func Event(id string, number int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s.%d %s\n\n", number, id, number, version)
 }
 
 // writeExtraResponse writes the response, and after it one that belongs to no
@@ -334,7 +336,7 @@
 		if req.Context().Err() != nil {
 			return
 		}
-		event := Event(id, number)
+		event := Event(id, number, r.Version)
 		if (fault == FaultCut || fault == FaultReset) && number > r.Events/2 {
 			_, _ = io.WriteString(w, event[:len(event)/2])
 			_ = flush()
--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -57,7 +56,7 @@
 		c.resolve(ctx)
 		if v := c.pickVM(); v != nil {
 			path, service, method := c.pickRequest()
-			c.send(ctx, v, path, service, method)
+			c.resumeStream(ctx, c.send(ctx, v, path, service, method, nil))
 		}
 		sleep(ctx, clientPause)
 	}
@@ -138,8 +137,9 @@
 	}
 }
 
-// send sends one attempt through a VM's front link and records its outcome.
-func (c *client) send(ctx context.Context, v *vm, path, service, method string) {
+// send sends one attempt through a VM's front link and records its outcome. broken is the
+// stream that it resumes; nil for none.
+func (c *client) send(ctx context.Context, v *vm, path, service, method string, broken *brokenStream) attempt {
 	id := fmt.Sprintf("a%x", c.lastID.Add(1))
 	pathOnly, _, _ := strings.Cut(path, "?")
 	a := attempt{
@@ -149,21 +149,26 @@
 		vm:      v.name,
 		sentAt:  time.Now(),
 	}
+	broken.describe(&a)
+	c.exchange(ctx, v, &a, path, method)
+	if ctx.Err() != nil {
+		// The run was cancelled, so the connection's end is no failure of the gateway.
+		a.connectionLost = false
+	}
+	a.endedAt = time.Now()
+	c.world.ledger.recordAttempt(a)
+	return a
+}
+
+// exchange sends an attempt and reads its answer.
+func (c *client) exchange(ctx context.Context, v *vm, a *attempt, path, method string) {
+	reqCtx, cancel := context.WithTimeout(ctx, clientDeadline)
+	defer cancel()
 	held := c.world.pickCredential(path)
 	a.workspace = held.workspace
 	a.key = held.key
 	a.keyVersion = held.version
-	a.expectServed = held.expectServed || path == publicPath
-	defer func() {
-		if ctx.Err() != nil {
-			// The run was cancelled, so the connection's end is no failure of the gateway.
-			a.connectionLost = false
-		}
-		a.endedAt = time.Now()
-		c.world.ledger.recordAttempt(a)
-	}()
-	reqCtx, cancel := context.WithTimeout(ctx, clientDeadline)
-	defer cancel()
+	a.expectServed = (held.expectServed || path == publicPath) && a.resumes == ""
 	var body io.Reader
 	if method == http.MethodPost {
 		body = strings.NewReader(strings.Repeat("b", 600))
@@ -176,7 +181,8 @@
 	// Keeps net/http from retrying the request itself.
 	req.GetBody = nil
 	req.Host = "soak.example"
-	req.Header.Set(attemptHeader, id)
+	req.Header.Set(attemptHeader, a.id)
+	a.setResumeHeaders(req.Header)
 	req.Header.Set("Authorization", "Bearer "+held.key)
 	// The gateway must ignore a workspace claimed by the caller.
 	req.Header.Set("X-Fuchsianotch-Tenant", workspaceNames[rand.IntN(len(workspaceNames))])
@@ -192,7 +198,7 @@
 	if resp.Header.Get("Server-Leaving") != "" {
 		a.leavingReplica = signingReplica(resp.Header.Get(signatureHeader))
 	}
-	c.checkResponse(&a, resp)
+	c.checkResponse(a, resp)
 }
 
 // signingReplica returns the ID of the replica that signed a response.
@@ -222,33 +228,3 @@
 		a.complete = true
 	}
 }
-
-// checkStream checks that a stream has every event of the attempt, in order and once.
-func (a *attempt) checkStream(data []byte, err error) {
-	reader := bufio.NewReader(strings.NewReader(string(data)))
-	number := 0
-	for {
-		event := replica.Event(a.id, number+1)
-		got := make([]byte, len(event))
-		n, readErr := io.ReadFull(reader, got)
-		if readErr != nil {
-			if n > 0 && !strings.HasPrefix(event, string(got[:n])) {
-				a.failure = fmt.Sprintf("after event %d: %.60q", number, got[:n])
-			}
-			break
-		}
-		if string(got) != event {
-			a.failure = fmt.Sprintf("after event %d: %.60q", number, got)
-			return
-		}
-		number++
-	}
-	switch {
-	case err != nil:
-		a.connectionLost = true
-	case number != streamEvents:
-		a.failure = fmt.Sprintf("a stream ended as whole after event %d", number)
-	default:
-		a.complete = true
-	}
-}
--- a/testscripts/soak/crashing_calls.go
+++ b/testscripts/soak/crashing_calls.go
@@ -91,7 +91,7 @@
 	end := time.Now().Add(tb.FaultDuration)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		v := tb.vms[rand.IntN(len(tb.vms))]
-		tries.Go(func() { c.send(ctx, v, path, serviceEngine, http.MethodPost) })
+		tries.Go(func() { c.send(ctx, v, path, serviceEngine, http.MethodPost, nil) })
 		sleep(ctx, minCrashInterval+time.Duration(rand.Int64N(int64(maxCrashInterval-minCrashInterval))))
 	}
 }
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -40,6 +40,13 @@
 	connectionLost bool
 	// failure says how the response is wrong; empty if it isn't.
 	failure string
+	// resumes is the first attempt of the stream that the attempt resumes, after lastEvent;
+	// empty for none. versionServes is set if two replicas of the stream's version served.
+	resumes       string
+	lastEvent     int
+	versionServes bool
+	// versions holds the software version of each event received.
+	versions []string
 }
 
 // runsAtMostOnce reports whether replicas may run the attempt at most once.
@@ -189,6 +196,8 @@
 		{name: "endpoint_limit", do: l.checkEndpointLimits},
 		{name: "leaving_notice", do: l.checkLeavingNotices},
 		{name: "rest", do: l.checkRests},
+		{name: "stream_versions", do: l.checkStreamVersions},
+		{name: "resumed_streams", do: l.checkResumedStreams},
 	} {
 		for _, detail := range check.do() {
 			out = append(out, Violation{Check: check.name, Detail: detail})
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -95,6 +95,22 @@
 	})
 }
 
+// TestStreamsKeepTheirVersion guards against streams that go on at a replica of another
+// software version, resumed by a VM or by their clients at any VM.
+func TestStreamsKeepTheirVersion(t *testing.T) {
+	runScenario(t, runStreamVersions, Options{
+		Seed:           5,
+		Regions:        3,
+		VMs:            2,
+		Engines:        4,
+		Clients:        18,
+		FaultDuration:  8 * time.Second,
+		Versions:       2,
+		EventInterval:  60 * time.Millisecond,
+		ExcludedFaults: withoutRestores,
+	})
+}
+
 // runScenario runs a scenario and fails the test on any violation.
 func runScenario(t *testing.T, s scenario, o Options) {
 	t.Helper()
@@ -223,6 +239,29 @@
 			}
 			l.runs = []replica.Run{{Attempt: "b", Path: "/get/x", Replica: "i", Zone: zoneOf("r0"), At: now.Add(drainTime + time.Second)}}
 		}},
+		{check: "stream_versions", make: func(l *ledger) {
+			for n := range 3 {
+				id := string(rune('a' + n))
+				l.attempts = append(l.attempts,
+					attempt{id: id, path: resumePath + "x", versions: []string{"v1"}},
+					attempt{id: id + "2", path: resumePath + "x", resumes: id, lastEvent: 1, versions: []string{"v2"}},
+				)
+			}
+		}},
+		{check: "stream_versions", make: func(l *ledger) {
+			for n := range 3 {
+				l.attempts = append(l.attempts, attempt{id: string(rune('a' + n)), path: resumePath + "x", versions: []string{"v1", "v2"}})
+			}
+		}},
+		{check: "resumed_streams", make: func(l *ledger) {
+			for n := range 12 {
+				id := string(rune('a' + n))
+				l.attempts = append(l.attempts,
+					attempt{id: id, path: resumePath + "x", versions: []string{"v1"}},
+					attempt{id: id + "2", path: resumePath + "x", resumes: id, lastEvent: 1, versionServes: true, status: 503},
+				)
+			}
+		}},
 		{check: "rest", make: func(l *ledger) {
 			for n := range 4 {
 				id := string(rune('a' + n))
--- /dev/null
+++ b/testscripts/soak/streams.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const (
+	lastEventHeader = "Last-Event-Id"
+	// resumesHeader names the attempt that brought a stream's first event.
+	resumesHeader = "Resumes"
+	resumePath    = "/stream/resume/"
+	// maxResumes is how often a client resumes one stream, after resumeDelay each.
+	maxResumes  = 3
+	resumeDelay = 30 * time.Millisecond
+	// maxMixedStreams is how many streams of a run may hold events of two versions.
+	maxMixedStreams = 2
+	// minResumedStreams resumed streams must go on at least at minResumedShare of the rate at
+	// which new streams begin.
+	minResumedStreams = 12
+	minResumedShare   = 0.5
+	// breakInterval is the time between two ends of engines or VMs.
+	breakInterval = 700 * time.Millisecond
+	breakTime     = 14 * time.Second
+)
+
+// brokenStream is a stream that ended early at a client.
+type brokenStream struct {
+	first     string
+	version   string
+	lastEvent int
+	serves    bool
+}
+
+func (b *brokenStream) describe(a *attempt) {
+	if b == nil {
+		return
+	}
+	a.resumes = b.first
+	a.lastEvent = b.lastEvent
+	a.versionServes = b.serves
+}
+
+// resumeStream resumes a stream that broke off after its first event, at any VM.
+func (c *client) resumeStream(ctx context.Context, a attempt) {
+	broken := &brokenStream{
+		first: a.id,
+	}
+	for range maxResumes {
+		if !strings.HasPrefix(a.path, resumePath) || a.complete || a.failure != "" || ctx.Err() != nil {
+			return
+		}
+		if len(a.versions) > 0 {
+			broken.lastEvent += len(a.versions)
+			if broken.version == "" {
+				broken.version = a.versions[0]
+			}
+		}
+		if broken.lastEvent == 0 {
+			return
+		}
+		sleep(ctx, resumeDelay)
+		c.resolve(ctx)
+		v := c.pickVM()
+		if v == nil {
+			return
+		}
+		broken.serves = c.world.servingReplicas(broken.version) >= 2
+		a = c.send(ctx, v, a.path, a.service, http.MethodPost, broken)
+	}
+}
+
+// servingReplicas counts the engines of a version that take requests.
+func (tb *testbed) servingReplicas(version string) int {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	count := 0
+	for _, r := range tb.replicas {
+		if !r.retired && r.Service == serviceEngine && r.Version == version && r.ColdFor() == 0 {
+			count++
+		}
+	}
+	return count
+}
+
+func (a *attempt) setResumeHeaders(h http.Header) {
+	if a.resumes == "" {
+		return
+	}
+	h.Set(lastEventHeader, strconv.Itoa(a.lastEvent))
+	h.Set(resumesHeader, a.resumes)
+}
+
+// checkStream checks that a stream has every event after lastEvent, in order and once.
+func (a *attempt) checkStream(data []byte, err error) {
+	reader := bufio.NewReader(strings.NewReader(string(data)))
+	number := a.lastEvent
+	for {
+		version, readErr := a.readEvent(reader, number+1)
+		if readErr != nil {
+			a.failure = readErr.Error()
+			return
+		}
+		if version == "" {
+			break
+		}
+		a.versions = append(a.versions, version)
+		number++
+	}
+	switch {
+	case err != nil:
+		a.connectionLost = true
+	case number != streamEvents:
+		a.failure = fmt.Sprintf("a stream ended as whole after event %d", number)
+	default:
+		a.complete = true
+	}
+}
+
+// readEvent reads the event with a number and returns the version that wrote it, or an empty
+// one if the stream ends there.
+func (a *attempt) readEvent(reader *bufio.Reader, number int) (string, error) {
+	prefix := fmt.Sprintf("id: %d\ndata: %s.%d ", number, a.id, number)
+	got := make([]byte, len(prefix))
+	if n, err := io.ReadFull(reader, got); err != nil {
+		if !strings.HasPrefix(prefix, string(got[:n])) {
+			return "", fmt.Errorf("after event %d: %.60q", number-1, got[:n])
+		}
+		return "", nil
+	}
+	if string(got) != prefix {
+		return "", fmt.Errorf("after event %d: %.60q", number-1, got)
+	}
+	version, err := reader.ReadString('\n')
+	if err != nil {
+		return "", nil
+	}
+	if end, err := reader.ReadByte(); err != nil || end != '\n' {
+		return "", nil
+	}
+	return strings.TrimSpace(version), nil
+}
+
+// checkStreamVersions checks that streams, over all tries of their clients, hold events of one
+// version only.
+func (l *ledger) checkStreamVersions() (out []string) {
+	versions := make(map[string][]string)
+	var mixed []string
+	for _, a := range l.attempts {
+		stream := a.id
+		if a.resumes != "" {
+			stream = a.resumes
+		}
+		for _, v := range a.versions {
+			if !slices.Contains(versions[stream], v) {
+				versions[stream] = append(versions[stream], v)
+			}
+		}
+	}
+	for stream, list := range versions {
+		if len(list) > 1 {
+			mixed = append(mixed, fmt.Sprintf("%s of %v", stream, list))
+		}
+	}
+	if len(mixed) > maxMixedStreams {
+		slices.Sort(mixed)
+		out = append(out, fmt.Sprintf("%d streams hold events of two versions, such as %s", len(mixed), mixed[0]))
+	}
+	return out
+}
+
+// checkResumedStreams checks that streams that clients resume go on, at VMs that are not
+// disturbed, while two replicas of their version serve.
+func (l *ledger) checkResumedStreams() (out []string) {
+	var resumed, resumedOn, began, beganOn int
+	for _, a := range l.attempts {
+		if !strings.HasPrefix(a.path, resumePath) || l.vmDisturbed(a.vm, a.sentAt) || !l.isUndisturbed(a.sentAt) {
+			continue
+		}
+		on := 0
+		if len(a.versions) > 0 {
+			on = 1
+		}
+		switch {
+		case a.resumes == "":
+			began++
+			beganOn += on
+		case a.versionServes:
+			resumed++
+			resumedOn += on
+		}
+	}
+	if resumed < minResumedStreams || began == 0 {
+		return nil
+	}
+	share, newShare := float64(resumedOn)/float64(resumed), float64(beganOn)/float64(began)
+	if share < minResumedShare*newShare {
+		out = append(out, fmt.Sprintf("%d of %d resumed streams went on, %.2f of new ones began", resumedOn, resumed, newShare))
+	}
+	return out
+}
+
+// vmDisturbed reports whether a VM was restarted or resumed within the settleTime before at.
+func (l *ledger) vmDisturbed(name string, at time.Time) bool {
+	return slices.ContainsFunc(l.vmDisturbedAt[name], func(disturbed time.Time) bool {
+		return !disturbed.After(at) && at.Sub(disturbed) < settleTime
+	})
+}
+
+// runStreamVersions ends engines and VMs in turn while streams of several versions are under
+// way, and then injects random faults.
+func runStreamVersions(ctx context.Context, tb *testbed, _ *loadGenerator) (out []Violation) {
+	sleep(ctx, settleTime)
+	end := time.Now().Add(breakTime)
+	for number := 0; time.Now().Before(end) && ctx.Err() == nil; number++ {
+		d := faultParams{
+			vm:      tb.rand.IntN(len(tb.vms)),
+			replica: tb.rand.IntN(1 << 16),
+			variant: 1,
+		}
+		tb.breakStreams(ctx, number, d)
+		sleep(ctx, breakInterval)
+	}
+	tb.setFaultRate(0)
+	tb.inject(ctx)
+	return out
+}
+
+// breakStreams crashes or drains an engine, or kills a VM, in turn; answers break off meanwhile.
+func (tb *testbed) breakStreams(ctx context.Context, number int, d faultParams) {
+	tb.setFaultRate(0.2)
+	switch number % 4 {
+	case 0:
+		tb.logSchedule("crash %+v", d)
+		go func() { _ = tb.crashReplica(ctx, d) }()
+	case 1:
+		tb.logSchedule("drain %+v", d)
+		go func() { _ = tb.drainReplica(ctx, d) }()
+	case 2:
+		tb.logSchedule("kill %+v", d)
+		go func() { _ = tb.kill(ctx, d) }()
+	}
+}
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -34,6 +35,9 @@
 	stopGracePeriod          = 8 * time.Second
 	entryTTL                 = 3600 * time.Millisecond
 	restartDelay             = 500 * time.Millisecond
+	defaultEventInterval     = 25 * time.Millisecond
+	// releaseSize is the number of replicas started before the next release begins.
+	releaseSize = 16
 )
 
 // Options configure a run.
@@ -59,6 +63,13 @@
 	// EndpointNotices has replicas say in their answers that they leave, or rest, before the
 	// random faults.
 	EndpointNotices bool
+	// Versions is the number of software versions that engines have side by side; zero means
+	// one. EventInterval is the time between two events of a stream; zero means a default.
+	Versions      int
+	EventInterval time.Duration
+	// StreamVersions has engines and VMs end while streams are under way, before the random
+	// faults.
+	StreamVersions bool
 	// StoreRestores has the store come back from older copies, before the random faults.
 	StoreRestores bool
 	// Plot is the path of an SVG plot of the run; empty disables it.
@@ -287,6 +298,18 @@
 	v.busy = false
 }
 
+// versionOf returns the software version of a replica, which it keeps over restarts. Later
+// replicas have later versions, as in releases that overlap.
+func (tb *testbed) versionOf(id string) string {
+	if tb.Versions < 2 {
+		return "v1"
+	}
+	var number int
+	_, _ = fmt.Sscanf(id, "i-%d", &number)
+	release := number / releaseSize
+	return fmt.Sprintf("v%d", release+number%tb.Versions)
+}
+
 // addReplica starts a replica under a new ID, cold for the given duration.
 func (tb *testbed) addReplica(service, region string, cold time.Duration) error {
 	tb.mu.Lock()
@@ -302,8 +325,9 @@
 		ID:             id,
 		Service:        service,
 		Zone:           zoneOf(region),
-		Events:         12,
-		EventEvery:     25 * time.Millisecond,
+		Version:        tb.versionOf(id),
+		Events:         streamEvents,
+		EventEvery:     cmp.Or(tb.EventInterval, defaultEventInterval),
 		ProcessingTime: 10 * time.Millisecond,
 		Fault:          tb.randomFault,
 		OnRequest:      tb.ledger.recordRun,
