A stream goes on only at the software version that began it

Cause: a VM chose the endpoint of any attempt without regard to what a stream had been begun with, in its own resumes within an answer, in calls that it sent on to another region, and for the requests with which callers take streams up. Nothing kept a version beyond the attempt.

The version of the first event's endpoint now binds all that follows: within an answer (serving, with the head that a VM of another region returns, and with the call that goes on to a third), and across requests of the caller.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 )
@@ -60,6 +61,8 @@
 	MaxTokens    int
 	// QueueLevel is the level in an endpoint's queue; 0 is served first.
 	QueueLevel int
+	// Pin is passed on to routing.Request.
+	Pin fleet.VersionPin
 	// Exclude lists the ids of endpoints that were already tried.
 	Exclude [2]string
 	// AllowExcluded allows an excluded endpoint if no other accepts calls.
@@ -290,6 +293,7 @@
 		PrefixHash:    r.PrefixHash,
 		Prefixes:      r.Prefixes,
 		Homes:         r.Homes,
+		Pin:           r.Pin,
 		PromptTokens:  r.PromptTokens,
 		MaxTokens:     r.MaxTokens,
 		Priority:      r.Priority,
--- a/call/answer.go
+++ b/call/answer.go
@@ -10,6 +10,9 @@
 // Sink receives a response: the head, then chunks. An error from either means that
 // the caller has disconnected.
 type Sink struct {
+	// Version receives the software version of the endpoint whose response follows, before
+	// the head; nil means that it is not needed.
+	Version func(softwareVersion string)
 	Head  func(status int, header http.Header) error
 	Chunk func(data []byte) error
 }
--- a/call/routed.go
+++ b/call/routed.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fuchsianotch/fuchsianotch/apikey"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
 // PromptPart is one segment of a prompt. Prompts with the same leading segments share
@@ -48,6 +49,8 @@
 	// Resumes is the id of the caller's request that brought the first event of the stream
 	// to resume; empty if the caller resumes none or does not say.
 	Resumes string
+	// Pin restricts the endpoints to the software version that began the stream to resume.
+	Pin fleet.VersionPin
 	// AnswerTokens is the caller's estimate of the generated tokens. It is
 	// accurate in the median but often far off; zero means that there is none.
 	AnswerTokens int
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -67,6 +67,9 @@
 	retries          prometheus.Counter
 	retryBudget      *prometheus.CounterVec
 	retryBudgetVMs   prometheus.Gauge
+	resumedStreams   *prometheus.CounterVec
+	streamRecords    prometheus.Gauge
+	droppedRecords   prometheus.Gauge
 
 	limitRejections  *prometheus.CounterVec
 	limitRequests    *prometheus.CounterVec
@@ -111,6 +114,9 @@
 		forwards:         newCounterVec("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:          newCounter("retries_total", "Attempts after the first of a call."),
 		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event"),
+		resumedStreams:   newCounterVec("streams_resumed_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
+		streamRecords:    newGauge("stream_records", "Origins of streams that this VM holds."),
+		droppedRecords:   newGauge("stream_records_dropped", "Origins of streams that this VM had no room for since its start."),
 		retryBudgetVMs:   newGauge("retry_budget_vms", "VMs among which this VM divides the slack of the retry budget; zero while it uses none."),
 
 		limitRejections: newCounterVec("limit_refused_total", "Calls that the limits of their workspaces did not admit, by workspace.", "workspace"),
@@ -143,7 +149,7 @@
 	}
 	m.registry.MustRegister(
 		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries,
-		m.retryBudget, m.retryBudgetVMs,
+		m.retryBudget, m.retryBudgetVMs, m.resumedStreams, m.streamRecords, m.droppedRecords,
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
@@ -223,6 +229,31 @@
 	m.retryBudgetVMs.Set(float64(vms))
 }
 
+// StreamOrigin is how the origin of a stream was found that a caller resumes.
+type StreamOrigin string
+
+// Ways to find the origin of a stream.
+const (
+	// StreamOriginOwn is a record of this VM, StreamOriginAsked one of another VM.
+	StreamOriginOwn   StreamOrigin = "own"
+	StreamOriginAsked StreamOrigin = "asked"
+	// StreamOriginSole is the only version that the service has had of late.
+	StreamOriginSole    StreamOrigin = "sole"
+	StreamOriginUnknown StreamOrigin = "unknown"
+)
+
+// CountResumedStream counts a stream that a caller asked to resume.
+func (m *Metrics) CountResumedStream(found StreamOrigin) {
+	m.resumedStreams.WithLabelValues(string(found)).Inc()
+}
+
+// SetStreamRecords sets the number of origins of streams that this VM holds, and of those
+// that it had no room for.
+func (m *Metrics) SetStreamRecords(records, dropped int) {
+	m.streamRecords.Set(float64(records))
+	m.droppedRecords.Set(float64(dropped))
+}
+
 // SetDocuments sets the number of rejected documents and the highest revision seen.
 func (m *Metrics) SetDocuments(refused int, revision uint64) {
 	m.rejectedDocuments.Set(float64(refused))
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -47,6 +47,8 @@
 	m.Retried()
 	m.CountRetryBudget(RetryBudgetGranted)
 	m.SetRetryBudgetVMs(6)
+	m.CountResumedStream(StreamOriginAsked)
+	m.SetStreamRecords(7, 1)
 	m.SetDocuments(1, 9)
 	m.SetReachable(4)
 	m.SetQueue(3)
@@ -122,6 +124,9 @@
 		"fuchsianotch_retries_total ":                          1,
 		"fuchsianotch_retry_budget_total granted":              1,
 		"fuchsianotch_retry_budget_vms ":                       6,
+		"fuchsianotch_streams_resumed_total asked":             1,
+		"fuchsianotch_stream_records ":                         7,
+		"fuchsianotch_stream_records_dropped ":                 1,
 		"fuchsianotch_refused_documents ":                      1,
 		"fuchsianotch_documents_revision ":                     9,
 		"fuchsianotch_vms_reachable ":                          4,
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -61,19 +61,25 @@
 
 func writeReply(reply *peerpb.ForwardReply, sink call.Sink) error {
 	if head := reply.GetHead(); head != nil {
+		if head.SoftwareVersion != nil && sink.Version != nil {
+			sink.Version(head.GetSoftwareVersion())
+		}
 		return sink.Head(int(head.GetStatus()), headerFromProto(head.GetHeader()))
 	}
 	return sink.Chunk(reply.GetChunk())
 }
 
 func streamSink(stream peerpb.DRPCPeer_ForwardStream) call.Sink {
+	var version *string
 	return call.Sink{
+		Version: func(softwareVersion string) { version = &softwareVersion },
 		Head: func(status int, header http.Header) error {
 			return stream.Send(&peerpb.ForwardReply{
 				Step: &peerpb.ForwardReply_Head{
 					Head: &peerpb.Head{
-						Status: uint32(status),
-						Header: headerToProto(header),
+						Status:          uint32(status),
+						Header:          headerToProto(header),
+						SoftwareVersion: version,
 					},
 				},
 			})
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -5,6 +5,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/apikey"
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 )
 
@@ -28,6 +29,9 @@
 	m.WholeInMs = remainingMillis(c.Deadline, now)
 	m.CallerInMs = remainingMillis(r.CallerDeadline, now)
 	m.ResumeAfter = r.ResumeAfter
+	if r.Pin.Set {
+		m.Pin = &r.Pin.Version
+	}
 	m.RepeatedBefore = r.Retry
 	m.EventTokens = uint32(r.TokensPerEvent)
 	m.AnswerTokens = uint32(r.AnswerTokens)
@@ -67,6 +71,9 @@
 		AnswerTokens: int(m.GetAnswerTokens()),
 		MaxEventGap:  time.Duration(m.GetGapMs()) * time.Millisecond,
 	}
+	if m.Pin != nil {
+		c.Routed.Pin = fleet.PinTo(m.GetPin())
+	}
 	if key, ok := apikey.FromBytes(m.GetKeyDigest()); ok {
 		c.Routed.Key = key
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/metering"
+	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
@@ -40,6 +41,9 @@
 	Limits func(n metering.Note) metering.Reply
 	// Permit decides whether another VM may send a request to a rate-limited endpoint.
 	Permit func(l throttle.Limit) throttle.Answer
+	// Origins takes records of the origins of streams, Origin returns that of one.
+	Origins func(origins []origin.Origin)
+	Origin  func(request, service string) (o origin.Origin, known bool)
 	// Forward runs a call; it must not forward it again.
 	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
 	// Stamp reads the timeline's logical clock, and Witness advances it to a stamp
--- a/route/route.go
+++ b/route/route.go
@@ -105,7 +105,9 @@
 	lastRank   int
 	workspaces []Workspace
 	byName     map[string]*Workspace
-	byKey      map[apikey.Digest]keyEntry
+	// streamTimeout is the longest timeout of a route with streams.
+	streamTimeout time.Duration
+	byKey         map[apikey.Digest]keyEntry
 }
 
 // New builds a table and its indexes.
@@ -120,6 +122,9 @@
 	}
 	t.indexWorkspaces()
 	for _, r := range o.Routes {
+		if r.Kind == KindStream {
+			t.streamTimeout = max(t.streamTimeout, r.Timeout)
+		}
 		host := normalizeHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
 	}
@@ -144,6 +149,16 @@
 	return nil, false
 }
 
+// StreamTimeout returns the longest timeout of the routes with streams; zero if there is none.
+func (t *Table) StreamTimeout() time.Duration {
+	return t.streamTimeout
+}
+
+// Serves reports whether a part of the route's requests goes to a service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // RegionRestrictions returns the allowed regions of each route of a host that restricts them.
 func (t *Table) RegionRestrictions(host string) [][]string {
 	var bound [][]string
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -371,7 +371,7 @@
 }
 
 func (r Request) excludes(e *endpoint) bool {
-	return e.ID == r.Exclude[0] || e.ID == r.Exclude[1]
+	return e.ID == r.Exclude[0] || e.ID == r.Exclude[1] || !r.Pin.Allows(e.Endpoint)
 }
 
 func seconds(s float64) time.Duration {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -87,6 +87,8 @@
 	Exclude [2]string
 	// Homes are the regions that may hold the prompt; empty means all.
 	Homes []string
+	// Pin restricts the choice to endpoints of one software version.
+	Pin fleet.VersionPin
 	// AllowExcluded allows an excluded endpoint if no other is available. It is set if the call
 	// ran there and failed by itself, so that a retry may succeed.
 	AllowExcluded bool
--- a/serving/answer_tracker.go
+++ b/serving/answer_tracker.go
@@ -7,16 +7,22 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 )
 
 // answerTracker wraps a caller's sink and records what was delivered, so that another
 // place can continue a broken stream.
 type answerTracker struct {
-	sink        call.Sink
-	now         func() time.Time
+	sink call.Sink
+	now  func() time.Time
+	// began is called with the software version of the endpoint that sent the first event.
+	began       func(softwareVersion string)
 	headSent    bool
 	lastEventID string
+	// version is the software version of the endpoint that answers, as far as it is known;
+	// from the first event on it is that which began the stream.
+	version fleet.VersionPin
 	// lastChunkAt is when the last chunk was delivered, longestGap the longest time
 	// between two chunks.
 	lastChunkAt time.Time
@@ -25,6 +31,11 @@
 
 func (t *answerTracker) wrappedSink() call.Sink {
 	return call.Sink{
+		Version: func(softwareVersion string) {
+			if t.lastEventID == "" {
+				t.version = fleet.PinTo(softwareVersion)
+			}
+		},
 		Head: func(status int, header http.Header) error {
 			if t.headSent {
 				return t.checkContinuation(status, header)
@@ -34,7 +45,7 @@
 		},
 		Chunk: func(data []byte) error {
 			if id := endpoint.LastEventID(data); id != "" {
-				t.lastEventID = id
+				t.recordEvent(id)
 			}
 			t.recordChunkGap()
 			return t.sink.Chunk(data)
@@ -42,6 +53,13 @@
 	}
 }
 
+func (t *answerTracker) recordEvent(id string) {
+	if t.lastEventID == "" && t.version.Set && t.began != nil {
+		t.began(t.version.Version)
+	}
+	t.lastEventID = id
+}
+
 func (t *answerTracker) recordChunkGap() {
 	now := t.now()
 	if !t.lastChunkAt.IsZero() {
@@ -69,7 +87,7 @@
 		Ran:        o.EndpointsRun,
 		Idempotent: c.Idempotent,
 		HeadSent:   t.headSent,
-		Resumable:  c.Routed.Resumable,
+		Resumable:  c.Routed.Resumable && (t.lastEventID == "" || t.version.Set),
 		EventSent:  t.lastEventID != "",
 	}
 }
@@ -82,6 +100,7 @@
 	next.Routed = &routed
 	if t.lastEventID != "" {
 		routed.ResumeAfter = t.lastEventID
+		routed.Pin = t.version
 	}
 	if previous.NextIsRetry() {
 		routed.Retry = true
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -22,12 +22,16 @@
 	if c.Forwarded {
 		return s.sendWithRetries(ctx, c, sink, nil)
 	}
+	if r := s.pinToOrigin(ctx, c); r != nil {
+		return call.Refused(r)
+	}
 	if r := s.options.Limits.Take(ctx, c); r != nil {
 		return call.Refused(r)
 	}
 	tracker := &answerTracker{
-		sink: sink,
-		now:  s.options.Now,
+		sink:  sink,
+		now:   s.options.Now,
+		began: func(softwareVersion string) { s.options.Streams.Began(c, softwareVersion) },
 	}
 	outcome := s.serveWithFailover(ctx, c, tracker)
 	outcome.LongestGap = tracker.longestGap
@@ -37,6 +41,22 @@
 	return outcome
 }
 
+// pinToOrigin restricts a call that resumes a stream to the service and the software version
+// that began it. It refuses the call if they are not known.
+func (s *Server) pinToOrigin(ctx context.Context, c *call.Call) *result.Refusal {
+	if !c.Stream || c.Routed.ResumeAfter == "" {
+		return nil
+	}
+	o, ok := s.options.Streams.Origin(ctx, c)
+	traceOrigin(c, o, ok)
+	if !ok {
+		return result.Refuse(result.StreamUnknown, "no VM knows which software version began the stream of request %q", c.Routed.Resumes)
+	}
+	c.Service = o.Service
+	c.Routed.Pin = fleet.PinTo(o.Version)
+	return nil
+}
+
 // serveWithFailover tries places in turn until one serves the call.
 func (s *Server) serveWithFailover(ctx context.Context, c *call.Call, tracker *answerTracker) call.Outcome {
 	var tried []string
--- a/serving/routed_test.go
+++ b/serving/routed_test.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
 )
@@ -34,6 +36,10 @@
 	// limit in the call; zero is not checked.
 	Ran          int
 	WantAttempts int `json:"want_attempts"`
+	// Version is the software version of the endpoint that answers, "none" if the VM does not
+	// tell it; WantPin is the only version that the call sent to the VM allows.
+	Version string
+	WantPin string `json:"want_pin"`
 }
 
 type routedCase struct {
@@ -66,6 +72,7 @@
 					sent = append(sent, vm.ID)
 					assert.Equal(t, sentCall.Routed.ResumeAfter, place.WantResume)
 					assert.Equal(t, sentCall.Routed.Retry, place.WantRepeated)
+					assert.Equal(t, sentCall.Routed.Pin.Version, place.WantPin)
 					if place.WantAttempts > 0 {
 						assert.Equal(t, sentCall.Routed.MaxAttempts, place.WantAttempts)
 					}
@@ -117,6 +124,9 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
+	if p.Version != unknownVersion {
+		sink.Version(cmp.Or(p.Version, "v1"))
+	}
 	if p.Events > 0 {
 		if err := sink.Head(status, http.Header{}); err != nil {
 			return call.Refused(result.Refuse(result.PeerLost, "the caller has gone").WithCause(err))
@@ -131,6 +141,9 @@
 	return call.Refused(result.Refuse(p.Code, "as the table says"))
 }
 
+// unknownVersion is the version of a place that does not tell it.
+const unknownVersion = "none"
+
 func eventsText(from, count int) string {
 	var text strings.Builder
 	for number := range count {
@@ -156,3 +169,43 @@
 	assert.Equal(t, out.Code, result.RetryBudget)
 	assert.Assert(t, out.Refusal != nil)
 }
+
+// TestStreamOfUnknownOrigin guards against a stream that goes on at any software version, as
+// nobody knows which one began it.
+func TestStreamOfUnknownOrigin(t *testing.T) {
+	for _, c := range datatest.Read[[]struct {
+		Name string
+		// Resume is the last event that the caller names, Known the version that began it.
+		Resume   string
+		Stream   bool
+		Known    string
+		WantCode result.Code `json:"want_code"`
+		WantPin  string      `json:"want_pin"`
+	}](t, "testdata/origin.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			s := New(Options{
+				Now: time.Now,
+				PlaceRouted: func(context.Context, *call.Call, []string) (fleet.VM, bool, *result.Refusal) {
+					return fleet.VM{ID: "b", Region: "r"}, true, nil
+				},
+				Forward: func(_ context.Context, _ fleet.VM, sent *call.Call, _ call.Sink) call.Outcome {
+					assert.Equal(t, sent.Routed.Pin.Version, c.WantPin)
+					return call.Outcome{Code: result.Done}
+				},
+				Streams: Streams{
+					Began: func(*call.Call, string) {},
+					Origin: func(context.Context, *call.Call) (origin.Origin, bool) {
+						return origin.Origin{Service: "s", Version: c.Known}, c.Known != ""
+					},
+				},
+				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
+				Metrics:  metrics.New(),
+			})
+			resumed := routedTestCall(routedCase{Idempotent: true, Resumable: true})
+			resumed.Stream = c.Stream
+			resumed.Routed.ResumeAfter = c.Resume
+			out := s.Serve(t.Context(), resumed, Placement{Kind: PlaceHere}, call.Sink{})
+			assert.Equal(t, out.Code, c.WantCode)
+		})
+	}
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
@@ -58,6 +60,8 @@
 	budget   *retry.CallBudget
 	// delivered is the number of generated tokens passed to the caller.
 	delivered int
+	// pin is the software version that the caller has events of.
+	pin fleet.VersionPin
 	// lastEventID is the id of the last event of a routed stream that the caller received.
 	lastEventID string
 	outcome     call.Outcome
@@ -150,15 +154,28 @@
 	attempt.OnEventGap = func(gap time.Duration, tokens int) {
 		pool.Endpoints.StreamProgress(slot.Choice, gap, tokens, s.options.Now())
 	}
-	out := s.options.Endpoint.Send(ctx, attempt, endpoint.Sink(sink))
+	out := s.options.Endpoint.Send(ctx, attempt, endpointSink(sink, slot.Choice.Endpoint))
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
 	s.reportDraining(pool, chosen, out)
 	s.reportToQuarantine(c, slot.Choice.Endpoint, out)
-	p.addAttempt(out, chosen)
+	p.addAttempt(out, slot.Choice.Endpoint)
 	s.reportAttempt(c, p)
 	return nil
 }
 
+// endpointSink passes a response on with the software version of the endpoint that sends it.
+func endpointSink(sink call.Sink, e fleet.Endpoint) endpoint.Sink {
+	return endpoint.Sink{
+		Head: func(status int, header http.Header) error {
+			if sink.Version != nil {
+				sink.Version(e.SoftwareVersion)
+			}
+			return sink.Head(status, header)
+		},
+		Chunk: sink.Chunk,
+	}
+}
+
 // reportDraining applies an endpoint's drain notice from its response, which may
 // arrive well before the next load report. Other load figures come from reports only.
 func (s *Server) reportDraining(pool *Pool, endpointID string, out endpoint.Outcome) {
@@ -257,15 +274,22 @@
 		r.Prefixes = routing.Prefixes(c.Workspace, c.Routed.PromptParts)
 		r.Homes = c.Routed.Homes
 		r.QueueLevel = c.Routed.QueueLevel()
+		r.Pin = c.Routed.Pin
+		if p.pin.Set {
+			r.Pin = p.pin
+		}
 	}
 	return r
 }
 
 // addAttempt merges an attempt's outcome into the call's.
-func (p *progress) addAttempt(out endpoint.Outcome, endpointID string) {
+func (p *progress) addAttempt(out endpoint.Outcome, e fleet.Endpoint) {
 	p.lastAttempt = out
-	p.excluded[p.history.Attempts%len(p.excluded)] = endpointID
+	p.excluded[p.history.Attempts%len(p.excluded)] = e.ID
 	p.history.Record(out.Code, out.Sent)
+	if p.delivered == 0 && out.Delivered > 0 {
+		p.pin = fleet.PinTo(e.SoftwareVersion)
+	}
 	p.delivered += out.Delivered
 	if out.LastEvent != "" {
 		p.lastEventID = out.LastEvent
@@ -282,7 +306,7 @@
 		Code:         out.Code,
 		Usage:        usage,
 		FirstChunkAt: firstAt,
-		Endpoint:     endpointID,
+		Endpoint:     e.ID,
 	}
 	p.setRefusal()
 }
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -17,6 +17,7 @@
 	"github.com/fuchsianotch/fuchsianotch/limit"
 	"github.com/fuchsianotch/fuchsianotch/membership"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -72,6 +73,23 @@
 	Refund: func(*call.Call) {},
 }
 
+// Streams tells which software version began the streams of routed calls, which may go on at
+// that version only.
+type Streams struct {
+	// Began records that a caller got the first event of a stream from an endpoint of a
+	// version.
+	Began func(c *call.Call, softwareVersion string)
+	// Origin returns the service and the version that began the stream that a caller resumes;
+	// ok is false if they are not known.
+	Origin func(ctx context.Context, c *call.Call) (o origin.Origin, ok bool)
+}
+
+// noStreams knows the origin of no stream.
+var noStreams = Streams{
+	Began:  func(*call.Call, string) {},
+	Origin: func(context.Context, *call.Call) (origin.Origin, bool) { return origin.Origin{}, false },
+}
+
 // PlaceRouted chooses where a routed call is served: on vm in another region if
 // remote is true, otherwise on this VM. A refusal means that no place is left. tried
 // lists the VMs that were tried already.
@@ -104,10 +122,11 @@
 	Tickets  *ticket.Registry
 	Endpoint *endpoint.Client
 	Budget   Budget
-	// Quarantine, Limits and Throttle are optional.
+	// Quarantine, Limits, Throttle and Streams are optional.
 	Quarantine Quarantine
 	Limits     Limits
 	Throttle   Throttle
+	Streams    Streams
 	Timeline   *timeline.Ring
 	Metrics    *metrics.Metrics
 }
@@ -141,6 +160,9 @@
 	if o.Throttle.Take == nil {
 		o.Throttle = noThrottle
 	}
+	if o.Streams.Began == nil {
+		o.Streams = noStreams
+	}
 	return &Server{
 		options:  o,
 		markSent: (*ticket.Entry).MarkSent,
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 )
@@ -98,11 +99,21 @@
 	)
 }
 
+func traceOrigin(c *call.Call, o origin.Origin, known bool) {
+	c.Log.Add("stream_resumed",
+		slog.String("resumes", c.Routed.Resumes),
+		slog.Bool("known", known),
+		slog.String("service", o.Service),
+		slog.String("software_version", o.Version),
+	)
+}
+
 func traceOverflow(c *call.Call, vm fleet.VM) {
 	c.Log.Add("call_sent_away",
 		slog.String("peer", vm.ID),
 		slog.String("region", vm.Region),
 		slog.String("after_event", c.Routed.ResumeAfter),
+		slog.String("software_version", c.Routed.Pin.Version),
 	)
 }
 
--- a/site/endpoints.go
+++ b/site/endpoints.go
@@ -21,6 +21,8 @@
 	remote map[string]discovery.AvailableEndpoint
 	// counts are those of the own region by service.
 	counts map[string]endpointCounts
+	// versions counts the endpoints of all regions by service and software version.
+	versions map[string]map[string]int
 }
 
 // endpointCounts counts the endpoints of one service in the own region.
@@ -40,6 +42,8 @@
 		local:  make(map[string]discovery.AvailableEndpoint),
 		remote: make(map[string]discovery.AvailableEndpoint),
 		counts: make(map[string]endpointCounts),
+
+		versions: make(map[string]map[string]int),
 	}
 }
 
@@ -75,6 +79,7 @@
 }
 
 func (x *endpointIndex) count(e discovery.AvailableEndpoint, by int) {
+	x.countVersion(e, by)
 	if e.Region != x.region {
 		return
 	}
@@ -94,6 +99,40 @@
 	x.counts[e.Service] = counts
 }
 
+func (x *endpointIndex) countVersion(e discovery.AvailableEndpoint, by int) {
+	versions := x.versions[e.Service]
+	if versions == nil {
+		versions = make(map[string]int)
+		x.versions[e.Service] = versions
+	}
+	versions[e.SoftwareVersion] += by
+	if versions[e.SoftwareVersion] == 0 {
+		delete(versions, e.SoftwareVersion)
+	}
+	if len(versions) == 0 {
+		delete(x.versions, e.Service)
+	}
+}
+
+// softwareVersions returns the sorted versions of a service's endpoints.
+func (x *endpointIndex) softwareVersions(service string) []string {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	return slices.Sorted(maps.Keys(x.versions[service]))
+}
+
+// regionServes reports whether another region has an endpoint of a service that a pin allows.
+func (x *endpointIndex) regionServes(region, service string, pin fleet.VersionPin) bool {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	for _, e := range x.remote {
+		if e.Region == region && e.Service == service && pin.Allows(e.Endpoint) {
+			return true
+		}
+	}
+	return false
+}
+
 // contains reports whether an incarnation of an endpoint accepts calls.
 func (x *endpointIndex) contains(id string, incarnation int64) bool {
 	x.mu.RLock()
--- a/site/forward.go
+++ b/site/forward.go
@@ -71,6 +71,8 @@
 		Crashes:   n.quarantine.Receive,
 		Limits:    n.handleLimitNote,
 		Permit:    n.handlePermitRequest,
+		Origins:   n.streams.receive,
+		Origin:    n.streams.answer,
 		Forward:   n.serveForwarded,
 		Stamp:     func() uint64 { return 0 },
 		Witness:   func(uint64) {},
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -14,6 +14,7 @@
 		}
 	}
 	n.metrics.SetMembers(reached, suspected)
+	n.metrics.SetStreamRecords(n.streams.register.Stats())
 	n.metrics.SetRetryBudgetVMs(snap.members.FleetSize)
 	warm, cold := 0, 0
 	for _, counts := range n.pools.index.serviceCounts() {
--- a/site/place.go
+++ b/site/place.go
@@ -220,6 +220,7 @@
 		PrefixHash:   c.PrefixHash,
 		Prefixes:     routing.Prefixes(c.Workspace, c.Routed.PromptParts),
 		Homes:        c.Routed.Homes,
+		Pin:          c.Routed.Pin,
 		PromptTokens: c.PromptTokens,
 		MaxTokens:    c.MaxTokens,
 		AnswerTokens: c.Routed.AnswerTokens,
@@ -250,6 +251,9 @@
 		if !c.Routed.Allows(reported.Region) {
 			continue
 		}
+		if c.Routed.Pin.Set && !n.pools.index.regionServes(reported.Region, c.Target(), c.Routed.Pin) {
+			continue
+		}
 		if _, ok := pickVM(snap.members.AcceptingVMs(reported.Region), tried); !ok {
 			continue
 		}
--- a/site/pools.go
+++ b/site/pools.go
@@ -59,14 +59,22 @@
 func (p *pools) applyChanges(changes []discovery.EndpointChange, snap *snapshot, now time.Time) {
 	updates := newPoolUpdates(p.node.deployment.Region)
 	countsBefore := p.index.serviceCounts()
+	changed := make(map[string]bool)
 	for _, c := range changes {
-		if before, known := p.index.apply(c); known {
+		before, known := p.index.apply(c)
+		if known {
 			updates.replace(before, c.Endpoint)
+			changed[before.Service] = true
 		}
 		if c.Endpoint == nil {
 			p.reports.forget(c.ID)
+		} else {
+			changed[c.Endpoint.Service] = true
 		}
 	}
+	for service := range changed {
+		p.node.streams.register.Observe(service, p.index.softwareVersions(service), now)
+	}
 	counts := p.index.serviceCounts()
 	p.reviewServices(updates, snap, countsBefore, counts)
 	for _, c := range changes {
--- a/site/resume.go
+++ b/site/resume.go
@@ -36,6 +36,7 @@
 	resuming := c.roster.Resuming()
 	if resuming && !c.resuming {
 		go c.node.pools.probeAllCold(ctx, now)
+		c.node.streams.register.Restart(now)
 	}
 	c.resuming = resuming
 }
--- a/site/site.go
+++ b/site/site.go
@@ -92,6 +92,7 @@
 	delays         *peer.DelayEstimator
 	endpointClient *endpoint.Client
 	pools          *pools
+	streams        *streams
 	sentAway       *placement.SentTokens
 	lateOutcomes   *placement.MissTracker
 	quarantine     *agent.Agent
@@ -178,6 +179,7 @@
 	n.snapshots = newSnapshots(n)
 	n.control = newControl(n)
 	n.pools = newPools(n)
+	n.streams = newStreams(n)
 	n.quarantine = n.newQuarantineAgent()
 	n.meter = newMeter(n)
 	n.throttle = throttle.New(throttle.Options{
@@ -248,6 +250,10 @@
 			Take:   n.chargeLimit,
 			Refund: n.refundLimit,
 		},
+		Streams: serving.Streams{
+			Began:  n.streams.began,
+			Origin: n.streams.origin,
+		},
 		Throttle: serving.Throttle{
 			Take:          n.acquirePermit,
 			UsePermit:     n.usePermit,
@@ -361,6 +367,7 @@
 	worker.Add(&group, n.pools.sharePendingPrompts)
 	worker.Add(&group, n.quarantine.Run)
 	worker.Add(&group, n.sendLimitNotes)
+	worker.Add(&group, n.streams.run)
 	worker.AddShutdown(ctx, &group, n.stopped, n.stop)
 	n.log.Info("started",
 		"region", n.deployment.Region,
--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -100,18 +98,24 @@
 
 // checkStream checks that a stream has every event after lastEvent, in order and once.
 func (a *attempt) checkStream(data []byte, err error) {
-	reader := bufio.NewReader(strings.NewReader(string(data)))
+	text := string(data)
 	number := a.lastEvent
 	for {
-		version, readErr := a.readEvent(reader, number+1)
-		if readErr != nil {
-			a.failure = readErr.Error()
-			return
+		prefix := fmt.Sprintf("id: %d\ndata: %s.%d ", number+1, a.id, number+1)
+		rest, found := strings.CutPrefix(text, prefix)
+		if !found {
+			if !strings.HasPrefix(prefix, text) {
+				a.failure = fmt.Sprintf("after event %d: %.60q", number, text)
+				return
+			}
+			break
 		}
-		if version == "" {
+		version, next, complete := strings.Cut(rest, "\n\n")
+		if !complete {
 			break
 		}
 		a.versions = append(a.versions, version)
+		text = next
 		number++
 	}
 	switch {
@@ -124,30 +128,6 @@
 	}
 }
 
-// readEvent reads the event with a number and returns the version that wrote it, or an empty
-// one if the stream ends there.
-func (a *attempt) readEvent(reader *bufio.Reader, number int) (string, error) {
-	prefix := fmt.Sprintf("id: %d\ndata: %s.%d ", number, a.id, number)
-	got := make([]byte, len(prefix))
-	if n, err := io.ReadFull(reader, got); err != nil {
-		if !strings.HasPrefix(prefix, string(got[:n])) {
-			return "", fmt.Errorf("after event %d: %.60q", number-1, got[:n])
-		}
-		return "", nil
-	}
-	if string(got) != prefix {
-		return "", fmt.Errorf("after event %d: %.60q", number-1, got)
-	}
-	version, err := reader.ReadString('\n')
-	if err != nil {
-		return "", nil
-	}
-	if end, err := reader.ReadByte(); err != nil || end != '\n' {
-		return "", nil
-	}
-	return strings.TrimSpace(version), nil
-}
-
 // checkStreamVersions checks that streams, over all tries of their clients, hold events of one
 // version only.
 func (l *ledger) checkStreamVersions() (out []string) {
