--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -40,6 +40,10 @@
 	IgnoreRests          Defect = "ignore_rests"
 	// IgnoreEras compares revisions of different eras of the store.
 	IgnoreEras Defect = "ignore_eras"
+	// IgnoreVersions resumes streams at any software version.
+	IgnoreVersions Defect = "ignore_versions"
+	// KeepOriginsLocally sends no copies of the origins of streams.
+	KeepOriginsLocally Defect = "keep_origins_locally"
 )
 
 // Options configures one run.
@@ -63,6 +67,8 @@
 	// PlannedFaults adds faults at fixed times, without changing the other random choices of
 	// a seed.
 	PlannedFaults PlannedFaults
+	// Streams adds streams, without changing the other random choices of a seed.
+	Streams Streams
 }
 
 // Report is the result of one run.
@@ -88,6 +94,11 @@
 	// AllowedRequests those that the limits allowed.
 	LimitedRequests int
 	AllowedRequests float64
+	// Streams counts the streams, ResumedStreams the requests of callers to resume one at
+	// converged VMs while its version served, and StreamsGoneOn those that brought an event.
+	Streams        int
+	ResumedStreams int
+	StreamsGoneOn  int
 	// Events is the number of events that were processed.
 	Events     int
 	Violations []Violation
@@ -121,7 +132,9 @@
 	w.scheduleNotices(o.EngineNotices)
 	w.scheduleRestores(o.StoreRestores)
 	w.schedulePlannedFaults(o.PlannedFaults)
+	w.scheduleStreams()
 	w.clock.run(w.end.Add(settleDuration))
+	w.ledger.checkStreams()
 	return Report{
 		Seed:             o.Seed,
 		Requests:         len(w.ledger.requests),
@@ -137,6 +150,9 @@
 		FalseQuarantines: w.ledger.falseQuarantines,
 		LimitedRequests:  w.ledger.limitedRequests,
 		AllowedRequests:  w.allowedRequests,
+		Streams:          len(w.streams.all),
+		ResumedStreams:   w.streams.resumed,
+		StreamsGoneOn:    w.streams.resumedOn,
 		Violations:       w.ledger.violations,
 	}
 }
@@ -160,6 +176,7 @@
 	crashRand *rand.Rand
 	// allowedRequests is how many requests the engines' limits allowed so far.
 	allowedRequests float64
+	streams         streamState
 	// maxCallerRetries is how often a caller retries an interrupted request.
 	maxCallerRetries int
 }
@@ -172,6 +189,10 @@
 		crashRand: rand.New(rand.NewPCG(o.Seed, crashRandStream)),
 		clock:     newClock(begin),
 		end:       begin.Add(o.Duration),
+		streams: streamState{
+			Streams: o.Streams,
+			rand:    rand.New(rand.NewPCG(o.Seed, streamRandStream)),
+		},
 	}
 	w.topology = topology{
 		regions:           2 + w.rand.IntN(2),
--- a/testscripts/emulator/emulator_test.go
+++ b/testscripts/emulator/emulator_test.go
@@ -53,6 +53,8 @@
 		Limiting EngineLimits
 		Notices  EngineNotices
 		Restores StoreRestores
+		Planned  PlannedFaults
+		Streams  Streams
 	}](t, "testdata/faults.json") {
 		t.Run(string(c.Fault), func(t *testing.T) {
 			for first := uint64(1); first <= c.Seeds; first += batchSize {
@@ -64,6 +66,8 @@
 					EngineLimits:  c.Limiting,
 					EngineNotices: c.Notices,
 					StoreRestores: c.Restores,
+					PlannedFaults: c.Planned,
+					Streams:       c.Streams,
 				}, batchSize)
 				if slices.ContainsFunc(sum.Failed, func(r Report) bool { return r.violates(c.Check) }) {
 					return
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -68,6 +68,8 @@
 			Service:    serviceName,
 			Slots:      64,
 			State:      fleet.StateLive,
+
+			SoftwareVersion: w.streams.softwareVersion(),
 		},
 		up:         true,
 		registered: true,
--- a/testscripts/emulator/health_probe.go
+++ b/testscripts/emulator/health_probe.go
@@ -31,6 +31,7 @@
 	resuming := v.roster.Resuming()
 	if resuming && !v.resuming {
 		probedAt := v.now()
+		v.origins.Restart(probedAt)
 		for _, e := range v.endpoints() {
 			v.probeWithPermit(incarnation, e)
 		}
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -29,6 +29,8 @@
 	CheckEngineLimit     Check = "limit"
 	CheckLeavingHeard    Check = "leaving_heard"
 	CheckRest            Check = "rest"
+	CheckStreamVersions  Check = "stream_versions"
+	CheckResumedStreams  Check = "resumed_streams"
 )
 
 const (
--- a/testscripts/emulator/planned_faults.go
+++ b/testscripts/emulator/planned_faults.go
@@ -34,11 +34,13 @@
 	VMsOnly    bool    `json:"vms_only"`
 }
 
-// Kill kills all VMs of some regions, which start again a moment later.
+// Kill kills VMs of some regions, which start again a moment later.
 type Kill struct {
 	AtSeconds float64 `json:"at"`
 	// Regions lists the regions by number; empty means all.
 	Regions []int `json:"regions"`
+	// VMs is the number of VMs of each region; zero means all.
+	VMs int `json:"vms"`
 }
 
 func seconds(s float64) time.Duration {
@@ -56,8 +58,11 @@
 	}
 	for _, k := range p.Kills {
 		w.after(warmup+seconds(k.AtSeconds), func() {
+			killed := make(map[string]int)
 			for _, v := range w.vms {
-				if includesRegion(k.Regions, v.member.Region) {
+				region := v.member.Region
+				if includesRegion(k.Regions, region) && (k.VMs == 0 || killed[region] < k.VMs) {
+					killed[region]++
 					v.kill(minFaultDuration)
 				}
 			}
--- a/testscripts/emulator/run_all.go
+++ b/testscripts/emulator/run_all.go
@@ -22,6 +22,9 @@
 	FalseQuarantines int
 	LimitedRequests  int
 	AllowedRequests  float64
+	Streams          int
+	ResumedStreams   int
+	StreamsGoneOn    int
 	Events           int
 	// Failed holds the runs with violations, sorted by seed.
 	Failed []Report
@@ -63,6 +66,9 @@
 	s.FalseQuarantines += r.FalseQuarantines
 	s.LimitedRequests += r.LimitedRequests
 	s.AllowedRequests += r.AllowedRequests
+	s.Streams += r.Streams
+	s.ResumedStreams += r.ResumedStreams
+	s.StreamsGoneOn += r.StreamsGoneOn
 	s.Events += r.Events
 	if len(r.Violations) > 0 {
 		s.Failed = append(s.Failed, r)
--- a/testscripts/emulator/store.go
+++ b/testscripts/emulator/store.go
@@ -139,6 +139,17 @@
 	})
 }
 
+// evacuates reports whether a data centre is being evacuated.
+func (s *store) evacuates(dataCentre string) bool {
+	evacuated := false
+	for _, k := range s.acknowledged {
+		if k.evacuated == dataCentre {
+			evacuated = !k.canceled
+		}
+	}
+	return evacuated
+}
+
 // evacuate evacuates a region's data centre for the duration.
 func (s *store) evacuate(region string, duration time.Duration) {
 	key := "evacuate/" + region
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -6,6 +6,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/roster"
 	"github.com/fuchsianotch/fuchsianotch/route"
@@ -56,6 +57,7 @@
 	window         *retry.Window
 	crashTracker   *crashTracker
 	throttle       *throttle.Throttle
+	origins        *origin.Register
 	needsFullRead  bool
 	// readInFlight is set while a read of the store is in flight.
 	readInFlight bool
@@ -122,6 +124,7 @@
 	v.window = v.newWindow()
 	v.crashTracker = newCrashTracker(v)
 	v.throttle = v.newThrottle()
+	v.origins = origin.NewRegister()
 	incarnation := v.incarnation
 	w.after(0, func() { v.step(incarnation) })
 	w.after(w.randomDuration(0, probeInterval), func() { v.probeHealth(incarnation) })
@@ -242,6 +245,7 @@
 	v.endpointsDueAt = v.discovery.NextChange()
 	v.pool.SetVMs(len(v.snapshot().Members))
 	v.pool.SetEndpoints(v.endpoints(), now)
+	v.observeVersions()
 }
 
 // snapshot returns the roster's current picture.
