--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -81,6 +81,8 @@
 	Runs   int
 	// Retries counts the arrivals at endpoints beyond the first of each request.
 	Retries int
+	// RunOverruns counts the runs of requests on more endpoints than their routes allow.
+	RunOverruns int
 	// Failures counts the arrivals that were refused or got no good answer.
 	Failures int
 	Faults   int
@@ -142,6 +144,7 @@
 		Served:           w.ledger.served,
 		Runs:             w.ledger.runs,
 		Retries:          len(w.ledger.retryArrivals),
+		RunOverruns:      w.ledger.runOverruns,
 		Failures:         w.ledger.failures,
 		Faults:           w.injectedFaults,
 		Events:           w.clock.events,
--- a/testscripts/emulator/network.go
+++ b/testscripts/emulator/network.go
@@ -80,6 +80,13 @@
 	n.world.after(duration, func() { add(-1) })
 }
 
+// separated reports whether messages are dropped in any direction between two regions. The
+// connections between their VMs then time out.
+func (n *network) separated(a, b string) bool {
+	forward, backward := link{from: a, to: b}, link{from: b, to: a}
+	return n.partitions[forward]+n.partitions[backward]+n.peerPartitions[forward]+n.peerPartitions[backward] > 0
+}
+
 // partition drops messages between two regions in both directions for the duration.
 func (n *network) partition(a, b string, duration time.Duration) {
 	forward, backward := link{from: a, to: b}, link{from: b, to: a}
--- a/testscripts/emulator/routed_request.go
+++ b/testscripts/emulator/routed_request.go
@@ -152,7 +152,7 @@
 			})
 		})
 		w.after(dialTimeout, func() {
-			if !to.up || to.incarnation != incarnation {
+			if !to.up || to.incarnation != incarnation || w.network.separated(s.vm.member.Region, to.member.Region) {
 				answer(vmOutcome{code: result.PeerLost})
 			}
 		})
--- a/testscripts/emulator/run_all.go
+++ b/testscripts/emulator/run_all.go
@@ -15,6 +15,7 @@
 	Served           int
 	Runs             int
 	Retries          int
+	RunOverruns      int
 	Failures         int
 	Faults           int
 	EndpointCrashes  int
@@ -59,6 +60,7 @@
 	s.Served += r.Served
 	s.Runs += r.Runs
 	s.Retries += r.Retries
+	s.RunOverruns += r.RunOverruns
 	s.Failures += r.Failures
 	s.Faults += r.Faults
 	s.EndpointCrashes += r.EndpointCrashes
