A VM asks the one that sent a call before it lets a second endpoint run it

Cause: a VM of another region ran it twice and was cut off before it could say so, and the VM that had sent it there took the loss for one run and sent it on.

What a call has done is known to one VM only, so the VM that sends it counts what it grants (retry.RunGrants): one run with the call, and each further one when the other VM asks, before it starts. Of a VM that is lost all granted runs count as used. It costs a round trip between regions before such a retry.

--- a/call/routed.go
+++ b/call/routed.go
@@ -1,6 +1,7 @@
 package call
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -62,6 +63,10 @@
 	// MissesObjective is set when the first token is expected to miss its objective. Such a call
 	// yields to calls that can still meet theirs.
 	MissesObjective bool
+	// RunGrant identifies the call on the VM that sent it here; zero if it did not. RequestRun
+	// asks that VM for a run beyond the first; nil means that none need be asked for.
+	RunGrant   uint64
+	RequestRun func(ctx context.Context) bool
 	// Retry is set when another VM already attempted the call.
 	Retry bool
 }
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -27,6 +27,27 @@
 	return c.receiveReplies(stream, vm, sink, witness)
 }
 
+// Run asks the VM that sent a call whether one more endpoint may run it.
+func (c *Client) Run(ctx context.Context, vm fleet.VM, runGrant uint64) (granted bool, err error) {
+	reply, err := c.client(ctx, vm).Run(ctx, &peerpb.RunRequest{
+		RunGrant: runGrant,
+	})
+	if err != nil {
+		return false, err
+	}
+	return reply.GetGranted(), nil
+}
+
+// Run implements peerpb.DRPCPeerServer.
+func (s *service) Run(_ context.Context, in *peerpb.RunRequest) (*peerpb.RunReply, error) {
+	if s.handlers.Run == nil {
+		return nil, errUnsupported
+	}
+	return &peerpb.RunReply{
+		Granted: s.handlers.Run(in.GetRunGrant()),
+	}, nil
+}
+
 func peerFailure(vm fleet.VM, err error) *result.Refusal {
 	if errors.Is(err, ErrDial) {
 		return result.Refuse(result.PeerUnreachable, "VM %s was not reached", vm.ID).WithCause(err)
--- a/peer/server.go
+++ b/peer/server.go
@@ -44,6 +44,8 @@
 	// Origins takes records of the origins of streams, Origin returns that of one.
 	Origins func(origins []origin.Origin)
 	Origin  func(request, service string) (o origin.Origin, known bool)
+	// Run decides whether one more endpoint may run a call that this VM has forwarded.
+	Run func(runGrant uint64) bool
 	// Forward runs a call; it must not forward it again.
 	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
 	// Stamp reads the timeline's logical clock, and Witness advances it to a stamp
@@ -212,6 +214,9 @@
 	s.handlers.Witness(in.GetStamp())
 	sentAt := s.handlers.Delays.SentAt(in.GetFrom().GetVm(), in.GetFrom().GetIncarnation(), in.GetSentUs())
 	c := callFromProto(in.GetCall(), sentAt)
+	if c.Routed != nil {
+		c.Routed.RunGrant = in.GetRunGrant()
+	}
 	outcome := s.handlers.Forward(stream.Context(), in.GetFrom(), c, streamSink(stream))
 	return stream.Send(&peerpb.ForwardReply{
 		Step: &peerpb.ForwardReply_End{
--- a/retry/places.go
+++ b/retry/places.go
@@ -24,7 +24,7 @@
 }
 
 // RemainingRuns returns how many more endpoints may run the call. A VM that was lost without
-// a report counts as one run.
+// a report counts as the runs that it was granted, one at least.
 func (p ForwardResult) RemainingRuns(maxRuns int) int {
 	if p.Ran == 0 && p.Code.Class() == result.ClassUnknown {
 		return maxRuns - 1
--- a/roster/snapshot.go
+++ b/roster/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/entry"
@@ -45,6 +46,15 @@
 	taking  map[string][]fleet.VM
 }
 
+// Find returns the member with an ID.
+func (s *Snapshot) Find(id string) (fleet.VM, bool) {
+	i, found := slices.BinarySearchFunc(s.Members, id, func(m *Member, id string) int { return strings.Compare(m.VM.ID, id) })
+	if !found {
+		return fleet.VM{}, false
+	}
+	return s.Members[i].VM, true
+}
+
 // ReachableVMs returns a region's reachable VMs. The result must not be modified.
 func (s *Snapshot) ReachableVMs(region string) []fleet.VM {
 	return s.reached[region]
--- a/serving/run.go
+++ b/serving/run.go
@@ -58,6 +58,9 @@
 	excluded [2]string
 	history  retry.History
 	budget   *retry.CallBudget
+	// runsRequested is the number of runs beyond the first that the VM which sent the call
+	// has granted.
+	runsRequested int
 	// delivered is the number of generated tokens passed to the caller.
 	delivered int
 	// pin is the software version that the caller has events of.
@@ -88,6 +91,11 @@
 			p.budget.End(p.lastAttempt.Sent)
 			return s.finish(&p, sink, p.outcome)
 		}
+		if !p.requestRun(ctx, c) {
+			c.Log.Fail("run_refused", slog.String("service", c.Target()))
+			p.budget.End(p.lastAttempt.Sent)
+			return s.finish(&p, sink, p.outcome)
+		}
 		if !p.budget.Allow(p.lastAttempt.Sent) {
 			c.Log.Fail("repeat_refused", slog.String("service", c.Target()))
 			return s.finish(&p, sink, p.outcomeOnBudgetExhausted())
@@ -96,6 +104,19 @@
 	}
 }
 
+// requestRun asks the VM that sent the call for a further run, if all that it granted may be
+// used up.
+func (p *progress) requestRun(ctx context.Context, c *call.Call) bool {
+	if c.Routed == nil || c.Routed.RequestRun == nil || p.history.MayHaveRun() <= p.runsRequested {
+		return true
+	}
+	if !c.Routed.RequestRun(ctx) {
+		return false
+	}
+	p.runsRequested++
+	return true
+}
+
 // newCallBudget returns what the call takes from its target's retry budget on this VM.
 func (s *Server) newCallBudget(c *call.Call) *retry.CallBudget {
 	target, budget := c.Target(), s.options.Budget
--- a/site/forward.go
+++ b/site/forward.go
@@ -26,10 +26,15 @@
 func (n *Node) forward(ctx context.Context, vm fleet.VM, c *call.Call, sink call.Sink) call.Outcome {
 	timeoutCtx, cancel := clock.WithDeadline(ctx, n.now(), c.Deadline.Add(forwardGrace))
 	defer cancel()
+	runGrant := n.runGrants.Open(c.Routed.MaxAttempts)
 	outcome := n.peers.Forward(timeoutCtx, vm, &peerpb.ForwardRequest{
-		From: n.identity(),
-		Call: peer.CallToProto(n.withRemoteObjective(c, vm), n.now()),
+		From:     n.identity(),
+		Call:     peer.CallToProto(n.withRemoteObjective(c, vm), n.now()),
+		RunGrant: runGrant,
 	}, sink, func(uint64) {})
+	if granted := n.runGrants.Close(runGrant); outcome.Code == result.PeerLost {
+		outcome.EndpointsRun = granted
+	}
 	if ctx.Err() != nil && outcome.Code == result.PeerLost {
 		return call.Refused(result.Refuse(result.EndpointTimeout, "VM %s had the call as its time ended or the caller left", vm.ID).WithCause(ctx.Err()))
 	}
@@ -73,6 +78,7 @@
 		Permit:    n.handlePermitRequest,
 		Origins:   n.streams.receive,
 		Origin:    n.streams.answer,
+		Run:       n.runGrants.Grant,
 		Forward:   n.serveForwarded,
 		Stamp:     func() uint64 { return 0 },
 		Witness:   func(uint64) {},
@@ -85,7 +91,7 @@
 
 // serveForwarded runs a call that another VM sent. If this VM has a newer routing table
 // than the sender, the call is admitted again under that table.
-func (n *Node) serveForwarded(ctx context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
+func (n *Node) serveForwarded(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
 	table := n.control.snapshot().table
 	if c.Kind != call.KindRouted || table == nil {
 		return call.Refused(n.notServed())
@@ -100,10 +106,33 @@
 	}
 	ctx, cancel := clock.WithDeadline(ctx, n.now(), c.Deadline)
 	defer cancel()
+	c.Routed.RequestRun = func(ctx context.Context) bool { return n.requestRun(ctx, from.GetVm(), c) }
 	c.Routed.MissesObjective = n.isLate(c)
 	return n.serve(ctx, c, sink)
 }
 
+// runRequestTimeout bounds the request for a further run: a round trip between the most
+// distant regions and one lost packet.
+const runRequestTimeout = 400 * time.Millisecond
+
+// requestRun asks the VM that sent a call whether one more endpoint may run it.
+func (n *Node) requestRun(ctx context.Context, vmID string, c *call.Call) bool {
+	if c.Routed.RunGrant == 0 {
+		return true
+	}
+	vm, known := n.control.snapshot().members.Find(vmID)
+	if !known {
+		return false
+	}
+	timeoutCtx, cancel := context.WithTimeout(ctx, runRequestTimeout)
+	defer cancel()
+	granted, err := n.peers.Run(timeoutCtx, vm, c.Routed.RunGrant)
+	if err != nil {
+		n.log.Debug("run_not_asked", "peer", vmID, "reason", err.Error())
+	}
+	return granted
+}
+
 func (n *Node) notServed() *result.Refusal {
 	return result.Refuse(result.NotReady, "VM %s does not serve the call", n.deployment.VM)
 }
--- a/site/site.go
+++ b/site/site.go
@@ -33,6 +33,7 @@
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/quarantine/agent"
 	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/serving"
 	"github.com/fuchsianotch/fuchsianotch/settings"
@@ -93,6 +94,7 @@
 	endpointClient *endpoint.Client
 	pools          *pools
 	streams        *streams
+	runGrants      *retry.RunGrants
 	sentAway       *placement.SentTokens
 	lateOutcomes   *placement.MissTracker
 	quarantine     *agent.Agent
@@ -180,6 +182,7 @@
 	n.control = newControl(n)
 	n.pools = newPools(n)
 	n.streams = newStreams(n)
+	n.runGrants = retry.NewRunGrants()
 	n.quarantine = n.newQuarantineAgent()
 	n.meter = newMeter(n)
 	n.throttle = throttle.New(throttle.Options{
--- a/testscripts/emulator/attempts.go
+++ b/testscripts/emulator/attempts.go
@@ -20,7 +20,10 @@
 	budget      *retry.CallBudget
 	excluded    [2]string
 	onFinish    func(o vmOutcome)
-	lastFailed  bool
+	// requestRun is as in routedCall, runsRequested is how many runs it granted.
+	requestRun    func(then func(granted bool))
+	runsRequested int
+	lastFailed    bool
 	// lastSent is set while an attempt is under way that may have reached its endpoint, and
 	// after it.
 	lastSent bool
@@ -36,41 +39,55 @@
 	sent bool
 }
 
+// routedCall is a request as a VM is to serve it.
+type routedCall struct {
+	request *request
+	maxRuns int
+	// retried is set if another VM may have sent it to an endpoint.
+	retried bool
+	// requestRun asks the VM that sent the request for a further run; nil if it came from a
+	// caller.
+	requestRun func(then func(granted bool))
+	done       func(vmOutcome)
+}
+
 // serve sends the request to endpoints of the own region.
-func (v *vm) serve(r *request, maxRuns int, retried bool, done func(vmOutcome)) {
+func (v *vm) serve(c routedCall) {
 	v.awaitFreshState(v.now().Add(freshStateTimeout), func(current bool) {
 		if !current {
-			done(vmOutcome{code: result.NotReady})
+			c.done(vmOutcome{code: result.NotReady})
 			return
 		}
-		v.serveNow(r, maxRuns, retried, done)
+		v.serveNow(c)
 	})
 }
 
-func (v *vm) serveNow(r *request, maxRuns int, retried bool, done func(vmOutcome)) {
+func (v *vm) serveNow(c routedCall) {
+	r := c.request
 	s := &attempts{
 		vm:          v,
 		incarnation: v.incarnation,
 		request:     r,
-		maxRuns:     maxRuns,
-		onFinish:    done,
+		maxRuns:     c.maxRuns,
+		onFinish:    c.done,
+		requestRun:  c.requestRun,
 		budget: retry.NewCallBudget(retry.Allowance{
 			OnRequest: v.window.OnRequest,
 			Allow:     v.window.Allow,
 			Return:    v.window.Return,
 			Now:       v.now,
-		}, retried),
+		}, c.retried),
 	}
 	if v.table() == nil || (!r.call.Routed.Allows(v.member.Region) && v.world.defect != IgnoreHomeRegions) {
-		done(vmOutcome{code: result.NotReady})
+		c.done(vmOutcome{code: result.NotReady})
 		return
 	}
 	if !v.crashTracker.admits(r) {
-		done(vmOutcome{code: result.Quarantined})
+		c.done(vmOutcome{code: result.Quarantined})
 		return
 	}
 	if !s.budget.Begin() {
-		done(vmOutcome{code: result.RetryBudget})
+		c.done(vmOutcome{code: result.RetryBudget})
 		return
 	}
 	v.world.clock.at(r.deadline, func() { v.run(s.incarnation, func() { s.finish(result.EndpointTimeout) }) })
@@ -172,13 +189,45 @@
 		s.finish(s.code(code))
 		return
 	}
-	if !s.budget.Allow(sent) {
-		s.finish(s.codeOnBudgetExhausted(code))
+	s.obtainRun(func(granted bool) {
+		switch {
+		case s.finished:
+		case !granted:
+			s.finish(s.code(code))
+		case !s.budget.Allow(sent):
+			s.finish(s.codeOnBudgetExhausted(code))
+		default:
+			s.tryEndpoint()
+		}
+	})
+}
+
+// obtainRun asks for a further run if all that were granted may be used up.
+func (s *attempts) obtainRun(then func(granted bool)) {
+	if s.requestRun == nil || s.history.MayHaveRun() <= s.runsRequested {
+		then(true)
 		return
 	}
-	s.tryEndpoint()
+	answered := false
+	answer := func(granted bool) {
+		s.vm.run(s.incarnation, func() {
+			if answered {
+				return
+			}
+			answered = true
+			if granted {
+				s.runsRequested++
+			}
+			then(granted)
+		})
+	}
+	s.requestRun(answer)
+	s.vm.world.after(runRequestTimeout, func() { answer(false) })
 }
 
+// runRequestTimeout equals the gateway's.
+const runRequestTimeout = 400 * time.Millisecond
+
 func (s *attempts) code(last result.Code) result.Code {
 	if s.vm.world.defect == ForgetUnknownOutcome {
 		return last
--- a/testscripts/emulator/routed_request.go
+++ b/testscripts/emulator/routed_request.go
@@ -88,7 +88,12 @@
 	s.triedVMs = append(s.triedVMs, to.member.ID)
 	if to == s.vm {
 		v := s.vm
-		v.serve(s.request, s.runsLeft, s.retried, s.applyResult)
+		v.serve(routedCall{
+			request: s.request,
+			maxRuns: s.runsLeft,
+			retried: s.retried,
+			done:    s.applyResult,
+		})
 		return
 	}
 	s.forward(to)
@@ -125,9 +130,13 @@
 func (s *routedRequest) forward(to *vm) {
 	w := s.vm.world
 	answered := false
+	grant := s.vm.runGrants.Open(s.runsLeft)
 	answer := func(o vmOutcome) {
 		if !answered {
 			answered = true
+			if granted := s.vm.runGrants.Close(grant); o.code == result.PeerLost {
+				o.ran = granted
+			}
 			s.vm.run(s.incarnation, func() { s.applyResult(o) })
 		}
 	}
@@ -147,8 +156,14 @@
 		reached = true
 		incarnation := to.incarnation
 		to.run(incarnation, func() {
-			to.serve(s.request, s.runsLeft, s.retried, func(o vmOutcome) {
-				w.network.send(to.member.Region, s.vm.member.Region, func() { answer(o) })
+			to.serve(routedCall{
+				request:    s.request,
+				maxRuns:    s.runsLeft,
+				retried:    s.retried,
+				requestRun: func(then func(bool)) { s.requestRun(to, grant, then) },
+				done: func(o vmOutcome) {
+					w.network.send(to.member.Region, s.vm.member.Region, func() { answer(o) })
+				},
 			})
 		})
 		w.after(dialTimeout, func() {
@@ -159,6 +174,17 @@
 	})
 }
 
+// requestRun handles the question of another VM for a further run.
+func (s *routedRequest) requestRun(from *vm, grant uint64, then func(granted bool)) {
+	v := s.vm
+	v.world.network.send(from.member.Region, v.member.Region, func() {
+		v.run(s.incarnation, func() {
+			granted := v.runGrants.Grant(grant)
+			v.world.network.send(v.member.Region, from.member.Region, func() { then(granted) })
+		})
+	})
+}
+
 // applyResult handles the answer of a VM and tries the next one if the request may move.
 func (s *routedRequest) applyResult(o vmOutcome) {
 	code := o.code
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -58,6 +58,7 @@
 	crashTracker   *crashTracker
 	throttle       *throttle.Throttle
 	origins        *origin.Register
+	runGrants      *retry.RunGrants
 	needsFullRead  bool
 	// readInFlight is set while a read of the store is in flight.
 	readInFlight bool
@@ -125,6 +126,7 @@
 	v.crashTracker = newCrashTracker(v)
 	v.throttle = v.newThrottle()
 	v.origins = origin.NewRegister()
+	v.runGrants = retry.NewRunGrants()
 	incarnation := v.incarnation
 	w.after(0, func() { v.step(incarnation) })
 	w.after(w.randomDuration(0, probeInterval), func() { v.probeHealth(incarnation) })
