Busy engines are asked for their health by the calls that they get, and not by time alone

Cause: an engine is asked once a second however many calls it gets, and more often only once the store is known to be silent, some seconds later.

The emulator's VMs divided load by the VMs of all regions, where the gateway's take those of their own.

--- a/call/answer.go
+++ b/call/answer.go
@@ -13,8 +13,8 @@
 	// Version receives the software version of the endpoint whose response follows, before
 	// the head; nil means that it is not needed.
 	Version func(softwareVersion string)
-	Head  func(status int, header http.Header) error
-	Chunk func(data []byte) error
+	Head    func(status int, header http.Header) error
+	Chunk   func(data []byte) error
 }
 
 // Outcome is the result of a call.
--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -41,6 +41,7 @@
 
 	inFlight int
 	history  inFlightHistory
+	calls    callRate
 	// idleConns is the number of connections of ended calls that are probably idle, the
 	// latest since idleSince.
 	idleConns int
@@ -124,6 +125,7 @@
 
 func (e *endpoint) callStarted(now time.Time) {
 	e.history.record(e.inFlight, now)
+	e.calls.add(now)
 	if e.inFlight == 0 {
 		e.progressAt = now
 	}
--- a/site/polling.go
+++ b/site/polling.go
@@ -95,7 +95,13 @@
 	if p.node.control.snapshot().members.StoreUnreadable() {
 		return survey.ColdProbeRound
 	}
-	return reportInterval
+	now, interval := p.node.now(), reportInterval
+	for _, e := range p.enginesToPoll() {
+		if pool := p.all()[e.Service]; pool != nil {
+			interval = min(interval, survey.CallProbeInterval(pool.Endpoints.CallsPerSecond(e.ID, now)))
+		}
+	}
+	return interval
 }
 
 // pollAll polls engines and waits for their answers, at most for pollRoundTimeout.
@@ -215,7 +221,7 @@
 // cold. polled is the number of engines that this VM polls.
 func (p *pools) pollEngine(ctx context.Context, e fleet.Endpoint, polled int) {
 	due := p.reportDue(e)
-	asksCold := due || p.node.control.snapshot().members.StoreUnreadable() && p.coldProbeDue(e, polled)
+	asksCold := due || p.callProbeDue(e) || p.node.control.snapshot().members.StoreUnreadable() && p.coldProbeDue(e, polled)
 	if !asksCold || !p.node.throttle.ProbeDue(e, requestsPerPoll, p.node.now()) {
 		return
 	}
--- a/site/reports.go
+++ b/site/reports.go
@@ -52,6 +52,24 @@
 	return survey.IsPollDue(p.reports.latest[e.ID].load, inFlight, p.node.now())
 }
 
+// callProbeDue reports whether an engine has to be probed for being cold because of the calls
+// that it gets, and records the probe.
+func (p *pools) callProbeDue(e fleet.Endpoint) bool {
+	pool := p.all()[e.Service]
+	if pool == nil {
+		return false
+	}
+	now := p.node.now()
+	perSecond := pool.Endpoints.CallsPerSecond(e.ID, now)
+	p.reports.mu.Lock()
+	defer p.reports.mu.Unlock()
+	if !survey.IsCallProbeDue(perSecond, p.reports.coldProbedAt[e.ID], now) {
+		return false
+	}
+	p.reports.coldProbedAt[e.ID] = now
+	return true
+}
+
 // coldProbeDue reports whether an engine has to be probed for being cold while the store
 // cannot be read, and records the probe. polled is the number of engines that this VM polls.
 func (p *pools) coldProbeDue(e fleet.Endpoint, polled int) bool {
--- a/survey/survey.go
+++ b/survey/survey.go
@@ -68,6 +68,27 @@
 	return now.Sub(probedAt) >= interval-coldProbeTolerance
 }
 
+// callsPerBusyProbe is the number of calls that an engine gets between two probes. A cold
+// engine bears about twice as many at once, which leaves as many for the news to arrive.
+const callsPerBusyProbe = 2
+
+// CallProbeInterval returns the interval at which a busy engine is probed for being cold, whatever
+// the store says: it may have fallen silent. perSecond is the rate of calls that the engine
+// gets from all VMs.
+func CallProbeInterval(perSecond float64) time.Duration {
+	if perSecond*BusyPollInterval.Seconds() <= callsPerBusyProbe {
+		return BusyPollInterval
+	}
+	return max(time.Duration(callsPerBusyProbe/perSecond*float64(time.Second)), minColdProbeInterval)
+}
+
+// IsCallProbeDue reports whether to probe an engine that gets perSecond calls again for being
+// cold.
+func IsCallProbeDue(perSecond float64, probedAt, now time.Time) bool {
+	interval := CallProbeInterval(perSecond)
+	return interval < BusyPollInterval && now.Sub(probedAt) >= interval-coldProbeTolerance
+}
+
 // ShouldPublish reports whether to publish load l, given the load published last, which is
 // zero if there is none.
 func ShouldPublish(published, l routing.Load) bool {
--- a/survey/survey_test.go
+++ b/survey/survey_test.go
@@ -210,3 +210,21 @@
 	}
 	return float64(count) / (float64(engines) * steps * step.Seconds()), calls
 }
+
+// TestCallProbes guards against calls that go to a cold engine before its next probe while the
+// store has just fallen silent.
+func TestCallProbes(t *testing.T) {
+	for _, c := range datatest.Read[[]struct {
+		Name      string
+		PerSecond float64 `json:"per_second"`
+		WantMs    int64   `json:"want_ms"`
+	}](t, "testdata/call_probes.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			assert.Equal(t, CallProbeInterval(c.PerSecond).Milliseconds(), c.WantMs)
+			now := time.Unix(1e9, 0)
+			due := IsCallProbeDue(c.PerSecond, now.Add(-time.Duration(c.WantMs)*time.Millisecond), now)
+			assert.Equal(t, due, c.WantMs < BusyPollInterval.Milliseconds())
+			assert.Assert(t, !IsCallProbeDue(c.PerSecond, now.Add(-100*time.Millisecond), now))
+		})
+	}
+}
--- a/testscripts/emulator/health_probe.go
+++ b/testscripts/emulator/health_probe.go
@@ -5,6 +5,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/survey"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
@@ -13,16 +14,21 @@
 func (v *vm) probeHealth(incarnation uint64) {
 	v.run(incarnation, func() {
 		vmIDs := v.reachableLocalVMs()
+		now, interval := v.now(), probeInterval
+		if v.snapshot().StoreUnreadable() {
+			interval = fastProbeInterval
+		}
 		for _, e := range v.endpoints() {
-			if entry.Owner(e.ID, vmIDs) == v.member.ID && v.throttle.ProbeDue(e, 1, v.now()) {
+			if entry.Owner(e.ID, vmIDs) != v.member.ID {
+				continue
+			}
+			due := min(interval, survey.CallProbeInterval(v.pool.CallsPerSecond(e.ID, now)))
+			if now.Sub(v.probedAt[e.ID]) >= due && v.throttle.ProbeDue(e, 1, now) {
+				v.probedAt[e.ID] = now
 				v.probeWithPermit(incarnation, e)
 			}
 		}
-		interval := probeInterval
-		if v.snapshot().StoreUnreadable() {
-			interval = fastProbeInterval
-		}
-		v.world.after(interval, func() { v.probeHealth(incarnation) })
+		v.world.after(fastProbeInterval, func() { v.probeHealth(incarnation) })
 	})
 }
 
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -57,9 +57,11 @@
 	window         *retry.Window
 	crashTracker   *crashTracker
 	throttle       *throttle.Throttle
-	origins        *origin.Register
-	runGrants      *retry.RunGrants
-	needsFullRead  bool
+	// probedAt is when this VM last probed each engine for its health.
+	probedAt      map[string]time.Time
+	origins       *origin.Register
+	runGrants     *retry.RunGrants
+	needsFullRead bool
 	// readInFlight is set while a read of the store is in flight.
 	readInFlight bool
 	// nextReadCheck is when the VM next checks whether it is a store reader.
@@ -125,6 +127,7 @@
 	v.window = v.newWindow()
 	v.crashTracker = newCrashTracker(v)
 	v.throttle = v.newThrottle()
+	v.probedAt = make(map[string]time.Time)
 	v.origins = origin.NewRegister()
 	v.runGrants = retry.NewRunGrants()
 	incarnation := v.incarnation
@@ -245,7 +248,7 @@
 	v.endpointsChanged = false
 	v.discovery.Advance(now)
 	v.endpointsDueAt = v.discovery.NextChange()
-	v.pool.SetVMs(len(v.snapshot().Members))
+	v.pool.SetVMs(v.throttleRegion().Known)
 	v.pool.SetEndpoints(v.endpoints(), now)
 	v.observeVersions()
 }
