An endpoint that has started again has no known software version until its entry tells

A load report tells of a new life of an endpoint before its entry does. The endpoint then counted as of the version of its former life, so that a stream could go on there at another one. TestVersionOfRestartedEndpoint fails on the code before; entries without an incarnation keep their version (TestVersionWithoutIncarnation). Streams that may not be resumed get no record any more: 0 messages for them.

--- a/origin/census.go
+++ b/origin/census.go
@@ -9,13 +9,13 @@
 type census struct {
 	// since is when the VM began to see all versions without a gap.
 	since time.Time
-	// published are the versions in the last view, and goneAt is when each other one left it.
+	// published are the versions in the last view, goneAt is when each other one left it.
 	published []string
 	goneAt    map[string]time.Time
 }
 
-// Observe records the versions that are published of a service, including those of endpoints
-// that take no calls. It is called whenever they change.
+// Observe records the versions of the endpoints of a service that take calls, in all regions. It
+// is called whenever they change.
 func (r *Register) Observe(service string, versions []string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -15,10 +15,9 @@
 	"time"
 )
 
-// maxRecords bounds the records that a Register keeps, at about 200 bytes each.
-const maxRecords = 1 << 16
-
 const (
+	// maxRecords bounds the records that a Register keeps, at about 200 bytes each.
+	maxRecords = 1 << 16
 	// minSweep is the number of records below which expired ones are not looked for.
 	minSweep = 256
 	// sweepInterval is the least time between two searches for them.
--- a/routing/incarnation.go
+++ b/routing/incarnation.go
@@ -20,6 +20,10 @@
 func (p *Pool) restartEndpoint(old *endpoint, incarnation int64, now time.Time) *endpoint {
 	listed := old.Endpoint
 	listed.Incarnation = incarnation
+	if old.Incarnation != 0 {
+		// It may have started with other software, which its entry will tell.
+		listed.SoftwareVersion = ""
+	}
 	e := p.replace(old, newIncarnation(listed, now), now)
 	p.updateEligibility(e, now)
 	return e
--- a/routing/incarnation_test.go
+++ b/routing/incarnation_test.go
@@ -143,3 +143,54 @@
 	p.UpdateRemote([]fleet.Endpoint{endpointIncarnation("x", 2)}, nil)
 	assert.Equal(t, p.remote.bestSource(prefixes, nil, now).addr, "addr-y")
 }
+
+// TestVersionOfRestartedEndpoint guards against a stream that goes on at an endpoint which has
+// started again, by the software version of its former process.
+func TestVersionOfRestartedEndpoint(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := New(Options{Rand: func() uint64 { return 0 }})
+	list := func(incarnation int64, version string) {
+		p.SetEndpoints([]fleet.Endpoint{{
+			ID:              "a",
+			Addr:            "a:1",
+			State:           fleet.StateLive,
+			Incarnation:     incarnation,
+			SoftwareVersion: version,
+		}}, now)
+	}
+	chosen := func(pin fleet.VersionPin) bool {
+		c, ok := p.Choose(Request{Pin: pin}, now)
+		p.Done(c, Outcome{Canceled: true}, now)
+		return ok
+	}
+	list(1, "v1")
+	assert.Assert(t, chosen(fleet.PinTo("v1")))
+	assert.Assert(t, !chosen(fleet.PinTo("v2")))
+	p.Report("a", Load{At: now, Incarnation: 2}, now)
+	assert.Assert(t, !chosen(fleet.PinTo("v1")))
+	list(1, "v1")
+	assert.Assert(t, !chosen(fleet.PinTo("v1")))
+	assert.Assert(t, chosen(fleet.VersionPin{}))
+	list(2, "v2")
+	assert.Assert(t, chosen(fleet.PinTo("v2")))
+}
+
+// TestVersionWithoutIncarnation guards against losing the software version of an endpoint whose
+// entry names no incarnation, while its load reports do.
+func TestVersionWithoutIncarnation(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := New(Options{Rand: func() uint64 { return 0 }})
+	listed := []fleet.Endpoint{{
+		ID:              "a",
+		Addr:            "a:1",
+		State:           fleet.StateLive,
+		SoftwareVersion: "v1",
+	}}
+	p.SetEndpoints(listed, now)
+	p.Report("a", Load{At: now, Incarnation: 2}, now)
+	for range 2 {
+		_, ok := p.Choose(Request{Pin: fleet.PinTo("v1")}, now)
+		assert.Assert(t, ok)
+		p.SetEndpoints(listed, now)
+	}
+}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -277,6 +277,9 @@
 		return p.replace(old, newIncarnation(listed, now), now)
 	default:
 		// The list may be older than the incarnation that the endpoint reported.
+		if listed.Incarnation != 0 && listed.Incarnation < old.Incarnation {
+			listed.SoftwareVersion = old.SoftwareVersion
+		}
 		listed.Incarnation = old.Incarnation
 		old.Endpoint = listed
 		return old
--- a/site/streams.go
+++ b/site/streams.go
@@ -59,6 +59,9 @@
 // began records the origin of a stream whose first event a caller gets now, and queues copies
 // for other VMs. Copies are not needed while the service has one version only.
 func (s *streams) began(c *call.Call, softwareVersion string) {
+	if !c.Stream || !c.Routed.Resumable {
+		return
+	}
 	o := origin.Origin{
 		Request:   c.ID,
 		Service:   c.Target(),
