--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -114,6 +114,17 @@
 	return nil
 }
 
+// pickVMBut picks one of the resolved VMs other than the one that has just failed, if there is
+// another one.
+func (c *client) pickVMBut(failed string) *vm {
+	for range 2 * len(c.addrs) {
+		if v := c.pickVM(); v != nil && v.name != failed {
+			return v
+		}
+	}
+	return c.pickVM()
+}
+
 // pickRequest picks a random path: mostly permanent routes, sometimes a version's own route.
 func (c *client) pickRequest() (path, service, method string) {
 	switch n := rand.IntN(20); {
--- a/testscripts/soak/endpoint_notices.go
+++ b/testscripts/soak/endpoint_notices.go
@@ -100,7 +100,13 @@
 func (l *ledger) recordVMDisturbance(vm string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.vmDisturbedAt[vm] = append(l.vmDisturbedAt[vm], time.Now())
+	now := time.Now()
+	l.vmDisturbedAt[vm] = append(l.vmDisturbedAt[vm], now)
+	for i := range l.vmDown[vm] {
+		if l.vmDown[vm][i].to.IsZero() {
+			l.vmDown[vm][i].to = now
+		}
+	}
 }
 
 // isVMUndisturbed reports whether a VM was not disturbed between two times.
--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -93,6 +93,7 @@
 		return nil
 	}
 	defer v.release()
+	tb.ledger.recordVMDown(v.name)
 	v.signal(syscall.SIGKILL)
 	v.waitExit(5 * time.Second)
 	sleep(ctx, restartDelay+d.long/4)
@@ -107,6 +108,7 @@
 		return nil
 	}
 	defer v.release()
+	tb.ledger.recordVMDown(v.name)
 	v.signal(syscall.SIGSTOP)
 	sleep(ctx, d.long)
 	tb.ledger.recordVMDisturbance(v.name)
@@ -121,6 +123,7 @@
 		return nil
 	}
 	defer v.release()
+	tb.ledger.recordVMDown(v.name)
 	v.signal(syscall.SIGTERM)
 	if !v.waitExit(stopGracePeriod) {
 		v.signal(syscall.SIGKILL)
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -94,8 +94,10 @@
 	plannedStops []interval
 	// vmDisturbedAt is when each VM was restarted or resumed.
 	vmDisturbedAt map[string][]time.Time
-	faultCounts   map[string]int
-	faultMarks    []faultMark
+	// vmDown is when each VM was stopped, killed or suspended, until it ran again.
+	vmDown      map[string][]interval
+	faultCounts map[string]int
+	faultMarks  []faultMark
 }
 
 func newLedger() *ledger {
@@ -104,6 +106,7 @@
 		coldPeriods:   make(map[string][]interval),
 		faultCounts:   make(map[string]int),
 		vmDisturbedAt: make(map[string][]time.Time),
+		vmDown:        make(map[string][]interval),
 
 		limits: make(map[string][]limitInterval),
 		probes: make(map[string][]time.Time),
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -165,6 +165,7 @@
 // served after recoveryTime.
 func (tb *testbed) killAllVMs(ctx context.Context) float64 {
 	for _, v := range tb.vms {
+		tb.ledger.recordVMDown(v.name)
 		v.signal(syscall.SIGKILL)
 	}
 	for _, v := range tb.vms {
--- a/testscripts/soak/store_restore.go
+++ b/testscripts/soak/store_restore.go
@@ -26,6 +26,7 @@
 	sleep(ctx, settleTime)
 	from := time.Now()
 	frozen, cut := tb.vms[0], tb.vms[len(tb.vms)-1]
+	tb.ledger.recordVMDown(frozen.name)
 	frozen.signal(syscall.SIGSTOP)
 	cut.storeLink.setMode(linkReset)
 	tb.loseWrites(ctx)
--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -69,7 +69,7 @@
 		}
 		sleep(ctx, resumeDelay)
 		c.resolve(ctx)
-		v := c.pickVM()
+		v := c.pickVMBut(a.vm)
 		if v == nil {
 			return
 		}
@@ -200,10 +200,20 @@
 	return out
 }
 
-// vmDisturbed reports whether a VM was restarted or resumed within the settleTime before at.
+// recordVMDown records that a VM is stopped, killed or suspended now.
+func (l *ledger) recordVMDown(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.vmDown[name] = append(l.vmDown[name], interval{from: time.Now()})
+}
+
+// vmDisturbed reports whether a VM was down at a time, or has run for less than settleTime.
 func (l *ledger) vmDisturbed(name string, at time.Time) bool {
-	return slices.ContainsFunc(l.vmDisturbedAt[name], func(disturbed time.Time) bool {
-		return !disturbed.After(at) && at.Sub(disturbed) < settleTime
+	return slices.ContainsFunc(l.vmDown[name], func(down interval) bool {
+		if !down.to.IsZero() {
+			down.to = down.to.Add(settleTime)
+		}
+		return down.contains(at)
 	})
 }
 
