--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -172,7 +172,7 @@
 			continue
 		}
 		on := 0
-		if len(a.versions) > 0 {
+		if len(a.versions) > 0 || a.complete {
 			on = 1
 		}
 		switch {
