--- a/call/routed.go
+++ b/call/routed.go
@@ -92,6 +92,14 @@
 	return level >= lateLevels
 }
 
+// SharedParts returns the parts of the prompt that other calls may share: all but the last.
+func (r *Routed) SharedParts() []PromptPart {
+	if len(r.PromptParts) == 0 {
+		return nil
+	}
+	return r.PromptParts[:len(r.PromptParts)-1]
+}
+
 // Allows reports whether a region may serve the call.
 func (r *Routed) Allows(region string) bool {
 	if len(r.Homes) == 0 {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -99,10 +99,23 @@
 	Chunk func(data []byte) error
 }
 
+// Framing is what marks the end of a response's body.
+type Framing string
+
+// The framings of HTTP/1.1.
+const (
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	// FramingConnection means that the body ends with its connection.
+	FramingConnection Framing = "connection"
+)
+
 // Outcome is the result of an attempt.
 type Outcome struct {
 	// Code is Done only if a complete response was forwarded.
 	Code result.Code
+	// Framing is that of the response; empty if there was none.
+	Framing Framing
 	// Usage is as reported by the endpoint, minus the tokens before ResumeFrom.
 	// For a broken stream it is the call's prompt estimate and the tokens forwarded.
 	Usage call.Usage
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -46,9 +46,21 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	x.outcome.Sent = true
+	x.outcome.Framing = framingOf(resp)
 	return x.handleResponse(resp)
 }
 
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	case resp.ContentLength >= 0:
+		return FramingLength
+	default:
+		return FramingConnection
+	}
+}
+
 // roundTrip sends the request once. If a reused connection breaks before any byte
 // is written, it tries another connection.
 func (x *exchange) roundTrip() (*http.Response, *result.Refusal) {
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
@@ -65,6 +66,7 @@
 	crossRegionCalls *prometheus.CounterVec
 	forwards         *prometheus.CounterVec
 	retries          prometheus.Counter
+	endpointAnswers  *prometheus.CounterVec
 	retryBudget      *prometheus.CounterVec
 	retryBudgetVMs   prometheus.Gauge
 	resumedStreams   *prometheus.CounterVec
@@ -113,6 +115,7 @@
 		crossRegionCalls: newCounterVec("sent_away_total", "Calls sent to another region.", "to"),
 		forwards:         newCounterVec("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:          newCounter("retries_total", "Attempts after the first of a call."),
+		endpointAnswers:  newCounterVec("endpoint_answers_total", "Answers that endpoints began, by what marks their end and whether they were whole.", "framing", "whole"),
 		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event"),
 		resumedStreams:   newCounterVec("streams_resumed_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
 		streamRecords:    newGauge("stream_records", "Origins of streams that this VM holds."),
@@ -148,7 +151,7 @@
 		linesDropped:     newCounter("log_lines_dropped_total", "Log lines dropped as the ring was full."),
 	}
 	m.registry.MustRegister(
-		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries,
+		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries, m.endpointAnswers,
 		m.retryBudget, m.retryBudgetVMs, m.resumedStreams, m.streamRecords, m.droppedRecords,
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
@@ -207,6 +210,11 @@
 	m.retries.Inc()
 }
 
+// CountEndpointAnswer counts an answer that an endpoint began.
+func (m *Metrics) CountEndpointAnswer(framing endpoint.Framing, whole bool) {
+	m.endpointAnswers.WithLabelValues(string(framing), strconv.FormatBool(whole)).Inc()
+}
+
 // RetryBudgetEvent is a use of the retry budget.
 type RetryBudgetEvent string
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
@@ -61,6 +62,7 @@
 	m.SetEndpoints(3, 1)
 	m.SetRoutesVersion(7)
 	m.SetQuarantinedCalls(4)
+	m.CountEndpointAnswer(endpoint.FramingConnection, true)
 	m.CountLimitRejection("hule930")
 	m.CountLimitRequest(true)
 	m.CountRateLimitedSend(throttle.KindRepeat)
@@ -150,9 +152,12 @@
 		"fuchsianotch_store_era ":                       3,
 		"fuchsianotch_routes_version ":                  7,
 		"fuchsianotch_calls_held ":                      4,
-		"fuchsianotch_limit_refused_total hule930":      1,
-		"fuchsianotch_limit_asked_total answered":       1,
-		"fuchsianotch_limit_asked_total unanswered":     1,
+
+		"fuchsianotch_endpoint_answers_total connection true": 1,
+
+		"fuchsianotch_limit_refused_total hule930":  1,
+		"fuchsianotch_limit_asked_total answered":   1,
+		"fuchsianotch_limit_asked_total unanswered": 1,
 	})
 }
 
--- a/serving/run.go
+++ b/serving/run.go
@@ -179,6 +179,9 @@
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
 	s.reportDraining(pool, chosen, out)
 	s.reportToQuarantine(c, slot.Choice.Endpoint, out)
+	if out.Framing != "" {
+		s.options.Metrics.CountEndpointAnswer(out.Framing, out.Code.Class() == result.ClassDone)
+	}
 	p.addAttempt(out, slot.Choice.Endpoint)
 	s.reportAttempt(c, p)
 	return nil
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
@@ -39,9 +40,30 @@
 		slog.Int("prompt_tokens", c.PromptTokens),
 		slog.Int("max_tokens", c.MaxTokens),
 		contentAttr(c),
+		partsAttr(c),
 	)
 }
 
+// partsAttr returns the ids of the prompt's parts that other calls may share.
+func partsAttr(c *call.Call) slog.Attr {
+	if c.Routed == nil {
+		return slog.String("parts", "")
+	}
+	return slog.Any("parts", partIDs(c.Routed.SharedParts()))
+}
+
+// partIDs formats the ids of parts when a line is written.
+type partIDs []call.PromptPart
+
+// LogValue implements slog.LogValuer.
+func (p partIDs) LogValue() slog.Value {
+	ids := make([]string, len(p))
+	for i, part := range p {
+		ids[i] = strconv.FormatUint(part.ID, contentHashBase)
+	}
+	return slog.StringValue(strings.Join(ids, ","))
+}
+
 // contentAttr returns the content hash, which is shared by retries under several ids.
 func contentAttr(c *call.Call) slog.Attr {
 	return slog.String("content", strconv.FormatUint(c.ContentDigest, contentHashBase))
@@ -73,7 +95,9 @@
 		slog.Bool("sent", p.lastAttempt.Sent),
 		slog.Int("events", p.lastAttempt.Delivered),
 		slog.Bool("caller_gone", p.lastAttempt.CallerDisconnected),
+		slog.String("framing", string(p.lastAttempt.Framing)),
 		contentAttr(c),
+		partsAttr(c),
 		slog.String("reason", errorText(p.lastAttempt.Err)),
 		slog.String("cause", causeOf(p.lastAttempt.Err)),
 	)
