Tests that fail: one part of prompts crashes endpoint after endpoint, and crashes pass for whole answers

Soak (real processes) and emulator play a part that crashes whatever begins to answer it, in calls of which few are alike, beside harmless calls with the same other parts; half of the soak's answers end with their connection.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -29,6 +30,7 @@
 	headerLimit     = "Server-Limit"
 	headerLeaving   = "Server-Leaving"
 	headerRetry     = "Retry-After"
+	headerPrompt    = "X-Fuchsianotch-Prompt-Prefix"
 )
 
 // StreamPath is the prefix of paths that respond with an event stream.
@@ -57,6 +59,21 @@
 	FaultCount
 )
 
+// CrashPoint is how far a replica gets with a request before it crashes.
+type CrashPoint int
+
+// The crash points, in order.
+const (
+	// CrashNever serves the request.
+	CrashNever CrashPoint = iota
+	// CrashUnread leaves the request's body unread, so that the connection is reset.
+	CrashUnread
+	CrashBeforeHead
+	CrashAfterHead
+	CrashWithinEvent
+	CrashAfterEvent
+)
+
 // Run is a request that a replica started to run, or rejected if Refused is set.
 type Run struct {
 	Replica string
@@ -73,6 +90,8 @@
 	Workspace string
 	// HasKey is set if the request carries a caller's API key.
 	HasKey bool
+	// Harmful is set if the request's prompt has the harmful part.
+	Harmful bool
 }
 
 // Options configure a Replica.
@@ -94,10 +113,15 @@
 	OnRequest func(Run)
 	// OnProbe is called for each load report and health probe; nil disables it.
 	OnProbe func(id string)
-	// CrashOn reports whether a request to the path crashes the replica; nil means
-	// never. Crashed is called once, after the crash.
-	CrashOn func(path string) bool
+	// CrashOn returns how far the replica gets with a request before it crashes; nil means
+	// that none crashes it. OnCrash is called once, after the crash.
+	CrashOn func(*http.Request) CrashPoint
 	OnCrash func(*Replica)
+	// HarmfulPart is the id of a part of prompts whose runs are marked as Harmful.
+	HarmfulPart string
+	// EndsWithConnection reports whether the response to a request has neither a length nor
+	// chunks; nil means that none does.
+	EndsWithConnection func(*http.Request) bool
 }
 
 // Replica is a running fake endpoint.
@@ -196,16 +220,19 @@
 		Zone:      r.Zone,
 		Workspace: req.Header.Get(headerWorkspace),
 		HasKey:    req.Header.Get("Authorization") != "",
+		Harmful:   r.HarmfulPart != "" && strings.Contains(req.Header.Get(headerPrompt), r.HarmfulPart+":"),
 	}
 	r.OnRequest(run)
 	if fault == FaultShed {
 		refuse(w, restFor)
 		return
 	}
-	if r.CrashOn != nil && r.CrashOn(req.URL.Path) {
-		sleep(req.Context(), crashDelay)
-		r.crashOnRequest()
-		panic(http.ErrAbortHandler)
+	point := CrashNever
+	if r.CrashOn != nil {
+		point = r.CrashOn(req)
+	}
+	if point == CrashUnread {
+		r.crashDuring(req)
 	}
 	if _, err := io.Copy(io.Discard, req.Body); err != nil {
 		return
@@ -215,6 +242,14 @@
 	if fault != FaultUnsigned {
 		w.Header().Set(headerSignature, "stamp."+r.ID+"."+id)
 	}
+	if r.EndsWithConnection != nil && r.EndsWithConnection(req) {
+		// net/http then frames the body by the end of the connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	if point != CrashNever {
+		r.beginAnswer(w, id, point)
+		r.crashDuring(req)
+	}
 	r.answer(w, req, id, fault)
 }
 
@@ -253,6 +288,30 @@
 // crashDelay is the time from the start of a run to the crash that it causes.
 const crashDelay = 50 * time.Millisecond
 
+// beginAnswer writes the part of a stream that precedes a crash.
+func (r *Replica) beginAnswer(w http.ResponseWriter, id string, point CrashPoint) {
+	if point == CrashBeforeHead {
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	event := Event(id, 1, r.Version)
+	switch point {
+	case CrashWithinEvent:
+		_, _ = io.WriteString(w, event[:len(event)/2])
+	case CrashAfterEvent:
+		_, _ = io.WriteString(w, event)
+	}
+	_ = http.NewResponseController(w).Flush()
+}
+
+// crashDuring crashes the replica while it runs a request.
+func (r *Replica) crashDuring(req *http.Request) {
+	sleep(req.Context(), crashDelay)
+	r.crashOnRequest()
+	panic(http.ErrAbortHandler)
+}
+
 // crashOnRequest crashes the replica once.
 func (r *Replica) crashOnRequest() {
 	r.crashOnce.Do(func() {
--- a/testscripts/emulator/caller.go
+++ b/testscripts/emulator/caller.go
@@ -110,6 +110,7 @@
 		r.homes = []string{regionName(w.rand.IntN(w.topology.regions))}
 	}
 	r.call = r.newCall(uint64(r.id))
+	w.addPrompt(r)
 	w.ledger.requests = append(w.ledger.requests, r)
 	return r
 }
--- a/testscripts/emulator/conditions.go
+++ b/testscripts/emulator/conditions.go
@@ -26,6 +26,7 @@
 func (o Options) conditions() []Conditions {
 	return []Conditions{
 		o.CrashingCalls.Conditions,
+		o.CrashingParts.Conditions,
 		o.EngineLimits.Conditions,
 		o.EngineNotices.Conditions,
 		o.StoreRestores.Conditions,
--- a/testscripts/emulator/crashing_calls.go
+++ b/testscripts/emulator/crashing_calls.go
@@ -103,6 +103,10 @@
 // recordCrash records that an endpoint crashed while running the attempt.
 func (l *ledger) recordCrash(a attempt) {
 	content := a.request.call.ContentDigest
+	if a.request.harmfulPart > 0 {
+		t := l.partTracker(a.request)
+		t.crashes = append(t.crashes, l.world.clock.now)
+	}
 	l.crashes[content] = append(l.crashes[content], l.world.clock.now)
 }
 
@@ -142,6 +146,7 @@
 		next.deadline = w.clock.now.Add(callTimeout)
 		next.outcome = outcome{}
 		next.call = next.newCall(r.call.ContentDigest)
+		next.call.Routed.PromptParts = r.call.Routed.PromptParts
 		w.ledger.requests = append(w.ledger.requests, &next)
 		w.ledger.callerRetries++
 		from := &caller{region: v.member.Region}
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -55,6 +55,8 @@
 	// CrashingCalls adds calls that crash endpoints, without changing the other random
 	// choices of a seed.
 	CrashingCalls CrashingCalls
+	// CrashingParts adds prompts to all requests, and parts of them that crash endpoints.
+	CrashingParts CrashingParts
 	// EngineLimits adds engines with rate limits, without changing the other random
 	// choices of a seed.
 	EngineLimits EngineLimits
@@ -130,6 +132,7 @@
 	}
 	w.scheduleRequests()
 	w.scheduleCrashingCalls(o.CrashingCalls)
+	w.scheduleCrashingParts()
 	w.scheduleLimits(o.EngineLimits)
 	w.scheduleNotices(o.EngineNotices)
 	w.scheduleRestores(o.StoreRestores)
@@ -137,6 +140,7 @@
 	w.scheduleStreams()
 	w.clock.run(w.end.Add(settleDuration))
 	w.ledger.checkStreams()
+	w.ledger.checkSoundParts()
 	return Report{
 		Seed:             o.Seed,
 		Requests:         len(w.ledger.requests),
@@ -175,7 +179,8 @@
 	injectedFaults  int
 	lastIncarnation uint64
 	lastID          int
-	// crashRand is the source of randomness for crashing calls.
+	parts           CrashingParts
+	// crashRand is the source of randomness for crashing calls and parts.
 	crashRand *rand.Rand
 	// allowedRequests is how many requests the engines' limits allowed so far.
 	allowedRequests float64
@@ -192,6 +197,7 @@
 		crashRand: rand.New(rand.NewPCG(o.Seed, crashRandStream)),
 		clock:     newClock(begin),
 		end:       begin.Add(o.Duration),
+		parts:     o.CrashingParts,
 		streams: streamState{
 			Streams: o.Streams,
 			rand:    rand.New(rand.NewPCG(o.Seed, streamRandStream)),
@@ -207,7 +213,7 @@
 	for _, c := range o.conditions() {
 		c.override(&w.topology)
 	}
-	w.maxCallerRetries = o.CrashingCalls.CallerRetries
+	w.maxCallerRetries = max(o.CrashingCalls.CallerRetries, o.CrashingParts.CallerRetries)
 	w.network = newNetwork(w)
 	w.ledger = newLedger(w)
 	w.store = newStore(w)
--- a/testscripts/emulator/emulator_test.go
+++ b/testscripts/emulator/emulator_test.go
@@ -50,6 +50,7 @@
 		// Seeds bounds the seeds within which the defect must be detected.
 		Seeds    uint64
 		Crashing CrashingCalls
+		Parts    CrashingParts
 		Limiting EngineLimits
 		Notices  EngineNotices
 		Restores StoreRestores
@@ -58,10 +59,15 @@
 	}](t, "testdata/faults.json") {
 		t.Run(string(c.Fault), func(t *testing.T) {
 			for first := uint64(1); first <= c.Seeds; first += batchSize {
+				duration := runDuration
+				if c.Parts.enabled() {
+					duration = partsDuration
+				}
 				sum := RunAll(Options{
 					Seed:          first,
 					Defect:        c.Fault,
-					Duration:      runDuration,
+					Duration:      duration,
+					CrashingParts: c.Parts,
 					CrashingCalls: c.Crashing,
 					EngineLimits:  c.Limiting,
 					EngineNotices: c.Notices,
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -38,6 +38,8 @@
 	limit engineLimit
 	// notices is what it says about itself in its answers.
 	notices engineNotices
+	// active are the runs that its crash interrupts at once.
+	active []*attempt
 }
 
 type arrival struct {
@@ -107,6 +109,10 @@
 // crash stops the endpoint at once; its entry expires later.
 func (e *engine) crash() {
 	e.up = false
+	for _, a := range e.active {
+		a.reply(e, result.EndpointCut, true)
+	}
+	e.active = nil
 	e.world.after(leaseTTL, func() { e.world.store.remove(e) })
 }
 
@@ -150,6 +156,10 @@
 		e.world.after(crashDelay, func() { e.crashDuring(a) })
 		return
 	}
+	if a.request.hasPrompt {
+		e.runPrompt(a)
+		return
+	}
 	e.world.after(e.world.randomDuration(minRunTime, maxRunTime), func() { e.finish(a) })
 }
 
@@ -193,6 +203,10 @@
 	call       *call.Call
 	// crashesEndpoint is set if running the request crashes the endpoint.
 	crashesEndpoint bool
+	// harmfulPart is the number of the harmful part of its prompt, from 1; zero for none.
+	// hasPrompt is set on harmless requests with a prompt.
+	harmfulPart int
+	hasPrompt   bool
 	// callerRetries is how often the caller has already retried it.
 	callerRetries int
 	outcome       outcome
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -31,6 +31,8 @@
 	CheckRest            Check = "rest"
 	CheckStreamVersions  Check = "stream_versions"
 	CheckResumedStreams  Check = "resumed_streams"
+	CheckCrashingParts   Check = "crashing_parts"
+	CheckSoundParts      Check = "sound_parts"
 )
 
 const (
@@ -69,6 +71,7 @@
 	// should have been quarantined.
 	crashes             map[uint64][]time.Time
 	sentAfterQuarantine map[uint64]map[int]bool
+	parts               []*partTracker
 	// callerRetries counts interrupted requests that were sent again, and
 	// falseQuarantines harmless requests that were quarantined.
 	callerRetries    int
@@ -153,6 +156,7 @@
 	}
 	l.checkCold(e, a, now)
 	l.checkQuarantine(a)
+	l.checkCrashingParts(a)
 	l.checkLimit(e, a.from)
 	l.checkNotices(e, a.from, r.sentAt)
 	if l.converged(a.from) {
--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -34,6 +34,8 @@
 	addrs         []string
 	addrsExpireAt time.Time
 	lastID        *atomic.Int64
+	// newPrompt returns the prompt of the next request; nil if requests have none.
+	newPrompt func() prompt
 }
 
 func (tb *testbed) newClient(region string, number *atomic.Int64) *client {
@@ -56,6 +58,9 @@
 		c.resolve(ctx)
 		if v := c.pickVM(); v != nil {
 			path, service, method := c.pickRequest()
+			if c.newPrompt != nil {
+				path, service, method = partPaths[rand.IntN(len(partPaths))], serviceEngine, http.MethodPost
+			}
 			c.resumeStream(ctx, c.send(ctx, v, path, service, method, nil))
 		}
 		sleep(ctx, clientPause)
@@ -160,6 +165,9 @@
 		vm:      v.name,
 		sentAt:  time.Now(),
 	}
+	if c.newPrompt != nil {
+		a.prompt = c.newPrompt()
+	}
 	broken.describe(&a)
 	c.exchange(ctx, v, &a, path, method)
 	if ctx.Err() != nil {
@@ -177,7 +185,7 @@
 	defer cancel()
 	held := a.held
 	if held.key == "" {
-		held = c.world.pickCredential(path)
+		held = c.world.pickCredential(path, a.prompt)
 	}
 	a.held = held
 	a.workspace = held.workspace
@@ -186,7 +194,7 @@
 	a.expectServed = (held.expectServed || path == publicPath) && a.resumes == ""
 	var body io.Reader
 	if method == http.MethodPost {
-		body = strings.NewReader(strings.Repeat("b", 600))
+		body = strings.NewReader(a.prompt.body())
 	}
 	req, err := http.NewRequestWithContext(reqCtx, method, "http://"+v.frontLink.addr()+path, body)
 	if err != nil {
@@ -198,6 +206,9 @@
 	req.Host = "soak.example"
 	req.Header.Set(attemptHeader, a.id)
 	a.setResumeHeaders(req.Header)
+	if a.prompt != "" {
+		req.Header.Set(promptHeader, string(a.prompt))
+	}
 	req.Header.Set("Authorization", "Bearer "+held.key)
 	// The gateway must ignore a workspace claimed by the caller.
 	req.Header.Set("X-Fuchsianotch-Tenant", workspaceNames[rand.IntN(len(workspaceNames))])
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -42,6 +42,8 @@
 	failure string
 	// held is the credential that the client presents.
 	held credential
+	// prompt lists the parts of the attempt's prompt; empty for none.
+	prompt prompt
 	// resumes is the first attempt of the stream that the attempt resumes, after lastEvent;
 	// empty for none. versionServes is set if two replicas of the stream's version served.
 	resumes       string
@@ -195,6 +197,8 @@
 		{name: "planned_stop", do: l.checkPlannedStops},
 		{name: "unasked", do: l.checkUnsentRuns},
 		{name: "crashing_calls", do: l.checkCrashingCalls},
+		{name: "crashing_parts", do: l.checkCrashingParts},
+		{name: "sound_parts", do: l.checkSoundParts},
 		{name: "keys", do: l.checkKeys},
 		{name: "limit", do: l.checkWorkspaceLimit},
 		{name: "homes", do: l.checkHomeRegions},
@@ -395,7 +399,7 @@
 	defer l.mu.Unlock()
 	complete := 0
 	for _, a := range l.attempts {
-		if !a.expectServed || a.sentAt.Before(from) || a.sentAt.After(to) || strings.HasPrefix(a.path, "/v") || isCrashingPath(a.path) {
+		if !a.expectServed || a.sentAt.Before(from) || a.sentAt.After(to) || strings.HasPrefix(a.path, "/v") || isCrashingPath(a.path) || a.prompt.isHarmful() {
 			continue
 		}
 		sent++
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -29,6 +29,7 @@
 	clients := app.Flag("clients", "Total number of clients.").Default("18").Int()
 	regression := app.Flag("kept", "Run the regression seeds, which failed before, instead of --seed and --count.").Bool()
 	crashing := app.Flag("crashing", "Send calls that crash the replicas running them, instead of random faults.").Bool()
+	crashingParts := app.Flag("crashing-parts", "Send calls with a part of their prompts that crashes the replicas answering it, instead of random faults.").Bool()
 	limited := app.Flag("limited", "Have replicas announce rate limits, before and during the random faults.").Bool()
 	notices := app.Flag("notices", "Have replicas leave and refuse with a rest while the store is silent, before the random faults.").Bool()
 	restores := app.Flag("restores", "Have the store come back from older copies, before the random faults.").Bool()
@@ -53,6 +54,7 @@
 		FaultDuration:  *faultDuration,
 		Plot:           *plotFile,
 		CrashingCalls:  *crashing,
+		CrashingParts:  *crashingParts,
 		EndpointLimits: *limited,
 
 		EndpointNotices: *notices,
@@ -152,6 +154,8 @@
 	switch {
 	case o.CrashingCalls:
 		selected = runCrashingCalls
+	case o.CrashingParts:
+		selected = runCrashingParts
 	case o.EndpointLimits:
 		selected = runEndpointLimits
 	case o.EndpointNotices:
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -41,6 +41,20 @@
 	})
 }
 
+// TestCrashingParts guards against replicas that crash one after the other under a part of
+// prompts, in calls of which no two are alike, and against crashes that pass for whole answers.
+func TestCrashingParts(t *testing.T) {
+	runScenario(t, runCrashingParts, Options{
+		Seed:           6,
+		Regions:        3,
+		VMs:            3,
+		Engines:        3,
+		Clients:        6,
+		FaultDuration:  28 * time.Second,
+		ExcludedFaults: withoutRestores,
+	})
+}
+
 // TestNamedLimit guards against VMs exceeding a replica's announced rate limit together.
 func TestNamedLimit(t *testing.T) {
 	runScenario(t, runEndpointLimits, Options{
@@ -191,6 +205,31 @@
 				l.runs = append(l.runs, ran(id, path, "i-"+id, at))
 			}
 		}},
+		{check: "crashing_parts", make: func(l *ledger) {
+			for n := range 12 {
+				id := string(rune('a' + n))
+				run := ran(id, partPaths[0], "i-"+id, time.Duration(n)*2*time.Second)
+				run.Harmful = true
+				l.attempts = append(l.attempts, attempt{id: id, path: partPaths[0], prompt: newPrompt(true)})
+				l.runs = append(l.runs, run)
+			}
+		}},
+		{check: "sound_parts", make: func(l *ledger) {
+			for n := range 40 {
+				id := string(rune('A' + n))
+				sound := attempt{id: id, path: partPaths[0], prompt: newPrompt(false), sentAt: now.Add(-time.Minute)}
+				if n < 20 {
+					sound.versions = []string{"v1"}
+				} else {
+					sound.sentAt = now.Add(time.Minute)
+				}
+				l.attempts = append(l.attempts, sound)
+			}
+			run := ran("a", partPaths[0], "i", 0)
+			run.Harmful = true
+			l.attempts = append(l.attempts, attempt{id: "a", path: partPaths[0], prompt: newPrompt(true)})
+			l.runs = append(l.runs, run)
+		}},
 		{check: "keys", make: func(l *ledger) {
 			l.attempts = []attempt{{id: "a", path: "/get/x", workspace: "free", key: unknownKey}}
 			l.runs = []replica.Run{{Attempt: "a", Path: "/get/x", Replica: "i", Workspace: "free"}}
--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -32,6 +32,7 @@
 // brokenStream is a stream that ended early at a client.
 type brokenStream struct {
 	held      credential
+	prompt    prompt
 	first     string
 	version   string
 	lastEvent int
@@ -43,6 +44,7 @@
 		return
 	}
 	a.held = b.held
+	a.prompt = b.prompt
 	a.resumes = b.first
 	a.lastEvent = b.lastEvent
 	a.versionServes = b.serves
@@ -51,8 +53,9 @@
 // resumeStream resumes a stream that broke off after its first event, at any VM.
 func (c *client) resumeStream(ctx context.Context, a attempt) {
 	broken := &brokenStream{
-		held:  a.held,
-		first: a.id,
+		held:   a.held,
+		prompt: a.prompt,
+		first:  a.id,
 	}
 	for range maxResumes {
 		if !strings.HasPrefix(a.path, resumePath) || a.complete || a.failure != "" || ctx.Err() != nil {
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -58,6 +58,8 @@
 	ExcludedFaults []string
 	// CrashingCalls sends calls that crash replicas, instead of random faults.
 	CrashingCalls bool
+	// CrashingParts sends calls with a part that crashes replicas, instead of random faults.
+	CrashingParts bool
 	// EndpointLimits has replicas announce rate limits, before and during random faults.
 	EndpointLimits bool
 	// EndpointNotices has replicas say in their answers that they leave, or rest, before the
@@ -332,8 +334,12 @@
 		Fault:          tb.randomFault,
 		OnRequest:      tb.ledger.recordRun,
 		OnProbe:        tb.ledger.recordProbe,
-		CrashOn:        isCrashingPath,
-		OnCrash:        tb.replaceCrashed,
+		CrashOn:        crashPoint,
+		HarmfulPart:    harmfulPart,
+
+		EndsWithConnection: endsWithConnection,
+
+		OnCrash: tb.replaceCrashed,
 	}, addr)
 	if err != nil {
 		return err
--- a/testscripts/soak/workspaces.go
+++ b/testscripts/soak/workspaces.go
@@ -67,13 +67,13 @@
 
 // pickCredential picks a random workspace and usually a valid key of it, sometimes a revoked
 // or unknown one. Crashing calls always come from the same workspace, so that their content
-// is identical. So do streams that may be resumed, of engines of several versions, as a limit
+// is identical, and calls with prompts, so that they share parts. So do streams that may be resumed, of engines of several versions, as a limit
 // would refuse a part of them.
-func (tb *testbed) pickCredential(path string) credential {
+func (tb *testbed) pickCredential(path string, p prompt) credential {
 	tb.mu.Lock()
 	version := tb.version
 	tb.mu.Unlock()
-	if isCrashingPath(path) || tb.Versions > 1 && strings.HasPrefix(path, resumePath) {
+	if isCrashingPath(path) || p != "" || tb.Versions > 1 && strings.HasPrefix(path, resumePath) {
 		return credential{
 			workspace:    workspaceUnlimited,
 			key:          workspaceKey(workspaceUnlimited, version),
