An answer that ends with its connection is whole only if its endpoint is still there

Callers got streams of an endpoint that had crashed between two events as whole, short of their last events, where the answer had neither a length nor chunks; whole bodies too. To the quarantine such a crash was a good end, which clears the call.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/clock"
+	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
@@ -30,6 +31,8 @@
 	MaxResponseBytes int
 	// Dialect is the protocol of routed calls; optional where there are none.
 	Dialect Dialect
+	// Dial opens and closes a connection to an address; nil means tcp.Probe.
+	Dial func(ctx context.Context, addr string) error
 }
 
 // Client sends calls to endpoints. It is safe for concurrent use.
@@ -40,6 +43,7 @@
 	now              func() time.Time
 	maxResponseBytes int
 	dialect          Dialect
+	dial             func(ctx context.Context, addr string) error
 }
 
 // New creates a Client.
@@ -48,10 +52,14 @@
 		now:              o.Now,
 		maxResponseBytes: o.MaxResponseBytes,
 		dialect:          o.Dialect,
+		dial:             o.Dial,
 	}
 	if c.now == nil {
 		c.now = time.Now
 	}
+	if c.dial == nil {
+		c.dial = tcp.Probe
+	}
 	if c.maxResponseBytes <= 0 {
 		c.maxResponseBytes = DefaultMaxResponseBytes
 	}
@@ -99,17 +107,6 @@
 	Chunk func(data []byte) error
 }
 
-// Framing is what marks the end of a response's body.
-type Framing string
-
-// The framings of HTTP/1.1.
-const (
-	FramingLength  Framing = "length"
-	FramingChunked Framing = "chunked"
-	// FramingConnection means that the body ends with its connection.
-	FramingConnection Framing = "connection"
-)
-
 // Outcome is the result of an attempt.
 type Outcome struct {
 	// Code is Done only if a complete response was forwarded.
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -50,17 +50,6 @@
 	return x.handleResponse(resp)
 }
 
-func framingOf(resp *http.Response) Framing {
-	switch {
-	case len(resp.TransferEncoding) > 0:
-		return FramingChunked
-	case resp.ContentLength >= 0:
-		return FramingLength
-	default:
-		return FramingConnection
-	}
-}
-
 // roundTrip sends the request once. If a reused connection breaks before any byte
 // is written, it tries another connection.
 func (x *exchange) roundTrip() (*http.Response, *result.Refusal) {
@@ -150,6 +139,7 @@
 	cut := errors.Is(err, io.EOF) ||
 		errors.Is(err, io.ErrUnexpectedEOF) ||
 		errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, errPartialEvent) ||
 		errors.As(err, &netErr)
 	if cut {
 		return result.Refuse(result.EndpointCut, "the connection broke off").WithCause(err)
--- /dev/null
+++ b/endpoint/framing.go
@@ -0,0 +1,67 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// Framing is what marks the end of a response's body.
+type Framing string
+
+// The framings of HTTP/1.1.
+const (
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	// FramingConnection means that the body ends with its connection.
+	FramingConnection Framing = "connection"
+)
+
+const (
+	// endCheckTimeout covers one retransmission of a lost packet within a region. No answer
+	// to maxEndChecks dials means that the endpoint is gone or cut off.
+	endCheckTimeout = 400 * time.Millisecond
+	maxEndChecks    = 3
+)
+
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return FramingLength
+	default:
+		return FramingConnection
+	}
+}
+
+// confirmEnd checks that a body that ended with its connection is whole. The connections
+// of a crashed endpoint end in the same way, but then nothing listens at its address.
+func (x *exchange) confirmEnd() *result.Refusal {
+	if x.outcome.Framing != FramingConnection {
+		return nil
+	}
+	var err error
+	for range maxEndChecks {
+		if err = x.dialEndpoint(); err == nil {
+			return nil
+		}
+		if x.ctx.Err() != nil {
+			return x.readRefusal(err)
+		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			break
+		}
+	}
+	return result.Refuse(result.EndpointCut, "the endpoint was gone when its answer ended").WithCause(err)
+}
+
+func (x *exchange) dialEndpoint() error {
+	ctx, cancel := context.WithTimeout(x.ctx, endCheckTimeout)
+	defer cancel()
+	return x.client.dial(ctx, x.attempt.Endpoint.Addr)
+}
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -83,6 +83,9 @@
 	if body.Len() > x.client.maxResponseBytes {
 		return x.tooLargeRefusal()
 	}
+	if refusal := x.confirmEnd(); refusal != nil {
+		return refusal
+	}
 	header := endToEndHeader(resp.Header)
 	if x.attempt.Call.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(body.Len()))
@@ -155,6 +158,12 @@
 
 // finishRelay completes a stream that ended on an event boundary.
 func (x *exchange) finishRelay(resp *http.Response) *result.Refusal {
+	if refusal := x.confirmEnd(); refusal != nil {
+		return refusal
+	}
+	if x.outcome.Framing == FramingConnection && x.outcome.Delivered == 0 && x.resumeAfter() == "" {
+		return result.Refuse(result.EndpointCut, "the stream ended before its first event")
+	}
 	x.outcome.Usage.PromptTokens = x.attempt.Call.PromptTokens
 	x.outcome.Usage.GeneratedTokens = x.outcome.Delivered * x.attempt.Call.Routed.TokensPerEvent
 	return x.forwardHead(resp.StatusCode, endToEndHeader(resp.Header))
@@ -163,8 +172,7 @@
 // callerHasEvent reports whether the caller already received an event, which
 // happens if an endpoint resumes too early.
 func (x *exchange) callerHasEvent(id string) bool {
-	resumeAfter := cmp.Or(x.attempt.ResumeAfter, x.attempt.Call.Routed.ResumeAfter)
-	have, err := strconv.ParseUint(resumeAfter, 10, 64)
+	have, err := strconv.ParseUint(x.resumeAfter(), 10, 64)
 	if err != nil {
 		return false
 	}
@@ -172,6 +180,12 @@
 	return err == nil && got <= have
 }
 
+// resumeAfter returns the id of the last event that the caller received before this
+// attempt; empty for none.
+func (x *exchange) resumeAfter() string {
+	return cmp.Or(x.attempt.ResumeAfter, x.attempt.Call.Routed.ResumeAfter)
+}
+
 // rawEvent is one complete event with its lines unchanged.
 type rawEvent struct {
 	data []byte
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -21,7 +21,8 @@
 type relayCase struct {
 	Name   string
 	Answer string
-	// End is what the endpoint does after its response: "close", "reset", or nothing.
+	// End is what the endpoint does after its response: "close", "reset", "crash",
+	// which also ends its listener, or nothing.
 	End           string
 	Resume        string
 	Code          result.Code
@@ -152,6 +153,10 @@
 		body := make([]byte, req.ContentLength)
 		_, _ = req.Body.Read(body)
 		_, _ = conn.Write([]byte(answer))
+		if end == "crash" {
+			_ = ln.Close()
+			end = "close"
+		}
 		finish(conn, end)
 	}()
 	return ln.Addr().String()
