--- a/call/call.go
+++ b/call/call.go
@@ -86,11 +86,13 @@
 	ChargedRegion string
 	// Routed is set on calls of KindRouted only.
 	Routed *Routed
-	// ContentDigest is the result of ContentHash; zero until the call is served.
-	ContentDigest uint64
-	// QuarantineTrial is set on a quarantined call that is let through to test whether it still
-	// crashes endpoints.
-	QuarantineTrial bool
+	// Subjects are the call's content and the shared parts of its prompt, in this order;
+	// empty until the call is served.
+	Subjects     []Subject
+	subjectStore [inlineSubjects]Subject
+	// Trial is the quarantined subject whose call is let through to test whether it still
+	// crashes endpoints; zero for none.
+	Trial Subject
 	// Log collects the call's log lines; it may be nil.
 	Log *logs.RequestLog
 }
@@ -98,7 +100,7 @@
 // ContentHash hashes the workspace, host, method, path and body. Retries of a call
 // have the same hash under different ids, on any VM. Deadlines, estimates and the
 // resume position are excluded.
-func (c *Call) ContentHash() uint64 {
+func (c *Call) ContentHash() Subject {
 	var d xxhash.Digest
 	d.Reset()
 	host := ""
@@ -111,7 +113,7 @@
 		_, _ = d.Write(contentSeparator)
 	}
 	_, _ = d.Write(c.Body)
-	return d.Sum64()
+	return Subject(d.Sum64()) &^ partBit
 }
 
 // contentSeparator occurs in no host, method or path.
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -111,6 +111,8 @@
 type Outcome struct {
 	// Code is Done only if a complete response was forwarded.
 	Code result.Code
+	// Succeeded is set if Code is Done and the status of the response is a success.
+	Succeeded bool
 	// Framing is that of the response; empty if there was none.
 	Framing Framing
 	// Usage is as reported by the endpoint, minus the tokens before ResumeFrom.
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -47,7 +47,9 @@
 	defer func() { _ = resp.Body.Close() }()
 	x.outcome.Sent = true
 	x.outcome.Framing = framingOf(resp)
-	return x.handleResponse(resp)
+	refusal = x.handleResponse(resp)
+	x.outcome.Succeeded = refusal == nil && resp.StatusCode < http.StatusMultipleChoices
+	return refusal
 }
 
 // roundTrip sends the request once. If a reused connection breaks before any byte
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -16,6 +16,7 @@
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
@@ -96,6 +97,8 @@
 	members          *prometheus.GaugeVec
 	endpoints        *prometheus.GaugeVec
 	quarantinedCalls prometheus.Gauge
+	quarantinedParts prometheus.Gauge
+	suspectedParts   prometheus.Gauge
 	routesVersion    prometheus.Gauge
 	publishedAge     prometheus.Gauge
 	storeEra         prometheus.Gauge
@@ -145,6 +148,8 @@
 		members:          newGaugeVec("members", "VMs known, by state and region.", "state", "region"),
 		endpoints:        newGaugeVec("endpoints", "Endpoints of the own region, by state.", "state"),
 		quarantinedCalls: newGauge("calls_held", "Calls that endpoints do not get, as those that ran them crashed."),
+		quarantinedParts: newGauge("parts_held", "Parts of prompts whose calls endpoints do not get, as those that ran such calls crashed."),
+		suspectedParts:   newGauge("parts_suspected", "Parts of prompts under which endpoints crashed, and to which VMs look for answers."),
 		routesVersion:    newGauge("routes_version", "Version of the table of routes in force."),
 		storeEra:         newGauge("store_era", "Era of the store's contents that this VM holds; it rises as the store comes back from an older copy."),
 		publishedAge:     newGauge("published_age_seconds", "Time since this VM last knew that it holds what the store holds."),
@@ -156,7 +161,7 @@
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
 		m.controlBytes, m.controlPayload, m.controlMessages, m.platformReads,
-		m.members, m.endpoints, m.quarantinedCalls, m.routesVersion, m.publishedAge, m.storeEra, m.linesDropped,
+		m.members, m.endpoints, m.quarantinedCalls, m.quarantinedParts, m.suspectedParts, m.routesVersion, m.publishedAge, m.storeEra, m.linesDropped,
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
@@ -335,9 +340,12 @@
 	m.endpoints.WithLabelValues("cold").Set(float64(cold))
 }
 
-// SetQuarantinedCalls sets the number of quarantined calls, which crashed endpoints before.
-func (m *Metrics) SetQuarantinedCalls(calls int) {
-	m.quarantinedCalls.Set(float64(calls))
+// SetQuarantine sets the numbers of quarantined calls and parts of prompts, which crashed
+// endpoints before, and of suspected parts.
+func (m *Metrics) SetQuarantine(c quarantine.Counts) {
+	m.quarantinedCalls.Set(float64(c.Contents))
+	m.quarantinedParts.Set(float64(c.Parts))
+	m.suspectedParts.Set(float64(c.SuspectedParts))
 }
 
 // SetRoutesVersion sets the version of the active routing table.
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -15,6 +15,7 @@
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
@@ -61,7 +62,7 @@
 	m.SetMembers(map[string]int{"a": 2}, map[string]int{"a": 1})
 	m.SetEndpoints(3, 1)
 	m.SetRoutesVersion(7)
-	m.SetQuarantinedCalls(4)
+	m.SetQuarantine(quarantine.Counts{Contents: 4, Parts: 2, SuspectedParts: 3})
 	m.CountEndpointAnswer(endpoint.FramingConnection, true)
 	m.CountLimitRejection("hule930")
 	m.CountLimitRequest(true)
@@ -152,6 +153,8 @@
 		"fuchsianotch_store_era ":                       3,
 		"fuchsianotch_routes_version ":                  7,
 		"fuchsianotch_calls_held ":                      4,
+		"fuchsianotch_parts_held ":                      2,
+		"fuchsianotch_parts_suspected ":                 3,
 
 		"fuchsianotch_endpoint_answers_total connection true": 1,
 
--- a/node/node.go
+++ b/node/node.go
@@ -185,7 +185,8 @@
 		Quarantine: serving.Quarantine{
 			Admit:          n.crashAgent.Admit,
 			ConnectionLost: n.crashAgent.ConnectionLost,
-			Succeeded:      n.crashAgent.Succeeded,
+			Answered:       n.crashAgent.Answered,
+			TrialUnsent:    n.crashAgent.TrialUnsent,
 		},
 		Timeline: n.ring,
 		Metrics:  n.metrics,
--- a/peer/crashes.go
+++ b/peer/crashes.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
@@ -35,45 +37,93 @@
 	m := &peerpb.CrashNote{}
 	for _, c := range n.Crashes {
 		m.Crashes = append(m.Crashes, &peerpb.Crash{
-			Content: c.Content,
-			Life:    c.Incarnation,
-			AgeMs:   uint32(max(now.Sub(c.At).Milliseconds(), 0)),
-			Proven:  c.RecentlySucceeded,
+			Subject:    uint64(c.Subject),
+			Life:       c.Incarnation,
+			AgeMs:      ageMillis(c.At, now),
+			AnsweredMs: ageMillis(c.AnsweredAt, now),
+			Calls:      uint32(c.Calls),
 		})
 	}
 	for _, v := range n.Verdicts {
 		m.Verdicts = append(m.Verdicts, &peerpb.CrashVerdict{
-			Content: v.Content,
-			Version: v.Version,
-			Crashes: uint32(v.Crashes),
-			Failed:  uint32(v.FailedTrials),
-			Proven:  v.Proven,
-			TryInMs: v.NextTrialAt.Sub(now).Milliseconds(),
-			Cleared: v.Cleared,
+			Subject:   uint64(v.Subject),
+			Version:   v.Version,
+			Crashes:   uint32(v.Crashes),
+			Trials:    uint32(v.Trials),
+			Proven:    v.Proven,
+			TryInMs:   v.NextTrialAt.Sub(now).Milliseconds(),
+			Cleared:   v.State != quarantine.StateQuarantined,
+			State:     uint32(v.State),
+			Lives:     v.Incarnations,
+			CrashedMs: ageMillis(v.CrashedAt, now),
+			Calls:     uint32(v.Calls),
+		})
+	}
+	for _, a := range n.Answers {
+		m.Answers = append(m.Answers, &peerpb.SoundAnswer{
+			Subject: uint64(a.Subject),
+			AgeMs:   ageMillis(a.At, now),
 		})
 	}
 	return m
 }
 
+func stateFromProto(v *peerpb.CrashVerdict) quarantine.State {
+	switch {
+	case v.GetState() != 0:
+		return quarantine.State(v.GetState())
+	case v.GetCleared():
+		return quarantine.StateReleased
+	default:
+		return quarantine.StateQuarantined
+	}
+}
+
+// ageMillis returns the age of a time, at least 1 ms; zero for the zero time.
+func ageMillis(at, now time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(min(max(now.Sub(at).Milliseconds(), 1), math.MaxUint32))
+}
+
+// timeOfAge reverses ageMillis.
+func timeOfAge(millis uint32, sentAt time.Time) time.Time {
+	if millis == 0 {
+		return time.Time{}
+	}
+	return sentAt.Add(-time.Duration(millis) * time.Millisecond)
+}
+
 func crashNoteFromProto(m *peerpb.CrashNote, sentAt time.Time) quarantine.Note {
 	var n quarantine.Note
 	for _, c := range m.GetCrashes() {
 		n.Crashes = append(n.Crashes, quarantine.Crash{
-			Content:           c.GetContent(),
-			Incarnation:       c.GetLife(),
-			At:                sentAt.Add(-time.Duration(c.GetAgeMs()) * time.Millisecond),
-			RecentlySucceeded: c.GetProven(),
+			Subject:     call.Subject(c.GetSubject()),
+			Incarnation: c.GetLife(),
+			At:          timeOfAge(c.GetAgeMs(), sentAt),
+			Calls:       int(c.GetCalls()),
+			AnsweredAt:  timeOfAge(c.GetAnsweredMs(), sentAt),
 		})
 	}
 	for _, v := range m.GetVerdicts() {
 		n.Verdicts = append(n.Verdicts, quarantine.Verdict{
-			Content:      v.GetContent(),
+			Subject:      call.Subject(v.GetSubject()),
 			Version:      v.GetVersion(),
+			State:        stateFromProto(v),
 			Crashes:      int(v.GetCrashes()),
-			FailedTrials: int(v.GetFailed()),
+			Trials:       int(v.GetTrials()),
 			Proven:       v.GetProven(),
 			NextTrialAt:  sentAt.Add(time.Duration(v.GetTryInMs()) * time.Millisecond),
-			Cleared:      v.GetCleared(),
+			Incarnations: v.GetLives(),
+			CrashedAt:    timeOfAge(v.GetCrashedMs(), sentAt),
+			Calls:        int(v.GetCalls()),
+		})
+	}
+	for _, a := range m.GetAnswers() {
+		n.Answers = append(n.Answers, quarantine.Answer{
+			Subject: call.Subject(a.GetSubject()),
+			At:      timeOfAge(a.GetAgeMs(), sentAt),
 		})
 	}
 	return n
--- a/peer/message.go
+++ b/peer/message.go
@@ -47,7 +47,7 @@
 		MaxTokens:     uint32(c.MaxTokens),
 		PrefixHash:    c.PrefixHash,
 		Origin:        c.ChargedRegion,
-		Trial:         c.QuarantineTrial,
+		Trial:         uint64(c.Trial),
 	}
 	if c.Routed != nil {
 		writeRoutedFields(m, c, now)
@@ -78,7 +78,7 @@
 		PrefixHash:         m.GetPrefixHash(),
 		Forwarded:          true,
 		ChargedRegion:      m.GetOrigin(),
-		QuarantineTrial:    m.GetTrial(),
+		Trial:              call.Subject(m.GetTrial()),
 	}
 	if c.Kind == call.KindRouted {
 		readRoutedFields(c, m, sentAt)
--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -1,6 +1,6 @@
 // Package agent runs the quarantine on one VM: it checks whether an endpoint crashed
 // when connections to it break off, exchanges notes with other VMs, and provides the
-// quarantined calls to the request path. Decisions are made by package quarantine.
+// quarantined subjects to the request path. Decisions are made by package quarantine.
 package agent
 
 import (
@@ -9,19 +9,19 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/mailbox"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
-	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
 const (
 	// inboxCapacity covers the calls that one crash interrupts on a VM, some hundred at
 	// most.
 	inboxCapacity = 512
-	// stepInterval is the interval at which notes are sent, also to VMs that have
-	// restarted or become reachable again.
-	stepInterval = time.Second
+	// stepInterval is the interval at which notes are sent while there is anything to tell,
+	// also to VMs that have restarted or become reachable again.
+	stepInterval = 250 * time.Millisecond
 	// sendTimeout allows for a new connection between the most distant regions.
 	sendTimeout = time.Second
 	// maxConcurrentSends limits the notes in flight, as a verdict is sent to all VMs.
@@ -46,8 +46,8 @@
 	VMs func() (vms []quarantine.Peer, parted bool)
 	// Send sends a note to a VM.
 	Send func(ctx context.Context, to fleet.VM, n quarantine.Note) error
-	// OnCountChanged is called with the number of quarantined calls.
-	OnCountChanged func(held int)
+	// OnCountChanged is called with the numbers of subjects with a verdict.
+	OnCountChanged func(quarantine.Counts)
 }
 
 // Agent runs the quarantine on one VM. Its exported methods are safe for concurrent
@@ -56,10 +56,10 @@
 	options   Options
 	inbox     mailbox.Mailbox[message]
 	sendSlots chan struct{}
-	// held are the quarantined calls, read by the request path.
-	held atomic.Pointer[map[uint64]*heldCall]
-	// proven are the calls that recently succeeded.
-	proven provenCalls
+	// held are the quarantined subjects, read by the request path.
+	held atomic.Pointer[map[call.Subject]*heldSubject]
+	// answers are the subjects that were recently answered.
+	answers *quarantine.Answers
 
 	// The following fields are used by the agent's goroutine only.
 	list *quarantine.List
@@ -67,11 +67,12 @@
 	stepDue bool
 	// checks are the endpoint checks that are in progress or have a valid result.
 	checks map[instance]*check
+	counts quarantine.Counts
 }
 
-// heldCall is a quarantined call.
-type heldCall struct {
-	quarantine.QuarantinedCall
+// heldSubject is a quarantined subject.
+type heldSubject struct {
+	quarantine.Quarantined
 	// trialUntil is when the current trial times out, in nanoseconds since the epoch.
 	trialUntil atomic.Int64
 }
@@ -81,14 +82,16 @@
 
 // New creates an Agent; Run starts it.
 func New(o Options) *Agent {
+	answers := &quarantine.Answers{}
 	a := &Agent{
 		options:   o,
 		inbox:     mailbox.New[message](inboxCapacity),
 		sendSlots: make(chan struct{}, maxConcurrentSends),
-		list:      quarantine.New(o.VM),
+		answers:   answers,
+		list:      quarantine.New(o.VM, answers),
 		checks:    make(map[instance]*check),
 	}
-	a.held.Store(&map[uint64]*heldCall{})
+	a.held.Store(&map[call.Subject]*heldSubject{})
 	return a
 }
 
@@ -139,44 +142,86 @@
 	}
 }
 
-// ConnectionLost reports that the connection broke off on which an endpoint was running a call.
-// firstAt is when the answer began, zero if it had not.
-func (a *Agent) ConnectionLost(content uint64, e fleet.Endpoint, firstAt time.Time) {
+// ConnectionLost reports that the connection broke off on which an endpoint was running a
+// call. firstAt is when the answer began, zero if it had not. The subjects must not change.
+func (a *Agent) ConnectionLost(subjects []call.Subject, e fleet.Endpoint, firstAt time.Time) {
 	if !quarantine.MayHaveCrashed(firstAt, a.options.Now()) {
-		a.Succeeded(content)
+		a.Answered(subjects)
 		return
 	}
-	a.post(func(ctx context.Context, now time.Time) { a.checkEndpoint(ctx, content, e, now) })
+	a.post(func(ctx context.Context, now time.Time) { a.checkEndpoint(ctx, subjects, e, now) })
 }
 
-// Succeeded reports that an endpoint ran a call without crashing.
-func (a *Agent) Succeeded(content uint64) {
-	a.proven.add(content)
-	if (*a.held.Load())[content] == nil {
-		return
+// Answered reports that an endpoint answered a call, or a part of the call long enough,
+// without crashing.
+func (a *Agent) Answered(subjects []call.Subject) {
+	now := a.options.Now()
+	held := *a.held.Load()
+	for _, s := range subjects {
+		a.answers.Add(s, now)
+		if len(held) > 0 && held[s] != nil {
+			a.post(func(_ context.Context, now time.Time) { a.endQuarantine(s, now) })
+		}
+	}
+}
+
+// endQuarantine ends the quarantine of a content, and reports an answer to a part to its
+// owners.
+func (a *Agent) endQuarantine(s call.Subject, now time.Time) {
+	if !s.IsPart() {
+		a.list.Succeeded(s, now)
+	}
+	a.stepDue = true
+}
+
+// Admit reports whether a call may be sent to endpoints. A call with one quarantined subject
+// may be admitted as a trial of it if this VM is allowed to try it now. trial is the subject
+// that the call was already admitted to try; zero for none.
+func (a *Agent) Admit(subjects []call.Subject, trial call.Subject) quarantine.Admission {
+	held := *a.held.Load()
+	if len(held) == 0 {
+		return quarantine.Admission{Trial: trial}
+	}
+	var first *heldSubject
+	for _, s := range subjects {
+		h := held[s]
+		if h == nil || s == trial || h == first {
+			continue
+		}
+		if first != nil || trial != 0 {
+			return quarantine.Admission{Held: h.Subject, Crashes: h.Crashes}
+		}
+		first = h
 	}
+	switch {
+	case first == nil:
+		return quarantine.Admission{Trial: trial}
+	case first.startTrial(a.options.Now()):
+		a.trialStarted(first.Subject)
+		return quarantine.Admission{Trial: first.Subject}
+	default:
+		return quarantine.Admission{Held: first.Subject, Crashes: first.Crashes}
+	}
+}
+
+func (a *Agent) trialStarted(subject call.Subject) {
 	a.post(func(_ context.Context, now time.Time) {
-		a.list.Succeeded(content, now)
+		a.list.TrialStarted(subject, now)
 		a.stepDue = true
 	})
 }
 
-// Admit reports whether a call may be sent to endpoints. A quarantined call may be
-// admitted as a trial if this VM is allowed to try it now.
-func (a *Agent) Admit(content uint64) (refusal *result.Refusal, trial bool) {
-	h := (*a.held.Load())[content]
-	if h == nil {
-		return nil, false
-	}
-	if h.startTrial(a.options.Now()) {
-		return nil, true
-	}
-	return result.Refuse(result.Quarantined, "%d endpoints crashed under this call", h.Crashes), false
+// TrialUnsent reports that a call that was admitted as a trial reached no endpoint.
+func (a *Agent) TrialUnsent(subject call.Subject) {
+	a.post(func(_ context.Context, now time.Time) {
+		a.list.TrialUnsent(subject, now)
+		a.stepDue = true
+	})
 }
 
-// startTrial reports whether the call may run as a trial now, and if so starts the
+// startTrial reports whether a call may be sent as a trial now, and if so starts the
 // trial.
-func (h *heldCall) startTrial(now time.Time) bool {
+func (h *heldSubject) startTrial(now time.Time) bool {
 	until := h.trialUntil.Load()
 	if h.TryAt.IsZero() || now.Before(h.TryAt) || now.UnixNano() < until {
 		return false
@@ -185,7 +230,7 @@
 }
 
 // MembersChanged reports that the reachable VMs have changed, so that a new VM learns
-// the quarantined calls before it gets callers.
+// the quarantined subjects before it gets callers.
 func (a *Agent) MembersChanged() {
 	a.post(func(context.Context, time.Time) { a.stepDue = a.stepDue || !a.isIdle() })
 }
@@ -198,7 +243,7 @@
 	})
 }
 
-// step sends the notes that are due and publishes the quarantined calls.
+// step sends the notes that are due and publishes the quarantined subjects.
 func (a *Agent) step(ctx context.Context, now time.Time) {
 	a.dropExpiredChecks(now)
 	a.list.Step(now)
@@ -227,29 +272,48 @@
 	})
 }
 
-// publish updates the quarantined calls for the request path and logs the changes.
-func (a *Agent) publish(list []quarantine.QuarantinedCall) {
+// publish updates the quarantined subjects for the request path and logs the changes.
+func (a *Agent) publish(list []quarantine.Quarantined) {
 	before := *a.held.Load()
-	after := make(map[uint64]*heldCall, len(list))
+	after := make(map[call.Subject]*heldSubject, len(list))
 	changed := len(list) != len(before)
 	for _, h := range list {
-		known := before[h.Content]
+		known := before[h.Subject]
 		if known == nil {
-			a.options.Log.Warn("call_quarantined", "content", contentText(h.Content), "crashes", h.Crashes)
+			a.logQuarantined(h)
 		}
-		if known == nil || known.QuarantinedCall != h {
-			known = &heldCall{QuarantinedCall: h}
+		if known == nil || known.Quarantined != h {
+			known = &heldSubject{Quarantined: h}
 			changed = true
 		}
-		after[h.Content] = known
+		after[h.Subject] = known
 	}
-	for content := range before {
-		if after[content] == nil {
-			a.options.Log.Info("call_released", "content", contentText(content))
+	for subject := range before {
+		if after[subject] == nil {
+			a.logReleased(subject)
 		}
 	}
 	if changed {
 		a.held.Store(&after)
-		a.options.OnCountChanged(len(after))
 	}
+	if counts := a.list.Counts(); counts != a.counts {
+		a.counts = counts
+		a.options.OnCountChanged(counts)
+	}
+}
+
+func (a *Agent) logQuarantined(h quarantine.Quarantined) {
+	if h.Subject.IsPart() {
+		a.options.Log.Warn("part_quarantined", "part", h.Subject.String(), "crashes", h.Crashes)
+		return
+	}
+	a.options.Log.Warn("call_quarantined", "content", h.Subject.String(), "crashes", h.Crashes)
+}
+
+func (a *Agent) logReleased(subject call.Subject) {
+	if subject.IsPart() {
+		a.options.Log.Info("part_released", "part", subject.String())
+		return
+	}
+	a.options.Log.Info("call_released", "content", subject.String())
 }
--- a/quarantine/agent/agent_test.go
+++ b/quarantine/agent/agent_test.go
@@ -12,9 +12,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
-	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
 // noteLatency is the time that a note takes between two VMs.
@@ -25,14 +25,14 @@
 	order []quarantine.Peer
 	byVM  map[string]*Agent
 	mu    sync.Mutex
-	held  map[string]int
+	held  map[string]quarantine.Counts
 }
 
 // startFleet starts agents whose endpoints have all crashed.
 func startFleet(ctx context.Context, names ...string) *testFleet {
 	f := &testFleet{
 		byVM: make(map[string]*Agent),
-		held: make(map[string]int),
+		held: make(map[string]quarantine.Counts),
 	}
 	for _, name := range names {
 		f.order = append(f.order, quarantine.Peer{
@@ -51,7 +51,7 @@
 				f.byVM[to.ID].Receive(n)
 				return nil
 			},
-			OnCountChanged: func(held int) {
+			OnCountChanged: func(held quarantine.Counts) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				f.held[name] = held
@@ -64,8 +64,8 @@
 	return f
 }
 
-// count returns the number of quarantined calls that a VM last reported.
-func (f *testFleet) count(name string) int {
+// counts returns the numbers of subjects that a VM last reported.
+func (f *testFleet) counts(name string) quarantine.Counts {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.held[name]
@@ -81,21 +81,20 @@
 		f := startFleet(ctx, "a1", "a2", "b1", "b2", "c1")
 		for i, name := range []string{"a1", "b2", "c1"} {
 			e := fleet.Endpoint{ID: name, Incarnation: int64(i)}
-			f.byVM[name].ConnectionLost(7, e, time.Time{})
-			f.byVM[name].ConnectionLost(uint64(100+i), e, time.Time{})
+			f.byVM[name].ConnectionLost([]call.Subject{7}, e, time.Time{})
+			f.byVM[name].ConnectionLost([]call.Subject{call.Subject(100 + i)}, e, time.Time{})
 			// This answer had lasted too long for the call to be the cause.
-			f.byVM[name].ConnectionLost(8, e, time.Now().Add(-10*time.Second))
+			f.byVM[name].ConnectionLost([]call.Subject{8}, e, time.Now().Add(-10*time.Second))
 			time.Sleep(300 * time.Millisecond)
 		}
 		for name, a := range f.byVM {
-			refusal, trial := a.Admit(7)
-			assert.Assert(t, refusal != nil && !trial, name)
-			assert.Equal(t, refusal.Code, result.Quarantined)
-			for _, other := range []uint64{8, 100, 101, 102} {
-				refusal, _ := a.Admit(other)
-				assert.Assert(t, refusal == nil, "%s holds %d", name, other)
+			admission := a.Admit([]call.Subject{7}, 0)
+			assert.Equal(t, admission, quarantine.Admission{Held: 7, Crashes: 3}, name)
+			for _, other := range []call.Subject{8, 100, 101, 102} {
+				admission := a.Admit([]call.Subject{other}, 0)
+				assert.Equal(t, admission, quarantine.Admission{}, "%s holds %d", name, other)
 			}
-			assert.Equal(t, f.count(name), 1)
+			assert.Equal(t, f.counts(name), quarantine.Counts{Contents: 1})
 		}
 	})
 }
@@ -109,36 +108,121 @@
 		defer stop()
 		f := startFleet(ctx, "a1", "a2", "b1")
 		for i := range 3 {
-			f.byVM["a1"].ConnectionLost(7, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
+			f.byVM["a1"].ConnectionLost([]call.Subject{7}, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
 			time.Sleep(300 * time.Millisecond)
 		}
 		time.Sleep(90 * time.Second)
 		trials := 0
 		for _, a := range f.byVM {
 			for range 3 {
-				if _, trial := a.Admit(7); trial {
+				if a.Admit([]call.Subject{7}, 0).Trial != 0 {
 					trials++
 				}
 			}
 		}
 		// One trial in each of the two regions, which are both allowed one by now.
 		assert.Equal(t, trials, 2)
-		f.byVM["a2"].Succeeded(7)
+		f.byVM["a2"].Answered([]call.Subject{7})
 		time.Sleep(time.Second)
 		for name, a := range f.byVM {
-			refusal, _ := a.Admit(7)
-			assert.Assert(t, refusal == nil, name)
+			assert.Equal(t, a.Admit([]call.Subject{7}, 0), quarantine.Admission{}, name)
 		}
 	})
 }
 
-// BenchmarkAdmit measures Admit while no call is quarantined.
+// Parts of the prompts in tests: all calls share the first one, harmful calls the second one.
+var firstPart, harmfulPart = call.PartSubject("", 1), call.PartSubject("", 2)
+
+// TestCrashingPart guards against endpoints that crash one after the other under one part, in
+// calls that are all different, and against refusing sound calls with their first part.
+func TestCrashingPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		f := startFleet(ctx, "a1", "a2", "b1", "b2", "c1")
+		admitted := 0
+		for i := range 8 {
+			vm := f.byVM[f.order[i%5].VM.ID]
+			subjects := []call.Subject{call.Subject(100 + i), firstPart, harmfulPart}
+			if vm.Admit(subjects, 0).Held == 0 {
+				admitted++
+				vm.ConnectionLost(subjects, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
+			}
+			time.Sleep(400 * time.Millisecond)
+			f.byVM["c1"].Answered([]call.Subject{call.Subject(200 + i), firstPart})
+			time.Sleep(400 * time.Millisecond)
+		}
+		assert.Equal(t, admitted, 3)
+		for name, a := range f.byVM {
+			admission := a.Admit([]call.Subject{300, harmfulPart, firstPart}, 0)
+			assert.Equal(t, admission, quarantine.Admission{Held: harmfulPart, Crashes: 3}, name)
+			assert.Equal(t, a.Admit([]call.Subject{301, firstPart}, 0), quarantine.Admission{}, name)
+			assert.Equal(t, f.counts(name).Parts, 1)
+		}
+	})
+}
+
+// TestTrialOfPart checks that the calls with a part get one trial, whichever comes first, and
+// that a call with two quarantined subjects is no trial.
+func TestTrialOfPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		f := startFleet(ctx, "a1")
+		a := f.byVM["a1"]
+		for i := range 3 {
+			a.ConnectionLost([]call.Subject{7, harmfulPart}, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
+			a.ConnectionLost([]call.Subject{8, firstPart}, fleet.Endpoint{ID: "e", Incarnation: int64(10 + i)}, time.Time{})
+			time.Sleep(600 * time.Millisecond)
+		}
+		a.ConnectionLost([]call.Subject{9, harmfulPart}, fleet.Endpoint{ID: "e", Incarnation: 4}, time.Time{})
+		a.ConnectionLost([]call.Subject{9, firstPart}, fleet.Endpoint{ID: "e", Incarnation: 14}, time.Time{})
+		time.Sleep(90 * time.Second)
+		assert.Equal(t, f.counts("a1").Parts, 2)
+		assert.Equal(t, a.Admit([]call.Subject{10, harmfulPart, firstPart}, 0).Trial, call.Subject(0))
+		assert.Equal(t, a.Admit([]call.Subject{11, harmfulPart}, 0).Trial, harmfulPart)
+		assert.Equal(t, a.Admit([]call.Subject{11, harmfulPart, firstPart}, harmfulPart).Held, firstPart)
+		assert.Equal(t, a.Admit([]call.Subject{12, harmfulPart}, 0).Held, harmfulPart)
+		a.TrialUnsent(harmfulPart)
+		time.Sleep(90 * time.Second)
+		assert.Equal(t, a.Admit([]call.Subject{13, harmfulPart}, 0).Trial, harmfulPart)
+		a.Answered([]call.Subject{13, harmfulPart})
+		time.Sleep(time.Second)
+		assert.Equal(t, a.Admit([]call.Subject{14, harmfulPart}, 0), quarantine.Admission{})
+	})
+}
+
+// BenchmarkAdmit measures Admit for a call with five subjects, with none and with one
+// subject quarantined.
 func BenchmarkAdmit(b *testing.B) {
-	a := New(Options{VM: "a"})
-	b.ReportAllocs()
-	for i := range b.N {
-		if refusal, _ := a.Admit(uint64(i)); refusal != nil {
-			b.Fatal(refusal)
+	a := New(Options{
+		VM: "a",
+	})
+	subjects := []call.Subject{1, call.PartSubject("", 1), call.PartSubject("", 2), call.PartSubject("", 3), call.PartSubject("", 4)}
+	measure := func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			if a.Admit(subjects, 0).Held != 0 {
+				b.Fatal("refused")
+			}
 		}
 	}
+	b.Run("none", measure)
+	a.held.Store(&map[call.Subject]*heldSubject{harmfulPart + 1: {}})
+	b.Run("one", measure)
+}
+
+// BenchmarkAnswered measures Answered for a call with five subjects.
+func BenchmarkAnswered(b *testing.B) {
+	a := New(Options{
+		VM:  "a",
+		Now: time.Now,
+	})
+	subjects := []call.Subject{1, call.PartSubject("", 1), call.PartSubject("", 2), call.PartSubject("", 3), call.PartSubject("", 4)}
+	b.ReportAllocs()
+	for b.Loop() {
+		a.Answered(subjects)
+	}
 }
--- a/quarantine/agent/check.go
+++ b/quarantine/agent/check.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
@@ -68,40 +70,62 @@
 // check is the check of one instance.
 type check struct {
 	state checkState
-	// contents are the calls interrupted while the check is in progress.
-	contents []uint64
+	// calls is the number of calls interrupted until the check ended.
+	calls int
+	// subjects are those of all interrupted calls, once each, and callsOf how many have each.
+	subjects []call.Subject
+	callsOf  []int
 	// expiresAt is set once the result is known.
 	expiresAt time.Time
 }
 
+// add adds an interrupted call and returns the index of the first subject that no call
+// before it has.
+func (c *check) add(subjects []call.Subject) int {
+	c.calls++
+	known := len(c.subjects)
+	for _, s := range subjects {
+		i := slices.Index(c.subjects, s)
+		if i < 0 {
+			c.subjects = append(c.subjects, s)
+			c.callsOf = append(c.callsOf, 0)
+			i = len(c.subjects) - 1
+		}
+		c.callsOf[i]++
+	}
+	return known
+}
+
 // checkEndpoint checks whether the endpoint that ran a call has crashed, unless the
 // result is already known.
-func (a *Agent) checkEndpoint(ctx context.Context, content uint64, e fleet.Endpoint, now time.Time) {
+func (a *Agent) checkEndpoint(ctx context.Context, subjects []call.Subject, e fleet.Endpoint, now time.Time) {
 	target := instanceOf(e)
 	known := a.checks[target]
 	switch {
 	case known == nil || (known.state != stateChecking && !now.Before(known.expiresAt)):
 		known = &check{
-			state:    stateChecking,
-			contents: []uint64{content},
+			state: stateChecking,
 		}
+		known.add(subjects)
 		a.checks[target] = known
 		go a.probe(ctx, e)
 	case known.state == stateChecking:
-		known.contents = append(known.contents, content)
+		known.add(subjects)
 	case known.state == stateCrashed:
-		a.recordCrash(target, []uint64{content}, now)
+		a.recordCrash(target, known, known.add(subjects), now)
 	}
 }
 
-// recordCrash records that an endpoint crashed while it was running calls.
-func (a *Agent) recordCrash(crashed instance, contents []uint64, now time.Time) {
-	for _, content := range contents {
+// recordCrash records that an endpoint crashed while it was running calls with the subjects
+// of its check, beginning with one.
+func (a *Agent) recordCrash(crashed instance, c *check, from int, now time.Time) {
+	for i, s := range c.subjects[from:] {
 		a.list.AddCrash(quarantine.Crash{
-			Content:           content,
-			Incarnation:       crashed.hash(),
-			At:                now,
-			RecentlySucceeded: a.proven.has(content),
+			Subject:     s,
+			Incarnation: crashed.hash(),
+			At:          now,
+			Calls:       c.callsOf[from+i],
+			AnsweredAt:  a.answers.At(s),
 		})
 	}
 	a.stepDue = true
@@ -151,10 +175,13 @@
 	level := slog.LevelDebug
 	if found == stateCrashed {
 		level = slog.LevelInfo
-		a.recordCrash(target, known.contents, now)
+		a.recordCrash(target, known, 0, now)
+	}
+	a.options.Log.Log(context.Background(), level, "endpoint_checked", "endpoint", e.ID, "state", string(found), "calls", known.calls)
+	if found != stateCrashed {
+		known.subjects = nil
+		known.callsOf = nil
 	}
-	a.options.Log.Log(context.Background(), level, "endpoint_checked", "endpoint", e.ID, "state", string(found), "calls", len(known.contents))
-	known.contents = nil
 }
 
 // dropExpiredChecks removes the checks whose results are no longer valid.
--- a/quarantine/agent/check_test.go
+++ b/quarantine/agent/check_test.go
@@ -14,6 +14,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
 )
@@ -62,13 +63,13 @@
 					Dial:           d.dial,
 					Published:      func(fleet.Endpoint) bool { return !c.leaves },
 					VMs:            func() ([]quarantine.Peer, bool) { return nil, false },
-					OnCountChanged: func(int) {},
+					OnCountChanged: func(quarantine.Counts) {},
 				})
 				ctx, stop := context.WithCancel(t.Context())
 				go func() { _ = a.Run(ctx) }()
 				e := fleet.Endpoint{ID: "e", Incarnation: 1}
-				for content := range uint64(5) {
-					a.ConnectionLost(content, e, time.Time{})
+				for content := range call.Subject(5) {
+					a.ConnectionLost([]call.Subject{content}, e, time.Time{})
 				}
 				time.Sleep(maxDials * (dialTimeout + dialInterval))
 				stop()
--- a/quarantine/note.go
+++ b/quarantine/note.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/entry"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
@@ -19,10 +20,11 @@
 type Note struct {
 	Crashes  []Crash
 	Verdicts []Verdict
+	Answers  []Answer
 }
 
 func (n Note) isEmpty() bool {
-	return len(n.Crashes) == 0 && len(n.Verdicts) == 0
+	return len(n.Crashes) == 0 && len(n.Verdicts) == 0 && len(n.Answers) == 0
 }
 
 // Outgoing is a note to be sent.
@@ -43,7 +45,9 @@
 // peerState is what another VM is known to have received.
 type peerState struct {
 	incarnation   uint64
-	knownVersions map[uint64]uint32
+	knownVersions map[call.Subject]uint32
+	// knownAnswers holds the last answer to each part that the VM received as an owner.
+	knownAnswers map[call.Subject]time.Time
 	// sending is set while a note is in flight.
 	sending bool
 }
@@ -62,6 +66,8 @@
 	}
 	owners := &ownerIndex{vms: vms}
 	l.addCrashes(owners, noteTo, now)
+	l.addAnswers(owners, noteTo, now)
+	l.reconsiderOwned(owners, now)
 	l.addVerdicts(owners, noteTo)
 	var out []Outgoing
 	for id, next := range notes {
@@ -76,7 +82,7 @@
 
 func (l *List) addCrashes(owners *ownerIndex, noteTo func(Peer) *Outgoing, now time.Time) {
 	for _, w := range l.localCrashes {
-		for _, owner := range owners.owners(w.Content) {
+		for _, owner := range owners.owners(w.Subject) {
 			if known, ok := w.acknowledgedBy[owner.VM.ID]; ok && known == owner.Incarnation {
 				continue
 			}
@@ -92,16 +98,56 @@
 	}
 }
 
+// addAnswers reports answers to parts with a verdict: once what was known before the last
+// crash, and once the first answer after it.
+func (l *List) addAnswers(owners *ownerIndex, noteTo func(Peer) *Outgoing, now time.Time) {
+	for subject, v := range l.verdicts {
+		at := l.answers.At(subject)
+		if !subject.IsPart() || v.State == StateReleased || at.IsZero() {
+			continue
+		}
+		answer := Answer{
+			Subject: subject,
+			At:      at,
+		}
+		for _, owner := range owners.owners(subject) {
+			if owner.VM.ID == l.self {
+				l.recordAnswer(answer, now)
+				continue
+			}
+			known := l.stateOf(owner).knownAnswers[subject]
+			if known.After(v.CrashedAt) || !at.After(known) {
+				continue
+			}
+			next := noteTo(owner)
+			next.Note.Answers = append(next.Note.Answers, answer)
+		}
+	}
+}
+
+// reconsiderOwned reconsiders the quarantined subjects that this VM owns.
+func (l *List) reconsiderOwned(owners *ownerIndex, now time.Time) {
+	if !l.unreconsidered {
+		return
+	}
+	l.unreconsidered = false
+	for subject, v := range l.verdicts {
+		if v.State == StateQuarantined && slices.ContainsFunc(owners.owners(subject), func(p Peer) bool { return p.VM.ID == l.self }) {
+			l.reconsider(v, now)
+		}
+	}
+}
+
 // addVerdicts sends the verdicts decided here or owned by this VM to all others, and
 // the remaining ones to their owners, which may have restarted.
 func (l *List) addVerdicts(owners *ownerIndex, noteTo func(Peer) *Outgoing) {
-	for content, v := range l.verdicts {
-		recipients := owners.owners(content)
+	for subject, v := range l.verdicts {
+		recipients := owners.owners(subject)
 		if v.decidedLocally || slices.ContainsFunc(recipients, func(p Peer) bool { return p.VM.ID == l.self }) {
 			recipients = owners.vms
 		}
 		for _, p := range recipients {
-			if p.VM.ID == l.self || l.stateOf(p).knownVersions[content] >= v.Version {
+			if p.VM.ID == l.self || l.stateOf(p).knownVersions[subject] >= v.Version {
 				continue
 			}
 			next := noteTo(p)
@@ -116,14 +162,23 @@
 	if state == nil || state.incarnation != p.Incarnation {
 		state = &peerState{
 			incarnation:   p.Incarnation,
-			knownVersions: make(map[uint64]uint32),
+			knownVersions: make(map[call.Subject]uint32),
+			knownAnswers:  make(map[call.Subject]time.Time),
 		}
 		l.peers[p.VM.ID] = state
 	}
 	return state
 }
 
-// shardCount is the number of shards of contents. It bounds how many VMs are notified
+// forgetVersions forgets what other VMs know about a subject.
+func (l *List) forgetVersions(subject call.Subject) {
+	for _, state := range l.peers {
+		delete(state.knownVersions, subject)
+		delete(state.knownAnswers, subject)
+	}
+}
+
+// shardCount is the number of shards of subjects. It bounds how many VMs are notified
 // by a VM that loses many endpoints at once: two per shard, whatever the size of the
 // fleet.
 const (
@@ -132,21 +187,21 @@
 )
 
 // ownerIndex caches the owners of each shard, since a VM may report crashes of hundreds
-// of contents at once.
+// of subjects at once.
 type ownerIndex struct {
 	vms     []Peer
 	byShard [shardCount][]Peer
 }
 
-// owners returns the VMs that count the crashes of a content and distribute its
+// owners returns the VMs that count the crashes of a subject and distribute its
 // verdict: the highest-ranked VM, and the highest-ranked one of another region, which
 // survives the loss of the first region.
-func (r *ownerIndex) owners(content uint64) []Peer {
-	shard := content % shardCount
+func (r *ownerIndex) owners(subject call.Subject) []Peer {
+	shard := subject % shardCount
 	if r.byShard[shard] != nil {
 		return r.byShard[shard]
 	}
-	key := shardKeyPrefix + strconv.FormatUint(shard, 10)
+	key := shardKeyPrefix + strconv.FormatUint(uint64(shard), 10)
 	first := highestRanked(key, r.vms, "")
 	if first == nil {
 		return nil
@@ -178,10 +233,6 @@
 	return first
 }
 
-func contentKey(content uint64) string {
-	return strconv.FormatUint(content, 16)
-}
-
 // Delivered records whether a note was received.
 func (l *List) Delivered(next Outgoing, arrived bool) {
 	state := l.stateOf(next.To)
@@ -193,25 +244,34 @@
 		w.acknowledgedBy[next.To.VM.ID] = next.To.Incarnation
 	}
 	for _, v := range next.Note.Verdicts {
-		state.knownVersions[v.Content] = max(state.knownVersions[v.Content], v.Version)
+		state.knownVersions[v.Subject] = max(state.knownVersions[v.Subject], v.Version)
+	}
+	for _, a := range next.Note.Answers {
+		state.knownAnswers[a.Subject] = a.At
 	}
 }
 
 // Receive processes a note of another VM. Crashes are counted even if this VM does not
-// consider itself an owner of their content, as the sender may know other VMs.
+// consider itself an owner of their subject, as the sender may know other VMs.
 func (l *List) Receive(n Note, now time.Time) {
 	for _, c := range n.Crashes {
 		l.recordCrash(c, now)
 	}
 	for _, v := range n.Verdicts {
-		known, ok := l.verdicts[v.Content]
-		if ok && known.Version >= v.Version {
+		if known, ok := l.verdicts[v.Subject]; ok && !v.supersedes(known) {
 			continue
 		}
 		v.decidedLocally = false
-		if v.Cleared {
-			l.dropEvidence(v.Content)
-		}
 		l.storeVerdict(v, now)
 	}
+	for _, a := range n.Answers {
+		l.recordAnswer(a, now)
+	}
+}
+
+func (v *Verdict) supersedes(known *Verdict) bool {
+	if v.Version != known.Version {
+		return v.Version > known.Version
+	}
+	return v.State > known.State
 }
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,8 +1,10 @@
 // Package quarantine decides which calls are no longer sent to endpoints because
-// endpoints that ran them crashed. A call is identified by a hash of its content, as
-// retries by the caller have new ids. Each VM reports the crashes it observes to the
-// two VMs that own the content. These count them and, when enough endpoints have
-// crashed, send a verdict to all VMs.
+// endpoints that ran such calls crashed. A crash is attributed to subjects: the content
+// of each call that the endpoint ran, as retries by callers have new ids, and the parts of
+// its prompt, which calls of other contents share. Each VM reports the crashes it observes to
+// the two VMs that own a subject. These count them, ask all VMs whether calls with a
+// suspected part are answered, and when enough endpoints have crashed, send a verdict to
+// all VMs.
 //
 // The package is a state machine for one goroutine: time is passed in, and the caller
 // sends the notes.
@@ -11,40 +13,57 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
 )
 
 const (
-	// crashesToQuarantine is the number of endpoints that must have crashed while they
-	// ran a call. With fewer, the crashes may have other causes.
+	// crashesToQuarantine is the number of endpoints that must have crashed under a subject.
+	// With fewer, the crashes may have other causes.
 	crashesToQuarantine = 3
-	// crashesWhilePartitioned is the same while other VMs are unreachable, which may
-	// have seen further crashes.
+	// crashesWhilePartitioned is the same for a content while other VMs are unreachable,
+	// which may have seen further crashes.
 	crashesWhilePartitioned = 2
+	// crashesToSuspect is the number of crashes at which all VMs are asked whether calls
+	// with a part are answered.
+	crashesToSuspect = 2
 	// crashRetention is how long a crash counts. Callers that repeat a call do so
 	// within minutes.
 	crashRetention = 30 * time.Minute
-	// provenCrashWindow is the same for a call that recently succeeded, such as one
+	// provenCrashWindow is the same for a content that recently succeeded, such as one
 	// that many callers send. Only crashes at nearly the same time count, since it
 	// succeeded between others.
 	provenCrashWindow = 5 * time.Second
-	// initialHold is how long a call is quarantined before its first trial. Each trial
-	// that crashes another endpoint multiplies the time by holdGrowthFactor, so that three
-	// trials take over an hour.
-	// provenInitialHold applies to a call that recently succeeded, which must not be
-	// blocked for long when several endpoints fail at once for another reason.
-	initialHold       = time.Minute
-	provenInitialHold = time.Second
-	holdGrowthFactor  = 8
-	// clearedRetention is how long the end of a quarantine is distributed.
-	clearedRetention = time.Minute
-	// maxHold bounds the time to the next trial. A verdict expires when it has not
+	// answerWait is how long VMs have to report answers before a part is quarantined: a
+	// step of theirs, and the ways there and back between the most distant regions.
+	answerWait = 500 * time.Millisecond
+	// silenceOfProven is how long no VM must have known an answer to a part that had been
+	// answered before. Crashes at nearly the same time have other causes.
+	silenceOfProven = 3 * time.Second
+	// initialHold is how long a subject is quarantined before its first trial. Each trial
+	// multiplies the time by holdGrowthFactor, so that maxTrials take over an hour.
+	// shortHold applies to a subject that recently succeeded, and to one of several that
+	// explain the same crashes: sound calls must not be blocked for long.
+	initialHold      = time.Minute
+	shortHold        = time.Second
+	holdGrowthFactor = 8
+	// maxTrials is the number of trials before maxHold applies.
+	maxTrials = 3
+	// suspicionRetention is how long VMs report answers to a suspected part, and
+	// releasedRetention how long the end of a quarantine is distributed.
+	suspicionRetention = time.Minute
+	releasedRetention  = time.Minute
+	// maxHold bounds the time to the next trial. A quarantine expires when it has not
 	// changed for that long.
 	maxHold = 24 * time.Hour
 	// maxSuspects, maxVerdicts and maxLocalCrashes bound the memory in use, at about
-	// 100 bytes an entry. The oldest entries are evicted.
+	// 100 bytes an entry. Entries with the fewest crashes are evicted first, so that many new
+	// subjects do not displace a harmful one.
 	maxSuspects     = 2048
 	maxVerdicts     = 256
-	maxLocalCrashes = 512
+	maxLocalCrashes = 2048
+	// maxIncarnations bounds the crashed endpoints that a verdict lists.
+	maxIncarnations = 16
 )
 
 // healthyAnswerDuration is how long an endpoint must have been answering a call for a
@@ -59,30 +78,62 @@
 	return firstAt.IsZero() || brokeAt.Sub(firstAt) < healthyAnswerDuration
 }
 
+// SoundAnswerDuration is how long an endpoint must have been answering a call for its
+// subjects to count as answered.
+const SoundAnswerDuration = time.Second
+
 // Crash is the crash of an endpoint that was running a call.
 type Crash struct {
-	Content uint64
+	Subject call.Subject
 	// Incarnation is a hash of the endpoint's id and incarnation.
 	Incarnation uint64
 	At          time.Time
-	// RecentlySucceeded is set if the call recently succeeded on the VM that observed the crash.
-	RecentlySucceeded bool
+	// Calls is the number of calls with the subject that the VM saw interrupted.
+	Calls int
+	// AnsweredAt is when the VM that observed the crash last knew an answer to a call with
+	// the subject; zero if it knows none.
+	AnsweredAt time.Time
+}
+
+// Answer is a sound answer to a call with a suspected or quarantined part.
+type Answer struct {
+	Subject call.Subject
+	At      time.Time
 }
 
-// Verdict starts or ends the quarantine of a call.
+// State is the state of a subject with a Verdict.
+type State uint8
+
+// The states. Of two verdicts with the same version the one with the higher state is valid.
+const (
+	// StateSuspected means that VMs report answers to calls with a part.
+	StateSuspected State = iota + 1
+	// StateReleased ends a suspicion or a quarantine.
+	StateReleased
+	// StateQuarantined means that calls are not sent to endpoints.
+	StateQuarantined
+)
+
+// Verdict is what the owners of a subject tell all VMs about it.
 type Verdict struct {
-	Content uint64
+	Subject call.Subject
 	// Version increases with each change; the highest one is valid.
 	Version uint32
-	// Crashes is the number of endpoints that crashed while they ran the call, and
-	// Failed the number of them that crashed during trials.
-	Crashes      int
-	FailedTrials int
-	Proven       bool
+	State   State
+	// Crashes is the number of endpoints that crashed under the subject, Trials the number
+	// of trials, which are counted as they start.
+	Crashes int
+	Trials  int
+	// Proven is set if the subject was answered before the crashes.
+	Proven bool
 	// NextTrialAt is when the next trial is allowed.
 	NextTrialAt time.Time
-	Cleared     bool
-	expiresAt   time.Time
+	// Incarnations are the crashed endpoints, and CrashedAt is when the last one crashed.
+	Incarnations []uint64
+	CrashedAt    time.Time
+	// Calls is the number of calls with the subject that the crashes interrupted.
+	Calls     int
+	expiresAt time.Time
 	// decidedLocally is set if this VM made the verdict, and therefore distributes it
 	// even if it is not an owner.
 	decidedLocally bool
@@ -90,35 +141,34 @@
 
 // List is the quarantine state of one VM. It is not safe for concurrent use.
 type List struct {
-	self string
+	self    string
+	answers *Answers
 	// partitioned is set while other VMs are unreachable.
 	partitioned  bool
 	localCrashes []*localCrash
-	suspects     map[uint64]*suspect
-	verdicts     map[uint64]*Verdict
+	suspects     map[call.Subject]*suspect
+	verdicts     map[call.Subject]*Verdict
+	// quarantinedBy indexes the quarantined subjects by the endpoints that crashed under them;
+	// nil if it is outdated. unreconsidered is set until they were compared with each other.
+	quarantinedBy  map[uint64][]*Verdict
+	unreconsidered bool
 	// peers holds what other VMs have received, by VM id.
 	peers map[string]*peerState
 }
 
-// suspect counts the crashes of a call that is not quarantined.
-type suspect struct {
-	crashes []Crash
-	proven  bool
-	lastAt  time.Time
-}
-
-// New creates an empty List for the VM with the id self.
-func New(self string) *List {
+// New creates an empty List for the VM with the id self, which knows of the given answers.
+func New(self string, answers *Answers) *List {
 	return &List{
 		self:     self,
-		suspects: make(map[uint64]*suspect),
-		verdicts: make(map[uint64]*Verdict),
+		answers:  answers,
+		suspects: make(map[call.Subject]*suspect),
+		verdicts: make(map[call.Subject]*Verdict),
 		peers:    make(map[string]*peerState),
 	}
 }
 
 // AddCrash adds a crash that this VM observed, to be reported to the owners of the
-// content.
+// subject.
 func (l *List) AddCrash(c Crash) {
 	if len(l.localCrashes) >= maxLocalCrashes {
 		l.localCrashes = slices.Delete(l.localCrashes, 0, 1)
@@ -129,170 +179,257 @@
 	})
 }
 
-// IsEmpty reports whether there is nothing to send and no call in quarantine.
+// IsEmpty reports whether there is nothing to send and no subject with a verdict.
 func (l *List) IsEmpty() bool {
 	return len(l.localCrashes) == 0 && len(l.suspects) == 0 && len(l.verdicts) == 0
 }
 
-// recordCrash counts a crash as an owner of its content.
+// recordCrash counts a crash as an owner of its subject.
 func (l *List) recordCrash(c Crash, now time.Time) {
 	if now.Sub(c.At) > crashRetention {
 		return
 	}
-	if v, ok := l.verdicts[c.Content]; ok && !v.Cleared {
-		l.recordTrialCrash(v, c, now)
+	if v, ok := l.verdicts[c.Subject]; ok && v.State == StateQuarantined {
+		l.recordCrashInQuarantine(v, c, now)
 		return
 	}
-	s := l.suspect(c.Content)
-	if slices.ContainsFunc(s.crashes, func(known Crash) bool { return known.Incarnation == c.Incarnation }) {
+	s := l.suspect(c.Subject)
+	if i := slices.IndexFunc(s.crashes, func(known Crash) bool { return known.Incarnation == c.Incarnation }); i >= 0 {
+		s.crashes[i].Calls += c.Calls
 		return
 	}
 	s.crashes = append(s.crashes, c)
-	s.proven = s.proven || c.RecentlySucceeded
 	s.lastAt = now
-	s.dropExpired(now)
-	if len(s.crashes) < l.crashThreshold() {
+	s.recordAnswer(c.AnsweredAt)
+	s.recordAnswer(l.answers.At(c.Subject))
+	l.decide(s, now)
+}
+
+// recordCrashInQuarantine counts a crash under a quarantined subject. Crashes before the
+// next trial is due come from calls that were already running: they only show which
+// endpoints the subject has crashed.
+func (l *List) recordCrashInQuarantine(v *Verdict, c Crash, now time.Time) {
+	next := *v
+	isTrial := !c.At.Before(v.NextTrialAt)
+	isNew := !slices.Contains(v.Incarnations, c.Incarnation) && len(v.Incarnations) < maxIncarnations
+	if !isTrial && !isNew {
 		return
 	}
-	l.setVerdict(Verdict{
-		Content:     c.Content,
-		Crashes:     len(s.crashes),
-		Proven:      s.proven,
-		NextTrialAt: now.Add(holdDuration(s.proven, 0)),
-	}, now)
-	delete(l.suspects, c.Content)
+	if isNew {
+		next.Incarnations = append(slices.Clone(v.Incarnations), c.Incarnation)
+		next.Calls += c.Calls
+	}
+	if isTrial {
+		next.Crashes++
+		next.Trials++
+		next.NextTrialAt = now.Add(holdDuration(v.Proven, next.Trials))
+	}
+	if c.At.After(v.CrashedAt) {
+		next.CrashedAt = c.At
+	}
+	l.setVerdict(next, now)
 }
 
-// crashThreshold is the number of crashes at which a call is quarantined.
-func (l *List) crashThreshold() int {
+// decide quarantines a suspect, or asks the other VMs about it.
+func (l *List) decide(s *suspect, now time.Time) {
+	s.dropExpired(now)
+	counted := l.unexplainedCrashes(s)
+	switch {
+	case l.isConvicted(s, counted, now):
+		l.setVerdict(Verdict{
+			Subject:      s.subject,
+			State:        StateQuarantined,
+			Crashes:      len(counted),
+			Proven:       s.isProven(),
+			NextTrialAt:  now.Add(holdDuration(s.isProven(), 0)),
+			Incarnations: incarnationsOf(counted),
+			CrashedAt:    counted[len(counted)-1].At,
+			Calls:        callsOf(counted),
+		}, now)
+		delete(l.suspects, s.subject)
+	case s.subject.IsPart() && s.suspectedAt.IsZero() && len(counted) >= crashesToSuspect:
+		s.suspectedAt = now
+		l.setVerdict(Verdict{
+			Subject:      s.subject,
+			State:        StateSuspected,
+			Crashes:      len(counted),
+			Incarnations: incarnationsOf(counted),
+			CrashedAt:    counted[len(counted)-1].At,
+			Calls:        callsOf(counted),
+		}, now)
+	}
+}
+
+// isConvicted reports whether the crashes under a suspect suffice for its quarantine. A part
+// is shared by many calls, so the VMs that may know answers to it are heard first.
+func (l *List) isConvicted(s *suspect, counted []Crash, now time.Time) bool {
+	if !s.subject.IsPart() {
+		return len(counted) >= l.contentThreshold()
+	}
+	if len(counted) < crashesToQuarantine || s.suspectedAt.IsZero() || now.Sub(s.suspectedAt) < answerWait {
+		return false
+	}
+	return !s.isProven() || now.Sub(counted[0].At) >= silenceOfProven
+}
+
+// contentThreshold is the number of crashes at which a content is quarantined.
+func (l *List) contentThreshold() int {
 	if l.partitioned {
 		return crashesWhilePartitioned
 	}
 	return crashesToQuarantine
 }
 
-// recordTrialCrash counts a crash under a quarantined call. Crashes before the next
-// trial is due come from calls that were already running and change nothing.
-func (l *List) recordTrialCrash(v *Verdict, c Crash, now time.Time) {
-	if c.At.Before(v.NextTrialAt) {
-		return
+// holdDuration is the time to the next trial after the given number of trials.
+func holdDuration(short bool, trials int) time.Duration {
+	if trials >= maxTrials {
+		return maxHold
 	}
-	next := *v
-	next.Crashes++
-	next.FailedTrials++
-	next.NextTrialAt = now.Add(holdDuration(v.Proven, next.FailedTrials))
-	l.setVerdict(next, now)
-}
-
-// holdDuration is the time to the next trial after the given number of failed ones.
-func holdDuration(proven bool, failedTrials int) time.Duration {
 	hold := initialHold
-	if proven {
-		hold = provenInitialHold
+	if short {
+		hold = shortHold
 	}
-	for range failedTrials {
-		hold = min(hold*holdGrowthFactor, maxHold)
+	for range trials {
+		hold *= holdGrowthFactor
 	}
 	return hold
 }
 
-// setVerdict stores a verdict as a new version.
+// setVerdict stores a verdict as a new version. Versions begin at the time in seconds, as
+// other VMs may remember a subject for longer than this one.
 func (l *List) setVerdict(v Verdict, now time.Time) {
-	if known, ok := l.verdicts[v.Content]; ok {
-		v.Version = known.Version
+	v.Version = uint32(now.Unix())
+	if known, ok := l.verdicts[v.Subject]; ok {
+		v.Version = max(v.Version, known.Version+1)
 	}
-	v.Version++
 	v.decidedLocally = true
 	l.storeVerdict(v, now)
 }
 
 func (l *List) storeVerdict(v Verdict, now time.Time) {
-	v.expiresAt = now.Add(maxHold)
-	if v.Cleared {
-		v.expiresAt = now.Add(clearedRetention)
+	switch v.State {
+	case StateSuspected:
+		v.expiresAt = now.Add(suspicionRetention)
+	case StateReleased:
+		v.expiresAt = now.Add(releasedRetention)
+		l.dropEvidence(v.Subject)
+	default:
+		v.expiresAt = now.Add(maxHold)
+	}
+	known, ok := l.verdicts[v.Subject]
+	if !ok && len(l.verdicts) >= maxVerdicts {
+		l.evictVerdict()
 	}
-	if _, known := l.verdicts[v.Content]; !known && len(l.verdicts) >= maxVerdicts {
-		l.dropOldestVerdict()
+	if ok && known.State == StateQuarantined && v.State == StateSuspected {
+		l.suspects[v.Subject] = suspectOf(known, now)
 	}
-	l.verdicts[v.Content] = &v
+	l.verdicts[v.Subject] = &v
+	l.quarantinedBy = nil
+	l.unreconsidered = true
 }
 
-// Succeeded ends the quarantine of a call that has succeeded.
-func (l *List) Succeeded(content uint64, now time.Time) {
+// Succeeded ends the quarantine of a content that has succeeded. Answers to parts are
+// reported to their owners in notes.
+func (l *List) Succeeded(content call.Subject, now time.Time) {
 	l.dropEvidence(content)
-	v, ok := l.verdicts[content]
-	if !ok || v.Cleared {
-		return
+	if v, ok := l.verdicts[content]; ok && v.State == StateQuarantined {
+		l.release(content, now)
 	}
-	l.setVerdict(Verdict{
-		Content: content,
-		Cleared: true,
-	}, now)
 }
 
-// dropEvidence removes the crashes of a content, including those observed here, which
-// would otherwise be reported again to a new owner.
-func (l *List) dropEvidence(content uint64) {
-	delete(l.suspects, content)
-	l.localCrashes = slices.DeleteFunc(l.localCrashes, func(w *localCrash) bool { return w.Content == content })
+func (l *List) release(subject call.Subject, now time.Time) {
+	l.setVerdict(Verdict{
+		Subject: subject,
+		State:   StateReleased,
+	}, now)
 }
 
-// suspect returns the entry of a content, and creates it if necessary.
-func (l *List) suspect(content uint64) *suspect {
-	if s, ok := l.suspects[content]; ok {
-		return s
+// recordAnswer applies an answer to a part as an owner.
+func (l *List) recordAnswer(a Answer, now time.Time) {
+	if s, ok := l.suspects[a.Subject]; ok {
+		s.recordAnswer(a.At)
 	}
-	if len(l.suspects) >= maxSuspects {
-		l.dropOldestSuspect()
+	if v, ok := l.verdicts[a.Subject]; ok && v.State == StateQuarantined && a.At.After(v.CrashedAt) {
+		l.release(a.Subject, now)
 	}
-	s := &suspect{}
-	l.suspects[content] = s
-	return s
 }
 
-func (l *List) dropOldestSuspect() {
-	var oldest uint64
-	var at time.Time
-	for content, s := range l.suspects {
-		if at.IsZero() || s.lastAt.Before(at) {
-			oldest, at = content, s.lastAt
-		}
+// TrialStarted counts a trial as it starts, so that no other follows while its result is
+// unknown, wherever it was lost.
+func (l *List) TrialStarted(subject call.Subject, now time.Time) {
+	v, ok := l.verdicts[subject]
+	if !ok || v.State != StateQuarantined {
+		return
 	}
-	delete(l.suspects, oldest)
+	next := *v
+	next.Trials++
+	next.NextTrialAt = now.Add(holdDuration(v.Proven, next.Trials))
+	l.setVerdict(next, now)
 }
 
-func (l *List) dropOldestVerdict() {
-	var oldest uint64
-	var at time.Time
-	for content, v := range l.verdicts {
-		if at.IsZero() || v.expiresAt.Before(at) {
-			oldest, at = content, v.expiresAt
-		}
+// TrialUnsent takes a trial back that reached no endpoint.
+func (l *List) TrialUnsent(subject call.Subject, now time.Time) {
+	v, ok := l.verdicts[subject]
+	if !ok || v.State != StateQuarantined || v.Trials == 0 {
+		return
 	}
-	delete(l.verdicts, oldest)
+	next := *v
+	next.Trials--
+	next.NextTrialAt = now.Add(holdDuration(v.Proven, next.Trials))
+	l.setVerdict(next, now)
 }
 
-// dropExpired removes the crashes that no longer count.
-func (s *suspect) dropExpired(now time.Time) {
-	retention := crashRetention
-	if s.proven {
-		retention = provenCrashWindow
-	}
-	s.crashes = slices.DeleteFunc(s.crashes, func(c Crash) bool { return now.Sub(c.At) > retention })
+// dropEvidence removes the crashes of a subject, including those observed here, which
+// would otherwise be reported again to a new owner.
+func (l *List) dropEvidence(subject call.Subject) {
+	delete(l.suspects, subject)
+	l.localCrashes = slices.DeleteFunc(l.localCrashes, func(w *localCrash) bool { return w.Subject == subject })
 }
 
-// Step removes expired entries.
+// Step removes what has expired or was answered, and decides on suspects that VMs were asked
+// about.
 func (l *List) Step(now time.Time) {
-	for content, s := range l.suspects {
+	for subject, s := range l.suspects {
 		s.dropExpired(now)
-		if len(s.crashes) == 0 {
-			delete(l.suspects, content)
+		switch {
+		case len(s.crashes) == 0:
+			delete(l.suspects, subject)
+		case !s.suspectedAt.IsZero():
+			l.decide(s, now)
 		}
 	}
-	for content, v := range l.verdicts {
+	for subject, v := range l.verdicts {
 		if !now.Before(v.expiresAt) {
-			delete(l.verdicts, content)
+			delete(l.verdicts, subject)
+			l.quarantinedBy = nil
+			l.forgetVersions(subject)
+		}
+	}
+	l.localCrashes = slices.DeleteFunc(l.localCrashes, func(w *localCrash) bool {
+		return now.Sub(w.At) > crashRetention || w.Subject.IsPart() && l.answers.At(w.Subject).After(w.At)
+	})
+}
+
+// evictVerdict removes the verdict that matters least.
+func (l *List) evictVerdict() {
+	var least *Verdict
+	for _, v := range l.verdicts {
+		if least == nil || v.rankBelow(least) {
+			least = v
 		}
 	}
-	l.localCrashes = slices.DeleteFunc(l.localCrashes, func(w *localCrash) bool { return now.Sub(w.At) > crashRetention })
+	delete(l.verdicts, least.Subject)
+	l.quarantinedBy = nil
+}
+
+// rankBelow orders verdicts by state, number of crashes and age.
+func (v *Verdict) rankBelow(other *Verdict) bool {
+	isHeld, otherHeld := v.State == StateQuarantined, other.State == StateQuarantined
+	if isHeld != otherHeld {
+		return otherHeld
+	}
+	if len(v.Incarnations) != len(other.Incarnations) {
+		return len(v.Incarnations) < len(other.Incarnations)
+	}
+	return v.expiresAt.Before(other.expiresAt)
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
@@ -21,6 +22,7 @@
 	now          time.Time
 	order        []string
 	lists        map[string]*List
+	answers      map[string]*Answers
 	incarnations map[string]uint64
 	// down are VMs that do not run; isolated are VMs that reach only each other.
 	down     map[string]bool
@@ -32,6 +34,7 @@
 		now:          time.Unix(1e9, 0),
 		order:        names,
 		lists:        make(map[string]*List),
+		answers:      make(map[string]*Answers),
 		incarnations: make(map[string]uint64),
 		down:         make(map[string]bool),
 		isolated:     make(map[string]bool),
@@ -43,7 +46,8 @@
 }
 
 func (s *simulation) start(name string) {
-	s.lists[name] = New(name)
+	s.answers[name] = &Answers{}
+	s.lists[name] = New(name, s.answers[name])
 	s.incarnations[name]++
 	s.down[name] = false
 }
@@ -88,19 +92,19 @@
 	vms, _ := s.reachable(name)
 	var out []string
 	for _, h := range s.lists[name].Held(vms) {
-		out = append(out, fmt.Sprintf("%d:%d", h.Content, h.Crashes))
+		out = append(out, fmt.Sprintf("%s:%d", subjectName(h.Subject), h.Crashes))
 	}
 	slices.Sort(out)
 	return strings.Join(out, " ")
 }
 
 // trials returns which VMs may admit a trial, and when.
-func (s *simulation) trials(content uint64) string {
+func (s *simulation) trials(subject call.Subject) string {
 	var out []string
 	for _, name := range s.order {
 		vms, _ := s.reachable(name)
 		for _, h := range s.lists[name].Held(vms) {
-			if h.Content == content && !h.TryAt.IsZero() && !s.down[name] {
+			if h.Subject == subject && !h.TryAt.IsZero() && !s.down[name] {
 				out = append(out, fmt.Sprintf("%s:%s", name, h.TryAt.Sub(s.now).Round(time.Second)))
 			}
 		}
@@ -114,14 +118,17 @@
 	case "vms":
 		*s = *newSimulation(words...)
 	case "crash":
-		s.lists[words[0]].AddCrash(Crash{
-			Content:           number(t, words[1]),
-			Incarnation:       number(t, words[2]),
-			At:                s.now,
-			RecentlySucceeded: len(words) > 3,
-		})
+		for _, name := range strings.Split(words[1], ",") {
+			s.crash(t, words[0], parseSubject(t, name), number(t, words[2]), len(words) > 3)
+		}
 	case "ended_well":
-		s.lists[words[0]].Succeeded(number(t, words[1]), s.now)
+		s.lists[words[0]].Succeeded(parseSubject(t, words[1]), s.now)
+	case "answer":
+		s.answers[words[0]].Add(parseSubject(t, words[1]), s.now)
+	case "try":
+		s.lists[words[0]].TrialStarted(parseSubject(t, words[1]), s.now)
+	case "untried":
+		s.lists[words[0]].TrialUnsent(parseSubject(t, words[1]), s.now)
 	case "deliver":
 		s.deliver()
 	case "notes":
@@ -146,12 +153,14 @@
 	case "held":
 		return s.held(words[0])
 	case "tries":
-		return s.trials(number(t, words[0]))
+		return s.trials(parseSubject(t, words[0]))
+	case "suspected":
+		return strconv.Itoa(s.lists[words[0]].Counts().SuspectedParts)
 	case "owners":
 		vms, _ := s.reachable(s.order[0])
 		var out []string
 		ranked := &ownerIndex{vms: vms}
-		for _, p := range ranked.owners(number(t, words[0])) {
+		for _, p := range ranked.owners(parseSubject(t, words[0])) {
 			out = append(out, p.VM.ID)
 		}
 		return strings.Join(out, " ")
@@ -161,6 +170,49 @@
 	return ""
 }
 
+// crash adds a crash. It was answered a moment before if it is proven; what the VM knows of
+// answers counts besides.
+func (s *simulation) crash(t *testing.T, vm string, subject call.Subject, incarnation uint64, proven bool) {
+	t.Helper()
+	answeredAt := s.answers[vm].At(subject)
+	if proven {
+		answeredAt = s.now
+	}
+	s.lists[vm].AddCrash(Crash{
+		Subject:     subject,
+		Incarnation: incarnation,
+		At:          s.now,
+		Calls:       1,
+		AnsweredAt:  answeredAt,
+	})
+}
+
+// partNames holds the names of the parts in scripts.
+var partNames = map[call.Subject]string{}
+
+func init() {
+	for i := range 30 {
+		name := fmt.Sprintf("p%d", i)
+		partNames[call.PartSubject("", uint64(i))] = name
+	}
+}
+
+// parseSubject parses a content, which is a number, or a part, which has a "p" before it.
+func parseSubject(t *testing.T, text string) call.Subject {
+	t.Helper()
+	if part, ok := strings.CutPrefix(text, "p"); ok {
+		return call.PartSubject("", number(t, part))
+	}
+	return call.Subject(number(t, text))
+}
+
+func subjectName(s call.Subject) string {
+	if s.IsPart() {
+		return partNames[s]
+	}
+	return strconv.FormatUint(uint64(s), 10)
+}
+
 func number(t *testing.T, text string) uint64 {
 	t.Helper()
 	n, err := strconv.ParseUint(text, 10, 64)
@@ -177,15 +229,16 @@
 	})
 }
 
-// TestAllAgree checks that all VMs quarantine the same calls after random crashes,
-// partitions and restarts, and no call under which too few endpoints crashed.
+// TestAllAgree checks that all VMs quarantine the same subjects after random crashes, answers,
+// partitions and restarts, and none under which too few endpoints crashed.
 func TestAllAgree(t *testing.T) {
+	subjects := []call.Subject{1, 2, 3, call.PartSubject("", 1), call.PartSubject("", 2)}
 	rapid.Check(t, func(t *rapid.T) {
 		sim := newSimulation("a1", "a2", "b1", "b2", "c1")
-		endpoints := make(map[uint64]map[uint64]bool)
+		endpoints := make(map[call.Subject]map[uint64]bool)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			vm := rapid.SampledFrom(sim.order).Draw(t, "vm")
-			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			switch rapid.IntRange(0, 10).Draw(t, "what") {
 			case 0:
 				sim.start(vm)
 			case 1:
@@ -196,31 +249,41 @@
 				sim.deliver()
 			case 4:
 				sim.now = sim.now.Add(time.Duration(rapid.IntRange(0, 90).Draw(t, "seconds")) * time.Second)
+			case 5:
+				sim.answers[vm].Add(rapid.SampledFrom(subjects[3:]).Draw(t, "answered"), sim.now)
 			default:
-				content := rapid.Uint64Range(1, 3).Draw(t, "content")
+				subject := rapid.SampledFrom(subjects).Draw(t, "subject")
 				endpoint := rapid.Uint64Range(1, 8).Draw(t, "life")
-				sim.lists[vm].AddCrash(Crash{Content: content, Incarnation: endpoint, At: sim.now})
-				if endpoints[content] == nil {
-					endpoints[content] = make(map[uint64]bool)
+				sim.lists[vm].AddCrash(Crash{Subject: subject, Incarnation: endpoint, At: sim.now, AnsweredAt: sim.answers[vm].At(subject)})
+				if endpoints[subject] == nil {
+					endpoints[subject] = make(map[uint64]bool)
 				}
-				endpoints[content][endpoint] = true
+				endpoints[subject][endpoint] = true
 			}
 		}
 		clear(sim.isolated)
+		for range 4 {
+			sim.deliver()
+			sim.now = sim.now.Add(answerWait)
+			for _, list := range sim.lists {
+				list.Step(sim.now)
+			}
+		}
 		sim.deliver()
 		for _, name := range sim.order {
-			assert.Equal(t, heldContents(sim, name), heldContents(sim, sim.order[0]))
+			assert.Equal(t, heldSubjects(sim, name), heldSubjects(sim, sim.order[0]))
 		}
 		for _, h := range sim.lists[sim.order[0]].Held(nil) {
-			assert.Assert(t, len(endpoints[h.Content]) >= crashesWhilePartitioned)
+			assert.Assert(t, len(endpoints[h.Subject]) >= crashesWhilePartitioned)
+			assert.Assert(t, !h.Subject.IsPart() || len(endpoints[h.Subject]) >= crashesToQuarantine)
 		}
 	})
 }
 
-func heldContents(sim *simulation, name string) string {
+func heldSubjects(sim *simulation, name string) string {
 	var out []string
 	for _, h := range sim.lists[name].Held(nil) {
-		out = append(out, strconv.FormatUint(h.Content, 10))
+		out = append(out, subjectName(h.Subject))
 	}
 	slices.Sort(out)
 	return strings.Join(out, " ")
@@ -230,9 +293,13 @@
 // calls.
 func TestStateIsBounded(t *testing.T) {
 	sim := newSimulation("a1")
-	for content := range uint64(4 * maxSuspects) {
-		for endpoint := range 1 + content%4 {
-			sim.lists["a1"].AddCrash(Crash{Content: content, Incarnation: content*10 + endpoint, At: sim.now})
+	for number := range uint64(4 * maxSuspects) {
+		subject := call.Subject(number)
+		if number%2 == 0 {
+			subject = call.PartSubject("", number)
+		}
+		for endpoint := range 1 + number%4 {
+			sim.lists["a1"].AddCrash(Crash{Subject: subject, Incarnation: number*10 + endpoint, At: sim.now})
 		}
 		sim.deliver()
 		sim.now = sim.now.Add(time.Millisecond)
@@ -263,7 +330,7 @@
 	}
 	sim := newSimulation(names...)
 	for i := range uint64(60) {
-		sim.lists["a0"].AddCrash(Crash{Content: i * 0x9e3779b97f4a7c15, Incarnation: i % 24, At: sim.now})
+		sim.lists["a0"].AddCrash(Crash{Subject: call.Subject(i*0x9e3779b97f4a7c15) >> 1, Incarnation: i % 24, At: sim.now})
 	}
 	vms, partitioned := sim.reachable("a0")
 	notes := sim.lists["a0"].DueNotes(vms, partitioned, sim.now)
@@ -281,7 +348,7 @@
 	}
 	sim := newSimulation(names...)
 	for i := range uint64(6) {
-		sim.lists["a0"].AddCrash(Crash{Content: i % 2, Incarnation: i, At: sim.now})
+		sim.lists["a0"].AddCrash(Crash{Subject: call.Subject(i % 2), Incarnation: i, At: sim.now})
 	}
 	sim.deliver()
 	vms, partitioned := sim.reachable("a0")
--- a/serving/answer_tracker.go
+++ b/serving/answer_tracker.go
@@ -105,7 +105,7 @@
 	if previous.NextIsRetry() {
 		routed.Retry = true
 		// A quarantine trial ends with its first attempt.
-		next.QuarantineTrial = false
+		next.Trial = 0
 	}
 	return &next
 }
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -2,27 +2,42 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
-// checkQuarantine refuses a call whose content is quarantined for crashing endpoints.
-// It is called on arrival, before each attempt, and right before the first byte, as
-// the content may be quarantined while the call waits. A call that is repeated under new
-// ids can otherwise crash all endpoints of a deployment within seconds.
+// checkQuarantine refuses a call whose content, or a part of whose prompt, is quarantined for
+// crashing endpoints. It is called on arrival, before each attempt, and right before the
+// first byte, as the verdict may arrive while the call waits. Calls that are repeated under
+// new ids, or that share a part, can otherwise crash all endpoints of a deployment within
+// seconds.
 func (s *Server) checkQuarantine(c *call.Call) *result.Refusal {
-	if c.QuarantineTrial {
-		return nil
+	admission := s.options.Quarantine.Admit(c.Subjects, c.Trial)
+	if admission.Held != 0 {
+		return quarantineRefusal(c, admission)
 	}
-	refusal, trial := s.options.Quarantine.Admit(c.ContentDigest)
-	if trial {
-		c.QuarantineTrial = true
-		c.Log.Fail("call_tried", contentAttr(c), slog.String("service", c.Target()))
+	if admission.Trial != c.Trial {
+		c.Trial = admission.Trial
+		c.Log.Fail("call_tried", contentAttr(c), slog.String("subject", c.Trial.String()), slog.String("service", c.Target()))
 	}
-	return refusal
+	return nil
+}
+
+func quarantineRefusal(c *call.Call, a quarantine.Admission) *result.Refusal {
+	if !a.Held.IsPart() {
+		return result.Refuse(result.Quarantined, "%d endpoints crashed under this call", a.Crashes)
+	}
+	for i, p := range c.Routed.SharedParts() {
+		if c.Subjects[1+i] == a.Held {
+			return result.Refuse(result.Quarantined, "%d endpoints crashed under part %x of the prompt", a.Crashes, p.ID)
+		}
+	}
+	return result.Refuse(result.Quarantined, "%d endpoints crashed under a part of the prompt", a.Crashes)
 }
 
 // withQuarantineCheck runs checkQuarantine before next.
@@ -37,14 +52,39 @@
 
 // reportToQuarantine reports how an attempt ended. A crashing endpoint may break off
 // its response anywhere, also within an event, so a malformed response counts as a
-// crash too. A trial ends with its first attempt.
+// crash too. Only a success shows that the endpoint has run the call without harm. A trial
+// ends with its first attempt.
 func (s *Server) reportToQuarantine(c *call.Call, e fleet.Endpoint, out endpoint.Outcome) {
 	switch {
 	case out.Code == result.Done:
-		s.options.Quarantine.Succeeded(c.ContentDigest)
+		if out.Succeeded {
+			s.options.Quarantine.Answered(c.Subjects)
+		}
 	case !out.Sent || out.CallerDisconnected || out.ErrorResponse != nil:
 	case out.Code == result.EndpointCut || out.Code == result.EndpointFailed:
-		c.QuarantineTrial = false
-		s.options.Quarantine.ConnectionLost(c.ContentDigest, e, out.FirstByteAt)
+		c.Trial = 0
+		s.options.Quarantine.ConnectionLost(c.Subjects, e, out.FirstByteAt)
+	}
+}
+
+// soundProgress reports a stream as answered once it has gone on for long enough, as it may
+// last for much longer.
+type soundProgress struct {
+	firstAt  time.Time
+	reported bool
+}
+
+func (s *Server) reportProgress(c *call.Call, p *soundProgress) {
+	if p.reported || p.firstAt.IsZero() || s.options.Now().Sub(p.firstAt) < quarantine.SoundAnswerDuration {
+		return
+	}
+	p.reported = true
+	s.options.Quarantine.Answered(c.Subjects)
+}
+
+// returnUnsentTrial takes a trial back that began with this call and reached no endpoint.
+func (s *Server) returnUnsentTrial(c *call.Call, outcome call.Outcome) {
+	if c.Trial != 0 && !c.Forwarded && outcome.Code.Class() == result.ClassNotRun && !outcome.Sent {
+		s.options.Quarantine.TrialUnsent(c.Trial)
 	}
 }
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +16,7 @@
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/timeline"
@@ -58,16 +60,24 @@
 				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
 				Metrics:  metrics.New(),
 				Quarantine: Quarantine{
-					Admit: func(uint64) (*result.Refusal, bool) {
+					Admit: func(_ []call.Subject, trial call.Subject) quarantine.Admission {
+						if trial != 0 {
+							return quarantine.Admission{Trial: trial}
+						}
 						next := admits[0]
 						admits = admits[1:]
-						if next == "no" {
-							return result.Refuse(result.Quarantined, "held"), false
+						switch next {
+						case "no":
+							return quarantine.Admission{Held: 7, Crashes: 3}
+						case "trial":
+							return quarantine.Admission{Trial: 7}
+						default:
+							return quarantine.Admission{}
 						}
-						return nil, next == "trial"
 					},
-					ConnectionLost: func(uint64, fleet.Endpoint, time.Time) { reported = append(reported, "cut") },
-					Succeeded:      func(uint64) { reported = append(reported, "ended_well") },
+					ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) { reported = append(reported, "cut") },
+					Answered:       func([]call.Subject) { reported = append(reported, "ended_well") },
+					TrialUnsent:    func(call.Subject) {},
 				},
 			})
 			out := s.sendWithRetries(t.Context(), &call.Call{
@@ -100,7 +110,10 @@
 			Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
 			Metrics:  metrics.New(),
 			Quarantine: Quarantine{
-				Admit: func(uint64) (*result.Refusal, bool) { return result.Refuse(result.Quarantined, "held"), false },
+				Admit: func([]call.Subject, call.Subject) quarantine.Admission {
+					return quarantine.Admission{Held: 7, Crashes: 3}
+				},
+				TrialUnsent: func(call.Subject) {},
 			},
 		})
 		c := routedTestCall(routedCase{Idempotent: true})
@@ -109,3 +122,82 @@
 		assert.Equal(t, out.Code, result.Quarantined)
 	}
 }
+
+// answerCase is one row of testdata/answered.json.
+type answerCase struct {
+	Name   string
+	Status int
+	// Framing of the endpoint's response: "length" or "connection". Crash ends the endpoint
+	// before the response ends.
+	Framing string
+	Crash   bool
+	// Want is what is reported to the quarantine: "answered", "cut" or nothing.
+	Want     string
+	WantCode result.Code `json:"want_code"`
+}
+
+// signedDialect takes every response with an id as signed.
+var signedDialect = endpoint.Dialect{
+	SetRequestHeader: func(http.Header, endpoint.RequestParams) {},
+	ReadResponseHead: func(_ int, h http.Header, _ time.Time) endpoint.ResponseHead {
+		return endpoint.ResponseHead{
+			ID:     h.Get("Attempt"),
+			Signed: true,
+		}
+	},
+	ReadNotice: func(int, http.Header, time.Time) endpoint.Notice { return endpoint.Notice{} },
+}
+
+// TestCrashIsNoAnswer guards against a crash that is taken for an answer, which would clear the
+// parts of prompts that caused it.
+func TestCrashIsNoAnswer(t *testing.T) {
+	for _, c := range datatest.Read[[]answerCase](t, "testdata/answered.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			reported := ""
+			var server *httptest.Server
+			server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Attempt", "r-1")
+				if c.Framing == "connection" {
+					w.Header().Set("Transfer-Encoding", "identity")
+				}
+				w.WriteHeader(c.Status)
+				_, _ = io.WriteString(w, "hello")
+				if c.Crash {
+					_ = server.Listener.Close()
+				}
+			}))
+			defer server.Close()
+			s := New(Options{
+				Now:      time.Now,
+				VM:       "a",
+				Pool:     poolOf(1, server.Listener.Addr().String()),
+				Endpoint: endpoint.New(endpoint.Options{Dialect: signedDialect}),
+				Budget:   budgetOf(retry.NewBudget(1)),
+				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
+				Metrics:  metrics.New(),
+				Quarantine: Quarantine{
+					Admit:          func([]call.Subject, call.Subject) quarantine.Admission { return quarantine.Admission{} },
+					ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) { reported = "cut" },
+					Answered:       func([]call.Subject) { reported = "answered" },
+				},
+			})
+			out := s.sendWithRetries(t.Context(), &call.Call{
+				ID:       "r-1",
+				Kind:     call.KindRouted,
+				Service:  service,
+				Method:   http.MethodPost,
+				Path:     "/ask",
+				Body:     []byte("prompt"),
+				Deadline: time.Now().Add(time.Minute),
+				Routed: &call.Routed{
+					MaxAttempts: 1,
+				},
+			}, call.Sink{
+				Head:  func(int, http.Header) error { return nil },
+				Chunk: func([]byte) error { return nil },
+			}, nil)
+			assert.Equal(t, out.Code, c.WantCode)
+			assert.Equal(t, reported, c.Want)
+		})
+	}
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -169,11 +169,14 @@
 		Endpoint: chosen,
 	})
 	attempt := s.newAttempt(c, slot, permit, beforeSend, p)
+	var sound soundProgress
 	attempt.OnFirstByte = func() {
-		pool.Endpoints.FirstToken(slot.Choice, s.options.Now())
+		sound.firstAt = s.options.Now()
+		pool.Endpoints.FirstToken(slot.Choice, sound.firstAt)
 	}
 	attempt.OnEventGap = func(gap time.Duration, tokens int) {
 		pool.Endpoints.StreamProgress(slot.Choice, gap, tokens, s.options.Now())
+		s.reportProgress(c, &sound)
 	}
 	out := s.options.Endpoint.Send(ctx, attempt, endpointSink(sink, slot.Choice.Endpoint))
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -18,6 +18,7 @@
 	"github.com/fuchsianotch/fuchsianotch/membership"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/origin"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -41,23 +42,29 @@
 	Return func(target string, grantedAt time.Time)
 }
 
-// Quarantine quarantines calls whose content repeatedly crashed endpoints.
+// Quarantine quarantines calls whose content, or parts of whose prompts, repeatedly crashed
+// endpoints.
 type Quarantine struct {
-	// Admit refuses content that is quarantined; trial is set when the call is let
-	// through to test whether it still crashes endpoints.
-	Admit func(content uint64) (refusal *result.Refusal, trial bool)
+	// Admit reports whether a call with the subjects may be sent, possibly as a trial; trial
+	// is the subject that it was already admitted to try.
+	Admit func(subjects []call.Subject, trial call.Subject) quarantine.Admission
 	// ConnectionLost reports that the connection to an endpoint broke during an attempt, and
 	// when the response began (zero if it did not).
-	ConnectionLost func(content uint64, e fleet.Endpoint, firstAt time.Time)
-	// Succeeded reports that an endpoint completed a call with this content.
-	Succeeded func(content uint64)
+	ConnectionLost func(subjects []call.Subject, e fleet.Endpoint, firstAt time.Time)
+	// Answered reports that an endpoint answered a call without crashing.
+	Answered func(subjects []call.Subject)
+	// TrialUnsent takes back a trial that reached no endpoint.
+	TrialUnsent func(subject call.Subject)
 }
 
 // noQuarantine admits every call.
 var noQuarantine = Quarantine{
-	Admit:          func(uint64) (*result.Refusal, bool) { return nil, false },
-	ConnectionLost: func(uint64, fleet.Endpoint, time.Time) {},
-	Succeeded:      func(uint64) {},
+	Admit: func(_ []call.Subject, trial call.Subject) quarantine.Admission {
+		return quarantine.Admission{Trial: trial}
+	},
+	ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) {},
+	Answered:       func([]call.Subject) {},
+	TrialUnsent:    func(call.Subject) {},
 }
 
 // Limits charges routed calls against the limits of their workspaces.
@@ -189,9 +196,10 @@
 		Detail: c.Target() + " " + c.Priority.String(),
 	})
 	arrivedAt := s.options.Now()
-	c.ContentDigest = c.ContentHash()
+	c.SetSubjects()
 	traceArrival(c, arrivedAt)
 	outcome := s.dispatch(ctx, c, place, sink)
+	s.returnUnsentTrial(c, outcome)
 	s.recordOutcome(c, outcome, arrivedAt)
 	return outcome
 }
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -44,33 +44,46 @@
 	)
 }
 
-// partsAttr returns the ids of the prompt's parts that other calls may share.
+// partsAttr returns the prompt's parts that other calls may share.
 func partsAttr(c *call.Call) slog.Attr {
 	if c.Routed == nil {
 		return slog.String("parts", "")
 	}
-	return slog.Any("parts", partIDs(c.Routed.SharedParts()))
+	return slog.Any("parts", promptParts{
+		workspace: c.Workspace,
+		parts:     c.Routed.SharedParts(),
+	})
 }
 
-// partIDs formats the ids of parts when a line is written.
-type partIDs []call.PromptPart
+// promptParts formats parts as "id=subject" when a line is written.
+type promptParts struct {
+	workspace string
+	parts     []call.PromptPart
+}
 
 // LogValue implements slog.LogValuer.
-func (p partIDs) LogValue() slog.Value {
-	ids := make([]string, len(p))
-	for i, part := range p {
-		ids[i] = strconv.FormatUint(part.ID, contentHashBase)
+func (p promptParts) LogValue() slog.Value {
+	texts := make([]string, len(p.parts))
+	for i, part := range p.parts {
+		texts[i] = strconv.FormatUint(part.ID, partIDBase) + "=" + call.PartSubject(p.workspace, part.ID).String()
 	}
-	return slog.StringValue(strings.Join(ids, ","))
+	return slog.StringValue(strings.Join(texts, ","))
 }
 
 // contentAttr returns the content hash, which is shared by retries under several ids.
 func contentAttr(c *call.Call) slog.Attr {
-	return slog.String("content", strconv.FormatUint(c.ContentDigest, contentHashBase))
+	return slog.String("content", contentOf(c).String())
+}
+
+func contentOf(c *call.Call) call.Subject {
+	if len(c.Subjects) == 0 {
+		return 0
+	}
+	return c.Subjects[0]
 }
 
-// contentHashBase is the numeric base of content hashes in log lines.
-const contentHashBase = 16
+// partIDBase is the numeric base of the ids of parts in log lines.
+const partIDBase = 16
 
 func traceChoice(c *call.Call, slot admission.Slot, p *progress) {
 	choice := slot.Choice
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -21,7 +21,7 @@
 		Send: func(ctx context.Context, to fleet.VM, note quarantine.Note) error {
 			return n.peers.Crashes(ctx, to, n.identity(), note)
 		},
-		OnCountChanged: n.metrics.SetQuarantinedCalls,
+		OnCountChanged: n.metrics.SetQuarantine,
 	})
 }
 
--- a/site/site.go
+++ b/site/site.go
@@ -247,7 +247,8 @@
 		Quarantine: serving.Quarantine{
 			Admit:          n.quarantine.Admit,
 			ConnectionLost: n.quarantine.ConnectionLost,
-			Succeeded:      n.quarantine.Succeeded,
+			Answered:       n.quarantine.Answered,
+			TrialUnsent:    n.quarantine.TrialUnsent,
 		},
 		Limits: serving.Limits{
 			Take:   n.chargeLimit,
--- a/testscripts/emulator/attempts.go
+++ b/testscripts/emulator/attempts.go
@@ -140,6 +140,9 @@
 		onNotice: func(n endpoint.Notice) {
 			v.run(s.incarnation, func() { v.applyNotice(choice.Endpoint, n, sentAt) })
 		},
+		onProgress: func() {
+			v.run(s.incarnation, func() { v.crashTracker.recordAnswer(s.request) })
+		},
 		onAnswer: func(code result.Code, sent bool) {
 			v.run(s.incarnation, func() {
 				if answered {
--- a/testscripts/emulator/caller.go
+++ b/testscripts/emulator/caller.go
@@ -51,7 +51,9 @@
 		return
 	}
 	to := c.vms[w.rand.IntN(len(c.vms))]
-	c.send(w, to, w.newRequest(c.region))
+	r := w.newRequest(c.region)
+	w.addPrompt(r, to)
+	c.send(w, to, r)
 }
 
 // send delivers a request to a VM.
@@ -88,15 +90,23 @@
 // newCall returns the request in the form that the tested packages take.
 func (r *request) newCall(content uint64) *call.Call {
 	return &call.Call{
-		ContentDigest: content,
-		Idempotent:    r.idempotent,
-		Deadline:      r.deadline,
+		Subjects:   []call.Subject{call.Subject(content)},
+		Idempotent: r.idempotent,
+		Deadline:   r.deadline,
 		Routed: &call.Routed{
 			Homes: r.homes,
 		},
 	}
 }
 
+// setPrompt sets the parts of the prompt of a request's call.
+func (r *request) setPrompt(parts []call.PromptPart) {
+	r.call.Routed.PromptParts = parts
+	for _, p := range r.call.Routed.SharedParts() {
+		r.call.Subjects = append(r.call.Subjects, call.PartSubject("", p.ID))
+	}
+}
+
 func (w *world) newRequest(region string) *request {
 	r := &request{
 		id:         w.nextID(),
@@ -110,7 +120,6 @@
 		r.homes = []string{regionName(w.rand.IntN(w.topology.regions))}
 	}
 	r.call = r.newCall(uint64(r.id))
-	w.addPrompt(r)
 	w.ledger.requests = append(w.ledger.requests, r)
 	return r
 }
--- a/testscripts/emulator/crash_tracker.go
+++ b/testscripts/emulator/crash_tracker.go
@@ -4,40 +4,44 @@
 	"hash/fnv"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
-// quarantineInterval is how often a VM checks for crash reports to send.
-const quarantineInterval = time.Second
+// quarantineInterval is how often a VM checks for notes to send, as in the gateway.
+const quarantineInterval = 250 * time.Millisecond
 
 // crashTracker quarantines calls that crash endpoints, for one VM.
 type crashTracker struct {
 	vm          *vm
 	incarnation uint64
 	quarantine  *quarantine.List
-	succeeded   map[uint64]bool
-	// quarantined holds the quarantined calls, and trialUntil when the trial of each expires.
-	quarantined map[uint64]quarantine.QuarantinedCall
-	trialUntil  map[uint64]time.Time
+	answers     *quarantine.Answers
+	// quarantined holds the quarantined subjects, and trialUntil when the trial of each expires.
+	quarantined map[call.Subject]quarantine.Quarantined
+	trialUntil  map[call.Subject]time.Time
 }
 
 func newCrashTracker(v *vm) *crashTracker {
+	answers := &quarantine.Answers{}
 	return &crashTracker{
 		vm:          v,
 		incarnation: v.incarnation,
-		quarantine:  quarantine.New(v.member.ID),
-		succeeded:   make(map[uint64]bool),
-		quarantined: make(map[uint64]quarantine.QuarantinedCall),
-		trialUntil:  make(map[uint64]time.Time),
+		quarantine:  quarantine.New(v.member.ID, answers),
+		answers:     answers,
+		quarantined: make(map[call.Subject]quarantine.Quarantined),
+		trialUntil:  make(map[call.Subject]time.Time),
 	}
 }
 
 // run repeats step for as long as the VM runs.
 func (c *crashTracker) run() {
 	c.vm.run(c.incarnation, func() {
-		c.step()
+		if !c.quarantine.IsEmpty() || len(c.quarantined) > 0 {
+			c.step()
+		}
 		c.vm.world.after(quarantineInterval, c.run)
 	})
 }
@@ -48,14 +52,17 @@
 	vms, partitioned := v.peers()
 	c.quarantine.Step(now)
 	for _, report := range c.quarantine.DueNotes(vms, partitioned, now) {
-		if v.world.defect == SkipCrashReports {
+		switch v.world.defect {
+		case SkipCrashReports:
 			continue
+		case SkipAnswerReports:
+			report.Note.Answers = nil
 		}
 		c.sendReport(report)
 	}
-	c.quarantined = make(map[uint64]quarantine.QuarantinedCall)
+	c.quarantined = make(map[call.Subject]quarantine.Quarantined)
 	for _, h := range c.quarantine.Held(vms) {
-		c.quarantined[h.Content] = h
+		c.quarantined[h.Subject] = h
 	}
 }
 
@@ -97,51 +104,92 @@
 
 // admits reports whether a request may be sent to endpoints, possibly as a trial.
 func (c *crashTracker) admits(r *request) bool {
-	content := r.call.ContentDigest
-	h, isQuarantined := c.quarantined[content]
-	if !isQuarantined || r.call.QuarantineTrial || c.vm.world.defect == IgnoreQuarantine {
+	if c.vm.world.defect == IgnoreQuarantine {
 		return true
 	}
-	now := c.vm.now()
-	if h.TryAt.IsZero() || now.Before(h.TryAt) || now.Before(c.trialUntil[content]) {
+	var held []quarantine.Quarantined
+	for _, s := range r.call.Subjects {
+		if h, ok := c.quarantined[s]; ok && s != r.call.Trial {
+			held = append(held, h)
+		}
+	}
+	switch {
+	case len(held) == 0:
+		return true
+	case len(held) > 1 || r.call.Trial != 0:
 		return false
 	}
-	c.trialUntil[content] = now.Add(callTimeout)
-	r.call.QuarantineTrial = true
+	h, now := held[0], c.vm.now()
+	if h.TryAt.IsZero() || now.Before(h.TryAt) || now.Before(c.trialUntil[h.Subject]) {
+		return false
+	}
+	c.trialUntil[h.Subject] = now.Add(callTimeout)
+	r.call.Trial = h.Subject
+	c.quarantine.TrialStarted(h.Subject, now)
+	c.step()
 	return true
 }
 
+// recordAnswer records that an endpoint answered a request without crashing.
+func (c *crashTracker) recordAnswer(r *request) {
+	if c.vm.world.defect == IgnoreAnswers {
+		return
+	}
+	isHeld := false
+	for _, s := range r.call.Subjects {
+		c.answers.Add(s, c.vm.now())
+		if _, ok := c.quarantined[s]; ok {
+			isHeld = true
+			if !s.IsPart() {
+				c.quarantine.Succeeded(s, c.vm.now())
+			}
+		}
+	}
+	if isHeld {
+		c.step()
+	}
+}
+
 // recordOutcome processes the result of an attempt. If the attempt was interrupted, it
 // checks whether the endpoint has crashed.
 func (c *crashTracker) recordOutcome(r *request, e fleet.Endpoint, code result.Code) {
 	v, w := c.vm, c.vm.world
-	content := r.call.ContentDigest
 	switch code {
 	case result.Done:
-		c.succeeded[content] = true
-		if _, isQuarantined := c.quarantined[content]; isQuarantined {
-			c.quarantine.Succeeded(content, v.now())
-			c.step()
-		}
+		c.recordAnswer(r)
 	case result.EndpointCut:
-		r.call.QuarantineTrial = false
+		r.call.Trial = 0
+		if w.defect == TakeCrashAsAnswer || !quarantine.MayHaveCrashed(r.answerBeganAt, v.now()) {
+			c.recordAnswer(r)
+			return
+		}
 		w.after(2*localLatency, func() {
 			v.run(c.incarnation, func() {
 				if found := w.engineByID(e.ID); found == nil || found.up || !v.hasEndpoint(e.ID) {
 					return
 				}
-				c.quarantine.AddCrash(quarantine.Crash{
-					Content:           content,
-					Incarnation:       endpointHash(e.ID),
-					At:                v.now(),
-					RecentlySucceeded: c.succeeded[content],
-				})
-				c.step()
+				c.addCrash(r, e)
 			})
 		})
 	}
 }
 
+func (c *crashTracker) addCrash(r *request, e fleet.Endpoint) {
+	for _, s := range r.call.Subjects {
+		if s.IsPart() && c.vm.world.defect == IgnoreParts {
+			continue
+		}
+		c.quarantine.AddCrash(quarantine.Crash{
+			Subject:     s,
+			Incarnation: endpointHash(e.ID),
+			At:          c.vm.now(),
+			Calls:       1,
+			AnsweredAt:  c.answers.At(s),
+		})
+	}
+	c.step()
+}
+
 // hasEndpoint reports whether the VM knows the endpoint.
 func (v *vm) hasEndpoint(id string) bool {
 	for _, e := range v.discovery.Endpoints(v.now()) {
--- a/testscripts/emulator/crashing_calls.go
+++ b/testscripts/emulator/crashing_calls.go
@@ -102,7 +102,7 @@
 
 // recordCrash records that an endpoint crashed while running the attempt.
 func (l *ledger) recordCrash(a attempt) {
-	content := a.request.call.ContentDigest
+	content := a.request.call.Subjects[0]
 	if a.request.harmfulPart > 0 {
 		t := l.partTracker(a.request)
 		t.crashes = append(t.crashes, l.world.clock.now)
@@ -112,7 +112,7 @@
 
 // checkQuarantine limits how often a call reaches endpoints after it was quarantined.
 func (l *ledger) checkQuarantine(a attempt) {
-	content := a.request.call.ContentDigest
+	content := a.request.call.Subjects[0]
 	crashes := l.crashes[content]
 	if len(crashes) < quarantineThreshold || !l.converged(a.from) {
 		return
@@ -145,8 +145,8 @@
 		next.sentAt = w.clock.now
 		next.deadline = w.clock.now.Add(callTimeout)
 		next.outcome = outcome{}
-		next.call = next.newCall(r.call.ContentDigest)
-		next.call.Routed.PromptParts = r.call.Routed.PromptParts
+		next.call = next.newCall(uint64(r.call.Subjects[0]))
+		next.setPrompt(r.call.Routed.PromptParts)
 		w.ledger.requests = append(w.ledger.requests, &next)
 		w.ledger.callerRetries++
 		from := &caller{region: v.member.Region}
--- a/testscripts/emulator/crashing_parts.go
+++ b/testscripts/emulator/crashing_parts.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -109,7 +110,7 @@
 		s.parts = w.newPrompt(r.id, harmful...)
 	}
 	r.call = r.newCall(s.content)
-	r.call.Routed.PromptParts = s.parts
+	r.setPrompt(s.parts)
 	w.ledger.requests = append(w.ledger.requests, r)
 	return r
 }
@@ -126,7 +127,7 @@
 }
 
 // addPrompt gives a harmless request a prompt if prompts are enabled.
-func (w *world) addPrompt(r *request) {
+func (w *world) addPrompt(r *request, to *vm) {
 	if !w.parts.enabled() {
 		return
 	}
@@ -134,8 +135,9 @@
 	if w.crashRand.Float64() < w.parts.Companion {
 		parts = append(parts, call.PromptPart{ID: companionPartID})
 	}
-	r.call.Routed.PromptParts = w.newPrompt(r.id, parts...)
+	r.setPrompt(w.newPrompt(r.id, parts...))
 	r.hasPrompt = true
+	r.convergedVM = w.ledger.converged(to)
 }
 
 // runPrompt runs a harmless request with a prompt, which a crash of the endpoint interrupts.
@@ -143,6 +145,12 @@
 	w := e.world
 	run := &a
 	e.active = append(e.active, run)
+	a.request.answerBeganAt = w.clock.now
+	w.after(quarantine.SoundAnswerDuration, func() {
+		if slices.Contains(e.active, run) {
+			w.network.send(e.endpoint.Region, a.from.member.Region, a.onProgress)
+		}
+	})
 	lasts := minPromptRunTime + time.Duration(w.crashRand.Int64N(int64(maxPromptRunTime-minPromptRunTime)))
 	w.after(lasts, func() {
 		if i := slices.Index(e.active, run); i >= 0 {
@@ -204,14 +212,15 @@
 	}
 }
 
-// soundRequests counts the harmless requests sent in an interval, and those served.
+// soundRequests counts the harmless requests sent in an interval to VMs that timing bounds
+// apply to, and those that began. An endpoint's own failure began.
 func (l *ledger) soundRequests(from, to time.Time) (sent, served float64) {
 	for _, r := range l.requests {
-		if !r.hasPrompt || r.sentAt.Before(from) || r.sentAt.After(to) {
+		if !r.hasPrompt || !r.convergedVM || r.sentAt.Before(from) || r.sentAt.After(to) {
 			continue
 		}
 		sent++
-		if r.outcome.answer == result.Done {
+		if r.outcome.answer == result.Done || r.outcome.answer == result.EndpointFailed {
 			served++
 		}
 	}
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -32,7 +32,15 @@
 	ClockStopsWhileFrozen Defect = "steady_clock"
 	IgnoreQuarantine      Defect = "forget_crashes"
 	SkipCrashReports      Defect = "tell_no_crashes"
-	IgnoreLimits          Defect = "ignore_limits"
+	// IgnoreParts attributes crashes to the contents of requests only.
+	IgnoreParts Defect = "ignore_parts"
+	// IgnoreAnswers counts crashes under parts whether requests with them are answered or not,
+	// and SkipAnswerReports counts only answers that the VMs know which report crashes.
+	IgnoreAnswers     Defect = "ignore_answers"
+	SkipAnswerReports Defect = "tell_no_answers"
+	// TakeCrashAsAnswer takes the end of a crashed endpoint's connection for that of an answer.
+	TakeCrashAsAnswer Defect = "crash_as_answer"
+	IgnoreLimits      Defect = "ignore_limits"
 	// EnforceLimitsLocally makes each VM enforce limits without the others.
 	EnforceLimitsLocally Defect = "limits_alone"
 	// IgnoreLeavingNotices trusts the store alone on whether an endpoint leaves.
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -55,7 +55,9 @@
 	sentAt     time.Time
 	// onNotice receives the notice in an answer, before onAnswer receives the result.
 	onNotice func(endpoint.Notice)
-	onAnswer func(result.Code, bool)
+	// onProgress reports that the answer has gone on for a while.
+	onProgress func()
+	onAnswer   func(result.Code, bool)
 }
 
 func (w *world) addEngine(region string) *engine {
@@ -207,6 +209,10 @@
 	// hasPrompt is set on harmless requests with a prompt.
 	harmfulPart int
 	hasPrompt   bool
+	// convergedVM is set if timing bounds applied to the VM that it was sent to.
+	convergedVM bool
+	// answerBeganAt is when the last answer to a prompt began.
+	answerBeganAt time.Time
 	// callerRetries is how often the caller has already retried it.
 	callerRetries int
 	outcome       outcome
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -69,8 +70,8 @@
 	// crashes holds the times of the crashes that each content caused, and
 	// sentAfterQuarantine the requests that reached endpoints although the content
 	// should have been quarantined.
-	crashes             map[uint64][]time.Time
-	sentAfterQuarantine map[uint64]map[int]bool
+	crashes             map[call.Subject][]time.Time
+	sentAfterQuarantine map[call.Subject]map[int]bool
 	parts               []*partTracker
 	// callerRetries counts interrupted requests that were sent again, and
 	// falseQuarantines harmless requests that were quarantined.
@@ -85,8 +86,8 @@
 		world:    w,
 		versions: make(map[uint64]uint64),
 
-		crashes:             make(map[uint64][]time.Time),
-		sentAfterQuarantine: make(map[uint64]map[int]bool),
+		crashes:             make(map[call.Subject][]time.Time),
+		sentAfterQuarantine: make(map[call.Subject]map[int]bool),
 	}
 }
 
