A kept connection to a VM whose end has arrived is not used for a call

The pool now asks the kernel, which knows of the end by then (poll, without reading, once as a connection is taken and once as it is put back). What is killed while the call is on its way still ends as 3011.

--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -52,6 +52,8 @@
 	row    forwardRow
 	conn   atomic.Pointer[net.Conn]
 	served atomic.Pointer[call.Call]
+	// stop closes the listener and the last connection.
+	stop func()
 }
 
 func (row forwardRow) run(t *testing.T) {
@@ -149,6 +151,10 @@
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
+	f.stop = func() {
+		_ = ln.Close()
+		_ = (*f.conn.Load()).Close()
+	}
 	go func() {
 		_ = s.Serve(ctx, &recordingListener{
 			Listener: ln,
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -182,9 +182,28 @@
 	if err != nil {
 		return nil, errors.Join(ErrDial, err)
 	}
-	return drpcconn.NewWithOptions(secured, drpcconn.Options{
-		Manager: managerOptions(),
-	}), nil
+	return &pooledConn{
+		Conn: drpcconn.NewWithOptions(secured, drpcconn.Options{
+			Manager: managerOptions(),
+		}),
+		socket: conn,
+	}, nil
+}
+
+// pooledConn is a connection in the pool.
+type pooledConn struct {
+	*drpcconn.Conn
+
+	socket net.Conn
+}
+
+// Closed also closes a connection whose end has arrived but was not read yet. A call on it
+// would count as lost with a VM that was gone before.
+func (c *pooledConn) Closed() <-chan struct{} {
+	if tcp.HasEnded(c.socket) {
+		_ = c.Close()
+	}
+	return c.Conn.Closed()
 }
 
 func managerOptions() drpcmanager.Options {
--- a/testscripts/emulator/crash_tracker.go
+++ b/testscripts/emulator/crash_tracker.go
@@ -58,6 +58,10 @@
 		case SkipAnswerReports:
 			report.Note.Answers = nil
 		}
+		if len(report.Note.Crashes)+len(report.Note.Verdicts)+len(report.Note.Answers) == 0 {
+			c.quarantine.Delivered(report, true)
+			continue
+		}
 		c.sendReport(report)
 	}
 	c.quarantined = make(map[call.Subject]quarantine.Quarantined)
@@ -82,6 +86,7 @@
 func (c *crashTracker) sendReport(report quarantine.Outgoing) {
 	v, w := c.vm, c.vm.world
 	to := w.vmByID(report.To.VM.ID)
+	w.ledger.crashNotes++
 	answered := false
 	answer := func(arrived bool) {
 		if !answered {
@@ -181,7 +186,7 @@
 		}
 		c.quarantine.AddCrash(quarantine.Crash{
 			Subject:     s,
-			Incarnation: endpointHash(e.ID),
+			Incarnation: c.incarnationHash(e, s),
 			At:          c.vm.now(),
 			Calls:       1,
 			AnsweredAt:  c.answers.At(s),
@@ -190,6 +195,13 @@
 	c.step()
 }
 
+func (c *crashTracker) incarnationHash(e fleet.Endpoint, s call.Subject) uint64 {
+	if c.vm.world.defect == IgnoreCompany {
+		return endpointHash(e.ID + s.String())
+	}
+	return endpointHash(e.ID)
+}
+
 // hasEndpoint reports whether the VM knows the endpoint.
 func (v *vm) hasEndpoint(id string) bool {
 	for _, e := range v.discovery.Endpoints(v.now()) {
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -38,6 +38,8 @@
 	// and SkipAnswerReports counts only answers that the VMs know which report crashes.
 	IgnoreAnswers     Defect = "ignore_answers"
 	SkipAnswerReports Defect = "tell_no_answers"
+	// IgnoreCompany weighs each subject as if no other were in its crashes.
+	IgnoreCompany Defect = "ignore_company"
 	// TakeCrashAsAnswer takes the end of a crashed endpoint's connection for that of an answer.
 	TakeCrashAsAnswer Defect = "crash_as_answer"
 	IgnoreLimits      Defect = "ignore_limits"
@@ -102,6 +104,8 @@
 	// FalseQuarantines the harmless requests that were quarantined.
 	CallerRetries    int
 	FalseQuarantines int
+	// CrashNotes counts the notes of crashes, verdicts and answers between VMs.
+	CrashNotes int
 	// LimitedRequests counts the requests that reached engines with a limit, and
 	// AllowedRequests those that the limits allowed.
 	LimitedRequests int
@@ -163,6 +167,7 @@
 		EndpointCrashes:  w.ledger.totalCrashes(),
 		CallerRetries:    w.ledger.callerRetries,
 		FalseQuarantines: w.ledger.falseQuarantines,
+		CrashNotes:       w.ledger.crashNotes,
 		LimitedRequests:  w.ledger.limitedRequests,
 		AllowedRequests:  w.allowedRequests,
 		Streams:          len(w.streams.all),
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -77,6 +77,7 @@
 	// falseQuarantines harmless requests that were quarantined.
 	callerRetries    int
 	falseQuarantines int
+	crashNotes       int
 	// limitedRequests counts requests that reached engines with a limit.
 	limitedRequests int
 }
--- a/testscripts/emulator/run_all.go
+++ b/testscripts/emulator/run_all.go
@@ -21,6 +21,7 @@
 	EndpointCrashes  int
 	CallerRetries    int
 	FalseQuarantines int
+	CrashNotes       int
 	LimitedRequests  int
 	AllowedRequests  float64
 	Streams          int
@@ -66,6 +67,7 @@
 	s.EndpointCrashes += r.EndpointCrashes
 	s.CallerRetries += r.CallerRetries
 	s.FalseQuarantines += r.FalseQuarantines
+	s.CrashNotes += r.CrashNotes
 	s.LimitedRequests += r.LimitedRequests
 	s.AllowedRequests += r.AllowedRequests
 	s.Streams += r.Streams
