A short answer clears the parts of its prompt only once its endpoint has outlived it

Found while the mend was reviewed, not in a run of the users': an engine crashes some 0.1 s after it began to answer, and an answer may end before that. It was counted as a sound one, cleared the part that crashed the engine, and its call was no suspect of the crash. Answers that began less than 1 s before they ended now wait for that second: they count if their connection is still open then (one poll of the socket), or else if the endpoint still listens; if it has crashed, also by the check of another call, they are suspects of the crash.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		return newTrackedConn(conn), nil
 	}
 }
 
@@ -70,6 +70,16 @@
 	tainted     atomic.Bool
 	closed      atomic.Bool
 	beforeWrite atomic.Pointer[func() error]
+	// isOpen reports whether neither side has ended the connection.
+	isOpen func() bool
+}
+
+func newTrackedConn(conn net.Conn) *trackedConn {
+	c := &trackedConn{
+		Conn: conn,
+	}
+	c.isOpen = func() bool { return !c.closed.Load() && !tcp.HasEnded(conn) }
+	return c
 }
 
 // Write counts the bytes before writing, so that none is written uncounted.
@@ -138,6 +148,17 @@
 	return err
 }
 
+// stillOpen returns a function that reports whether the connection is still open; nil if it is
+// not known.
+func (t *connTracker) stillOpen() func() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return nil
+	}
+	return t.conn.isOpen
+}
+
 // updateSent sets sent if the current connection has written bytes. It requires t.mu.
 func (t *connTracker) updateSent() {
 	if t.conn != nil && t.conn.offeredBytes.Load() != t.offeredBefore {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -113,6 +113,9 @@
 	Code result.Code
 	// Succeeded is set if Code is Done and the status of the response is a success.
 	Succeeded bool
+	// StillOpen reports whether the connection of the response is still open; nil if that is
+	// not known.
+	StillOpen func() bool
 	// Framing is that of the response; empty if there was none.
 	Framing Framing
 	// Usage is as reported by the endpoint, minus the tokens before ResumeFrom.
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -48,6 +48,7 @@
 	x.outcome.Sent = true
 	x.outcome.Framing = framingOf(resp)
 	refusal = x.handleResponse(resp)
+	x.outcome.StillOpen = x.conn.stillOpen()
 	x.outcome.Succeeded = refusal == nil && resp.StatusCode < http.StatusMultipleChoices
 	return refusal
 }
--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -60,6 +60,7 @@
 	held atomic.Pointer[map[call.Subject]*heldSubject]
 	// answers are the subjects that were recently answered.
 	answers *quarantine.Answers
+	recent  recentAnswers
 
 	// The following fields are used by the agent's goroutine only.
 	list *quarantine.List
@@ -107,6 +108,7 @@
 			m(ctx, a.options.Now())
 			a.drain(ctx)
 		case <-ticker.C:
+			a.settleRecent(ctx, a.options.Now())
 			a.stepDue = a.stepDue || !a.isIdle()
 		}
 		if a.stepDue {
@@ -145,26 +147,53 @@
 // ConnectionLost reports that the connection broke off on which an endpoint was running a
 // call. firstAt is when the answer began, zero if it had not. The subjects must not change.
 func (a *Agent) ConnectionLost(subjects []call.Subject, e fleet.Endpoint, firstAt time.Time) {
-	if !quarantine.MayHaveCrashed(firstAt, a.options.Now()) {
-		a.Answered(subjects)
+	if now := a.options.Now(); !quarantine.MayHaveCrashed(firstAt, now) {
+		a.credit(subjects, now)
 		return
 	}
 	a.post(func(ctx context.Context, now time.Time) { a.checkEndpoint(ctx, subjects, e, now) })
 }
 
-// Answered reports that an endpoint answered a call, or a part of the call long enough,
-// without crashing.
-func (a *Agent) Answered(subjects []call.Subject) {
+// Answered reports that an endpoint answered a call, or a part of the call, without crashing.
+// beganAt is when the answer began. If that was a moment ago, the endpoint may still crash of
+// it: the answer counts once it has not. stillOpen reports whether the answer's connection is
+// still open; nil if that is not known.
+func (a *Agent) Answered(subjects []call.Subject, e fleet.Endpoint, beganAt time.Time, stillOpen func() bool) {
 	now := a.options.Now()
+	if quarantine.IsSound(beganAt, now) {
+		a.credit(subjects, now)
+		return
+	}
+	a.recent.add(subjects, e, now, stillOpen)
+}
+
+// credit counts an answer for the subjects of its call.
+func (a *Agent) credit(subjects []call.Subject, at time.Time) {
 	held := *a.held.Load()
 	for _, s := range subjects {
-		a.answers.Add(s, now)
+		a.answers.Add(s, at)
 		if len(held) > 0 && held[s] != nil {
 			a.post(func(_ context.Context, now time.Time) { a.endQuarantine(s, now) })
 		}
 	}
 }
 
+// settleRecent counts the recent answers whose endpoints have not crashed of them. Where the
+// connection has ended, the endpoint is checked.
+func (a *Agent) settleRecent(ctx context.Context, now time.Time) {
+	for {
+		r, ok := a.recent.due(now.Add(-quarantine.SoundAnswerDuration))
+		if !ok {
+			return
+		}
+		if r.stillOpen != nil && r.stillOpen() {
+			a.credit(r.list(), r.endedAt)
+			continue
+		}
+		a.checkAnswer(ctx, r, now)
+	}
+}
+
 // endQuarantine ends the quarantine of a content, and reports an answer to a part to its
 // owners.
 func (a *Agent) endQuarantine(s call.Subject, now time.Time) {
--- a/quarantine/agent/agent_test.go
+++ b/quarantine/agent/agent_test.go
@@ -122,7 +122,7 @@
 		}
 		// One trial in each of the two regions, which are both allowed one by now.
 		assert.Equal(t, trials, 2)
-		f.byVM["a2"].Answered([]call.Subject{7})
+		f.byVM["a2"].Answered([]call.Subject{7}, fleet.Endpoint{}, longAgo(), nil)
 		time.Sleep(time.Second)
 		for name, a := range f.byVM {
 			assert.Equal(t, a.Admit([]call.Subject{7}, 0), quarantine.Admission{}, name)
@@ -133,6 +133,59 @@
 // Parts of the prompts in tests: all calls share the first one, harmful calls the second one.
 var firstPart, harmfulPart = call.PartSubject("", 1), call.PartSubject("", 2)
 
+// longAgo is when an answer began that has gone on for long enough to count.
+func longAgo() time.Time {
+	return time.Now().Add(-quarantine.SoundAnswerDuration)
+}
+
+// TestCrashAfterAnswer guards against endpoints that crash one after the other under a part
+// whose answers end right before the crash.
+func TestCrashAfterAnswer(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer synctest.Wait()
+			defer stop()
+			f := startFleet(ctx, "a1", "b1")
+			open := true
+			stillOpen := func() bool { return kept && open }
+			for i := range 3 {
+				e := fleet.Endpoint{ID: "e", Incarnation: int64(i)}
+				open = true
+				f.byVM["a1"].Answered([]call.Subject{call.Subject(100 + i), harmfulPart}, e, time.Now(), stillOpen)
+				time.Sleep(100 * time.Millisecond)
+				open = false
+				if i == 1 {
+					// The check of another call takes the answer with it.
+					f.byVM["a1"].ConnectionLost([]call.Subject{7}, e, time.Time{})
+				}
+				time.Sleep(2 * time.Second)
+			}
+			assert.Equal(t, f.byVM["b1"].Admit([]call.Subject{300, harmfulPart}, 0).Held, harmfulPart)
+			assert.Equal(t, f.byVM["b1"].Admit([]call.Subject{7}, 0).Held, call.Subject(0))
+		})
+	}
+}
+
+// TestShortAnswerCounts checks that a short answer counts once its endpoint has outlived it.
+func TestShortAnswerCounts(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer synctest.Wait()
+			defer stop()
+			f := startFleet(ctx, "a1")
+			a := f.byVM["a1"]
+			a.options.Dial = func(context.Context, string) error { return nil }
+			a.Answered([]call.Subject{1, firstPart}, fleet.Endpoint{ID: "e"}, time.Now(), func() bool { return kept })
+			time.Sleep(500 * time.Millisecond)
+			assert.Assert(t, a.answers.At(firstPart).IsZero())
+			time.Sleep(time.Second)
+			assert.Assert(t, !a.answers.At(firstPart).IsZero())
+		})
+	}
+}
+
 // TestCrashingPart guards against endpoints that crash one after the other under one part, in
 // calls that are all different, and against refusing sound calls with their first part.
 func TestCrashingPart(t *testing.T) {
@@ -150,7 +203,7 @@
 				vm.ConnectionLost(subjects, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
 			}
 			time.Sleep(400 * time.Millisecond)
-			f.byVM["c1"].Answered([]call.Subject{call.Subject(200 + i), firstPart})
+			f.byVM["c1"].Answered([]call.Subject{call.Subject(200 + i), firstPart}, fleet.Endpoint{}, longAgo(), nil)
 			time.Sleep(400 * time.Millisecond)
 		}
 		assert.Equal(t, admitted, 3)
@@ -188,7 +241,7 @@
 		a.TrialUnsent(harmfulPart)
 		time.Sleep(90 * time.Second)
 		assert.Equal(t, a.Admit([]call.Subject{13, harmfulPart}, 0).Trial, harmfulPart)
-		a.Answered([]call.Subject{13, harmfulPart})
+		a.Answered([]call.Subject{13, harmfulPart}, fleet.Endpoint{}, longAgo(), nil)
 		time.Sleep(time.Second)
 		assert.Equal(t, a.Admit([]call.Subject{14, harmfulPart}, 0), quarantine.Admission{})
 	})
@@ -221,8 +274,9 @@
 		Now: time.Now,
 	})
 	subjects := []call.Subject{1, call.PartSubject("", 1), call.PartSubject("", 2), call.PartSubject("", 3), call.PartSubject("", 4)}
+	beganAt := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
-		a.Answered(subjects)
+		a.Answered(subjects, fleet.Endpoint{}, beganAt, nil)
 	}
 }
--- a/quarantine/agent/check.go
+++ b/quarantine/agent/check.go
@@ -75,6 +75,8 @@
 	// subjects are those of all interrupted calls, once each, and callsOf how many have each.
 	subjects []call.Subject
 	callsOf  []int
+	// answers count if the endpoint has not crashed.
+	answers []recentAnswer
 	// expiresAt is set once the result is known.
 	expiresAt time.Time
 }
@@ -99,21 +101,41 @@
 // checkEndpoint checks whether the endpoint that ran a call has crashed, unless the
 // result is already known.
 func (a *Agent) checkEndpoint(ctx context.Context, subjects []call.Subject, e fleet.Endpoint, now time.Time) {
+	known := a.checkOf(ctx, e, now)
+	switch known.state {
+	case stateChecking:
+		known.add(subjects)
+	case stateCrashed:
+		a.recordCrash(instanceOf(e), known, known.add(subjects), now)
+	}
+}
+
+// checkAnswer checks whether the endpoint of an answer has crashed since, unless the result is
+// already known.
+func (a *Agent) checkAnswer(ctx context.Context, r recentAnswer, now time.Time) {
+	known := a.checkOf(ctx, r.endpoint, now)
+	switch known.state {
+	case stateChecking:
+		known.answers = append(known.answers, r)
+	case stateCrashed:
+		a.recordCrash(instanceOf(r.endpoint), known, known.add(r.list()), now)
+	case stateAnswers:
+		a.credit(r.list(), r.endedAt)
+	}
+}
+
+// checkOf returns the check of an endpoint, a new one if there is none with a valid result.
+func (a *Agent) checkOf(ctx context.Context, e fleet.Endpoint, now time.Time) *check {
 	target := instanceOf(e)
 	known := a.checks[target]
-	switch {
-	case known == nil || (known.state != stateChecking && !now.Before(known.expiresAt)):
+	if known == nil || known.state != stateChecking && !now.Before(known.expiresAt) {
 		known = &check{
 			state: stateChecking,
 		}
-		known.add(subjects)
 		a.checks[target] = known
 		go a.probe(ctx, e)
-	case known.state == stateChecking:
-		known.add(subjects)
-	case known.state == stateCrashed:
-		a.recordCrash(target, known, known.add(subjects), now)
 	}
+	return known
 }
 
 // recordCrash records that an endpoint crashed while it was running calls with the subjects
@@ -175,8 +197,15 @@
 	level := slog.LevelDebug
 	if found == stateCrashed {
 		level = slog.LevelInfo
+		a.suspectRecent(target, known)
 		a.recordCrash(target, known, 0, now)
 	}
+	if found == stateAnswers {
+		for _, r := range known.answers {
+			a.credit(r.list(), r.endedAt)
+		}
+	}
+	known.answers = nil
 	a.options.Log.Log(context.Background(), level, "endpoint_checked", "endpoint", e.ID, "state", string(found), "calls", known.calls)
 	if found != stateCrashed {
 		known.subjects = nil
@@ -184,6 +213,16 @@
 	}
 }
 
+// suspectRecent adds the calls to a check that a crashed endpoint had just answered.
+func (a *Agent) suspectRecent(crashed instance, c *check) {
+	for _, r := range c.answers {
+		c.add(r.list())
+	}
+	for _, subjects := range a.recent.take(crashed) {
+		c.add(subjects)
+	}
+}
+
 // dropExpiredChecks removes the checks whose results are no longer valid.
 func (a *Agent) dropExpiredChecks(now time.Time) {
 	for target, known := range a.checks {
--- /dev/null
+++ b/quarantine/agent/recent.go
@@ -0,0 +1,91 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+)
+
+const (
+	// recentCapacity bounds the answers that are not settled yet. Beyond it the oldest are
+	// dropped: they count neither for nor against their subjects.
+	recentCapacity = 256
+	// maxRecentSubjects bounds the subjects of one of them.
+	maxRecentSubjects = 8
+)
+
+// recentAnswer is an answer that ended soon after it began, so that the endpoint may still
+// crash of it.
+type recentAnswer struct {
+	subjects [maxRecentSubjects]call.Subject
+	count    int
+	endpoint fleet.Endpoint
+	endedAt  time.Time
+	// stillOpen reports whether the answer's connection is still open; nil if that is not
+	// known.
+	stillOpen func() bool
+}
+
+func (r *recentAnswer) list() []call.Subject {
+	return r.subjects[:r.count]
+}
+
+// recentAnswers is a queue of answers, oldest first. It is safe for concurrent use.
+type recentAnswers struct {
+	mu    sync.Mutex
+	queue [recentCapacity]recentAnswer
+	first int
+	count int
+}
+
+func (q *recentAnswers) add(subjects []call.Subject, e fleet.Endpoint, endedAt time.Time, stillOpen func() bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.count == recentCapacity {
+		q.dropFirst()
+	}
+	r := &q.queue[(q.first+q.count)%recentCapacity]
+	r.count = copy(r.subjects[:], subjects)
+	r.endpoint = e
+	r.endedAt = endedAt
+	r.stillOpen = stillOpen
+	q.count++
+}
+
+func (q *recentAnswers) dropFirst() {
+	q.queue[q.first].stillOpen = nil
+	q.first = (q.first + 1) % recentCapacity
+	q.count--
+}
+
+// due removes and returns the first answer if it ended before a time.
+func (q *recentAnswers) due(before time.Time) (r recentAnswer, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for q.count > 0 && q.queue[q.first].endedAt.Before(before) {
+		r = q.queue[q.first]
+		q.dropFirst()
+		if r.count > 0 {
+			return r, true
+		}
+	}
+	return r, false
+}
+
+// take returns the subjects of the answers of an endpoint, one list for each, and removes
+// these.
+func (q *recentAnswers) take(of instance) (out [][]call.Subject) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for i := range q.count {
+		r := &q.queue[(q.first+i)%recentCapacity]
+		if r.count > 0 && instanceOf(r.endpoint) == of {
+			taken := *r
+			out = append(out, taken.list())
+			r.count = 0
+		}
+	}
+	return out
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -82,6 +82,12 @@
 // subjects to count as answered.
 const SoundAnswerDuration = time.Second
 
+// IsSound reports whether an answer that began at a time has gone on for long enough. An
+// unknown time is zero.
+func IsSound(beganAt, now time.Time) bool {
+	return !beganAt.IsZero() && now.Sub(beganAt) >= SoundAnswerDuration
+}
+
 // Crash is the crash of an endpoint that was running a call.
 type Crash struct {
 	Subject call.Subject
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -58,7 +58,7 @@
 	switch {
 	case out.Code == result.Done:
 		if out.Succeeded {
-			s.options.Quarantine.Answered(c.Subjects)
+			s.options.Quarantine.Answered(c.Subjects, e, out.FirstByteAt, out.StillOpen)
 		}
 	case !out.Sent || out.CallerDisconnected || out.ErrorResponse != nil:
 	case out.Code == result.EndpointCut || out.Code == result.EndpointFailed:
@@ -70,16 +70,17 @@
 // soundProgress reports a stream as answered once it has gone on for long enough, as it may
 // last for much longer.
 type soundProgress struct {
+	endpoint fleet.Endpoint
 	firstAt  time.Time
 	reported bool
 }
 
 func (s *Server) reportProgress(c *call.Call, p *soundProgress) {
-	if p.reported || p.firstAt.IsZero() || s.options.Now().Sub(p.firstAt) < quarantine.SoundAnswerDuration {
+	if p.reported || !quarantine.IsSound(p.firstAt, s.options.Now()) {
 		return
 	}
 	p.reported = true
-	s.options.Quarantine.Answered(c.Subjects)
+	s.options.Quarantine.Answered(c.Subjects, p.endpoint, p.firstAt, nil)
 }
 
 // returnUnsentTrial takes a trial back that began with this call and reached no endpoint.
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -76,8 +76,10 @@
 						}
 					},
 					ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) { reported = append(reported, "cut") },
-					Answered:       func([]call.Subject) { reported = append(reported, "ended_well") },
-					TrialUnsent:    func(call.Subject) {},
+					Answered: func([]call.Subject, fleet.Endpoint, time.Time, func() bool) {
+						reported = append(reported, "ended_well")
+					},
+					TrialUnsent: func(call.Subject) {},
 				},
 			})
 			out := s.sendWithRetries(t.Context(), &call.Call{
@@ -178,7 +180,7 @@
 				Quarantine: Quarantine{
 					Admit:          func([]call.Subject, call.Subject) quarantine.Admission { return quarantine.Admission{} },
 					ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) { reported = "cut" },
-					Answered:       func([]call.Subject) { reported = "answered" },
+					Answered:       func([]call.Subject, fleet.Endpoint, time.Time, func() bool) { reported = "answered" },
 				},
 			})
 			out := s.sendWithRetries(t.Context(), &call.Call{
--- a/serving/run.go
+++ b/serving/run.go
@@ -169,7 +169,9 @@
 		Endpoint: chosen,
 	})
 	attempt := s.newAttempt(c, slot, permit, beforeSend, p)
-	var sound soundProgress
+	sound := soundProgress{
+		endpoint: slot.Choice.Endpoint,
+	}
 	attempt.OnFirstByte = func() {
 		sound.firstAt = s.options.Now()
 		pool.Endpoints.FirstToken(slot.Choice, sound.firstAt)
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -51,8 +51,9 @@
 	// ConnectionLost reports that the connection to an endpoint broke during an attempt, and
 	// when the response began (zero if it did not).
 	ConnectionLost func(subjects []call.Subject, e fleet.Endpoint, firstAt time.Time)
-	// Answered reports that an endpoint answered a call without crashing.
-	Answered func(subjects []call.Subject)
+	// Answered reports that an endpoint answered a call without crashing, when the response
+	// began, and whether its connection is still open (nil if that is not known).
+	Answered func(subjects []call.Subject, e fleet.Endpoint, beganAt time.Time, stillOpen func() bool)
 	// TrialUnsent takes back a trial that reached no endpoint.
 	TrialUnsent func(subject call.Subject)
 }
@@ -63,7 +64,7 @@
 		return quarantine.Admission{Trial: trial}
 	},
 	ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) {},
-	Answered:       func([]call.Subject) {},
+	Answered:       func([]call.Subject, fleet.Endpoint, time.Time, func() bool) {},
 	TrialUnsent:    func(call.Subject) {},
 }
 
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -72,6 +72,8 @@
 	CrashAfterHead
 	CrashWithinEvent
 	CrashAfterEvent
+	// CrashAfterAnswer serves the request and crashes a moment later.
+	CrashAfterAnswer
 )
 
 // Run is a request that a replica started to run, or rejected if Refused is set.
@@ -246,7 +248,9 @@
 		// net/http then frames the body by the end of the connection.
 		w.Header().Set("Transfer-Encoding", "identity")
 	}
-	if point != CrashNever {
+	if point == CrashAfterAnswer {
+		time.AfterFunc(r.answerTime()+crashDelay, r.crashOnRequest)
+	} else if point != CrashNever {
 		r.beginAnswer(w, id, point)
 		r.crashDuring(req)
 	}
@@ -288,6 +292,11 @@
 // crashDelay is the time from the start of a run to the crash that it causes.
 const crashDelay = 50 * time.Millisecond
 
+// answerTime is about how long the answer to a stream takes.
+func (r *Replica) answerTime() time.Duration {
+	return time.Duration(r.Events) * r.EventEvery
+}
+
 // beginAnswer writes the part of a stream that precedes a crash.
 func (r *Replica) beginAnswer(w http.ResponseWriter, id string, point CrashPoint) {
 	if point == CrashBeforeHead {
--- a/testscripts/emulator/crash_tracker.go
+++ b/testscripts/emulator/crash_tracker.go
@@ -161,7 +161,7 @@
 	v, w := c.vm, c.vm.world
 	switch code {
 	case result.Done:
-		c.recordAnswer(r)
+		c.settleAnswer(r, e)
 	case result.EndpointCut:
 		r.call.Trial = 0
 		if w.defect == TakeCrashAsAnswer || !quarantine.MayHaveCrashed(r.answerBeganAt, v.now()) {
@@ -179,6 +179,25 @@
 	}
 }
 
+// settleAnswer records an answer, at once or when its endpoint has outlived it for long enough.
+func (c *crashTracker) settleAnswer(r *request, e fleet.Endpoint) {
+	v, w := c.vm, c.vm.world
+	if w.defect == IgnoreLaterCrash || quarantine.IsSound(r.answerBeganAt, v.now()) {
+		c.recordAnswer(r)
+		return
+	}
+	w.after(quarantine.SoundAnswerDuration, func() {
+		v.run(c.incarnation, func() {
+			switch found := w.engineByID(e.ID); {
+			case found != nil && found.up:
+				c.recordAnswer(r)
+			case found != nil && v.hasEndpoint(e.ID):
+				c.addCrash(r, e)
+			}
+		})
+	})
+}
+
 func (c *crashTracker) addCrash(r *request, e fleet.Endpoint) {
 	for _, s := range r.call.Subjects {
 		if s.IsPart() && c.vm.world.defect == IgnoreParts {
--- a/testscripts/emulator/crashing_calls.go
+++ b/testscripts/emulator/crashing_calls.go
@@ -92,12 +92,19 @@
 // crashDuring crashes the endpoint that runs the attempt, which interrupts its other
 // runs, and schedules a replacement.
 func (e *engine) crashDuring(a attempt) {
+	ended := a.request.harmfulPart > 0 && e.up && e.world.crashRand.Float64() < e.world.parts.Answered
+	if ended {
+		a.request.answerBeganAt = e.world.clock.now
+		a.reply(e, result.Done, true)
+	}
 	if e.up {
 		e.world.ledger.recordCrash(a)
 		e.crash()
 		e.world.after(replacementDelay, func() { e.world.addEngine(e.endpoint.Region).becomeCold() })
 	}
-	a.reply(e, result.EndpointCut, true)
+	if !ended {
+		a.reply(e, result.EndpointCut, true)
+	}
 }
 
 // recordCrash records that an endpoint crashed while running the attempt.
--- a/testscripts/emulator/crashing_parts.go
+++ b/testscripts/emulator/crashing_parts.go
@@ -47,6 +47,9 @@
 	// Companion is the fraction of harmless prompts that have a part which all prompts with a
 	// harmful part have.
 	Companion float64 `json:"companion"`
+	// Answered is the fraction of requests with a harmful part whose answers end before the
+	// crash.
+	Answered float64 `json:"answered"`
 	// CallerRetries is how often callers retry harmless requests that were interrupted.
 	CallerRetries int `json:"repeats"`
 }
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -38,6 +38,8 @@
 	// and SkipAnswerReports counts only answers that the VMs know which report crashes.
 	IgnoreAnswers     Defect = "ignore_answers"
 	SkipAnswerReports Defect = "tell_no_answers"
+	// IgnoreLaterCrash counts answers at once, though their endpoints may still crash of them.
+	IgnoreLaterCrash Defect = "ignore_later_crash"
 	// IgnoreCompany weighs each subject as if no other were in its crashes.
 	IgnoreCompany Defect = "ignore_company"
 	// TakeCrashAsAnswer takes the end of a crashed endpoint's connection for that of an answer.
--- a/testscripts/soak/crashing_parts.go
+++ b/testscripts/soak/crashing_parts.go
@@ -69,7 +69,7 @@
 	if !prompt(req.Header.Get(promptHeader)).isHarmful() {
 		return replica.CrashNever
 	}
-	points := []replica.CrashPoint{replica.CrashBeforeHead, replica.CrashAfterHead, replica.CrashWithinEvent, replica.CrashAfterEvent}
+	points := []replica.CrashPoint{replica.CrashBeforeHead, replica.CrashAfterHead, replica.CrashWithinEvent, replica.CrashAfterEvent, replica.CrashAfterAnswer}
 	return points[hashOf(req.Header.Get(attemptHeader))%uint64(len(points))]
 }
 
