--- a/result/result.go
+++ b/result/result.go
@@ -132,7 +132,7 @@
 	row(NoSurplus, "no_surplus", ClassNotRun, http.StatusServiceUnavailable, "The other region has no surplus.", "Retry at the given time."),
 	row(RetryBudget, "retry_budget", ClassNotRun, http.StatusServiceUnavailable, "The endpoint refused and the retry budget is spent.", "Retry at the given time."),
 	row(EndpointRefused, "endpoint_refused", ClassNotRun, http.StatusServiceUnavailable, "The endpoint refused before running.", "Retry at the given time."),
-	row(Quarantined, "quarantined", ClassNotRun, http.StatusBadGateway, "The endpoints that ran this very call before crashed, so it is not sent to others.", "Do not retry unchanged; change the call or contact the operator."),
+	row(Quarantined, "quarantined", ClassNotRun, http.StatusBadGateway, "The endpoints that ran this very call, or calls with a part of its prompt, crashed, so it is not sent to others.", "Do not retry unchanged, nor send other calls with that part; contact the operator."),
 	row(WrongVM, "wrong_vm", ClassNotRun, http.StatusMisdirectedRequest, "Another VM serves this workspace.", "Use the listed VMs."),
 	row(WrongRegion, "wrong_region", ClassNotRun, http.StatusMisdirectedRequest, "The contract does not allow this region; the body was not read.", "Use the listed VMs."),
 	row(Stopping, "stopping", ClassNotRun, http.StatusServiceUnavailable, "This VM is stopping.", "Use the listed VMs."),
