No check of the endpoint for a short answer to a call without a prompt

A content is seldom sent twice, so its answer need not be confirmed by a dial where its connection has ended: calls that may run once and have connections of their own would have cost one each, four a second and endpoint at the most. Found in review.

--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -179,14 +179,14 @@
 }
 
 // settleRecent counts the recent answers whose endpoints have not crashed of them. Where the
-// connection has ended, the endpoint is checked.
+// connection of a call with parts has ended, the endpoint is checked.
 func (a *Agent) settleRecent(ctx context.Context, now time.Time) {
 	for {
 		r, ok := a.recent.due(now.Add(-quarantine.SoundAnswerDuration))
 		if !ok {
 			return
 		}
-		if r.stillOpen != nil && r.stillOpen() {
+		if r.count == 1 || r.stillOpen != nil && r.stillOpen() {
 			a.credit(r.list(), r.endedAt)
 			continue
 		}
