Engines of a data centre are asked for their health at once as one of them is found cold

Each engine was asked in its turn, 20 to more than 230 ms later, at 35 calls a second. Now the VM that finds one cold asks up to eight others of its service and data centre. Eight questions for an engine that becomes cold again, whatever the number of engines.

--- a/site/cold.go
+++ b/site/cold.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
+	"github.com/fuchsianotch/fuchsianotch/survey"
 	"github.com/fuchsianotch/fuchsianotch/throttle"
 )
 
@@ -40,6 +42,7 @@
 		return err
 	}
 	if remaining > 0 {
+		p.probeNeighbours(context.WithoutCancel(ctx), e)
 		p.node.control.send(ctx, func(c *control, now time.Time) {
 			until := now.Add(remaining)
 			if c.discovery.ReportCold(e.ID, until, now) {
@@ -51,6 +54,24 @@
 	return nil
 }
 
+// probeNeighbours probes engines that may have become cold with one that counted as warm.
+func (p *pools) probeNeighbours(ctx context.Context, cold fleet.Endpoint) {
+	countedAsWarm := false
+	warm := p.index.localEndpoints(func(e discovery.AvailableEndpoint) bool {
+		if !e.ColdUntil.IsZero() {
+			return false
+		}
+		countedAsWarm = countedAsWarm || e.ID == cold.ID
+		return e.ID != cold.ID && e.Service == cold.Service && e.DataCentre == cold.DataCentre
+	})
+	if !countedAsWarm {
+		return
+	}
+	for _, e := range survey.Neighbours(warm, rand.IntN) {
+		go func() { _ = p.probeCold(ctx, e) }()
+	}
+}
+
 const (
 	// warmingPeriod is the end of an engine's cold period in which it is probed again, and
 	// warmingProbeInterval how often. An engine that has restarted stays cold for longer than
--- a/testscripts/emulator/health_probe.go
+++ b/testscripts/emulator/health_probe.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/entry"
@@ -86,6 +87,7 @@
 		}
 		until := found.coldUntil
 		v.run(incarnation, func() {
+			v.probeNeighbours(incarnation, e)
 			if v.discovery.ReportCold(e.ID, until, v.now()) {
 				v.endpointsChanged = true
 				v.applyState()
@@ -94,3 +96,16 @@
 		})
 	})
 }
+
+// probeNeighbours probes endpoints that may have become cold with one that counted as warm.
+func (v *vm) probeNeighbours(incarnation uint64, cold fleet.Endpoint) {
+	isCold := func(e fleet.Endpoint) bool { return e.ID == cold.ID }
+	warm := v.endpoints()
+	if !slices.ContainsFunc(warm, isCold) {
+		return
+	}
+	warm = slices.DeleteFunc(warm, isCold)
+	for _, e := range survey.Neighbours(warm, func(int) int { return 0 }) {
+		v.probeWithPermit(incarnation, e)
+	}
+}
