--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -241,7 +241,7 @@
 	s.dropExpired(now)
 	counted := l.unexplainedCrashes(s)
 	switch {
-	case l.isConvicted(s, counted, now):
+	case l.shouldQuarantine(s, counted, now):
 		l.setVerdict(Verdict{
 			Subject:      s.subject,
 			State:        StateQuarantined,
@@ -266,9 +266,9 @@
 	}
 }
 
-// isConvicted reports whether the crashes under a suspect suffice for its quarantine. A part
+// shouldQuarantine reports whether the crashes under a suspect suffice for its quarantine. A part
 // is shared by many calls, so the VMs that may know answers to it are heard first.
-func (l *List) isConvicted(s *suspect, counted []Crash, now time.Time) bool {
+func (l *List) shouldQuarantine(s *suspect, counted []Crash, now time.Time) bool {
 	if !s.subject.IsPart() {
 		return len(counted) >= l.contentThreshold()
 	}
