--- a/quarantine/agent/agent_test.go
+++ b/quarantine/agent/agent_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,11 @@
 
 // startFleet starts agents whose endpoints have all crashed.
 func startFleet(ctx context.Context, names ...string) *testFleet {
+	return startFleetWith(ctx, func(context.Context, string) error { return syscall.ECONNREFUSED }, names...)
+}
+
+// startFleetWith starts agents that dial endpoints with a function.
+func startFleetWith(ctx context.Context, dial func(context.Context, string) error, names ...string) *testFleet {
 	f := &testFleet{
 		byVM: make(map[string]*Agent),
 		held: make(map[string]quarantine.Counts),
@@ -43,7 +49,7 @@
 			VM:        name,
 			Log:       slog.New(slog.NewTextHandler(io.Discard, nil)),
 			Now:       time.Now,
-			Dial:      func(context.Context, string) error { return syscall.ECONNREFUSED },
+			Dial:      dial,
 			Published: func(fleet.Endpoint) bool { return true },
 			VMs:       func() ([]quarantine.Peer, bool) { return f.order, false },
 			Send: func(_ context.Context, to fleet.VM, n quarantine.Note) error {
@@ -147,14 +153,14 @@
 			defer synctest.Wait()
 			defer stop()
 			f := startFleet(ctx, "a1", "b1")
-			open := true
-			stillOpen := func() bool { return kept && open }
+			var ended atomic.Bool
+			stillOpen := func() bool { return kept && !ended.Load() }
 			for i := range 3 {
 				e := fleet.Endpoint{ID: "e", Incarnation: int64(i)}
-				open = true
+				ended.Store(false)
 				f.byVM["a1"].Answered([]call.Subject{call.Subject(100 + i), harmfulPart}, e, time.Now(), stillOpen)
 				time.Sleep(100 * time.Millisecond)
-				open = false
+				ended.Store(true)
 				if i == 1 {
 					// The check of another call takes the answer with it.
 					f.byVM["a1"].ConnectionLost([]call.Subject{7}, e, time.Time{})
@@ -174,9 +180,8 @@
 			ctx, stop := context.WithCancel(t.Context())
 			defer synctest.Wait()
 			defer stop()
-			f := startFleet(ctx, "a1")
+			f := startFleetWith(ctx, func(context.Context, string) error { return nil }, "a1")
 			a := f.byVM["a1"]
-			a.options.Dial = func(context.Context, string) error { return nil }
 			a.Answered([]call.Subject{1, firstPart}, fleet.Endpoint{ID: "e"}, time.Now(), func() bool { return kept })
 			time.Sleep(500 * time.Millisecond)
 			assert.Assert(t, a.answers.At(firstPart).IsZero())
