--- a/testscripts/emulator/race_test.go
+++ b/testscripts/emulator/race_test.go
@@ -8,3 +8,6 @@
 
 // maxVMs bounds the simulated fleets; larger ones take minutes with the race detector.
 const maxVMs = 90
+
+// maxPartVMs bounds the fleets whose requests have prompts.
+const maxPartVMs = 9
--- a/testscripts/soak/crashing_parts.go
+++ b/testscripts/soak/crashing_parts.go
@@ -115,8 +115,8 @@
 		if next == "" || rand.IntN(3) > 0 {
 			next = newPrompt(true)
 		}
-		sent := *c
-		sent.newPrompt = func() prompt { return next }
+		sent, p := *c, next
+		sent.newPrompt = func() prompt { return p }
 		v, path := tb.vms[rand.IntN(len(tb.vms))], partPaths[rand.IntN(len(partPaths))]
 		tries.Go(func() { sent.resumeStream(ctx, sent.send(ctx, v, path, serviceEngine, http.MethodPost, nil)) })
 		sleep(ctx, time.Duration(rand.Int64N(int64(2*partCallInterval))))
