An endpoint that has restarted before the end of its answer is read is told from one that goes on

What callers saw: an answer that ends with its connection (neither length nor chunks) passed for whole though its endpoint had crashed, if another process listened at the address by the time the end was read. That is so for a caller that reads slowly, as the end waits behind what it was sent, and for a VM that was paused.

Cause: the end was confirmed by a dial alone, and a dial tells only that something listens now.

Evidence: TestEndOfStream, written first.

The body records when its connection was last open. Where that is a second or more ago, or the VM was just paused, a connection that is older than the request has to be open still, as it cannot outlive its process. The dial stays: alone, an older connection whose end is lost on the way would pass a crash. Registry of open connections: one mutex and a slice by address, used as connections are opened and closed, not by calls.

What is left: an endpoint that restarts within a second of its crash. A whole answer that is read late and has no older connection beside it is now broken off, as it cannot be told.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -23,8 +23,9 @@
 
 // transports returns one transport that reuses connections and one that does not.
 // Non-idempotent calls use the latter: an endpoint that closes an idle connection
-// while the request is being sent would leave the outcome unknown.
-func transports(client *http.Client) (pooled, single http.RoundTripper) {
+// while the request is being sent would leave the outcome unknown. Both record their
+// connections in open.
+func transports(client *http.Client, now func() time.Time, open *openConns) (pooled, single http.RoundTripper) {
 	base := &http.Transport{
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleConnTimeout,
@@ -39,7 +40,7 @@
 	}
 	base.Proxy = nil
 	base.DisableCompression = true
-	base.DialContext = trackedDialer(base.DialContext)
+	base.DialContext = trackedDialer(base.DialContext, now, open)
 	once := base.Clone()
 	once.DisableKeepAlives = true
 	return base, once
@@ -47,7 +48,7 @@
 
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-func trackedDialer(dial dialFunc) dialFunc {
+func trackedDialer(dial dialFunc, now func() time.Time, open *openConns) dialFunc {
 	if dial == nil {
 		dial = tcp.Dialer(dialTimeout).DialContext
 	}
@@ -56,7 +57,15 @@
 		if err != nil {
 			return nil, err
 		}
-		return newTrackedConn(conn), nil
+		c := &trackedConn{
+			Conn:     conn,
+			addr:     addr,
+			openedAt: now(),
+			registry: open,
+		}
+		c.isOpen = c.open
+		open.add(c)
+		return c, nil
 	}
 }
 
@@ -65,21 +74,22 @@
 type trackedConn struct {
 	net.Conn
 
+	addr     string
+	openedAt time.Time
+	registry *openConns
+
 	offeredBytes atomic.Int64
 	// tainted is set once the connection delivered a response to another attempt.
 	tainted     atomic.Bool
 	closed      atomic.Bool
 	beforeWrite atomic.Pointer[func() error]
-	// isOpen reports whether neither side has ended the connection.
+	// isOpen is the method open, which attempts hand out.
 	isOpen func() bool
 }
 
-func newTrackedConn(conn net.Conn) *trackedConn {
-	c := &trackedConn{
-		Conn: conn,
-	}
-	c.isOpen = func() bool { return !c.closed.Load() && !tcp.HasEnded(conn) }
-	return c
+// open reports whether neither side has ended the connection.
+func (c *trackedConn) open() bool {
+	return !c.closed.Load() && !tcp.HasEnded(c.Conn)
 }
 
 // Write counts the bytes before writing, so that none is written uncounted.
@@ -98,7 +108,9 @@
 
 // Close rejects further writes before closing the connection.
 func (c *trackedConn) Close() error {
-	c.closed.Store(true)
+	if !c.closed.Swap(true) {
+		c.registry.remove(c)
+	}
 	return c.Conn.Close()
 }
 
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -33,6 +33,8 @@
 	Dialect Dialect
 	// Dial opens and closes a connection to an address; nil means tcp.Probe.
 	Dial func(ctx context.Context, addr string) error
+	// Paused reports whether the process has just been paused; nil means never.
+	Paused func() bool
 }
 
 // Client sends calls to endpoints. It is safe for concurrent use.
@@ -44,6 +46,8 @@
 	maxResponseBytes int
 	dialect          Dialect
 	dial             func(ctx context.Context, addr string) error
+	paused           func() bool
+	open             *openConns
 }
 
 // New creates a Client.
@@ -53,6 +57,7 @@
 		maxResponseBytes: o.MaxResponseBytes,
 		dialect:          o.Dialect,
 		dial:             o.Dial,
+		paused:           o.Paused,
 	}
 	if c.now == nil {
 		c.now = time.Now
@@ -60,10 +65,14 @@
 	if c.dial == nil {
 		c.dial = tcp.Probe
 	}
+	if c.paused == nil {
+		c.paused = func() bool { return false }
+	}
 	if c.maxResponseBytes <= 0 {
 		c.maxResponseBytes = DefaultMaxResponseBytes
 	}
-	c.pooled, c.unpooled = transports(o.Client)
+	c.open = newOpenConns()
+	c.pooled, c.unpooled = transports(o.Client, c.now, c.open)
 	return c
 }
 
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -25,6 +25,10 @@
 	sink    Sink
 	conn    connTracker
 	outcome Outcome
+	// sentAt is when the request was sent at the earliest, body is set if the response's body
+	// ends with its connection.
+	sentAt time.Time
+	body   *endingBody
 	// completionID is the expected chat response id as a quoted JSON string.
 	completionID string
 	// headForwarded is set by the first call of forwardHead; sinkFailed once the
@@ -40,15 +44,16 @@
 	if err := x.checkDeadline(); err != nil {
 		return notSentRefusal(err)
 	}
+	x.sentAt = x.client.now()
 	resp, refusal := x.roundTrip()
 	if refusal != nil {
 		return refusal
 	}
 	defer func() { _ = resp.Body.Close() }()
 	x.outcome.Sent = true
-	x.outcome.Framing = framingOf(resp)
-	refusal = x.handleResponse(resp)
 	x.outcome.StillOpen = x.conn.stillOpen()
+	x.frame(resp)
+	refusal = x.handleResponse(resp)
 	x.outcome.Succeeded = refusal == nil && resp.StatusCode < http.StatusMultipleChoices
 	return refusal
 }
--- /dev/null
+++ b/endpoint/framing_test.go
@@ -0,0 +1,138 @@
+package endpoint
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/result"
+)
+
+// endRow is a case of testdata/ends.json: what happens while the caller takes the event of a
+// stream that ends with its connection.
+type endRow struct {
+	Name string
+	// Crash ends the endpoint, Restart starts another one at its address.
+	Crash   bool
+	Restart bool
+	// Pause pauses the VM while it waits for the end.
+	Pause bool
+	// StallSeconds is how long the caller takes for the event.
+	StallSeconds float64 `json:"stall_seconds"`
+	// Kept is set if the client has another connection to the endpoint.
+	Kept bool
+	Code result.Code
+}
+
+// TestEndOfStream guards against a stream that passes for whole as its endpoint has crashed and
+// another one listens at its address by the time its end is read.
+func TestEndOfStream(t *testing.T) {
+	for _, row := range datatest.Read[[]endRow](t, "testdata/ends.json") {
+		t.Run(row.Name, row.run)
+	}
+}
+
+func (row endRow) run(t *testing.T) {
+	e := newStreamEndpoint(t)
+	var elapsed time.Duration
+	started := time.Now()
+	client := New(Options{
+		Client:  &http.Client{Transport: &http.Transport{}},
+		Dialect: testDialect,
+		Now:     func() time.Time { return started.Add(elapsed) },
+		Paused:  func() bool { return row.Pause },
+	})
+	if row.Kept {
+		conn, err := client.pooled.(*http.Transport).DialContext(t.Context(), "tcp", e.addr)
+		assert.NilError(t, err)
+		defer func() { _ = conn.Close() }()
+		elapsed += time.Millisecond
+	}
+	attempt := routedCall(e.addr, "")
+	attempt.Call.Deadline = started.Add(time.Minute)
+	out := client.Send(t.Context(), attempt, Sink{
+		Head: func(int, http.Header) error { return nil },
+		Chunk: func([]byte) error {
+			e.end(row.Crash)
+			if row.Restart {
+				newStreamEndpointAt(t, e.addr)
+			}
+			elapsed += time.Duration(row.StallSeconds * float64(time.Second))
+			return nil
+		},
+	})
+	assert.Equal(t, out.Code, row.Code, "%v", out.Err)
+}
+
+// streamEndpoint answers every request with one event of a stream without a length or chunks.
+type streamEndpoint struct {
+	addr string
+	ln   net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
+	// answering is the connection of the last answer.
+	answering net.Conn
+}
+
+func newStreamEndpoint(t *testing.T) *streamEndpoint {
+	return newStreamEndpointAt(t, "127.0.0.1:0")
+}
+
+func newStreamEndpointAt(t *testing.T, addr string) *streamEndpoint {
+	t.Helper()
+	ln, err := net.Listen("tcp", addr)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	e := &streamEndpoint{
+		addr: ln.Addr().String(),
+		ln:   ln,
+	}
+	go e.serve()
+	return e
+}
+
+func (e *streamEndpoint) serve() {
+	for {
+		conn, err := e.ln.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns = append(e.conns, conn)
+		e.mu.Unlock()
+		go e.answer(conn)
+	}
+}
+
+func (e *streamEndpoint) answer(conn net.Conn) {
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = req.Body.Read(make([]byte, 1024))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.answering = conn
+	_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nAttempt: attempt-1\r\nSigned: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\nid: 1\ndata: a\n\n"))
+}
+
+// end ends the answer, and with a crash the listener and all connections.
+func (e *streamEndpoint) end(crash bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !crash {
+		_ = e.answering.Close()
+		return
+	}
+	_ = e.ln.Close()
+	for _, conn := range e.conns {
+		_ = conn.Close()
+	}
+}
--- a/site/site.go
+++ b/site/site.go
@@ -174,6 +174,7 @@
 	n.endpointClient = endpoint.New(endpoint.Options{
 		Now:     n.now,
 		Dialect: platform.Dialect(),
+		Paused:  func() bool { return !n.control.snapshot().members.Fresh(n.now()) },
 	})
 	n.puller = &puller{
 		node: n,
