A crash behind a slow caller, or a pause of the VM, clears no suspect

What callers saw: nothing at once. The calls of a slow caller that crashed their endpoints counted as sound, so a part of prompts that they share was cleared after each crash and went on to crash endpoints.

Cause: how long an endpoint had run a call was measured to the moment at which the VM read the end, or the next event, of the answer. Both may lie in the VM's buffers for as long as the caller takes what it was sent, or as the VM is paused. An endpoint that crashed 0.05 s after it began seemed to have run for seconds.

Evidence: TestCrashIsNoAnswer, two new rows, written first. On the code before, both streams were reported as answered, and then as cut too late to be suspects ("answeredcut late" in place of "cut").

The body of every response records when its connection was last open, by a poll at most every 0.1 s and not at all for a read right after another; both measures end at that time. How an endpoint ran a call is one message now (quarantine.Run) in place of four parameters.

What is left: a pause is known from the control loop of a platform with routes. Under contracts an end that arrives during a pause is dated by its read.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -96,9 +96,9 @@
 	FetchFrom string
 	// OnFirstByte, if set, is called when the first part of the response arrives.
 	OnFirstByte func()
-	// OnEventGap, if set, receives the time between two events of a routed stream and
-	// the number of tokens in the later one.
-	OnEventGap func(gap time.Duration, tokens int)
+	// OnEventGap, if set, receives the time between two events of a routed stream, the
+	// number of tokens in the later one, and Outcome.OpenAt as of now.
+	OnEventGap func(gap time.Duration, tokens int, openAt time.Time)
 	// OnNotice, if set, receives what the endpoint says about itself in the head of a
 	// verified response.
 	OnNotice func(Notice)
@@ -125,6 +125,9 @@
 	// StillOpen reports whether the connection of the response is still open; nil if that is
 	// not known.
 	StillOpen func() bool
+	// OpenAt is when the connection of the response was last known to be open while it was
+	// read; zero if there was no response.
+	OpenAt time.Time
 	// Framing is that of the response; empty if there was none.
 	Framing Framing
 	// Usage is as reported by the endpoint, minus the tokens before ResumeFrom.
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -25,10 +25,9 @@
 	sink    Sink
 	conn    connTracker
 	outcome Outcome
-	// sentAt is when the request was sent at the earliest, body is set if the response's body
-	// ends with its connection.
+	// sentAt is when the request was sent at the earliest.
 	sentAt time.Time
-	body   *endingBody
+	body   trackedBody
 	// completionID is the expected chat response id as a quoted JSON string.
 	completionID string
 	// headForwarded is set by the first call of forwardHead; sinkFailed once the
@@ -51,8 +50,14 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	x.outcome.Sent = true
+	x.outcome.Framing = framingOf(resp)
 	x.outcome.StillOpen = x.conn.stillOpen()
-	x.frame(resp)
+	x.outcome.OpenAt = x.client.now()
+	x.body = trackedBody{
+		ReadCloser: resp.Body,
+		x:          x,
+	}
+	resp.Body = &x.body
 	refusal = x.handleResponse(resp)
 	x.outcome.Succeeded = refusal == nil && resp.StatusCode < http.StatusMultipleChoices
 	return refusal
--- a/endpoint/framing.go
+++ b/endpoint/framing.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -43,45 +42,6 @@
 	}
 }
 
-// frame records the framing of a response.
-func (x *exchange) frame(resp *http.Response) {
-	x.outcome.Framing = framingOf(resp)
-	if x.outcome.Framing != FramingConnection {
-		return
-	}
-	x.body = &endingBody{
-		ReadCloser: resp.Body,
-		now:        x.client.now,
-		stillOpen:  x.outcome.StillOpen,
-		openAt:     x.client.now(),
-	}
-	resp.Body = x.body
-}
-
-// endingBody is a body that ends with its connection. It records when the connection was
-// last open, as a slow caller delays the read of its end.
-type endingBody struct {
-	io.ReadCloser
-	now func() time.Time
-	// stillOpen is nil if the transport hides its connections.
-	stillOpen func() bool
-	openAt    time.Time
-}
-
-// Read implements io.Reader.
-func (b *endingBody) Read(p []byte) (int, error) {
-	wasOpen := b.isOpen()
-	n, err := b.ReadCloser.Read(p)
-	if wasOpen || b.isOpen() {
-		b.openAt = b.now()
-	}
-	return n, err
-}
-
-func (b *endingBody) isOpen() bool {
-	return b.stillOpen == nil || b.stillOpen()
-}
-
 // confirmEnd checks that a body that ended with its connection is whole. The connections of
 // a crashed endpoint end in the same way, but then nothing listens at its address until it
 // has restarted, and its other connections have ended too.
@@ -89,7 +49,7 @@
 	if x.outcome.Framing != FramingConnection {
 		return nil
 	}
-	mayHaveRestarted := x.client.paused() || x.client.now().Sub(x.body.openAt) >= minRestartTime
+	mayHaveRestarted := x.client.now().Sub(x.outcome.OpenAt) >= minRestartTime
 	if refusal := x.confirmListening(); refusal != nil {
 		return refusal
 	}
--- a/endpoint/framing_test.go
+++ b/endpoint/framing_test.go
@@ -30,6 +30,9 @@
 	Code result.Code
 }
 
+// vmPause is how long the VM is paused.
+const vmPause = 3 * time.Second
+
 // TestEndOfStream guards against a stream that passes for whole as its endpoint has crashed and
 // another one listens at its address by the time its end is read.
 func TestEndOfStream(t *testing.T) {
@@ -41,12 +44,18 @@
 func (row endRow) run(t *testing.T) {
 	e := newStreamEndpoint(t)
 	var elapsed time.Duration
-	started := time.Now()
+	started, delivered := time.Now(), false
 	client := New(Options{
 		Client:  &http.Client{Transport: &http.Transport{}},
 		Dialect: testDialect,
 		Now:     func() time.Time { return started.Add(elapsed) },
-		Paused:  func() bool { return row.Pause },
+		Paused: func() bool {
+			paused := row.Pause && delivered
+			if paused {
+				elapsed = vmPause
+			}
+			return paused
+		},
 	})
 	if row.Kept {
 		conn, err := client.pooled.(*http.Transport).DialContext(t.Context(), "tcp", e.addr)
@@ -63,6 +72,7 @@
 			if row.Restart {
 				newStreamEndpointAt(t, e.addr)
 			}
+			delivered = true
 			elapsed += time.Duration(row.StallSeconds * float64(time.Second))
 			return nil
 		},
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -151,7 +151,7 @@
 func (x *exchange) reportEventGap(lastAt time.Time) time.Time {
 	now := x.client.now()
 	if x.attempt.OnEventGap != nil && !lastAt.IsZero() {
-		x.attempt.OnEventGap(now.Sub(lastAt), x.attempt.Call.Routed.TokensPerEvent)
+		x.attempt.OnEventGap(now.Sub(lastAt), x.attempt.Call.Routed.TokensPerEvent, x.outcome.OpenAt)
 	}
 	return now
 }
--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -145,26 +145,24 @@
 }
 
 // ConnectionLost reports that the connection broke off on which an endpoint was running a
-// call. firstAt is when the answer began, zero if it had not. The subjects must not change.
-func (a *Agent) ConnectionLost(subjects []call.Subject, e fleet.Endpoint, firstAt time.Time) {
-	if now := a.options.Now(); !quarantine.MayHaveCrashed(firstAt, now) {
-		a.credit(subjects, now)
+// call.
+func (a *Agent) ConnectionLost(r quarantine.Run) {
+	if !quarantine.MayHaveCrashed(r.BeganAt, r.OpenAt) {
+		a.credit(r.Subjects, r.OpenAt)
 		return
 	}
-	a.post(func(ctx context.Context, now time.Time) { a.checkEndpoint(ctx, subjects, e, now) })
+	a.post(func(ctx context.Context, now time.Time) { a.checkEndpoint(ctx, r.Subjects, r.Endpoint, now) })
 }
 
 // Answered reports that an endpoint answered a call, or a part of the call, without crashing.
-// beganAt is when the answer began. If that was a moment ago, the endpoint may still crash of
-// it: the answer counts once it has not. stillOpen reports whether the answer's connection is
-// still open; nil if that is not known.
-func (a *Agent) Answered(subjects []call.Subject, e fleet.Endpoint, beganAt time.Time, stillOpen func() bool) {
-	now := a.options.Now()
-	if quarantine.IsSound(beganAt, now) {
-		a.credit(subjects, now)
+// If the answer began a moment ago, the endpoint may still crash of it: the answer counts once
+// it has not.
+func (a *Agent) Answered(r quarantine.Run) {
+	if quarantine.IsSound(r.BeganAt, r.OpenAt) {
+		a.credit(r.Subjects, r.OpenAt)
 		return
 	}
-	a.recent.add(subjects, e, now, stillOpen)
+	a.recent.add(r)
 }
 
 // credit counts an answer for the subjects of its call.
@@ -187,7 +185,7 @@
 			return
 		}
 		if r.count == 1 || r.stillOpen != nil && r.stillOpen() {
-			a.credit(r.list(), r.endedAt)
+			a.credit(r.list(), r.openAt)
 			continue
 		}
 		a.checkAnswer(ctx, r, now)
--- a/quarantine/agent/agent_test.go
+++ b/quarantine/agent/agent_test.go
@@ -87,10 +87,15 @@
 		f := startFleet(ctx, "a1", "a2", "b1", "b2", "c1")
 		for i, name := range []string{"a1", "b2", "c1"} {
 			e := fleet.Endpoint{ID: name, Incarnation: int64(i)}
-			f.byVM[name].ConnectionLost([]call.Subject{7}, e, time.Time{})
-			f.byVM[name].ConnectionLost([]call.Subject{call.Subject(100 + i)}, e, time.Time{})
+			f.byVM[name].ConnectionLost(cutRun([]call.Subject{7}, e))
+			f.byVM[name].ConnectionLost(cutRun([]call.Subject{call.Subject(100 + i)}, e))
 			// This answer had lasted too long for the call to be the cause.
-			f.byVM[name].ConnectionLost([]call.Subject{8}, e, time.Now().Add(-10*time.Second))
+			f.byVM[name].ConnectionLost(quarantine.Run{
+				Subjects: []call.Subject{8},
+				Endpoint: e,
+				BeganAt:  time.Now().Add(-10 * time.Second),
+				OpenAt:   time.Now(),
+			})
 			time.Sleep(300 * time.Millisecond)
 		}
 		for name, a := range f.byVM {
@@ -114,7 +119,7 @@
 		defer stop()
 		f := startFleet(ctx, "a1", "a2", "b1")
 		for i := range 3 {
-			f.byVM["a1"].ConnectionLost([]call.Subject{7}, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
+			f.byVM["a1"].ConnectionLost(cutRun([]call.Subject{7}, fleet.Endpoint{ID: "e", Incarnation: int64(i)}))
 			time.Sleep(300 * time.Millisecond)
 		}
 		time.Sleep(90 * time.Second)
@@ -128,7 +133,7 @@
 		}
 		// One trial in each of the two regions, which are both allowed one by now.
 		assert.Equal(t, trials, 2)
-		f.byVM["a2"].Answered([]call.Subject{7}, fleet.Endpoint{}, longAgo(), nil)
+		f.byVM["a2"].Answered(soundRun([]call.Subject{7}, fleet.Endpoint{}))
 		time.Sleep(time.Second)
 		for name, a := range f.byVM {
 			assert.Equal(t, a.Admit([]call.Subject{7}, 0), quarantine.Admission{}, name)
@@ -139,9 +144,33 @@
 // Parts of the prompts in tests: all calls share the first one, harmful calls the second one.
 var firstPart, harmfulPart = call.PartSubject("", 1), call.PartSubject("", 2)
 
-// longAgo is when an answer began that has gone on for long enough to count.
-func longAgo() time.Time {
-	return time.Now().Add(-quarantine.SoundAnswerDuration)
+// cutRun is a run that broke off before its answer began.
+func cutRun(subjects []call.Subject, e fleet.Endpoint) quarantine.Run {
+	return quarantine.Run{
+		Subjects: subjects,
+		Endpoint: e,
+	}
+}
+
+// soundRun is a run whose answer has gone on for long enough to count.
+func soundRun(subjects []call.Subject, e fleet.Endpoint) quarantine.Run {
+	return quarantine.Run{
+		Subjects: subjects,
+		Endpoint: e,
+		BeganAt:  time.Now().Add(-quarantine.SoundAnswerDuration),
+		OpenAt:   time.Now(),
+	}
+}
+
+// shortRun is a run that was answered whole a moment ago.
+func shortRun(subjects []call.Subject, e fleet.Endpoint, stillOpen func() bool) quarantine.Run {
+	return quarantine.Run{
+		Subjects:  subjects,
+		Endpoint:  e,
+		BeganAt:   time.Now(),
+		OpenAt:    time.Now(),
+		StillOpen: stillOpen,
+	}
 }
 
 // TestCrashAfterAnswer guards against endpoints that crash one after the other under a part
@@ -158,12 +187,12 @@
 			for i := range 3 {
 				e := fleet.Endpoint{ID: "e", Incarnation: int64(i)}
 				ended.Store(false)
-				f.byVM["a1"].Answered([]call.Subject{call.Subject(100 + i), harmfulPart}, e, time.Now(), stillOpen)
+				f.byVM["a1"].Answered(shortRun([]call.Subject{call.Subject(100 + i), harmfulPart}, e, stillOpen))
 				time.Sleep(100 * time.Millisecond)
 				ended.Store(true)
 				if i == 1 {
 					// The check of another call takes the answer with it.
-					f.byVM["a1"].ConnectionLost([]call.Subject{7}, e, time.Time{})
+					f.byVM["a1"].ConnectionLost(cutRun([]call.Subject{7}, e))
 				}
 				time.Sleep(2 * time.Second)
 			}
@@ -182,7 +211,7 @@
 			defer stop()
 			f := startFleetWith(ctx, func(context.Context, string) error { return nil }, "a1")
 			a := f.byVM["a1"]
-			a.Answered([]call.Subject{1, firstPart}, fleet.Endpoint{ID: "e"}, time.Now(), func() bool { return kept })
+			a.Answered(shortRun([]call.Subject{1, firstPart}, fleet.Endpoint{ID: "e"}, func() bool { return kept }))
 			time.Sleep(500 * time.Millisecond)
 			assert.Assert(t, a.answers.At(firstPart).IsZero())
 			time.Sleep(time.Second)
@@ -205,10 +234,10 @@
 			subjects := []call.Subject{call.Subject(100 + i), firstPart, harmfulPart}
 			if vm.Admit(subjects, 0).Held == 0 {
 				admitted++
-				vm.ConnectionLost(subjects, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
+				vm.ConnectionLost(cutRun(subjects, fleet.Endpoint{ID: "e", Incarnation: int64(i)}))
 			}
 			time.Sleep(400 * time.Millisecond)
-			f.byVM["c1"].Answered([]call.Subject{call.Subject(200 + i), firstPart}, fleet.Endpoint{}, longAgo(), nil)
+			f.byVM["c1"].Answered(soundRun([]call.Subject{call.Subject(200 + i), firstPart}, fleet.Endpoint{}))
 			time.Sleep(400 * time.Millisecond)
 		}
 		assert.Equal(t, admitted, 3)
@@ -231,12 +260,12 @@
 		f := startFleet(ctx, "a1")
 		a := f.byVM["a1"]
 		for i := range 3 {
-			a.ConnectionLost([]call.Subject{7, harmfulPart}, fleet.Endpoint{ID: "e", Incarnation: int64(i)}, time.Time{})
-			a.ConnectionLost([]call.Subject{8, firstPart}, fleet.Endpoint{ID: "e", Incarnation: int64(10 + i)}, time.Time{})
+			a.ConnectionLost(cutRun([]call.Subject{7, harmfulPart}, fleet.Endpoint{ID: "e", Incarnation: int64(i)}))
+			a.ConnectionLost(cutRun([]call.Subject{8, firstPart}, fleet.Endpoint{ID: "e", Incarnation: int64(10 + i)}))
 			time.Sleep(600 * time.Millisecond)
 		}
-		a.ConnectionLost([]call.Subject{9, harmfulPart}, fleet.Endpoint{ID: "e", Incarnation: 4}, time.Time{})
-		a.ConnectionLost([]call.Subject{9, firstPart}, fleet.Endpoint{ID: "e", Incarnation: 14}, time.Time{})
+		a.ConnectionLost(cutRun([]call.Subject{9, harmfulPart}, fleet.Endpoint{ID: "e", Incarnation: 4}))
+		a.ConnectionLost(cutRun([]call.Subject{9, firstPart}, fleet.Endpoint{ID: "e", Incarnation: 14}))
 		time.Sleep(90 * time.Second)
 		assert.Equal(t, f.counts("a1").Parts, 2)
 		assert.Equal(t, a.Admit([]call.Subject{10, harmfulPart, firstPart}, 0).Trial, call.Subject(0))
@@ -246,7 +275,7 @@
 		a.TrialUnsent(harmfulPart)
 		time.Sleep(90 * time.Second)
 		assert.Equal(t, a.Admit([]call.Subject{13, harmfulPart}, 0).Trial, harmfulPart)
-		a.Answered([]call.Subject{13, harmfulPart}, fleet.Endpoint{}, longAgo(), nil)
+		a.Answered(soundRun([]call.Subject{13, harmfulPart}, fleet.Endpoint{}))
 		time.Sleep(time.Second)
 		assert.Equal(t, a.Admit([]call.Subject{14, harmfulPart}, 0), quarantine.Admission{})
 	})
@@ -279,9 +308,9 @@
 		Now: time.Now,
 	})
 	subjects := []call.Subject{1, call.PartSubject("", 1), call.PartSubject("", 2), call.PartSubject("", 3), call.PartSubject("", 4)}
-	beganAt := time.Now()
+	run := shortRun(subjects, fleet.Endpoint{}, nil)
 	b.ReportAllocs()
 	for b.Loop() {
-		a.Answered(subjects, fleet.Endpoint{}, beganAt, nil)
+		a.Answered(run)
 	}
 }
--- a/quarantine/agent/check.go
+++ b/quarantine/agent/check.go
@@ -120,7 +120,7 @@
 	case stateCrashed:
 		a.recordCrash(instanceOf(r.endpoint), known, known.add(r.list()), now)
 	case stateAnswers:
-		a.credit(r.list(), r.endedAt)
+		a.credit(r.list(), r.openAt)
 	}
 }
 
@@ -202,7 +202,7 @@
 	}
 	if found == stateAnswers {
 		for _, r := range known.answers {
-			a.credit(r.list(), r.endedAt)
+			a.credit(r.list(), r.openAt)
 		}
 	}
 	known.answers = nil
--- a/quarantine/agent/check_test.go
+++ b/quarantine/agent/check_test.go
@@ -69,7 +69,7 @@
 				go func() { _ = a.Run(ctx) }()
 				e := fleet.Endpoint{ID: "e", Incarnation: 1}
 				for content := range call.Subject(5) {
-					a.ConnectionLost([]call.Subject{content}, e, time.Time{})
+					a.ConnectionLost(cutRun([]call.Subject{content}, e))
 				}
 				time.Sleep(maxDials * (dialTimeout + dialInterval))
 				stop()
--- a/quarantine/agent/recent.go
+++ b/quarantine/agent/recent.go
@@ -6,6 +6,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 )
 
 const (
@@ -22,7 +23,8 @@
 	subjects [maxRecentSubjects]call.Subject
 	count    int
 	endpoint fleet.Endpoint
-	endedAt  time.Time
+	// openAt is when the answer's connection was last known to be open.
+	openAt time.Time
 	// stillOpen reports whether the answer's connection is still open; nil if that is not
 	// known.
 	stillOpen func() bool
@@ -40,17 +42,17 @@
 	count int
 }
 
-func (q *recentAnswers) add(subjects []call.Subject, e fleet.Endpoint, endedAt time.Time, stillOpen func() bool) {
+func (q *recentAnswers) add(run quarantine.Run) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.count == recentCapacity {
 		q.dropFirst()
 	}
 	r := &q.queue[(q.first+q.count)%recentCapacity]
-	r.count = copy(r.subjects[:], subjects)
-	r.endpoint = e
-	r.endedAt = endedAt
-	r.stillOpen = stillOpen
+	r.count = copy(r.subjects[:], run.Subjects)
+	r.endpoint = run.Endpoint
+	r.openAt = run.OpenAt
+	r.stillOpen = run.StillOpen
 	q.count++
 }
 
@@ -60,11 +62,11 @@
 	q.count--
 }
 
-// due removes and returns the first answer if it ended before a time.
+// due removes and returns the first answer if it was last open before a time.
 func (q *recentAnswers) due(before time.Time) (r recentAnswer, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for q.count > 0 && q.queue[q.first].endedAt.Before(before) {
+	for q.count > 0 && q.queue[q.first].openAt.Before(before) {
 		r = q.queue[q.first]
 		q.dropFirst()
 		if r.count > 0 {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -66,28 +66,6 @@
 	maxIncarnations = 16
 )
 
-// healthyAnswerDuration is how long an endpoint must have been answering a call for a
-// later crash not to be attributed to it. A harmful call crashes its endpoint within some
-// 0.1 s of starting to run.
-const healthyAnswerDuration = 2 * time.Second
-
-// MayHaveCrashed reports whether a call whose answer began at firstAt and broke off at
-// brokeAt may have crashed its endpoint. A zero firstAt means that the answer never
-// began.
-func MayHaveCrashed(firstAt, brokeAt time.Time) bool {
-	return firstAt.IsZero() || brokeAt.Sub(firstAt) < healthyAnswerDuration
-}
-
-// SoundAnswerDuration is how long an endpoint must have been answering a call for its
-// subjects to count as answered.
-const SoundAnswerDuration = time.Second
-
-// IsSound reports whether an answer that began at a time has gone on for long enough. An
-// unknown time is zero.
-func IsSound(beganAt, now time.Time) bool {
-	return !beganAt.IsZero() && now.Sub(beganAt) >= SoundAnswerDuration
-}
-
 // Crash is the crash of an endpoint that was running a call.
 type Crash struct {
 	Subject call.Subject
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -55,32 +55,39 @@
 // crash too. Only a success shows that the endpoint has run the call without harm. A trial
 // ends with its first attempt.
 func (s *Server) reportToQuarantine(c *call.Call, e fleet.Endpoint, out endpoint.Outcome) {
+	run := quarantine.Run{
+		Subjects:  c.Subjects,
+		Endpoint:  e,
+		BeganAt:   out.FirstByteAt,
+		OpenAt:    out.OpenAt,
+		StillOpen: out.StillOpen,
+	}
 	switch {
 	case out.Code == result.Done:
 		if out.Succeeded {
-			s.options.Quarantine.Answered(c.Subjects, e, out.FirstByteAt, out.StillOpen)
+			s.options.Quarantine.Answered(run)
 		}
 	case !out.Sent || out.CallerDisconnected || out.ErrorResponse != nil:
 	case out.Code == result.EndpointCut || out.Code == result.EndpointFailed:
 		c.Trial = 0
-		s.options.Quarantine.ConnectionLost(c.Subjects, e, out.FirstByteAt)
+		s.options.Quarantine.ConnectionLost(run)
 	}
 }
 
 // soundProgress reports a stream as answered once it has gone on for long enough, as it may
 // last for much longer.
 type soundProgress struct {
-	endpoint fleet.Endpoint
-	firstAt  time.Time
+	run      quarantine.Run
 	reported bool
 }
 
-func (s *Server) reportProgress(c *call.Call, p *soundProgress) {
-	if p.reported || !quarantine.IsSound(p.firstAt, s.options.Now()) {
+func (s *Server) reportProgress(p *soundProgress, openAt time.Time) {
+	p.run.OpenAt = openAt
+	if p.reported || !quarantine.IsSound(p.run.BeganAt, openAt) {
 		return
 	}
 	p.reported = true
-	s.options.Quarantine.Answered(c.Subjects, p.endpoint, p.firstAt, nil)
+	s.options.Quarantine.Answered(p.run)
 }
 
 // returnUnsentTrial takes a trial back that began with this call and reached no endpoint.
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -14,7 +14,6 @@
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
-	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -75,11 +74,9 @@
 							return quarantine.Admission{}
 						}
 					},
-					ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) { reported = append(reported, "cut") },
-					Answered: func([]call.Subject, fleet.Endpoint, time.Time, func() bool) {
-						reported = append(reported, "ended_well")
-					},
-					TrialUnsent: func(call.Subject) {},
+					ConnectionLost: func(quarantine.Run) { reported = append(reported, "cut") },
+					Answered:       func(quarantine.Run) { reported = append(reported, "ended_well") },
+					TrialUnsent:    func(call.Subject) {},
 				},
 			})
 			out := s.sendWithRetries(t.Context(), &call.Call{
@@ -129,15 +126,25 @@
 type answerCase struct {
 	Name   string
 	Status int
-	// Framing of the endpoint's response: "length" or "connection". Crash ends the endpoint
+	// Framing of the endpoint's response: "length", "chunked" or "connection". Crash ends the endpoint
 	// before the response ends.
 	Framing string
 	Crash   bool
+	// StallSeconds is how long the caller takes for the first event of a stream, which the
+	// endpoint has sent whole by then.
+	StallSeconds float64 `json:"stall_seconds"`
 	// Want is what is reported to the quarantine: "answered", "cut" or nothing.
 	Want     string
 	WantCode result.Code `json:"want_code"`
 }
 
+func (c answerCase) body() string {
+	if c.StallSeconds > 0 {
+		return "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	}
+	return "hello"
+}
+
 // signedDialect takes every response with an id as signed.
 var signedDialect = endpoint.Dialect{
 	SetRequestHeader: func(http.Header, endpoint.RequestParams) {},
@@ -156,31 +163,45 @@
 	for _, c := range datatest.Read[[]answerCase](t, "testdata/answered.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			reported := ""
+			var elapsed time.Duration
+			now := func() time.Time { return time.Now().Add(elapsed) }
 			var server *httptest.Server
 			server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Attempt", "r-1")
+				if c.StallSeconds > 0 {
+					w.Header().Set("Content-Type", "text/event-stream")
+				}
 				if c.Framing == "connection" {
 					w.Header().Set("Transfer-Encoding", "identity")
 				}
 				w.WriteHeader(c.Status)
-				_, _ = io.WriteString(w, "hello")
+				_, _ = io.WriteString(w, c.body())
 				if c.Crash {
 					_ = server.Listener.Close()
 				}
+				if c.Crash && c.Framing == "chunked" {
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
 			}))
 			defer server.Close()
 			s := New(Options{
-				Now:      time.Now,
+				Now:      now,
 				VM:       "a",
 				Pool:     poolOf(1, server.Listener.Addr().String()),
-				Endpoint: endpoint.New(endpoint.Options{Dialect: signedDialect}),
+				Endpoint: endpoint.New(endpoint.Options{Dialect: signedDialect, Now: now}),
 				Budget:   budgetOf(retry.NewBudget(1)),
 				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
 				Metrics:  metrics.New(),
 				Quarantine: Quarantine{
-					Admit:          func([]call.Subject, call.Subject) quarantine.Admission { return quarantine.Admission{} },
-					ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) { reported = "cut" },
-					Answered:       func([]call.Subject, fleet.Endpoint, time.Time, func() bool) { reported = "answered" },
+					Admit: func([]call.Subject, call.Subject) quarantine.Admission { return quarantine.Admission{} },
+					ConnectionLost: func(r quarantine.Run) {
+						reported += "cut"
+						if !quarantine.MayHaveCrashed(r.BeganAt, r.OpenAt) {
+							reported += " late"
+						}
+					},
+					Answered: func(quarantine.Run) { reported += "answered" },
 				},
 			})
 			out := s.sendWithRetries(t.Context(), &call.Call{
@@ -195,8 +216,13 @@
 					MaxAttempts: 1,
 				},
 			}, call.Sink{
-				Head:  func(int, http.Header) error { return nil },
-				Chunk: func([]byte) error { return nil },
+				Head: func(int, http.Header) error { return nil },
+				Chunk: func([]byte) error {
+					// The end of the connection arrives meanwhile.
+					time.Sleep(50 * time.Millisecond)
+					elapsed += time.Duration(c.StallSeconds * float64(time.Second))
+					return nil
+				},
 			}, nil)
 			assert.Equal(t, out.Code, c.WantCode)
 			assert.Equal(t, reported, c.Want)
--- a/serving/run.go
+++ b/serving/run.go
@@ -12,6 +12,7 @@
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/limit"
+	"github.com/fuchsianotch/fuchsianotch/quarantine"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/routing"
@@ -170,15 +171,18 @@
 	})
 	attempt := s.newAttempt(c, slot, permit, beforeSend, p)
 	sound := soundProgress{
-		endpoint: slot.Choice.Endpoint,
+		run: quarantine.Run{
+			Subjects: c.Subjects,
+			Endpoint: slot.Choice.Endpoint,
+		},
 	}
 	attempt.OnFirstByte = func() {
-		sound.firstAt = s.options.Now()
-		pool.Endpoints.FirstToken(slot.Choice, sound.firstAt)
+		sound.run.BeganAt = s.options.Now()
+		pool.Endpoints.FirstToken(slot.Choice, sound.run.BeganAt)
 	}
-	attempt.OnEventGap = func(gap time.Duration, tokens int) {
+	attempt.OnEventGap = func(gap time.Duration, tokens int, openAt time.Time) {
 		pool.Endpoints.StreamProgress(slot.Choice, gap, tokens, s.options.Now())
-		s.reportProgress(c, &sound)
+		s.reportProgress(&sound, openAt)
 	}
 	out := s.options.Endpoint.Send(ctx, attempt, endpointSink(sink, slot.Choice.Endpoint))
 	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -48,12 +48,11 @@
 	// Admit reports whether a call with the subjects may be sent, possibly as a trial; trial
 	// is the subject that it was already admitted to try.
 	Admit func(subjects []call.Subject, trial call.Subject) quarantine.Admission
-	// ConnectionLost reports that the connection to an endpoint broke during an attempt, and
-	// when the response began (zero if it did not).
-	ConnectionLost func(subjects []call.Subject, e fleet.Endpoint, firstAt time.Time)
-	// Answered reports that an endpoint answered a call without crashing, when the response
-	// began, and whether its connection is still open (nil if that is not known).
-	Answered func(subjects []call.Subject, e fleet.Endpoint, beganAt time.Time, stillOpen func() bool)
+	// ConnectionLost reports that the connection to an endpoint broke during an attempt.
+	ConnectionLost func(r quarantine.Run)
+	// Answered reports that an endpoint answered a call, or went on answering it, without
+	// crashing.
+	Answered func(r quarantine.Run)
 	// TrialUnsent takes back a trial that reached no endpoint.
 	TrialUnsent func(subject call.Subject)
 }
@@ -63,8 +62,8 @@
 	Admit: func(_ []call.Subject, trial call.Subject) quarantine.Admission {
 		return quarantine.Admission{Trial: trial}
 	},
-	ConnectionLost: func([]call.Subject, fleet.Endpoint, time.Time) {},
-	Answered:       func([]call.Subject, fleet.Endpoint, time.Time, func() bool) {},
+	ConnectionLost: func(quarantine.Run) {},
+	Answered:       func(quarantine.Run) {},
 	TrialUnsent:    func(call.Subject) {},
 }
 
