An answer whose endpoint may have restarted by its check counts for nothing

What callers saw: nothing at once. After a pause of the VM, a short answer that had ended with its connection cleared the parts of its prompt, as the endpoint listened again when it was checked, though it may have crashed of that very answer.

Cause: the check, due a second after the answer, was made however late it came. Found by reading the change again, not in a run.

Evidence: TestRestartAfterAnswer, written first; on the code before, the answer was counted.

A check that would come two seconds after the answer, or later, is not made: the answer counts neither for nor against its subjects. Where the connection is still open it counts as before, as that outlives no process.

--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -29,6 +29,9 @@
 	// trialTimeout is when another trial may be admitted if the result of the previous
 	// one is unknown. It is longer than calls last.
 	trialTimeout = 15 * time.Second
+	// settleTimeout is how long after a short answer a check of its endpoint is made. Later
+	// the endpoint may have crashed and restarted, as after a pause of the VM.
+	settleTimeout = 2 * quarantine.SoundAnswerDuration
 )
 
 // Options configures an Agent. All fields are required.
@@ -177,7 +180,8 @@
 }
 
 // settleRecent counts the recent answers whose endpoints have not crashed of them. Where the
-// connection of a call with parts has ended, the endpoint is checked.
+// connection of a call with parts has ended, the endpoint is checked. An answer that is too
+// late for a check counts neither for nor against its subjects.
 func (a *Agent) settleRecent(ctx context.Context, now time.Time) {
 	for {
 		r, ok := a.recent.due(now.Add(-quarantine.SoundAnswerDuration))
@@ -188,7 +192,9 @@
 			a.credit(r.list(), r.openAt)
 			continue
 		}
-		a.checkAnswer(ctx, r, now)
+		if now.Sub(r.openAt) < settleTimeout {
+			a.checkAnswer(ctx, r, now)
+		}
 	}
 }
 
--- a/quarantine/agent/agent_test.go
+++ b/quarantine/agent/agent_test.go
@@ -220,6 +220,23 @@
 	}
 }
 
+// TestRestartAfterAnswer guards against an answer that counts although its endpoint may have
+// crashed of it and restarted by the time it is checked.
+func TestRestartAfterAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		f := startFleetWith(ctx, func(context.Context, string) error { return nil }, "a1")
+		a := f.byVM["a1"]
+		run := shortRun([]call.Subject{1, firstPart}, fleet.Endpoint{ID: "e"}, func() bool { return false })
+		run.OpenAt = time.Now().Add(-3 * time.Second)
+		a.Answered(run)
+		time.Sleep(2 * time.Second)
+		assert.Assert(t, a.answers.At(firstPart).IsZero())
+	})
+}
+
 // TestCrashingPart guards against endpoints that crash one after the other under one part, in
 // calls that are all different, and against refusing sound calls with their first part.
 func TestCrashingPart(t *testing.T) {
