Chats that share a first message that crashes endpoints are held by it

And a chat that was held by a part would have ended in a panic as its refusal was written.

Cause: the parts of a prompt were read from routed calls only, though a chat's first message has been hashed for cache affinity all along, and travels with calls between VMs.

The hash of model and first message is a subject of a chat beside its content, refusals and the lines of calls name it.

--- a/call/subject.go
+++ b/call/subject.go
@@ -46,9 +46,13 @@
 // inlineSubjects is the number of subjects that need no allocation.
 const inlineSubjects = 8
 
-// SetSubjects sets Subjects from the call's content and prompt.
+// SetSubjects sets Subjects from the call's content and prompt. Of a chat the first message is
+// the part that others may share.
 func (c *Call) SetSubjects() {
 	c.Subjects = append(c.subjectStore[:0], c.ContentHash())
+	if c.Kind == KindChat && c.PrefixHash != 0 {
+		c.Subjects = append(c.Subjects, PartSubject(c.Workspace, c.PrefixHash))
+	}
 	if c.Routed == nil {
 		return
 	}
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -32,6 +32,9 @@
 	if !a.Held.IsPart() {
 		return result.Refuse(result.Quarantined, "%d endpoints crashed under this call", a.Crashes)
 	}
+	if c.Routed == nil {
+		return result.Refuse(result.Quarantined, "%d endpoints crashed under the prompt's first message", a.Crashes)
+	}
 	for i, p := range c.Routed.SharedParts() {
 		if c.Subjects[1+i] == a.Held {
 			return result.Refuse(result.Quarantined, "%d endpoints crashed under part %x of the prompt", a.Crashes, p.ID)
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -122,6 +122,21 @@
 	}
 }
 
+// TestRefusalOfChat guards against a panic as a chat is refused for its first message.
+func TestRefusalOfChat(t *testing.T) {
+	c := &call.Call{
+		Kind:       call.KindChat,
+		PrefixHash: 7,
+	}
+	c.SetSubjects()
+	refusal := quarantineRefusal(c, quarantine.Admission{
+		Held:    c.Subjects[1],
+		Crashes: 3,
+	})
+	assert.Equal(t, refusal.Code, result.Quarantined)
+	assert.ErrorContains(t, refusal, "the prompt's first message")
+}
+
 // answerCase is one row of testdata/answered.json.
 type answerCase struct {
 	Name   string
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -46,13 +46,16 @@
 
 // partsAttr returns the prompt's parts that other calls may share.
 func partsAttr(c *call.Call) slog.Attr {
-	if c.Routed == nil {
-		return slog.String("parts", "")
-	}
-	return slog.Any("parts", promptParts{
+	shared := promptParts{
 		workspace: c.Workspace,
-		parts:     c.Routed.SharedParts(),
-	})
+	}
+	switch {
+	case c.Routed != nil:
+		shared.parts = c.Routed.SharedParts()
+	case c.Kind == call.KindChat && c.PrefixHash != 0:
+		shared.parts = []call.PromptPart{{ID: c.PrefixHash}}
+	}
+	return slog.Any("parts", shared)
 }
 
 // promptParts formats parts as "id=subject" when a line is written.
