--- a/quarantine/agent/agent_test.go
+++ b/quarantine/agent/agent_test.go
@@ -220,6 +220,23 @@
 	}
 }
 
+// TestNoCheckWithoutParts guards against a connection to the endpoint for each short answer to a
+// call without parts.
+func TestNoCheckWithoutParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer stop()
+		var dials atomic.Int64
+		f := startFleetWith(ctx, func(context.Context, string) error { dials.Add(1); return nil }, "a1")
+		a := f.byVM["a1"]
+		a.Answered(shortRun([]call.Subject{1}, fleet.Endpoint{ID: "e"}, func() bool { return false }))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, dials.Load(), int64(0))
+		assert.Assert(t, !a.answers.At(1).IsZero())
+	})
+}
+
 // TestRestartAfterAnswer guards against an answer that counts although its endpoint may have
 // crashed of it and restarted by the time it is checked.
 func TestRestartAfterAnswer(t *testing.T) {
