TestAllAgree: contents agree after one exchange of notes again

The test had been loosened for parts, which are decided on after VMs were asked, and let contents wait along with them.

--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -262,6 +262,10 @@
 			}
 		}
 		clear(sim.isolated)
+		sim.deliver()
+		for _, name := range sim.order {
+			assert.Equal(t, heldContents(sim, name), heldContents(sim, sim.order[0]))
+		}
 		for range 4 {
 			sim.deliver()
 			sim.now = sim.now.Add(answerWait)
@@ -281,8 +285,16 @@
 }
 
 func heldSubjects(sim *simulation, name string) string {
+	return namesOf(sim.lists[name].Held(nil))
+}
+
+func heldContents(sim *simulation, name string) string {
+	return namesOf(slices.DeleteFunc(sim.lists[name].Held(nil), func(h Quarantined) bool { return h.Subject.IsPart() }))
+}
+
+func namesOf(held []Quarantined) string {
 	var out []string
-	for _, h := range sim.lists[name].Held(nil) {
+	for _, h := range held {
 		out = append(out, subjectName(h.Subject))
 	}
 	slices.Sort(out)
