What was sent to VMs that are gone, or of verdicts that made way, is forgotten

What callers saw: nothing. A VM kept a record of each VM that it had ever told of a crash, and in each of these one of every subject that it had ever had a verdict on: fleets that are replaced, and floods of parts, grew both.

Cause: records of VMs were never removed, and a verdict that makes way for another one (256 at most are kept) was removed without what was known of it elsewhere, other than one that expires. Found by reading.

Evidence: TestReplacedVMsAreForgotten, and TestStateIsBounded with a second VM, both failing before: 50 records after 50 replacements, 4,096 versions for 256 verdicts.

Records of VMs that are out of reach are removed once they outnumber the others. One that comes back is told all verdicts, as it is anyhow.

--- a/quarantine/note.go
+++ b/quarantine/note.go
@@ -57,6 +57,7 @@
 // acknowledge is due again, also after it restarted or a partition ended.
 func (l *List) DueNotes(vms []Peer, partitioned bool, now time.Time) []Outgoing {
 	l.partitioned = partitioned
+	l.forgetPeers(vms)
 	notes := make(map[string]*Outgoing, len(vms))
 	noteTo := func(p Peer) *Outgoing {
 		if notes[p.VM.ID] == nil {
@@ -80,6 +81,20 @@
 	return out
 }
 
+// forgetPeers forgets what was sent to VMs that are gone, once they are more than the others.
+func (l *List) forgetPeers(vms []Peer) {
+	if len(l.peers) <= 2*len(vms) {
+		return
+	}
+	known := l.peers
+	l.peers = make(map[string]*peerState, len(vms))
+	for _, p := range vms {
+		if state := known[p.VM.ID]; state != nil {
+			l.peers[p.VM.ID] = state
+		}
+	}
+}
+
 func (l *List) addCrashes(owners *ownerIndex, noteTo func(Peer) *Outgoing, now time.Time) {
 	for _, w := range l.localCrashes {
 		for _, owner := range owners.owners(w.Subject) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -403,6 +403,7 @@
 		}
 	}
 	delete(l.verdicts, least.Subject)
+	l.forgetVersions(least.Subject)
 	l.quarantinedBy = nil
 }
 
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -301,10 +301,30 @@
 	return strings.Join(out, " ")
 }
 
+// TestReplacedVMsAreForgotten guards against a record of each VM that ever was.
+func TestReplacedVMsAreForgotten(t *testing.T) {
+	sim := newSimulation("a1", "b1")
+	for endpoint := range uint64(crashesToQuarantine) {
+		sim.lists["a1"].AddCrash(Crash{
+			Subject:     1,
+			Incarnation: endpoint,
+			At:          sim.now,
+		})
+	}
+	for i := range 50 {
+		replaced := fmt.Sprintf("b%d", i+2)
+		sim.start(replaced)
+		sim.order = []string{"a1", replaced}
+		sim.deliver()
+		assert.Equal(t, heldSubjects(sim, replaced), "1")
+	}
+	assert.Assert(t, len(sim.lists["a1"].peers) <= 4, "%d peers", len(sim.lists["a1"].peers))
+}
+
 // TestStateIsBounded checks that memory use does not grow with the number of crashed
 // calls.
 func TestStateIsBounded(t *testing.T) {
-	sim := newSimulation("a1")
+	sim := newSimulation("a1", "b1")
 	for number := range uint64(4 * maxSuspects) {
 		subject := call.Subject(number)
 		if number%2 == 0 {
@@ -317,6 +337,7 @@
 		sim.now = sim.now.Add(time.Millisecond)
 	}
 	list := sim.lists["a1"]
+	assert.Assert(t, len(list.peers["b1"].knownVersions) <= maxVerdicts, "%d versions", len(list.peers["b1"].knownVersions))
 	assert.Assert(t, len(list.localCrashes) <= maxLocalCrashes)
 	assert.Assert(t, len(list.suspects) <= maxSuspects)
 	assert.Assert(t, len(list.verdicts) <= maxVerdicts)
