--- a/quarantine/agent/agent.go
+++ b/quarantine/agent/agent.go
@@ -222,7 +222,7 @@
 			continue
 		}
 		if first != nil || trial != 0 {
-			return quarantine.Admission{Held: h.Subject, Crashes: h.Crashes}
+			return h.refused()
 		}
 		first = h
 	}
@@ -233,7 +233,14 @@
 		a.trialStarted(first.Subject)
 		return quarantine.Admission{Trial: first.Subject}
 	default:
-		return quarantine.Admission{Held: first.Subject, Crashes: first.Crashes}
+		return first.refused()
+	}
+}
+
+func (h *heldSubject) refused() quarantine.Admission {
+	return quarantine.Admission{
+		Held:    h.Subject,
+		Crashes: h.Crashes,
 	}
 }
 
--- a/quarantine/agent/check.go
+++ b/quarantine/agent/check.go
@@ -72,28 +72,32 @@
 	state checkState
 	// calls is the number of calls interrupted until the check ended.
 	calls int
-	// subjects are those of all interrupted calls, once each, and callsOf how many have each.
-	subjects []call.Subject
-	callsOf  []int
+	// subjects are those of all interrupted calls, once each.
+	subjects []cutSubject
 	// answers count if the endpoint has not crashed.
 	answers []recentAnswer
 	// expiresAt is set once the result is known.
 	expiresAt time.Time
 }
 
+// cutSubject is a subject with the number of interrupted calls that have it.
+type cutSubject struct {
+	subject call.Subject
+	calls   int
+}
+
 // add adds an interrupted call and returns the index of the first subject that no call
 // before it has.
 func (c *check) add(subjects []call.Subject) int {
 	c.calls++
 	known := len(c.subjects)
 	for _, s := range subjects {
-		i := slices.Index(c.subjects, s)
+		i := slices.IndexFunc(c.subjects, func(known cutSubject) bool { return known.subject == s })
 		if i < 0 {
-			c.subjects = append(c.subjects, s)
-			c.callsOf = append(c.callsOf, 0)
-			i = len(c.subjects) - 1
+			i = len(c.subjects)
+			c.subjects = append(c.subjects, cutSubject{subject: s})
 		}
-		c.callsOf[i]++
+		c.subjects[i].calls++
 	}
 	return known
 }
@@ -141,13 +145,13 @@
 // recordCrash records that an endpoint crashed while it was running calls with the subjects
 // of its check, beginning with one.
 func (a *Agent) recordCrash(crashed instance, c *check, from int, now time.Time) {
-	for i, s := range c.subjects[from:] {
+	for _, s := range c.subjects[from:] {
 		a.list.AddCrash(quarantine.Crash{
-			Subject:     s,
+			Subject:     s.subject,
 			Incarnation: crashed.hash(),
 			At:          now,
-			Calls:       c.callsOf[from+i],
-			AnsweredAt:  a.answers.At(s),
+			Calls:       s.calls,
+			AnsweredAt:  a.answers.At(s.subject),
 		})
 	}
 	a.stepDue = true
@@ -209,7 +213,6 @@
 	a.options.Log.Log(context.Background(), level, "endpoint_checked", "endpoint", e.ID, "state", string(found), "calls", known.calls)
 	if found != stateCrashed {
 		known.subjects = nil
-		known.callsOf = nil
 	}
 }
 
--- a/quarantine/note.go
+++ b/quarantine/note.go
@@ -283,10 +283,3 @@
 		l.recordAnswer(a, now)
 	}
 }
-
-func (v *Verdict) supersedes(known *Verdict) bool {
-	if v.Version != known.Version {
-		return v.Version > known.Version
-	}
-	return v.State > known.State
-}
