--- a/testscripts/emulator/crashing_parts.go
+++ b/testscripts/emulator/crashing_parts.go
@@ -204,28 +204,46 @@
 			continue
 		}
 		from := t.crashes[min(partCrashes, len(t.crashes))-1].Add(soundRecoveryTime)
-		sentBefore, servedBefore := l.soundRequests(time.Time{}, t.crashes[0].Add(-maxPromptRunTime))
-		sentAfter, servedAfter := l.soundRequests(from, l.world.end.Add(-maxPromptRunTime))
-		if min(sentBefore, sentAfter) < minSoundRequests {
+		before := l.soundRequests(time.Time{}, t.crashes[0].Add(-maxPromptRunTime))
+		after := l.soundRequests(from, l.world.end.Add(-maxPromptRunTime))
+		if min(before.sent, after.sent) < minSoundRequests {
 			continue
 		}
-		if servedAfter*sentBefore < minSoundShare*servedBefore*sentAfter {
-			l.addViolation(CheckSoundParts, "%.0f of %.0f harmless requests were served after %d crashes, %.0f of %.0f before", servedAfter, sentAfter, len(t.crashes), servedBefore, sentBefore)
+		if after.served*before.sent < minSoundShare*before.served*after.sent {
+			l.addViolation(CheckSoundParts, "%.0f of %.0f harmless requests were served after %d crashes, %.0f of %.0f before", after.served, after.sent, len(t.crashes), before.served, before.sent)
+		}
+		if after.quarantined > (1-minSoundShare)*after.arrived {
+			l.addViolation(CheckSoundParts, "%.0f of %.0f harmless requests were quarantined after %d crashes", after.quarantined, after.arrived, len(t.crashes))
 		}
 	}
 }
 
-// soundRequests counts the harmless requests sent in an interval to VMs that timing bounds
-// apply to, and those that began. An endpoint's own failure began.
-func (l *ledger) soundRequests(from, to time.Time) (sent, served float64) {
+// soundCounts counts harmless requests. sent and served are those at VMs that timing bounds
+// apply to; arrived and quarantined those at any VM.
+type soundCounts struct {
+	sent        float64
+	served      float64
+	arrived     float64
+	quarantined float64
+}
+
+// soundRequests counts the harmless requests sent in an interval.
+func (l *ledger) soundRequests(from, to time.Time) (counts soundCounts) {
 	for _, r := range l.requests {
-		if !r.hasPrompt || !r.convergedVM || r.sentAt.Before(from) || r.sentAt.After(to) {
+		if !r.hasPrompt || r.sentAt.Before(from) || r.sentAt.After(to) {
+			continue
+		}
+		counts.arrived++
+		if r.outcome.answer == result.Quarantined {
+			counts.quarantined++
+		}
+		if !r.convergedVM {
 			continue
 		}
-		sent++
-		if r.outcome.answer == result.Done || r.outcome.answer == result.EndpointFailed {
-			served++
+		counts.sent++
+		if r.outcome.answer == result.Done {
+			counts.served++
 		}
 	}
-	return sent, served
+	return counts
 }
