Lines and a metric that tell what a retry budget is made of

A line retry_budget, once a second for a service, has the requests and retries of a process's window, its part of the slack and the number of VMs that share it; retry_budget_total tells services apart. The budget of a service moves from pools.go into a file of its own.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -119,7 +119,7 @@
 		forwards:         newCounterVec("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:          newCounter("retries_total", "Attempts after the first of a call."),
 		endpointAnswers:  newCounterVec("endpoint_answers_total", "Answers that endpoints began, by what marks their end and whether they were whole.", "framing", "whole"),
-		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event"),
+		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event", "service"),
 		resumedStreams:   newCounterVec("streams_resumed_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
 		streamRecords:    newGauge("stream_records", "Origins of streams that this VM holds."),
 		droppedRecords:   newGauge("stream_records_dropped", "Origins of streams that this VM had no room for since its start."),
@@ -232,9 +232,9 @@
 	RetryBudgetReturned RetryBudgetEvent = "returned"
 )
 
-// CountRetryBudget counts a use of the retry budget.
-func (m *Metrics) CountRetryBudget(event RetryBudgetEvent) {
-	m.retryBudget.WithLabelValues(string(event)).Inc()
+// CountRetryBudget counts a use of a service's retry budget.
+func (m *Metrics) CountRetryBudget(event RetryBudgetEvent, service string) {
+	m.retryBudget.WithLabelValues(string(event), service).Inc()
 }
 
 // SetRetryBudgetVMs sets the number of VMs among which this VM divides the budget's slack.
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -47,7 +47,7 @@
 	m.CountCrossRegionCall("b")
 	m.Forwarded(result.ClassUnknown)
 	m.Retried()
-	m.CountRetryBudget(RetryBudgetGranted)
+	m.CountRetryBudget(RetryBudgetGranted, "chat")
 	m.SetRetryBudgetVMs(6)
 	m.CountResumedStream(StreamOriginAsked)
 	m.SetStreamRecords(7, 1)
@@ -125,7 +125,7 @@
 		"fuchsianotch_sent_away_total b":                       1,
 		"fuchsianotch_forwards_total unknown":                  1,
 		"fuchsianotch_retries_total ":                          1,
-		"fuchsianotch_retry_budget_total granted":              1,
+		"fuchsianotch_retry_budget_total granted chat":         1,
 		"fuchsianotch_retry_budget_vms ":                       6,
 		"fuchsianotch_streams_resumed_total asked":             1,
 		"fuchsianotch_stream_records ":                         7,
--- a/retry/window.go
+++ b/retry/window.go
@@ -66,10 +66,7 @@
 	defer w.mu.Unlock()
 	current := w.bucket()
 	requests, retries := w.totals(current.tick)
-	limit := w.options.Ratio * float64(requests)
-	if vms := w.options.VMs(); vms > 0 && !w.options.Now().Before(w.options.SlackFrom) {
-		limit += w.options.Slack / float64(vms)
-	}
+	limit := w.options.Ratio*float64(requests) + w.slack()
 	if float64(retries+1) > limit*(1-safetyMargin) {
 		return false
 	}
@@ -77,6 +74,38 @@
 	return true
 }
 
+// Usage is what a Window holds at a moment.
+type Usage struct {
+	// Requests and Retries are those of the last window.
+	Requests int
+	Retries  int
+	// Slack is this VM's part of the fleet's slack, and VMs the number of VMs that share it.
+	Slack float64
+	VMs   int
+}
+
+// Usage returns what the window holds now.
+func (w *Window) Usage() Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	requests, retries := w.totals(w.bucket().tick)
+	return Usage{
+		Requests: requests,
+		Retries:  retries,
+		Slack:    w.slack(),
+		VMs:      w.options.VMs(),
+	}
+}
+
+// slack returns the part of the fleet's slack that this VM may use now.
+func (w *Window) slack() float64 {
+	vms := w.options.VMs()
+	if vms <= 0 || w.options.Now().Before(w.options.SlackFrom) {
+		return 0
+	}
+	return w.options.Slack / float64(vms)
+}
+
 // Return gives back a retry that was granted at a time and never sent.
 func (w *Window) Return(grantedAt time.Time) {
 	w.mu.Lock()
--- a/site/pools.go
+++ b/site/pools.go
@@ -8,8 +8,6 @@
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
-	"github.com/fuchsianotch/fuchsianotch/metrics"
-	"github.com/fuchsianotch/fuchsianotch/retry"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/serving"
@@ -33,7 +31,7 @@
 
 type pool struct {
 	serving.Pool
-	budget *retry.Window
+	budget *retryBudget
 }
 
 func newPools(n *Node) *pools {
@@ -156,7 +154,7 @@
 				Now:    p.node.now,
 			}, endpoints),
 		},
-		budget: p.newRetryWindow(),
+		budget: newRetryBudget(p.node, service),
 	}
 	p.setMembers(created, snap)
 	pools := maps.Clone(p.all())
@@ -177,46 +175,6 @@
 	}
 }
 
-func (p *pools) newRetryWindow() *retry.Window {
-	bounds := p.node.bounds.Load()
-	return retry.NewWindow(retry.WindowOptions{
-		Ratio:  bounds.RetryRatio,
-		Slack:  bounds.RetrySlack,
-		Length: bounds.RetryWindow,
-		VMs:    func() int { return p.node.control.snapshot().members.FleetSize },
-		Now:    p.node.now,
-
-		SlackFrom: p.node.startedAt.Add(bounds.RetryWindow),
-	})
-}
-
-// retryBudget limits the retries to each service.
-func (p *pools) retryBudget() serving.Budget {
-	return serving.Budget{
-		OnRequest: func(service string) {
-			if pool := p.all()[service]; pool != nil {
-				pool.budget.OnRequest()
-				p.node.metrics.CountRetryBudget(metrics.RetryBudgetRequest)
-			}
-		},
-		Allow: func(service string) bool {
-			pool := p.all()[service]
-			if pool == nil || !pool.budget.Allow() {
-				p.node.metrics.CountRetryBudget(metrics.RetryBudgetRefused)
-				return false
-			}
-			p.node.metrics.CountRetryBudget(metrics.RetryBudgetGranted)
-			return true
-		},
-		Return: func(service string, grantedAt time.Time) {
-			if pool := p.all()[service]; pool != nil {
-				pool.budget.Return(grantedAt)
-				p.node.metrics.CountRetryBudget(metrics.RetryBudgetReturned)
-			}
-		},
-	}
-}
-
 // find returns the pool of a service in this region.
 func (p *pools) find(service string) (*serving.Pool, bool) {
 	pool, ok := p.all()[service]
