Tests that fail: retries beyond the budget across starts and moved traffic

The emulator's callers can be led to some VMs only, and its ledger checks the windows that begin with a retry as well as those that end with one.

--- a/testscripts/emulator/caller.go
+++ b/testscripts/emulator/caller.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"fmt"
+	"slices"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
@@ -50,12 +52,28 @@
 	if len(c.vms) == 0 {
 		return
 	}
-	to := c.vms[w.rand.IntN(len(c.vms))]
+	vms := c.vms
+	if len(w.callersTo) > 0 {
+		vms = w.numberedVMs(c.region, w.callersTo)
+	}
+	to := vms[w.rand.IntN(len(vms))]
 	r := w.newRequest(c.region)
 	w.addPrompt(r, to)
 	c.send(w, to, r)
 }
 
+// numberedVMs returns the VMs of a region with some numbers.
+func (w *world) numberedVMs(region string, numbers []int) []*vm {
+	var out []*vm
+	for _, v := range w.vms {
+		isNumbered := func(n int) bool { return v.member.ID == fmt.Sprintf("%s-%d", region, n) }
+		if slices.ContainsFunc(numbers, isNumbered) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
 // send delivers a request to a VM.
 func (c *caller) send(w *world, to *vm, r *request) {
 	w.network.send(c.region, to.member.Region, func() {
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -202,6 +202,9 @@
 	streams         streamState
 	// maxCallerRetries is how often a caller retries an interrupted request.
 	maxCallerRetries int
+	// callersTo are the numbers of the VMs of each region that callers send to; empty for
+	// those that the directory lists.
+	callersTo []int
 }
 
 func newWorld(o Options) *world {
--- a/testscripts/emulator/ledger.go
+++ b/testscripts/emulator/ledger.go
@@ -152,6 +152,7 @@
 	if r.outcome.arrivals > 1 {
 		l.retryArrivals = append(l.retryArrivals, now)
 		l.checkBudget(now)
+		l.world.after(retryWindow, func() { l.checkBudget(now.Add(retryWindow - 1)) })
 	}
 	if len(r.homes) > 0 && !slices.Contains(r.homes, e.endpoint.Region) {
 		l.addViolation(CheckHomeRegions, "request %d reached region %s, which is not one of its homes", r.id, e.endpoint.Region)
@@ -187,13 +188,13 @@
 }
 
 // checkBudget checks the ratio of retries to the requests that callers sent, whether these
-// arrived or not.
-func (l *ledger) checkBudget(now time.Time) {
+// arrived or not, in the window that ends at a time.
+func (l *ledger) checkBudget(end time.Time) {
 	requests := 0
 	for _, age := range []time.Duration{0, retryWindow / 2, retryWindow} {
-		requests = max(requests, l.sentBetween(now.Add(-age-retryWindow), now.Add(-age)))
+		requests = max(requests, l.sentBetween(end.Add(-age-retryWindow), end.Add(-age)))
 	}
-	retries := countBetween(l.retryArrivals, now.Add(-retryWindow), now)
+	retries := countBetween(l.retryArrivals, end.Add(-retryWindow), end)
 	if bound := retryRatio*float64(requests) + retryBurst; float64(retries) > bound {
 		l.addViolation(CheckRetryBudget, "%d retries of %d requests exceed the retry budget", retries, requests)
 	}
--- a/testscripts/emulator/planned_faults.go
+++ b/testscripts/emulator/planned_faults.go
@@ -12,6 +12,7 @@
 	Engines    []EngineFault `json:"engines"`
 	Partitions []Partition   `json:"partitions"`
 	Kills      []Kill        `json:"kills"`
+	Shifts     []Shift       `json:"shifts"`
 }
 
 // EngineFault makes all engines of some regions refuse requests, or lose their answers.
@@ -43,6 +44,13 @@
 	VMs int `json:"vms"`
 }
 
+// Shift makes all callers send to some VMs of their regions only, by number.
+type Shift struct {
+	AtSeconds  float64 `json:"at"`
+	ForSeconds float64 `json:"for"`
+	VMs        []int   `json:"vms"`
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
@@ -56,6 +64,10 @@
 	for _, c := range p.Partitions {
 		w.after(warmup+seconds(c.AtSeconds), func() { w.separateRegions(c) })
 	}
+	for _, s := range p.Shifts {
+		w.after(warmup+seconds(s.AtSeconds), func() { w.callersTo = s.VMs })
+		w.after(warmup+seconds(s.AtSeconds+s.ForSeconds), func() { w.callersTo = nil })
+	}
 	for _, k := range p.Kills {
 		w.after(warmup+seconds(k.AtSeconds), func() {
 			killed := make(map[string]int)
--- a/testscripts/emulator/planned_faults_test.go
+++ b/testscripts/emulator/planned_faults_test.go
@@ -14,6 +14,13 @@
 	runPlannedFaults(t, "testdata/retries.json")
 }
 
+// TestRetriesAcrossWindows guards against windows of VMs that don't add up to one of the
+// fleet, where VMs start or traffic moves between two bursts of failures.
+func TestRetriesAcrossWindows(t *testing.T) {
+	t.Parallel()
+	runPlannedFaults(t, "testdata/retry_windows.json")
+}
+
 // TestRunsOnLostVMs guards against a request that runs on more endpoints than its route allows,
 // as a VM that was lost had run it on more than one.
 func TestRunsOnLostVMs(t *testing.T) {
