Retries of all VMs keep their bound across starts and moved traffic

What callers saw: nothing; endpoints got up to twice the retries that the platform's budget allows, in times in which they fail anyway.

Cause: each process bounded its retries by its own requests of the ten seconds before its own last retry. Where processes start, or traffic moves to other VMs, between two bursts of failures, what is spent at the beginning of a window of the fleet is earned before it, and what is spent at its end is earned in it, so the sums over processes are those of two windows.

Change: from any moment on, a process makes at most half the ratio of its own requests since one window before that moment, and its part of the slack. That is linear in requests of which each is counted by one process, so it adds up to the bound of the fleet: the requests of two windows are at most twice those of the larger one, which is what the rule counts. Requests in flight and the width of buckets are part of the bound in place of a margin.

--- a/retry/window.go
+++ b/retry/window.go
@@ -1,16 +1,19 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 )
 
 const (
 	// windowBuckets is the number of buckets of a sliding window.
-	windowBuckets = 20
-	// safetyMargin is the share of the limit that stays unused, since requests and
-	// retries are counted here when they are sent, and by endpoints when they arrive.
-	safetyMargin = 0.1
+	windowBuckets = 40
+	// delayBuckets is by how many buckets at most a retry arrives after it was granted, and a
+	// request is counted after its caller sent it.
+	delayBuckets = 1
+	// historyBuckets cover the windows that a retry may lie in and those before them.
+	historyBuckets = 2*windowBuckets + 1
 )
 
 // WindowOptions configures a Window.
@@ -31,13 +34,19 @@
 	Now       func() time.Time
 }
 
-// Window limits the retries to one service within a sliding window. Each VM retries a
-// share of its own requests and uses an equal part of the fleet's slack, so all VMs
-// together keep the limit without coordination. It is safe for concurrent use.
+// Window limits the retries to one service. In any sliding window, all VMs together make
+// at most Ratio retries for each request of that window or of the one before it, whichever
+// has more requests, and the slack.
+//
+// That needs no coordination. From any moment on, each process makes at most half of Ratio
+// retries for each of its own requests since one Length before that moment, and its part of
+// the slack. These bounds add up to that of the fleet, whichever VMs get the requests and
+// whenever processes start: the requests of two windows are at most twice those of the larger
+// one. It is safe for concurrent use.
 type Window struct {
 	options WindowOptions
 	mu      sync.Mutex
-	buckets [windowBuckets]windowBucket
+	buckets [historyBuckets]windowBucket
 }
 
 type windowBucket struct {
@@ -57,17 +66,15 @@
 func (w *Window) OnRequest() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.bucket().requests++
+	w.current().requests++
 }
 
 // Allow takes one retry from the budget and reports whether there was one.
 func (w *Window) Allow() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	current := w.bucket()
-	requests, retries := w.totals(current.tick)
-	limit := w.options.Ratio*float64(requests) + w.slack()
-	if float64(retries+1) > limit*(1-safetyMargin) {
+	current := w.current()
+	if w.left(current.tick) < 1 {
 		return false
 	}
 	current.retries++
@@ -79,6 +86,8 @@
 	// Requests and Retries are those of the last window.
 	Requests int
 	Retries  int
+	// Left is the number of retries that may still be made now.
+	Left float64
 	// Slack is this VM's part of the fleet's slack, and VMs the number of VMs that share it.
 	Slack float64
 	VMs   int
@@ -88,22 +97,17 @@
 func (w *Window) Usage() Usage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	requests, retries := w.totals(w.bucket().tick)
-	return Usage{
-		Requests: requests,
-		Retries:  retries,
-		Slack:    w.slack(),
-		VMs:      w.options.VMs(),
+	tick := w.current().tick
+	u := Usage{
+		Left:  w.left(tick),
+		Slack: w.slack(),
+		VMs:   w.options.VMs(),
 	}
-}
-
-// slack returns the part of the fleet's slack that this VM may use now.
-func (w *Window) slack() float64 {
-	vms := w.options.VMs()
-	if vms <= 0 || w.options.Now().Before(w.options.SlackFrom) {
-		return 0
+	for t := tick - windowBuckets + 1; t <= tick; t++ {
+		u.Requests += w.at(t).requests
+		u.Retries += w.at(t).retries
 	}
-	return w.options.Slack / float64(vms)
+	return u
 }
 
 // Return gives back a retry that was granted at a time and never sent.
@@ -111,17 +115,44 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	tick := w.tick(grantedAt)
-	bucket := &w.buckets[tick%windowBuckets]
+	bucket := &w.buckets[tick%historyBuckets]
 	if bucket.tick == tick && bucket.retries > 0 {
 		bucket.retries--
 	}
 }
 
-// bucket returns the bucket of the current time and clears what it held of an
-// earlier window.
-func (w *Window) bucket() *windowBucket {
+// left returns how many retries may be made at a tick: the least that is left in any window
+// that a retry granted now may arrive in.
+func (w *Window) left(tick int64) float64 {
+	least := math.Inf(1)
+	// For a window that starts within a bucket, retries counts those that may arrive in it,
+	// and requests those that callers have surely sent in it or in the window before.
+	var retries, requests int
+	const before = windowBuckets - 1 - delayBuckets
+	for t := tick + delayBuckets + 1 - before; t <= tick; t++ {
+		requests += w.at(t).requests
+	}
+	for start := tick + delayBuckets; start >= tick-windowBuckets; start-- {
+		retries += w.at(start - delayBuckets).retries
+		requests += w.at(start - before).requests
+		least = min(least, w.options.Ratio/2*float64(requests)-float64(retries))
+	}
+	return least + w.slack()
+}
+
+// slack returns the part of the fleet's slack that this VM may use now.
+func (w *Window) slack() float64 {
+	vms := w.options.VMs()
+	if vms <= 0 || w.options.Now().Before(w.options.SlackFrom) {
+		return 0
+	}
+	return w.options.Slack / float64(vms)
+}
+
+// current returns the bucket of the current time and clears what it held of an earlier one.
+func (w *Window) current() *windowBucket {
 	tick := w.tick(w.options.Now())
-	bucket := &w.buckets[tick%windowBuckets]
+	bucket := &w.buckets[tick%historyBuckets]
 	if bucket.tick != tick {
 		*bucket = windowBucket{
 			tick: tick,
@@ -130,17 +161,16 @@
 	return bucket
 }
 
+// at returns the bucket of a tick, empty if nothing is known of it.
+func (w *Window) at(tick int64) windowBucket {
+	bucket := w.buckets[tick%historyBuckets]
+	if bucket.tick != tick {
+		return windowBucket{}
+	}
+	return bucket
+}
+
 func (w *Window) tick(at time.Time) int64 {
 	length := w.options.Length / windowBuckets
 	return at.UnixNano() / int64(max(length, 1))
 }
-
-func (w *Window) totals(tick int64) (requests, retries int) {
-	for _, bucket := range w.buckets {
-		if bucket.tick > tick-windowBuckets {
-			requests += bucket.requests
-			retries += bucket.retries
-		}
-	}
-	return requests, retries
-}
--- a/site/retry_budget.go
+++ b/site/retry_budget.go
@@ -76,6 +76,7 @@
 		"granted", granted,
 		"requests", u.Requests,
 		"retries", u.Retries,
+		"left", u.Left,
 		"slack", u.Slack,
 		"vms", u.VMs,
 		"up_ms", now.Sub(b.node.startedAt).Milliseconds(),
--- a/testscripts/emulator/attempts.go
+++ b/testscripts/emulator/attempts.go
@@ -71,12 +71,7 @@
 		maxRuns:     c.maxRuns,
 		onFinish:    c.done,
 		requestRun:  c.requestRun,
-		budget: retry.NewCallBudget(retry.Allowance{
-			OnRequest: v.window.OnRequest,
-			Allow:     v.window.Allow,
-			Return:    v.window.Return,
-			Now:       v.now,
-		}, c.retried),
+		budget:      retry.NewCallBudget(v.retryBudget, c.retried),
 	}
 	if v.table() == nil || (!r.call.Routed.Allows(v.member.Region) && v.world.defect != IgnoreHomeRegions) {
 		c.done(vmOutcome{code: result.NotReady})
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -54,7 +54,7 @@
 	// cachedSnapshot caches the roster's picture; nil if it may be outdated.
 	cachedSnapshot *roster.Snapshot
 	pool           *routing.Pool
-	window         *retry.Window
+	retryBudget    retry.Allowance
 	crashTracker   *crashTracker
 	throttle       *throttle.Throttle
 	// probedAt is when this VM last probed each engine for its health.
@@ -124,7 +124,7 @@
 	v.endpointsDueAt = time.Time{}
 	v.endpointsChanged = true
 	v.resuming = false
-	v.window = v.newWindow()
+	v.retryBudget = v.newRetryBudget()
 	v.crashTracker = newCrashTracker(v)
 	v.throttle = v.newThrottle()
 	v.probedAt = make(map[string]time.Time)
@@ -136,26 +136,6 @@
 	w.after(0, v.crashTracker.run)
 }
 
-func (v *vm) newWindow() *retry.Window {
-	slackFrom := v.now().Add(retryWindow)
-	if v.world.defect == UnsharedRetryBudget {
-		slackFrom = time.Time{}
-	}
-	return retry.NewWindow(retry.WindowOptions{
-		Ratio:  retryRatio,
-		Slack:  retryBurst,
-		Length: retryWindow,
-		VMs: func() int {
-			if v.world.defect == UnsharedRetryBudget {
-				return 1
-			}
-			return v.snapshot().FleetSize
-		},
-		SlackFrom: slackFrom,
-		Now:       func() time.Time { return v.now() },
-	})
-}
-
 func (w *world) seeds() []string {
 	var out []string
 	for _, v := range w.vms {
