Soak: replicas that fail in two bursts with all VMs killed between

--retries and TestRetriesAcrossStarts; the check of the budget takes the rule's three windows and all windows that begin or end with a retry, where it knew two and those that end with one.

Evidence: the check holds on the changed code.

--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -61,7 +61,11 @@
 			if c.newPrompt != nil {
 				path, service, method = partPaths[rand.IntN(len(partPaths))], serviceEngine, http.MethodPost
 			}
-			c.resumeStream(ctx, c.send(ctx, v, path, service, method, nil))
+			a := c.send(ctx, v, path, service, method, nil)
+			c.resumeStream(ctx, a)
+			if a.status != http.StatusOK {
+				sleep(ctx, c.world.FailurePause)
+			}
 		}
 		sleep(ctx, clientPause)
 	}
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -79,9 +79,12 @@
 
 // ledger records what clients and replicas observed and which faults were injected.
 type ledger struct {
-	mu       sync.Mutex
-	runs     []replica.Run
-	attempts []attempt
+	mu sync.Mutex
+	// retryRatio is the number of retries allowed per request, retrySlack that of further ones.
+	retryRatio float64
+	retrySlack int
+	runs       []replica.Run
+	attempts   []attempt
 	// drainingSince is when an endpoint was published as draining, coldPeriods when it was cold.
 	drainingSince map[string]time.Time
 	coldPeriods   map[string][]interval
@@ -102,8 +105,10 @@
 	faultMarks  []faultMark
 }
 
-func newLedger() *ledger {
+func newLedger(retryRatio float64, retrySlack int) *ledger {
 	return &ledger{
+		retryRatio:    retryRatio,
+		retrySlack:    retrySlack,
 		drainingSince: make(map[string]time.Time),
 		coldPeriods:   make(map[string][]interval),
 		faultCounts:   make(map[string]int),
@@ -329,12 +334,9 @@
 		seen[r.Attempt] = true
 	}
 	for name, times := range retryTimes {
-		for _, end := range times {
-			retries := countInRetryWindow(times, end)
-			// Retries may also be charged to the requests of the previous window.
-			requests := max(countInRetryWindow(sendTimes[name], end), countInRetryWindow(sendTimes[name], end.Add(-retryWindow)))
-			if bound := retryRatio*float64(requests) + retrySlack; float64(retries) > bound {
-				out = append(out, fmt.Sprintf("%s got %d repeats in %v, for %d requests", name, retries, retryWindow, requests))
+		for _, at := range times {
+			if detail := l.budgetOverrun(sendTimes[name], times, at); detail != "" {
+				out = append(out, name+" "+detail)
 				break
 			}
 		}
@@ -342,6 +344,22 @@
 	return out
 }
 
+// budgetOverrun describes how the retries of a service exceed the budget in the windows that
+// begin and end with a retry at a time; empty if they don't.
+func (l *ledger) budgetOverrun(sendTimes, retryTimes []time.Time, at time.Time) string {
+	for _, end := range []time.Time{at, at.Add(retryWindow - 1)} {
+		requests := 0
+		for _, before := range []time.Duration{0, retryWindow / 2, retryWindow} {
+			requests = max(requests, countInRetryWindow(sendTimes, end.Add(-before)))
+		}
+		retries := countInRetryWindow(retryTimes, end)
+		if bound := l.retryRatio*float64(requests) + float64(l.retrySlack); float64(retries) > bound {
+			return fmt.Sprintf("got %d repeats in %v, for %d requests, %.0f are allowed", retries, retryWindow, requests, bound)
+		}
+	}
+	return ""
+}
+
 // countInRetryWindow counts the times in the retry window that ends at end.
 func countInRetryWindow(times []time.Time, end time.Time) int {
 	n := 0
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -33,6 +33,7 @@
 	limited := app.Flag("limited", "Have replicas announce rate limits, before and during the random faults.").Bool()
 	notices := app.Flag("notices", "Have replicas leave and refuse with a rest while the store is silent, before the random faults.").Bool()
 	restores := app.Flag("restores", "Have the store come back from older copies, before the random faults.").Bool()
+	retries := app.Flag("retries", "Have all replicas fail in two bursts with all VMs killed between, before the random faults.").Bool()
 	streams := app.Flag("streams", "Have engines of several versions and VMs end while streams are under way, before the random faults.").Bool()
 	versions := app.Flag("versions", "Number of software versions of engines side by side.").Default("2").Int()
 	plotFile := app.Flag("plot", "Write an SVG plot of the last seed to this file.").String()
@@ -60,6 +61,7 @@
 		EndpointNotices: *notices,
 		StoreRestores:   *restores,
 		StreamVersions:  *streams,
+		RetryBursts:     *retries,
 		Versions:        *versions,
 	})
 	stop()
@@ -160,6 +162,8 @@
 		selected = runEndpointLimits
 	case o.EndpointNotices:
 		selected = runEndpointNotices
+	case o.RetryBursts:
+		selected = runRetryBursts
 	case o.StreamVersions:
 		selected = runStreamVersions
 	case o.StoreRestores:
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -164,6 +164,17 @@
 // killAllVMs kills every VM at once, restarts them, and returns the share of attempts
 // served after recoveryTime.
 func (tb *testbed) killAllVMs(ctx context.Context) float64 {
+	tb.restartAllVMs(ctx)
+	restarted := time.Now()
+	tb.ledger.recordDisturbance(restarted.Add(-time.Second))
+	sleep(ctx, recoveryTime+3*time.Second)
+	share, _ := tb.ledger.served(restarted.Add(recoveryTime), time.Now().Add(-time.Second))
+	return share
+}
+
+// restartAllVMs kills all VMs and starts them again.
+func (tb *testbed) restartAllVMs(ctx context.Context) {
+	tb.logSchedule("all VMs are killed")
 	for _, v := range tb.vms {
 		tb.ledger.recordVMDown(v.name)
 		v.signal(syscall.SIGKILL)
@@ -178,11 +189,6 @@
 			tb.logSchedule("restart: %v", err)
 		}
 	}
-	restarted := time.Now()
-	tb.ledger.recordDisturbance(restarted.Add(-time.Second))
-	sleep(ctx, recoveryTime+3*time.Second)
-	share, _ := tb.ledger.served(restarted.Add(recoveryTime), time.Now().Add(-time.Second))
-	return share
 }
 
 // recordVersion records that a configuration version was published now.
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -27,6 +27,23 @@
 	})
 }
 
+// TestRetriesAcrossStarts guards against more retries by all VMs together than the budget
+// allows, where all VMs start between two times in which replicas fail.
+func TestRetriesAcrossStarts(t *testing.T) {
+	runScenario(t, runRetryBursts, Options{
+		Seed:           7,
+		Regions:        3,
+		VMs:            2,
+		Engines:        4,
+		Clients:        72,
+		FaultDuration:  2 * time.Second,
+		FailurePause:   300 * time.Millisecond,
+		RetryRatio:     0.05,
+		RetrySlack:     12,
+		ExcludedFaults: withoutRestores,
+	})
+}
+
 // TestCrashingCalls guards against a call that crashes one replica after another because it
 // is retried.
 func TestCrashingCalls(t *testing.T) {
@@ -323,7 +340,7 @@
 		}},
 	} {
 		t.Run(c.check, func(t *testing.T) {
-			l := newLedger()
+			l := newLedger(defaultRetryRatio, defaultRetrySlack)
 			c.make(l)
 			got := l.check()
 			assert.Assert(t, len(got) == 1 && got[0].Check == c.check, "%v", got)
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -27,8 +27,8 @@
 
 // Bounds that are set in the VMs' settings and checked by the ledger.
 const (
-	retryRatio               = 0.2
-	retrySlack               = 56
+	defaultRetryRatio        = 0.2
+	defaultRetrySlack        = 56
 	retryWindow              = 10 * time.Second
 	maxColdRequestsPerSecond = 1.8*1.5 + 3
 	warmUpTime               = 3 * time.Second
@@ -69,6 +69,15 @@
 	// one. EventInterval is the time between two events of a stream; zero means a default.
 	Versions      int
 	EventInterval time.Duration
+	// FailurePause is how much longer clients wait after a request that wasn't served.
+	FailurePause time.Duration
+	// RetryRatio is the number of retries allowed per request, RetrySlack that of further ones
+	// by all VMs; zero means the defaults.
+	RetryRatio float64
+	RetrySlack int
+	// RetryBursts has all replicas fail in two bursts with all VMs killed between, before the
+	// random faults.
+	RetryBursts bool
 	// StreamVersions has engines and VMs end while streams are under way, before the random
 	// faults.
 	StreamVersions bool
@@ -93,6 +102,8 @@
 	version  int
 	// faultRate is the probability that a replica fails a request.
 	faultRate float64
+	// errorRate is the share of requests that replicas run and answer with an error.
+	errorRate float64
 }
 
 // vm is one gateway process and the proxies on its connections.
@@ -121,11 +132,13 @@
 
 // newTestbed starts the store, the replicas and the VMs, and publishes the configuration.
 func newTestbed(o Options) (*testbed, error) {
+	o.RetryRatio = cmp.Or(o.RetryRatio, defaultRetryRatio)
+	o.RetrySlack = cmp.Or(o.RetrySlack, defaultRetrySlack)
 	tb := &testbed{
 		Options: o,
 		rand:    rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		start:   time.Now(),
-		ledger:  newLedger(),
+		ledger:  newLedger(o.RetryRatio, o.RetrySlack),
 		store:   store.New(),
 		version: 1,
 	}
@@ -233,7 +246,7 @@
 [Provider]
 Addr = %q
 `, v.name, v.ip, zoneOf(v.region), v.region, strings.Join(v.gossipSeeds, `", "`), zones.String(), v.ip, v.ip, v.ip, v.ip,
-		int(stopGracePeriod.Seconds()), retryRatio, int(retryWindow.Seconds()), retrySlack, quotaWindow.Seconds(), quotaOvershoot, quotaSlack, v.storeLink.addr())
+		int(stopGracePeriod.Seconds()), tb.RetryRatio, int(retryWindow.Seconds()), tb.RetrySlack, quotaWindow.Seconds(), quotaOvershoot, quotaSlack, v.storeLink.addr())
 	return os.WriteFile(v.settings, []byte(text), 0o600)
 }
 
@@ -359,6 +372,9 @@
 func (tb *testbed) randomFault() replica.Fault {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	if rand.Float64() < tb.errorRate {
+		return replica.FaultError
+	}
 	if rand.Float64() >= tb.faultRate {
 		return replica.FaultNone
 	}
