Limits of workspaces: starts within a split fleet are played, and listed red

Looked for the class of the retries' fault in the limits of workspaces: what a start makes a VM forget. The simulation of metering can split the whole fleet into two halves now.

A VM that starts counts the VMs of its region that it hears of since, so both halves give out a whole part. No code is changed.

--- a/metering/metering_test.go
+++ b/metering/metering_test.go
@@ -21,7 +21,18 @@
 // and its tolerance, and that nearly everything is admitted that a single bucket for the
 // whole fleet would admit.
 func TestScenarios(t *testing.T) {
-	for _, s := range datatest.Read[[]scenario](t, "testdata/scenarios.json") {
+	playScenarios(t, "testdata/scenarios.json")
+}
+
+// TestStartsInSplitFleet guards against usage beyond a limit where VMs start while each half
+// of the fleet is cut off from the other.
+func TestStartsInSplitFleet(t *testing.T) {
+	playScenarios(t, "testdata/starts_in_split.json")
+}
+
+func playScenarios(t *testing.T, path string) {
+	t.Helper()
+	for _, s := range datatest.Read[[]scenario](t, path) {
 		for seed := uint64(1); seed <= *seeds; seed++ {
 			t.Run(fmt.Sprintf("%s/%d", s.Name, seed), func(t *testing.T) {
 				t.Parallel()
--- a/metering/scenario_test.go
+++ b/metering/scenario_test.go
@@ -42,10 +42,11 @@
 	Tide float64
 	Hot  []interval
 	// Cut partitions all regions from each other, Apart one VM of each region from all
-	// other VMs, and Half each region into two halves.
+	// other VMs, Half each region into two halves, and Split all VMs into two halves.
 	Cut   []interval
 	Apart []interval
 	Half  []interval
+	Split []interval
 	// Kill stops a fraction of the VMs for the duration of the interval.
 	Kill []interval
 	// Lower reduces all limits to a fraction of their value.
--- a/metering/simulation_test.go
+++ b/metering/simulation_test.go
@@ -206,6 +206,9 @@
 	if _, apart := activeInterval(sim.Apart, at); apart && (a.index%sim.VMs == 0 || b.index%sim.VMs == 0) {
 		return false
 	}
+	if _, split := activeInterval(sim.Split, at); split && a.index%2 != b.index%2 {
+		return false
+	}
 	if _, half := activeInterval(sim.Half, at); half && a.region == b.region && a.index%2 != b.index%2 {
 		return false
 	}
