--- a/testscripts/densedays/densedays_test.go
+++ b/testscripts/densedays/densedays_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -69,7 +70,7 @@
 
 func checkDay(t *testing.T, o Options, day Day, extra int) {
 	t.Helper()
-	all := append(day.Plan, day.Faults...)
+	all := slices.Concat(day.Plan, day.Faults)
 	assert.Assert(t, len(all) >= o.Least+extra && len(all) <= o.Most+extra, len(all))
 	for _, d := range all {
 		if extra == 0 {
