--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -47,3 +47,25 @@
 	assert.Assert(t, w.Allow())
 	assert.Assert(t, !w.Allow())
 }
+
+// TestWindowDoesNotAllocate guards the path of each request.
+func TestWindowDoesNotAllocate(t *testing.T) {
+	fleet := newSimulatedFleet(1, 10)
+	w := fleet.windows[0]
+	assert.Equal(t, testing.AllocsPerRun(100, w.OnRequest), 0.0)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { w.Allow() }), 0.0)
+}
+
+func BenchmarkOnRequest(b *testing.B) {
+	w := newSimulatedFleet(1, 10).windows[0]
+	for b.Loop() {
+		w.OnRequest()
+	}
+}
+
+func BenchmarkAllow(b *testing.B) {
+	w := newSimulatedFleet(1, 10).windows[0]
+	for b.Loop() {
+		w.Allow()
+	}
+}
