Emulator: an endpoint that refuses a permit is closed for a moment, as in the gateway

Cause: of the harness. A bucket that holds a token but for a rounding refuses and names the present moment as the one at which it opens (a run that stops there shows 'e2 opens 0s before now'). The harness paused the endpoint until then, which is not at all, chose it again and so on without end. The gateway pauses it for 10 ms at least and bounds its choices (serving.admit), so no call of a caller loops.

The harness pauses it for as long as the gateway.

--- a/testscripts/emulator/attempts.go
+++ b/testscripts/emulator/attempts.go
@@ -89,6 +89,9 @@
 	s.tryEndpoint()
 }
 
+// minClosedDuration equals the gateway's: an endpoint may open at the moment of its refusal.
+const minClosedDuration = 10 * time.Millisecond
+
 // tryEndpoint chooses an endpoint and sends the request once it has a permit.
 func (s *attempts) tryEndpoint() {
 	v := s.vm
@@ -110,6 +113,9 @@
 		case s.finished:
 			v.pool.Done(choice, routing.Outcome{Canceled: true}, v.now())
 		case p == nil:
+			if earliest := v.now().Add(minClosedDuration); opensAt.Before(earliest) {
+				opensAt = earliest
+			}
 			v.pool.PauseUntil(choice.Endpoint.ID, opensAt)
 			v.pool.Done(choice, routing.Outcome{Canceled: true}, v.now())
 			s.tryEndpoint()
