Soak: resumed streams are compared with new ones while enough engines serve

So the check compared streams of the worst moment with those of the whole run, and counted resumed calls with the harmful part, which must be refused. It asked for two engines of a version to serve, which was meant for a fleet that loses one at a time. Both sides now count only while half of the engines serve, of a resumed stream those of its version, and without harmful prompts; the share to reach is as it was.

--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -168,6 +168,8 @@
 		service: service,
 		vm:      v.name,
 		sentAt:  time.Now(),
+		// A resumed stream needs the engines of its version.
+		enginesServe: c.world.enginesServe(""),
 	}
 	if c.newPrompt != nil {
 		a.prompt = c.newPrompt()
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -45,10 +45,11 @@
 	// prompt lists the parts of the attempt's prompt; empty for none.
 	prompt prompt
 	// resumes is the first attempt of the stream that the attempt resumes, after lastEvent;
-	// empty for none. versionServes is set if two replicas of the stream's version served.
-	resumes       string
-	lastEvent     int
-	versionServes bool
+	// empty for none. enginesServe is set if enough engines served when it was sent; for a
+	// resumed stream, enough of its version.
+	resumes      string
+	lastEvent    int
+	enginesServe bool
 	// versions holds the software version of each event received.
 	versions []string
 }
--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -47,7 +47,7 @@
 	a.prompt = b.prompt
 	a.resumes = b.first
 	a.lastEvent = b.lastEvent
-	a.versionServes = b.serves
+	a.enginesServe = b.serves
 }
 
 // resumeStream resumes a stream that broke off after its first event, at any VM.
@@ -76,22 +76,27 @@
 		if v == nil {
 			return
 		}
-		broken.serves = c.world.servingReplicas(broken.version) >= 2
+		broken.serves = c.world.enginesServe(broken.version)
 		a = c.send(ctx, v, a.path, a.service, http.MethodPost, broken)
 	}
 }
 
-// servingReplicas counts the engines of a version that take requests.
-func (tb *testbed) servingReplicas(version string) int {
+// enginesServe reports whether two engines of a version take requests, and at least half of as
+// many as it started with. An empty version stands for all.
+func (tb *testbed) enginesServe(version string) bool {
+	started := tb.Regions * tb.Engines
+	if version != "" {
+		started /= max(tb.Versions, 1)
+	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	count := 0
+	serving := 0
 	for _, r := range tb.replicas {
-		if !r.retired && r.Service == serviceEngine && r.Version == version && r.ColdFor() == 0 {
-			count++
+		if !r.retired && r.Service == serviceEngine && (version == "" || r.Version == version) && r.ColdFor() == 0 {
+			serving++
 		}
 	}
-	return count
+	return serving >= 2 && 2*serving >= started
 }
 
 func (a *attempt) setResumeHeaders(h http.Header) {
@@ -162,30 +167,31 @@
 	return out
 }
 
-// streamCounts counts requests for streams at VMs that are not disturbed: for new ones, and to
-// resume one while two replicas of its version serve; each with those that got an event.
+// streamCounts counts requests for streams, new ones and those to resume one, each with those
+// that got an event.
 type streamCounts struct {
 	began, beganOn, resumed, resumedOn int
 }
 
-// countStreams leaves out the workspaces with a limit, which refuses a part of them.
+// countStreams counts requests at VMs that are not disturbed, sent while enough engines serve.
+// It leaves out the workspaces with a limit and the harmful prompts, which are refused.
 func (l *ledger) countStreams() (n streamCounts) {
 	for _, a := range l.attempts {
-		if !strings.HasPrefix(a.path, resumePath) || !a.held.expectServed || l.vmDisturbed(a.vm, a.sentAt) || !l.isUndisturbed(a.sentAt) {
+		if !strings.HasPrefix(a.path, resumePath) || !a.held.expectServed || !a.enginesServe || a.prompt.isHarmful() ||
+			l.vmDisturbed(a.vm, a.sentAt) || !l.isUndisturbed(a.sentAt) {
 			continue
 		}
 		on := 0
 		if len(a.versions) > 0 || a.complete {
 			on = 1
 		}
-		switch {
-		case a.resumes == "":
+		if a.resumes == "" {
 			n.began++
 			n.beganOn += on
-		case a.versionServes:
-			n.resumed++
-			n.resumedOn += on
+			continue
 		}
+		n.resumed++
+		n.resumedOn += on
 	}
 	return n
 }
