--- a/testscripts/emulator/event_queue.go
+++ b/testscripts/emulator/event_queue.go
@@ -4,7 +4,7 @@
 
 // event is a scheduled call. Events at the same time happen in their order.
 type event struct {
-	// at is the time since the begin of the run. Without a time.Time the queue holds fewer
+	// at is the time since the start of the run. Without a time.Time the queue holds fewer
 	// pointers, which the garbage collector would have to follow.
 	at    time.Duration
 	order int
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -46,7 +46,7 @@
 	prompt prompt
 	// resumes is the first attempt of the stream that the attempt resumes, after lastEvent;
 	// empty for none. enginesServe is set if enough engines served when it was sent; for a
-	// resumed stream, enough of its version.
+	// resumed stream, enough of its version, and VMs still had to know its origin.
 	resumes      string
 	lastEvent    int
 	enginesServe bool
--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -18,6 +18,9 @@
 	// maxResumes is how often a client resumes one stream, after resumeDelay each.
 	maxResumes  = 3
 	resumeDelay = 30 * time.Millisecond
+	// resumableTime is how long after a request with the stream's events VMs know its origin:
+	// until its deadline and resumeMargin of package site.
+	resumableTime = clientDeadline + 2*time.Second
 	// maxMixedStreams is how many streams of a run may hold events of two versions.
 	maxMixedStreams = 2
 	// minResumedStreams resumed streams must go on at least at minResumedShare of the rate at
@@ -37,6 +40,8 @@
 	version   string
 	lastEvent int
 	serves    bool
+	// resumableUntil is when VMs may forget the stream's origin.
+	resumableUntil time.Time
 }
 
 func (b *brokenStream) describe(a *attempt) {
@@ -63,6 +68,7 @@
 		}
 		if len(a.versions) > 0 {
 			broken.lastEvent += len(a.versions)
+			broken.resumableUntil = a.sentAt.Add(resumableTime)
 			if broken.version == "" {
 				broken.version = a.versions[0]
 			}
@@ -76,7 +82,7 @@
 		if v == nil {
 			return
 		}
-		broken.serves = c.world.enginesServe(broken.version)
+		broken.serves = c.world.enginesServe(broken.version) && time.Now().Before(broken.resumableUntil)
 		a = c.send(ctx, v, a.path, a.service, http.MethodPost, broken)
 	}
 }
