Emulator: cold endpoints of an exchange come from Degraded, Endpoints doesn't sort each time

No caller sees a difference: the gateway itself never calls State.Endpoints.

In the emulator each exchange of two VMs listed all endpoints, sorted, to pick the few cold ones, and each probe listed them again; the sort of 150-byte values was the largest item of the profile. An exchange now asks Degraded, as the gateway does, and State keeps the sorted ids until an endpoint comes or goes.

--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -4,7 +4,7 @@
 package discovery
 
 import (
-	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -54,6 +54,8 @@
 	grace     time.Duration
 	table     *route.Table
 	endpoints map[string]*endpointState
+	// sortedIDs holds the ids of endpoints in order; nil if they may have changed.
+	sortedIDs []string
 	// versions holds the newest version of each endpoint's entry, for a while also after
 	// its removal.
 	versions  map[string]entryVersion
@@ -211,6 +213,9 @@
 		k.stopsAt = now.Add(e.Remaining)
 	}
 	before := s.endpoints[e.ID]
+	if before == nil {
+		s.sortedIDs = nil
+	}
 	s.endpoints[e.ID] = k
 	if before != nil && before.settled() && k.settled() && before.Endpoint == k.Endpoint {
 		return false
@@ -331,6 +336,7 @@
 
 func (s *State) deleteEndpoint(id string, now time.Time) {
 	delete(s.endpoints, id)
+	s.sortedIDs = nil
 	delete(s.degraded, id)
 	s.changed[id] = true
 	version := s.versions[id]
@@ -469,12 +475,14 @@
 
 // Endpoints returns the endpoints that accept new calls, sorted by id.
 func (s *State) Endpoints(now time.Time) []AvailableEndpoint {
-	out := make([]AvailableEndpoint, 0, len(s.endpoints))
-	for _, k := range s.endpoints {
-		if s.acceptsCalls(k) {
+	if s.sortedIDs == nil {
+		s.sortedIDs = slices.Sorted(maps.Keys(s.endpoints))
+	}
+	out := make([]AvailableEndpoint, 0, len(s.sortedIDs))
+	for _, id := range s.sortedIDs {
+		if k := s.endpoints[id]; s.acceptsCalls(k) {
 			out = append(out, k.ready(now))
 		}
 	}
-	slices.SortFunc(out, func(a, b AvailableEndpoint) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
--- a/testscripts/emulator/gossip.go
+++ b/testscripts/emulator/gossip.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/discovery"
@@ -49,7 +51,7 @@
 	m.leaving = v.discovery.UnpublishedLeaving()
 	m.limits = v.throttle.Recent(now)
 	m.limitsDigest = v.throttle.Digest()
-	for _, e := range v.discovery.Endpoints(now) {
+	for _, e := range v.discovery.Degraded(now) {
 		if e.Region == v.member.Region && !e.ColdUntil.IsZero() {
 			m.coldEndpoints = append(m.coldEndpoints, coldEndpoint{
 				id:          e.ID,
@@ -58,6 +60,7 @@
 			})
 		}
 	}
+	slices.SortFunc(m.coldEndpoints, func(a, b coldEndpoint) int { return cmp.Compare(a.id, b.id) })
 	return m
 }
 
