Emulator: TestFaultsAreFound stops within five seeds of the one that finds a defect

Each defect must be found within a number of seeds, as before. Seeds ran in batches of 20, most defects are found by the first few, and the rest of the batch was run for nothing; a batch of 5 still occupies the processors. The last batch no longer goes beyond the bound, which is stricter where the bound isn't a multiple of a batch.

--- a/testscripts/emulator/emulator_test.go
+++ b/testscripts/emulator/emulator_test.go
@@ -74,7 +74,7 @@
 					StoreRestores: c.Restores,
 					PlannedFaults: c.Planned,
 					Streams:       c.Streams,
-				}, min(batchSize, c.Seeds))
+				}, min(batchSize, c.Seeds-first+1))
 				if slices.ContainsFunc(sum.Failed, func(r Report) bool { return r.violates(c.Check) }) {
 					return
 				}
@@ -85,7 +85,7 @@
 }
 
 // batchSize is how many seeds run before the results are examined.
-const batchSize = 20
+const batchSize = 5
 
 func (r Report) violates(check Check) bool {
 	return slices.ContainsFunc(r.Violations, func(v Violation) bool { return v.Check == check })
