--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
@@ -11,6 +12,21 @@
 	"github.com/fuchsianotch/fuchsianotch/standin/replica"
 )
 
+// gateway is the path of the binary that all tests run.
+var gateway string
+
+func TestMain(m *testing.M) {
+	var err error
+	gateway, err = buildGateway()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(filepath.Dir(gateway))
+	os.Exit(code)
+}
+
 // withoutRestores keeps the schedules of the seeds that were chosen for other faults.
 var withoutRestores = []string{"restore"}
 
@@ -145,10 +161,7 @@
 // runScenario runs a scenario and fails the test on any violation.
 func runScenario(t *testing.T, s scenario, o Options) {
 	t.Helper()
-	var err error
-	o.Gateway, err = buildGateway()
-	assert.NilError(t, err)
-	defer func() { _ = os.RemoveAll(filepath.Dir(o.Gateway)) }()
+	o.Gateway = gateway
 	o.Dir = t.TempDir()
 	out, err := os.Create(filepath.Join(o.Dir, "schedule.log"))
 	assert.NilError(t, err)
