Stand-in engine: steps make up for timers that fire late

Callers of the gateway are not concerned, the fault is in the fake engine of the tests.

Cause: an engine with steps of 100 us counts each step's tokens for 100 us, and when its timer fired late it dropped the time. On a machine whose timers fire a millisecond late it reads a tenth of the prompt tokens a second that it is set to, and an urgent call that waits behind other prompts meets its 10 s. The same holds for any test that sets a pace.

A step now follows on the end of the one before it, and at most 100 ms are made up for, so that an engine that was stopped doesn't rush through what it missed.

--- a/standin/endpoint/endpoint_test.go
+++ b/standin/endpoint/endpoint_test.go
@@ -214,3 +214,26 @@
 	assert.Equal(t, got.CachedTokens, 32)
 	assert.Equal(t, got.GeneratedTokens, 4)
 }
+
+// TestLateTimersKeepPace guards against an engine that takes a multiple of its step time where
+// timers fire later than a step lasts.
+func TestLateTimersKeepPace(t *testing.T) {
+	const (
+		step    = 100 * time.Microsecond
+		steps   = 1000
+		timer   = time.Millisecond
+		stopped = 10 * time.Second
+	)
+	start := time.Unix(0, 0)
+	next, now := start, start
+	for range steps {
+		next = nextStep(next, now, step)
+		if next.After(now) {
+			now = next.Add(timer)
+		}
+	}
+	assert.Assert(t, now.Sub(start) <= steps*step+timer, now.Sub(start))
+	now = now.Add(stopped)
+	next = nextStep(next, now, step)
+	assert.Equal(t, now.Sub(next), maxLateness)
+}
--- a/standin/endpoint/engine.go
+++ b/standin/endpoint/engine.go
@@ -14,6 +14,9 @@
 // fullBatchSlowdown is the relative increase of the step time at a full batch.
 const fullBatchSlowdown = 0.5
 
+// maxLateness bounds the time that an engine makes up for.
+const maxLateness = 100 * time.Millisecond
+
 // job is a request in the engine.
 type job struct {
 	id        string
@@ -97,10 +100,7 @@
 			next = time.Now()
 			continue
 		}
-		next = next.Add(wait)
-		if behind := time.Now(); next.Before(behind) {
-			next = behind
-		}
+		next = nextStep(next, time.Now(), wait)
 		timer.Reset(time.Until(next))
 		select {
 		case <-ctx.Done():
@@ -111,6 +111,16 @@
 	}
 }
 
+// nextStep returns the end of the step that follows on last. Steps make up for timers that fire
+// late, by up to maxLateness.
+func nextStep(last, now time.Time, step time.Duration) time.Time {
+	next := last.Add(step)
+	if earliest := now.Add(-maxLateness); next.Before(earliest) {
+		return earliest
+	}
+	return next
+}
+
 // scheduleStep admits waiting jobs to the batch and returns the duration of the
 // next step, or zero if the engine is idle.
 func (e *engine) scheduleStep() time.Duration {
