Cold engines lead to their neighbours once for each report, not for each answer

What callers would see: while several engines of a data centre are cold for another moment and a VM counts them as warm already, the VM asks them for their health without end, and its processor, which calls and exchanges share, is full.

Cause: an answer that names a cold period had up to eight engines asked that may have become cold with it, if the VM counted the engine as warm. An answer that extends the known period by less than 300 ms isn't news, so that the VM went on counting it as warm, and each of these answers led to eight more, for as long as the period lasted.

An engine now leads to others once its report is news, so at most once in a cold period.

--- a/site/cold.go
+++ b/site/cold.go
@@ -42,20 +42,30 @@
 		return err
 	}
 	if remaining > 0 {
-		p.probeNeighbours(context.WithoutCancel(ctx), e)
-		p.node.control.send(ctx, func(c *control, now time.Time) {
-			until := now.Add(remaining)
-			if c.discovery.ReportCold(e.ID, until, now) {
-				c.markCold(e.ID, until, now)
-				c.spread(context.WithoutCancel(ctx), coldFanout, now)
-			}
-		})
+		p.reportCold(context.WithoutCancel(ctx), e, remaining)
 	}
 	return nil
 }
 
-// probeNeighbours probes engines that may have become cold with one that counted as warm.
-func (p *pools) probeNeighbours(ctx context.Context, cold fleet.Endpoint) {
+// reportCold records that an endpoint is cold. News are spread, and neighbours are probed: once
+// for each report, as neighbours that are cold too would otherwise probe each other without end.
+func (p *pools) reportCold(ctx context.Context, e fleet.Endpoint, remaining time.Duration) {
+	neighbours := p.neighbours(e)
+	p.node.control.send(ctx, func(c *control, now time.Time) {
+		until := now.Add(remaining)
+		if !c.discovery.ReportCold(e.ID, until, now) {
+			return
+		}
+		c.markCold(e.ID, until, now)
+		c.spread(ctx, coldFanout, now)
+		for _, e := range neighbours {
+			go func() { _ = p.probeCold(ctx, e) }()
+		}
+	})
+}
+
+// neighbours returns engines that may have become cold with one that counted as warm.
+func (p *pools) neighbours(cold fleet.Endpoint) []fleet.Endpoint {
 	countedAsWarm := false
 	warm := p.index.localEndpoints(func(e discovery.AvailableEndpoint) bool {
 		if !e.ColdUntil.IsZero() {
@@ -65,11 +75,9 @@
 		return e.ID != cold.ID && e.Service == cold.Service && e.DataCentre == cold.DataCentre
 	})
 	if !countedAsWarm {
-		return
-	}
-	for _, e := range survey.Neighbours(warm, rand.IntN) {
-		go func() { _ = p.probeCold(ctx, e) }()
+		return nil
 	}
+	return survey.Neighbours(warm, rand.IntN)
 }
 
 const (
--- a/testscripts/emulator/health_probe.go
+++ b/testscripts/emulator/health_probe.go
@@ -87,25 +87,26 @@
 		}
 		until := found.coldUntil
 		v.run(incarnation, func() {
-			v.probeNeighbours(incarnation, e)
-			if v.discovery.ReportCold(e.ID, until, v.now()) {
-				v.endpointsChanged = true
-				v.applyState()
-				v.gossipTo(v.roster.RandomTargets(coldFanout))
+			neighbours := v.neighbours(e)
+			if !v.discovery.ReportCold(e.ID, until, v.now()) {
+				return
+			}
+			v.endpointsChanged = true
+			v.applyState()
+			v.gossipTo(v.roster.RandomTargets(coldFanout))
+			for _, n := range neighbours {
+				v.probeWithPermit(incarnation, n)
 			}
 		})
 	})
 }
 
-// probeNeighbours probes endpoints that may have become cold with one that counted as warm.
-func (v *vm) probeNeighbours(incarnation uint64, cold fleet.Endpoint) {
+// neighbours returns endpoints that may have become cold with one that counted as warm.
+func (v *vm) neighbours(cold fleet.Endpoint) []fleet.Endpoint {
 	isCold := func(e fleet.Endpoint) bool { return e.ID == cold.ID }
 	warm := v.endpoints()
 	if !slices.ContainsFunc(warm, isCold) {
-		return
-	}
-	warm = slices.DeleteFunc(warm, isCold)
-	for _, e := range survey.Neighbours(warm, func(int) int { return 0 }) {
-		v.probeWithPermit(incarnation, e)
+		return nil
 	}
+	return survey.Neighbours(slices.DeleteFunc(warm, isCold), func(int) int { return 0 })
 }
