Reports of cold endpoints keep their order when the VM that numbers them restarts

What callers would see: after a VM has started, endpoints that it finds cold get calls of the other VMs of the region as if they were warm, beyond what a cold one takes in a second.

Cause: reports are numbered so that one which is heard twice isn't taken for a longer one, and a VM that starts began at 1 again. Peers that remember a higher number of an earlier cold period ignored it until ten seconds after that period's end.

TestColdReportsOfRestartedVM fails on the code before.

Numbers now begin at the time in milliseconds, and at least one above the last one known, so that they grow over a restart without a disk or a message. A VM whose clock is behind is where all were before, for ten seconds. The field of the protocol is as it was.

--- a/discovery/cold_test.go
+++ b/discovery/cold_test.go
@@ -109,6 +109,21 @@
 	assert.Assert(t, states[1].ReportColdFromPeer("a", 1, later.Add(time.Second), later))
 }
 
+// TestColdReportsOfRestartedVM guards against reports that are taken for known ones, as the VM
+// that tells them has started since an earlier cold period.
+func TestColdReportsOfRestartedVM(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	states := newStates(2, now)
+	assert.Assert(t, states[0].ReportCold("a", now.Add(time.Second), now))
+	first := states[0].Endpoints(now)[0]
+	assert.Assert(t, states[1].ReportColdFromPeer("a", first.ColdReportNumber, first.ColdUntil, now))
+	restarted := newStates(1, now)[0]
+	now = now.Add(4 * time.Second)
+	assert.Assert(t, restarted.ReportCold("a", now.Add(time.Second), now))
+	again := restarted.Endpoints(now)[0]
+	assert.Assert(t, states[1].ReportColdFromPeer("a", again.ColdReportNumber, again.ColdUntil, now))
+}
+
 func newStates(count int, now time.Time) []*State {
 	states := make([]*State, count)
 	for i := range states {
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -84,7 +84,8 @@
 	fleet.Endpoint
 	coldUntil time.Time
 	// coldReportNumber is the number of the endpoint's last own report that it is cold;
-	// zero means that only the store has reported it.
+	// zero means that only the store has reported it. Numbers begin at the time in
+	// milliseconds, so that they grow although the VM that gives them has restarted.
 	coldReportNumber uint64
 	// unreachableUntil is the time until which the endpoint counts as unreachable.
 	unreachableUntil time.Time
@@ -246,7 +247,7 @@
 	if !ok || !until.After(now) || !k.extendCold(until) {
 		return false
 	}
-	k.coldReportNumber++
+	k.coldReportNumber = max(k.coldReportNumber+1, uint64(max(now.UnixMilli(), 0)))
 	s.schedule(k, until)
 	return true
 }
@@ -291,8 +292,8 @@
 	// difference in latency between two answers of an endpoint.
 	minColdExtension = 300 * time.Millisecond
 	// coldReportRetention is how long a report's number is remembered after the report's
-	// end, so that a delayed copy does not renew it. A restarted VM numbers its reports
-	// from 1 again; they are accepted after this time.
+	// end, so that a delayed copy does not renew it. Lower numbers of a VM whose clock is
+	// behind are accepted after this time.
 	coldReportRetention = 10 * time.Second
 )
 
