Cold again: the prober that started late asks what it counts as cold by an old entry

What callers see: while the store cannot be read, an endpoint becomes cold again and the VMs of its region go on with it as with a warm one, beyond what a cold one takes in a second.

Cause: one VM asks an endpoint for its health on behalf of its region, and it asked only what it counted as warm. A VM that starts in an outage receives the entries from a peer; an entry that said "cold for 3 s" long ago counts from then on. Until 0.7 s before that ended it asked nothing, while others, which knew that the endpoint was warm, left it to that VM. And what it then heard was no news to it, or was cut to its own end of the period.

While the store cannot be read the prober also asks what is cold by its entry alone, and the endpoint's own first word is news then, with the end that it names.

--- a/discovery/changes_test.go
+++ b/discovery/changes_test.go
@@ -77,7 +77,7 @@
 	case "remove":
 		s.Apply(Change{Removed: true, Endpoint: &Endpoint{Endpoint: fleet.Endpoint{ID: id}}}, now)
 	case "cold":
-		s.ReportCold(id, until, now)
+		s.ReportCold(id, until, now, false)
 	case "unreachable":
 		s.ReportUnreachable(id, until, now)
 	case "evacuate":
@@ -138,7 +138,7 @@
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
 			now := time.Unix(1e9, 0)
 			s := newLargeState(n, now)
-			s.ReportCold("e1", now.Add(time.Hour), now)
+			s.ReportCold("e1", now.Add(time.Hour), now, false)
 			for b.Loop() {
 				s.Advance(now)
 				s.NextChange()
--- a/discovery/cold_test.go
+++ b/discovery/cold_test.go
@@ -58,13 +58,13 @@
 					}
 				}
 			}
-			if states[0].ReportCold("a", start.Add(parseDuration(t, c.Cold)), start) {
+			if states[0].ReportCold("a", start.Add(parseDuration(t, c.Cold)), start, false) {
 				broadcast(0, start)
 			}
 			end := start.Add(parseDuration(t, c.WarmAfter))
 			for now := start.Add(step); !now.After(end); now = now.Add(step) {
 				if c.Again != "" && now.Equal(start.Add(parseDuration(t, c.After))) {
-					if states[0].ReportCold("a", now.Add(parseDuration(t, c.Again)), now) {
+					if states[0].ReportCold("a", now.Add(parseDuration(t, c.Again)), now, false) {
 						broadcast(0, now)
 					}
 				}
@@ -96,10 +96,10 @@
 func TestExtendedColdPropagates(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	states := newStates(2, now)
-	assert.Assert(t, states[0].ReportCold("a", now.Add(time.Second), now))
+	assert.Assert(t, states[0].ReportCold("a", now.Add(time.Second), now, false))
 	first := states[0].Endpoints(now)[0]
 	assert.Assert(t, states[1].ReportColdFromPeer("a", first.ColdReportNumber, first.ColdUntil, now))
-	assert.Assert(t, states[0].ReportCold("a", now.Add(3*time.Second), now))
+	assert.Assert(t, states[0].ReportCold("a", now.Add(3*time.Second), now, false))
 	second := states[0].Endpoints(now)[0]
 	assert.Assert(t, states[1].ReportColdFromPeer("a", second.ColdReportNumber, second.ColdUntil, now))
 	assert.Assert(t, states[1].Endpoints(now)[0].ColdUntil.Equal(now.Add(3*time.Second)))
@@ -114,16 +114,35 @@
 func TestColdReportsOfRestartedVM(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	states := newStates(2, now)
-	assert.Assert(t, states[0].ReportCold("a", now.Add(time.Second), now))
+	assert.Assert(t, states[0].ReportCold("a", now.Add(time.Second), now, false))
 	first := states[0].Endpoints(now)[0]
 	assert.Assert(t, states[1].ReportColdFromPeer("a", first.ColdReportNumber, first.ColdUntil, now))
 	restarted := newStates(1, now)[0]
 	now = now.Add(4 * time.Second)
-	assert.Assert(t, restarted.ReportCold("a", now.Add(time.Second), now))
+	assert.Assert(t, restarted.ReportCold("a", now.Add(time.Second), now, false))
 	again := restarted.Endpoints(now)[0]
 	assert.Assert(t, states[1].ReportColdFromPeer("a", again.ColdReportNumber, again.ColdUntil, now))
 }
 
+// TestColdReportAfterLateEntry guards against a VM that keeps what an endpoint says to itself, as
+// it has received the entry of an earlier cold period a moment ago.
+func TestColdReportAfterLateEntry(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	s := New(Options{Grace: 2 * time.Second})
+	s.Apply(Change{Endpoint: &Endpoint{
+		Endpoint: fleet.Endpoint{
+			ID:    "a",
+			State: fleet.StateLive,
+		},
+		ColdFor: 3 * time.Second,
+	}}, now)
+	until := now.Add(3200 * time.Millisecond)
+	assert.Assert(t, !s.ReportCold("a", until, now, false))
+	assert.Assert(t, s.ReportCold("a", until, now, true))
+	assert.Assert(t, s.Endpoints(now)[0].ColdUntil.Equal(until))
+	assert.Assert(t, !s.ReportCold("a", until, now, true))
+}
+
 func newStates(count int, now time.Time) []*State {
 	states := make([]*State, count)
 	for i := range states {
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -241,14 +241,21 @@
 }
 
 // ReportCold records an endpoint's own report to this VM that it is cold, and returns whether
-// the report is new. The store reports it too, but not during an outage.
-func (s *State) ReportCold(id string, until, now time.Time) bool {
+// the report is new. The store reports it too, but not during an outage, which unpublished
+// says. The endpoint's first report is new then even if its entry said the same: a VM that
+// received the entry late counts its cold period from then, while others know that it is over.
+func (s *State) ReportCold(id string, until, now time.Time, unpublished bool) bool {
 	k, ok := s.endpoints[id]
-	if !ok || !until.After(now) || !k.extendCold(until) {
+	if !ok || !until.After(now) {
+		return false
+	}
+	first := unpublished && k.coldReportNumber == 0
+	if !k.extendsCold(until) && !first {
 		return false
 	}
+	k.coldUntil = laterOf(k.coldUntil, until)
 	k.coldReportNumber = max(k.coldReportNumber+1, uint64(max(now.UnixMilli(), 0)))
-	s.schedule(k, until)
+	s.schedule(k, k.coldUntil)
 	return true
 }
 
@@ -264,11 +271,10 @@
 		return false
 	}
 	k.coldReportNumber = number
-	if !k.extendCold(until) {
-		return false
-	}
-	s.schedule(k, until)
-	return true
+	isNew := k.extendsCold(until)
+	k.coldUntil = laterOf(k.coldUntil, until)
+	s.schedule(k, k.coldUntil)
+	return isNew
 }
 
 // ReportUnreachable records that an endpoint did not answer the VM of the region that probes it,
@@ -297,12 +303,16 @@
 	coldReportRetention = 10 * time.Second
 )
 
-func (k *endpointState) extendCold(until time.Time) bool {
-	if until.Sub(k.coldUntil) < minColdExtension {
-		return false
+// extendsCold reports whether an endpoint that is cold until then is cold for longer than known.
+func (k *endpointState) extendsCold(until time.Time) bool {
+	return until.Sub(k.coldUntil) >= minColdExtension
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	k.coldUntil = until
-	return true
+	return b
 }
 
 // removeEndpoint handles the removal of an entry. During or shortly after an outage of
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -85,7 +85,7 @@
 	case step.Unreached != "":
 		s.ReportUnreachable(step.Unreached, now.Add(parseDuration(t, step.Long)), now)
 	case step.SaysCold != "":
-		s.ReportCold(step.SaysCold, now.Add(parseDuration(t, step.Cold)), now)
+		s.ReportCold(step.SaysCold, now.Add(parseDuration(t, step.Cold)), now, false)
 	case step.SaysLeaving != "":
 		s.ReportLeaving(LeavingEndpoint{ID: step.SaysLeaving, Incarnation: step.Incarnation}, now)
 	case step.Remove != "":
--- a/site/cold.go
+++ b/site/cold.go
@@ -53,7 +53,7 @@
 	neighbours := p.neighbours(e)
 	p.node.control.send(ctx, func(c *control, now time.Time) {
 		until := now.Add(remaining)
-		if !c.discovery.ReportCold(e.ID, until, now) {
+		if !c.discovery.ReportCold(e.ID, until, now, p.storeUnreadable()) {
 			return
 		}
 		c.markCold(e.ID, until, now)
@@ -91,8 +91,8 @@
 	coldCheckInterval = time.Second
 )
 
-// probeWarming probes the cold engines assigned to this VM that count as warm soon. One that
-// does not answer counts as unreachable, as it may be restarting.
+// probeWarming probes the cold engines assigned to this VM that may be warm already or count as
+// warm soon. One that does not answer counts as unreachable, as it may be restarting.
 func (p *pools) probeWarming(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := p.node.now()
@@ -112,13 +112,17 @@
 	return nil
 }
 
-// warmingEngines returns the assigned engines that count as warm within warmingPeriod.
+// warmingEngines returns the assigned engines that count as warm within warmingPeriod, and while
+// the store cannot be read those that are cold by their entries only. Another VM may know that
+// such an engine is warm, and depends on this one to learn that it becomes cold again.
 func (p *pools) warmingEngines(now time.Time) []fleet.Endpoint {
 	if !p.index.anyCold() {
 		return nil
 	}
+	unpublished := p.storeUnreadable()
 	return p.assignedEngines(func(e discovery.AvailableEndpoint) bool {
-		return !e.ColdUntil.IsZero() && e.ColdUntil.Sub(now) <= warmingPeriod
+		isWarming := e.ColdUntil.Sub(now) <= warmingPeriod || unpublished && e.ColdReportNumber == 0
+		return !e.ColdUntil.IsZero() && isWarming
 	})
 }
 
--- a/site/cold_test.go
+++ b/site/cold_test.go
@@ -77,7 +77,7 @@
 	n, engines, asked := newColdEngines(t, "200")
 	for _, e := range engines {
 		now := time.Now()
-		n.control.discovery.ReportCold(e.ID, now.Add(time.Millisecond), now)
+		n.control.discovery.ReportCold(e.ID, now.Add(time.Millisecond), now, false)
 	}
 	time.Sleep(2 * time.Millisecond)
 	n.control.discovery.Advance(time.Now())
--- a/site/polling.go
+++ b/site/polling.go
@@ -92,7 +92,7 @@
 
 // pollInterval returns the interval at which each engine is polled.
 func (p *pools) pollInterval() time.Duration {
-	if p.node.control.snapshot().members.StoreUnreadable() {
+	if p.storeUnreadable() {
 		return survey.ColdProbeRound
 	}
 	now, interval := p.node.now(), reportInterval
@@ -104,6 +104,11 @@
 	return interval
 }
 
+// storeUnreadable reports whether VMs of the region fail to read the store.
+func (p *pools) storeUnreadable() bool {
+	return p.node.control.snapshot().members.StoreUnreadable()
+}
+
 // pollAll polls engines and waits for their answers, at most for pollRoundTimeout.
 func (p *pools) pollAll(ctx context.Context, engines []fleet.Endpoint) {
 	var polls sync.WaitGroup
@@ -221,7 +226,7 @@
 // cold. polled is the number of engines that this VM polls.
 func (p *pools) pollEngine(ctx context.Context, e fleet.Endpoint, polled int) {
 	due := p.reportDue(e)
-	asksCold := due || p.callProbeDue(e) || p.node.control.snapshot().members.StoreUnreadable() && p.coldProbeDue(e, polled)
+	asksCold := due || p.callProbeDue(e) || p.storeUnreadable() && p.coldProbeDue(e, polled)
 	if !asksCold || !p.node.throttle.ProbeDue(e, requestsPerPoll, p.node.now()) {
 		return
 	}
--- a/testscripts/emulator/health_probe.go
+++ b/testscripts/emulator/health_probe.go
@@ -19,7 +19,7 @@
 		if v.snapshot().StoreUnreadable() {
 			interval = fastProbeInterval
 		}
-		for _, e := range v.endpoints() {
+		for _, e := range v.enginesToProbe() {
 			if entry.Owner(e.ID, vmIDs) != v.member.ID {
 				continue
 			}
@@ -33,6 +33,20 @@
 	})
 }
 
+// enginesToProbe returns the warm engines of the region, and while the store cannot be read those
+// that are cold by their entries only.
+func (v *vm) enginesToProbe() []fleet.Endpoint {
+	var out []fleet.Endpoint
+	unpublished := v.snapshot().StoreUnreadable()
+	for _, e := range v.discovery.Endpoints(v.now()) {
+		include := e.ColdUntil.IsZero() || unpublished && e.ColdReportNumber == 0
+		if include && e.Region == v.member.Region {
+			out = append(out, e.Endpoint)
+		}
+	}
+	return out
+}
+
 // probeAfterPause probes all endpoints of the region once after each pause of the process.
 func (v *vm) probeAfterPause(incarnation uint64) {
 	resuming := v.roster.Resuming()
@@ -88,7 +102,7 @@
 		until := found.coldUntil
 		v.run(incarnation, func() {
 			neighbours := v.neighbours(e)
-			if !v.discovery.ReportCold(e.ID, until, v.now()) {
+			if !v.discovery.ReportCold(e.ID, until, v.now(), v.snapshot().StoreUnreadable()) {
 				return
 			}
 			v.endpointsChanged = true
--- a/testscripts/emulator/planned_faults.go
+++ b/testscripts/emulator/planned_faults.go
@@ -13,6 +13,8 @@
 	Partitions []Partition   `json:"partitions"`
 	Kills      []Kill        `json:"kills"`
 	Shifts     []Shift       `json:"shifts"`
+	Outages    []Outage      `json:"outages"`
+	Cold       []ColdEngines `json:"cold"`
 }
 
 // EngineFault makes all engines of some regions refuse requests, or lose their answers.
@@ -44,6 +46,20 @@
 	VMs int `json:"vms"`
 }
 
+// Outage makes the store refuse or, if it is silent, ignore all reads.
+type Outage struct {
+	AtSeconds  float64 `json:"at"`
+	ForSeconds float64 `json:"for"`
+	Silent     bool    `json:"silent"`
+}
+
+// ColdEngines makes all engines of some regions cold.
+type ColdEngines struct {
+	AtSeconds float64 `json:"at"`
+	// Regions lists the regions by number; empty means all.
+	Regions []int `json:"regions"`
+}
+
 // Shift makes all callers send to some VMs of their regions only, by number.
 type Shift struct {
 	AtSeconds  float64 `json:"at"`
@@ -68,6 +84,18 @@
 		w.after(warmup+seconds(s.AtSeconds), func() { w.callersTo = s.VMs })
 		w.after(warmup+seconds(s.AtSeconds+s.ForSeconds), func() { w.callersTo = nil })
 	}
+	for _, o := range p.Outages {
+		w.after(warmup+seconds(o.AtSeconds), func() { w.store.outage(seconds(o.ForSeconds), o.Silent) })
+	}
+	for _, c := range p.Cold {
+		w.after(warmup+seconds(c.AtSeconds), func() {
+			for _, e := range w.engines {
+				if includesRegion(c.Regions, e.endpoint.Region) {
+					e.becomeCold()
+				}
+			}
+		})
+	}
 	for _, k := range p.Kills {
 		w.after(warmup+seconds(k.AtSeconds), func() {
 			killed := make(map[string]int)
--- a/testscripts/emulator/planned_faults_test.go
+++ b/testscripts/emulator/planned_faults_test.go
@@ -28,6 +28,13 @@
 	runPlannedFaults(t, "testdata/lost_runs.json")
 }
 
+// TestColdAfterVMsStart guards against calls to a cold engine whose prober has just started and
+// takes an old entry of the store for a new one.
+func TestColdAfterVMsStart(t *testing.T) {
+	t.Parallel()
+	runPlannedFaults(t, "testdata/cold_starts.json")
+}
+
 func runPlannedFaults(t *testing.T, path string) {
 	t.Helper()
 	for _, c := range datatest.Read[[]struct {
