Cold again: what is left of an earlier report doesn't stand for one of this period

Cause: whether an endpoint itself had said that it is cold was told by the number of its last report. A VM that starts hears of the report of the period before from its peers, and with that number it took its own late entry for the endpoint's word, and asked no more.

TestColdReportAfterLateEntry fails on the commit before.

An endpoint keeps the end that it reported itself next to the one that is known, and its next report replaces what an entry alone says, while the store cannot be read.

--- a/discovery/cold_test.go
+++ b/discovery/cold_test.go
@@ -136,7 +136,9 @@
 		},
 		ColdFor: 3 * time.Second,
 	}}, now)
-	until := now.Add(3200 * time.Millisecond)
+	// What is left of a report of the earlier period is no report of this one.
+	assert.Assert(t, !s.ReportColdFromPeer("a", 1, now.Add(time.Second), now))
+	until := now.Add(2900 * time.Millisecond)
 	assert.Assert(t, !s.ReportCold("a", until, now, false))
 	assert.Assert(t, s.ReportCold("a", until, now, true))
 	assert.Assert(t, s.Endpoints(now)[0].ColdUntil.Equal(until))
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -87,6 +87,8 @@
 	// zero means that only the store has reported it. Numbers begin at the time in
 	// milliseconds, so that they grow although the VM that gives them has restarted.
 	coldReportNumber uint64
+	// reportedColdUntil is the latest end of a cold period that the endpoint itself reported.
+	reportedColdUntil time.Time
 	// unreachableUntil is the time until which the endpoint counts as unreachable.
 	unreachableUntil time.Time
 	// removeAt is set while the entry is missing from the store.
@@ -242,18 +244,19 @@
 
 // ReportCold records an endpoint's own report to this VM that it is cold, and returns whether
 // the report is new. The store reports it too, but not during an outage, which unpublished
-// says. The endpoint's first report is new then even if its entry said the same: a VM that
-// received the entry late counts its cold period from then, while others know that it is over.
+// says. A report replaces what the entry alone says then, and is new: a VM that received the
+// entry late counts its cold period from then, while others know that it is over.
 func (s *State) ReportCold(id string, until, now time.Time, unpublished bool) bool {
 	k, ok := s.endpoints[id]
 	if !ok || !until.After(now) {
 		return false
 	}
-	first := unpublished && k.coldReportNumber == 0
-	if !k.extendsCold(until) && !first {
+	replaces := unpublished && k.isColdByEntry()
+	if !k.extendsCold(until) && !replaces {
 		return false
 	}
-	k.coldUntil = laterOf(k.coldUntil, until)
+	k.coldUntil = until
+	k.reportedColdUntil = until
 	k.coldReportNumber = max(k.coldReportNumber+1, uint64(max(now.UnixMilli(), 0)))
 	s.schedule(k, k.coldUntil)
 	return true
@@ -273,6 +276,7 @@
 	k.coldReportNumber = number
 	isNew := k.extendsCold(until)
 	k.coldUntil = laterOf(k.coldUntil, until)
+	k.reportedColdUntil = laterOf(k.reportedColdUntil, until)
 	s.schedule(k, k.coldUntil)
 	return isNew
 }
@@ -308,6 +312,11 @@
 	return until.Sub(k.coldUntil) >= minColdExtension
 }
 
+// isColdByEntry reports whether the endpoint itself did not report the end of its cold period.
+func (k *endpointState) isColdByEntry() bool {
+	return k.coldUntil.Sub(k.reportedColdUntil) >= minColdExtension
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -418,6 +427,8 @@
 	ColdUntil time.Time
 	// ColdReportNumber is the number of the endpoint's own cold report; zero means none.
 	ColdReportNumber uint64
+	// IsColdByEntry is set for a cold endpoint if only its entry says that it is cold until then.
+	IsColdByEntry bool
 	// UnreachableUntil is zero for a reachable endpoint.
 	UnreachableUntil time.Time
 }
@@ -477,6 +488,7 @@
 	if k.coldUntil.After(now) {
 		r.ColdUntil = k.coldUntil
 		r.ColdReportNumber = k.coldReportNumber
+		r.IsColdByEntry = k.isColdByEntry()
 	}
 	if k.unreachableUntil.After(now) {
 		r.UnreachableUntil = k.unreachableUntil
--- a/site/cold.go
+++ b/site/cold.go
@@ -121,7 +121,7 @@
 	}
 	unpublished := p.storeUnreadable()
 	return p.assignedEngines(func(e discovery.AvailableEndpoint) bool {
-		isWarming := e.ColdUntil.Sub(now) <= warmingPeriod || unpublished && e.ColdReportNumber == 0
+		isWarming := e.ColdUntil.Sub(now) <= warmingPeriod || unpublished && e.IsColdByEntry
 		return !e.ColdUntil.IsZero() && isWarming
 	})
 }
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -80,6 +80,8 @@
 	// StoreRestores adds restores of the store from older copies, without changing the other
 	// random choices of a seed.
 	StoreRestores StoreRestores
+	// RandomFaults overrides the number of random faults and the time in which they begin.
+	RandomFaults RandomFaults
 	// PlannedFaults adds faults at fixed times, without changing the other random choices of
 	// a seed.
 	PlannedFaults PlannedFaults
@@ -144,7 +146,7 @@
 	w := newWorld(o)
 	w.start()
 	if !slices.ContainsFunc(o.conditions(), func(c Conditions) bool { return c.NoFaults }) {
-		w.injectFaults()
+		w.injectFaults(o.RandomFaults)
 	}
 	w.scheduleRequests()
 	w.scheduleCrashingCalls(o.CrashingCalls)
--- a/testscripts/emulator/emulator_test.go
+++ b/testscripts/emulator/emulator_test.go
@@ -30,6 +30,31 @@
 	assert.Equal(t, len(sum.Failed), 0)
 }
 
+// TestDenseSchedules checks all invariants under random faults that come close together.
+func TestDenseSchedules(t *testing.T) {
+	t.Parallel()
+	for _, c := range datatest.Read[[]struct {
+		Name    string
+		Seeds   uint64
+		Random  RandomFaults
+		Planned PlannedFaults
+	}](t, "testdata/dense.json") {
+		t.Run(c.Name, func(t *testing.T) {
+			sum := RunAll(Options{
+				Seed:          1,
+				Duration:      runDuration,
+				RandomFaults:  c.Random,
+				PlannedFaults: c.Planned,
+			}, max(c.Seeds/raceDivisor, 1))
+			t.Logf("%d requests, %d served, %d faults", sum.Requests, sum.Served, sum.Faults)
+			for _, r := range sum.Failed[:min(len(sum.Failed), maxShown)] {
+				t.Errorf("seed %d: %s (and %d more)", r.Seed, r.Violations[0], len(r.Violations)-1)
+			}
+			assert.Equal(t, len(sum.Failed), 0)
+		})
+	}
+}
+
 // maxShown bounds the seeds that are printed.
 const maxShown = 10
 
--- a/testscripts/emulator/health_probe.go
+++ b/testscripts/emulator/health_probe.go
@@ -39,7 +39,7 @@
 	var out []fleet.Endpoint
 	unpublished := v.snapshot().StoreUnreadable()
 	for _, e := range v.discovery.Endpoints(v.now()) {
-		include := e.ColdUntil.IsZero() || unpublished && e.ColdReportNumber == 0
+		include := e.ColdUntil.IsZero() || unpublished && e.IsColdByEntry
 		if include && e.Region == v.member.Region {
 			out = append(out, e.Endpoint)
 		}
--- a/testscripts/emulator/injected_faults.go
+++ b/testscripts/emulator/injected_faults.go
@@ -1,15 +1,16 @@
 package emulator
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 )
 
 const (
-	// Each run has faultsPerRun faults, each lasting between minFaultDuration and
-	// maxFaultDuration.
-	faultsPerRun     = 12
+	// defaultFaults is the number of faults of a run, each lasting between minFaultDuration
+	// and maxFaultDuration.
+	defaultFaults    = 12
 	minFaultDuration = 300 * time.Millisecond
 	maxFaultDuration = 9 * time.Second
 	// maxRestartDelay bounds the downtime of a process that restarts.
@@ -23,8 +24,16 @@
 	addressReuseDelay = 2 * time.Second
 )
 
+// RandomFaults configures the random faults of a run. Zero values mean defaults.
+type RandomFaults struct {
+	Count int `json:"count"`
+	// WithinSeconds is the time after the warm-up in which all faults begin; by default that
+	// of the requests.
+	WithinSeconds float64 `json:"within"`
+}
+
 // injectFaults schedules random faults at random times.
-func (w *world) injectFaults() {
+func (w *world) injectFaults(f RandomFaults) {
 	kinds := []func(duration time.Duration){
 		w.killVM, w.replaceVM, w.killAllVMs, w.freezeVM, w.partitionTwoRegions, w.partitionAllRegions,
 		w.failStore, w.hangStore, w.denyStoreReads, w.compactStore,
@@ -32,10 +41,11 @@
 		w.evacuateRegion, w.publishConfig, w.publishConfigBurst,
 	}
 	from := w.clock.now.Add(warmup)
-	for range faultsPerRun {
+	within := cmp.Or(seconds(f.WithinSeconds), w.end.Sub(from))
+	for range cmp.Or(f.Count, defaultFaults) {
 		kind := kinds[w.rand.IntN(len(kinds))]
 		duration := w.randomDuration(minFaultDuration, maxFaultDuration)
-		w.clock.at(from.Add(w.randomDuration(0, w.end.Sub(from))), func() {
+		w.clock.at(from.Add(w.randomDuration(0, within)), func() {
 			w.injectedFaults++
 			kind(duration)
 		})
