Quarantine agent: the test's dial takes time, so that all calls of a crash arrive before it ends

Cause, of the test: its dial ended at once, while the test's own goroutine was still handing over the calls; the fifth came after the check's end. In the field a dial takes a round trip. What the test wants is as it was.

--- a/quarantine/agent/check_test.go
+++ b/quarantine/agent/check_test.go
@@ -19,14 +19,18 @@
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
 )
 
-// fakeDialer returns one outcome per dial; the last one repeats.
+// fakeDialer returns one outcome per dial, after dialTime; the last one repeats.
 type fakeDialer struct {
 	mu       sync.Mutex
 	outcomes []error
 	looks    int
 }
 
+// dialTime has all calls that one crash interrupts arrive before the dial ends.
+const dialTime = time.Millisecond
+
 func (d *fakeDialer) dial(context.Context, string) error {
+	time.Sleep(dialTime)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	err := d.outcomes[min(d.looks, len(d.outcomes)-1)]
