--- a/discovery/cold_test.go
+++ b/discovery/cold_test.go
@@ -96,12 +96,8 @@
 func TestExtendedColdPropagates(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	states := newStates(2, now)
-	assert.Assert(t, states[0].ReportCold("a", now.Add(time.Second), now, false))
-	first := states[0].Endpoints(now)[0]
-	assert.Assert(t, states[1].ReportColdFromPeer("a", first.ColdReportNumber, first.ColdUntil, now))
-	assert.Assert(t, states[0].ReportCold("a", now.Add(3*time.Second), now, false))
-	second := states[0].Endpoints(now)[0]
-	assert.Assert(t, states[1].ReportColdFromPeer("a", second.ColdReportNumber, second.ColdUntil, now))
+	assert.Assert(t, reportAndTell(states[0], states[1], now.Add(time.Second), now))
+	assert.Assert(t, reportAndTell(states[0], states[1], now.Add(3*time.Second), now))
 	assert.Assert(t, states[1].Endpoints(now)[0].ColdUntil.Equal(now.Add(3*time.Second)))
 	// A restarted VM numbers its reports from 1 again. They are accepted once the old
 	// report is no longer retained.
@@ -114,14 +110,20 @@
 func TestColdReportsOfRestartedVM(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	states := newStates(2, now)
-	assert.Assert(t, states[0].ReportCold("a", now.Add(time.Second), now, false))
-	first := states[0].Endpoints(now)[0]
-	assert.Assert(t, states[1].ReportColdFromPeer("a", first.ColdReportNumber, first.ColdUntil, now))
+	assert.Assert(t, reportAndTell(states[0], states[1], now.Add(time.Second), now))
 	restarted := newStates(1, now)[0]
 	now = now.Add(4 * time.Second)
-	assert.Assert(t, restarted.ReportCold("a", now.Add(time.Second), now, false))
-	again := restarted.Endpoints(now)[0]
-	assert.Assert(t, states[1].ReportColdFromPeer("a", again.ColdReportNumber, again.ColdUntil, now))
+	assert.Assert(t, reportAndTell(restarted, states[1], now.Add(time.Second), now))
+}
+
+// reportAndTell has a VM learn from the endpoint that it is cold and tell a peer, and reports
+// whether it was new to both.
+func reportAndTell(vm, peer *State, until, now time.Time) bool {
+	if !vm.ReportCold("a", until, now, false) {
+		return false
+	}
+	e := vm.Endpoints(now)[0]
+	return peer.ReportColdFromPeer("a", e.ColdReportNumber, e.ColdUntil, now)
 }
 
 // TestColdReportAfterLateEntry guards against a VM that keeps what an endpoint says to itself, as
--- a/quarantine/note.go
+++ b/quarantine/note.go
@@ -159,7 +159,7 @@
 	l.unreconsidered = false
 	for _, subject := range l.verdictSubjects() {
 		v := l.verdicts[subject]
-		if v != nil && v.State == StateQuarantined && slices.ContainsFunc(owners.owners(subject), func(p Peer) bool { return p.VM.ID == l.self }) {
+		if v.State == StateQuarantined && slices.ContainsFunc(owners.owners(subject), func(p Peer) bool { return p.VM.ID == l.self }) {
 			l.reconsider(v, now)
 		}
 	}
--- a/site/cold.go
+++ b/site/cold.go
@@ -47,8 +47,8 @@
 	return nil
 }
 
-// reportCold records that an endpoint is cold. News are spread, and neighbours are probed: once
-// for each report, as neighbours that are cold too would otherwise probe each other without end.
+// reportCold records that an endpoint is cold. A new report is spread, and its neighbours are
+// probed; after a known one, cold neighbours would lead to each other without end.
 func (p *pools) reportCold(ctx context.Context, e fleet.Endpoint, remaining time.Duration) {
 	neighbours := p.neighbours(e)
 	p.node.control.send(ctx, func(c *control, now time.Time) {
@@ -91,8 +91,8 @@
 	coldCheckInterval = time.Second
 )
 
-// probeWarming probes the cold engines assigned to this VM that may be warm already or count as
-// warm soon. One that does not answer counts as unreachable, as it may be restarting.
+// probeWarming probes the engines that warmingEngines returns. One that does not answer counts as
+// unreachable, as it may be restarting.
 func (p *pools) probeWarming(ctx context.Context) error {
 	for ctx.Err() == nil {
 		now := p.node.now()
