--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
   echo "run review/build.sh first" >&2
   exit 2
 fi
-exec target/review-cases comment review/3/record.txt
+exec target/review-cases spoiled-event review/3/record.txt
