Review: end the gateways also where a script is killed

Cause: a script that got HUP or KILL left its gateways running, and nothing bounded a script that hangs.

--- a/review/_cases/bed.go
+++ b/review/_cases/bed.go
@@ -191,6 +191,10 @@
 			done:      make(chan struct{}),
 		}
 		v.cmd = exec.Command(gatewayPath, "serve", "--platform", "--settings", "deploy/gateway.json")
+		v.cmd.SysProcAttr = &syscall.SysProcAttr{
+			// Ends the gateway also where this process is killed.
+			Pdeathsig: syscall.SIGKILL,
+		}
 		v.cmd.Env = []string{
 			"PATH=" + os.Getenv("PATH"),
 			"HOME=" + os.Getenv("HOME"),
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"sort"
 	"strings"
 	"syscall"
+	"time"
 )
 
 // Exit codes of a case.
@@ -18,9 +20,16 @@
 	exitFailed = 2
 )
 
+// maxDuration leaves some time to end the processes within 120 s.
+const maxDuration = 110 * time.Second
+
 // cases are the cases by name. Each writes what it saw to the bed's record.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){}
 
+// The main goroutine starts the gateways. It stays on the main thread, as they are killed at the end
+// of the thread that started them.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	os.Exit(run())
 }
@@ -43,10 +52,14 @@
 	}
 	defer b.close()
 	interrupts := make(chan os.Signal, 1)
-	signal.Notify(interrupts, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(interrupts, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
-		<-interrupts
-		b.logf("result: the case was interrupted")
+		select {
+		case <-interrupts:
+			b.logf("result: the case was interrupted")
+		case <-time.After(maxDuration):
+			b.logf("result: the case did not end in %v", maxDuration)
+		}
 		b.close()
 		os.Exit(exitFailed)
 	}()
