Routing: limits of endpoints that have ended count in no other limit

Cause: a limit on an endpoint that has just started ends only when a call considers that endpoint. How far a limit may bind depends on the number of limited endpoints, so a call that considered one endpoint counted limits of others that had ended and that nobody had considered since. The explanation counted without them and was right; the choice was wrong.

Change: the ends of rounds are applied for all limited endpoints before a choice, at most once for each time at which one may be due. Choices still don't allocate (TestPacedChoiceAllocations).

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -142,6 +142,7 @@
 // pickAffinity evaluates the prefix's fetch source and ring endpoints and a random
 // sample.
 func (p *Pool) pickAffinity(r Request, now time.Time) (candidate, bool) {
+	p.advancePaces(now)
 	var best candidate
 	if len(p.eligible) <= maxFullScan {
 		p.considerAll(&best, r, now)
@@ -179,7 +180,7 @@
 		return
 	}
 	c := p.evaluate(e, r, now)
-	p.setPacing(&c, now)
+	p.setPacing(&c)
 	improve(best, c)
 }
 
--- a/routing/explain.go
+++ b/routing/explain.go
@@ -201,8 +201,8 @@
 	}
 }
 
-// advancedPace returns the slow-start limit of an endpoint after the rounds that are due, which
-// calls apply only when they consider the endpoint.
+// advancedPace returns the slow-start limit of an endpoint after the round that is due, which
+// calls apply before they choose.
 func (x *explainer) advancedPace(e *endpoint) pace {
 	advanced := e.pace
 	if advanced.RoundEnded(x.now) && advanced.Advance(e.observation(), x.now) {
--- a/routing/pacing.go
+++ b/routing/pacing.go
@@ -75,7 +75,9 @@
 	// vms are the VMs of the region that accept calls, this one included.
 	vms       []string
 	endpoints []*endpoint
-	calls     PacedCalls
+	// dueAt is no later than the end of the first round that ends.
+	dueAt time.Time
+	calls PacedCalls
 	// queueDelay is the expected queueing delay of the calls that go to endpoints without a
 	// limit, in seconds.
 	queueDelay average
@@ -112,15 +114,31 @@
 	}
 }
 
-// AdvancePaced ends the limits that are due, which calls do only for the endpoints that they
-// consider, and returns the number of limited endpoints and the calls counted so far.
+// AdvancePaced applies the ends of rounds, and returns the number of limited endpoints and the
+// calls counted so far.
 func (p *Pool) AdvancePaced(now time.Time) (limited int, calls PacedCalls) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, e := range slices.Clone(p.pacing.endpoints) {
+	p.advancePaces(now)
+	return len(p.pacing.endpoints), p.pacing.calls
+}
+
+// advancePaces applies the ends of rounds of all endpoints, as the number of limited ones counts
+// in each limit.
+func (p *Pool) advancePaces(now time.Time) {
+	if len(p.pacing.endpoints) == 0 || now.Before(p.pacing.dueAt) {
+		return
+	}
+	var dueAt time.Time
+	// From the last one, as limits that end are removed.
+	for i := len(p.pacing.endpoints) - 1; i >= 0; i-- {
+		e := p.pacing.endpoints[i]
 		p.advancePace(e, now)
+		if e.pace.Active() && (dueAt.IsZero() || e.pace.RoundEndsAt().Before(dueAt)) {
+			dueAt = e.pace.RoundEndsAt()
+		}
 	}
-	return len(p.pacing.endpoints), p.pacing.calls
+	p.pacing.dueAt = dueAt
 }
 
 func (p *Pool) beginPace(e *endpoint, reason PaceReason, now time.Time) {
@@ -132,6 +150,9 @@
 		Limit: slowstart.Begin(e.slots(), now),
 		rank:  slowstart.Rank(e.ID, p.pacing.options.VM, p.pacing.vms),
 	}
+	if len(p.pacing.endpoints) == 0 || e.pace.RoundEndsAt().Before(p.pacing.dueAt) {
+		p.pacing.dueAt = e.pace.RoundEndsAt()
+	}
 	p.pacing.endpoints = append(p.pacing.endpoints, e)
 	p.reportPace(e, PaceBegan, reason)
 }
@@ -201,13 +222,8 @@
 }
 
 // setPacing sets what the endpoint's limit means for one more call.
-func (p *Pool) setPacing(c *candidate, now time.Time) {
-	e := c.endpoint
-	if !e.pace.Active() {
-		return
-	}
-	p.advancePace(e, now)
-	if e.pace.Active() {
+func (p *Pool) setPacing(c *candidate) {
+	if e := c.endpoint; e.pace.Active() {
 		c.pacedLateness = p.pacedLateness(p.pacedCalls(e.pace, len(p.pacing.endpoints)), e)
 	}
 }
--- a/slowstart/slowstart.go
+++ b/slowstart/slowstart.go
@@ -88,6 +88,11 @@
 	return l.beganAt
 }
 
+// RoundEndsAt returns when Advance may change the limit next.
+func (l *Limit) RoundEndsAt() time.Time {
+	return l.roundEndsAt
+}
+
 // RoundEnded reports whether Advance may change the limit.
 func (l *Limit) RoundEnded(now time.Time) bool {
 	return !now.Before(l.roundEndsAt)
