Site: a stop answers requests that have reached the kernel

Callers saw a reset or EOF instead of an answer around the SIGTERM of a VM.

Cause: closing the listener resets the connections that the kernel has accepted and the process has not, and SetKeepAlivesEnabled(false) and Shutdown close connections that look idle without a look at what the kernel holds for them; the server also drops what it reads after Shutdown. Waiting until the process has run 50 ms without a pause made this rarer for a paused process, no more.

The listener now accepts until its queue is empty and is closed then. Idle connections end by themselves: the goroutine that waits for the next request is woken, and returns the end only if the socket has nothing to read. They are ended once callers have gone and no call is in flight, in place of 3.4 s after SIGTERM while the process went on for other calls: until then a late request gets an answer. http.Server.Shutdown is no longer used.

TestRequestsInKernelAreServed failed before for the queue of the listener (connection reset by peer); its second half needs EndIdle, which is new.

--- a/common/listen/stopping_test.go
+++ b/common/listen/stopping_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -50,3 +52,83 @@
 	assert.NilError(t, server.Shutdown(t.Context()))
 	assert.ErrorIs(t, <-ended, http.ErrServerClosed)
 }
+
+// pausedListener holds back a server's calls to the kernel until gate is closed, as if its
+// process got no CPU time.
+type pausedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+	// acceptsFirst lets the first connections be accepted and only holds back their reads.
+	acceptsFirst bool
+}
+
+func (l *pausedListener) Accept() (net.Conn, error) {
+	if !l.acceptsFirst {
+		<-l.gate
+	}
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return &pausedConn{
+		TCPConn: conn,
+		gate:    l.gate,
+	}, nil
+}
+
+type pausedConn struct {
+	*net.TCPConn
+	gate chan struct{}
+}
+
+func (c *pausedConn) Read(p []byte) (int, error) {
+	<-c.gate
+	return c.TCPConn.Read(p)
+}
+
+// TestRequestsInKernelAreServed guards against losing requests that have arrived at a paused
+// process, on connections that it has not accepted or that look idle, when it stops.
+func TestRequestsInKernelAreServed(t *testing.T) {
+	for _, accepted := range []bool{false, true} {
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		gate := make(chan struct{})
+		ln := NewStoppableListener(&pausedListener{
+			TCPListener:  inner.(*net.TCPListener),
+			gate:         gate,
+			acceptsFirst: accepted,
+		})
+		server := &http.Server{
+			Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }),
+			ConnState: ln.OnState,
+		}
+		go func() { _ = server.Serve(ln) }()
+		used, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(used, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		unused, err := net.Dial("tcp", inner.Addr().String())
+		assert.NilError(t, err)
+		stopped := make(chan error, 1)
+		if accepted {
+			for ln.OpenConns() < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			ln.EndIdle()
+		}
+		go func() { stopped <- ln.Stop() }()
+		<-ln.stopped
+		close(gate)
+		assert.NilError(t, <-stopped)
+		ln.EndIdle()
+		answer, err := io.ReadAll(used)
+		assert.NilError(t, err)
+		assert.Assert(t, strings.HasSuffix(string(answer), "whole"), "accepted: %v, %q", accepted, answer)
+		rest, err := io.ReadAll(unused)
+		assert.NilError(t, err)
+		assert.Equal(t, string(rest), "")
+		assert.NilError(t, server.Close())
+		assert.NilError(t, used.Close())
+		assert.NilError(t, unused.Close())
+	}
+}
--- a/common/tcp/ended_other.go
+++ b/common/tcp/poll_other.go
@@ -8,3 +8,8 @@
 func HasEnded(net.Conn) bool {
 	return false
 }
+
+// IsReadable is false, as what a socket holds is known only once it was read.
+func IsReadable(any) bool {
+	return false
+}
--- a/site/servers.go
+++ b/site/servers.go
@@ -80,6 +80,7 @@
 		ln := listen.NewStoppableListener(inner)
 		if srv.server == n.callerServer {
 			n.callerListener.Store(ln)
+			srv.server.ConnState = ln.OnState
 		}
 		worker.AddHTTP(group, n.stopped, func() error { return srv.server.Serve(ln) }, srv.server.Close)
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -116,9 +116,7 @@
 	// bounds are the limits of the platform settings. They can change at run time.
 	bounds   atomic.Pointer[platform.Bounds]
 	draining atomic.Bool
-	// openConns counts the open connections of callerListener.
 	callerListener atomic.Pointer[listen.StoppableListener]
-	openConns      atomic.Int64
 	// inSyncAt is when this VM last had the revision of the store or of its reader, in
 	// nanoseconds since the epoch. droppedReported is the number of dropped lines already
 	// counted in the metrics.
@@ -299,7 +297,6 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-		ConnState:         n.countConn,
 	}
 }
 
--- a/site/stop.go
+++ b/site/stop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/common/clock"
@@ -38,9 +36,8 @@
 	})
 	worker.SleepUntil(ctx, n.now(), n.now().Add(acceptGrace))
 	n.drainConnections(ctx, startedAt.Add(min(idleConnGrace, timeout/2)))
-	err := n.callerServer.Shutdown(ctx)
 	n.awaitInFlight(ctx)
-	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", err != nil)
+	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", n.callerListener.Load().OpenConns() > 0)
 }
 
 // idleConnGrace is how long idle connections stay open after the start of a shutdown.
@@ -48,60 +45,31 @@
 // a connection that is being closed is lost.
 const idleConnGrace = 3*maxEntriesTTL + 400*time.Millisecond
 
-// drainConnections stops accepting connections, serves the open ones, and closes them
-// once callers no longer use them. A request that arrives after http.Server.Shutdown is
-// dropped.
+// drainConnections stops accepting connections, serves the open ones, and ends them once
+// callers no longer use them and no call is in flight, for which the process goes on anyway.
 func (n *Node) drainConnections(ctx context.Context, idleDeadline time.Time) {
-	if err := n.callerListener.Load().Stop(); err != nil {
+	listener := n.callerListener.Load()
+	if err := listener.Stop(); err != nil {
 		n.log.Warn("listener_failed", "reason", err.Error())
 	}
-	for n.openConns.Load() > 0 && ctx.Err() == nil && n.now().Before(idleDeadline) {
-		worker.SleepUntil(ctx, n.now(), n.now().Add(drainPollInterval))
-	}
-	n.awaitSteady(ctx, idleDeadline.Add(steadyTimeout))
-	n.callerServer.SetKeepAlivesEnabled(false)
+	n.await(ctx, func() bool {
+		return listener.OpenConns() == 0 || !n.now().Before(idleDeadline) && n.serving.InFlight() == 0
+	})
+	listener.EndIdle()
+	n.await(ctx, func() bool { return listener.OpenConns() == 0 })
 }
 
-const (
-	// steadySteps is the number of consecutive steps of steadyStep without a delay that must
-	// pass before idle connections are closed. A process throttled by a CPU quota can pause
-	// for 100 ms and has then not read requests on connections that look idle.
-	steadySteps = 5
-	steadyStep  = 10 * time.Millisecond
-	// steadySlack is the delay up to which a step counts as on time.
-	steadySlack = 5 * time.Millisecond
-	// steadyTimeout bounds the wait for a steady process.
-	steadyTimeout = 500 * time.Millisecond
-)
-
-// awaitSteady waits until the process has run without pauses for steadySteps.
-func (n *Node) awaitSteady(ctx context.Context, deadline time.Time) {
-	for steps := 0; steps < steadySteps && ctx.Err() == nil && n.now().Before(deadline); {
-		stepEnd := n.now().Add(steadyStep)
-		worker.SleepUntil(ctx, n.now(), stepEnd)
-		steps++
-		if n.now().Sub(stepEnd) > steadySlack {
-			steps = 0
-		}
-	}
+// awaitInFlight waits for the remaining calls, including those forwarded by other VMs.
+func (n *Node) awaitInFlight(ctx context.Context) {
+	n.await(ctx, func() bool { return n.serving.InFlight() == 0 })
 }
 
-// countConn tracks the number of open caller connections.
-func (n *Node) countConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		n.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		n.openConns.Add(-1)
+// await waits until a condition holds.
+func (n *Node) await(ctx context.Context, done func() bool) {
+	for !done() && ctx.Err() == nil {
+		worker.SleepUntil(ctx, n.now(), n.now().Add(drainPollInterval))
 	}
 }
 
 // drainPollInterval is the interval of checks for open connections and calls in flight.
 const drainPollInterval = 20 * time.Millisecond
-
-// awaitInFlight waits for the remaining calls, including those forwarded by other VMs.
-func (n *Node) awaitInFlight(ctx context.Context) {
-	for n.serving.InFlight() > 0 && ctx.Err() == nil {
-		worker.SleepUntil(ctx, n.now(), n.now().Add(drainPollInterval))
-	}
-}
