Site: a stopping VM begins no call that it can't end

A call of 6 s that may run once, sent 3 s after the SIGTERM of a VM, was passed on to an endpoint and cut off as the process ended: its caller got EOF and could not tell whether it had run. Calls that were in flight at the end, or whose bodies had not arrived, ended in the same way.

Cause: serving took no notice of a stop. Whatever came on an open connection until 3.4 s after SIGTERM was begun, and the process ended 4.2 s later.

Package shutdown now decides which calls a stopping VM begins, callers' calls and forwarded ones alike: those that end by their own deadline, and until callers have gone also those that are expected to end in time. What is expected follows from the length of the answer where routing can estimate it, otherwise from the calls of the route that have ended on this VM (99% of them for calls that may run once, 90% for others, which lose less by a cut). The others are refused at once (2032, 503, not run). After that point in time, at which idle connections were closed before, a late call now gets an answer.

What is left at the end gets an answer, too: calls that were sent 504, calls that were not and incomplete bodies 503. Only answers that have begun are broken off. Log event calls_cut_off, field refused of stopped.

The process also waits until the outcome of a forwarded call has been sent; the number of calls in flight fell before. This was found by reading and has not been seen to happen.

--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -143,9 +143,14 @@
 		assert.NilError(t, ln.Close())
 		return ln.Addr().String()
 	}
-	s, err := NewServer(Handlers{
+	var s *Server
+	s, err = NewServer(Handlers{
 		Forward: f.forward,
-		Stamp:   func() uint64 { return 1 },
+		Stamp: func() uint64 {
+			// A stop may not end the process before the outcome is sent.
+			assert.Check(t, s.InFlight() == 1)
+			return 1
+		},
 		Witness: func(uint64) {},
 	})
 	assert.NilError(t, err)
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"storj.io/drpc/drpcmux"
@@ -65,6 +66,13 @@
 type Server struct {
 	handlers Handlers
 	drpc     *drpcserver.Server
+	// forwards counts the forwarded calls whose outcome has not been sent.
+	forwards atomic.Int64
+}
+
+// InFlight returns the number of forwarded calls whose outcome has not been sent yet.
+func (s *Server) InFlight() int {
+	return int(s.forwards.Load())
 }
 
 // NewServer returns a server. It fails only if the protocol cannot be registered.
@@ -79,7 +87,11 @@
 		handlers: h,
 	}
 	mux := drpcmux.New()
-	if err := peerpb.DRPCRegisterPeer(mux, &service{handlers: h}); err != nil {
+	impl := &service{
+		handlers: h,
+		forwards: &s.forwards,
+	}
+	if err := peerpb.DRPCRegisterPeer(mux, impl); err != nil {
 		return nil, err
 	}
 	s.drpc = drpcserver.NewWithOptions(mux, drpcserver.Options{
@@ -117,6 +129,7 @@
 // service implements peerpb.DRPCPeerServer.
 type service struct {
 	handlers Handlers
+	forwards *atomic.Int64
 }
 
 // Heartbeat implements peerpb.DRPCPeerServer.
@@ -211,6 +224,8 @@
 
 // Forward implements peerpb.DRPCPeerServer.
 func (s *service) Forward(in *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
+	s.forwards.Add(1)
+	defer s.forwards.Add(-1)
 	s.handlers.Witness(in.GetStamp())
 	sentAt := s.handlers.Delays.SentAt(in.GetFrom().GetVm(), in.GetFrom().GetIncarnation(), in.GetSentUs())
 	c := callFromProto(in.GetCall(), sentAt)
--- a/site/forward.go
+++ b/site/forward.go
@@ -106,6 +106,7 @@
 	}
 	ctx, cancel := clock.WithDeadline(ctx, n.now(), c.Deadline)
 	defer cancel()
+	defer context.AfterFunc(n.stopState.callsCtx, cancel)()
 	c.Routed.RequestRun = func(ctx context.Context) bool { return n.requestRun(ctx, from.GetVm(), c) }
 	c.Routed.MissesObjective = n.isLate(c)
 	return n.serve(ctx, c, sink)
--- a/site/place.go
+++ b/site/place.go
@@ -30,7 +30,12 @@
 		c.Routed.Rank = 0
 	}
 	countFromFirstAttempt(c)
-	if refusal := n.awaitFreshState(ctx); refusal != nil {
+	startedAt := n.now()
+	refusal := n.awaitFreshState(ctx)
+	if refusal == nil {
+		refusal = n.refuseIfStopping(c)
+	}
+	if refusal != nil {
 		n.countReturned(c, call.Refused(refusal))
 		c.Log.Fail("request_refused", slog.Int("code", int(refusal.Code)), slog.String("reason", refusal.Error()))
 		return call.Refused(refusal)
@@ -38,6 +43,10 @@
 	out := n.serving.Serve(ctx, c, serving.Placement{
 		Kind: serving.PlaceHere,
 	}, sink)
+	if out.Code == result.DeadlinePassed && n.stopState.callsCtx.Err() != nil {
+		out = call.Refused(n.stoppingRefusal())
+	}
+	n.recordDuration(c, out, startedAt)
 	n.recordServed(c, out)
 	n.countReturned(c, out)
 	if c.Routed.MissesObjective && !c.Forwarded && out.Code != result.DeadlineUnmeetable {
--- a/site/servers.go
+++ b/site/servers.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	n.peerServer = server
 	peers, err := tcp.Listen(context.Background(), n.deployment.PeerAddr)
 	if err != nil {
 		return err
--- a/site/site.go
+++ b/site/site.go
@@ -114,9 +114,11 @@
 	callerServer          *http.Server
 
 	// bounds are the limits of the platform settings. They can change at run time.
-	bounds   atomic.Pointer[platform.Bounds]
-	draining atomic.Bool
+	bounds         atomic.Pointer[platform.Bounds]
+	draining       atomic.Bool
 	callerListener atomic.Pointer[listen.StoppableListener]
+	peerServer     *peer.Server
+	stopState      *stopState
 	// inSyncAt is when this VM last had the revision of the store or of its reader, in
 	// nanoseconds since the epoch. droppedReported is the number of dropped lines already
 	// counted in the metrics.
@@ -154,6 +156,7 @@
 		lateOutcomes: placement.NewMissTracker(),
 		fairShares:   fairshare.New(d.VM),
 		callerWaits:  callerwait.New(),
+		stopState:    newStopState(),
 	}
 	n.bounds.Store(&d.Bounds)
 	n.timeline = timeline.New(timeline.Options{
@@ -296,6 +299,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return n.stopState.callsCtx },
 		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
 	}
 }
--- a/site/stop.go
+++ b/site/stop.go
@@ -2,22 +2,50 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/shutdown"
 )
 
 const (
 	// acceptGrace is how long a stopping VM still accepts connections; it exceeds the time
 	// for which callers cache its address.
 	acceptGrace = 1200 * time.Millisecond
-	// stopMargin is the time reserved at the end of the shutdown, after connections are cut.
+	// stopMargin is the time reserved at the end of the shutdown, after calls are cut off.
 	stopMargin = 400 * time.Millisecond
+	// cutoffGrace is the part of it for answers to the calls that are cut off.
+	cutoffGrace = 100 * time.Millisecond
+	// stoppingRetryAfter is when callers may retry elsewhere.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultStopTimeout applies if the platform configures none.
 	defaultStopTimeout = 8 * time.Second
 )
 
+// stopState is what a VM keeps for its planned stop.
+type stopState struct {
+	// planned is set once the VM stops, refusals counts the calls refused since.
+	planned   atomic.Pointer[shutdown.Stop]
+	refusals  atomic.Int64
+	durations *shutdown.Durations
+	// callsCtx is the parent of the contexts of all calls; cancelCalls ends those that are in
+	// flight at the end of the stop.
+	callsCtx    context.Context
+	cancelCalls context.CancelFunc
+}
+
+func newStopState() *stopState {
+	s := &stopState{
+		durations: shutdown.NewDurations(),
+	}
+	s.callsCtx, s.cancelCalls = context.WithCancel(context.Background())
+	return s
+}
+
 // stop shuts the process down gracefully: it announces the shutdown to peers and callers
 // and waits for calls in flight.
 func (n *Node) stop() {
@@ -29,15 +57,96 @@
 	deadline := startedAt.Add(timeout - stopMargin)
 	ctx, cancel := clock.WithDeadline(context.Background(), startedAt, deadline)
 	defer cancel()
+	callersGoneAt := startedAt.Add(min(idleConnGrace, timeout/2))
+	n.stopState.planned.Store(&shutdown.Stop{
+		Cutoff:        deadline,
+		CallersGoneAt: callersGoneAt,
+	})
 	n.draining.Store(true)
 	n.log.Info("stopping", "in_flight", n.serving.InFlight())
 	n.control.send(ctx, func(c *control, _ time.Time) {
 		c.roster.Leave()
 	})
 	worker.SleepUntil(ctx, n.now(), n.now().Add(acceptGrace))
-	n.drainConnections(ctx, startedAt.Add(min(idleConnGrace, timeout/2)))
-	n.awaitInFlight(ctx)
-	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", n.callerListener.Load().OpenConns() > 0)
+	n.drainConnections(ctx, callersGoneAt)
+	n.await(ctx, n.allAnswered)
+	cut := !n.allAnswered()
+	if cut {
+		n.cutOff()
+	}
+	// A call that another VM forwards from now on is refused.
+	n.stopState.planned.Store(&shutdown.Stop{
+		Cutoff: n.now(),
+	})
+	n.await(ctx, n.allAnswered)
+	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", cut, "refused", n.stopState.refusals.Load())
+}
+
+// allAnswered reports whether no call is in flight, of callers or forwarded by other VMs, and
+// all answers have been written.
+func (n *Node) allAnswered() bool {
+	return n.callerListener.Load().OpenConns() == 0 && n.serving.InFlight() == 0 && n.peerServer.InFlight() == 0
+}
+
+// cutOff ends the remaining calls. Those without an answer so far get one that says whether
+// they may have run, also if their bodies are incomplete.
+func (n *Node) cutOff() {
+	n.log.Warn("calls_cut_off", "in_flight", n.serving.InFlight(), "connections", n.callerListener.Load().OpenConns())
+	n.stopState.cancelCalls()
+	n.callerListener.Load().AbortReads()
+	ctx, cancel := context.WithTimeout(context.Background(), cutoffGrace)
+	defer cancel()
+	n.await(ctx, n.allAnswered)
+}
+
+// refuseIfStopping refuses a call that this VM is not expected to end before it stops.
+func (n *Node) refuseIfStopping(c *call.Call) *result.Refusal {
+	stop := n.stopState.planned.Load()
+	if stop == nil {
+		return nil
+	}
+	now := n.now()
+	expected, known := n.expectedDuration(c, now)
+	if stop.Admits(shutdown.Call{
+		Deadline:   c.Deadline,
+		Expected:   expected,
+		Known:      known,
+		Repeatable: c.Idempotent,
+	}, now) {
+		return nil
+	}
+	n.stopState.refusals.Add(1)
+	return n.stoppingRefusal()
+}
+
+func (n *Node) stoppingRefusal() *result.Refusal {
+	return result.Refuse(result.Stopping, "VM %s is stopping", n.deployment.VM).WithRetryAt(n.now().Add(stoppingRetryAfter))
+}
+
+// expectedDuration returns how long a call is expected to take: by the length of its answer
+// where that can be estimated, otherwise by the calls of its route that have ended here.
+func (n *Node) expectedDuration(c *call.Call, now time.Time) (expected time.Duration, known bool) {
+	if c.MaxTokens > 0 {
+		if load := n.localLoad(c, now); load.TotalTimeP90 > load.TTFT {
+			return load.TotalTimeP90, true
+		}
+	}
+	return n.stopState.durations.Expected(routeKey(c), c.Idempotent)
+}
+
+// recordDuration records how long a call took. One that ran into its deadline took at least
+// that long.
+func (n *Node) recordDuration(c *call.Call, o call.Outcome, startedAt time.Time) {
+	if o.Code.Class() == result.ClassDone || o.Code == result.EndpointTimeout {
+		n.stopState.durations.Record(routeKey(c), n.now().Sub(startedAt))
+	}
+}
+
+func routeKey(c *call.Call) string {
+	if c.Routed.Route != "" {
+		return c.Routed.Route
+	}
+	return c.Target()
 }
 
 // idleConnGrace is how long idle connections stay open after the start of a shutdown.
@@ -59,11 +168,6 @@
 	n.await(ctx, func() bool { return listener.OpenConns() == 0 })
 }
 
-// awaitInFlight waits for the remaining calls, including those forwarded by other VMs.
-func (n *Node) awaitInFlight(ctx context.Context) {
-	n.await(ctx, func() bool { return n.serving.InFlight() == 0 })
-}
-
 // await waits until a condition holds.
 func (n *Node) await(ctx context.Context, done func() bool) {
 	for !done() && ctx.Err() == nil {
