Caller, node: a stop under contracts answers what has reached the kernel, too

The same cause as at the front of a platform: Shutdown closed connections that look idle and dropped requests read after it, the listener reset what it had not accepted, and the process could end before the outcome of a forwarded call was sent. Found by reading; no call was seen to be lost here.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -6,10 +6,12 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/listen"
+	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/configuration"
 	"github.com/fuchsianotch/fuchsianotch/membership"
 	"github.com/fuchsianotch/fuchsianotch/serving"
@@ -58,8 +60,9 @@
 
 // Server serves the caller API.
 type Server struct {
-	options Options
-	http    *http.Server
+	options  Options
+	http     *http.Server
+	listener atomic.Pointer[listen.StoppableListener]
 }
 
 // New returns a Server; call Serve to accept connections.
@@ -89,18 +92,36 @@
 // Serve accepts connections on ln until Shutdown or Close. Connections over
 // the configured limits are closed immediately.
 func (s *Server) Serve(ln net.Listener) error {
-	return s.http.Serve(listen.New(ln, listen.Options{
+	stoppable := listen.NewStoppableListener(ln)
+	s.http.ConnState = stoppable.OnState
+	s.listener.Store(stoppable)
+	return s.http.Serve(listen.New(stoppable, listen.Options{
 		Max:           s.options.Limits.MaxConnections,
 		MaxPerAddress: s.options.Limits.MaxConnectionsPerAddress,
 	}))
 }
 
 // Shutdown stops accepting connections and waits for calls in flight until ctx
-// is done.
+// is done. Requests that have arrived are answered.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.Shutdown(ctx)
+	ln := s.listener.Load()
+	if ln == nil {
+		return s.http.Shutdown(ctx)
+	}
+	err := ln.Stop()
+	ln.EndIdle()
+	for ln.OpenConns() > 0 {
+		worker.SleepUntil(ctx, time.Now(), time.Now().Add(shutdownPollInterval))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	return err
 }
 
+// shutdownPollInterval is the interval of checks for open connections.
+const shutdownPollInterval = 20 * time.Millisecond
+
 // Close closes every connection immediately.
 func (s *Server) Close() error {
 	return s.http.Close()
--- a/caller/unread_body.go
+++ b/caller/unread_body.go
@@ -65,10 +65,15 @@
 	SyscallConn() (syscall.RawConn, error)
 }
 
+// netConn is a connection that wraps another one.
+type netConn interface {
+	NetConn() net.Conn
+}
+
 // discardInput closes the write side and discards input until the peer closes
 // its side or the connection's deadline passes.
 func discardInput(conn net.Conn) {
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	for wrapped, ok := conn.(netConn); ok; wrapped, ok = conn.(netConn) {
 		conn = wrapped.NetConn()
 	}
 	tcp, ok := conn.(tcpConn)
--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -41,6 +41,9 @@
 // OnState keeps track of which connections are idle; it must be called by the server's
 // ConnState.
 func (l *StoppableListener) OnState(conn net.Conn, state http.ConnState) {
+	if limited, ok := conn.(*limitedConn); ok {
+		conn = limited.Conn
+	}
 	c, ok := conn.(*stoppableConn)
 	if !ok {
 		return
--- a/node/group.go
+++ b/node/group.go
@@ -40,6 +40,7 @@
 	if err != nil {
 		return err
 	}
+	n.peerServer = server
 	worker.Add(group, func(ctx context.Context) error {
 		return server.Serve(ctx, f.peer)
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -78,6 +78,7 @@
 	crashAgent     *agent.Agent
 	serving        *serving.Server
 	caller         *caller.Server
+	peerServer     *peer.Server
 
 	// pullRequests holds the id of a VM to pull from.
 	pullRequests chan string
--- a/node/stop.go
+++ b/node/stop.go
@@ -45,7 +45,7 @@
 	n.serving.Stop()
 	n.awaitIdle(ctx, func() bool { return n.serving.InFlight() == 0 })
 	_ = n.caller.Shutdown(ctx)
-	n.awaitIdle(ctx, func() bool { return n.serving.InFlight() == 0 })
+	n.awaitIdle(ctx, func() bool { return n.serving.InFlight() == 0 && n.peerServer.InFlight() == 0 })
 	n.reportState("stopped")
 }
 
