Soak: count calls to stopping VMs until the process is gone

The counts took calls to the restarted process for calls to the stopping one, and calls that the end of the run broke off for failed ones. No check changes.

--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -203,18 +204,16 @@
 		n.stops += len(downs)
 	}
 	for _, a := range l.attempts {
-		stoppedAt := l.stoppedAt(a)
-		if !a.kept || stoppedAt.IsZero() || a.sentAt.Before(stoppedAt) || a.sentAt.Sub(stoppedAt) > stopGracePeriod {
-			continue
-		}
+		stopping := slices.ContainsFunc(l.vmDown[a.vm], func(s interval) bool { return s.contains(a.sentAt) })
 		switch {
+		case !a.kept || !stopping:
 		case a.complete:
 			n.served++
 		case a.reportedNotRun():
 			n.refused++
 		case a.connectionLost:
 			n.unread++
-		default:
+		case a.status > 0:
 			n.failed++
 		}
 	}
