Soak: stop no VM that is being started

A second SIGTERM or a SIGHUP could reach the process that had just been started in place of the one that stopped, and leave its VM down for the rest of the run.

--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -129,9 +129,11 @@
 			variant: tb.rand.IntN(4),
 			long:    time.Duration(200+tb.rand.IntN(2300)) * time.Millisecond,
 		}
-		tb.logSchedule("stop %+v", d)
-		stops.Go(func() { _ = tb.stopAndStart(ctx, d) })
-		tb.disturbStop(ctx, d)
+		if !tb.vms[d.vm].isBusy() {
+			tb.logSchedule("stop %+v", d)
+			stops.Go(func() { _ = tb.stopAndStart(ctx, d) })
+			tb.disturbStop(ctx, d)
+		}
 		sleep(ctx, d.long)
 	}
 	stops.Wait()
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -323,6 +323,13 @@
 	return true
 }
 
+// isBusy reports whether a fault acts on the VM.
+func (v *vm) isBusy() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.busy
+}
+
 func (v *vm) release() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
