--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -59,3 +59,11 @@
 	took, known := d.Expected("r", false)
 	assert.Assert(t, known && took < 20*time.Millisecond, took)
 }
+
+func BenchmarkRecord(b *testing.B) {
+	d := NewDurations()
+	b.ReportAllocs()
+	for range b.N {
+		d.Record("r", 20*time.Millisecond)
+	}
+}
