--- a/site/servers.go
+++ b/site/servers.go
@@ -46,6 +46,7 @@
 	if err != nil {
 		return err
 	}
+	n.peerServer = server
 	peers, err := tcp.Listen(context.Background(), n.deployment.PeerAddr)
 	if err != nil {
 		return err
@@ -80,6 +81,7 @@
 		ln := listen.NewStoppableListener(inner)
 		if srv.server == n.callerServer {
 			n.callerListener.Store(ln)
+			srv.server.ConnState = ln.OnState
 		}
 		worker.AddHTTP(group, n.stopped, func() error { return srv.server.Serve(ln) }, srv.server.Close)
 	}
--- a/site/stop.go
+++ b/site/stop.go
@@ -2,24 +2,50 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
+	"sync/atomic"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/shutdown"
 )
 
 const (
 	// acceptGrace is how long a stopping VM still accepts connections; it exceeds the time
 	// for which callers cache its address.
 	acceptGrace = 1200 * time.Millisecond
-	// stopMargin is the time reserved at the end of the shutdown, after connections are cut.
+	// stopMargin is the time reserved at the end of the shutdown, after calls are cut off.
 	stopMargin = 400 * time.Millisecond
+	// cutoffGrace is the part of it for answers to the calls that are cut off.
+	cutoffGrace = 100 * time.Millisecond
+	// stoppingRetryAfter is when callers may retry elsewhere.
+	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultStopTimeout applies if the platform configures none.
 	defaultStopTimeout = 8 * time.Second
 )
 
+// stopState is what a VM keeps for its planned stop.
+type stopState struct {
+	// planned is set once the VM stops, refusals counts the calls refused since.
+	planned   atomic.Pointer[shutdown.Stop]
+	refusals  atomic.Int64
+	durations *shutdown.Durations
+	// callsCtx is the parent of the contexts of all calls; cancelCalls ends those that are in
+	// flight at the end of the stop.
+	callsCtx    context.Context
+	cancelCalls context.CancelFunc
+}
+
+func newStopState() *stopState {
+	s := &stopState{
+		durations: shutdown.NewDurations(),
+	}
+	s.callsCtx, s.cancelCalls = context.WithCancel(context.Background())
+	return s
+}
+
 // stop shuts the process down gracefully: it announces the shutdown to peers and callers
 // and waits for calls in flight.
 func (n *Node) stop() {
@@ -31,77 +57,123 @@
 	deadline := startedAt.Add(timeout - stopMargin)
 	ctx, cancel := clock.WithDeadline(context.Background(), startedAt, deadline)
 	defer cancel()
+	callersGoneAt := startedAt.Add(min(idleConnGrace, timeout/2))
+	n.stopState.planned.Store(&shutdown.Stop{
+		Cutoff:        deadline,
+		CallersGoneAt: callersGoneAt,
+	})
 	n.draining.Store(true)
 	n.log.Info("stopping", "in_flight", n.serving.InFlight())
 	n.control.send(ctx, func(c *control, _ time.Time) {
 		c.roster.Leave()
 	})
 	worker.SleepUntil(ctx, n.now(), n.now().Add(acceptGrace))
-	n.drainConnections(ctx, startedAt.Add(min(idleConnGrace, timeout/2)))
-	err := n.callerServer.Shutdown(ctx)
-	n.awaitInFlight(ctx)
-	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", err != nil)
+	n.drainConnections(ctx, callersGoneAt)
+	n.await(ctx, n.allAnswered)
+	cut := !n.allAnswered()
+	if cut {
+		n.cutOff()
+	}
+	// A call that another VM forwards from now on is refused.
+	n.stopState.planned.Store(&shutdown.Stop{
+		Cutoff: n.now(),
+	})
+	n.await(ctx, n.allAnswered)
+	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", cut, "refused", n.stopState.refusals.Load())
 }
 
-// idleConnGrace is how long idle connections stay open after the start of a shutdown.
-// Callers may keep using a cached address for three times its TTL, and a request sent on
-// a connection that is being closed is lost.
-const idleConnGrace = 3*maxEntriesTTL + 400*time.Millisecond
+// allAnswered reports whether no call is in flight, of callers or forwarded by other VMs, and
+// all answers have been written.
+func (n *Node) allAnswered() bool {
+	return n.callerListener.Load().OpenConns() == 0 && n.serving.InFlight() == 0 && n.peerServer.InFlight() == 0
+}
 
-// drainConnections stops accepting connections, serves the open ones, and closes them
-// once callers no longer use them. A request that arrives after http.Server.Shutdown is
-// dropped.
-func (n *Node) drainConnections(ctx context.Context, idleDeadline time.Time) {
-	if err := n.callerListener.Load().Stop(); err != nil {
-		n.log.Warn("listener_failed", "reason", err.Error())
+// cutOff ends the remaining calls. Those without an answer so far get one that says whether
+// they may have run, also if their bodies are incomplete.
+func (n *Node) cutOff() {
+	n.log.Warn("calls_cut_off", "in_flight", n.serving.InFlight(), "connections", n.callerListener.Load().OpenConns())
+	n.stopState.cancelCalls()
+	n.callerListener.Load().AbortReads()
+	ctx, cancel := context.WithTimeout(context.Background(), cutoffGrace)
+	defer cancel()
+	n.await(ctx, n.allAnswered)
+}
+
+// refuseIfStopping refuses a call that this VM is not expected to end before it stops.
+func (n *Node) refuseIfStopping(c *call.Call) *result.Refusal {
+	stop := n.stopState.planned.Load()
+	if stop == nil {
+		return nil
 	}
-	for n.openConns.Load() > 0 && ctx.Err() == nil && n.now().Before(idleDeadline) {
-		worker.SleepUntil(ctx, n.now(), n.now().Add(drainPollInterval))
+	now := n.now()
+	expected, known := n.expectedDuration(c, now)
+	if stop.Admits(shutdown.Call{
+		Deadline:   c.Deadline,
+		Expected:   expected,
+		Known:      known,
+		Repeatable: c.Idempotent,
+	}, now) {
+		return nil
 	}
-	n.awaitSteady(ctx, idleDeadline.Add(steadyTimeout))
-	n.callerServer.SetKeepAlivesEnabled(false)
+	n.stopState.refusals.Add(1)
+	return n.stoppingRefusal()
 }
 
-const (
-	// steadySteps is the number of consecutive steps of steadyStep without a delay that must
-	// pass before idle connections are closed. A process throttled by a CPU quota can pause
-	// for 100 ms and has then not read requests on connections that look idle.
-	steadySteps = 5
-	steadyStep  = 10 * time.Millisecond
-	// steadySlack is the delay up to which a step counts as on time.
-	steadySlack = 5 * time.Millisecond
-	// steadyTimeout bounds the wait for a steady process.
-	steadyTimeout = 500 * time.Millisecond
-)
+func (n *Node) stoppingRefusal() *result.Refusal {
+	return result.Refuse(result.Stopping, "VM %s is stopping", n.deployment.VM).WithRetryAt(n.now().Add(stoppingRetryAfter))
+}
 
-// awaitSteady waits until the process has run without pauses for steadySteps.
-func (n *Node) awaitSteady(ctx context.Context, deadline time.Time) {
-	for steps := 0; steps < steadySteps && ctx.Err() == nil && n.now().Before(deadline); {
-		stepEnd := n.now().Add(steadyStep)
-		worker.SleepUntil(ctx, n.now(), stepEnd)
-		steps++
-		if n.now().Sub(stepEnd) > steadySlack {
-			steps = 0
+// expectedDuration returns how long a call is expected to take: by the length of its answer
+// where that can be estimated, otherwise by the calls of its route that have ended here.
+func (n *Node) expectedDuration(c *call.Call, now time.Time) (expected time.Duration, known bool) {
+	if c.MaxTokens > 0 {
+		if load := n.localLoad(c, now); load.TotalTimeP90 > load.TTFT {
+			return load.TotalTimeP90, true
 		}
 	}
+	return n.stopState.durations.Expected(routeKey(c), c.Idempotent)
 }
 
-// countConn tracks the number of open caller connections.
-func (n *Node) countConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		n.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		n.openConns.Add(-1)
+// recordDuration records how long a call took. One that ran into its deadline took at least
+// that long.
+func (n *Node) recordDuration(c *call.Call, o call.Outcome, startedAt time.Time) {
+	if o.Code.Class() == result.ClassDone || o.Code == result.EndpointTimeout {
+		n.stopState.durations.Record(routeKey(c), n.now().Sub(startedAt))
 	}
 }
 
-// drainPollInterval is the interval of checks for open connections and calls in flight.
-const drainPollInterval = 20 * time.Millisecond
+func routeKey(c *call.Call) string {
+	if c.Routed.Route != "" {
+		return c.Routed.Route
+	}
+	return c.Target()
+}
+
+// idleConnGrace is how long idle connections stay open after the start of a shutdown.
+// Callers may keep using a cached address for three times its TTL, and a request sent on
+// a connection that is being closed is lost.
+const idleConnGrace = 3*maxEntriesTTL + 400*time.Millisecond
+
+// drainConnections stops accepting connections, serves the open ones, and ends them once
+// callers no longer use them and no call is in flight, for which the process goes on anyway.
+func (n *Node) drainConnections(ctx context.Context, idleDeadline time.Time) {
+	listener := n.callerListener.Load()
+	if err := listener.Stop(); err != nil {
+		n.log.Warn("listener_failed", "reason", err.Error())
+	}
+	n.await(ctx, func() bool {
+		return listener.OpenConns() == 0 || !n.now().Before(idleDeadline) && n.serving.InFlight() == 0
+	})
+	listener.EndIdle()
+	n.await(ctx, func() bool { return listener.OpenConns() == 0 })
+}
 
-// awaitInFlight waits for the remaining calls, including those forwarded by other VMs.
-func (n *Node) awaitInFlight(ctx context.Context) {
-	for n.serving.InFlight() > 0 && ctx.Err() == nil {
+// await waits until a condition holds.
+func (n *Node) await(ctx context.Context, done func() bool) {
+	for !done() && ctx.Err() == nil {
 		worker.SleepUntil(ctx, n.now(), n.now().Add(drainPollInterval))
 	}
 }
+
+// drainPollInterval is the interval of checks for open connections and calls in flight.
+const drainPollInterval = 20 * time.Millisecond
