endpoint: take no refusal for an attempt's that may be a stray one

Callers saw a call that may run once run at two endpoints, or got 503 for one that had run. A refusal (503 with the not-executed header, or 421) needs no id, so a late copy of one, on a kept connection, ended the next attempt as not run.

A connection is not reused after a refusal, so that its late copy meets no other call, and probes have connections of their own, as their answers have no ids either. The metric endpoint_refusals_total says what tied refusals to their attempts.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -21,11 +21,12 @@
 	maxHeaderBytes      = 64 << 10
 )
 
-// transports returns one transport that reuses connections and one that does not.
-// Non-idempotent calls use the latter: an endpoint that closes an idle connection
-// while the request is being sent would leave the outcome unknown. Both record their
+// transports returns one transport that reuses connections, one for probes, and one that does
+// not reuse them. Non-idempotent calls use the last: an endpoint that closes an idle connection
+// while the request is being sent would leave the outcome unknown. Answers to probes have no
+// id, so that a late copy of one would not be told from the answer to a call. All record their
 // connections in open.
-func transports(client *http.Client, now func() time.Time, open *openConns) (pooled, single http.RoundTripper) {
+func transports(client *http.Client, now func() time.Time, open *openConns) (pooled, probes, single http.RoundTripper) {
 	base := &http.Transport{
 		MaxIdleConnsPerHost:    maxIdleConnsPerHost,
 		IdleConnTimeout:        idleConnTimeout,
@@ -34,7 +35,7 @@
 	if client != nil && client.Transport != nil {
 		given, ok := client.Transport.(*http.Transport)
 		if !ok {
-			return client.Transport, client.Transport
+			return client.Transport, client.Transport, client.Transport
 		}
 		base = given.Clone()
 	}
@@ -46,7 +47,7 @@
 	base.DialContext = trackedDialer(base.DialContext, now, open)
 	once := base.Clone()
 	once.DisableKeepAlives = true
-	return base, once
+	return base, base.Clone(), once
 }
 
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
@@ -82,10 +83,8 @@
 	registry *openConns
 
 	offeredBytes atomic.Int64
-	// tainted is set once the connection delivered a response to another attempt.
-	tainted     atomic.Bool
-	closed      atomic.Bool
-	beforeWrite atomic.Pointer[func() error]
+	closed       atomic.Bool
+	beforeWrite  atomic.Pointer[func() error]
 	// isOpen is the method open, which attempts hand out.
 	isOpen func() bool
 }
@@ -143,9 +142,6 @@
 		t.sent = true
 		return
 	}
-	if conn.tainted.Load() {
-		_ = conn.Close()
-	}
 	t.conn = conn
 	t.reused = info.Reused
 	t.offeredBefore = conn.offeredBytes.Load()
@@ -181,18 +177,25 @@
 	}
 }
 
-// taint prevents reuse of a connection after a response head with another
-// attempt's id, because the following responses may be shifted as well. The
-// transport closes the connection with an unread body, but has already returned it
-// to the pool if the response has no body.
-func (t *connTracker) taint() {
+// discard ends a connection whose following responses may be shifted. The transport has
+// already returned it to the pool if the response has no body, and may hand it out until it
+// notices the end.
+func (t *connTracker) discard() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn != nil {
-		t.conn.tainted.Store(true)
+		_ = t.conn.Close()
 	}
 }
 
+// isFirstExchange reports whether the connection carried no request before this attempt's. It
+// is false if the connection is not known.
+func (t *connTracker) isFirstExchange() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.offeredBefore == 0
+}
+
 // brokeBeforeSend reports whether a reused connection broke before any byte was written.
 func (t *connTracker) brokeBeforeSend() bool {
 	sent, denied := t.abort()
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -44,8 +44,9 @@
 
 // Client sends calls to endpoints. It is safe for concurrent use.
 type Client struct {
-	// pooled reuses connections; unpooled opens one per call.
+	// pooled and probes reuse connections; unpooled opens one per call.
 	pooled           http.RoundTripper
+	probes           http.RoundTripper
 	unpooled         http.RoundTripper
 	now              func() time.Time
 	maxResponseBytes int
@@ -53,6 +54,7 @@
 	dial             func(ctx context.Context, addr string) error
 	paused           func() bool
 	open             *openConns
+	anonymous        *anonymousRefusals
 	// buffers bounds the bytes of all responses that are buffered.
 	buffers *bounded.Budget
 }
@@ -80,7 +82,8 @@
 	}
 	c.buffers = bounded.NewBudget(cmp.Or(o.MaxBufferedBytes, bounded.RoomFor(c.maxResponseBytes)))
 	c.open = newOpenConns()
-	c.pooled, c.unpooled = transports(o.Client, c.now, c.open)
+	c.anonymous = newAnonymousRefusals()
+	c.pooled, c.probes, c.unpooled = transports(o.Client, c.now, c.open)
 	return c
 }
 
@@ -170,6 +173,9 @@
 	// ClosesConnection reports whether the endpoint closes the connection after
 	// this response.
 	ClosesConnection bool
+	// RefusalProof is what ties a response that says that the request did not run to this
+	// attempt; empty for all others.
+	RefusalProof RefusalProof
 }
 
 // Send makes one attempt and forwards the response. It returns when the
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -86,12 +86,16 @@
 	}
 }
 
-// transport returns the pooled transport for idempotent and routed calls and the
-// unpooled one for all others.
+// transport returns the unpooled transport for non-idempotent calls, and the pooled one for
+// all others. Routed calls use the pooled one as well, unless the endpoint refuses without an
+// id: on a reused connection such a refusal is no proof that the call did not run.
 func (x *exchange) transport() http.RoundTripper {
 	// Only *http.Transport exposes its connections and so runs beforeSend.
 	x.conn.beforeSend = x.beforeSend
-	if x.attempt.Call.Idempotent || x.attempt.Call.Kind == call.KindRouted {
+	if x.attempt.Call.Idempotent {
+		return x.client.pooled
+	}
+	if x.attempt.Call.Kind == call.KindRouted && !x.client.anonymous.recent(x.attempt.Endpoint.Addr, x.client.now()) {
 		return x.client.pooled
 	}
 	return x.client.unpooled
@@ -205,7 +209,7 @@
 	}
 	for _, id := range ids {
 		if id != x.attempt.ID {
-			x.conn.taint()
+			x.conn.discard()
 			return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
 		}
 	}
--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return Load{}, Notice{}, merry.Wrap(err)
 	}
-	resp, err := c.pooled.RoundTrip(req)
+	resp, err := c.probes.RoundTrip(req)
 	if err != nil {
 		return Load{}, Notice{}, merry.Wrap(err)
 	}
@@ -87,7 +87,7 @@
 	if err != nil {
 		return 0, Notice{}, merry.Wrap(err)
 	}
-	resp, err := c.pooled.RoundTrip(req)
+	resp, err := c.probes.RoundTrip(req)
 	if err != nil {
 		return 0, Notice{}, merry.Wrap(err)
 	}
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -37,7 +37,7 @@
 	head := x.client.dialect.ReadResponseHead(resp.StatusCode, resp.Header, x.client.now())
 	x.outcome.ClosesConnection = head.ClosesConnection
 	if head.ID != "" && head.ID != x.attempt.ID {
-		x.conn.taint()
+		x.conn.discard()
 		return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
 	}
 	// Refusals may lack the attempt's id.
@@ -45,11 +45,10 @@
 		x.reportNotice(resp)
 	}
 	if head.NotRun {
-		x.outcome.RetryAt = head.RetryAt
-		x.outcome.InstanceMismatch = head.InstanceMismatch
-		return result.Refuse(result.EndpointRefused, "the endpoint refused with status %d", resp.StatusCode)
+		return x.handleRefusal(resp, head)
 	}
 	if !head.Signed || head.ID == "" {
+		x.conn.discard()
 		return result.Refuse(result.EndpointFailed, "the answer with status %d is not signed", resp.StatusCode)
 	}
 	if resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -55,6 +55,7 @@
 			Signed:           h.Get("Signed") != "",
 		}
 	},
+	ReadColdFor: func(http.Header) time.Duration { return 0 },
 	ReadNotice: func(_ int, h http.Header, _ time.Time) Notice {
 		return Notice{
 			Rate: fleet.Rate{
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -69,6 +69,7 @@
 	forwards         *prometheus.CounterVec
 	retries          prometheus.Counter
 	endpointAnswers  *prometheus.CounterVec
+	endpointRefusals *prometheus.CounterVec
 	retryBudget      *prometheus.CounterVec
 	retryBudgetVMs   prometheus.Gauge
 	resumedStreams   *prometheus.CounterVec
@@ -126,6 +127,7 @@
 		forwards:         newCounterVec("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:          newCounter("retries_total", "Attempts after the first of a call."),
 		endpointAnswers:  newCounterVec("endpoint_answers_total", "Answers that endpoints began, by what marks their end and whether they were whole.", "framing", "whole"),
+		endpointRefusals: newCounterVec("endpoint_refusals_total", "Answers of endpoints that say that they did not run the request, by what ties them to it.", "proof"),
 		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event", "service"),
 		resumedStreams:   newCounterVec("streams_resumed_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
 		streamRecords:    newGauge("stream_records", "Origins of streams that this VM holds."),
@@ -170,7 +172,7 @@
 	m.vm = newVMMetrics(m.registry)
 	m.slowStart = newSlowStartMetrics(m.registry)
 	m.registry.MustRegister(
-		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries, m.endpointAnswers,
+		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries, m.endpointAnswers, m.endpointRefusals,
 		m.retryBudget, m.retryBudgetVMs, m.resumedStreams, m.streamRecords, m.droppedRecords,
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.placementRefused, m.fairShares, m.returnedCalls,
@@ -235,6 +237,11 @@
 	m.endpointAnswers.WithLabelValues(string(framing), strconv.FormatBool(whole)).Inc()
 }
 
+// CountEndpointRefusal counts an answer of an endpoint that says that it did not run the request.
+func (m *Metrics) CountEndpointRefusal(proof endpoint.RefusalProof) {
+	m.endpointRefusals.WithLabelValues(string(proof)).Inc()
+}
+
 // RetryBudgetEvent is a use of the retry budget.
 type RetryBudgetEvent string
 
--- a/routing/estimates.go
+++ b/routing/estimates.go
@@ -192,7 +192,7 @@
 		if !c.yields || !o.FirstAt.IsZero() || !e.firstTokenAt.After(c.At) {
 			p.learnFailure(e, c, o, now)
 		}
-	case result.EndpointRefused, result.EndpointCut, result.AnswerCrossed, result.EndpointFailed:
+	case result.EndpointRefused, result.EndpointCut, result.AnswerCrossed, result.EndpointFailed, result.RefusalUnproven:
 		p.learnFailure(e, c, o, now)
 	}
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -191,6 +191,9 @@
 	if out.Framing != "" {
 		s.options.Metrics.CountEndpointAnswer(out.Framing, out.Code.Class() == result.ClassDone)
 	}
+	if out.RefusalProof != "" {
+		s.options.Metrics.CountEndpointRefusal(out.RefusalProof)
+	}
 	p.addAttempt(out, slot.Choice.Endpoint)
 	s.reportAttempt(c, p)
 	return nil
