serving: release the slot of an attempt whose sink panics

Callers saw an endpoint take fewer and fewer calls: each call whose answer could not be written, as its status is under 100, ended in a panic of the HTTP server, which recovers it, and its slot at the endpoint stayed taken.

The slot is now released by a deferred call.

--- a/serving/run.go
+++ b/serving/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -184,8 +183,7 @@
 		pool.Endpoints.StreamProgress(slot.Choice, gap, tokens, s.options.Now())
 		s.reportProgress(&sound, openAt)
 	}
-	out := s.options.Endpoint.Send(ctx, attempt, endpointSink(sink, slot.Choice.Endpoint))
-	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
+	out := s.sendInSlot(ctx, pool, slot, attempt, sink)
 	s.reportDraining(pool, chosen, out)
 	s.reportToQuarantine(c, slot.Choice.Endpoint, out)
 	if out.Framing != "" {
@@ -199,19 +197,6 @@
 	return nil
 }
 
-// endpointSink passes a response on with the software version of the endpoint that sends it.
-func endpointSink(sink call.Sink, e fleet.Endpoint) endpoint.Sink {
-	return endpoint.Sink{
-		Head: func(status int, header http.Header) error {
-			if sink.Version != nil {
-				sink.Version(e.SoftwareVersion)
-			}
-			return sink.Head(status, header)
-		},
-		Chunk: sink.Chunk,
-	}
-}
-
 // reportDraining applies an endpoint's drain notice from its response, which may
 // arrive well before the next load report. Other load figures come from reports only.
 func (s *Server) reportDraining(pool *Pool, endpointID string, out endpoint.Outcome) {
