endpoint: refuse routed answers with a status under 200

An endpoint that answered with a signed status under 100 made the handler panic in WriteHeader. One that answered 101 had its attempt read from the connection with no end, past the call's deadline, as the body of such an answer does not follow the request's context.

Both are now failures of the endpoint, as in calls without a route. Before, the first new row of TestRelay passed the status on, and the second ended with the time-out of the test run, 10 minutes.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -47,6 +47,10 @@
 	if head.NotRun {
 		return x.handleRefusal(resp, head)
 	}
+	if resp.StatusCode < http.StatusOK {
+		x.conn.discard()
+		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
+	}
 	if !head.Signed || head.ID == "" {
 		x.conn.discard()
 		return result.Refuse(result.EndpointFailed, "the answer with status %d is not signed", resp.StatusCode)
