endpoint, peer: test that nothing below the retry decision sends a call again

Hypotheses of the calls that ran twice: net/http repeats requests on reused connections by itself, and a call that a lost VM has read counts as not sent. Neither is so: calls of seven methods without a body, with both idempotency keys, reach the endpoint once where a reused connection breaks, and a call that a VM read from a kept connection ends as lost, not as not reached.

--- a/endpoint/refusal_test.go
+++ b/endpoint/refusal_test.go
@@ -27,6 +27,8 @@
 type strayRequest struct {
 	// Kind is "once", "repeatable", "report" or "health".
 	Kind string
+	// Method is that of a call without a body; empty for a POST with one.
+	Method string
 	// Answers are written as the request has been read. "close" ends the connection.
 	Answers []string
 	// Late is written as the next request of the connection has been read, before its answers.
@@ -73,6 +75,7 @@
 			defer e.mu.Unlock()
 			assert.Equal(t, e.connections, c.Connections)
 			assert.Equal(t, len(e.requests), 0)
+			assert.Equal(t, e.unexpected, 0, "net/http repeated a request")
 		})
 	}
 }
@@ -90,6 +93,11 @@
 		return
 	}
 	attempt.Call.Idempotent = r.Kind == "repeatable"
+	attempt.Call.Header = http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}}
+	if r.Method != "" {
+		attempt.Call.Method = r.Method
+		attempt.Call.Body = nil
+	}
 	out := client.Send(t.Context(), attempt, Sink{
 		Head:  func(int, http.Header) error { return nil },
 		Chunk: func([]byte) error { return nil },
@@ -105,6 +113,8 @@
 	mu          sync.Mutex
 	requests    []strayRequest
 	connections int
+	// unexpected is the number of requests beyond the case's.
+	unexpected int
 }
 
 func startStrayEndpoint(t *testing.T, requests []strayRequest) *strayEndpoint {
@@ -130,6 +140,19 @@
 	return e
 }
 
+// next removes the next expected request; false if there is none.
+func (e *strayEndpoint) next() (strayRequest, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.requests) == 0 {
+		e.unexpected++
+		return strayRequest{}, false
+	}
+	r := e.requests[0]
+	e.requests = e.requests[1:]
+	return r, true
+}
+
 func (e *strayEndpoint) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
@@ -140,10 +163,10 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
-		e.mu.Lock()
-		r := e.requests[0]
-		e.requests = e.requests[1:]
-		e.mu.Unlock()
+		r, ok := e.next()
+		if !ok {
+			return
+		}
 		text := strayAnswers[late]
 		late = r.Late
 		for _, answer := range r.Answers {
--- a/peer/pooled_conn_test.go
+++ b/peer/pooled_conn_test.go
@@ -69,3 +69,30 @@
 	time.Sleep(poolDelay)
 	assert.Equal(t, send(), result.PeerUnreachable)
 }
+
+// TestCallReadByLostVMMayHaveRun guards against a call that runs twice, as the VM that had
+// read it from a kept connection counts as not reached.
+func TestCallReadByLostVMMayHaveRun(t *testing.T) {
+	row := forwardRow{
+		Steps: []string{"head", "end"},
+	}
+	remote := &remoteVM{
+		row: row,
+	}
+	addr := remote.listen(t)
+	client := New(Options{})
+	defer func() { _ = client.Close() }()
+	vm := fleet.VM{
+		ID:       "far",
+		PeerAddr: addr,
+	}
+	send := func() result.Code {
+		return client.Forward(t.Context(), vm, row.request(), row.sink(nil), func(uint64) {}).Code
+	}
+	assert.Equal(t, send(), result.Done)
+	time.Sleep(poolDelay)
+	kept := remote.conn.Load()
+	remote.row.Steps = []string{"cut"}
+	assert.Equal(t, send(), result.PeerLost)
+	assert.Equal(t, remote.conn.Load(), kept, "the call was sent once more")
+}
