--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -57,6 +57,9 @@
 	FaultUnsigned
 	// FaultExtra sends a second response on the same connection.
 	FaultExtra
+	// FaultShedTwice is FaultShed with a second copy of the refusal, which is sent as the next
+	// request of the connection arrives.
+	FaultShedTwice
 	// FaultCount is the number of values of Fault.
 	FaultCount
 )
@@ -165,6 +168,7 @@
 	r.server = &http.Server{
 		Handler:           http.HandlerFunc(r.serve),
 		ReadHeaderTimeout: 10 * time.Second,
+		ConnContext:       withConn,
 	}
 	go func() { _ = r.server.Serve(ln) }()
 	return r, nil
@@ -194,6 +198,7 @@
 }
 
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
+	sendLate(req)
 	r.setNoticeHeaders(w)
 	if r.OnProbe != nil && (req.URL.Path == "/report" || req.URL.Path == "/health") {
 		r.OnProbe(r.ID)
@@ -219,7 +224,7 @@
 		Path:    req.URL.Path,
 		From:    req.RemoteAddr,
 		At:      time.Now(),
-		Refused: fault == FaultShed,
+		Refused: fault == FaultShed || fault == FaultShedTwice,
 		RestFor: restFor,
 
 		Zone:      r.Zone,
@@ -228,7 +233,10 @@
 		Harmful:   r.HarmfulPart != "" && strings.Contains(req.Header.Get(headerPrompt), r.HarmfulPart+":"),
 	}
 	r.OnRequest(run)
-	if fault == FaultShed {
+	if run.Refused {
+		if fault == FaultShedTwice {
+			refuseTwice(req)
+		}
 		refuse(w, restFor)
 		return
 	}
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -36,6 +36,7 @@
 	retries := app.Flag("retries", "Have all replicas fail in two bursts with all VMs killed between, before the random faults.").Bool()
 	streams := app.Flag("streams", "Have engines of several versions and VMs end while streams are under way, before the random faults.").Bool()
 	crashTogether := app.Flag("crash-together", "Have a quarter of the engines crash and return cold at once, before the random faults.").Bool()
+	lateRefusals := app.Flag("late-refusals", "Have replicas send refusals twice, before the random faults.").Bool()
 	versions := app.Flag("versions", "Number of software versions of engines side by side.").Default("2").Int()
 	plotFile := app.Flag("plot", "Write an SVG plot of the last seed to this file.").String()
 	logDir := app.Flag("keep", "Directory for the schedules and logs of failed seeds.").Default("soak-logs").String()
@@ -63,6 +64,7 @@
 		StoreRestores:   *restores,
 		StreamVersions:  *streams,
 		RetryBursts:     *retries,
+		LateRefusals:    *lateRefusals,
 		CrashTogether:   *crashTogether,
 		Versions:        *versions,
 	})
@@ -166,6 +168,8 @@
 		selected = runEndpointNotices
 	case o.CrashTogether:
 		selected = runCrashTogether
+	case o.LateRefusals:
+		selected = runLateRefusals
 	case o.RetryBursts:
 		selected = runRetryBursts
 	case o.StreamVersions:
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -63,6 +63,20 @@
 	})
 }
 
+// TestLateRefusals guards against calls that run twice, or run and are refused, as the late copy
+// of a refusal without an id was taken for the answer to another call.
+func TestLateRefusals(t *testing.T) {
+	runScenario(t, runLateRefusals, Options{
+		Seed:           9,
+		Regions:        2,
+		VMs:            2,
+		Engines:        3,
+		Clients:        24,
+		FaultDuration:  3 * time.Second,
+		ExcludedFaults: withoutRestores,
+	})
+}
+
 // TestCrashingCalls guards against a call that crashes one replica after another because it
 // is retried.
 func TestCrashingCalls(t *testing.T) {
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -75,6 +75,8 @@
 	// by all VMs; zero means the defaults.
 	RetryRatio float64
 	RetrySlack int
+	// LateRefusals has replicas send refusals twice, before the random faults.
+	LateRefusals bool
 	// RetryBursts has all replicas fail in two bursts with all VMs killed between, before the
 	// random faults.
 	RetryBursts bool
@@ -105,6 +107,8 @@
 	version  int
 	// faultRate is the probability that a replica fails a request.
 	faultRate float64
+	// onlyFault is the fault of these requests; FaultNone means a random one.
+	onlyFault replica.Fault
 	// errorRate is the share of requests that replicas run and answer with an error.
 	errorRate float64
 }
@@ -392,6 +396,9 @@
 	if rand.Float64() >= tb.faultRate {
 		return replica.FaultNone
 	}
+	if tb.onlyFault != replica.FaultNone {
+		return tb.onlyFault
+	}
 	return replica.Fault(1 + rand.IntN(int(replica.FaultCount)-1))
 }
 
