endpoint: pass on no promise that a call did not run which its endpoint did not give

A call that may run once could be answered 408, 429 or 503 though it had run: an endpoint that answers so without the header which says that the request did not run had its answer passed on, and callers take these statuses as a promise.

--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -50,6 +50,9 @@
 	NotRun bool
 	// InstanceMismatch reports whether the address now belongs to another endpoint.
 	InstanceMismatch bool
+	// ImpliesNotRun reports whether callers take the status as a promise that the request did
+	// not run.
+	ImpliesNotRun bool
 	// Signed reports whether the response carries the endpoint's signature.
 	Signed bool
 	// ClosesConnection reports whether the endpoint accepts no more requests on this
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -55,6 +55,9 @@
 		x.conn.discard()
 		return result.Refuse(result.EndpointFailed, "the answer with status %d is not signed", resp.StatusCode)
 	}
+	if head.ImpliesNotRun && !x.attempt.Call.Idempotent {
+		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d and may have run the request", resp.StatusCode)
+	}
 	if resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
 		return x.relayStream(resp)
 	}
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -32,6 +32,7 @@
 	Events        int
 	LastEvent     string `json:"last_event"`
 	OtherInstance bool   `json:"other_instance"`
+	Idempotent    bool
 	Held          int
 	// Rated is the expected Named field of the reported rate limit, or "none" if
 	// none is reported; not checked if empty.
@@ -52,6 +53,7 @@
 			ID:               h.Get("Attempt"),
 			NotRun:           h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 			InstanceMismatch: status == http.StatusMisdirectedRequest,
+			ImpliesNotRun:    status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests,
 			Signed:           h.Get("Signed") != "",
 		}
 	},
@@ -74,6 +76,7 @@
 			header := http.Header{}
 			rated := "none"
 			attempt := routedCall(addr, c.Resume)
+			attempt.Call.Idempotent = c.Idempotent
 			attempt.OnNotice = func(n Notice) { rated = strconv.FormatBool(n.Rate.Named) }
 			out := newRelayClient(t).Send(t.Context(), attempt, Sink{
 				Head: func(s int, h http.Header) error {
@@ -98,6 +101,7 @@
 			for name, value := range c.Header {
 				assert.Equal(t, header.Get(name), value)
 			}
+			assert.Equal(t, out.ErrorResponse != nil, c.Held > 0)
 			if c.Held > 0 {
 				assert.Equal(t, out.ErrorResponse.Status, c.Held)
 			}
