--- a/endpoint/refusal.go
+++ b/endpoint/refusal.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -62,6 +63,8 @@
 type anonymousRefusals struct {
 	mu    sync.Mutex
 	until map[string]time.Time
+	// sweepAt is when expired entries are next removed.
+	sweepAt time.Time
 }
 
 func newAnonymousRefusals() *anonymousRefusals {
@@ -73,10 +76,9 @@
 func (r *anonymousRefusals) add(addr string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for other, until := range r.until {
-		if !now.Before(until) {
-			delete(r.until, other)
-		}
+	if !now.Before(r.sweepAt) {
+		maps.DeleteFunc(r.until, func(_ string, until time.Time) bool { return !now.Before(until) })
+		r.sweepAt = now.Add(anonymousRefusalMemory)
 	}
 	r.until[addr] = now.Add(anonymousRefusalMemory)
 }
--- a/endpoint/refusal_test.go
+++ b/endpoint/refusal_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -178,3 +179,16 @@
 		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "Attempt: ID", "Attempt: attempt-1"))
 	}
 }
+
+// TestAnonymousRefusalsAreForgotten guards against endpoints that get new connections for good
+// after one refusal, and against a list that only grows.
+func TestAnonymousRefusalsAreForgotten(t *testing.T) {
+	r := newAnonymousRefusals()
+	now := time.Unix(1e9, 0)
+	r.add("a", now)
+	assert.Assert(t, r.recent("a", now.Add(anonymousRefusalMemory-1)))
+	assert.Assert(t, !r.recent("a", now.Add(anonymousRefusalMemory)))
+	assert.Assert(t, !r.recent("b", now))
+	r.add("b", now.Add(anonymousRefusalMemory))
+	assert.Equal(t, len(r.until), 1)
+}
