endpoint: tell a failure that is not passed on from a lost connection

A 408, 429 or 503 that is not passed on, as a call may run once, counted as a broken connection: the endpoint was dialled to see whether it had crashed, and its incarnation was doubted. An answer with a failure is now marked as such whether or not it is kept.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -168,6 +168,9 @@
 	// ErrorResponse is a server error from the endpoint, forwarded if no further attempt
 	// is made.
 	ErrorResponse *call.BufferedResponse
+	// AnsweredError reports whether the endpoint answered with a failure of its own, so that it
+	// has neither crashed nor been cut off.
+	AnsweredError bool
 	// InstanceMismatch reports whether the address now belongs to another endpoint.
 	InstanceMismatch bool
 	// ClosesConnection reports whether the endpoint closes the connection after
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -56,6 +56,7 @@
 		return result.Refuse(result.EndpointFailed, "the answer with status %d is not signed", resp.StatusCode)
 	}
 	if head.ImpliesNotRun && !x.attempt.Call.Idempotent {
+		x.outcome.AnsweredError = true
 		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d and may have run the request", resp.StatusCode)
 	}
 	if resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
@@ -98,6 +99,7 @@
 		header.Set("Content-Length", strconv.Itoa(body.Len()))
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
+		x.outcome.AnsweredError = true
 		x.outcome.ErrorResponse = &call.BufferedResponse{
 			Status: resp.StatusCode,
 			Header: header,
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -34,6 +34,8 @@
 	OtherInstance bool   `json:"other_instance"`
 	Idempotent    bool
 	Held          int
+	// Error is set if the endpoint answered with a failure that is not held.
+	Error bool
 	// Rated is the expected Named field of the reported rate limit, or "none" if
 	// none is reported; not checked if empty.
 	Rated string
@@ -102,6 +104,7 @@
 				assert.Equal(t, header.Get(name), value)
 			}
 			assert.Equal(t, out.ErrorResponse != nil, c.Held > 0)
+			assert.Equal(t, out.AnsweredError, c.Held > 0 || c.Error)
 			if c.Held > 0 {
 				assert.Equal(t, out.ErrorResponse.Status, c.Held)
 			}
--- a/serving/quarantine.go
+++ b/serving/quarantine.go
@@ -70,7 +70,7 @@
 		if out.Succeeded {
 			s.options.Quarantine.Answered(run)
 		}
-	case !out.Sent || out.CallerDisconnected || out.ErrorResponse != nil:
+	case !out.Sent || out.CallerDisconnected || out.AnsweredError:
 	case out.Code == result.EndpointCut || out.Code == result.EndpointFailed:
 		c.Trial = 0
 		s.options.Quarantine.ConnectionLost(run)
--- a/serving/run.go
+++ b/serving/run.go
@@ -384,7 +384,7 @@
 		Usage:         usage,
 		Sent:          out.Sent,
 		Canceled:      out.CallerDisconnected,
-		EndpointError: out.ErrorResponse != nil,
+		EndpointError: out.AnsweredError,
 		FirstAt:       out.FirstByteAt,
 	}
 }
