--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -37,7 +37,7 @@
 	head := x.client.dialect.ReadResponseHead(resp.StatusCode, resp.Header, x.client.now())
 	x.outcome.ClosesConnection = head.ClosesConnection
 	if head.ID != "" && head.ID != x.attempt.ID {
-		x.conn.taint()
+		x.conn.discard()
 		return result.Refuse(result.AnswerCrossed, "the answer has the id of another attempt")
 	}
 	// Refusals may lack the attempt's id.
@@ -45,13 +45,20 @@
 		x.reportNotice(resp)
 	}
 	if head.NotRun {
-		x.outcome.RetryAt = head.RetryAt
-		x.outcome.InstanceMismatch = head.InstanceMismatch
-		return result.Refuse(result.EndpointRefused, "the endpoint refused with status %d", resp.StatusCode)
+		return x.handleRefusal(resp, head)
+	}
+	if resp.StatusCode < http.StatusOK {
+		x.conn.discard()
+		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
 	}
 	if !head.Signed || head.ID == "" {
+		x.conn.discard()
 		return result.Refuse(result.EndpointFailed, "the answer with status %d is not signed", resp.StatusCode)
 	}
+	if head.ImpliesNotRun && !x.attempt.Call.Idempotent {
+		x.outcome.AnsweredError = true
+		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d and may have run the request", resp.StatusCode)
+	}
 	if resp.StatusCode == http.StatusOK && isEventStream(resp.Header) {
 		return x.relayStream(resp)
 	}
@@ -92,6 +99,7 @@
 		header.Set("Content-Length", strconv.Itoa(body.Len()))
 	}
 	if resp.StatusCode >= http.StatusInternalServerError {
+		x.outcome.AnsweredError = true
 		x.outcome.ErrorResponse = &call.BufferedResponse{
 			Status: resp.StatusCode,
 			Header: header,
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -32,7 +32,10 @@
 	Events        int
 	LastEvent     string `json:"last_event"`
 	OtherInstance bool   `json:"other_instance"`
+	Idempotent    bool
 	Held          int
+	// Error is set if the endpoint answered with a failure that is not held.
+	Error bool
 	// Rated is the expected Named field of the reported rate limit, or "none" if
 	// none is reported; not checked if empty.
 	Rated string
@@ -52,9 +55,11 @@
 			ID:               h.Get("Attempt"),
 			NotRun:           h.Get("Not-Run") != "" || status == http.StatusMisdirectedRequest,
 			InstanceMismatch: status == http.StatusMisdirectedRequest,
+			ImpliesNotRun:    status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests,
 			Signed:           h.Get("Signed") != "",
 		}
 	},
+	ReadColdFor: func(http.Header) time.Duration { return 0 },
 	ReadNotice: func(_ int, h http.Header, _ time.Time) Notice {
 		return Notice{
 			Rate: fleet.Rate{
@@ -73,6 +78,7 @@
 			header := http.Header{}
 			rated := "none"
 			attempt := routedCall(addr, c.Resume)
+			attempt.Call.Idempotent = c.Idempotent
 			attempt.OnNotice = func(n Notice) { rated = strconv.FormatBool(n.Rate.Named) }
 			out := newRelayClient(t).Send(t.Context(), attempt, Sink{
 				Head: func(s int, h http.Header) error {
@@ -97,6 +103,8 @@
 			for name, value := range c.Header {
 				assert.Equal(t, header.Get(name), value)
 			}
+			assert.Equal(t, out.ErrorResponse != nil, c.Held > 0)
+			assert.Equal(t, out.AnsweredError, c.Held > 0 || c.Error)
 			if c.Held > 0 {
 				assert.Equal(t, out.ErrorResponse.Status, c.Held)
 			}
--- a/serving/run.go
+++ b/serving/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -184,31 +183,20 @@
 		pool.Endpoints.StreamProgress(slot.Choice, gap, tokens, s.options.Now())
 		s.reportProgress(&sound, openAt)
 	}
-	out := s.options.Endpoint.Send(ctx, attempt, endpointSink(sink, slot.Choice.Endpoint))
-	pool.Queue.Release(slot, routingOutcome(out, slot.Choice), s.options.Now())
+	out := s.sendInSlot(ctx, pool, slot, attempt, sink)
 	s.reportDraining(pool, chosen, out)
 	s.reportToQuarantine(c, slot.Choice.Endpoint, out)
 	if out.Framing != "" {
 		s.options.Metrics.CountEndpointAnswer(out.Framing, out.Code.Class() == result.ClassDone)
 	}
+	if out.RefusalProof != "" {
+		s.options.Metrics.CountEndpointRefusal(out.RefusalProof)
+	}
 	p.addAttempt(out, slot.Choice.Endpoint)
 	s.reportAttempt(c, p)
 	return nil
 }
 
-// endpointSink passes a response on with the software version of the endpoint that sends it.
-func endpointSink(sink call.Sink, e fleet.Endpoint) endpoint.Sink {
-	return endpoint.Sink{
-		Head: func(status int, header http.Header) error {
-			if sink.Version != nil {
-				sink.Version(e.SoftwareVersion)
-			}
-			return sink.Head(status, header)
-		},
-		Chunk: sink.Chunk,
-	}
-}
-
 // reportDraining applies an endpoint's drain notice from its response, which may
 // arrive well before the next load report. Other load figures come from reports only.
 func (s *Server) reportDraining(pool *Pool, endpointID string, out endpoint.Outcome) {
@@ -396,7 +384,7 @@
 		Usage:         usage,
 		Sent:          out.Sent,
 		Canceled:      out.CallerDisconnected,
-		EndpointError: out.ErrorResponse != nil,
+		EndpointError: out.AnsweredError,
 		FirstAt:       out.FirstByteAt,
 	}
 }
