Endpoint: a reset that a write of the request gets also ends the answer

Callers got a 200 with a short body and a length of its own. An endpoint answered before it had read a long body, sent an answer without a length, and its connection was reset on the way.

Cause: the kernel reports a reset to one call only. Where the write of the request gets it, the reads that follow return the end of the connection, as if the endpoint had closed it, and an answer without a length was taken for whole.

Change: connections to endpoints remember the error of a write, and a read that finds the end on a connection which has ended in both directions returns it. A write error of EPIPE doesn't count: the endpoint had closed the connection before it reset it, so the answer had its end.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -61,7 +61,7 @@
 			return nil, err
 		}
 		c := &trackedConn{
-			Conn:     conn,
+			Conn:     tcp.WithResets(conn),
 			addr:     addr,
 			openedAt: now(),
 			registry: open,
