Endpoint, platform: no empty success where an answer ended behind its head

Callers got a 200 with Content-Length: 0 where an endpoint closed the connection behind the head of an answer without a length, and would have got one for a call that is done without a head.

Cause: the end of the connection was taken for the end of an empty body; streams had been guarded against that, other answers not.

Change: a success without a length and without a body counts as cut.

TestAnswerCutShort, which cuts 17 answers after each byte, passed before the change: heads that are cut short were not passed on.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -87,6 +87,9 @@
 	if refusal := x.confirmEnd(); refusal != nil {
 		return refusal
 	}
+	if x.outcome.Framing == FramingConnection && body.Len() == 0 && resp.StatusCode < http.StatusMultipleChoices {
+		return result.Refuse(result.EndpointCut, "the connection ended before the body")
+	}
 	header := endToEndHeader(resp.Header)
 	if x.attempt.Call.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(body.Len()))
