Peer: forward paths, headers and event ids that are not UTF-8

Callers got 502 (peer_lost) for a call that was forwarded to another VM if its path, a header or Last-Event-Id held a byte that is not UTF-8, such as a name in Latin-1, and likewise for a header of the answer. Sent to an endpoint of the first VM the same call was served.

Cause: these fields of messages were strings, which protobuf refuses to encode if they are not UTF-8.

Change: they are of type bytes, which has the same encoding, so that VMs of both versions understand each other.

TestForwardsAnyBytes failed before ("string field contains invalid UTF-8").

--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -228,7 +228,7 @@
 		Header: []*peerpb.Header{
 			{
 				Name:  "Accept",
-				Value: "x",
+				Value: []byte("x"),
 			},
 		},
 		Priority:      1 << 31,
@@ -247,3 +247,20 @@
 		_ = c.Priority.String()
 	})
 }
+
+// TestForwardsAnyBytes guards against a call that can't be sent to another VM because its path, a
+// header or the id of its last event is not UTF-8.
+func TestForwardsAnyBytes(t *testing.T) {
+	const latin = "/\xe9\xff"
+	data, err := proto.Marshal(CallToProto(&call.Call{
+		Kind:   call.KindRouted,
+		Path:   latin,
+		Header: http.Header{"X-Name": {latin}},
+		Routed: &call.Routed{ResumeAfter: latin},
+	}, time.Now()))
+	assert.NilError(t, err)
+	var m peerpb.Call
+	assert.NilError(t, proto.Unmarshal(data, &m))
+	c := callFromProto(&m, time.Now())
+	assert.DeepEqual(t, []string{c.Path, c.Header.Get("X-Name"), c.Routed.ResumeAfter}, []string{latin, latin, latin})
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -34,7 +34,7 @@
 		Model:         c.Model,
 		Service:       c.Service,
 		Method:        c.Method,
-		Path:          c.Path,
+		Path:          []byte(c.Path),
 		Header:        headerToProto(c.Header),
 		Body:          c.Body,
 		Stream:        c.Stream,
@@ -64,7 +64,7 @@
 		Model:              m.GetModel(),
 		Service:            m.GetService(),
 		Method:             m.GetMethod(),
-		Path:               m.GetPath(),
+		Path:               string(m.GetPath()),
 		Header:             headerFromProto(m.GetHeader()),
 		Body:               m.GetBody(),
 		Stream:             m.GetStream(),
@@ -92,7 +92,7 @@
 		for _, value := range values {
 			out = append(out, &peerpb.Header{
 				Name:  name,
-				Value: value,
+				Value: []byte(value),
 			})
 		}
 	}
@@ -102,7 +102,7 @@
 func headerFromProto(headers []*peerpb.Header) http.Header {
 	out := make(http.Header, len(headers))
 	for _, h := range headers {
-		out.Add(h.GetName(), h.GetValue())
+		out.Add(h.GetName(), string(h.GetValue()))
 	}
 	return out
 }
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -28,7 +28,7 @@
 	m.FirstInMs = remainingMillis(c.FirstTokenDeadline, now)
 	m.WholeInMs = remainingMillis(c.Deadline, now)
 	m.CallerInMs = remainingMillis(r.CallerDeadline, now)
-	m.ResumeAfter = r.ResumeAfter
+	m.ResumeAfter = []byte(r.ResumeAfter)
 	if r.Pin.Set {
 		m.Pin = &r.Pin.Version
 	}
@@ -64,7 +64,7 @@
 		Resumable:      m.GetResumable(),
 		Homes:          m.GetHomes(),
 		CallerDeadline: deadlineAfter(m.GetCallerInMs(), sentAt),
-		ResumeAfter:    m.GetResumeAfter(),
+		ResumeAfter:    string(m.GetResumeAfter()),
 		Retry:          m.GetRepeatedBefore(),
 		TokensPerEvent: int(m.GetEventTokens()),
 
