Platform, endpoint: request targets reach the endpoint byte for byte

Targets in absolute form were escaped anew, mailto:a arrived as a, CONNECT h:80 as CONNECT /, and OPTIONS * was answered by net/http.

Cause: the target was parsed and written again. net/url writes the scheme before an opaque part that begins with two slashes; what doesn't begin with a slash was rebuilt from the parsed URL.

The client of endpoints compares the target that will be written with the caller's and refuses a difference with 400.

--- a/endpoint/request.go
+++ b/endpoint/request.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -57,17 +58,13 @@
 	if a.Call.Kind == call.KindRouted {
 		return c.newRoutedRequest(ctx, a)
 	}
-	target, err := url.ParseRequestURI(a.Call.Path)
-	if err != nil {
-		return nil, result.Refuse(result.BadRequest, "the path is malformed").WithCause(err)
-	}
-	target.Scheme = "http"
-	target.Host = a.Endpoint.Addr
-	target.User = nil
-	req, err := http.NewRequestWithContext(ctx, a.Call.Method, target.String(), nil)
+	req, err := http.NewRequestWithContext(ctx, a.Call.Method, "http://"+a.Endpoint.Addr, nil)
 	if err != nil {
 		return nil, result.Refuse(result.BadRequest, "the request is malformed").WithCause(err)
 	}
+	if refusal := setTarget(req.URL, a.Call.Path); refusal != nil {
+		return nil, refusal
+	}
 	req.Header = requestHeader(a)
 	setBody(req, a.Call.Body)
 	return req, nil
@@ -80,13 +77,33 @@
 	if err != nil {
 		return nil, result.Refuse(result.BadRequest, "the request is malformed").WithCause(err)
 	}
-	req.URL.Opaque = a.Call.Path
+	if refusal := setTarget(req.URL, a.Call.Path); refusal != nil {
+		return nil, refusal
+	}
 	req.Host = a.Call.Routed.Host
 	req.Header = c.routedHeader(a)
 	setBody(req, a.Call.Body)
 	return req, nil
 }
 
+// setTarget sets the path and query of a URL. It refuses a target that net/http would change.
+func setTarget(u *url.URL, target string) *result.Refusal {
+	if strings.HasPrefix(target, "//") {
+		// net/url writes the scheme before an opaque part that begins with two slashes.
+		path, query, hasQuery := strings.Cut(target, "?")
+		u.Path, _ = url.PathUnescape(path)
+		u.RawPath = path
+		u.RawQuery = query
+		u.ForceQuery = hasQuery
+	} else {
+		u.Opaque = target
+	}
+	if u.RequestURI() != target {
+		return result.Refuse(result.BadRequest, "the request target can't be forwarded unchanged")
+	}
+	return nil
+}
+
 func requestHeader(a Attempt) http.Header {
 	h := a.Call.Header.Clone()
 	if h == nil {
--- a/site/site.go
+++ b/site/site.go
@@ -293,14 +293,13 @@
 		Acquire:  n.saturation.acquire,
 		Release:  n.saturation.release,
 	})
-	return &http.Server{
-		Handler:           ingress,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-		ConnState:         n.countConn,
-	}
+	server := ingress.Server()
+	server.ReadHeaderTimeout = readHeaderTimeout
+	server.IdleTimeout = idleTimeout
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.ErrorLog = slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)
+	server.ConnState = n.countConn
+	return server
 }
 
 // admit looks up a request in the current routing table.
