Caller: paths of service calls reach the service as they were sent

A call to /v1/services/s/a%3Fb reached the service as /a?b, with a query that nobody sent, and a%2F as another segment.

Cause: the path was the decoded value of the pattern. Change: it is read from the request line. TestServicePath failed before ("/a//b" in place of "/a%2f/b").

--- a/caller/service.go
+++ b/caller/service.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/target"
 	"github.com/fuchsianotch/fuchsianotch/contract"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/serving"
@@ -79,13 +80,14 @@
 	return call.PriorityChat
 }
 
-// servicePath returns the path and query sent to the endpoint.
+// servicePath returns the path and query sent to the endpoint, as the caller sent them.
 func servicePath(r *http.Request) string {
-	path := "/" + r.PathValue("path")
-	if r.URL.RawQuery == "" {
-		return path
+	path, _ := target.Of(r)
+	for range strings.Count(PathServicesPrefix, "/") {
+		_, path, _ = strings.Cut(path, "/")
 	}
-	return path + "?" + r.URL.RawQuery
+	_, path, _ = strings.Cut(path, "/")
+	return "/" + path
 }
 
 func (s *Server) newServiceCall(q *request, policy callPolicy) (*call.Call, *result.Refusal) {
