Endpoint, serving: streams go on only behind the last event that the caller has

Callers got events twice: the events 1 to 12 of a stream, one whose id an endpoint had spoiled, and then 1 to 30 from another endpoint, as one stream that ended as complete (ORDER). A comment before a crash of the endpoint had the same effect.

Cause: the id of each block of a stream was taken for the last event, also an empty, a lower or a repeated one, and a call with nothing to resume after was resumed from the start.

Change: ids are checked before an event is forwarded. Events of streams that can be resumed need one id each, a number that rises; an event that fails is the endpoint's fault and isn't forwarded. Comments pass and are no events. A call is resumed only if its route allows it and the last event is known, on one VM and between VMs.

--- /dev/null
+++ b/endpoint/raw_event.go
@@ -0,0 +1,124 @@
+package endpoint
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"sync"
+
+	"github.com/fuchsianotch/fuchsianotch/common/bounded"
+)
+
+// errPartialEvent marks a stream that ended in the middle of an event.
+var errPartialEvent = errors.New("stream ended within an event")
+
+// byteOrderMark may stand before the first line of a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// rawEvent is one complete event with its lines unchanged.
+type rawEvent struct {
+	data []byte
+	id   string
+	// idFields counts the fields named id, empty or not.
+	idFields int
+	hasData  bool
+}
+
+// isEvent is false for comments and other blocks that callers get no event of.
+func (e rawEvent) isEvent() bool {
+	return e.idFields > 0 || e.hasData
+}
+
+// readLine reads a line of an event, without its end.
+func (e *rawEvent) readLine(line []byte) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "id":
+		e.id = string(bytes.TrimSpace(value))
+		e.idFields++
+	case "data":
+		e.hasData = true
+	}
+}
+
+// rawEventReader splits a body into events without changing any byte.
+type rawEventReader struct {
+	reader *bufio.Reader
+	data   []byte
+	// begun is set once the first event was read.
+	begun bool
+}
+
+var rawEventReaders = sync.Pool{
+	New: func() any {
+		return &rawEventReader{reader: bufio.NewReaderSize(nil, readBufferBytes)}
+	},
+}
+
+func (r *rawEventReader) release() {
+	r.reader.Reset(nil)
+	r.begun = false
+	if cap(r.data) <= maxPooledBytes {
+		rawEventReaders.Put(r)
+	}
+}
+
+// next returns the next event, which is valid until the following call. The end of
+// the body is io.EOF between two events and errPartialEvent within one.
+func (r *rawEventReader) next(maxBytes int, room *bounded.Share) (rawEvent, error) {
+	r.data = r.data[:0]
+	event := rawEvent{}
+	start := 0
+	for {
+		part, err := r.reader.ReadSlice('\n')
+		if len(r.data)+len(part) > maxBytes {
+			return rawEvent{}, errEventTooLarge
+		}
+		if err := room.Reserve(len(r.data)+len(part), maxBytes); err != nil {
+			return rawEvent{}, err
+		}
+		r.data = append(r.data, part...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return rawEvent{}, r.readError(err)
+		}
+		line := bytes.TrimRight(r.data[start:], "\r\n")
+		if start == 0 && !r.begun {
+			line = bytes.TrimPrefix(line, byteOrderMark)
+		}
+		start = len(r.data)
+		if len(line) == 0 {
+			event.data = r.data
+			r.begun = true
+			return event, nil
+		}
+		event.readLine(line)
+	}
+}
+
+func (r *rawEventReader) readError(err error) error {
+	if errors.Is(err, io.EOF) && len(r.data) > 0 {
+		return errPartialEvent
+	}
+	return err
+}
+
+// ScanEvents calls visit with the id of each event in a chunk of a relayed stream; empty if an
+// event has none.
+func ScanEvents(chunk []byte, visit func(id string)) {
+	event := rawEvent{}
+	for line := range bytes.Lines(chunk) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 {
+			event.readLine(line)
+			continue
+		}
+		if event.isEvent() {
+			visit(event.id)
+		}
+		event = rawEvent{}
+	}
+}
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"errors"
@@ -9,17 +8,12 @@
 	"mime"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
-	"github.com/fuchsianotch/fuchsianotch/common/bounded"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
-// errPartialEvent marks a stream that ended in the middle of an event.
-var errPartialEvent = errors.New("stream ended within an event")
-
 // hopByHopHeaders are never forwarded (RFC 9110, section 7.6.1).
 var hopByHopHeaders = []string{
 	"Connection",
@@ -121,11 +115,13 @@
 }
 
 // relayStream forwards complete events as they arrive, so that another endpoint
-// can always continue after the last one.
+// can always continue after the last one. Events with ids that can't be of this stream are
+// not forwarded.
 func (x *exchange) relayStream(resp *http.Response) *result.Refusal {
 	reader, _ := rawEventReaders.Get().(*rawEventReader)
 	reader.reader.Reset(resp.Body)
 	defer reader.release()
+	order := newEventOrder(x.attempt.Call, x.resumeAfter())
 	var lastAt time.Time
 	for {
 		event, err := reader.next(x.client.maxResponseBytes, &x.room)
@@ -135,7 +131,11 @@
 		if err != nil {
 			return x.readRefusal(err)
 		}
-		if x.callerHasEvent(event.id) {
+		pass, refusal := order.check(event)
+		if refusal != nil {
+			return refusal
+		}
+		if !pass {
 			continue
 		}
 		if refusal := x.forwardHead(resp.StatusCode, endToEndHeader(resp.Header)); refusal != nil {
@@ -144,8 +144,13 @@
 		if refusal := x.forwardChunk(event.data); refusal != nil {
 			return refusal
 		}
+		if !event.isEvent() {
+			continue
+		}
 		x.outcome.Delivered++
-		x.outcome.LastEvent = event.id
+		if event.id != "" {
+			x.outcome.LastEvent = event.id
+		}
 		lastAt = x.reportEventGap(lastAt)
 	}
 }
@@ -173,98 +178,8 @@
 	return x.forwardHead(resp.StatusCode, endToEndHeader(resp.Header))
 }
 
-// callerHasEvent reports whether the caller already received an event, which
-// happens if an endpoint resumes too early.
-func (x *exchange) callerHasEvent(id string) bool {
-	have, err := strconv.ParseUint(x.resumeAfter(), 10, 64)
-	if err != nil {
-		return false
-	}
-	got, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && got <= have
-}
-
 // resumeAfter returns the id of the last event that the caller received before this
 // attempt; empty for none.
 func (x *exchange) resumeAfter() string {
 	return cmp.Or(x.attempt.ResumeAfter, x.attempt.Call.Routed.ResumeAfter)
 }
-
-// rawEvent is one complete event with its lines unchanged.
-type rawEvent struct {
-	data []byte
-	id   string
-}
-
-// rawEventReader splits a body into events without changing any byte.
-type rawEventReader struct {
-	reader *bufio.Reader
-	data   []byte
-}
-
-var rawEventReaders = sync.Pool{
-	New: func() any {
-		return &rawEventReader{reader: bufio.NewReaderSize(nil, readBufferBytes)}
-	},
-}
-
-func (r *rawEventReader) release() {
-	r.reader.Reset(nil)
-	if cap(r.data) <= maxPooledBytes {
-		rawEventReaders.Put(r)
-	}
-}
-
-// next returns the next event, which is valid until the following call. The end of
-// the body is io.EOF between two events and errPartialEvent within one.
-func (r *rawEventReader) next(maxBytes int, room *bounded.Share) (rawEvent, error) {
-	r.data = r.data[:0]
-	id := ""
-	start := 0
-	for {
-		part, err := r.reader.ReadSlice('\n')
-		if len(r.data)+len(part) > maxBytes {
-			return rawEvent{}, errEventTooLarge
-		}
-		if err := room.Reserve(len(r.data)+len(part), maxBytes); err != nil {
-			return rawEvent{}, err
-		}
-		r.data = append(r.data, part...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			continue
-		}
-		if err != nil {
-			return rawEvent{}, r.readError(err)
-		}
-		line := bytes.TrimRight(r.data[start:], "\r\n")
-		start = len(r.data)
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-		if len(line) == 0 {
-			return rawEvent{
-				data: r.data,
-				id:   id,
-			}, nil
-		}
-	}
-}
-
-func (r *rawEventReader) readError(err error) error {
-	if errors.Is(err, io.EOF) && len(r.data) > 0 {
-		return errPartialEvent
-	}
-	return err
-}
-
-// LastEventID returns the id of the last event in a chunk of a relayed stream, or
-// an empty string if there is none.
-func LastEventID(piece []byte) string {
-	id := ""
-	for line := range bytes.Lines(piece) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -25,6 +25,8 @@
 	// which also ends its listener, or nothing.
 	End           string
 	Resume        string
+	Stream        bool
+	Resumable     bool
 	Code          result.Code
 	Status        int
 	Body          string
@@ -73,6 +75,8 @@
 			header := http.Header{}
 			rated := "none"
 			attempt := routedCall(addr, c.Resume)
+			attempt.Call.Stream = c.Stream
+			attempt.Call.Routed.Resumable = c.Resumable
 			attempt.OnNotice = func(n Notice) { rated = strconv.FormatBool(n.Rate.Named) }
 			out := newRelayClient(t).Send(t.Context(), attempt, Sink{
 				Head: func(s int, h http.Header) error {
--- a/serving/answer_tracker.go
+++ b/serving/answer_tracker.go
@@ -20,6 +20,9 @@
 	began       func(softwareVersion string)
 	headSent    bool
 	lastEventID string
+	// unnumbered is set once the caller received an event without an id, as no place can
+	// continue behind it.
+	unnumbered bool
 	// version is the software version of the endpoint that answers, as far as it is known;
 	// from the first event on it is that which began the stream.
 	version fleet.VersionPin
@@ -44,9 +47,7 @@
 			return t.sink.Head(status, header)
 		},
 		Chunk: func(data []byte) error {
-			if id := endpoint.LastEventID(data); id != "" {
-				t.recordEvent(id)
-			}
+			endpoint.ScanEvents(data, t.recordEvent)
 			t.recordChunkGap()
 			return t.sink.Chunk(data)
 		},
@@ -54,6 +55,10 @@
 }
 
 func (t *answerTracker) recordEvent(id string) {
+	if id == "" {
+		t.unnumbered = true
+		return
+	}
 	if t.lastEventID == "" && t.version.Set && t.began != nil {
 		t.began(t.version.Version)
 	}
@@ -87,7 +92,7 @@
 		Ran:        o.EndpointsRun,
 		Idempotent: c.Idempotent,
 		HeadSent:   t.headSent,
-		Resumable:  c.Routed.Resumable && (t.lastEventID == "" || t.version.Set),
+		Resumable:  c.Routed.Resumable && !t.unnumbered && (t.lastEventID == "" || t.version.Set),
 		EventSent:  t.lastEventID != "",
 	}
 }
--- a/serving/routed_test.go
+++ b/serving/routed_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/metrics"
 	"github.com/fuchsianotch/fuchsianotch/origin"
@@ -26,7 +27,9 @@
 	Status int
 	From   int
 	Events int
-	Code   result.Code
+	// Then follows the events.
+	Then string
+	Code result.Code
 	// Sent is set if an attempt reached an endpoint on the VM.
 	Sent bool
 	// WantResume and WantRepeated are the expected fields of the call sent to the VM.
@@ -49,6 +52,7 @@
 	Places     []routedPlace
 	WantCode   result.Code `json:"want_code"`
 	WantEvents int         `json:"want_events"`
+	WantThen   string      `json:"want_then"`
 	WantSent   []string    `json:"want_sent"`
 }
 
@@ -98,7 +102,7 @@
 			})
 			assert.Equal(t, out.Code, c.WantCode)
 			assert.DeepEqual(t, sent, c.WantSent)
-			assert.Equal(t, got.String(), eventsText(0, c.WantEvents))
+			assert.Equal(t, got.String(), eventsText(0, c.WantEvents)+c.WantThen)
 			assert.Assert(t, heads <= 1)
 		})
 	}
@@ -127,11 +131,11 @@
 	if p.Version != unknownVersion {
 		sink.Version(cmp.Or(p.Version, "v1"))
 	}
-	if p.Events > 0 {
+	if p.Events > 0 || p.Then != "" {
 		if err := sink.Head(status, http.Header{}); err != nil {
 			return call.Refused(result.Refuse(result.PeerLost, "the caller has gone").WithCause(err))
 		}
-		if err := sink.Chunk([]byte(eventsText(p.From, p.Events))); err != nil {
+		if err := sink.Chunk([]byte(eventsText(p.From, p.Events) + p.Then)); err != nil {
 			return call.Refused(result.Refuse(result.PeerLost, "the caller has gone").WithCause(err))
 		}
 	}
@@ -209,3 +213,30 @@
 		})
 	}
 }
+
+// TestResumeNeedsLastEvent guards against a stream that begins anew behind events that the caller
+// has, as the id of the last one is not known or its route does not allow to resume.
+func TestResumeNeedsLastEvent(t *testing.T) {
+	for _, row := range []struct {
+		lastEvent string
+		resumable bool
+		want      bool
+	}{
+		{"3", true, true},
+		{"", true, false},
+		{"3", false, false},
+	} {
+		p := progress{
+			delivered:   3,
+			lastEventID: row.lastEvent,
+			lastAttempt: endpoint.Outcome{
+				Code:      result.EndpointCut,
+				Sent:      true,
+				Resumable: true,
+			},
+		}
+		c := routedTestCall(routedCase{Idempotent: true, Resumable: row.resumable})
+		s := New(Options{Now: time.Now})
+		assert.Equal(t, s.shouldRetry(c, &p), row.want, "%+v", row)
+	}
+}
--- a/serving/run.go
+++ b/serving/run.go
@@ -284,6 +284,7 @@
 		WholeBy:    c.Deadline,
 	}
 	if c.Kind == call.KindRouted {
+		a.Resumable = a.Resumable && c.Routed.Resumable && p.lastEventID != ""
 		a.Attempts, a.MaxAttempts = p.history.AttemptsAndLimit(c.Routed.MaxAttempts)
 	}
 	verdict := s.decide(a, s.options.Now())
