Soak: events with spoiled ids, and odd request targets

Replicas of the soak numbered their events without a fault, and its clients sent plain paths.

Replicas now also spoil the id of an event and break off (lost, empty, repeated, huge, other bytes). Clients send targets with double slashes, dots, escapes and odd queries; the check of what replicas run compares the whole target. TestChecksCanFail shows both checks fail.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -38,6 +38,9 @@
 // StreamPath is the prefix of paths that respond with an event stream.
 const StreamPath = "/stream/"
 
+// ResumablePath is the prefix of those whose streams can be resumed.
+const ResumablePath = StreamPath + "resume/"
+
 // Fault is the way in which a replica fails a request.
 type Fault int
 
@@ -57,6 +60,9 @@
 	FaultUnsigned
 	// FaultExtra sends a second response on the same connection.
 	FaultExtra
+	// FaultSpoil spoils the id of an event of a stream that can be resumed, and closes the
+	// connection.
+	FaultSpoil
 	// FaultCount is the number of values of Fault.
 	FaultCount
 )
@@ -83,6 +89,8 @@
 	Replica string
 	Attempt string
 	Path    string
+	// Target is the path and query as the request has them.
+	Target  string
 	From    string
 	At      time.Time
 	Refused bool
@@ -217,6 +225,7 @@
 		Replica: r.ID,
 		Attempt: id,
 		Path:    req.URL.Path,
+		Target:  req.RequestURI,
 		From:    req.RemoteAddr,
 		At:      time.Now(),
 		Refused: fault == FaultShed,
@@ -364,6 +373,15 @@
 	return fmt.Sprintf("id: %d\ndata: %s.%d %s\n\n", number, id, number, version)
 }
 
+// spoiledIDs stand in place of the id of an event.
+var spoiledIDs = []string{"", "id:\n", "id: 1\n", "id: 99999999999999999999\n", "\x96\x9b\xc5 7\n"}
+
+// spoilID replaces the id of an event.
+func spoilID(event string) string {
+	_, rest, _ := strings.Cut(event, "\n")
+	return spoiledIDs[rand.IntN(len(spoiledIDs))] + rest
+}
+
 // writeExtraResponse writes the response, and after it one that belongs to no
 // request.
 func writeExtraResponse(w http.ResponseWriter, id string) error {
@@ -408,6 +426,11 @@
 			_ = flush()
 			panic(http.ErrAbortHandler)
 		}
+		if fault == FaultSpoil && number > r.Events/2 && strings.HasPrefix(req.URL.Path, ResumablePath) {
+			_, _ = io.WriteString(w, spoilID(event))
+			_ = flush()
+			panic(http.ErrAbortHandler)
+		}
 		r.countEvent(run)
 		_, _ = io.WriteString(w, event)
 		_ = flush()
--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -134,6 +134,11 @@
 	return c.pickVM()
 }
 
+// plainTargets are targets that must reach a replica unchanged.
+var plainTargets = []string{
+	"/get/x?q=1", "/get/x", "/get//x?q=//1", "/get/./a/../x?", "/get/%2fa%2E%41;b?%zz=%&+", "/get/%E9/x?\u00fc",
+}
+
 // pickRequest picks a random path: mostly permanent routes, sometimes a version's own route.
 func (c *client) pickRequest() (path, service, method string) {
 	switch n := rand.IntN(20); {
@@ -142,7 +147,7 @@
 	case n < 8:
 		return "/stream/once/x", serviceEngine, http.MethodPost
 	case n < 13:
-		return "/get/x?q=1", servicePlain, http.MethodGet
+		return plainTargets[rand.IntN(len(plainTargets))], servicePlain, http.MethodGet
 	case n < 17:
 		return "/post/x", servicePlain, http.MethodPost
 	case n < 19:
@@ -165,6 +170,7 @@
 	a := attempt{
 		id:      id,
 		path:    pathOnly,
+		target:  path,
 		service: service,
 		vm:      v.name,
 		sentAt:  time.Now(),
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -21,7 +22,9 @@
 // attempt is one request of a client and its outcome.
 type attempt struct {
 	id, path, service string
-	vm                string
+	// target is the path with the query; empty if that is the path.
+	target string
+	vm     string
 	// workspace is that of the presented API key; keyVersion is the configuration version
 	// that introduced the key, zero if none did.
 	workspace, key string
@@ -267,15 +270,16 @@
 	return out
 }
 
-// checkUnsentRuns checks that replicas ran only what clients sent, under the same path.
+// checkUnsentRuns checks that replicas ran only what clients sent, under the same path and query.
 func (l *ledger) checkUnsentRuns() (out []string) {
-	sentPaths := make(map[string]string, len(l.attempts))
+	sent := make(map[string]string, len(l.attempts))
 	for _, a := range l.attempts {
-		sentPaths[a.id] = a.path
+		sent[a.id] = cmp.Or(a.target, a.path)
 	}
 	for _, r := range l.runs {
-		if path, ok := sentPaths[r.Attempt]; !ok || path != r.Path {
-			out = append(out, fmt.Sprintf("%s %s was run by %s and not sent so", r.Attempt, r.Path, r.Replica))
+		ran := cmp.Or(r.Target, r.Path)
+		if target, ok := sent[r.Attempt]; !ok || target != ran {
+			out = append(out, fmt.Sprintf("%s %s was run by %s and not sent so", r.Attempt, ran, r.Replica))
 		}
 	}
 	return out
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -215,6 +215,15 @@
 		{check: "whole_own_answers", make: func(l *ledger) {
 			l.attempts = []attempt{{id: "a", path: "/get/x", failure: "another body"}}
 		}},
+		{check: "whole_own_answers", make: func(l *ledger) {
+			a := attempt{id: "a", path: resumePath + "x"}
+			a.checkStream([]byte(replica.Event("a", 1, "v1")+replica.Event("a", 1, "v1")), nil)
+			l.attempts = []attempt{a}
+		}},
+		{check: "unasked", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get//x", target: "/get//x?q=1"}}
+			l.runs = []replica.Run{{Attempt: "a", Path: "/get//x", Target: "/get/x?q=1", Replica: "i"}}
+		}},
 		{check: "leaving_endpoints", make: func(l *ledger) {
 			l.attempts = []attempt{{id: "a", path: "/get/x"}}
 			l.drainingSince["i"] = now
--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -8,13 +8,15 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/standin/replica"
 )
 
 const (
 	lastEventHeader = "Last-Event-Id"
 	// resumesHeader names the attempt that brought a stream's first event.
 	resumesHeader = "Resumes"
-	resumePath    = "/stream/resume/"
+	resumePath    = replica.ResumablePath
 	// maxResumes is how often a client resumes one stream, after resumeDelay each.
 	maxResumes  = 3
 	resumeDelay = 30 * time.Millisecond
