--- a/site/site.go
+++ b/site/site.go
@@ -294,14 +294,13 @@
 		Acquire:  n.saturation.acquire,
 		Release:  n.saturation.release,
 	})
-	return &http.Server{
-		Handler:           ingress,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		BaseContext:       func(net.Listener) context.Context { return n.stopState.callsCtx },
-		ErrorLog:          slog.NewLogLogger(n.log.Handler(), slog.LevelDebug),
-	}
+	server := ingress.Server()
+	server.ReadHeaderTimeout = readHeaderTimeout
+	server.IdleTimeout = idleTimeout
+	server.MaxHeaderBytes = maxHeaderBytes
+	server.BaseContext = func(net.Listener) context.Context { return n.stopState.callsCtx }
+	server.ErrorLog = slog.NewLogLogger(n.log.Handler(), slog.LevelDebug)
+	return server
 }
 
 // admit looks up a request in the current routing table.
