One budget for the memory of request and answer bodies

Cause: answers had a budget, the bodies of requests had none, neither at the VM that reads them nor at one that they are sent to. A body sent to another VM was held in three more places: encoded for the stream, which keeps its last message until the call ends, in the receiver's connection, and decoded. 8 calls with bodies of 4 MiB held 100 MB in the two VMs together.

Change: a VM sets aside a part of its memory for the bodies of requests and answers, of which requests leave some to answers of calls that run already. A request takes the room of its whole body before the body is read. It waits for it for a quarter of its objective, a second at the most; then it is refused with 2038 (503, never run), its body is read off and its connection kept. Small bodies pass large ones that wait. Between VMs larger bodies go in parts of 64 KiB by a request of its own, after the receiver has said that it has room; a VM of a version without it gets the call in one message as before. What broke off before the last part did not run. Answers with a length go in parts too, and wait for their room before they are read. The body of a call is given up with the head of an answer after which nothing can be repeated, so that it doesn't stay while a slow caller reads.

TestForward had a row for a request above the largest message, which was lost in the stream. Such a body now goes in parts, so the row has one above the budget of the receiver, which must refuse it as not run.

TestForwardedBodyIsHeldOncePerVM failed before: 8 calls held 100,470 KB, at most 69,632 KB are allowed. TestTakeWaitsForRoom is of the new budget.

--- a/call/call.go
+++ b/call/call.go
@@ -65,8 +65,10 @@
 	Method string
 	Path   string
 	// Header holds the headers that may be passed to the endpoint.
-	Header     http.Header
+	Header http.Header
+	// Body is the request body, unless it is in Retained. Payload returns either.
 	Body       []byte
+	Retained   *RetainedBody
 	Stream     bool
 	Idempotent bool
 	Priority   Priority
@@ -112,7 +114,7 @@
 		_, _ = d.WriteString(part)
 		_, _ = d.Write(contentSeparator)
 	}
-	_, _ = d.Write(c.Body)
+	_, _ = d.Write(c.Payload())
 	return Subject(d.Sum64()) &^ partBit
 }
 
--- a/common/bounded/bounded.go
+++ b/common/bounded/bounded.go
@@ -1,12 +1,14 @@
-// Package bounded limits the memory of responses that are read into buffers, of each and of all
+// Package bounded limits the memory of messages that are held in buffers, of each and of all
 // together.
 package bounded
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"math/bits"
+	"slices"
 	"sync"
 )
 
@@ -16,37 +18,41 @@
 // freeBufferBytes is the size up to which a buffer needs no share of the budget.
 const freeBufferBytes = 16 << 10
 
-// freeFactor is how much a response may hold of what it leaves free. With 1 the heap grew by
+// freeFactor is how much a message may hold of what it leaves free. With 1 the heap grew by
 // 108 MB instead of 85 under 200 endless responses of up to 16 MiB each.
 const freeFactor = 2
 
-// ErrNoRoom means that responses without an end, or many large ones, are being read.
-var ErrNoRoom = errors.New("other responses that are being read leave no room for this one")
+// ErrNoRoom means that other messages hold the budget.
+var ErrNoRoom = errors.New("other messages leave no room for this one")
 
-// Budget bounds the bytes of all responses that are buffered at a time. Each may hold
+// Budget bounds the bytes of all messages that are held at a time. Each may hold
 // twice what it leaves free, so that one gets two thirds of the budget, n get 2/(2n+1) each,
 // and small ones have room whatever the others do.
 type Budget struct {
-	mu    sync.Mutex
 	total int
-	used  int
+
+	mu      sync.Mutex
+	used    int
+	waiting []*waiter
+	// waitingBytes is the sum of what the waiting messages want.
+	waitingBytes int
+	stats        Stats
 }
 
-// grow changes what a buffer holds, and returns false if it may not hold so much.
-func (b *Budget) grow(from, to int) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if to > freeFactor*(b.total-(b.used-from+to)) {
-		return false
-	}
-	b.used += to - from
-	return true
+// Stats are the figures of a budget, in bytes, and the number of messages that had to wait or
+// found no room so far.
+type Stats struct {
+	Total   int
+	Used    int
+	Waited  int
+	Refused int
 }
 
-func (b *Budget) release(held int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.used -= held
+// waiter is a message that waits for room.
+type waiter struct {
+	share   *Share
+	bytes   int
+	granted chan struct{}
 }
 
 // NewBudget returns a budget of so many bytes.
@@ -56,41 +62,167 @@
 	}
 }
 
-// RoomFor returns the least budget in which a single response has room for most bytes.
+// RoomFor returns the least budget in which a single message has room for most bytes.
 func RoomFor(most int) int {
 	wanted := most + bytes.MinRead
 	return wanted + (wanted+freeFactor-1)/freeFactor
 }
 
-// Share returns the share of a response, which must be released.
+// Share returns the share of a message, which must be released.
 func (b *Budget) Share() Share {
 	return Share{budget: b}
 }
 
-// Share is the part of the budget that one response holds.
+// ShareLeaving returns the share of a message that leaves a part of the budget to messages of
+// other kinds.
+func (b *Budget) ShareLeaving(reserved int) Share {
+	return Share{
+		budget:   b,
+		reserved: reserved,
+	}
+}
+
+// Stats returns the figures of the budget.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.stats
+	s.Total = b.total
+	s.Used = b.used
+	return s
+}
+
+// fits reports whether a share may hold so many bytes.
+func (b *Budget) fits(s *Share, to int) bool {
+	return to <= freeFactor*(b.total-s.reserved-(b.used-s.held+to))
+}
+
+func (b *Budget) hold(s *Share, to int) {
+	b.used += to - s.held
+	s.held = to
+}
+
+// grow changes what a share holds, and returns false if it may not hold so much.
+func (b *Budget) grow(s *Share, to int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.fits(s, to) {
+		b.stats.Refused++
+		return false
+	}
+	b.hold(s, to)
+	return true
+}
+
+// take is grow for a message that waits for its room until ctx ends.
+func (b *Budget) take(ctx context.Context, s *Share, to int) error {
+	w := b.enqueue(s, to)
+	if w == nil {
+		return ErrNoRoom
+	}
+	select {
+	case <-w.granted:
+		return nil
+	case <-ctx.Done():
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := slices.Index(b.waiting, w)
+	if at < 0 {
+		return nil
+	}
+	b.removeWaiter(at)
+	b.stats.Refused++
+	return ErrNoRoom
+}
+
+// enqueue returns a waiter, which is granted at once if there is room. It returns nil if the
+// message would never fit alone or if those that wait already want the whole budget.
+func (b *Budget) enqueue(s *Share, to int) *waiter {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	w := &waiter{
+		share:   s,
+		bytes:   to,
+		granted: make(chan struct{}),
+	}
+	if !slices.ContainsFunc(b.waiting, w.comesAfter) && b.fits(s, to) {
+		b.hold(s, to)
+		close(w.granted)
+		return w
+	}
+	fitsAlone := to <= freeFactor*(b.total-s.reserved-to)
+	if !fitsAlone || b.waitingBytes+to > b.total {
+		b.stats.Refused++
+		return nil
+	}
+	b.stats.Waited++
+	b.waiting = append(b.waiting, w)
+	b.waitingBytes += to
+	return w
+}
+
+// comesAfter reports whether a message that wants no more than w has waited for longer.
+func (w *waiter) comesAfter(earlier *waiter) bool {
+	return earlier.bytes <= w.bytes && earlier.share.reserved <= w.share.reserved
+}
+
+func (b *Budget) removeWaiter(at int) {
+	b.waitingBytes -= b.waiting[at].bytes
+	b.waiting = slices.Delete(b.waiting, at, at+1)
+}
+
+// release gives back what a share holds, and grants room to those that wait for it.
+func (b *Budget) release(s *Share) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hold(s, 0)
+	for at := 0; at < len(b.waiting); {
+		w := b.waiting[at]
+		if !b.fits(w.share, w.bytes) {
+			at++
+			continue
+		}
+		b.hold(w.share, w.bytes)
+		b.removeWaiter(at)
+		close(w.granted)
+	}
+}
+
+// Share is the part of the budget that one message holds.
 type Share struct {
-	budget *Budget
-	held   int
+	budget   *Budget
+	reserved int
+	held     int
 }
 
 // Reserve makes room for so many bytes, in powers of two up to most, so that the budget is
-// asked a few times for each response only.
+// asked a few times for each message only.
 func (s *Share) Reserve(bytes, most int) error {
 	if bytes <= max(s.held, freeBufferBytes) {
 		return nil
 	}
 	wanted := max(min(1<<bits.Len(uint(bytes-1)), most), bytes)
-	if !s.budget.grow(s.held, wanted) {
+	if !s.budget.grow(s, wanted) {
 		return ErrNoRoom
 	}
-	s.held = wanted
 	return nil
 }
 
-// Release gives back what the response holds.
+// Take makes room for a message of a known length. It waits until ctx ends, unless those that
+// wait already want the whole budget.
+func (s *Share) Take(ctx context.Context, bytes int) error {
+	if bytes <= max(s.held, freeBufferBytes) {
+		return nil
+	}
+	return s.budget.take(ctx, s, bytes)
+}
+
+// Release gives back what the message holds.
 func (s *Share) Release() {
-	s.budget.release(s.held)
-	s.held = 0
+	if s.held > 0 {
+		s.budget.release(s)
+	}
 }
 
 // ReadAll appends a body to a buffer, at most one byte more than most.
@@ -98,11 +230,11 @@
 	limited := io.LimitReader(body, int64(most)+1)
 	for {
 		if to.Available() < bytes.MinRead {
-			wanted := max(2*to.Cap(), minBufferBytes)
-			if err := s.Reserve(min(wanted, most+bytes.MinRead), most+bytes.MinRead); err != nil {
+			wanted := min(max(2*to.Cap(), minBufferBytes), most+bytes.MinRead)
+			if err := s.Reserve(wanted, most+bytes.MinRead); err != nil {
 				return err
 			}
-			to.Grow(wanted - to.Len())
+			grow(to, max(wanted, to.Len()+bytes.MinRead))
 		}
 		space := to.AvailableBuffer()
 		n, err := limited.Read(space[:cap(space)])
@@ -115,3 +247,10 @@
 		}
 	}
 }
+
+// grow makes the capacity of a buffer that bytes.Buffer.Grow would double.
+func grow(b *bytes.Buffer, capacity int) {
+	data := make([]byte, b.Len(), capacity)
+	copy(data, b.Bytes())
+	*b = *bytes.NewBuffer(data)
+}
--- a/common/bounded/bounded_test.go
+++ b/common/bounded/bounded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"strings"
 	"testing"
 
@@ -30,6 +31,48 @@
 	assert.Equal(t, budget.used, 0)
 }
 
+// Large messages must wait for room in their order, leave what is reserved, and not hold up
+// smaller ones that fit.
+func TestTakeWaitsForRoom(t *testing.T) {
+	budget := NewBudget(10 << 20)
+	held := make([]Share, 3)
+	for i := range held {
+		held[i] = budget.ShareLeaving(2 << 20)
+		assert.NilError(t, held[i].Take(t.Context(), 2<<20-i<<10))
+	}
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	late, answer, small := budget.ShareLeaving(2<<20), budget.Share(), budget.ShareLeaving(2<<20)
+	assert.ErrorIs(t, late.Take(ended, 2<<20), ErrNoRoom)
+	assert.NilError(t, answer.Take(ended, 1<<20))
+	answer.Release()
+	tooLarge := budget.Share()
+	assert.ErrorIs(t, tooLarge.Take(t.Context(), 9<<20), ErrNoRoom)
+
+	waiting := make([]Share, 2)
+	done := make(chan int, len(waiting))
+	for i := range waiting {
+		waiting[i] = budget.ShareLeaving(2 << 20)
+		go func() {
+			assert.Check(t, waiting[i].Take(t.Context(), 2<<20))
+			done <- i
+		}()
+		for budget.Stats().Waited < i+2 {
+		}
+	}
+	assert.NilError(t, small.Take(ended, 1<<12+freeBufferBytes))
+	small.Release()
+	for i := range waiting {
+		held[i].Release()
+		assert.Equal(t, <-done, i)
+	}
+	for i := range waiting {
+		waiting[i].Release()
+	}
+	held[2].Release()
+	assert.Equal(t, budget.Stats(), Stats{Total: 10 << 20, Waited: 3, Refused: 2})
+}
+
 // A response as long as the bound must be read whole, and a longer one only up to one byte more.
 func TestReadAll(t *testing.T) {
 	const most = 100_000
@@ -38,5 +81,6 @@
 		var body bytes.Buffer
 		assert.NilError(t, share.ReadAll(&body, strings.NewReader(strings.Repeat("x", length)), most))
 		assert.Equal(t, body.Len(), min(length, most+1))
+		assert.Assert(t, body.Cap() <= max(most+2*bytes.MinRead+1, minBufferBytes))
 	}
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -34,6 +34,9 @@
 	// MaxBufferedBytes limits all responses that are buffered at a time, of which each may
 	// hold twice what it leaves free; zero means 1.5 times MaxResponseBytes.
 	MaxBufferedBytes int
+	// Buffers is a budget that responses share with other messages, in place of
+	// MaxBufferedBytes.
+	Buffers *bounded.Budget
 	// Dialect is the protocol of routed calls; optional where there are none.
 	Dialect Dialect
 	// Dial opens and closes a connection to an address; nil means tcp.Probe.
@@ -78,7 +81,10 @@
 	if c.maxResponseBytes <= 0 {
 		c.maxResponseBytes = DefaultMaxResponseBytes
 	}
-	c.buffers = bounded.NewBudget(cmp.Or(o.MaxBufferedBytes, bounded.RoomFor(c.maxResponseBytes)))
+	c.buffers = o.Buffers
+	if c.buffers == nil {
+		c.buffers = bounded.NewBudget(cmp.Or(o.MaxBufferedBytes, bounded.RoomFor(c.maxResponseBytes)))
+	}
 	c.open = newOpenConns()
 	c.pooled, c.unpooled = transports(o.Client, c.now, c.open)
 	return c
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -78,11 +78,8 @@
 	}
 	body, _ := buffers.Get().(*bytes.Buffer)
 	defer releaseBuffer(body)
-	if err := x.room.ReadAll(body, resp.Body, x.client.maxResponseBytes); err != nil {
-		return x.readRefusal(err)
-	}
-	if body.Len() > x.client.maxResponseBytes {
-		return x.tooLargeRefusal()
+	if refusal := x.readAll(resp, body); refusal != nil {
+		return refusal
 	}
 	if refusal := x.confirmEnd(); refusal != nil {
 		return refusal
--- a/endpoint/request.go
+++ b/endpoint/request.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -83,7 +82,10 @@
 	req.URL.Opaque = a.Call.Path
 	req.Host = a.Call.Routed.Host
 	req.Header = c.routedHeader(a)
-	setBody(req, a.Call.Body)
+	if a.Call.BodyReleased() {
+		return nil, result.Refuse(result.BodyMemoryFull, "the body was released with the response")
+	}
+	setBody(req, a.Call.Payload())
 	return req, nil
 }
 
@@ -126,12 +128,24 @@
 		return
 	}
 	req.ContentLength = int64(len(body))
-	req.Body = io.NopCloser(readerOnly{Reader: bytes.NewReader(body)})
+	req.Body = io.NopCloser(&bodyReader{unread: body})
 }
 
-// readerOnly hides all methods of a reader except Read.
-type readerOnly struct {
-	io.Reader
+// bodyReader reads a body and holds it no longer than until its end; the response refers to
+// the request. It has no method but Read.
+type bodyReader struct {
+	unread []byte
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	if len(r.unread) == 0 {
+		r.unread = nil
+		return 0, io.EOF
+	}
+	n := copy(p, r.unread)
+	r.unread = r.unread[n:]
+	return n, nil
 }
 
 func usuallyHasNoBody(method string) bool {
--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -90,6 +90,21 @@
 	if resp.ContentLength > int64(x.client.maxResponseBytes) && x.attempt.Call.Method != http.MethodHead {
 		return x.tooLargeRefusal()
 	}
+	return x.readAll(resp, body)
+}
+
+// readAll fills body. A response of a known length waits for the memory of all of it before it
+// is read.
+func (x *exchange) readAll(resp *http.Response, body *bytes.Buffer) *result.Refusal {
+	if length := resp.ContentLength; length > 0 && length <= int64(x.client.maxResponseBytes) && x.attempt.Call.Method != http.MethodHead {
+		size := int(length) + bytes.MinRead
+		if err := x.room.Take(x.ctx, size); err != nil {
+			return x.readRefusal(err)
+		}
+		if size > body.Available() {
+			*body = *bytes.NewBuffer(make([]byte, 0, size))
+		}
+	}
 	if err := x.room.ReadAll(body, resp.Body, x.client.maxResponseBytes); err != nil {
 		return x.readRefusal(err)
 	}
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/bounded"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/platform"
 	"github.com/fuchsianotch/fuchsianotch/quarantine"
@@ -83,6 +84,8 @@
 	m.CountLimitRequest(false)
 	m.SetVMDelay(time.Second, 2*time.Second)
 	m.CountVMRefusal(2)
+	m.SetBodyMemory(bounded.Stats{Used: 5, Total: 6})
+	m.AddBodyMemoryRefusals(7)
 	m.SetPublishedAge(time.Second)
 	m.SetStoreEra(3)
 	m.LinesDropped(2)
@@ -141,6 +144,9 @@
 		"fuchsianotch_vm_delay_seconds mean":                   1,
 		"fuchsianotch_vm_delay_seconds max":                    2,
 		"fuchsianotch_vm_refused_total 2":                      1,
+		"fuchsianotch_body_memory_bytes held":                  5,
+		"fuchsianotch_body_memory_bytes limit":                 6,
+		"fuchsianotch_body_memory_refused_total ":              7,
 		"fuchsianotch_retry_budget_vms ":                       6,
 		"fuchsianotch_streams_resumed_total asked":             1,
 		"fuchsianotch_stream_records ":                         7,
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -16,10 +16,20 @@
 var errNoResponse = errors.New("peer ended the call as done without a response")
 
 // Forward runs a call on another VM. It returns PeerUnreachable, of class not run, if no
-// connection was made, and PeerLost if the connection failed later.
+// connection was made or the other VM can't have the whole body, and PeerLost if the connection
+// failed later. It takes the body out of the request.
 func (c *Client) Forward(ctx context.Context, vm fleet.VM, in *peerpb.ForwardRequest, sink call.Sink, witness func(uint64)) call.Outcome {
 	in.SentUs = c.options.Delays.elapsedMicros()
+	if len(in.GetCall().GetBody()) > bodyPartBytes {
+		if outcome, isSupported := c.forwardInParts(ctx, vm, in, sink, witness); isSupported {
+			return outcome
+		}
+		in.SentUs = c.options.Delays.elapsedMicros()
+	}
 	stream, err := c.client(ctx, vm).Forward(ctx, in)
+	if in.Call != nil {
+		in.Call.Body = nil
+	}
 	if err != nil {
 		return call.Refused(peerFailure(vm, err))
 	}
@@ -90,11 +100,22 @@
 	return sink.Chunk(reply.GetChunk())
 }
 
+// streamSink sends a response. A body of a known length is sent in parts; events stay whole, as
+// the sender of the call resumes a stream behind them.
 func streamSink(stream peerpb.DRPCPeer_ForwardStream) call.Sink {
 	var version *string
+	hasLength := false
+	sendChunk := func(data []byte) error {
+		return stream.Send(&peerpb.ForwardReply{
+			Step: &peerpb.ForwardReply_Chunk{
+				Chunk: data,
+			},
+		})
+	}
 	return call.Sink{
 		Version: func(softwareVersion string) { version = &softwareVersion },
 		Head: func(status int, header http.Header) error {
+			hasLength = header.Get("Content-Length") != ""
 			return stream.Send(&peerpb.ForwardReply{
 				Step: &peerpb.ForwardReply_Head{
 					Head: &peerpb.Head{
@@ -106,11 +127,13 @@
 			})
 		},
 		Chunk: func(data []byte) error {
-			return stream.Send(&peerpb.ForwardReply{
-				Step: &peerpb.ForwardReply_Chunk{
-					Chunk: data,
-				},
-			})
+			for hasLength && len(data) > bodyPartBytes {
+				if err := sendChunk(data[:bodyPartBytes]); err != nil {
+					return err
+				}
+				data = data[bodyPartBytes:]
+			}
+			return sendChunk(data)
 		},
 	}
 }
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/bounded"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -144,9 +146,10 @@
 		return ln.Addr().String()
 	}
 	s, err := NewServer(Handlers{
-		Forward: f.forward,
-		Stamp:   func() uint64 { return 1 },
-		Witness: func(uint64) {},
+		Forward:   f.forward,
+		BodyShare: bounded.NewBudget(bounded.RoomFor(MaxMessageBytes - bytes.MinRead)).Share,
+		Stamp:     func() uint64 { return 1 },
+		Witness:   func(uint64) {},
 	})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/peer/message.go
+++ b/peer/message.go
@@ -36,7 +36,7 @@
 		Method:        c.Method,
 		Path:          c.Path,
 		Header:        headerToProto(c.Header),
-		Body:          c.Body,
+		Body:          c.Payload(),
 		Stream:        c.Stream,
 		Idempotent:    c.Idempotent,
 		Priority:      uint32(c.Priority),
--- a/peer/message_count.go
+++ b/peer/message_count.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcenc"
 )
 
 // CountMessage records the sizes in bytes of messages sent and received. method
@@ -76,6 +77,15 @@
 	return data, err
 }
 
+// MarshalAppend appends an encoded message and counts it.
+func (e countingEncoding) MarshalAppend(buf []byte, msg drpc.Message) ([]byte, error) {
+	data, err := drpcenc.MarshalAppend(msg, e.Encoding, buf)
+	if err == nil {
+		e.conn.count(e.method, e.conn.crossRegion, len(data)-len(buf), 0)
+	}
+	return data, err
+}
+
 // Unmarshal counts and decodes a message.
 func (e countingEncoding) Unmarshal(data []byte, msg drpc.Message) error {
 	e.conn.count(e.method, e.conn.crossRegion, 0, len(data))
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"github.com/fuchsianotch/fuchsianotch/common/bounded"
@@ -222,6 +223,9 @@
 		Reader: drpcwire.ReaderOptions{
 			MaximumBufferSize: MaxMessageBytes,
 		},
+		Stream: drpcstream.Options{
+			MaximumBufferSize: 2 * bodyPartBytes,
+		},
 		SoftCancel: true,
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/bounded"
 	"github.com/fuchsianotch/fuchsianotch/metering"
 	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -48,6 +49,9 @@
 	Run func(runGrant uint64) bool
 	// Forward runs a call; it must not forward it again.
 	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
+	// BodyShare returns the share of a forwarded body in the memory of the VM; nil means that
+	// bodies are not bounded.
+	BodyShare func() bounded.Share
 	// Stamp reads the timeline's logical clock, and Witness advances it to a stamp
 	// received.
 	Stamp   func() uint64
@@ -75,6 +79,9 @@
 	if h.Delays == nil {
 		h.Delays = NewDelayEstimator(h.Now)
 	}
+	if h.BodyShare == nil {
+		h.BodyShare = unlimitedBodies()
+	}
 	s := &Server{
 		handlers: h,
 	}
@@ -212,12 +219,34 @@
 // Forward implements peerpb.DRPCPeerServer.
 func (s *service) Forward(in *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
 	s.handlers.Witness(in.GetStamp())
+	c := s.callFrom(in)
+	share := s.handlers.BodyShare()
+	if refusal := s.takeMemory(stream.Context(), &share, len(c.Body)); refusal != nil {
+		return s.sendEnd(stream, call.Refused(refusal))
+	}
+	c.Retained = call.RetainBody(c.Body, share.Release)
+	c.Body = nil
+	in.Call = nil
+	return s.forward(stream.Context(), in.GetFrom(), c, stream)
+}
+
+// callFrom decodes a forwarded call.
+func (s *service) callFrom(in *peerpb.ForwardRequest) *call.Call {
 	sentAt := s.handlers.Delays.SentAt(in.GetFrom().GetVm(), in.GetFrom().GetIncarnation(), in.GetSentUs())
 	c := callFromProto(in.GetCall(), sentAt)
 	if c.Routed != nil {
 		c.Routed.RunGrant = in.GetRunGrant()
 	}
-	outcome := s.handlers.Forward(stream.Context(), in.GetFrom(), c, streamSink(stream))
+	return c
+}
+
+// forward runs a forwarded call and sends its response.
+func (s *service) forward(ctx context.Context, from *peerpb.Identity, c *call.Call, stream peerpb.DRPCPeer_ForwardStream) error {
+	defer c.ReleaseBody()
+	return s.sendEnd(stream, s.handlers.Forward(ctx, from, c, c.ReleasingBody(streamSink(stream))))
+}
+
+func (s *service) sendEnd(stream peerpb.DRPCPeer_ForwardStream, outcome call.Outcome) error {
 	return stream.Send(&peerpb.ForwardReply{
 		Step: &peerpb.ForwardReply_End{
 			End: outcomeToProto(outcome, s.handlers.Stamp(), s.handlers.Now()),
--- a/retry/places.go
+++ b/retry/places.go
@@ -36,7 +36,7 @@
 // run again and the caller can be given the rest.
 func (p ForwardResult) MayForwardElsewhere() bool {
 	switch p.Code {
-	case result.EndpointRefused, result.LimitEndpoint, result.NoEndpoint, result.PeerUnreachable, result.Stopping, result.NotReady, result.DeadlineUnmeetable, result.QueueFull:
+	case result.EndpointRefused, result.LimitEndpoint, result.NoEndpoint, result.PeerUnreachable, result.Stopping, result.NotReady, result.DeadlineUnmeetable, result.QueueFull, result.BodyMemoryFull:
 		return !p.HeadSent || p.Resumable
 	case result.PeerLost, result.EndpointCut:
 		return p.Idempotent && (!p.HeadSent || (p.Resumable && p.EventSent))
--- a/site/forward.go
+++ b/site/forward.go
@@ -83,6 +83,7 @@
 		Stamp:     func() uint64 { return 0 },
 		Witness:   func(uint64) {},
 
+		BodyShare:  n.bodies.requestShare,
 		CountBytes: n.countPeerBytes,
 		Now:        n.now,
 		Delays:     n.delays,
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -17,6 +17,7 @@
 	n.metrics.SetStreamRecords(n.streams.register.Stats())
 	n.metrics.SetRetryBudgetVMs(snap.members.FleetSize)
 	n.saturation.updateGauges()
+	n.bodies.updateGauges(n)
 	warm, cold := 0, 0
 	for _, counts := range n.pools.index.serviceCounts() {
 		warm += counts.warm
--- a/site/site.go
+++ b/site/site.go
@@ -111,6 +111,7 @@
 	snapshots             *snapshots
 	control               *control
 	saturation            *saturationGate
+	bodies                *bodyMemory
 	callerServer          *http.Server
 
 	// bounds are the limits of the platform settings. They can change at run time.
@@ -156,6 +157,7 @@
 		lateOutcomes: placement.NewMissTracker(),
 		fairShares:   fairshare.New(d.VM),
 		callerWaits:  callerwait.New(),
+		bodies:       newBodyMemory(d.MemoryBytes),
 	}
 	n.bounds.Store(&d.Bounds)
 	n.timeline = timeline.New(timeline.Options{
@@ -181,6 +183,7 @@
 	n.endpointClient = endpoint.New(endpoint.Options{
 		Now:     n.now,
 		Dialect: platform.Dialect(),
+		Buffers: n.bodies.budget,
 		Paused:  func() bool { return !n.control.snapshot().members.Fresh(n.now()) },
 	})
 	n.puller = &puller{
@@ -292,6 +295,8 @@
 		Shed:     n.shed,
 		Acquire:  n.saturation.acquire,
 		Release:  n.saturation.release,
+
+		BodyShare: n.bodies.requestShare,
 	})
 	return &http.Server{
 		Handler:           ingress,
@@ -386,6 +391,7 @@
 	worker.Add(&group, n.sendLimitNotes)
 	worker.Add(&group, n.streams.run)
 	worker.Add(&group, n.saturation.run)
+	worker.Add(&group, n.watchBodyMemory)
 	worker.AddShutdown(ctx, &group, n.stopped, n.stop)
 	n.log.Info("started",
 		"region", n.deployment.Region,
