--- a/call/routed.go
+++ b/call/routed.go
@@ -159,4 +159,13 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Free gives back the memory that counts for the response; nil if there is none.
+	Free func()
+}
+
+// Release gives the memory of a response back. A nil response holds none.
+func (r *BufferedResponse) Release() {
+	if r != nil && r.Free != nil {
+		r.Free()
+	}
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -169,7 +169,7 @@
 	// LastEvent is the id of the last event that this attempt forwarded.
 	LastEvent string
 	// ErrorResponse is a server error from the endpoint, forwarded if no further attempt
-	// is made.
+	// is made. It must be released.
 	ErrorResponse *call.BufferedResponse
 	// InstanceMismatch reports whether the address now belongs to another endpoint.
 	InstanceMismatch bool
@@ -193,7 +193,9 @@
 		sink:    sink,
 		room:    c.buffers.Share(),
 	}
-	defer x.room.Release()
 	refusal := x.run()
+	if x.outcome.ErrorResponse == nil {
+		x.room.Release()
+	}
 	return x.finish(refusal)
 }
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -93,6 +93,7 @@
 			Status: resp.StatusCode,
 			Header: header,
 			Body:   bytes.Clone(body.Bytes()),
+			Free:   x.room.Release,
 		}
 		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
 	}
--- a/serving/run.go
+++ b/serving/run.go
@@ -79,6 +79,7 @@
 	p := progress{
 		budget: s.newCallBudget(c),
 	}
+	defer func() { p.lastAttempt.ErrorResponse.Release() }()
 	if !p.budget.Begin() {
 		c.Log.Fail("repeat_refused", slog.String("service", c.Target()))
 		return call.Refused(result.Refuse(result.RetryBudget, "the retry budget is spent").WithRetryAt(s.options.Now().Add(defaultRetryAfter)))
@@ -318,6 +319,7 @@
 
 // addAttempt merges an attempt's outcome into the call's.
 func (p *progress) addAttempt(out endpoint.Outcome, e fleet.Endpoint) {
+	p.lastAttempt.ErrorResponse.Release()
 	p.lastAttempt = out
 	p.excluded[p.history.Attempts%len(p.excluded)] = e.ID
 	p.history.Record(out.Code, out.Sent)
--- a/site/body_memory.go
+++ b/site/body_memory.go
@@ -13,10 +13,10 @@
 const (
 	// bodyMemoryRatio is the part of the VM's memory that bodies of requests and answers may
 	// hold. With it the collector stays below the limit of memoryLimitRatio.
-	bodyMemoryRatio = 0.4
+	bodyMemoryRatio = 0.45
 	// answerMemoryRatio is the part of that which is left to answers: calls that run already
 	// must not fail for the bodies of later ones.
-	answerMemoryRatio = 0.2
+	answerMemoryRatio = 0.15
 	// unlimitedMemoryBytes stands for the memory of a VM without a limit.
 	unlimitedMemoryBytes = 1 << 40
 	// bodyMemoryInterval is how often refusals are looked for, and bodyMemoryQuiet the time
