Keep the body of an idempotent call that any route may resume

A stream can come on a route of another kind, and could no longer be resumed once its head had been passed on. The body now goes with a head that has a length, as such an answer is there as a whole, and else only where the call is not idempotent. Found by reading; the rows of TestBodyIsReleasedWithTheHead are by the length of the answer.

--- a/call/body.go
+++ b/call/body.go
@@ -67,14 +67,14 @@
 }
 
 // ReleasingBody returns a sink that releases the request body with the head of the response,
-// unless another endpoint could resume the call after it.
+// unless another endpoint could resume the call after it: a response with a length is there as
+// a whole, any other of an idempotent call may be resumed.
 func (c *Call) ReleasingBody(sink Sink) Sink {
-	if c.Retained == nil || (c.Stream && c.Idempotent) {
-		return sink
-	}
 	head := sink.Head
 	sink.Head = func(status int, header http.Header) error {
-		c.ReleaseBody()
+		if !c.Idempotent || header.Get("Content-Length") != "" {
+			c.ReleaseBody()
+		}
 		return head(status, header)
 	}
 	return sink
