End the wait for a body at the deadline of its call

A body takes the memory for all of it before it is read. A caller, or a VM that sends a call on, which announces a body and stalls would have kept that memory for as long as its connection lasts, from any call with a large body. Found by reading. TestStalledBodyGivesItsMemoryBack covers the caller; a VM that stalls is not tested.

--- a/peer/body_parts.go
+++ b/peer/body_parts.go
@@ -115,7 +115,7 @@
 		share.Release()
 		return err
 	}
-	body, err := receiveBody(stream, int(first.GetBodyBytes()))
+	body, err := s.receiveBody(stream, int(first.GetBodyBytes()), c.Deadline)
 	if err != nil {
 		share.Release()
 		return err
@@ -124,8 +124,13 @@
 	return s.forward(stream.Context(), in.GetFrom(), c, stream)
 }
 
-// receiveBody joins the parts of a body.
-func receiveBody(stream peerpb.DRPCPeer_ForwardInPartsStream, length int) ([]byte, error) {
+// receiveBody joins the parts of a body. It ends the stream at the deadline, so that a sender that
+// stalls doesn't keep the memory.
+func (s *service) receiveBody(stream peerpb.DRPCPeer_ForwardInPartsStream, length int, by time.Time) ([]byte, error) {
+	if !by.IsZero() {
+		timer := time.AfterFunc(by.Sub(s.handlers.Now()), func() { _ = stream.Close() })
+		defer timer.Stop()
+	}
 	body := make([]byte, 0, length)
 	for len(body) < length {
 		part, err := stream.Recv()
