Count the buffers of connections with the bodies, and send parts in smaller frames

Frames and parts now have 16 KiB, and each body or answer that counts takes 64 KiB more for its connections.

--- a/common/bounded/bounded.go
+++ b/common/bounded/bounded.go
@@ -18,6 +18,10 @@
 // freeBufferBytes is the size up to which a buffer needs no share of the budget.
 const freeBufferBytes = 16 << 10
 
+// connBufferBytes is what the connections of a message from and to other VMs, callers and
+// endpoints hold besides it.
+const connBufferBytes = 64 << 10
+
 // freeFactor is how much a message may hold of what it leaves free. With 1 the heap grew by
 // 108 MB instead of 85 under 200 endless responses of up to 16 MiB each.
 const freeFactor = 2
@@ -64,7 +68,7 @@
 
 // RoomFor returns the least budget in which a single message has room for most bytes.
 func RoomFor(most int) int {
-	wanted := most + bytes.MinRead
+	wanted := most + bytes.MinRead + connBufferBytes
 	return wanted + (wanted+freeFactor-1)/freeFactor
 }
 
@@ -209,13 +213,13 @@
 	return nil
 }
 
-// Take makes room for a message of a known length. It waits until ctx ends, unless those that
-// wait already want the whole budget.
+// Take makes room for a message of a known length and for the buffers of its connections. It
+// waits until ctx ends, unless those that wait already want the whole budget.
 func (s *Share) Take(ctx context.Context, bytes int) error {
 	if bytes <= max(s.held, freeBufferBytes) {
 		return nil
 	}
-	return s.budget.take(ctx, s, bytes)
+	return s.budget.take(ctx, s, bytes+connBufferBytes)
 }
 
 // Release gives back what the message holds.
--- a/common/bounded/bounded_test.go
+++ b/common/bounded/bounded_test.go
@@ -38,12 +38,12 @@
 	held := make([]Share, 3)
 	for i := range held {
 		held[i] = budget.ShareLeaving(2 << 20)
-		assert.NilError(t, held[i].Take(t.Context(), 2<<20-i<<10))
+		assert.NilError(t, held[i].Take(t.Context(), 2<<20-connBufferBytes))
 	}
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	late, answer, small := budget.ShareLeaving(2<<20), budget.Share(), budget.ShareLeaving(2<<20)
-	assert.ErrorIs(t, late.Take(ended, 2<<20), ErrNoRoom)
+	assert.ErrorIs(t, late.Take(ended, 2<<20-connBufferBytes), ErrNoRoom)
 	assert.NilError(t, answer.Take(ended, 1<<20))
 	answer.Release()
 	tooLarge := budget.Share()
@@ -54,7 +54,7 @@
 	for i := range waiting {
 		waiting[i] = budget.ShareLeaving(2 << 20)
 		go func() {
-			assert.Check(t, waiting[i].Take(t.Context(), 2<<20))
+			assert.Check(t, waiting[i].Take(t.Context(), 2<<20-connBufferBytes))
 			done <- i
 		}()
 		for budget.Stats().Waited < i+2 {
--- a/peer/body_parts.go
+++ b/peer/body_parts.go
@@ -16,9 +16,12 @@
 )
 
 const (
-	// bodyPartBytes is the size of the parts in which larger bodies are sent. A stream keeps
-	// the last message that it sent until it ends.
-	bodyPartBytes = 64 << 10
+	// minPartedBytes is the size from which bodies are sent in parts, which takes a round trip more.
+	minPartedBytes = 64 << 10
+	// bodyPartBytes is the size of the parts, each of which fits a frame of frameBytes. Connections
+	// keep buffers of several frames at each end.
+	bodyPartBytes = frameBytes - 64
+	frameBytes    = 16 << 10
 	// unlimitedBodyBytes bounds a body where Handlers has no budget.
 	unlimitedBodyBytes = 1 << 30
 	// bodyMemoryWait bounds the wait for memory, and bodyMemoryRetryAfter is when the caller of a
--- a/peer/body_parts_test.go
+++ b/peer/body_parts_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -62,7 +63,7 @@
 			Forward: func(_ context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
 				ran = len(c.Payload())
 				answer := make([]byte, 3*bodyPartBytes+1)
-				if sink.Head(http.StatusOK, http.Header{"Content-Length": {"196609"}}) != nil || sink.Chunk(answer) != nil {
+				if sink.Head(http.StatusOK, http.Header{"Content-Length": {strconv.Itoa(3*bodyPartBytes + 1)}}) != nil || sink.Chunk(answer) != nil {
 					return call.Refused(result.Refuse(result.PeerLost, "gone"))
 				}
 				return call.Outcome{Code: result.Done}
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -20,7 +20,7 @@
 // failed later. It takes the body out of the request.
 func (c *Client) Forward(ctx context.Context, vm fleet.VM, in *peerpb.ForwardRequest, sink call.Sink, witness func(uint64)) call.Outcome {
 	in.SentUs = c.options.Delays.elapsedMicros()
-	if len(in.GetCall().GetBody()) > bodyPartBytes {
+	if len(in.GetCall().GetBody()) > minPartedBytes {
 		if outcome, isSupported := c.forwardInParts(ctx, vm, in, sink, witness); isSupported {
 			return outcome
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -224,7 +224,8 @@
 			MaximumBufferSize: MaxMessageBytes,
 		},
 		Stream: drpcstream.Options{
-			MaximumBufferSize: 2 * bodyPartBytes,
+			SplitSize:         frameBytes,
+			MaximumBufferSize: 2 * frameBytes,
 		},
 		SoftCancel: true,
 	}
