--- a/common/tcp/poll_other.go
+++ b/common/tcp/poll_other.go
@@ -12,6 +12,8 @@
 	return false
 }
 
+// IsReadable is false, as what a socket holds is known only once it was read.
+func IsReadable(any) bool {
 	return false
 }
 
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -34,6 +34,9 @@
 	// MaxBufferedBytes limits all responses that are buffered at a time, of which each may
 	// hold twice what it leaves free; zero means 1.5 times MaxResponseBytes.
 	MaxBufferedBytes int
+	// Buffers is a budget that responses share with other messages, in place of
+	// MaxBufferedBytes.
+	Buffers *bounded.Budget
 	// Dialect is the protocol of routed calls; optional where there are none.
 	Dialect Dialect
 	// Dial opens and closes a connection to an address; nil means tcp.Probe.
@@ -80,7 +83,10 @@
 	if c.maxResponseBytes <= 0 {
 		c.maxResponseBytes = DefaultMaxResponseBytes
 	}
-	c.buffers = bounded.NewBudget(cmp.Or(o.MaxBufferedBytes, bounded.RoomFor(c.maxResponseBytes)))
+	c.buffers = o.Buffers
+	if c.buffers == nil {
+		c.buffers = bounded.NewBudget(cmp.Or(o.MaxBufferedBytes, bounded.RoomFor(c.maxResponseBytes)))
+	}
 	c.open = newOpenConns()
 	c.anonymous = newAnonymousRefusals()
 	c.pooled, c.probes, c.unpooled = transports(o.Client, c.now, c.open)
@@ -166,7 +172,7 @@
 	// LastEvent is the id of the last event that this attempt forwarded.
 	LastEvent string
 	// ErrorResponse is a server error from the endpoint, forwarded if no further attempt
-	// is made.
+	// is made. It must be released.
 	ErrorResponse *call.BufferedResponse
 	// AnsweredError reports whether the endpoint answered with a failure of its own, so that it
 	// has neither crashed nor been cut off.
@@ -196,7 +202,9 @@
 		sink:    sink,
 		room:    c.buffers.Share(),
 	}
-	defer x.room.Release()
 	refusal := x.run()
+	if x.outcome.ErrorResponse == nil {
+		x.room.Release()
+	}
 	return x.finish(refusal)
 }
--- a/peer/forward_test.go
+++ b/peer/forward_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"net"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/bounded"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
@@ -145,7 +147,8 @@
 	}
 	var s *Server
 	s, err = NewServer(Handlers{
-		Forward: f.forward,
+		Forward:   f.forward,
+		BodyShare: bounded.NewBudget(bounded.RoomFor(MaxMessageBytes - bytes.MinRead)).Share,
 		Stamp: func() uint64 {
 			// A stop may not end the process before the outcome is sent.
 			assert.Check(t, s.InFlight() == 1)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcstream"
 	"storj.io/drpc/drpcwire"
 
 	"github.com/fuchsianotch/fuchsianotch/common/bounded"
@@ -222,6 +223,10 @@
 		Reader: drpcwire.ReaderOptions{
 			MaximumBufferSize: MaxMessageBytes,
 		},
+		Stream: drpcstream.Options{
+			SplitSize:         frameBytes,
+			MaximumBufferSize: 2 * frameBytes,
+		},
 		SoftCancel: true,
 	}
 }
--- a/site/site.go
+++ b/site/site.go
@@ -111,6 +111,7 @@
 	snapshots             *snapshots
 	control               *control
 	saturation            *saturationGate
+	bodies                *bodyMemory
 	callerServer          *http.Server
 
 	// bounds are the limits of the platform settings. They can change at run time.
@@ -157,6 +158,7 @@
 		fairShares:   fairshare.New(d.VM),
 		callerWaits:  callerwait.New(),
 		stopState:    newStopState(),
+		bodies:       newBodyMemory(d.MemoryBytes),
 	}
 	n.bounds.Store(&d.Bounds)
 	n.timeline = timeline.New(timeline.Options{
@@ -182,6 +184,7 @@
 	n.endpointClient = endpoint.New(endpoint.Options{
 		Now:     n.now,
 		Dialect: platform.Dialect(),
+		Buffers: n.bodies.budget,
 		Paused:  func() bool { return !n.control.snapshot().members.Fresh(n.now()) },
 	})
 	n.puller = &puller{
@@ -293,6 +296,8 @@
 		Shed:     n.shed,
 		Acquire:  n.saturation.acquire,
 		Release:  n.saturation.release,
+
+		BodyShare: n.bodies.requestShare,
 	})
 	server := ingress.Server()
 	server.ReadHeaderTimeout = readHeaderTimeout
@@ -386,6 +391,7 @@
 	worker.Add(&group, n.sendLimitNotes)
 	worker.Add(&group, n.streams.run)
 	worker.Add(&group, n.saturation.run)
+	worker.Add(&group, n.watchBodyMemory)
 	worker.AddShutdown(ctx, &group, n.stopped, n.stop)
 	n.log.Info("started",
 		"region", n.deployment.Region,
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -38,6 +38,8 @@
 	crashTogether := app.Flag("crash-together", "Have a quarter of the engines crash and return cold at once, before the random faults.").Bool()
 	stops := app.Flag("stops", "Stop VMs in series that overlap, under clients that use connections until they end, instead of random faults.").Bool()
 	lateRefusals := app.Flag("late-refusals", "Have replicas send refusals twice, before the random faults.").Bool()
+	largeBodies := app.Flag("large-bodies", "Number of clients that send bodies of the largest size while their region is evacuated, before the random faults.").Int()
+	processingTime := app.Flag("processing-time", "How long replicas of the plain service take.").Default("10ms").Duration()
 	versions := app.Flag("versions", "Number of software versions of engines side by side.").Default("2").Int()
 	plotFile := app.Flag("plot", "Write an SVG plot of the last seed to this file.").String()
 	logDir := app.Flag("keep", "Directory for the schedules and logs of failed seeds.").Default("soak-logs").String()
@@ -69,6 +71,8 @@
 		CrashTogether:   *crashTogether,
 		Stops:           *stops,
 		Versions:        *versions,
+		LargeBodies:     *largeBodies,
+		ProcessingTime:  *processingTime,
 	})
 	stop()
 	app.FatalIfError(err, "build gateway")
@@ -181,6 +185,8 @@
 		selected = runRetryBursts
 	case o.StreamVersions:
 		selected = runStreamVersions
+	case o.LargeBodies > 0:
+		selected = runLargeBodies
 	case o.StoreRestores:
 		selected = runStoreRestores
 	}
