--- a/placement/placement.go
+++ b/placement/placement.go
@@ -95,6 +95,8 @@
 	Rank int
 	// MissRate is the share of late calls of the same group that recently failed.
 	MissRate float64
+	// Resumed is set for a stream of which the caller has received a part.
+	Resumed bool
 	// DeadlineDraw, ObjectiveDraw and RetryDraw are random numbers in [0, 1).
 	DeadlineDraw  float64
 	ObjectiveDraw float64
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -38,6 +38,7 @@
 		Own        loadCase
 		Others     []loadCase
 		NotAllowed bool `json:"not_allowed"`
+		Resumed    bool
 		Rank       int
 		Draw       float64
 		Want       string
@@ -51,6 +52,7 @@
 				FirstTokenDeadline: now.Add(time.Second),
 				Deadline:           now.Add(10 * time.Second),
 				Rank:               c.Rank,
+				Resumed:            c.Resumed,
 				DeadlineDraw:       c.Draw,
 			}
 			r.Local.Region = "a"
--- a/placement/refusal.go
+++ b/placement/refusal.go
@@ -23,6 +23,12 @@
 	switch {
 	case r.Forwarded:
 		return ""
+	case r.Resumed:
+		// The caller has a part of the answer, and each further event adds to it.
+		if !r.Disabled.EndRefusal && shareOfTime(l.TTFT+l.RoundTrip, r.Deadline, now) > 1 {
+			return ReasonDeadline
+		}
+		return ""
 	case !r.Disabled.EndRefusal && r.exceedsShedThreshold(r.completionShare(l, now), late):
 		return ReasonDeadline
 	case late && !r.Disabled.LateRefusal && r.ObjectiveDraw < min(r.MissRate, 1-minProbeShare):
--- a/site/place.go
+++ b/site/place.go
@@ -129,6 +129,7 @@
 		LocalAllowed:       c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
 		Remote:             n.remoteLoads(c, snap, tried, local),
 		Forwarded:          len(tried) > 0,
+		Resumed:            c.Routed.ResumeAfter != "",
 		FirstTokenDeadline: c.FirstTokenDeadline,
 		Deadline:           c.Deadline,
 		CallerWait:         c.Routed.CallerWait,
