Deduce which version began a stream from what endpoints have read

- The last part of a prompt belongs to one request or session, and the endpoint that began the stream has read it.
One VM of each region asks its engines for the parts in memory and for those that were evicted; a version is the origin if endpoints of it alone have read the part, and no endpoint of another version can have begun the stream.
- The store's history tells which endpoints left before a VM started.
Its changes have no times, so a departure counts at the latest time that order, heartbeats and draining times allow.
- What a caller says it will still wait tells how old its stream can be at the most.
- What is deduced is recorded like other origins.

Found beside it: a service with one version was taken for the origin though the route had led to another service of late, or leads to several, and though an earlier configuration let streams last longer. Both are now known from earlier tables and the history of the configuration. A VM that reads all items anew, or from another VM, may have missed endpoints that came and went, and begins its census anew.

--- a/endpoint/dialect.go
+++ b/endpoint/dialect.go
@@ -21,6 +21,14 @@
 	// ReportPath is the path of load reports; DecodeReport decodes their body.
 	ReportPath   string
 	DecodeReport func(data []byte, now time.Time) (Load, error)
+	// MemoryListPath is the path of the list of prompt parts in an engine's memory, and
+	// MemoryEventsPath that of the changes of the list after a number. DecodeMemory decodes the
+	// bodies of both.
+	MemoryListPath   string
+	MemoryEventsPath func(since uint64) string
+	DecodeMemory     func(data []byte) (MemoryPage, error)
+	// ReadInstance parses the endpoint's id from a health check response; empty if there is none.
+	ReadInstance func(h http.Header) string
 }
 
 // RequestParams are the values that an attempt sends to the endpoint.
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -268,6 +268,8 @@
 	// StreamOriginSole is the only version that the service has had of late.
 	StreamOriginSole    StreamOrigin = "sole"
 	StreamOriginUnknown StreamOrigin = "unknown"
+	// StreamOriginDeduced follows from what endpoints have read.
+	StreamOriginDeduced StreamOrigin = "deduced"
 )
 
 // CountResumedStream counts a stream that a caller asked to resume.
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -4,7 +4,8 @@
 // The VM that passes a stream's first event on to its caller keeps a record and sends copies
 // to the VMs that Keepers names. Any VM that is asked to resume the stream looks in its own
 // records and asks those VMs. Where nobody has a record, a service of which only one version
-// was published for longer than a stream lives leaves no doubt either.
+// was published for longer than a stream lives leaves no doubt either. Otherwise the version
+// follows from Evidence: from what endpoints have read, and from the History of the store.
 //
 // The package imports no network and no clock. The methods of a Register are safe for
 // concurrent use.
@@ -33,6 +34,16 @@
 	KeepUntil time.Time
 }
 
+// RecordQuestion asks for the origin of the stream that a request began.
+type RecordQuestion struct {
+	Request string
+	// Service, Host and Target are those of the request that resumes it. The only version that
+	// the service has had of late counts if the route has led to no other one.
+	Service string
+	Host    string
+	Target  string
+}
+
 // Register holds the origins that one VM knows.
 type Register struct {
 	mu      sync.Mutex
@@ -43,6 +54,8 @@
 	sweepAfter time.Time
 	dropped    int
 	services   map[string]*census
+	// hasGap is set once changes of versions may have gone unseen.
+	hasGap bool
 }
 
 // NewRegister returns an empty Register.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -67,7 +67,7 @@
 				}
 				r.Observe("s", step.Versions, at(step.At))
 			}
-			version, ok := r.Sole("s", 10*time.Second, at(c.At))
+			version, ok := r.Sole("s", at(c.At).Add(-10*time.Second))
 			assert.Equal(t, ok, c.Known)
 			assert.Equal(t, version, c.Want)
 		})
--- /dev/null
+++ b/origin/past.go
@@ -0,0 +1,149 @@
+package origin
+
+import "time"
+
+const (
+	// heartbeatTolerance is the least part of the heartbeat interval between two heartbeats,
+	// which endpoints keep approximately.
+	heartbeatTolerance = 0.75
+	// missedHeartbeats is the number of heartbeats without which an entry is removed.
+	missedHeartbeats = 3
+)
+
+// Write is one change of an endpoint's entry in the history of the store.
+type Write struct {
+	Endpoint string
+	Removed  bool
+	// Configuration is set for a change of the configuration, which has no other fields.
+	Configuration bool
+	// The other fields are those of the entry, which a removal lacks.
+	Service     string
+	Version     string
+	Incarnation int64
+	Seq         uint64
+	Draining    bool
+	// Remaining is how long a draining endpoint keeps running at least; zero means the
+	// platform's usual time.
+	Remaining time.Duration
+}
+
+// History is the changes of entries up to a revision of the store, oldest first and without a
+// gap.
+type History struct {
+	Writes []Write
+	// Until is a time at which the store held the last change.
+	Until time.Time
+	// Since is the time before which all changes that are missing were made; zero if that is
+	// not known.
+	Since time.Time
+	// Whole is set if no change is missing since the store began.
+	Whole bool
+	// Heartbeat is the interval at which endpoints renew their entries, Drain how long a
+	// draining endpoint serves on.
+	Heartbeat time.Duration
+	Drain     time.Duration
+}
+
+// Past is what a history tells of the endpoints of a service.
+type Past struct {
+	// Since is when the changes are known from.
+	Since time.Time
+
+	departures map[departed]time.Time
+}
+
+// Past returns what the history tells of a service. Changes have no times, so each departure
+// counts at the latest time that the order and the least pauses between changes allow.
+func (h History) Past(service string) Past {
+	latest := h.latestTimes()
+	p := Past{
+		Since:      h.knownSince(latest),
+		departures: make(map[departed]time.Time),
+	}
+	entries := make(map[string]Write)
+	for i, w := range h.Writes {
+		if w.Configuration {
+			continue
+		}
+		before, listed := entries[w.Endpoint]
+		if !w.Removed {
+			entries[w.Endpoint] = w
+		}
+		switch {
+		case w.Removed && !listed:
+			p.departures[departed{}] = latest[i]
+		case w.Removed && before.Service == service && !before.Draining:
+			p.departures[departed{version: before.Version, known: true}] = latest[i]
+		case !w.Removed && w.Service == service && w.Draining:
+			p.departures[departed{version: w.Version, known: true}] = latest[i]
+		case !w.Removed && listed && before.Service == service && (before.Incarnation != w.Incarnation || before.Version != w.Version || w.Service != service):
+			p.departures[departed{version: before.Version, known: true}] = latest[i]
+		}
+		if w.Removed {
+			delete(entries, w.Endpoint)
+		}
+	}
+	return p
+}
+
+// knownSince returns when the changes are known from.
+func (h History) knownSince(latest []time.Time) time.Time {
+	since := h.Until
+	if len(latest) > 0 {
+		since = latest[0]
+	}
+	if h.Whole || (!h.Since.IsZero() && h.Since.Before(since)) {
+		since = h.Since
+	}
+	return since
+}
+
+// ConfigurationSince returns since when the last configuration has been in force at the least.
+func (h History) ConfigurationSince() time.Time {
+	latest := h.latestTimes()
+	for i := len(h.Writes) - 1; i >= 0; i-- {
+		if h.Writes[i].Configuration {
+			return latest[i]
+		}
+	}
+	return h.knownSince(latest)
+}
+
+// latestTimes returns the latest time at which each change can have been made.
+func (h History) latestTimes() []time.Time {
+	latest := make([]time.Time, len(h.Writes))
+	// next is the index of the next change of an endpoint's entry.
+	next := make(map[string]int)
+	at := h.Until
+	for i := len(h.Writes) - 1; i >= 0; i-- {
+		w := h.Writes[i]
+		if j, ok := next[w.Endpoint]; ok {
+			if bound := latest[j].Add(-h.leastPause(w, h.Writes[j])); bound.Before(at) {
+				at = bound
+			}
+		}
+		next[w.Endpoint] = i
+		latest[i] = at
+	}
+	return latest
+}
+
+// leastPause returns the least time between two successive changes of an endpoint's entry.
+func (h History) leastPause(w, next Write) time.Duration {
+	beat := time.Duration(float64(h.Heartbeat) * heartbeatTolerance)
+	switch {
+	case w.Removed || w.Configuration:
+		return 0
+	case next.Removed && w.Draining:
+		// The endpoint has stopped in its own time, or crashed and was removed for its silence.
+		pause := min(h.Drain, missedHeartbeats*h.Heartbeat)
+		if w.Remaining > 0 {
+			pause = min(pause, w.Remaining)
+		}
+		return pause
+	case next.Removed || next.Incarnation != w.Incarnation || next.Seq <= w.Seq:
+		return 0
+	default:
+		return time.Duration(next.Seq-w.Seq) * beat
+	}
+}
--- a/peer/origins.go
+++ b/peer/origins.go
@@ -20,10 +20,12 @@
 }
 
 // Origin asks a VM for the origin of a stream; known is false if it does not know it.
-func (c *Client) Origin(ctx context.Context, vm fleet.VM, request, service string) (o origin.Origin, known bool, err error) {
+func (c *Client) Origin(ctx context.Context, vm fleet.VM, q origin.RecordQuestion) (o origin.Origin, known bool, err error) {
 	reply, err := c.client(ctx, vm).Origin(ctx, &peerpb.OriginRequest{
-		Request: request,
-		Service: service,
+		Request: q.Request,
+		Service: q.Service,
+		Host:    q.Host,
+		Target:  q.Target,
 	})
 	if err != nil || reply.GetOrigin() == nil {
 		return origin.Origin{}, false, err
@@ -50,12 +52,77 @@
 		return nil, errUnsupported
 	}
 	reply := &peerpb.OriginReply{}
-	if o, known := s.handlers.Origin(in.GetRequest(), in.GetService()); known {
+	if o, known := s.handlers.Origin(origin.RecordQuestion{
+		Request: in.GetRequest(),
+		Service: in.GetService(),
+		Host:    in.GetHost(),
+		Target:  in.GetTarget(),
+	}); known {
 		reply.Origin = originToProto(o, s.handlers.Now())
 	}
 	return reply, nil
 }
 
+// Evidence asks a VM about the endpoints of its region.
+func (c *Client) Evidence(ctx context.Context, vm fleet.VM, q origin.Question) (origin.Evidence, error) {
+	reply, err := c.client(ctx, vm).Evidence(ctx, &peerpb.EvidenceRequest{
+		Service: q.Service,
+		Part:    q.Part,
+		AgeMs:   uint32(max(c.options.Now().Sub(q.Since).Milliseconds(), 0)),
+	})
+	if err != nil {
+		return origin.Evidence{}, err
+	}
+	out := origin.Evidence{
+		DeparturesKnown: reply.GetDeparturesKnown(),
+	}
+	for _, m := range reply.GetEndpoints() {
+		out.Endpoints = append(out.Endpoints, origin.EndpointEvidence{
+			Endpoint: m.GetEndpoint(),
+			Version:  m.GetSoftwareVersion(),
+			HasRead:  m.GetHasRead(),
+			Complete: m.GetComplete(),
+		})
+	}
+	for _, m := range reply.GetDepartures() {
+		out.Departures = append(out.Departures, origin.Departure{
+			Version:        m.GetSoftwareVersion(),
+			VersionUnknown: m.GetVersionUnknown(),
+		})
+	}
+	return out, nil
+}
+
+// Evidence implements peerpb.DRPCPeerServer.
+func (s *service) Evidence(ctx context.Context, in *peerpb.EvidenceRequest) (*peerpb.EvidenceReply, error) {
+	if s.handlers.Evidence == nil {
+		return nil, errUnsupported
+	}
+	evidence := s.handlers.Evidence(ctx, origin.Question{
+		Service: in.GetService(),
+		Part:    in.GetPart(),
+		Since:   s.handlers.Now().Add(-time.Duration(in.GetAgeMs()) * time.Millisecond),
+	})
+	reply := &peerpb.EvidenceReply{
+		DeparturesKnown: evidence.DeparturesKnown,
+	}
+	for _, e := range evidence.Endpoints {
+		reply.Endpoints = append(reply.Endpoints, &peerpb.EndpointEvidence{
+			Endpoint:        e.Endpoint,
+			SoftwareVersion: e.Version,
+			HasRead:         e.HasRead,
+			Complete:        e.Complete,
+		})
+	}
+	for _, d := range evidence.Departures {
+		reply.Departures = append(reply.Departures, &peerpb.Departure{
+			SoftwareVersion: d.Version,
+			VersionUnknown:  d.VersionUnknown,
+		})
+	}
+	return reply, nil
+}
+
 // originToProto encodes an origin for immediate sending. Its time is encoded as a remaining
 // duration, because the clocks of two VMs may differ.
 func originToProto(o origin.Origin, now time.Time) *peerpb.StreamOrigin {
--- a/peer/server.go
+++ b/peer/server.go
@@ -43,7 +43,9 @@
 	Permit func(l throttle.Limit) throttle.Answer
 	// Origins takes records of the origins of streams, Origin returns that of one.
 	Origins func(origins []origin.Origin)
-	Origin  func(request, service string) (o origin.Origin, known bool)
+	Origin  func(q origin.RecordQuestion) (o origin.Origin, known bool)
+	// Evidence says what the endpoints of the region have read of a prompt, and which have left.
+	Evidence func(ctx context.Context, q origin.Question) origin.Evidence
 	// Run decides whether one more endpoint may run a call that this VM has forwarded.
 	Run func(runGrant uint64) bool
 	// Forward runs a call; it must not forward it again.
--- a/route/route.go
+++ b/route/route.go
@@ -149,6 +149,25 @@
 	return nil, false
 }
 
+// MatchTarget returns the host's route of a request target, which may have a query.
+func (t *Table) MatchTarget(host, target string) (*Route, bool) {
+	path, _, _ := strings.Cut(target, "?")
+	return t.Match(host, path)
+}
+
+// StreamRoutes returns the routes with streams, in no particular order.
+func (t *Table) StreamRoutes() []Route {
+	var out []Route
+	for _, list := range t.byHost {
+		for _, r := range list {
+			if r.Kind == KindStream {
+				out = append(out, r)
+			}
+		}
+	}
+	return out
+}
+
 // StreamTimeout returns the longest timeout of the routes with streams; zero if there is none.
 func (t *Table) StreamTimeout() time.Duration {
 	return t.streamTimeout
--- a/site/control.go
+++ b/site/control.go
@@ -180,6 +180,9 @@
 	}
 	after.meteringFleet.Past = after.members.RegionSize
 	after.meteringFleet.UnheardSeeds = after.members.UnheardSeeds
+	if after.table != nil && before.table != after.table {
+		c.node.routePast.observe(after.table, now)
+	}
 	c.published.Store(after)
 	if changes := c.discovery.TakeChanges(now); len(changes) > 0 || before.table != after.table {
 		c.node.pools.applyChanges(changes, after, now)
--- a/site/forward.go
+++ b/site/forward.go
@@ -78,6 +78,7 @@
 		Permit:    n.handlePermitRequest,
 		Origins:   n.streams.receive,
 		Origin:    n.streams.answer,
+		Evidence:  n.evidence.answer,
 		Run:       n.runGrants.Grant,
 		Forward:   n.serveForwarded,
 		Stamp:     func() uint64 { return 0 },
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -187,7 +187,15 @@
 // applyAndSpread applies a read of the store, or of a peer's copy, and notifies other VMs of
 // the region if it changes anything.
 func (c *control) applyAndSpread(ctx context.Context, read storeRead, now time.Time) {
+	isFirst := c.mirror.Position().IsZero()
+	if read.full && !isFirst {
+		// Endpoints may have come and gone between two reads of all items.
+		c.node.streams.register.Restart(now)
+	}
 	items, restored := c.mergeRead(read)
+	if read.full && isFirst {
+		c.node.evidence.began(read, now)
+	}
 	if restored {
 		c.node.log.Warn("store_restored", "era", read.position.Era, "revision", read.position.Revision, "changes", len(items))
 		c.discovery.StoreRestored(now)
--- a/site/pools.go
+++ b/site/pools.go
@@ -8,6 +8,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/admission"
 	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/routing"
 	"github.com/fuchsianotch/fuchsianotch/serving"
@@ -67,6 +68,9 @@
 		if known {
 			updates.replace(before, c.Endpoint)
 			changed[before.Service] = true
+			if c.Endpoint == nil || isOtherSoftware(before.Endpoint, c.Endpoint.Endpoint) {
+				p.node.streams.register.ObserveDeparture(before.Service, before.SoftwareVersion, now)
+			}
 		}
 		if c.Endpoint == nil {
 			p.reports.forget(c.ID)
@@ -94,6 +98,12 @@
 	p.logCounts(countsBefore, counts)
 }
 
+// isOtherSoftware reports whether an endpoint has started anew as another service or version, or
+// in a new incarnation.
+func isOtherSoftware(before, after fleet.Endpoint) bool {
+	return before.Service != after.Service || before.SoftwareVersion != after.SoftwareVersion || before.Incarnation != after.Incarnation
+}
+
 // reviewServices adds all endpoints of services that are configured from now on, removes
 // those of services that no longer are, and adds those of services anew whose unreachable
 // endpoints are used from now on or no longer are.
--- a/site/site.go
+++ b/site/site.go
@@ -96,6 +96,8 @@
 	endpointClient *endpoint.Client
 	pools          *pools
 	streams        *streams
+	evidence       *evidence
+	routePast      *routePast
 	runGrants      *retry.RunGrants
 	sentAway       *placement.SentTokens
 	lateOutcomes   *placement.MissTracker
@@ -190,6 +192,8 @@
 	n.control = newControl(n)
 	n.pools = newPools(n)
 	n.streams = newStreams(n)
+	n.evidence = newEvidence(n)
+	n.routePast = newRoutePast()
 	n.runGrants = retry.NewRunGrants()
 	n.quarantine = n.newQuarantineAgent()
 	n.meter = newMeter(n)
@@ -385,6 +389,7 @@
 	worker.Add(&group, n.quarantine.Run)
 	worker.Add(&group, n.sendLimitNotes)
 	worker.Add(&group, n.streams.run)
+	worker.Add(&group, n.evidence.prepare)
 	worker.Add(&group, n.saturation.run)
 	worker.AddShutdown(ctx, &group, n.stopped, n.stop)
 	n.log.Info("started",
--- a/site/streams.go
+++ b/site/streams.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +25,9 @@
 	// resumeMargin covers the time in which a caller notices that a stream broke off and
 	// resumes it, after its deadline.
 	resumeMargin = 2 * time.Second
+	// requestDelay bounds the way of a request to this VM, and that of a change of the store to
+	// the VMs.
+	requestDelay = 500 * time.Millisecond
 	// defaultStreamLifetime applies while no route has a timeout.
 	defaultStreamLifetime = time.Minute
 )
@@ -75,9 +77,13 @@
 		return
 	}
 	s.register.Add(o, s.node.now())
-	if _, sole := s.sole(o.Service); sole {
-		return
+	if _, known := s.sole(c.Target(), c.Routed.Host, c.Path, s.oldestStream()); !known {
+		s.tellKeepers(o)
 	}
+}
+
+// tellKeepers queues copies of a record for other VMs.
+func (s *streams) tellKeepers(o origin.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, vm := range origin.Keepers(o.Request, s.fleet()) {
@@ -159,12 +165,12 @@
 	}
 }
 
-// answer returns the origin of a stream of a service to another VM.
-func (s *streams) answer(request, service string) (origin.Origin, bool) {
-	if o, ok := s.register.Find(request, s.node.now()); ok {
+// answer returns the origin of a stream to another VM.
+func (s *streams) answer(q origin.RecordQuestion) (origin.Origin, bool) {
+	if o, ok := s.register.Find(q.Request, s.node.now()); ok {
 		return o, true
 	}
-	return s.sole(service)
+	return s.sole(q.Service, q.Host, q.Target, s.oldestStream())
 }
 
 // origin returns the origin of the stream that a caller resumes. The route must still lead to
@@ -182,27 +188,66 @@
 	if o, ok := s.register.Find(c.Routed.Resumes, s.node.now()); ok {
 		return o, metrics.StreamOriginOwn
 	}
-	if o, ok := s.sole(c.Target()); ok {
+	since := s.beganSince(c)
+	if o, ok := s.sole(c.Target(), c.Routed.Host, c.Path, since); ok {
 		return o, metrics.StreamOriginSole
 	}
 	if c.Routed.Resumes == "" {
 		return origin.Origin{}, metrics.StreamOriginUnknown
 	}
-	if o, ok := s.ask(ctx, c); ok {
-		return o, metrics.StreamOriginAsked
+	return s.findElsewhere(ctx, c, since)
+}
+
+// findElsewhere asks other VMs for a record and, if there is none, the endpoints for evidence.
+// While this VM has not run for longer than the stream, the others may have lost their records
+// too, so that it asks for both at once.
+func (s *streams) findElsewhere(ctx context.Context, c *call.Call, since time.Time) (origin.Origin, metrics.StreamOrigin) {
+	deduced := make(chan bool, 1)
+	o := origin.Origin{
+		Request:   c.Routed.Resumes,
+		Service:   c.Target(),
+		KeepUntil: lastResume(c),
+	}
+	parts := c.Routed.PromptParts
+	host, target := c.Routed.Host, c.Path
+	deduce := func() {
+		version, ok := s.node.evidence.deduce(ctx, o.Service, parts, since)
+		o.Version = version
+		deduced <- ok && s.ledOnlyTo(o.Service, host, target, since)
+	}
+	startedLate := s.node.startedAt.After(since)
+	if startedLate {
+		go deduce()
+	}
+	if found, ok := s.ask(ctx, c); ok {
+		return found, metrics.StreamOriginAsked
+	}
+	if !startedLate {
+		deduce()
+	}
+	if !<-deduced {
+		return origin.Origin{}, metrics.StreamOriginUnknown
 	}
-	return origin.Origin{}, metrics.StreamOriginUnknown
+	s.register.Add(o, s.node.now())
+	s.tellKeepers(o)
+	return o, metrics.StreamOriginDeduced
 }
 
 // ask asks the VMs that may have a record and returns the first that is found.
 func (s *streams) ask(ctx context.Context, c *call.Call) (origin.Origin, bool) {
 	asked := origin.Asked(c.Routed.Resumes, s.fleet())
+	q := origin.RecordQuestion{
+		Request: c.Routed.Resumes,
+		Service: c.Target(),
+		Host:    c.Routed.Host,
+		Target:  c.Path,
+	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, originAskTimeout)
 	defer cancel()
 	found := make(chan *origin.Origin, len(asked))
 	for _, vm := range asked {
 		go func() {
-			o, known, err := s.node.peers.Origin(timeoutCtx, vm, c.Routed.Resumes, c.Target())
+			o, known, err := s.node.peers.Origin(timeoutCtx, vm, q)
 			if err != nil {
 				s.node.log.Debug("origin_not_asked", "peer", vm.ID, "reason", err.Error())
 			}
@@ -221,26 +266,55 @@
 	return origin.Origin{}, false
 }
 
-// sole returns the origin of all streams of a service that has had one version only for as
-// long as a stream lives, as seen without a gap.
-func (s *streams) sole(service string) (origin.Origin, bool) {
-	snap := s.node.control.snapshot()
-	if snap.members.StoreUnreadable() {
+// sole returns the origin of all streams of a route that has led to one service only since they
+// began, with one version only.
+func (s *streams) sole(service, host, target string, since time.Time) (origin.Origin, bool) {
+	if s.node.control.snapshot().members.StoreUnreadable() || !s.ledOnlyTo(service, host, target, since) {
 		return origin.Origin{}, false
 	}
-	version, ok := s.register.Sole(service, snap.streamLifetime(), s.node.now())
+	version, ok := s.register.Sole(service, since)
 	return origin.Origin{
 		Service: service,
 		Version: version,
 	}, ok
 }
 
+// ledOnlyTo reports whether the route of a request target has led to a service and no other since
+// the given time.
+func (s *streams) ledOnlyTo(service, host, target string, since time.Time) bool {
+	table := s.node.control.snapshot().table
+	if table == nil {
+		return false
+	}
+	found, ok := table.MatchTarget(host, target)
+	return ok && s.node.routePast.ledOnlyTo(service, found, since)
+}
+
+// oldestStream returns when the oldest stream began that may still be resumed.
+func (s *streams) oldestStream() time.Time {
+	return s.node.now().Add(-s.streamLifetime())
+}
+
+// beganSince returns when the stream that a caller resumes began at the earliest. Callers wait no
+// longer for a call, over all their requests, than the longest timeout of a route with streams;
+// what is left of that says how long they have waited.
+func (s *streams) beganSince(c *call.Call) time.Time {
+	since, timeout := s.oldestStream(), s.node.routePast.longestTimeout(s.node.now())
+	if c.Routed.CallerDeadline.Sub(c.Routed.ArrivedAt) > timeout {
+		return since
+	}
+	if at := c.Routed.CallerDeadline.Add(-timeout - requestDelay); at.After(since) {
+		return at
+	}
+	return since
+}
+
 // streamLifetime returns how long after its first event a stream may be resumed.
-func (snap *snapshot) streamLifetime() time.Duration {
-	if snap.table == nil || snap.table.StreamTimeout() == 0 {
-		return defaultStreamLifetime
+func (s *streams) streamLifetime() time.Duration {
+	if timeout := s.node.routePast.longestTimeout(s.node.now()); timeout > 0 {
+		return timeout + resumeMargin
 	}
-	return snap.table.StreamTimeout() + resumeMargin
+	return defaultStreamLifetime
 }
 
 // mayServe reports whether the route of a call leads to a service.
@@ -249,7 +323,6 @@
 	if service == c.Target() || table == nil {
 		return service == c.Target()
 	}
-	path, _, _ := strings.Cut(c.Path, "?")
-	found, ok := table.Match(c.Routed.Host, path)
+	found, ok := table.MatchTarget(c.Routed.Host, c.Path)
 	return ok && found.Serves(service)
 }
--- a/testscripts/emulator/streams.go
+++ b/testscripts/emulator/streams.go
@@ -398,7 +398,7 @@
 	if v.snapshot().StoreUnreadable() {
 		return "", false
 	}
-	return v.origins.Sole(serviceName, streamLifetime, v.now())
+	return v.origins.Sole(serviceName, v.now().Add(-streamLifetime))
 }
 
 // findOrigin finds out which version began a stream, asking other VMs if need be.
