Evidence covers the route of the stream, and the emulator plays the loss of all VMs

The VM that answers for departures answers for the route too.

Callers of the emulator come back when no VM was there, engines remember what they have read, and VMs read the history.

--- a/origin/evidence.go
+++ b/origin/evidence.go
@@ -9,6 +9,9 @@
 	Part uint64
 	// Since is when the stream began at the earliest.
 	Since time.Time
+	// Host and Target are those of the request.
+	Host   string
+	Target string
 }
 
 // EndpointEvidence is what is known of an endpoint about the last part of a prompt, which
@@ -29,7 +32,7 @@
 	Endpoints []EndpointEvidence
 	Serving   map[string]string
 	// DeparturesKnown is set if Departures has all endpoints that may have left since the
-	// stream began.
+	// stream began, and the request's route has led to no other service since.
 	DeparturesKnown bool
 	Departures      []Departure
 }
--- a/peer/origins.go
+++ b/peer/origins.go
@@ -69,6 +69,8 @@
 		Service: q.Service,
 		Part:    q.Part,
 		AgeMs:   uint32(max(c.options.Now().Sub(q.Since).Milliseconds(), 0)),
+		Host:    q.Host,
+		Target:  q.Target,
 	})
 	if err != nil {
 		return origin.Evidence{}, err
@@ -102,6 +104,8 @@
 		Service: in.GetService(),
 		Part:    in.GetPart(),
 		Since:   s.handlers.Now().Add(-time.Duration(in.GetAgeMs()) * time.Millisecond),
+		Host:    in.GetHost(),
+		Target:  in.GetTarget(),
 	})
 	reply := &peerpb.EvidenceReply{
 		DeparturesKnown: evidence.DeparturesKnown,
--- a/site/evidence.go
+++ b/site/evidence.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/worker"
 	"github.com/fuchsianotch/fuchsianotch/endpoint"
 	"github.com/fuchsianotch/fuchsianotch/entry"
@@ -101,17 +100,9 @@
 	return nil
 }
 
-// deduce returns the software version that began a stream with the given prompt, if what the
-// endpoints have read leaves no doubt.
-func (e *evidence) deduce(ctx context.Context, service string, prompt []call.PromptPart, since time.Time) (version string, ok bool) {
-	if len(prompt) == 0 {
-		return "", false
-	}
-	q := origin.Question{
-		Service: service,
-		Part:    prompt[len(prompt)-1].ID,
-		Since:   since,
-	}
+// deduce returns the software version that began a stream, if what the endpoints have read leaves
+// no doubt.
+func (e *evidence) deduce(ctx context.Context, q origin.Question) (version string, ok bool) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	listed, err := e.listed(timeoutCtx, q.Service)
@@ -123,7 +114,7 @@
 	for _, l := range listed {
 		found.Serving[l.ID] = l.SoftwareVersion
 	}
-	departures, known := e.node.streams.register.Departures(q.Service, q.Since)
+	departures, known := e.departures(q)
 	found.Departures = append(found.Departures, departures...)
 	found.DeparturesKnown = found.DeparturesKnown || known
 	return found.Version()
@@ -183,13 +174,19 @@
 			Complete: engine.complete,
 		})
 	}
-	out.Departures, out.DeparturesKnown = register.Departures(q.Service, q.Since)
-	if e.node.control.snapshot().members.StoreUnreadable() {
-		out.DeparturesKnown = false
-	}
+	out.Departures, out.DeparturesKnown = e.departures(q)
 	return out
 }
 
+// departures returns the endpoints that may have left since a stream began; known is false if this
+// VM does not know that time whole, or the route may have led to another service.
+func (e *evidence) departures(q origin.Question) (list []origin.Departure, known bool) {
+	streams := e.node.streams
+	list, known = streams.register.Departures(q.Service, q.Since)
+	known = known && !e.node.control.snapshot().members.StoreUnreadable()
+	return list, known && streams.ledOnlyTo(q.Service, q.Host, q.Target, q.Since)
+}
+
 // listed returns the endpoints of a service that have an entry.
 func (e *evidence) listed(ctx context.Context, service string) ([]fleet.Endpoint, error) {
 	return query(ctx, e.node.control, func(c *control, _ time.Time) []fleet.Endpoint {
--- a/site/streams.go
+++ b/site/streams.go
@@ -208,12 +208,24 @@
 		Service:   c.Target(),
 		KeepUntil: lastResume(c),
 	}
-	parts := c.Routed.PromptParts
-	host, target := c.Routed.Host, c.Path
+	q := origin.Question{
+		Service: c.Target(),
+		Since:   since,
+		Host:    c.Routed.Host,
+		Target:  c.Path,
+	}
+	prompt := c.Routed.PromptParts
+	if len(prompt) > 0 {
+		q.Part = prompt[len(prompt)-1].ID
+	}
 	deduce := func() {
-		version, ok := s.node.evidence.deduce(ctx, o.Service, parts, since)
+		if len(prompt) == 0 {
+			deduced <- false
+			return
+		}
+		version, ok := s.node.evidence.deduce(ctx, q)
 		o.Version = version
-		deduced <- ok && s.ledOnlyTo(o.Service, host, target, since)
+		deduced <- ok
 	}
 	startedLate := s.node.startedAt.After(since)
 	if startedLate {
--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -122,6 +122,8 @@
 	// converged VMs while its version served, and StreamsGoneOn those that brought an event.
 	Streams        int
 	ResumedStreams int
+	// DeducedStreams counts those whose version followed from what engines have read.
+	DeducedStreams int
 	StreamsGoneOn  int
 	// Events is the number of events that were processed.
 	Events     int
@@ -180,6 +182,7 @@
 		AllowedRequests:  w.allowedRequests,
 		Streams:          len(w.streams.all),
 		ResumedStreams:   w.streams.resumed,
+		DeducedStreams:   w.streams.deduced,
 		StreamsGoneOn:    w.streams.resumedOn,
 		Violations:       w.ledger.violations,
 	}
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -40,6 +40,8 @@
 	notices engineNotices
 	// active are the runs that its crash interrupts at once.
 	active []*attempt
+	// read are the streams whose prompts it has read.
+	read map[int]bool
 }
 
 type arrival struct {
@@ -111,6 +113,7 @@
 // crash stops the endpoint at once; its entry expires later.
 func (e *engine) crash() {
 	e.up = false
+	e.read = nil
 	for _, a := range e.active {
 		a.reply(e, result.EndpointCut, true)
 	}
--- a/testscripts/emulator/run_all.go
+++ b/testscripts/emulator/run_all.go
@@ -26,6 +26,7 @@
 	AllowedRequests  float64
 	Streams          int
 	ResumedStreams   int
+	DeducedStreams   int
 	StreamsGoneOn    int
 	Events           int
 	// Failed holds the runs with violations, sorted by seed.
@@ -72,6 +73,7 @@
 	s.AllowedRequests += r.AllowedRequests
 	s.Streams += r.Streams
 	s.ResumedStreams += r.ResumedStreams
+	s.DeducedStreams += r.DeducedStreams
 	s.StreamsGoneOn += r.StreamsGoneOn
 	s.Events += r.Events
 	if len(r.Violations) > 0 {
--- a/testscripts/emulator/store_reader.go
+++ b/testscripts/emulator/store_reader.go
@@ -78,7 +78,14 @@
 
 // applyItems applies a read of the store, or of a peer's copy, and gossips to some VMs.
 func (v *vm) applyItems(result readResult) {
+	isFirst := v.mirror.Position().IsZero()
+	if result.full && !isFirst {
+		v.origins.Restart(v.now())
+	}
 	items, restored := v.merge(result)
+	if result.full && isFirst {
+		v.firstPosition, v.firstReadAt = result.position, v.now()
+	}
 	if restored {
 		v.discovery.StoreRestored(v.now())
 	}
--- a/testscripts/emulator/streams.go
+++ b/testscripts/emulator/streams.go
@@ -62,6 +62,8 @@
 	// began and resumed count the requests at converged VMs, for new streams and for
 	// resumed ones while their version serves; those that brought an event are in the others.
 	began, beganOn, resumed, resumedOn int
+	// deduced counts the resumed streams whose version followed from what engines have read.
+	deduced int
 }
 
 // clientStream is one stream as its caller sees it.
@@ -135,8 +137,12 @@
 
 // requestStream sends the next request for a stream to any VM that the directory lists.
 func (c *caller) requestStream(w *world, s *clientStream) {
-	c.findVMs(w)
-	if len(c.vms) == 0 || s.tries >= maxStreamTries || !w.clock.now.Before(s.deadline) {
+	if s.tries >= maxStreamTries || !w.clock.now.Before(s.deadline) {
+		return
+	}
+	if c.findVMs(w); len(c.vms) == 0 {
+		// All VMs are down, as after a loss of power; the caller tries again later.
+		w.after(noEndpointRetryDelay, func() { c.requestStream(w, s) })
 		return
 	}
 	s.tries++
@@ -307,6 +313,7 @@
 		by.pool.Done(choice, routing.Outcome{Code: result.EndpointFailed}, by.now())
 		return false
 	}
+	e.readPrompt(r.stream.id)
 	var emit func(number int)
 	emit = func(number int) {
 		switch {
@@ -428,13 +435,28 @@
 			})
 		})
 	}
-	w.after(originAskTimeout, func() { answer("", false) })
+	w.after(originAskTimeout, func() {
+		v.run(r.incarnation, func() {
+			if done {
+				return
+			}
+			done = true
+			v.deduceOrigin(r, func(version string, ok bool) {
+				if ok {
+					w.streams.deduced++
+				}
+				then(version, ok)
+			})
+		})
+	})
 }
 
 // observeVersions records which versions are published.
 func (v *vm) observeVersions() {
+	accepting := v.discovery.Endpoints(v.now())
+	v.observeDepartures(accepting)
 	var versions []string
-	for _, e := range v.discovery.Endpoints(v.now()) {
+	for _, e := range accepting {
 		if !slices.Contains(versions, e.SoftwareVersion) {
 			versions = append(versions, e.SoftwareVersion)
 		}
--- a/testscripts/emulator/vm.go
+++ b/testscripts/emulator/vm.go
@@ -58,8 +58,14 @@
 	crashTracker   *crashTracker
 	throttle       *throttle.Throttle
 	// probedAt is when this VM last probed each engine for its health.
-	probedAt      map[string]time.Time
-	origins       *origin.Register
+	probedAt map[string]time.Time
+	origins  *origin.Register
+	// servingVersions are those of the endpoints that accepted calls last, by id.
+	servingVersions map[string]string
+	// firstPosition is that of the first contents of the store, read at firstReadAt.
+	firstPosition discovery.Position
+	firstReadAt   time.Time
+	historyRead   bool
 	runGrants     *retry.RunGrants
 	needsFullRead bool
 	// readInFlight is set while a read of the store is in flight.
@@ -129,6 +135,8 @@
 	v.throttle = v.newThrottle()
 	v.probedAt = make(map[string]time.Time)
 	v.origins = origin.NewRegister()
+	v.servingVersions = nil
+	v.firstPosition, v.historyRead = discovery.Position{}, false
 	v.runGrants = retry.NewRunGrants()
 	incarnation := v.incarnation
 	w.after(0, func() { v.step(incarnation) })
