A census goes on where a whole read of the store hides no change

A VM that reads all items anew began its census of versions anew, though most such reads show all changes: their number is that of the revisions since. Only reads that hide changes count as a gap.

discovery TestHiddenChanges, of a new function.

--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -88,6 +88,24 @@
 	return m.Apply(changes, position), false
 }
 
+// HidesChanges reports whether a snapshot may lack changes after the mirror's position beside
+// those that it shows: of items that were added and removed, or changed more than once.
+func (m *Mirror) HidesChanges(items []Item, position Position) bool {
+	if !position.IsAfter(m.position) {
+		return false
+	}
+	if position.Era != m.position.Era {
+		return true
+	}
+	shown := len(m.unlisted(items))
+	for _, item := range items {
+		if item.Revision > m.position.Revision && item.Revision <= position.Revision {
+			shown++
+		}
+	}
+	return position.Revision-m.position.Revision > uint64(shown)
+}
+
 // beginEra replaces all items by those of a new era and returns the changes. Revisions of the
 // previous era mean nothing any more.
 func (m *Mirror) beginEra(items []Item, position Position) (changes []Item) {
--- a/discovery/mirror_test.go
+++ b/discovery/mirror_test.go
@@ -214,3 +214,28 @@
 	}
 	return out
 }
+
+// TestHiddenChanges guards against taking all endpoints for seen though some came and went
+// between two reads of all items.
+func TestHiddenChanges(t *testing.T) {
+	m := NewMirror()
+	m.Replace([]Item{{Key: "a", Revision: 3}, {Key: "b", Revision: 4}}, Position{Revision: 4})
+	a, b, c := Item{Key: "a", Revision: 3}, Item{Key: "b", Revision: 4}, Item{Key: "c", Revision: 5}
+	for _, row := range []struct {
+		name     string
+		items    []Item
+		position Position
+		want     bool
+	}{
+		{name: "nothing is new", items: []Item{a, b}, position: Position{Revision: 4}},
+		{name: "one was added", items: []Item{a, b, c}, position: Position{Revision: 5}},
+		{name: "one was added and one removed", items: []Item{a, c}, position: Position{Revision: 6}},
+		{name: "one came and went", items: []Item{a, b}, position: Position{Revision: 6}, want: true},
+		{name: "an item of a later page", items: []Item{a, b, c}, position: Position{Revision: 4}},
+		{name: "another era", items: []Item{a, b}, position: Position{Era: 1, Revision: 4}, want: true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			assert.Equal(t, m.HidesChanges(row.items, row.position), row.want)
+		})
+	}
+}
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -188,7 +188,7 @@
 // the region if it changes anything.
 func (c *control) applyAndSpread(ctx context.Context, read storeRead, now time.Time) {
 	isFirst := c.mirror.Position().IsZero()
-	if read.full && !isFirst {
+	if read.full && !isFirst && c.mirror.HidesChanges(read.items, read.position) {
 		// Endpoints may have come and gone between two reads of all items.
 		c.node.streams.register.Restart(now)
 	}
--- a/testscripts/emulator/store_reader.go
+++ b/testscripts/emulator/store_reader.go
@@ -79,7 +79,7 @@
 // applyItems applies a read of the store, or of a peer's copy, and gossips to some VMs.
 func (v *vm) applyItems(result readResult) {
 	isFirst := v.mirror.Position().IsZero()
-	if result.full && !isFirst {
+	if result.full && !isFirst && v.mirror.HidesChanges(result.items, result.position) {
 		v.origins.Restart(v.now())
 	}
 	items, restored := v.merge(result)
