An engine that restarted under its id does not deny what it had read before

Where entries name incarnations, an engine whose load report is of a later one than its entry has lost its memory, and counts as one that may have begun the stream. Found by reading; no run showed it.

--- a/site/evidence.go
+++ b/site/evidence.go
@@ -288,7 +288,7 @@
 	for _, part := range m.Events {
 		known.evicted[part] = true
 	}
-	answer.complete = known.complete
+	answer.complete = known.complete && e.isListedLife(ctx, l)
 	for part := range known.evicted {
 		answer.parts[part] = true
 	}
@@ -303,6 +303,16 @@
 	return answer
 }
 
+// isListedLife reports whether an endpoint has not restarted under its id since its entry. One that
+// has lost what it had read before.
+func (e *evidence) isListedLife(ctx context.Context, l fleet.Endpoint) bool {
+	if l.Incarnation == 0 {
+		return true
+	}
+	load, _, err := e.node.endpointClient.FetchLoad(ctx, l)
+	return err == nil && load.Incarnation == l.Incarnation
+}
+
 // forget drops what is kept of engines of a service that are no longer listed.
 func (e *evidence) forget(service string, listed []fleet.Endpoint) {
 	e.mu.Lock()
