--- a/site/stop.go
+++ b/site/stop.go
@@ -131,18 +131,18 @@
 			return load.TotalTimeP90, true
 		}
 	}
-	return n.stopState.durations.Expected(routeKey(c), c.Idempotent)
+	return n.stopState.durations.Expected(durationKey(c), c.Idempotent)
 }
 
 // recordDuration records how long a call took. One that ran into its deadline took at least
 // that long.
 func (n *Node) recordDuration(c *call.Call, o call.Outcome, startedAt time.Time) {
 	if o.Code.Class() == result.ClassDone || o.Code == result.EndpointTimeout {
-		n.stopState.durations.Record(routeKey(c), n.now().Sub(startedAt))
+		n.stopState.durations.Record(durationKey(c), n.now().Sub(startedAt))
 	}
 }
 
-func routeKey(c *call.Call) string {
+func durationKey(c *call.Call) string {
 	if c.Routed.Route != "" {
 		return c.Routed.Route
 	}
