--- a/common/tcp/ended_linux.go
+++ b/common/tcp/ended_linux.go
@@ -11,30 +11,22 @@
 // is false for connections that are no sockets.
 func HasEnded(conn net.Conn) bool {
 	socket, ok := conn.(syscall.Conn)
-	return ok && hasEvent(socket, unix.POLLRDHUP)
-}
-
-// hasHungUp reports whether a connection has ended in both directions.
-func hasHungUp(socket syscall.Conn) bool {
-	return hasEvent(socket, 0)
-}
-
-// hasEvent reports whether one of the events has occurred, an error, or the end in both
-// directions.
-func hasEvent(socket syscall.Conn, events int16) bool {
+	if !ok {
+		return false
+	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
-	occurred := false
+	ended := false
 	err = raw.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{
 			Fd:     int32(fd),
-			Events: events,
+			Events: unix.POLLRDHUP,
 		}}
 		n, pollErr := unix.Poll(fds, 0)
-		occurred = pollErr == nil && n > 0
+		ended = pollErr == nil && n > 0
 	})
 	// Control fails on a connection that this process has closed.
-	return occurred || err != nil
+	return ended || err != nil
 }
--- a/common/tcp/ended_other.go
+++ b/common/tcp/ended_other.go
@@ -2,17 +2,9 @@
 
 package tcp
 
-import (
-	"net"
-	"syscall"
-)
+import "net"
 
 // HasEnded is false, as the end of a connection is known only once it was read.
 func HasEnded(net.Conn) bool {
 	return false
 }
-
-// hasHungUp is false, so that reads don't wait for a write.
-func hasHungUp(syscall.Conn) bool {
-	return false
-}
