--- a/common/tcp/poll_linux.go
+++ b/common/tcp/poll_linux.go
@@ -21,12 +21,6 @@
 	return ready
 }
 
-// hasHungUp reports whether a connection has ended in both directions.
-func hasHungUp(socket syscall.Conn) bool {
-	ready, open := poll(socket, 0)
-	return ready || !open
-}
-
 // poll reports whether an event has occurred at a socket, without waiting for it. open is
 // false if this process has closed the socket.
 func poll(socket any, event int16) (ready, open bool) {
--- a/common/tcp/poll_other.go
+++ b/common/tcp/poll_other.go
@@ -2,10 +2,7 @@
 
 package tcp
 
-import (
-	"net"
-	"syscall"
-)
+import "net"
 
 // HasEnded is false, as the end of a connection is known only once it was read.
 func HasEnded(net.Conn) bool {
@@ -16,8 +13,3 @@
 func IsReadable(any) bool {
 	return false
 }
-
-// hasHungUp is false, so that reads don't wait for a write.
-func hasHungUp(syscall.Conn) bool {
-	return false
-}
