--- a/common/tcp/reset_linux.go
+++ b/common/tcp/reset_linux.go
@@ -1,23 +1,10 @@
 package tcp
 
-import (
-	"syscall"
+import "syscall"
 
-	"golang.org/x/sys/unix"
-)
-
-// hasHungUp reports whether a connection has ended in both directions.
+// hasHungUp reports whether a connection has ended in both directions, which poll reports
+// without being asked for it.
 func hasHungUp(socket syscall.Conn) bool {
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	hungUp := false
-	err = raw.Control(func(fd uintptr) {
-		// Poll reports POLLHUP and POLLERR without being asked for them.
-		fds := []unix.PollFd{{Fd: int32(fd)}}
-		n, pollErr := unix.Poll(fds, 0)
-		hungUp = pollErr == nil && n > 0
-	})
-	return hungUp || err != nil
+	ready, open := poll(socket, 0)
+	return ready || !open
 }
