--- a/peer/body_parts_test.go
+++ b/peer/body_parts_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,6 +60,7 @@
 	const bodyBytes = 5 << 20
 	ran := 0
 	own := &service{
+		forwards: new(atomic.Int64),
 		handlers: Handlers{
 			Forward: func(_ context.Context, _ *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
 				ran = len(c.Payload())
