Serving: a stream with a length in its head keeps the body of its request

A stream that broke off after its first event could not be resumed here, and was sent to other VMs without its body, if the endpoint had named a length in its head (UNASKED, and a stream refused that could go on). Over two VMs its large events were cut into parts without ids.

Cause: a length in the head is taken for that of a whole answer, after which the body isn't needed any more, and the length was passed on with the head of a stream, whose length changes if events are left out or another endpoint goes on.

Change: the head of a stream is passed on without a length, and a call whose body is gone is sent to no other VM.

Found in review.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -120,6 +120,13 @@
 	return out
 }
 
+// streamHeader copies the headers of a stream, whose length changes if another endpoint resumes it.
+func streamHeader(h http.Header) http.Header {
+	out := endToEndHeader(h)
+	out.Del("Content-Length")
+	return out
+}
+
 // relayStream forwards complete events as they arrive, so that another endpoint
 // can always continue after the last one. Events with ids that can't be of this stream are
 // not forwarded.
@@ -144,7 +151,7 @@
 		if !pass {
 			continue
 		}
-		if refusal := x.forwardHead(resp.StatusCode, endToEndHeader(resp.Header)); refusal != nil {
+		if refusal := x.forwardHead(resp.StatusCode, streamHeader(resp.Header)); refusal != nil {
 			return refusal
 		}
 		if refusal := x.forwardChunk(event.data); refusal != nil {
@@ -181,7 +188,7 @@
 	}
 	x.outcome.Usage.PromptTokens = x.attempt.Call.PromptTokens
 	x.outcome.Usage.GeneratedTokens = x.outcome.Delivered * x.attempt.Call.Routed.TokensPerEvent
-	return x.forwardHead(resp.StatusCode, endToEndHeader(resp.Header))
+	return x.forwardHead(resp.StatusCode, streamHeader(resp.Header))
 }
 
 // resumeAfter returns the id of the last event that the caller received before this
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -79,7 +79,7 @@
 		attemptsLeft := tracker.placeResult(c, outcome).RemainingRuns(c.Routed.MaxAttempts)
 		outcome = ambiguous.resolve(outcome)
 		current := tracker.placeResult(c, outcome)
-		if ctx.Err() != nil || attemptsLeft < 1 || !current.MayForwardElsewhere() {
+		if ctx.Err() != nil || attemptsLeft < 1 || c.BodyReleased() || !current.MayForwardElsewhere() {
 			return outcome
 		}
 		c = tracker.nextCall(c, current, attemptsLeft)
