Site: callers that leave early don't make a route's calls look short

A stopping VM began calls that run once and cut them off where many callers of their route had left before the answer: each counted with the time after which its caller had left. Calls of known size that run once were judged by nine tenths of the expected sizes alone.

Change: a call whose caller left isn't recorded, and a call that runs once is judged by the longer one of its expected size and the durations of its route.

Found in review.

--- a/site/place.go
+++ b/site/place.go
@@ -46,7 +46,7 @@
 	if out.Code == result.DeadlinePassed && n.stopState.callsCtx.Err() != nil {
 		out = call.Refused(n.stoppingRefusal())
 	}
-	n.recordDuration(c, out, startedAt)
+	n.recordDuration(ctx, c, out, startedAt)
 	n.recordServed(c, out)
 	n.countReturned(c, out)
 	if c.Routed.MissesObjective && !c.Forwarded && out.Code != result.DeadlineUnmeetable {
--- a/site/stop.go
+++ b/site/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -124,19 +125,30 @@
 }
 
 // expectedDuration returns how long a call is expected to take: by the length of its answer
-// where that can be estimated, otherwise by the calls of its route that have ended here.
+// where that can be estimated, and by the calls of its route that have ended here. A call that
+// may be repeated needs no more than the first.
 func (n *Node) expectedDuration(c *call.Call, now time.Time) (expected time.Duration, known bool) {
-	if c.MaxTokens > 0 {
-		if load := n.localLoad(c, now); load.TotalTimeP90 > load.TTFT {
-			return load.TotalTimeP90, true
-		}
+	past, known := n.stopState.durations.Expected(durationKey(c), c.Idempotent)
+	if c.MaxTokens == 0 {
+		return past, known
+	}
+	load := n.localLoad(c, now)
+	switch {
+	case load.TotalTimeP90 <= load.TTFT:
+		return past, known
+	case c.Idempotent:
+		return load.TotalTimeP90, true
+	default:
+		return max(load.TotalTimeP90, past), true
 	}
-	return n.stopState.durations.Expected(durationKey(c), c.Idempotent)
 }
 
 // recordDuration records how long a call took. One that ran into its deadline took at least
-// that long.
-func (n *Node) recordDuration(c *call.Call, o call.Outcome, startedAt time.Time) {
+// that long; one whose caller left says nothing.
+func (n *Node) recordDuration(ctx context.Context, c *call.Call, o call.Outcome, startedAt time.Time) {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	if o.Code.Class() == result.ClassDone || o.Code == result.EndpointTimeout {
 		n.stopState.durations.Record(durationKey(c), n.now().Sub(startedAt))
 	}
--- a/site/stop_test.go
+++ b/site/stop_test.go
@@ -47,7 +47,9 @@
 		Name string
 		// Before are the durations of calls that ended before the stop.
 		Before []int
-		Calls  []stopCall
+		// Left are the times after which callers of longer calls left before the stop.
+		Left  []int
+		Calls []stopCall
 	}](t, "testdata/stop.json") {
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
@@ -56,6 +58,12 @@
 				conn := s.dial(t)
 				assert.Equal(t, s.send(conn, stopCall{Path: "/once/", Runs: runs, Deadline: 9000}), http.StatusOK)
 			}
+			for _, after := range row.Left {
+				conn := s.dial(t)
+				time.AfterFunc(time.Duration(after)*time.Millisecond, func() { _ = conn.Close() })
+				assert.Equal(t, s.send(conn, stopCall{Path: "/once/", Runs: 9000, Deadline: 9000}), 0)
+				waitFor(t, func() bool { return s.node.serving.InFlight() == 0 })
+			}
 			var calls sync.WaitGroup
 			got := make([]int, len(row.Calls))
 			conns := make([]net.Conn, len(row.Calls))
