A refusal without a body cuts off no other call

In tests calls ended as cut (3001) while an endpoint refused others without a body.

Cause: net/http returns a connection to the pool before it hands over an answer without a body. The attempt that was refused then closed the connection, though another attempt might have it by now.

Change: a connection remembers its last use and can be tainted. An attempt closes its tainted connection only if it is the last to have it. Who takes a tainted one writes nothing, closes it once its previous user has its answer (closing it earlier lost that answer), and tries another; who had written closes it when done. Such an answer is never that of a first exchange, as the connection has carried a request. abort follows the same rule.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -84,7 +84,11 @@
 
 	offeredBytes atomic.Int64
 	closed       atomic.Bool
-	beforeWrite  atomic.Pointer[func() error]
+	// user is the last use of the connection.
+	user atomic.Pointer[connUse]
+	// tainted is set if following responses may be shifted; no further request is written.
+	tainted     atomic.Bool
+	beforeWrite atomic.Pointer[func() error]
 	// isOpen is the method open, which attempts hand out.
 	isOpen func() bool
 }
@@ -116,6 +120,23 @@
 	return c.Conn.Close()
 }
 
+// closeAfter closes the connection once its previous user has received its response: the transport
+// may hand out a connection before it hands over a response without a body, which it would lose.
+func (c *trackedConn) closeAfter(previous *connUse) error {
+	if previous != nil {
+		<-previous.received
+	}
+	_ = c.Close()
+	return net.ErrClosed
+}
+
+// connUse is the use of a connection by one attempt. It refers to nothing of the attempt, which
+// idle connections would keep in memory.
+type connUse struct {
+	// received is closed when the transport has handed over the response or an error.
+	received chan struct{}
+}
+
 // connTracker follows the connections of one attempt.
 type connTracker struct {
 	// beforeSend is called before the first byte is written.
@@ -125,6 +146,8 @@
 	conn          *trackedConn
 	reused        bool
 	offeredBefore int64
+	use           *connUse
+	useEnded      bool
 	sent          bool
 	beforeSendErr error
 }
@@ -137,6 +160,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateSent()
+	t.endUse()
 	conn, ok := info.Conn.(*trackedConn)
 	if !ok {
 		t.sent = true
@@ -144,11 +168,37 @@
 	}
 	t.conn = conn
 	t.reused = info.Reused
+	t.use = &connUse{
+		received: make(chan struct{}),
+	}
+	t.useEnded = false
+	previous := conn.user.Swap(t.use)
 	t.offeredBefore = conn.offeredBytes.Load()
-	gate := t.runBeforeSend
+	gate := func() error {
+		if conn.tainted.Load() {
+			return conn.closeAfter(previous)
+		}
+		return t.runBeforeSend()
+	}
 	conn.beforeWrite.Store(&gate)
 }
 
+// received notes that the transport has handed over the response or an error.
+func (t *connTracker) received() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.endUse()
+}
+
+// endUse requires t.mu.
+func (t *connTracker) endUse() {
+	if t.use == nil || t.useEnded {
+		return
+	}
+	t.useEnded = true
+	close(t.use.received)
+}
+
 func (t *connTracker) runBeforeSend() error {
 	err := t.beforeSend()
 	if err != nil {
@@ -178,12 +228,37 @@
 }
 
 // discard ends a connection whose following responses may be shifted. The transport has
-// already returned it to the pool if the response has no body, and may hand it out until it
-// notices the end.
+// already returned it to the pool if the response has no body: if another attempt has it, that
+// one ends it.
 func (t *connTracker) discard() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conn != nil {
+	t.taint()
+}
+
+// taint requires t.mu.
+func (t *connTracker) taint() {
+	if t.conn == nil {
+		return
+	}
+	// Set first, so that an attempt that takes the connection after the check writes nothing.
+	t.conn.tainted.Store(true)
+	t.closeTainted()
+}
+
+// release ends the connection if an earlier attempt has tainted it, so that the pool does not
+// collect such connections.
+func (t *connTracker) release() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil && t.conn.tainted.Load() {
+		t.closeTainted()
+	}
+}
+
+// closeTainted closes the connection unless another attempt has it. It requires t.mu.
+func (t *connTracker) closeTainted() {
+	if t.conn.user.Load() == t.use {
 		_ = t.conn.Close()
 	}
 }
@@ -205,13 +280,12 @@
 }
 
 // abort closes the connection and reports whether any byte was written. No write
-// can follow, so the result is final. beforeSendErr is the error of beforeSend, if any.
+// can follow, so the result is final: a connection that another attempt has was returned to the
+// pool after this attempt's last write. beforeSendErr is the error of beforeSend, if any.
 func (t *connTracker) abort() (sent bool, denied error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conn != nil {
-		_ = t.conn.Close()
-	}
+	t.taint()
 	t.updateSent()
 	return t.sent, t.beforeSendErr
 }
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -51,6 +51,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	defer x.conn.release()
 	defer func() { _ = resp.Body.Close() }()
 	x.outcome.Sent = true
 	x.outcome.Framing = framingOf(resp)
@@ -76,6 +77,7 @@
 			return nil, refusal
 		}
 		resp, err := transport.RoundTrip(req)
+		x.conn.received()
 		if err == nil {
 			return resp, nil
 		}
