Questions about memory use connections of their own

By reading and in tests: a late answer to a question about an engine's memory met a call, and a late copy of the list was read as the page of events.

Cause: the questions used the kept connections of calls.

Change: each goes over a connection that is not kept, as calls that may run once do outside routes.

Three rows of TestStrayAnswerIsNotTakenForTheAnswer fail on the kept connections of calls, and pass.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -22,7 +22,7 @@
 )
 
 // transports returns one transport that reuses connections, one for probes, and one that does
-// not reuse them. Non-idempotent calls use the last: an endpoint that closes an idle connection
+// not reuse them. Non-idempotent calls and questions about memory use the last: an endpoint that closes an idle connection
 // while the request is being sent would leave the outcome unknown. Answers to probes have no
 // id, so that a late copy of one would not be told from the answer to a call. All record their
 // connections in open.
--- a/endpoint/memory.go
+++ b/endpoint/memory.go
@@ -133,6 +133,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	resp, err := c.pooled.RoundTrip(req)
+	// On a kept connection a late answer to one question would be read as that to the next.
+	resp, err := c.unpooled.RoundTrip(req)
 	return resp, merry.Wrap(err)
 }
--- a/endpoint/refusal_test.go
+++ b/endpoint/refusal_test.go
@@ -26,7 +26,8 @@
 }
 
 type strayRequest struct {
-	// Kind is "once", "repeatable", "report" or "health".
+	// Kind is "once", "repeatable", "report", "health", "memory" or, of a question about memory
+	// that follows its first request, "asked".
 	Kind string
 	// Method is that of a call without a body; empty for a POST with one.
 	Method string
@@ -48,7 +49,10 @@
 	misdirect  = "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
 	report     = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 	early      = "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\n\r\n"
-	healthy    = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	healthy    = "HTTP/1.1 200 OK\r\nInstance: e-1\r\nContent-Length: 0\r\n\r\n"
+	list       = "HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\n" + `{"Epoch":7,"Parts":[1]}`
+	events     = "HTTP/1.1 200 OK\r\nContent-Length: 32\r\n\r\n" + `{"Epoch":7,"Next":1,"Parts":[5]}`
+	noEvents   = "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + `{"Epoch":7,"Next":1}`
 )
 
 var strayAnswers = map[string]string{
@@ -60,6 +64,9 @@
 	"report":       report,
 	"103":          early,
 	"health":       healthy,
+	"list":         list,
+	"events":       events,
+	"no events":    noEvents,
 }
 
 // TestStrayAnswerIsNotTakenForTheAnswer guards against calls that run twice, as a stray answer
@@ -92,6 +99,14 @@
 		_, _, err := client.FetchColdStart(t.Context(), attempt.Endpoint, "/health")
 		assert.Equal(t, err != nil, r.Fails, "%v", err)
 		return
+	case "memory":
+		m, err := client.FetchMemory(t.Context(), attempt.Endpoint, "/health", MemoryCursor{})
+		assert.NilError(t, err)
+		assert.DeepEqual(t, m.Events, []uint64{5})
+		assert.Assert(t, m.Complete)
+		return
+	case "asked":
+		return
 	}
 	attempt.Call.Idempotent = r.Kind == "repeatable"
 	attempt.Call.Header = http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}}
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"strconv"
@@ -61,7 +62,14 @@
 			Signed:           h.Get("Signed") != "",
 		}
 	},
-	ReadColdFor: func(http.Header) time.Duration { return 0 },
+	ReadColdFor:      func(http.Header) time.Duration { return 0 },
+	ReadInstance:     func(h http.Header) string { return h.Get("Instance") },
+	MemoryListPath:   "/list",
+	MemoryEventsPath: func(since uint64) string { return "/events/" + strconv.FormatUint(since, 10) },
+	DecodeMemory: func(data []byte) (page MemoryPage, err error) {
+		err = json.Unmarshal(data, &page)
+		return page, err
+	},
 	ReadNotice: func(_ int, h http.Header, _ time.Time) Notice {
 		return Notice{
 			Rate: fleet.Rate{
