An answer over this VM's limits is no crash of the endpoint

By reading and in tests: an answer for which this VM had no room, or that was over its limit, was reported to the quarantine as a crash of the endpoint, and routing suspected a restart (by reading alone).

Cause: such an attempt ends as endpoint_failed without AnsweredError.

Change: no room, an answer over the limit and an event over the limit are marked as answered. The result code stays.

Four rows of TestCrashIsNoAnswer report "cut" without the marks, and nothing with them.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -174,8 +174,8 @@
 	// ErrorResponse is a server error from the endpoint, forwarded if no further attempt
 	// is made. It must be released.
 	ErrorResponse *call.BufferedResponse
-	// AnsweredError reports whether the endpoint answered with a failure of its own, so that it
-	// has neither crashed nor been cut off.
+	// AnsweredError reports whether the endpoint answered with a failure of its own, or with more
+	// than this client takes, so that it has neither crashed nor been cut off.
 	AnsweredError bool
 	// InstanceMismatch reports whether the address now belongs to another endpoint.
 	InstanceMismatch bool
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -167,8 +167,12 @@
 		return result.Refuse(result.EndpointCut, "the connection broke off").WithCause(err)
 	}
 	if errors.Is(err, bounded.ErrNoRoom) {
+		x.outcome.AnsweredError = true
 		return result.Refuse(result.EndpointFailed, "no room is left for the answer").WithCause(err)
 	}
+	if errors.Is(err, errEventTooLarge) {
+		x.outcome.AnsweredError = true
+	}
 	return result.Refuse(result.EndpointFailed, "the answer is malformed").WithCause(err)
 }
 
--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -115,6 +115,7 @@
 }
 
 func (x *exchange) tooLargeRefusal() *result.Refusal {
+	x.outcome.AnsweredError = true
 	return result.Refuse(result.EndpointFailed, "the answer is over %d bytes", x.client.maxResponseBytes)
 }
 
--- a/serving/quarantine_test.go
+++ b/serving/quarantine_test.go
@@ -148,6 +148,12 @@
 	// StallSeconds is how long the caller takes for the first event of a stream, which the
 	// endpoint has sent whole by then.
 	StallSeconds float64 `json:"stall_seconds"`
+	// BodyBytes is the size of a large body, Stream whether it is one event. MaxBytes and
+	// MaxBuffered are the client's limits.
+	BodyBytes   int `json:"body_bytes"`
+	Stream      bool
+	MaxBytes    int `json:"max_bytes"`
+	MaxBuffered int `json:"max_buffered"`
 	// Want is what is reported to the quarantine: "answered", "cut" or nothing.
 	Want     string
 	WantCode result.Code `json:"want_code"`
@@ -157,6 +163,9 @@
 	if c.StallSeconds > 0 {
 		return "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	}
+	if c.BodyBytes > 0 {
+		return strings.Repeat("x", c.BodyBytes)
+	}
 	return "hello"
 }
 
@@ -183,7 +192,7 @@
 			var server *httptest.Server
 			server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 				w.Header().Set("Attempt", "r-1")
-				if c.StallSeconds > 0 {
+				if c.StallSeconds > 0 || c.Stream {
 					w.Header().Set("Content-Type", "text/event-stream")
 				}
 				if c.Framing == "connection" {
@@ -201,10 +210,15 @@
 			}))
 			defer server.Close()
 			s := New(Options{
-				Now:      now,
-				VM:       "a",
-				Pool:     poolOf(1, server.Listener.Addr().String()),
-				Endpoint: endpoint.New(endpoint.Options{Dialect: signedDialect, Now: now}),
+				Now:  now,
+				VM:   "a",
+				Pool: poolOf(1, server.Listener.Addr().String()),
+				Endpoint: endpoint.New(endpoint.Options{
+					Dialect:          signedDialect,
+					Now:              now,
+					MaxResponseBytes: c.MaxBytes,
+					MaxBufferedBytes: c.MaxBuffered,
+				}),
 				Budget:   budgetOf(retry.NewBudget(1)),
 				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
 				Metrics:  metrics.New(),
