--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -51,6 +51,7 @@
 	if refusal != nil {
 		return refusal
 	}
+	defer x.conn.release()
 	defer func() { _ = resp.Body.Close() }()
 	x.outcome.Sent = true
 	x.outcome.Framing = framingOf(resp)
@@ -76,6 +77,7 @@
 			return nil, refusal
 		}
 		resp, err := transport.RoundTrip(req)
+		x.conn.received()
 		if err == nil {
 			return resp, nil
 		}
@@ -165,8 +167,12 @@
 		return result.Refuse(result.EndpointCut, "the connection broke off").WithCause(err)
 	}
 	if errors.Is(err, bounded.ErrNoRoom) {
+		x.outcome.AnsweredError = true
 		return result.Refuse(result.EndpointFailed, "no room is left for the answer").WithCause(err)
 	}
+	if errors.Is(err, errEventTooLarge) {
+		x.outcome.AnsweredError = true
+	}
 	return result.Refuse(result.EndpointFailed, "the answer is malformed").WithCause(err)
 }
 
