Count as a heartbeat only what is written in the beat

Callers could get a stream of two versions after the loss of all VMs: with "old v1 2 draining", "a v2 7", "a v2 8 draining" written within 30 ms before the first read, v1 counted as gone 900 ms before it.

Each step of an entry's sequence number counted as a heartbeat. But an endpoint writes at once when it starts to drain or another field changes, out of its beat.

A step counts between two entries that are equal but for the number, so not the one to a changed entry, and not the one that follows a change, as the beat may go on from before it. All fields of entries are compared. The first entry of a life begins the beat.

--- a/origin/past.go
+++ b/origin/past.go
@@ -25,6 +25,15 @@
 	// Remaining is how long a draining endpoint keeps running at least; zero means the
 	// platform's usual time.
 	Remaining time.Duration
+	// Other tells the entry's other fields apart.
+	Other string
+}
+
+// isBeat reports whether an entry is renewed without a change. Changes are written at once,
+// out of the beat.
+func (w Write) isBeat(next Write) bool {
+	next.Seq = w.Seq
+	return w == next
 }
 
 // History is the changes of entries up to a revision of the store, oldest first and without a
@@ -114,11 +123,12 @@
 	latest := make([]time.Time, len(h.Writes))
 	// next is the index of the next change of an endpoint's entry.
 	next := make(map[string]int)
+	inBeat := h.inBeat()
 	at := h.Until
 	for i := len(h.Writes) - 1; i >= 0; i-- {
 		w := h.Writes[i]
 		if j, ok := next[w.Endpoint]; ok {
-			if bound := latest[j].Add(-h.leastPause(w, h.Writes[j])); bound.Before(at) {
+			if bound := latest[j].Add(-h.leastPause(w, h.Writes[j], inBeat[i])); bound.Before(at) {
 				at = bound
 			}
 		}
@@ -128,9 +138,22 @@
 	return latest
 }
 
+// inBeat tells which writes are heartbeats, or the first of an endpoint's life.
+func (h History) inBeat() []bool {
+	out := make([]bool, len(h.Writes))
+	last := make(map[string]Write)
+	for i, w := range h.Writes {
+		before, known := last[w.Endpoint]
+		out[i] = w.Seq == 1 || (known && before.isBeat(w))
+		last[w.Endpoint] = w
+	}
+	return out
+}
+
 // leastPause returns the least time between two successive changes of an endpoint's entry.
-func (h History) leastPause(w, next Write) time.Duration {
-	beat := time.Duration(float64(h.Heartbeat) * heartbeatTolerance)
+// Sequence numbers between them are those of heartbeats, as the history has no gap. The first
+// heartbeat after a write out of the beat, and such a write after a heartbeat, may follow at once.
+func (h History) leastPause(w, next Write, inBeat bool) time.Duration {
 	switch {
 	case w.Removed || w.Configuration:
 		return 0
@@ -144,6 +167,13 @@
 	case next.Removed || next.Incarnation != w.Incarnation || next.Seq <= w.Seq:
 		return 0
 	default:
-		return time.Duration(next.Seq-w.Seq) * beat
+		beats := int64(next.Seq - w.Seq)
+		if !inBeat {
+			beats--
+		}
+		if !w.isBeat(next) {
+			beats--
+		}
+		return time.Duration(float64(max(beats, 0)) * heartbeatTolerance * float64(h.Heartbeat))
 	}
 }
--- a/site/history.go
+++ b/site/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -120,6 +121,7 @@
 			Seq:         e.Seq,
 			Draining:    e.State == fleet.StateLeaving,
 			Remaining:   e.Remaining,
+			Other:       fmt.Sprint(e.Addr, e.DataCentre, e.Slots, e.ColdFor),
 		})
 	}
 	services, err := query(ctx, n.control, func(c *control, _ time.Time) []string { return c.discovery.Services() })
