Count a stream as old as one can be

Callers could get a stream of two versions: one whose caller has more time than the route's timeout, or that began before a timeout was lowered and all VMs lost, counted as younger than it is. A version that left in between wasn't held against it.

What callers have left was held against the longest timeout, as if none had more time, which no VM can know. And the timeouts of earlier configurations were lost with all VMs.

A stream counts as begun a whole lifetime ago. The lifetime is that of the longest timeout in the store's history too, and a minute at the least until all timeouts are known for as long as a stream lasts. A VM that has read the history answers for others by what it knows. Not covered: a timeout that was lowered before the history begins and lets its streams live for longer than that is ago.

--- a/origin/evidence_test.go
+++ b/origin/evidence_test.go
@@ -61,6 +61,8 @@
 		Since         float64
 		Left          map[string]float64
 		Configuration float64
+		// Timeouts is when the timeouts are known from.
+		Timeouts float64
 	}](t, "testdata/past.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			h := History{
@@ -86,6 +88,7 @@
 			}
 			if c.Configuration > 0 {
 				assert.Equal(t, h.ConfigurationSince(), at(c.Configuration))
+				assert.Equal(t, h.Timeouts().Since, at(c.Timeouts))
 			}
 		})
 	}
--- a/origin/past.go
+++ b/origin/past.go
@@ -14,8 +14,10 @@
 type Write struct {
 	Endpoint string
 	Removed  bool
-	// Configuration is set for a change of the configuration, which has no other fields.
+	// Configuration is set for a change of the configuration.
 	Configuration bool
+	// Timeout is the longest timeout of a route with streams in that configuration.
+	Timeout time.Duration
 	// The other fields are those of the entry, which a removal lacks.
 	Service     string
 	Version     string
@@ -118,6 +120,35 @@
 	return h.knownSince(latest)
 }
 
+// Timeouts is what a history tells of the timeouts of streams.
+type Timeouts struct {
+	// Longest is the longest that is known.
+	Longest time.Duration
+	// Since is the time from which on all are known.
+	Since time.Time
+}
+
+// Timeouts returns what the history tells of the timeouts of streams.
+func (h History) Timeouts() Timeouts {
+	latest := h.latestTimes()
+	t := Timeouts{
+		Since: h.knownSince(latest),
+	}
+	isFirst := true
+	for i, w := range h.Writes {
+		if !w.Configuration {
+			continue
+		}
+		// The configuration before the first that is left is unknown, unless nothing is missing.
+		if isFirst && !h.Whole {
+			t.Since = latest[i]
+		}
+		isFirst = false
+		t.Longest = max(t.Longest, w.Timeout)
+	}
+	return t
+}
+
 // latestTimes returns the latest time at which each change can have been made.
 func (h History) latestTimes() []time.Time {
 	latest := make([]time.Time, len(h.Writes))
--- a/site/evidence.go
+++ b/site/evidence.go
@@ -156,7 +156,7 @@
 func (e *evidence) answer(ctx context.Context, q origin.Question) origin.Evidence {
 	register := e.node.streams.register
 	var asked sync.WaitGroup
-	if !register.KnownSince(q.Service, q.Since) {
+	if !register.KnownSince(q.Service, e.earliest(q)) {
 		asked.Go(func() {
 			timeoutCtx, cancel := context.WithTimeout(ctx, historyWait)
 			defer cancel()
@@ -182,9 +182,19 @@
 // VM does not know that time whole, or the route may have led to another service.
 func (e *evidence) departures(q origin.Question) (list []origin.Departure, known bool) {
 	streams := e.node.streams
-	list, known = streams.register.Departures(q.Service, q.Since)
+	since := e.earliest(q)
+	list, known = streams.register.Departures(q.Service, since)
 	known = known && !e.node.control.snapshot().members.StoreUnreadable()
-	return list, known && streams.ledOnlyTo(q.Service, q.Host, q.Target, q.Since)
+	return list, known && streams.ledOnlyTo(q.Service, q.Host, q.Target, since)
+}
+
+// earliest returns when a stream began at the earliest. This VM may know better than the one that
+// asks how long streams last.
+func (e *evidence) earliest(q origin.Question) time.Time {
+	if oldest := e.node.streams.oldestStream().Add(-evidenceTimeout); oldest.After(q.Since) {
+		return oldest
+	}
+	return q.Since
 }
 
 // listed returns the endpoints of a service that have an entry.
--- a/site/history.go
+++ b/site/history.go
@@ -106,6 +106,7 @@
 		if change.Table != nil {
 			history.Writes = append(history.Writes, origin.Write{
 				Configuration: true,
+				Timeout:       change.Table.StreamTimeout(),
 			})
 		}
 		if change.Endpoint == nil {
@@ -131,7 +132,7 @@
 	for _, service := range services {
 		n.streams.register.Restore(service, history.Past(service))
 	}
-	n.routePast.restore(history.ConfigurationSince())
+	n.routePast.restore(history.ConfigurationSince(), history.Timeouts())
 	n.log.Info("store_history_read", "revision", h.start.Revision, "from", read.From, "endpoint_changes", len(history.Writes), "whole", history.Whole)
 	return nil
 }
--- a/site/route_past.go
+++ b/site/route_past.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/route"
 )
 
@@ -18,6 +19,8 @@
 	// firstAt is when the first table was observed.
 	firstAt time.Time
 	timeout time.Duration
+	// timeoutsSince is the time from which on all timeouts are known.
+	timeoutsSince time.Time
 	// longer are the longer timeouts of earlier tables, with the time at which they ended.
 	longer []endedTimeout
 }
@@ -44,7 +47,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.firstAt.IsZero() {
-		p.firstAt = now
+		p.firstAt, p.timeoutsSince = now, now
 	}
 	if t.StreamTimeout() < p.timeout {
 		p.longer = append(p.longer, endedTimeout{
@@ -74,10 +77,17 @@
 }
 
 // restore extends the routes of the first table to the past, in which it was in force since the
-// given time.
-func (p *routePast) restore(since time.Time) {
+// given time, and the timeouts of tables before it.
+func (p *routePast) restore(since time.Time, earlier origin.Timeouts) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if earlier.Since.Before(p.timeoutsSince) {
+		p.timeoutsSince = earlier.Since
+	}
+	p.longer = append(p.longer, endedTimeout{
+		timeout: earlier.Longest,
+		at:      p.firstAt,
+	})
 	for key, at := range p.since {
 		if at.Equal(p.firstAt) {
 			p.since[key] = since
@@ -85,17 +95,18 @@
 	}
 }
 
-// longestTimeout returns the longest time that a stream could last of late.
-func (p *routePast) longestTimeout(now time.Time) time.Duration {
+// longestTimeout returns the longest timeout of a route with streams of late; known is false
+// if the configuration may have had a longer one.
+func (p *routePast) longestTimeout(now time.Time) (longest time.Duration, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	longest := p.timeout
+	longest = p.timeout
 	for _, e := range p.longer {
 		if now.Sub(e.at) <= e.timeout+resumeMargin {
 			longest = max(longest, e.timeout)
 		}
 	}
-	return longest
+	return longest, !p.firstAt.IsZero() && now.Sub(p.timeoutsSince) >= longest+resumeMargin
 }
 
 // ledOnlyTo reports whether a route of the present table has led to a service and no other since
--- a/site/streams.go
+++ b/site/streams.go
@@ -25,10 +25,8 @@
 	// resumeMargin covers the time in which a caller notices that a stream broke off and
 	// resumes it, after its deadline.
 	resumeMargin = 2 * time.Second
-	// requestDelay bounds the way of a request to this VM, and that of a change of the store to
-	// the VMs.
-	requestDelay = 500 * time.Millisecond
-	// defaultStreamLifetime applies while no route has a timeout.
+	// defaultStreamLifetime applies while no route has a timeout, or it is not known how long
+	// the timeouts have been in force.
 	defaultStreamLifetime = time.Minute
 )
 
@@ -188,7 +186,9 @@
 	if o, ok := s.register.Find(c.Routed.Resumes, s.node.now()); ok {
 		return o, metrics.StreamOriginOwn
 	}
-	since := s.beganSince(c)
+	// What callers have left does not tell how long they have waited, as some have more time
+	// than the timeout.
+	since := s.oldestStream()
 	if o, ok := s.sole(c.Target(), c.Routed.Host, c.Path, since); ok {
 		return o, metrics.StreamOriginSole
 	}
@@ -307,26 +307,14 @@
 	return s.node.now().Add(-s.streamLifetime())
 }
 
-// beganSince returns when the stream that a caller resumes began at the earliest. Callers wait no
-// longer for a call, over all their requests, than the longest timeout of a route with streams;
-// what is left of that says how long they have waited.
-func (s *streams) beganSince(c *call.Call) time.Time {
-	since, timeout := s.oldestStream(), s.node.routePast.longestTimeout(s.node.now())
-	if c.Routed.CallerDeadline.Sub(c.Routed.ArrivedAt) > timeout {
-		return since
-	}
-	if at := c.Routed.CallerDeadline.Add(-timeout - requestDelay); at.After(since) {
-		return at
-	}
-	return since
-}
-
 // streamLifetime returns how long after its first event a stream may be resumed.
 func (s *streams) streamLifetime() time.Duration {
-	if timeout := s.node.routePast.longestTimeout(s.node.now()); timeout > 0 {
-		return timeout + resumeMargin
+	longest, known := s.node.routePast.longestTimeout(s.node.now())
+	lifetime := longest + resumeMargin
+	if !known || longest == 0 {
+		return max(lifetime, defaultStreamLifetime)
 	}
-	return defaultStreamLifetime
+	return lifetime
 }
 
 // mayServe reports whether the route of a call leads to a service.
