Believe no engine whose start is unknown that it read nothing

Callers could get a stream of two versions: an engine that had begun it, and restarted under its id, denied that it had read the prompt, so that the version of another one counted that had been tried before.

An engine that had restarted counted as knowing all since the stream began, and so did one whose entry names no incarnation, where a restart can't be seen.

After a restart an engine counts only if its entry names another incarnation than before, as the former life then counts as a departure. Without an incarnation it doesn't.

TestEngineDeniesOnlyWhatItKnows fails before ("answer.complete is true"). The cost: the entries that the deployments' examples show name no incarnation, so that the version of a stream isn't deduced there while endpoints of another one serve.

--- a/site/evidence.go
+++ b/site/evidence.go
@@ -61,10 +61,12 @@
 
 // engineMemory is what is kept of an engine from one round to the next.
 type engineMemory struct {
-	service  string
-	cursor   endpoint.MemoryCursor
-	evicted  map[uint64]bool
-	complete bool
+	service string
+	// incarnation is that of the engine's entry.
+	incarnation int64
+	cursor      endpoint.MemoryCursor
+	evicted     map[uint64]bool
+	complete    bool
 }
 
 func newEvidence(n *Node) *evidence {
@@ -274,9 +276,10 @@
 	known := e.engines[l.ID]
 	if known == nil {
 		known = &engineMemory{
-			service:  l.Service,
-			evicted:  make(map[uint64]bool),
-			complete: true,
+			service:     l.Service,
+			incarnation: l.Incarnation,
+			evicted:     make(map[uint64]bool),
+			complete:    true,
 		}
 	}
 	delete(e.engines, l.ID)
@@ -291,8 +294,10 @@
 	}
 	if m.Restarted {
 		known.evicted = make(map[uint64]bool)
-		known.complete = true
+		// The former life counts as a departure if the entry named it.
+		known.complete = l.Incarnation != known.incarnation
 	}
+	known.incarnation = l.Incarnation
 	known.cursor = m.Cursor
 	known.complete = known.complete && m.Complete
 	for _, part := range m.Events {
@@ -313,11 +318,11 @@
 	return answer
 }
 
-// isListedLife reports whether an endpoint has not restarted under its id since its entry. One that
-// has lost what it had read before.
+// isListedLife reports whether an endpoint is known not to have restarted under its id since its
+// entry. One that has lost what it had read before.
 func (e *evidence) isListedLife(ctx context.Context, l fleet.Endpoint) bool {
 	if l.Incarnation == 0 {
-		return true
+		return false
 	}
 	load, _, err := e.node.endpointClient.FetchLoad(ctx, l)
 	return err == nil && load.Incarnation == l.Incarnation
--- a/site/evidence_test.go
+++ b/site/evidence_test.go
@@ -44,9 +44,16 @@
 		assert.Assert(t, answer.parts[0xa] && answer.parts[0xb] && !answer.parts[0xc], "%v", answer.parts)
 	}
 	epoch, events = 8, ""
-	assert.Assert(t, !ask().parts[0xa], "what an engine read before it restarted is gone")
+	answer := ask()
+	assert.Assert(t, !answer.parts[0xa], "what an engine read before it restarted is gone")
+	assert.Assert(t, !answer.complete, "it may have read a part that is gone")
+	assert.Assert(t, !ask().complete)
 	born = 2
 	assert.Assert(t, !ask().complete, "a later life than the entry's does not know what the former read")
-	born, instance = 1, "i-y"
+	epoch, e.Incarnation = 9, 2
+	assert.Assert(t, ask().complete, "the departure of the former life counts")
+	e.Incarnation = 0
+	assert.Assert(t, !ask().complete, "an entry without an incarnation does not tell of a restart")
+	e.Incarnation, instance = 2, "i-y"
 	assert.Assert(t, !ask().complete, "another endpoint has the address")
 }
