--- a/site/evidence.go
+++ b/site/evidence.go
@@ -61,10 +61,12 @@
 
 // engineMemory is what is kept of an engine from one round to the next.
 type engineMemory struct {
-	service  string
-	cursor   endpoint.MemoryCursor
-	evicted  map[uint64]bool
-	complete bool
+	service string
+	// incarnation is that of the engine's entry.
+	incarnation int64
+	cursor      endpoint.MemoryCursor
+	evicted     map[uint64]bool
+	complete    bool
 }
 
 func newEvidence(n *Node) *evidence {
@@ -156,7 +158,7 @@
 func (e *evidence) answer(ctx context.Context, q origin.Question) origin.Evidence {
 	register := e.node.streams.register
 	var asked sync.WaitGroup
-	if !register.KnownSince(q.Service, q.Since) {
+	if !register.KnownSince(q.Service, e.earliest(q)) {
 		asked.Go(func() {
 			timeoutCtx, cancel := context.WithTimeout(ctx, historyWait)
 			defer cancel()
@@ -182,9 +184,19 @@
 // VM does not know that time whole, or the route may have led to another service.
 func (e *evidence) departures(q origin.Question) (list []origin.Departure, known bool) {
 	streams := e.node.streams
-	list, known = streams.register.Departures(q.Service, q.Since)
+	since := e.earliest(q)
+	list, known = streams.register.Departures(q.Service, since)
 	known = known && !e.node.control.snapshot().members.StoreUnreadable()
-	return list, known && streams.ledOnlyTo(q.Service, q.Host, q.Target, q.Since)
+	return list, known && streams.ledOnlyTo(q.Service, q.Host, q.Target, since)
+}
+
+// earliest returns when a stream began at the earliest. This VM may know better than the one that
+// asks how long streams last.
+func (e *evidence) earliest(q origin.Question) time.Time {
+	if oldest := e.node.streams.oldestStream().Add(-evidenceTimeout); oldest.After(q.Since) {
+		return oldest
+	}
+	return q.Since
 }
 
 // listed returns the endpoints of a service that have an entry.
@@ -264,9 +276,10 @@
 	known := e.engines[l.ID]
 	if known == nil {
 		known = &engineMemory{
-			service:  l.Service,
-			evicted:  make(map[uint64]bool),
-			complete: true,
+			service:     l.Service,
+			incarnation: l.Incarnation,
+			evicted:     make(map[uint64]bool),
+			complete:    true,
 		}
 	}
 	delete(e.engines, l.ID)
@@ -281,8 +294,10 @@
 	}
 	if m.Restarted {
 		known.evicted = make(map[uint64]bool)
-		known.complete = true
+		// The former life counts as a departure if the entry named it.
+		known.complete = l.Incarnation != known.incarnation
 	}
+	known.incarnation = l.Incarnation
 	known.cursor = m.Cursor
 	known.complete = known.complete && m.Complete
 	for _, part := range m.Events {
@@ -303,11 +318,11 @@
 	return answer
 }
 
-// isListedLife reports whether an endpoint has not restarted under its id since its entry. One that
-// has lost what it had read before.
+// isListedLife reports whether an endpoint is known not to have restarted under its id since its
+// entry. One that has lost what it had read before.
 func (e *evidence) isListedLife(ctx context.Context, l fleet.Endpoint) bool {
 	if l.Incarnation == 0 {
-		return true
+		return false
 	}
 	load, _, err := e.node.endpointClient.FetchLoad(ctx, l)
 	return err == nil && load.Incarnation == l.Incarnation
--- a/site/history.go
+++ b/site/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -105,6 +106,7 @@
 		if change.Table != nil {
 			history.Writes = append(history.Writes, origin.Write{
 				Configuration: true,
+				Timeout:       change.Table.StreamTimeout(),
 			})
 		}
 		if change.Endpoint == nil {
@@ -120,6 +122,7 @@
 			Seq:         e.Seq,
 			Draining:    e.State == fleet.StateLeaving,
 			Remaining:   e.Remaining,
+			Other:       fmt.Sprint(e.Addr, e.DataCentre, e.Slots, e.ColdFor),
 		})
 	}
 	services, err := query(ctx, n.control, func(c *control, _ time.Time) []string { return c.discovery.Services() })
@@ -129,7 +132,7 @@
 	for _, service := range services {
 		n.streams.register.Restore(service, history.Past(service))
 	}
-	n.routePast.restore(history.ConfigurationSince())
+	n.routePast.restore(history.ConfigurationSince(), history.Timeouts())
 	n.log.Info("store_history_read", "revision", h.start.Revision, "from", read.From, "endpoint_changes", len(history.Writes), "whole", history.Whole)
 	return nil
 }
