--- a/site/evidence.go
+++ b/site/evidence.go
@@ -318,11 +318,12 @@
 	return answer
 }
 
-// isListedLife reports whether an endpoint is known not to have restarted under its id since its
-// entry. One that has lost what it had read before.
+// isListedLife reports whether an endpoint has not restarted under its id since its entry. One that
+// has lost what it had read before. Endpoints whose entries name no incarnation get a new id at
+// each start.
 func (e *evidence) isListedLife(ctx context.Context, l fleet.Endpoint) bool {
 	if l.Incarnation == 0 {
-		return false
+		return true
 	}
 	load, _, err := e.node.endpointClient.FetchLoad(ctx, l)
 	return err == nil && load.Incarnation == l.Incarnation
--- a/site/place.go
+++ b/site/place.go
@@ -30,6 +30,7 @@
 		c.Routed.Rank = 0
 	}
 	countFromFirstAttempt(c)
+	n.streams.observe(c)
 	startedAt := n.now()
 	refusal := n.awaitFreshState(ctx)
 	if refusal == nil {
--- a/site/streams.go
+++ b/site/streams.go
@@ -25,6 +25,9 @@
 	// resumeMargin covers the time in which a caller notices that a stream broke off and
 	// resumes it, after its deadline.
 	resumeMargin = 2 * time.Second
+	// requestDelay bounds the way of a request to this VM, and that of a change of the store to
+	// the VMs.
+	requestDelay = 500 * time.Millisecond
 	// defaultStreamLifetime applies while no route has a timeout, or it is not known how long
 	// the timeouts have been in force.
 	defaultStreamLifetime = time.Minute
@@ -34,6 +37,7 @@
 type streams struct {
 	node     *Node
 	register *origin.Register
+	patience *origin.Patience
 	// due is signalled when outgoing gets its first record.
 	due chan struct{}
 
@@ -51,6 +55,7 @@
 	return &streams{
 		node:     n,
 		register: origin.NewRegister(),
+		patience: origin.NewPatience(),
 		due:      make(chan struct{}, 1),
 		outgoing: make(map[string]*originNote),
 	}
@@ -186,9 +191,7 @@
 	if o, ok := s.register.Find(c.Routed.Resumes, s.node.now()); ok {
 		return o, metrics.StreamOriginOwn
 	}
-	// What callers have left does not tell how long they have waited, as some have more time
-	// than the timeout.
-	since := s.oldestStream()
+	since := s.beganSince(c)
 	if o, ok := s.sole(c.Target(), c.Routed.Host, c.Path, since); ok {
 		return o, metrics.StreamOriginSole
 	}
@@ -307,6 +310,29 @@
 	return s.node.now().Add(-s.streamLifetime())
 }
 
+// beganSince returns when the stream that a caller resumes began at the earliest. What the caller
+// has left of the time that callers of its route have, or of a longer timeout, tells how long it
+// has waited.
+func (s *streams) beganSince(c *call.Call) time.Time {
+	since := s.oldestStream()
+	timeout, timeoutsKnown := s.node.routePast.longestTimeout(s.node.now())
+	stated, statedKnown := s.patience.Longest(c.Routed.Route)
+	if !timeoutsKnown || !statedKnown || c.Routed.CallerDeadline.IsZero() {
+		return since
+	}
+	if at := c.Routed.CallerDeadline.Add(-max(timeout, stated) - requestDelay); at.After(since) {
+		return at
+	}
+	return since
+}
+
+// observe records how long the caller of a stream's first request has.
+func (s *streams) observe(c *call.Call) {
+	if c.Stream && !c.Forwarded && c.Routed.ResumeAfter == "" && !c.Routed.CallerDeadline.IsZero() {
+		s.patience.Observe(c.Routed.Route, c.Routed.CallerDeadline.Sub(c.Routed.ArrivedAt))
+	}
+}
+
 // streamLifetime returns how long after its first event a stream may be resumed.
 func (s *streams) streamLifetime() time.Duration {
 	longest, known := s.node.routePast.longestTimeout(s.node.now())
