Endpoint, serving: calls under contracts have their bodies on other VMs, too

Cause: a forwarded call holds its body in Retained now, and two places still read Body.

Change: both read Payload, and a request whose body is gone is refused in one place for both kinds.

TestRequestHasRetainedBody fails without it; the scripts pass (46.9 s).

--- a/endpoint/request.go
+++ b/endpoint/request.go
@@ -65,8 +65,7 @@
 		return nil, refusal
 	}
 	req.Header = requestHeader(a)
-	setBody(req, a.Call.Body)
-	return req, nil
+	return withBody(req, a.Call)
 }
 
 // newRoutedRequest builds the request of a routed call, with the caller's method,
@@ -81,10 +80,15 @@
 	}
 	req.Host = a.Call.Routed.Host
 	req.Header = c.routedHeader(a)
-	if a.Call.BodyReleased() {
+	return withBody(req, a.Call)
+}
+
+// withBody sets the body of a request. It refuses a call whose body is gone.
+func withBody(req *http.Request, c *call.Call) (*http.Request, *result.Refusal) {
+	if c.BodyReleased() {
 		return nil, result.Refuse(result.BodyMemoryFull, "the body was released with the response")
 	}
-	setBody(req, a.Call.Payload())
+	setBody(req, c.Payload())
 	return req, nil
 }
 
--- a/serving/ticketed.go
+++ b/serving/ticketed.go
@@ -136,6 +136,6 @@
 		_, _ = h.WriteString(part)
 		_, _ = h.Write([]byte{0})
 	}
-	_, _ = h.Write(c.Body)
+	_, _ = h.Write(c.Payload())
 	return h.Sum64()
 }
