Soak: attempts of stopping VMs name their target

The check that replicas run only what clients sent compares path and query now, and the calls of the kind with stops carry a query that their ledger didn't have. TestStopAnswers failed on the joined code with each such call, and passes (23.1 s).

--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -76,6 +76,7 @@
 	a := attempt{
 		id:         fmt.Sprintf("a%x", lastID.Add(1)),
 		path:       k.path,
+		target:     k.path + k.query,
 		service:    k.service,
 		vm:         v.name,
 		kept:       true,
