Streams: an event with a doubtful id waits for the next one

Callers got streams with an event missing: an endpoint sent an event whose id was spoiled into a higher number, or that a spoiled byte had cut in two behind its id, and broke off. The stream went on behind that id at another endpoint, so that what lay between was lost (ORDER).

Cause: ids need only rise, so any higher one was believed at once, and a block with an id and no data counted as an event that its caller has.

Change: on streams that can be resumed, an event whose id does not follow the last one by the usual step, or that has no data, is held back until the next event or the end of the stream confirms it. If the next one contradicts it, or the stream breaks off first, the stream goes on in front of it. A gap is no fault by itself, as the protocol asks for increasing ids only. Ids that rise by one wait for nothing; at most three events of an answer are held back. ScanEvents takes a byte order mark for no part of a field, which the fuzz test found on its way.

--- a/endpoint/event_order_test.go
+++ b/endpoint/event_order_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 
@@ -68,25 +70,30 @@
 	reader, _ := rawEventReaders.Get().(*rawEventReader)
 	reader.reader.Reset(bytes.NewReader(input))
 	defer reader.release()
-	order := newEventOrder(c, resumeAfter)
+	filter := newBlockFilter(c, resumeAfter)
 	client := New(Options{})
 	room := client.buffers.Share()
 	defer room.Release()
 	for {
-		event, err := reader.next(client.maxResponseBytes, &room)
+		event, err := reader.next(client.maxResponseBytes, len(filter.held.data), &room)
 		if err != nil {
+			if errors.Is(err, io.EOF) {
+				got.add(filter.takeHeld())
+			}
 			return got
 		}
-		pass, refusal := order.check(event)
+		ready, refusal := filter.add(event)
 		if refusal != nil {
 			return got
 		}
-		if !pass {
-			continue
-		}
-		got.data = append(got.data, string(event.data))
-		if event.isEvent() {
-			got.ids = append(got.ids, event.id)
-		}
+		got.add(ready)
+	}
+}
+
+func (r *relayed) add(ready relayedBlocks) {
+	if len(ready.data) == 0 {
+		return
 	}
+	r.data = append(r.data, string(ready.data))
+	ScanEvents(ready.data, func(id string) { r.ids = append(r.ids, id) })
 }
--- a/endpoint/raw_event.go
+++ b/endpoint/raw_event.go
@@ -64,18 +64,19 @@
 	}
 }
 
-// next returns the next event, which is valid until the following call. The end of
-// the body is io.EOF between two events and errPartialEvent within one.
-func (r *rawEventReader) next(maxBytes int, room *bounded.Share) (rawEvent, error) {
+// next returns the next event, which is valid until the following call. It makes room for it
+// beside the bytes that are held back. The end of the body is io.EOF between two events and
+// errPartialEvent within one.
+func (r *rawEventReader) next(maxBytes, heldBytes int, room *bounded.Share) (rawEvent, error) {
 	r.data = r.data[:0]
 	event := rawEvent{}
 	start := 0
 	for {
 		part, err := r.reader.ReadSlice('\n')
-		if len(r.data)+len(part) > maxBytes {
+		if heldBytes+len(r.data)+len(part) > maxBytes {
 			return rawEvent{}, errEventTooLarge
 		}
-		if err := room.Reserve(len(r.data)+len(part), maxBytes); err != nil {
+		if err := room.Reserve(heldBytes+len(r.data)+len(part), maxBytes); err != nil {
 			return rawEvent{}, err
 		}
 		r.data = append(r.data, part...)
@@ -110,7 +111,7 @@
 // event has none.
 func ScanEvents(chunk []byte, visit func(id string)) {
 	event := rawEvent{}
-	for line := range bytes.Lines(chunk) {
+	for line := range bytes.Lines(bytes.TrimPrefix(chunk, byteOrderMark)) {
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) > 0 {
 			event.readLine(line)
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -129,45 +129,52 @@
 
 // relayStream forwards complete events as they arrive, so that another endpoint
 // can always continue after the last one. Events with ids that can't be of this stream are
-// not forwarded.
+// not forwarded, and those with doubtful ids are once the next event has confirmed them.
 func (x *exchange) relayStream(resp *http.Response) *result.Refusal {
 	reader, _ := rawEventReaders.Get().(*rawEventReader)
 	reader.reader.Reset(resp.Body)
 	defer reader.release()
-	order := newEventOrder(x.attempt.Call, x.resumeAfter())
+	filter := newBlockFilter(x.attempt.Call, x.resumeAfter())
 	var lastAt time.Time
 	for {
-		event, err := reader.next(x.client.maxResponseBytes, &x.room)
+		event, err := reader.next(x.client.maxResponseBytes, len(filter.held.data), &x.room)
 		if errors.Is(err, io.EOF) {
-			return x.finishRelay(resp)
+			return x.finishRelay(resp, filter)
 		}
 		if err != nil {
 			return x.readRefusal(err)
 		}
-		pass, refusal := order.check(event)
+		ready, refusal := filter.add(event)
 		if refusal != nil {
 			return refusal
 		}
-		if !pass {
+		if len(ready.data) == 0 {
 			continue
 		}
-		if refusal := x.forwardHead(resp.StatusCode, streamHeader(resp.Header)); refusal != nil {
+		if refusal := x.forwardBlocks(resp, ready); refusal != nil {
 			return refusal
 		}
-		if refusal := x.forwardChunk(event.data); refusal != nil {
-			return refusal
-		}
-		if !event.isEvent() {
-			continue
-		}
-		x.outcome.Delivered++
-		if event.id != "" {
-			x.outcome.LastEvent = event.id
+		if ready.events > 0 {
+			lastAt = x.reportEventGap(lastAt)
 		}
-		lastAt = x.reportEventGap(lastAt)
 	}
 }
 
+// forwardBlocks forwards blocks of a stream, after the head if they are the first.
+func (x *exchange) forwardBlocks(resp *http.Response, blocks relayedBlocks) *result.Refusal {
+	if refusal := x.forwardHead(resp.StatusCode, streamHeader(resp.Header)); refusal != nil {
+		return refusal
+	}
+	if refusal := x.forwardChunk(blocks.data); refusal != nil {
+		return refusal
+	}
+	x.outcome.Delivered += blocks.events
+	if blocks.lastEvent != "" {
+		x.outcome.LastEvent = blocks.lastEvent
+	}
+	return nil
+}
+
 // reportEventGap passes the time since the previous event to Attempt.OnEventGap and
 // returns the current time.
 func (x *exchange) reportEventGap(lastAt time.Time) time.Time {
@@ -179,10 +186,15 @@
 }
 
 // finishRelay completes a stream that ended on an event boundary.
-func (x *exchange) finishRelay(resp *http.Response) *result.Refusal {
+func (x *exchange) finishRelay(resp *http.Response, filter *blockFilter) *result.Refusal {
 	if refusal := x.confirmEnd(); refusal != nil {
 		return refusal
 	}
+	if held := filter.takeHeld(); len(held.data) > 0 {
+		if refusal := x.forwardBlocks(resp, held); refusal != nil {
+			return refusal
+		}
+	}
 	if x.outcome.Framing == FramingConnection && x.outcome.Delivered == 0 && x.resumeAfter() == "" {
 		return result.Refuse(result.EndpointCut, "the stream ended before its first event")
 	}
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -26,6 +26,7 @@
 	// which also ends its listener, or nothing.
 	End           string
 	Resume        string
+	CallerResume  string `json:"caller_resume"`
 	Stream        bool
 	Resumable     bool
 	Code          result.Code
@@ -91,6 +92,7 @@
 			attempt.Call.Idempotent = c.Idempotent
 			attempt.Call.Stream = c.Stream
 			attempt.Call.Routed.Resumable = c.Resumable
+			attempt.Call.Routed.ResumeAfter = c.CallerResume
 			attempt.OnNotice = func(n Notice) { rated = strconv.FormatBool(n.Rate.Named) }
 			out := newRelayClient(t).Send(t.Context(), attempt, Sink{
 				Head: func(s int, h http.Header) error {
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -384,12 +385,13 @@
 }
 
 // spoiledIDs stand in place of the id of an event.
-var spoiledIDs = []string{"", "id:\n", "id: 1\n", "id: 99999999999999999999\n", "\x96\x9b\xc5 7\n"}
+var spoiledIDs = []string{"", "id:\n", "id: 1\n", "id: 977\n", "id: 99999999999999999999\n", "\x96\x9b\xc5 7\n"}
 
-// spoilID replaces the id of an event.
+// spoilID replaces the id of an event, or ends the event behind it.
 func spoilID(event string) string {
-	_, rest, _ := strings.Cut(event, "\n")
-	return spoiledIDs[rand.IntN(len(spoiledIDs))] + rest
+	id, rest, _ := strings.Cut(event, "\n")
+	spoiled := append(slices.Clip(spoiledIDs), id+"\n\n")
+	return spoiled[rand.IntN(len(spoiled))] + rest
 }
 
 // writeExtraResponse writes the response, and after it one that belongs to no
