Streams: a carriage return within a line ends a stream that can be resumed

Cause: the relay splits lines at line feeds alone and drops any number of carriage returns before them.

Change: one carriage return before a line feed belongs to the line's end. Any other within a block of a stream that can be resumed is the endpoint's fault (3004), as it is for chat streams already; the stream goes on elsewhere behind the last whole event. A sound endpoint that ends its lines with carriage returns alone was not relayed event by event before, either.

--- a/endpoint/event_order.go
+++ b/endpoint/event_order.go
@@ -65,6 +65,9 @@
 
 // check returns what becomes of a block, or a refusal if it can't be of this stream.
 func (o *eventOrder) check(e rawEvent) (verdict, *result.Refusal) {
+	if o.resumable && e.hasCarriageReturn {
+		return 0, result.Refuse(result.EndpointFailed, "a block of a stream that can be resumed has a carriage return within a line")
+	}
 	if !e.isEvent() {
 		return verdictForward, nil
 	}
--- a/endpoint/raw_event.go
+++ b/endpoint/raw_event.go
@@ -23,6 +23,8 @@
 	// idFields counts the fields named id, empty or not.
 	idFields int
 	hasData  bool
+	// hasCarriageReturn is set if a line has one before its end, where callers may see two lines.
+	hasCarriageReturn bool
 }
 
 // isEvent is false for comments and other blocks that callers get no event of.
@@ -30,8 +32,16 @@
 	return e.idFields > 0 || e.hasData
 }
 
+// trimRawLineEnd removes a line feed, and a carriage return before it.
+func trimRawLineEnd(line []byte) []byte {
+	return bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+}
+
 // readLine reads a line of an event, without its end.
 func (e *rawEvent) readLine(line []byte) {
+	if bytes.IndexByte(line, '\r') >= 0 {
+		e.hasCarriageReturn = true
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	switch string(name) {
 	case "id":
@@ -86,7 +96,7 @@
 		if err != nil {
 			return rawEvent{}, r.readError(err)
 		}
-		line := bytes.TrimRight(r.data[start:], "\r\n")
+		line := trimRawLineEnd(r.data[start:])
 		if start == 0 && !r.begun {
 			line = bytes.TrimPrefix(line, byteOrderMark)
 		}
@@ -112,7 +122,7 @@
 func ScanEvents(chunk []byte, visit func(id string)) {
 	event := rawEvent{}
 	for line := range bytes.Lines(bytes.TrimPrefix(chunk, byteOrderMark)) {
-		line = bytes.TrimRight(line, "\r\n")
+		line = trimRawLineEnd(line)
 		if len(line) > 0 {
 			event.readLine(line)
 			continue
