--- a/endpoint/block_filter.go
+++ b/endpoint/block_filter.go
@@ -1,6 +1,8 @@
 package endpoint
 
 import (
+	"bytes"
+
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
@@ -27,19 +29,26 @@
 // blockFilter decides which blocks of a stream go to the caller, and when.
 type blockFilter struct {
 	order *eventOrder
+	// continues is set if the caller has the beginning of the stream.
+	continues bool
 	// held are blocks that wait for the next event.
 	held relayedBlocks
 }
 
 func newBlockFilter(c *call.Call, resumeAfter string) *blockFilter {
 	return &blockFilter{
-		order: newEventOrder(c, resumeAfter),
+		order:     newEventOrder(c, resumeAfter),
+		continues: resumeAfter != "",
 	}
 }
 
 // add takes the next block and returns those that go to the caller now, which are valid until
 // the following call.
 func (f *blockFilter) add(e rawEvent) (relayedBlocks, *result.Refusal) {
+	if f.continues {
+		// Only a whole stream may begin with it.
+		e.data = bytes.TrimPrefix(e.data, byteOrderMark)
+	}
 	v, refusal := f.order.check(e)
 	switch {
 	case refusal != nil || v == verdictDrop:
