Streams: the only version of a view counts only as far as the view reaches

Cause: a VM took the only version of its view for the origin of any stream up to now, before it asked anyone, though its view may have ended seconds ago: cut off from the VMs that read the store, or with a watch on a connection that has gone silent, nothing tells it before its peers count as dead. It told so to other VMs that asked, too, and these believed it although they knew of a later version themselves.

Ruled out as the cause here: a gap that is not counted (it needs a view that is whole again) and a record that reached no keeper (its stream is refused, not joined).

Change: the age of a view counts from when the store is known to have confirmed it. Up to 0.5 s, the time that changes take to reach the VMs, the only version stands for itself. Beyond, the VMs that may have a record are asked first, and say which versions they know of since the stream began; the only version counts if all that were asked in some region answer and nobody knows of another. Beyond 4 s, longer than a VM in touch goes without confirmation, it doesn't count, and neither do departures in the evidence of endpoints.

Lines and metrics: only_version_checked with the age of the view and who answered; store_view_age_seconds.

--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -74,6 +74,7 @@
 	retryBudgetVMs   prometheus.Gauge
 	resumedStreams   *prometheus.CounterVec
 	streamRecords    prometheus.Gauge
+	storeViewAge     prometheus.Gauge
 	droppedRecords   prometheus.Gauge
 
 	limitRejections  *prometheus.CounterVec
@@ -130,6 +131,7 @@
 		endpointRefusals: newCounterVec("endpoint_refusals_total", "Answers of endpoints that say that they did not run the request, by what ties them to it.", "proof"),
 		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event", "service"),
 		resumedStreams:   newCounterVec("streams_resumed_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
+		storeViewAge:     newGauge("store_view_age_seconds", "Time since which changes of the store may be unknown to this VM."),
 		streamRecords:    newGauge("stream_records", "Origins of streams that this VM holds."),
 		droppedRecords:   newGauge("stream_records_dropped", "Origins of streams that this VM had no room for since its start."),
 		retryBudgetVMs:   newGauge("retry_budget_vms", "VMs among which this VM divides the slack of the retry budget; zero while it uses none."),
@@ -173,7 +175,7 @@
 	m.slowStart = newSlowStartMetrics(m.registry)
 	m.registry.MustRegister(
 		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries, m.endpointAnswers, m.endpointRefusals,
-		m.retryBudget, m.retryBudgetVMs, m.resumedStreams, m.streamRecords, m.droppedRecords,
+		m.retryBudget, m.retryBudgetVMs, m.resumedStreams, m.streamRecords, m.droppedRecords, m.storeViewAge,
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.placementRefused, m.fairShares, m.returnedCalls,
 		m.rejectedDocuments, m.documentsRevision, m.reachableVMs, m.queueLength, m.inFlight,
@@ -291,6 +293,11 @@
 	m.droppedRecords.Set(float64(dropped))
 }
 
+// SetStoreViewAge sets the time since which changes of the store may be unknown to this VM.
+func (m *Metrics) SetStoreViewAge(age time.Duration) {
+	m.storeViewAge.Set(age.Seconds())
+}
+
 // SetDocuments sets the number of rejected documents and the highest revision seen.
 func (m *Metrics) SetDocuments(refused int, revision uint64) {
 	m.rejectedDocuments.Set(float64(refused))
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -53,6 +53,7 @@
 	m.SetRetryBudgetVMs(6)
 	m.CountResumedStream(StreamOriginAsked)
 	m.SetStreamRecords(7, 1)
+	m.SetStoreViewAge(1500 * time.Millisecond)
 	m.SetDocuments(1, 9)
 	m.SetReachable(4)
 	m.SetQueue(3)
@@ -151,6 +152,7 @@
 		"fuchsianotch_retry_budget_vms ":                       6,
 		"fuchsianotch_streams_resumed_total asked":             1,
 		"fuchsianotch_stream_records ":                         7,
+		"fuchsianotch_store_view_age_seconds ":                 1.5,
 		"fuchsianotch_stream_records_dropped ":                 1,
 		"fuchsianotch_refused_documents ":                      1,
 		"fuchsianotch_documents_revision ":                     9,
--- a/origin/census.go
+++ b/origin/census.go
@@ -118,6 +118,34 @@
 	return version, true
 }
 
+// Versions returns the versions that a service has had since the given time, as far as they are
+// known, in no particular order.
+func (r *Register) Versions(service string, since time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.services[service]
+	if c == nil {
+		return nil
+	}
+	out := slices.Clone(c.published)
+	add := func(version string) {
+		if !slices.Contains(out, version) {
+			out = append(out, version)
+		}
+	}
+	for version, at := range c.goneAt {
+		if at.After(since) {
+			add(version)
+		}
+	}
+	for d, at := range c.departures {
+		if d.known && at.After(since) {
+			add(d.version)
+		}
+	}
+	return out
+}
+
 // Departures returns the versions of the endpoints of a service that may have left since the
 // given time; known is false if this VM does not know that time whole.
 func (r *Register) Departures(service string, since time.Time) (out []Departure, known bool) {
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -42,6 +42,8 @@
 	Service string
 	Host    string
 	Target  string
+	// Since is when the stream began at the earliest; zero means unknown.
+	Since time.Time
 }
 
 // Register holds the origins that one VM knows.
--- a/peer/origins.go
+++ b/peer/origins.go
@@ -19,18 +19,28 @@
 	return err
 }
 
-// Origin asks a VM for the origin of a stream; known is false if it does not know it.
-func (c *Client) Origin(ctx context.Context, vm fleet.VM, q origin.RecordQuestion) (o origin.Origin, known bool, err error) {
+// Origin asks a VM for the origin of a stream.
+func (c *Client) Origin(ctx context.Context, vm fleet.VM, q origin.RecordQuestion) (origin.Reply, error) {
+	out := origin.Reply{
+		Region: vm.Region,
+	}
 	reply, err := c.client(ctx, vm).Origin(ctx, &peerpb.OriginRequest{
 		Request: q.Request,
 		Service: q.Service,
 		Host:    q.Host,
 		Target:  []byte(q.Target),
+		AgeMs:   uint32(max(c.options.Now().Sub(q.Since).Milliseconds(), 0)),
 	})
-	if err != nil || reply.GetOrigin() == nil {
-		return origin.Origin{}, false, err
+	if err != nil {
+		return out, err
+	}
+	out.Answered = true
+	out.Versions = reply.GetSoftwareVersions()
+	if reply.GetOrigin() != nil {
+		out.Origin = originFromProto(reply.GetOrigin(), c.options.Now())
+		out.Known = true
 	}
-	return originFromProto(reply.GetOrigin(), c.options.Now()), true, nil
+	return out, nil
 }
 
 // Origins implements peerpb.DRPCPeerServer.
@@ -51,14 +61,21 @@
 	if s.handlers.Origin == nil {
 		return nil, errUnsupported
 	}
-	reply := &peerpb.OriginReply{}
-	if o, known := s.handlers.Origin(origin.RecordQuestion{
+	q := origin.RecordQuestion{
 		Request: in.GetRequest(),
 		Service: in.GetService(),
 		Host:    in.GetHost(),
 		Target:  string(in.GetTarget()),
-	}); known {
-		reply.Origin = originToProto(o, s.handlers.Now())
+	}
+	if in.GetAgeMs() > 0 {
+		q.Since = s.handlers.Now().Add(-time.Duration(in.GetAgeMs()) * time.Millisecond)
+	}
+	found := s.handlers.Origin(q)
+	reply := &peerpb.OriginReply{
+		SoftwareVersions: found.Versions,
+	}
+	if found.Known {
+		reply.Origin = originToProto(found.Origin, s.handlers.Now())
 	}
 	return reply, nil
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -45,7 +45,7 @@
 	Permit func(l throttle.Limit) throttle.Answer
 	// Origins takes records of the origins of streams, Origin returns that of one.
 	Origins func(origins []origin.Origin)
-	Origin  func(q origin.RecordQuestion) (o origin.Origin, known bool)
+	Origin  func(q origin.RecordQuestion) origin.Reply
 	// Evidence says what the endpoints of the region have read of a prompt, and which have left.
 	Evidence func(ctx context.Context, q origin.Question) origin.Evidence
 	// Run decides whether one more endpoint may run a call that this VM has forwarded.
--- a/site/evidence.go
+++ b/site/evidence.go
@@ -108,7 +108,7 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	listed, err := e.listed(timeoutCtx, q.Service)
-	if err != nil {
+	if err != nil || e.node.viewAge() > maxViewAge {
 		return "", false
 	}
 	found := e.ask(timeoutCtx, q, regionsWith(listed))
@@ -186,7 +186,7 @@
 	streams := e.node.streams
 	since := e.earliest(q)
 	list, known = streams.register.Departures(q.Service, since)
-	known = known && !e.node.control.snapshot().members.StoreUnreadable()
+	known = known && !e.node.control.snapshot().members.StoreUnreadable() && e.node.viewAge() <= maxViewAge
 	return list, known && streams.ledOnlyTo(q.Service, q.Host, q.Target, since)
 }
 
--- a/site/freshness.go
+++ b/site/freshness.go
@@ -6,6 +6,22 @@
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 )
 
+const (
+	// currentViewAge is the age up to which a view of the store counts as current: changes take
+	// as long to reach the VMs.
+	currentViewAge = requestDelay
+	// maxViewAge is the longest that a VM in touch with the store, or with a VM that reads it,
+	// goes without confirmation: a watch without changes, two exchanges that pass it on, and the
+	// ways between.
+	maxViewAge = maxWatchTimeout + 2*gossipInterval + requestDelay
+)
+
+// viewAge returns the time since which changes of the store may be unknown to this VM. It exceeds
+// all bounds while the VM has not read the store.
+func (n *Node) viewAge() time.Duration {
+	return n.now().Sub(time.Unix(0, n.freshAsOf.Load()))
+}
+
 // keysTooStale reports whether this VM has gone without confirmation from the store for
 // longer than operators allow for the revocation of a key. Without such a bound the last
 // table stays valid.
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -15,6 +15,9 @@
 	}
 	n.metrics.SetMembers(reached, suspected)
 	n.metrics.SetStreamRecords(n.streams.register.Stats())
+	if n.freshAsOf.Load() > 0 {
+		n.metrics.SetStoreViewAge(n.viewAge())
+	}
 	n.metrics.SetRetryBudgetVMs(snap.members.FleetSize)
 	n.saturation.updateGauges()
 	n.bodies.updateGauges(n)
--- a/site/route_past_test.go
+++ b/site/route_past_test.go
@@ -112,6 +112,7 @@
 	now = now.Add(time.Minute)
 	n.streams.register.Observe("s", []string{"v2"}, now)
 	found := func(name string) metrics.StreamOrigin {
+		n.advanceFreshness(now)
 		_, found := n.streams.findOrigin(t.Context(), &call.Call{
 			Service: "s",
 			Path:    "/p/",
--- a/site/streams.go
+++ b/site/streams.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"log/slog"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -80,7 +82,7 @@
 		return
 	}
 	s.register.Add(o, s.node.now())
-	if _, known := s.sole(c.Target(), c.Routed.Host, c.Path, s.oldestStream()); !known {
+	if _, known := s.sole(c.Target(), c.Routed.Host, c.Path, s.oldestStream()); !known || s.node.viewAge() > maxViewAge {
 		s.tellKeepers(o)
 	}
 }
@@ -168,12 +170,20 @@
 	}
 }
 
-// answer returns the origin of a stream to another VM.
-func (s *streams) answer(q origin.RecordQuestion) (origin.Origin, bool) {
-	if o, ok := s.register.Find(q.Request, s.node.now()); ok {
-		return o, true
+// answer tells another VM what this one knows of the origin of a stream.
+func (s *streams) answer(q origin.RecordQuestion) origin.Reply {
+	since := s.oldestStream()
+	if q.Since.After(since) {
+		since = q.Since
+	}
+	reply := origin.Reply{
+		Versions: s.register.Versions(q.Service, since),
+	}
+	reply.Origin, reply.Known = s.register.Find(q.Request, s.node.now())
+	if !reply.Known && s.node.viewAge() <= currentViewAge {
+		reply.Origin, reply.Known = s.sole(q.Service, q.Host, q.Target, since)
 	}
-	return s.sole(q.Service, q.Host, q.Target, s.oldestStream())
+	return reply
 }
 
 // origin returns the origin of the stream that a caller resumes. The route must still lead to
@@ -192,10 +202,17 @@
 		return o, metrics.StreamOriginOwn
 	}
 	since := s.beganSince(c)
-	if o, ok := s.sole(c.Target(), c.Routed.Host, c.Path, since); ok {
-		return o, metrics.StreamOriginSole
+	sole, isSole := s.sole(c.Target(), c.Routed.Host, c.Path, since)
+	if isSole && s.node.viewAge() <= currentViewAge {
+		return sole, metrics.StreamOriginSole
+	}
+	if c.Routed.Resumes == "" && !isSole {
+		return origin.Origin{}, metrics.StreamOriginUnknown
 	}
 	if c.Routed.Resumes == "" {
+		if found, ok := s.ask(ctx, c, since); ok {
+			return found, metrics.StreamOriginSole
+		}
 		return origin.Origin{}, metrics.StreamOriginUnknown
 	}
 	return s.findElsewhere(ctx, c, since)
@@ -234,7 +251,10 @@
 	if startedLate {
 		go deduce()
 	}
-	if found, ok := s.ask(ctx, c); ok {
+	if found, ok := s.ask(ctx, c, since); ok {
+		if found.Request == "" {
+			return found, metrics.StreamOriginSole
+		}
 		return found, metrics.StreamOriginAsked
 	}
 	if !startedLate {
@@ -248,37 +268,70 @@
 	return o, metrics.StreamOriginDeduced
 }
 
-// ask asks the VMs that may have a record and returns the first that is found.
-func (s *streams) ask(ctx context.Context, c *call.Call) (origin.Origin, bool) {
+// ask asks the VMs that may have a record and returns the first that is found. Without one, the
+// only version that this VM knows of counts if those VMs confirm it.
+func (s *streams) ask(ctx context.Context, c *call.Call, since time.Time) (origin.Origin, bool) {
 	asked := origin.Asked(c.Routed.Resumes, s.fleet())
 	q := origin.RecordQuestion{
 		Request: c.Routed.Resumes,
 		Service: c.Target(),
 		Host:    c.Routed.Host,
 		Target:  c.Path,
+		Since:   since,
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, originAskTimeout)
 	defer cancel()
-	found := make(chan *origin.Origin, len(asked))
+	arriving := make(chan origin.Reply, len(asked))
 	for _, vm := range asked {
 		go func() {
-			o, known, err := s.node.peers.Origin(timeoutCtx, vm, q)
+			reply, err := s.node.peers.Origin(timeoutCtx, vm, q)
 			if err != nil {
 				s.node.log.Debug("origin_not_asked", "peer", vm.ID, "reason", err.Error())
 			}
-			if !known {
-				found <- nil
-				return
-			}
-			found <- &o
+			arriving <- reply
 		}()
 	}
+	var replies []origin.Reply
 	for range asked {
-		if o := <-found; o != nil {
-			return *o, true
+		reply := <-arriving
+		if reply.Known && (reply.Origin.Request != "" || s.knowsOnly(q, reply.Origin.Version)) {
+			return reply.Origin, true
+		}
+		replies = append(replies, reply)
+	}
+	return s.confirmedSole(c, q, replies)
+}
+
+// knowsOnly reports whether this VM knows of no other version since a stream began.
+func (s *streams) knowsOnly(q origin.RecordQuestion, version string) bool {
+	isOther := func(v string) bool { return v != version }
+	return !slices.ContainsFunc(s.register.Versions(q.Service, q.Since), isOther)
+}
+
+// confirmedSole returns the only version that this VM knows of, if its view is not too old and the
+// VMs that were asked confirm it.
+func (s *streams) confirmedSole(c *call.Call, q origin.RecordQuestion, replies []origin.Reply) (origin.Origin, bool) {
+	sole, ok := s.sole(q.Service, q.Host, q.Target, q.Since)
+	if !ok {
+		return origin.Origin{}, false
+	}
+	age := s.node.viewAge()
+	isAlone := s.node.control.snapshot().members.FleetSize == 1
+	confirmed := age <= maxViewAge && (isAlone || origin.Confirms(replies, sole.Version))
+	answered := 0
+	for _, r := range replies {
+		if r.Answered {
+			answered++
 		}
 	}
-	return origin.Origin{}, false
+	c.Log.Add("only_version_checked",
+		slog.String("software_version", sole.Version),
+		slog.Int64("view_age_ms", age.Milliseconds()),
+		slog.Int("asked", len(replies)),
+		slog.Int("answered", answered),
+		slog.Bool("confirmed", confirmed),
+	)
+	return sole, confirmed
 }
 
 // sole returns the origin of all streams of a route that has led to one service only since they
