Streams: endpoints that came and went between two pulls are no secret

An endpoint that joined and was removed while the VM was cut off comes as the removal of an item that it never held, and was dropped without a trace.

Cause: only reads of all items were checked for hidden changes.

Change: the removal of an endpoint's entry that the mirror has never held counts as such a gap. It says exactly that, so nothing is claimed less where nothing was missed; removals of other items don't count.

TestUnseenEndpointLeavesNoOnlyVersion fails on the code before and passes now.

--- a/discovery/mirror.go
+++ b/discovery/mirror.go
@@ -183,6 +183,23 @@
 	}
 }
 
+// Unseen returns the removals among changes after the mirror's position that end items which it has
+// never held, as they came and went in between.
+func (m *Mirror) Unseen(changes []Item, position Position) []Item {
+	if position.Era != m.position.Era {
+		return nil
+	}
+	var out []Item
+	for _, c := range changes {
+		_, held := m.items[c.Key]
+		removal, removed := m.tombstones[c.Key]
+		if c.Removed && c.Revision > m.position.Revision && !held && (!removed || removal.Revision < c.Revision) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // NeedsSnapshot reports whether a peer at a position needs all items, as it is in another era
 // or removals may be missing among the changes.
 func (m *Mirror) NeedsSnapshot(after Position) bool {
--- a/site/gossip.go
+++ b/site/gossip.go
@@ -188,8 +188,7 @@
 // the region if it changes anything.
 func (c *control) applyAndSpread(ctx context.Context, read storeRead, now time.Time) {
 	isFirst := c.mirror.Position().IsZero()
-	if read.full && !isFirst && c.mirror.HidesChanges(read.items, read.position) {
-		// Endpoints may have come and gone between two reads of all items.
+	if !isFirst && c.hidesChanges(read) {
 		c.node.streams.register.Restart(now)
 	}
 	items, restored := c.mergeRead(read)
@@ -207,6 +206,19 @@
 	c.spread(ctx, gossipFanout, now)
 }
 
+// hidesChanges reports whether endpoints may have come and gone unseen between what this VM holds
+// and a read: of all items, or of a peer's copy, which has the last change of each item only.
+func (c *control) hidesChanges(read storeRead) bool {
+	if read.full {
+		return c.mirror.HidesChanges(read.items, read.position)
+	}
+	return slices.ContainsFunc(c.mirror.Unseen(read.items, read.position), func(item discovery.Item) bool {
+		// The entry itself is gone, so that nothing of it can fail to decode.
+		change, _ := c.node.decoder.Decode(item)
+		return change.Endpoint != nil
+	})
+}
+
 // spread sends an urgent message to random VMs of the region.
 func (c *control) spread(ctx context.Context, count int, now time.Time) {
 	for _, target := range c.roster.RandomTargets(count) {
--- a/site/streams_test.go
+++ b/site/streams_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
 	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/origin"
 	"github.com/fuchsianotch/fuchsianotch/peer"
@@ -137,3 +138,30 @@
 	}
 	return reply
 }
+
+// TestUnseenEndpointLeavesNoOnlyVersion guards against claiming the only version although an endpoint
+// of another one came and went while this VM was out of step.
+func TestUnseenEndpointLeavesNoOnlyVersion(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	n := newFleetNode(smallFleet, func() time.Time { return now })
+	since := now
+	position := n.control.mirror.Position()
+	pull := func(items ...discovery.Item) bool {
+		now = now.Add(time.Second)
+		position.Revision += 2
+		for i := range items {
+			items[i].Revision = position.Revision
+			items[i].Removed = true
+		}
+		n.control.applyAndSpread(t.Context(), storeRead{
+			items:    items,
+			position: position,
+		}, now)
+		n.control.publish(now)
+		return n.streams.register.KnownSince("s", since)
+	}
+	assert.Assert(t, pull())
+	assert.Assert(t, pull(discovery.Item{Key: "servers/i-0"}), "an endpoint that this VM knew")
+	assert.Assert(t, pull(discovery.Item{Key: "op/evacuate/r0-a"}))
+	assert.Assert(t, !pull(discovery.Item{Key: "servers/i-unseen"}))
+}
