Streams: a VM that starts asks engines which streams they still work on

Cause: records of origins are lost with all VMs, and what takes their place, the store's history, has no times: an endpoint that was removed without notice may have left at any time up to the start, so that every stream may have begun there. That endpoints still work on the streams of lost VMs, and say so in their reports, was not asked.

A run that has emitted events is the origin of its stream; it is recorded, and told to its keepers once the VM knows the others. Reports of another life of an engine, or of another endpoint at its address, don't count, nor do requests that engines of two versions work on.

--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -62,6 +62,30 @@
 	return load, c.readNotice(resp.StatusCode, resp.Header), err
 }
 
+// FetchRuns returns the ids of the requests of which an endpoint has emitted events and that it
+// still works on. It fails if another endpoint, or another life of this one, may have answered.
+func (c *Client) FetchRuns(ctx context.Context, e fleet.Endpoint, healthPath string) ([]string, error) {
+	load, _, err := c.FetchLoad(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	if e.Incarnation == 0 {
+		err = c.confirmInstance(ctx, e, healthPath)
+	} else if load.Incarnation != e.Incarnation {
+		err = merry.Errorf("endpoint %s is in another life", e.ID)
+	}
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for id, events := range load.Runs {
+		if events > 0 {
+			out = append(out, id)
+		}
+	}
+	return out, nil
+}
+
 func (c *Client) readLoad(resp *http.Response, e fleet.Endpoint, decode loadDecoder) (Load, error) {
 	if resp.StatusCode != http.StatusOK {
 		return Load{}, merry.Errorf("load report of %s: status %d", e.ID, resp.StatusCode)
--- a/site/evidence.go
+++ b/site/evidence.go
@@ -39,6 +39,9 @@
 	node    *Node
 	history storeHistory
 
+	// contentsKnown is closed once this VM holds the store's contents.
+	contentsKnown chan struct{}
+
 	mu sync.Mutex
 	// pending are the rounds that have not begun, by service.
 	pending map[string]*memoryRound
@@ -75,6 +78,8 @@
 		pending: make(map[string]*memoryRound),
 		begun:   make(map[string]time.Time),
 		engines: make(map[string]*engineMemory),
+
+		contentsKnown: make(chan struct{}),
 	}
 	e.history.node = n
 	return e
--- a/site/evidence_test.go
+++ b/site/evidence_test.go
@@ -4,12 +4,15 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/origin"
 )
 
 // TestEngineDeniesOnlyWhatItKnows guards against taking a part for unread that an engine has
@@ -59,3 +62,39 @@
 	e.Incarnation, epoch, instance = 3, 11, "i-y"
 	assert.Assert(t, !ask().complete, "another endpoint has the address")
 }
+
+// TestRunsOfLostVMsAreKnown guards against refusing the streams that engines still work on as a VM
+// starts, and against records from another life of an engine or of two versions.
+func TestRunsOfLostVMsAreKnown(t *testing.T) {
+	n := runningFleetNode(t, smallFleet)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Fuchsianotch-Instance-Id", "i-x")
+		_, _ = fmt.Fprint(w, `{"born":5,"Runs":[["streams",90,3,1],["waits",40,0,1]]}`)
+	}))
+	defer server.Close()
+	e := fleet.Endpoint{
+		ID:              "i-x",
+		Service:         "s",
+		Addr:            strings.TrimPrefix(server.URL, "http://"),
+		Incarnation:     5,
+		SoftwareVersion: "v2",
+	}
+	runs := func() []string { return n.streams.runsOf(t.Context(), e, "/health") }
+	assert.DeepEqual(t, runs(), []string{"streams"})
+	e.Incarnation = 4
+	assert.Equal(t, len(runs()), 0, "an earlier life's entry")
+	e.Incarnation = 0
+	assert.DeepEqual(t, runs(), []string{"streams"})
+	e.ID = "i-y"
+	assert.Equal(t, len(runs()), 0, "another endpoint has the address")
+
+	other := e
+	other.SoftwareVersion = "v1"
+	until := time.Unix(1e9, 0)
+	got := originsOfRuns("s", []fleet.Endpoint{e, other, other}, [][]string{{"a", "both"}, {"both"}, {"b"}}, until)
+	slices.SortFunc(got, func(a, b origin.Origin) int { return strings.Compare(a.Request, b.Request) })
+	assert.DeepEqual(t, got, []origin.Origin{
+		{Request: "a", Service: "s", Version: "v2", KeepUntil: until},
+		{Request: "b", Service: "s", Version: "v1", KeepUntil: until},
+	})
+}
--- a/site/history.go
+++ b/site/history.go
@@ -40,6 +40,9 @@
 	h := &e.history
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.start.IsZero() {
+		close(e.contentsKnown)
+	}
 	h.start = read.position
 	h.startedAt = now
 	h.revisions = make([]uint64, 0, len(read.items))
--- a/site/site.go
+++ b/site/site.go
@@ -395,6 +395,7 @@
 	worker.Add(&group, n.sendLimitNotes)
 	worker.Add(&group, n.streams.run)
 	worker.Add(&group, n.evidence.prepare)
+	worker.Add(&group, n.streams.findInterrupted)
 	worker.Add(&group, n.saturation.run)
 	worker.Add(&group, n.watchBodyMemory)
 	worker.AddShutdown(ctx, &group, n.stopped, n.stop)
