--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"sync"
 	"syscall"
@@ -229,6 +230,18 @@
 	map[string]any{"Service": serviceEngine, "Addr": 7, "State": "ready", "Slots": "many"},
 	map[string]any{"Service": "other", "Addr": "127.0.0.1:1", "State": "resting", "born": 1.5},
 	[]int{0, 255},
+	map[string]any{"Service": serviceEngine, "Addr": "127.0.0.1:70000", "State": "ready"},
+	map[string]any{"Service": serviceEngine, "Addr": "127.0.0.1:1", "State": "ready", "Seq": uint64(math.MaxUint64), "born": int64(math.MaxInt64)},
+	map[string]any{"Service": serviceEngine, "Addr": "127.0.0.1:1", "State": "resting", "ColdLeftMs": 1e300, "more": deepArray(9_990)},
+}
+
+// deepArray returns an array within arrays.
+func deepArray(depth int) any {
+	var out any
+	for range depth {
+		out = []any{out}
+	}
+	return out
 }
 
 // writeForeignEntry writes an unusable entry under a new key, or over an engine's entry,
