Streams: the search for interrupted streams ends with its context

The linter found an error that was dropped without a reason; the only one is the end of the context.

--- a/site/evidence_test.go
+++ b/site/evidence_test.go
@@ -67,7 +67,7 @@
 // starts, and against records from another life of an engine or of two versions.
 func TestRunsOfLostVMsAreKnown(t *testing.T) {
 	n := runningFleetNode(t, smallFleet)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Fuchsianotch-Instance-Id", "i-x")
 		_, _ = fmt.Fprint(w, `{"born":5,"Runs":[["streams",90,3,1],["waits",40,0,1]]}`)
 	}))
--- a/site/interrupted.go
+++ b/site/interrupted.go
@@ -29,11 +29,9 @@
 		return nil
 	case <-s.node.evidence.contentsKnown:
 	}
-	// The contents are in force once the control goroutine takes the next command.
-	services, err := query(ctx, s.node.control, func(c *control, _ time.Time) []string { return c.discovery.Services() })
-	if err != nil {
-		return nil
-	}
+	// The contents are in force once the control goroutine takes the next command. The only error is
+	// the end of the context.
+	services, _ := query(ctx, s.node.control, func(c *control, _ time.Time) []string { return c.discovery.Services() })
 	var found []origin.Origin
 	for _, service := range services {
 		if len(s.node.pools.index.softwareVersions(service)) > 1 {
