Soak: a later version joins while half of the VMs stand still

It fails if a stream of that version goes on at the earlier one at a VM that stood still, or if fewer than five were resumed there. Most resumed streams break off again here, so that the general check of resumed streams is told of a disturbance.

--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -35,6 +35,7 @@
 	restores := app.Flag("restores", "Have the store come back from older copies, before the random faults.").Bool()
 	retries := app.Flag("retries", "Have all replicas fail in two bursts with all VMs killed between, before the random faults.").Bool()
 	streams := app.Flag("streams", "Have engines of several versions and VMs end while streams are under way, before the random faults.").Bool()
+	versionJoins := app.Flag("version-joins", "Have engines of a later version join while half of the VMs stand still and streams break off, instead of random faults.").Bool()
 	crashTogether := app.Flag("crash-together", "Have a quarter of the engines crash and return cold at once, before the random faults.").Bool()
 	stops := app.Flag("stops", "Stop VMs in series that overlap, under clients that use connections until they end, instead of random faults.").Bool()
 	lateRefusals := app.Flag("late-refusals", "Have replicas send refusals twice, before the random faults.").Bool()
@@ -66,6 +67,7 @@
 		EndpointNotices: *notices,
 		StoreRestores:   *restores,
 		StreamVersions:  *streams,
+		VersionJoins:    *versionJoins,
 		RetryBursts:     *retries,
 		LateRefusals:    *lateRefusals,
 		CrashTogether:   *crashTogether,
@@ -183,6 +185,8 @@
 		selected = runLateRefusals
 	case o.RetryBursts:
 		selected = runRetryBursts
+	case o.VersionJoins:
+		selected = runVersionJoins
 	case o.StreamVersions:
 		selected = runStreamVersions
 	case o.LargeBodies > 0:
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -190,6 +190,18 @@
 	})
 }
 
+// TestVersionJoinsWhileVMsStandStill guards against VMs that have not seen a later version join and
+// resume its streams at the one that they know.
+func TestVersionJoinsWhileVMsStandStill(t *testing.T) {
+	runScenario(t, runVersionJoins, Options{
+		Seed:    11,
+		Regions: 1,
+		VMs:     4,
+		Engines: 6,
+		Clients: 100,
+	})
+}
+
 // TestCrashTogether guards against calls that reach engines which return cold all at once, and
 // against callers who are refused though other engines have room.
 func TestCrashTogether(t *testing.T) {
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -84,6 +84,8 @@
 	// CrashTogether has a quarter of the engines crash and return cold at once, before the
 	// random faults.
 	CrashTogether bool
+	// VersionJoins has engines of a later version join while VMs stand still.
+	VersionJoins bool
 	// StreamVersions has engines and VMs end while streams are under way, before the random
 	// faults.
 	StreamVersions bool
@@ -117,6 +119,8 @@
 	faultRate float64
 	// onlyFault is the fault of these requests; FaultNone means a random one.
 	onlyFault replica.Fault
+	// versionJoined is set once engines that start are of a later version than a single one.
+	versionJoined bool
 	// errorRate is the share of requests that replicas run and answer with an error.
 	errorRate float64
 }
@@ -346,10 +350,18 @@
 	v.busy = false
 }
 
+// laterVersion is that of engines which join those of a single version.
+const laterVersion = "v2"
+
 // versionOf returns the software version of a replica, which it keeps over restarts. Later
 // replicas have later versions, as in releases that overlap.
 func (tb *testbed) versionOf(id string) string {
 	if tb.Versions < 2 {
+		tb.mu.Lock()
+		defer tb.mu.Unlock()
+		if tb.versionJoined {
+			return laterVersion
+		}
 		return "v1"
 	}
 	var number int
