--- a/endpoint/block_filter.go
+++ b/endpoint/block_filter.go
@@ -38,7 +38,7 @@
 func newBlockFilter(c *call.Call, resumeAfter string) *blockFilter {
 	return &blockFilter{
 		order:     newEventOrder(c, resumeAfter),
-		continues: resumeAfter != "",
+		continues: c.Stream && resumeAfter != "",
 	}
 }
 
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -74,7 +74,8 @@
 // relayBody reads the whole response before forwarding it. A server error is kept
 // in the outcome instead, since another endpoint may succeed.
 func (x *exchange) relayBody(resp *http.Response) *result.Refusal {
-	if x.attempt.ResumeAfter != "" || x.resumeAfter() != "" && resp.StatusCode < http.StatusMultipleChoices {
+	callerResumes := x.attempt.Call.Stream && x.resumeAfter() != ""
+	if x.attempt.ResumeAfter != "" || callerResumes && resp.StatusCode < http.StatusMultipleChoices {
 		return result.Refuse(result.EndpointFailed, "the endpoint did not resume the stream")
 	}
 	body, _ := buffers.Get().(*bytes.Buffer)
