--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -177,6 +177,7 @@
 // TestStreamsKeepTheirVersion guards against streams that go on at a replica of another
 // software version, resumed by a VM or by their clients at any VM.
 func TestStreamsKeepTheirVersion(t *testing.T) {
+	t.Parallel()
 	runScenario(t, runStreamVersions, Options{
 		Seed:           5,
 		Regions:        3,
@@ -193,6 +194,7 @@
 // TestVersionJoinsWhileVMsStandStill guards against VMs that have not seen a later version join and
 // resume its streams at the one that they know.
 func TestVersionJoinsWhileVMsStandStill(t *testing.T) {
+	t.Parallel()
 	runScenario(t, runVersionJoins, Options{
 		Seed:    11,
 		Regions: 1,
--- a/testscripts/soak/version_joins.go
+++ b/testscripts/soak/version_joins.go
@@ -12,7 +12,7 @@
 const (
 	// soleVersionTime is when VMs know that there has been one version only since the oldest
 	// stream began: the routes' timeout and the start of the VMs.
-	soleVersionTime = 14 * time.Second
+	soleVersionTime = 11 * time.Second
 	// standstillTime is shorter than what VMs take for a pause of their process.
 	standstillTime = 1250 * time.Millisecond
 	// brokenStreamsTime is how long streams break off after that.
