Streams: how old a view may be grows with its region

Streams that callers resume would have been refused in large regions: a view older than 4 s did not count, and the confirmation that a VM passes on takes longer the more VMs there are.

Cause: the bound counted two exchanges, as between eight VMs.

Change: a watch without changes, and as many exchanges as it takes for each to double the VMs that know of its end, one more and the ways between: 4.5 s in regions of 3 VMs, 6 s in those of 30, 7 s in those of 100. What the bound is for stays: other VMs confirm the only version, and the view reaches back to before a stream began. TestViewInLargeRegion fails on the code before.

--- a/site/evidence.go
+++ b/site/evidence.go
@@ -113,7 +113,7 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	listed, err := e.listed(timeoutCtx, q.Service)
-	if err != nil || e.node.viewAge() > maxViewAge {
+	if err != nil || e.node.isViewTooOld() {
 		return "", false
 	}
 	found := e.ask(timeoutCtx, q, regionsWith(listed))
@@ -191,7 +191,7 @@
 	streams := e.node.streams
 	since := e.earliest(q)
 	list, known = streams.register.Departures(q.Service, since)
-	known = known && !e.node.control.snapshot().members.StoreUnreadable() && e.node.viewAge() <= maxViewAge
+	known = known && !e.node.control.snapshot().members.StoreUnreadable() && !e.node.isViewTooOld()
 	return list, known && streams.ledOnlyTo(q.Service, q.Host, q.Target, since)
 }
 
--- a/site/freshness.go
+++ b/site/freshness.go
@@ -1,20 +1,24 @@
 package site
 
 import (
+	"math/bits"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/discovery"
 )
 
-const (
-	// currentViewAge is the age up to which a view of the store counts as current: changes take
-	// as long to reach the VMs.
-	currentViewAge = requestDelay
-	// maxViewAge is the longest that a VM in touch with the store, or with a VM that reads it,
-	// goes without confirmation: a watch without changes, two exchanges that pass it on, and the
-	// ways between.
-	maxViewAge = maxWatchTimeout + 2*gossipInterval + requestDelay
-)
+// currentViewAge is the age up to which a view of the store counts as current: changes take as
+// long to reach the VMs.
+const currentViewAge = requestDelay
+
+// isViewTooOld reports whether this VM has gone without confirmation for longer than one in touch
+// with the store does: a watch without changes, the exchanges that pass its end on in the region,
+// each of which doubles the VMs that know it, and the ways between.
+func (n *Node) isViewTooOld() bool {
+	vms := len(n.control.snapshot().members.ReachableVMs(n.deployment.Region))
+	exchanges := 1 + bits.Len(uint(max(vms, 1)))
+	return n.viewAge() > maxWatchTimeout+time.Duration(exchanges)*gossipInterval+requestDelay
+}
 
 // viewAge returns the time since which changes of the store may be unknown to this VM. It exceeds
 // all bounds while the VM has not read the store.
--- a/site/freshness_test.go
+++ b/site/freshness_test.go
@@ -73,3 +73,23 @@
 	assert.Equal(t, watchFreshness(startedAt, deadline, deadline.Add(time.Millisecond), 2), startedAt)
 	assert.Equal(t, watchFreshness(startedAt, deadline, deadline.Add(-time.Millisecond), 0), startedAt)
 }
+
+// TestViewInLargeRegion guards against refusing the streams that callers resume in a large region,
+// where the store's confirmation passes through more VMs, and against believing a VM out of touch.
+func TestViewInLargeRegion(t *testing.T) {
+	for _, row := range []struct {
+		size   fleetSize
+		age    time.Duration
+		tooOld bool
+	}{
+		{smallFleet, 3500 * time.Millisecond, false},
+		{smallFleet, 5 * time.Second, true},
+		{largeFleet, 5500 * time.Millisecond, false},
+		{largeFleet, 8 * time.Second, true},
+	} {
+		now := time.Unix(1e9, 0)
+		n := newFleetNode(row.size, func() time.Time { return now })
+		n.advanceFreshness(now.Add(-row.age))
+		assert.Equal(t, n.isViewTooOld(), row.tooOld, "%v, %v", row.size, row.age)
+	}
+}
--- a/site/streams.go
+++ b/site/streams.go
@@ -82,7 +82,7 @@
 		return
 	}
 	s.register.Add(o, s.node.now())
-	if _, known := s.sole(c.Target(), c.Routed.Host, c.Path, s.oldestStream()); !known || s.node.viewAge() > maxViewAge {
+	if _, known := s.sole(c.Target(), c.Routed.Host, c.Path, s.oldestStream()); !known || s.node.isViewTooOld() {
 		s.tellKeepers(o)
 	}
 }
@@ -315,9 +315,8 @@
 	if !ok {
 		return origin.Origin{}, false
 	}
-	age := s.node.viewAge()
 	isAlone := s.node.control.snapshot().members.FleetSize == 1
-	confirmed := age <= maxViewAge && (isAlone || origin.Confirms(replies, sole.Version))
+	confirmed := !s.node.isViewTooOld() && (isAlone || origin.Confirms(replies, sole.Version))
 	answered := 0
 	for _, r := range replies {
 		if r.Answered {
@@ -326,7 +325,7 @@
 	}
 	c.Log.Add("only_version_checked",
 		slog.String("software_version", sole.Version),
-		slog.Int64("view_age_ms", age.Milliseconds()),
+		slog.Int64("view_age_ms", s.node.viewAge().Milliseconds()),
 		slog.Int("asked", len(replies)),
 		slog.Int("answered", answered),
 		slog.Bool("confirmed", confirmed),
