Streams: held events are counted, and forwarded without a copy

A question for an origin without a time sent a meaningless age.

Change: Outcome.HeldEvents and the metric held_events_total; what waited and what follows are forwarded one after the other; an unknown time is sent as such. A test of an empty store looks at more, a comment is clearer.

--- a/endpoint/block_filter.go
+++ b/endpoint/block_filter.go
@@ -42,33 +42,30 @@
 	}
 }
 
-// add takes the next block and returns those that go to the caller now, which are valid until
-// the following call.
-func (f *blockFilter) add(e rawEvent) (relayedBlocks, *result.Refusal) {
+// add takes the next block and returns what goes to the caller now, in two parts of which each may
+// be empty. They are valid until the following call.
+func (f *blockFilter) add(e rawEvent) ([2]relayedBlocks, *result.Refusal) {
 	if f.continues {
-		// Only a whole stream may begin with it.
+		// A byte order mark may only stand at the beginning of a stream.
 		e.data = bytes.TrimPrefix(e.data, byteOrderMark)
 	}
 	v, refusal := f.order.check(e)
 	switch {
 	case refusal != nil || v == verdictDrop:
-		return relayedBlocks{}, refusal
+		return [2]relayedBlocks{}, refusal
 	case v == verdictHold:
-		ready := f.takeHeld()
+		confirmed := f.takeHeld()
 		f.hold(e)
-		return ready, nil
+		return [2]relayedBlocks{confirmed}, nil
 	case len(f.held.data) > 0 && !e.isEvent():
 		f.hold(e)
-		return relayedBlocks{}, nil
+		return [2]relayedBlocks{}, nil
 	}
-	ready := f.takeHeld()
-	ready.count(e)
-	if len(ready.data) == 0 {
-		ready.data = e.data
-	} else {
-		ready.data = append(ready.data, e.data...)
+	block := relayedBlocks{
+		data: e.data,
 	}
-	return ready, nil
+	block.count(e)
+	return [2]relayedBlocks{f.takeHeld(), block}, nil
 }
 
 func (f *blockFilter) hold(e rawEvent) {
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -153,6 +153,8 @@
 	// Delivered counts the generated tokens that this attempt forwarded. The next
 	// attempt resumes from ResumeFrom + Delivered.
 	Delivered int
+	// HeldEvents counts the events that waited for the next one, as their ids were doubtful.
+	HeldEvents int
 	// Sent is false only if no byte of the request was written.
 	Sent bool
 	// FirstByteAt is when the first part of the response was forwarded.
--- a/endpoint/event_order_test.go
+++ b/endpoint/event_order_test.go
@@ -86,7 +86,9 @@
 		if refusal != nil {
 			return got
 		}
-		got.add(ready)
+		for _, blocks := range ready {
+			got.add(blocks)
+		}
 	}
 }
 
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -136,6 +136,7 @@
 	reader.reader.Reset(resp.Body)
 	defer reader.release()
 	filter := newBlockFilter(x.attempt.Call, x.resumeAfter())
+	defer func() { x.outcome.HeldEvents = filter.order.heldEvents }()
 	var lastAt time.Time
 	for {
 		event, err := reader.next(x.client.maxResponseBytes, len(filter.held.data), &x.room)
@@ -149,20 +150,22 @@
 		if refusal != nil {
 			return refusal
 		}
-		if len(ready.data) == 0 {
-			continue
-		}
-		if refusal := x.forwardBlocks(resp, ready); refusal != nil {
-			return refusal
-		}
-		if ready.events > 0 {
-			lastAt = x.reportEventGap(lastAt)
+		for _, blocks := range ready {
+			if refusal := x.forwardBlocks(resp, blocks); refusal != nil {
+				return refusal
+			}
+			if blocks.events > 0 {
+				lastAt = x.reportEventGap(lastAt)
+			}
 		}
 	}
 }
 
-// forwardBlocks forwards blocks of a stream, after the head if they are the first.
+// forwardBlocks forwards blocks of a stream, if there are any, after the head if they are the first.
 func (x *exchange) forwardBlocks(resp *http.Response, blocks relayedBlocks) *result.Refusal {
+	if len(blocks.data) == 0 {
+		return nil
+	}
 	if refusal := x.forwardHead(resp.StatusCode, streamHeader(resp.Header)); refusal != nil {
 		return refusal
 	}
@@ -191,10 +194,8 @@
 	if refusal := x.confirmEnd(); refusal != nil {
 		return refusal
 	}
-	if held := filter.takeHeld(); len(held.data) > 0 {
-		if refusal := x.forwardBlocks(resp, held); refusal != nil {
-			return refusal
-		}
+	if refusal := x.forwardBlocks(resp, filter.takeHeld()); refusal != nil {
+		return refusal
 	}
 	if x.outcome.Framing == FramingConnection && x.outcome.Delivered == 0 && x.resumeAfter() == "" {
 		return result.Refuse(result.EndpointCut, "the stream ended before its first event")
--- a/endpoint/relay_test.go
+++ b/endpoint/relay_test.go
@@ -35,6 +35,7 @@
 	Header        map[string]string
 	Events        int
 	LastEvent     string `json:"last_event"`
+	HeldEvents    int    `json:"held_events"`
 	OtherInstance bool   `json:"other_instance"`
 	Idempotent    bool
 	Held          int
@@ -113,6 +114,7 @@
 			assert.Equal(t, body, c.Body)
 			assert.Equal(t, out.Delivered, c.Events)
 			assert.Equal(t, out.LastEvent, c.LastEvent)
+			assert.Equal(t, out.HeldEvents, c.HeldEvents)
 			assert.Equal(t, out.InstanceMismatch, c.OtherInstance)
 			for name, value := range c.Header {
 				assert.Equal(t, header.Get(name), value)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -70,6 +70,7 @@
 	retries          prometheus.Counter
 	endpointAnswers  *prometheus.CounterVec
 	endpointRefusals *prometheus.CounterVec
+	heldEvents       prometheus.Counter
 	retryBudget      *prometheus.CounterVec
 	retryBudgetVMs   prometheus.Gauge
 	resumedStreams   *prometheus.CounterVec
@@ -128,6 +129,7 @@
 		forwards:         newCounterVec("forwards_total", "Calls forwarded to another VM.", "outcome"),
 		retries:          newCounter("retries_total", "Attempts after the first of a call."),
 		endpointAnswers:  newCounterVec("endpoint_answers_total", "Answers that endpoints began, by what marks their end and whether they were whole.", "framing", "whole"),
+		heldEvents:       newCounter("held_events_total", "Events of streams that waited for the next one, as their ids were doubtful."),
 		endpointRefusals: newCounterVec("endpoint_refusals_total", "Answers of endpoints that say that they did not run the request, by what ties them to it.", "proof"),
 		retryBudget:      newCounterVec("retry_budget_total", "Requests counted for the retry budget, and retries that it granted, refused or got back unsent.", "event", "service"),
 		resumedStreams:   newCounterVec("streams_resumed_total", "Streams that callers asked to resume, by how their origin was found.", "origin"),
@@ -174,7 +176,7 @@
 	m.vm = newVMMetrics(m.registry)
 	m.slowStart = newSlowStartMetrics(m.registry)
 	m.registry.MustRegister(
-		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries, m.endpointAnswers, m.endpointRefusals,
+		m.callsEnded, m.firstTokenTime, m.answerTime, m.tokens, m.spend, m.crossRegionCalls, m.forwards, m.retries, m.endpointAnswers, m.endpointRefusals, m.heldEvents,
 		m.retryBudget, m.retryBudgetVMs, m.resumedStreams, m.streamRecords, m.droppedRecords, m.storeViewAge,
 		m.limitRejections, m.limitRequests, m.rateLimitedSends, m.endpointNotices, m.sendsAfterNotice, m.permitRequests, m.snapshots,
 		m.placementRefused, m.fairShares, m.returnedCalls,
@@ -244,6 +246,11 @@
 	m.endpointRefusals.WithLabelValues(string(proof)).Inc()
 }
 
+// AddHeldEvents counts events of streams that waited for the next one, as their ids were doubtful.
+func (m *Metrics) AddHeldEvents(n int) {
+	m.heldEvents.Add(float64(n))
+}
+
 // RetryBudgetEvent is a use of the retry budget.
 type RetryBudgetEvent string
 
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -72,6 +72,7 @@
 	m.SetQuarantine(quarantine.Counts{Contents: 4, Parts: 2, SuspectedParts: 3})
 	m.CountEndpointAnswer(endpoint.FramingConnection, true)
 	m.CountEndpointRefusal(endpoint.RefusalProofID)
+	m.AddHeldEvents(2)
 	m.CountLimitRejection("hule930")
 	m.CountLimitRequest(true)
 	m.CountFairShare("above")
@@ -190,6 +191,7 @@
 
 		"fuchsianotch_endpoint_answers_total connection true": 1,
 		"fuchsianotch_endpoint_refusals_total id":             1,
+		"fuchsianotch_held_events_total ":                     2,
 
 		"fuchsianotch_limit_refused_total hule930":  1,
 		"fuchsianotch_limit_asked_total answered":   1,
--- a/peer/origins.go
+++ b/peer/origins.go
@@ -29,7 +29,7 @@
 		Service: q.Service,
 		Host:    q.Host,
 		Target:  []byte(q.Target),
-		AgeMs:   uint32(max(c.options.Now().Sub(q.Since).Milliseconds(), 0)),
+		AgeMs:   c.ageMs(q.Since),
 	})
 	if err != nil {
 		return out, err
@@ -43,6 +43,14 @@
 	return out, nil
 }
 
+// ageMs returns the age of a time in milliseconds; zero means that it is not known.
+func (c *Client) ageMs(at time.Time) uint32 {
+	if at.IsZero() {
+		return 0
+	}
+	return uint32(max(c.options.Now().Sub(at).Milliseconds(), 0))
+}
+
 // Origins implements peerpb.DRPCPeerServer.
 func (s *service) Origins(_ context.Context, in *peerpb.OriginNote) (*peerpb.OriginNoteReply, error) {
 	if s.handlers.Origins == nil {
--- a/serving/run.go
+++ b/serving/run.go
@@ -193,6 +193,7 @@
 	if out.RefusalProof != "" {
 		s.options.Metrics.CountEndpointRefusal(out.RefusalProof)
 	}
+	s.options.Metrics.AddHeldEvents(out.HeldEvents)
 	p.addAttempt(out, slot.Choice.Endpoint)
 	s.reportAttempt(c, p)
 	return nil
--- a/site/evidence_test.go
+++ b/site/evidence_test.go
@@ -108,6 +108,11 @@
 	}
 	n.evidence.began(read, n.now())
 	n.evidence.began(read, n.now())
+	select {
+	case <-n.evidence.contentsKnown:
+		t.Fatal("an empty store counts as known")
+	default:
+	}
 	read.position.Revision = 1
 	n.evidence.began(read, n.now())
 	<-n.evidence.contentsKnown
--- a/site/interrupted.go
+++ b/site/interrupted.go
@@ -16,7 +16,7 @@
 	// runsTimeout bounds a question for the runs of an engine.
 	runsTimeout = 300 * time.Millisecond
 	// maxInterruptedEngines bounds the engines of a service that a VM asks for their runs. In
-	// larger regions VMs that start together ask about others each.
+	// larger regions each asks some at random, so that VMs that start together cover them.
 	maxInterruptedEngines = 8
 )
 
