Site: the test of unseen endpoints has a clock that stands still

Change: the VM's clock stands still, and the times of the reads are given to it as before. It still fails without the fix that it guards.

--- a/site/streams_test.go
+++ b/site/streams_test.go
@@ -142,9 +142,9 @@
 // TestUnseenEndpointLeavesNoOnlyVersion guards against claiming the only version although an endpoint
 // of another one came and went while this VM was out of step.
 func TestUnseenEndpointLeavesNoOnlyVersion(t *testing.T) {
-	now := time.Unix(1e9, 0)
-	n := newFleetNode(smallFleet, func() time.Time { return now })
-	since := now
+	since := time.Unix(1e9, 0)
+	n := newFleetNode(smallFleet, func() time.Time { return since })
+	now := since
 	position := n.control.mirror.Position()
 	pull := func(items ...discovery.Item) bool {
 		now = now.Add(time.Second)
