Emulator: engines send refusals once more in place of the next answer

No caller is concerned: the emulator played none of the late second answers under which calls that may run once had run twice, and the retries behind such an answer rest on the packages it plays.

Change: EngineFault has a fraction of requests whose refusal comes twice, without ids.

--- a/testscripts/emulator/emulator.go
+++ b/testscripts/emulator/emulator.go
@@ -58,6 +58,8 @@
 	IgnoreVersions Defect = "ignore_versions"
 	// KeepOriginsLocally sends no copies of the origins of streams.
 	KeepOriginsLocally Defect = "keep_origins_locally"
+	// TrustRefusals takes any refusal for the answer to the request that it follows.
+	TrustRefusals Defect = "trust_refusals"
 	// GiveUpUnreached tries no other endpoint after one that was not reached.
 	GiveUpUnreached Defect = "give_up_unreached"
 )
--- a/testscripts/emulator/engine.go
+++ b/testscripts/emulator/engine.go
@@ -32,6 +32,10 @@
 	// The fractions of runs whose answer is lost, of requests that are refused, and of
 	// runs that fail.
 	lostFraction, refusedFraction, failedFraction float64
+	// refusedTwiceFraction is that of requests whose refusal comes once more as the next
+	// request of the VM arrives, without an id. strayRefusals counts those under way.
+	refusedTwiceFraction float64
+	strayRefusals        map[*vm]int
 	// coldArrivals are the requests that arrived while the endpoint was cold.
 	coldArrivals []arrival
 	// limit is the rate limit that its answers carry.
@@ -77,8 +81,9 @@
 
 			SoftwareVersion: w.streams.softwareVersion(),
 		},
-		up:         true,
-		registered: true,
+		up:            true,
+		registered:    true,
+		strayRefusals: make(map[*vm]int),
 	}
 	w.engines = append(w.engines, e)
 	w.store.put(e)
@@ -156,6 +161,17 @@
 		a.reply(e, result.EndpointRefused, true)
 		return
 	}
+	if e.strayRefusals[a.from] > 0 {
+		e.strayRefusals[a.from]--
+		e.world.ledger.recordRun(e, a)
+		a.reply(e, a.from.strayRefusalCode(), true)
+		return
+	}
+	if e.refusedTwiceFraction > 0 && e.world.rand.Float64() < e.refusedTwiceFraction {
+		e.strayRefusals[a.from]++
+		a.reply(e, result.EndpointRefused, true)
+		return
+	}
 	e.world.ledger.recordRun(e, a)
 	if a.request.crashesEndpoint {
 		e.world.after(crashDelay, func() { e.crashDuring(a) })
@@ -168,6 +184,14 @@
 	e.world.after(e.world.randomDuration(minRunTime, maxRunTime), func() { e.finish(a) })
 }
 
+// strayRefusalCode is the code of an attempt that gets a refusal of another one.
+func (v *vm) strayRefusalCode() result.Code {
+	if v.world.defect == TrustRefusals {
+		return result.EndpointRefused
+	}
+	return result.RefusalUnproven
+}
+
 func (e *engine) finish(a attempt) {
 	draw := e.world.rand.Float64()
 	switch {
@@ -184,7 +208,8 @@
 	if sent && code != result.Done {
 		e.world.ledger.failures++
 	}
-	notice, hasNotice := e.notice(code == result.EndpointRefused), e.endpoint.ID == a.endpointID && sent && code != result.EndpointCut
+	notice, hasNotice := e.notice(code == result.EndpointRefused), e.endpoint.ID == a.endpointID && sent &&
+		code != result.EndpointCut && code != result.RefusalUnproven
 	if hasNotice {
 		e.notices.recordNotice(a.from, notice, e.world.clock.now)
 	}
--- a/testscripts/emulator/planned_faults.go
+++ b/testscripts/emulator/planned_faults.go
@@ -19,7 +19,7 @@
 	Crashes []CrashTogether `json:"crashes"`
 }
 
-// EngineFault makes all engines of some regions refuse requests, or lose their answers.
+// EngineFault makes all engines of some regions refuse requests, once or twice, or lose their answers.
 type EngineFault struct {
 	AtSeconds  float64 `json:"at"`
 	ForSeconds float64 `json:"for"`
@@ -27,6 +27,8 @@
 	Regions []int   `json:"regions"`
 	Refused float64 `json:"refused"`
 	Lost    float64 `json:"lost"`
+	// RefusedTwice is the fraction of requests whose refusal comes twice, without ids.
+	RefusedTwice float64 `json:"refused_twice"`
 	// RestSeconds is the time named in refusals; zero for none.
 	RestSeconds float64 `json:"rest_seconds"`
 }
@@ -128,6 +130,7 @@
 		if includesRegion(f.Regions, e.endpoint.Region) {
 			e.refusedFraction = f.Refused
 			e.lostFraction = f.Lost
+			e.refusedTwiceFraction = f.RefusedTwice
 			e.notices.restFor = seconds(f.RestSeconds)
 		}
 	}
