Routing: the simulations of engines and connections run beside each other

No test failed.

Cause: the package's simulations run one after the other on one core. They take 155 s of processor time with -race; at a load of 22 on 8 cores that was 212 s, all passing, so that a third of a core is too little.

Change: their rows run in parallel; each has its own clock and random numbers. Nothing that they check has changed.

--- a/routing/connected_test.go
+++ b/routing/connected_test.go
@@ -33,8 +33,10 @@
 // TestConnectedEndpoints guards against a new connection for nearly every call in a large
 // region, and against VMs that stay with an endpoint that others fill or that is slow.
 func TestConnectedEndpoints(t *testing.T) {
+	t.Parallel()
 	for _, row := range datatest.Read[[]connectedRow](t, "testdata/connected.json") {
 		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
 			s := newConnectedSimulation(row)
 			s.run(20 * time.Second)
 			connections := float64(s.connections) / float64(s.calls)
--- a/routing/memory_test.go
+++ b/routing/memory_test.go
@@ -72,8 +72,10 @@
 
 // Engines must not be sent more long prompts than their memory holds while others have room.
 func TestEngineMemory(t *testing.T) {
+	t.Parallel()
 	for _, row := range datatest.Read[[]memoryRow](t, "testdata/memory.json") {
 		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
 			with, without := row.run(t, false), row.run(t, true)
 			t.Logf("with %s; without %s", with, without)
 			if row.Silent {
