Placement: resumed streams go where their next event comes in time

Callers that resumed a stream after the loss of all VMs got 503 (2020, no region is expected to end the answer in time) although their own region would have sent the next event well before their deadline.

Cause: the region was chosen by the share of the objective and by the end of the whole answer, and the refusal judged by the next event in that region. With 2.5 s left a call went to a region with the first event in 3.5 s and an earlier end, and not to its own with 1.2 s. A resumed stream has met its objective; where its answer ends nowhere in time, its next event counts now.

Three rows of TestDecide fail before.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -190,15 +190,14 @@
 			return r.Local
 		}
 		best = r.Local
-		leastUsed = max(first, completion)
+		leastUsed = r.shareUsed(r.Local, now)
 		if r.Local.Endangers {
 			// Any region that ends the call in time is better.
 			leastUsed = max(leastUsed, 1)
 		}
 	}
 	for _, o := range r.Remote {
-		first, completion := r.timeUsed(o, now)
-		if used := max(first, completion); o.Endpoints > 0 && (best.Region == "" || used < leastUsed) {
+		if used := r.shareUsed(o, now); o.Endpoints > 0 && (best.Region == "" || used < leastUsed) {
 			best = o
 			leastUsed = used
 		}
@@ -206,6 +205,21 @@
 	return best
 }
 
+// shareUsed returns the larger of the shares of the times to the objective and to the deadline
+// that the call would take in a region. A resumed stream has met its objective; where its answer
+// can't end in time, its next event counts, with a share above 1.
+func (r Request) shareUsed(l Load, now time.Time) float64 {
+	first, completion := r.timeUsed(l, now)
+	switch {
+	case !r.Resumed:
+		return max(first, completion)
+	case completion > 1:
+		return 1 + shareOfTime(l.TTFT+l.RoundTrip, r.Deadline, now)
+	default:
+		return completion
+	}
+}
+
 // isLate reports whether the first token is expected after the objective.
 func (r Request) isLate(l Load, now time.Time) bool {
 	return MissesObjective(l, r.FirstTokenDeadline, now)
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// TestDecide uses an objective of 1 s and a deadline of 10 s.
+// TestDecide uses an objective of 1 s, and a deadline of 10 s where a row has no other.
 func TestDecide(t *testing.T) {
 	now := time.Unix(1e9, 0)
 	for _, c := range datatest.Read[[]struct {
@@ -39,6 +39,7 @@
 		Others     []loadCase
 		NotAllowed bool `json:"not_allowed"`
 		Resumed    bool
+		DeadlineMS int64 `json:"deadline_ms"`
 		Rank       int
 		Draw       float64
 		Want       string
@@ -55,6 +56,9 @@
 				Resumed:            c.Resumed,
 				DeadlineDraw:       c.Draw,
 			}
+			if c.DeadlineMS > 0 {
+				r.Deadline = now.Add(time.Duration(c.DeadlineMS) * time.Millisecond)
+			}
 			r.Local.Region = "a"
 			for _, o := range c.Others {
 				r.Remote = append(r.Remote, o.load())
