Streams: lines say why the version of a stream is not known

Whether nobody has read its prompt, engines did not answer, or an endpoint may have left unseen could not be told from the lines. Evidence names its doubt now, and stream_origin_unknown logs it; rows of TestVersionOfEvidence hold each.

--- a/origin/evidence.go
+++ b/origin/evidence.go
@@ -37,36 +37,57 @@
 	Departures      []Departure
 }
 
+// Doubt says why the software version that began a stream does not follow from the evidence;
+// empty means that it does.
+type Doubt string
+
+// The doubts, in the order in which they are checked.
+const (
+	DoubtPast       Doubt = "departures_unknown"
+	DoubtSeveral    Doubt = "read_at_several_versions"
+	DoubtNotRead    Doubt = "not_read"
+	DoubtIncomplete Doubt = "endpoint_incomplete"
+	DoubtDeparted   Doubt = "endpoint_departed"
+)
+
 // Version returns the software version that began the stream: the only one of which an
 // endpoint has read the part, if no endpoint of another version can have begun it. Each of
 // those must say that it has not read the part, and none may have left since the stream began.
-func (e Evidence) Version() (version string, ok bool) {
+func (e Evidence) Version() (version string, doubt Doubt) {
 	if !e.DeparturesKnown {
-		return "", false
+		return "", DoubtPast
+	}
+	version, doubt = e.versionRead()
+	if doubt != "" {
+		return "", doubt
 	}
 	unread := make(map[string]bool)
 	for _, a := range e.Endpoints {
-		switch {
-		case a.HasRead && ok && a.Version != version:
-			return "", false
-		case a.HasRead:
-			version, ok = a.Version, true
-		case a.Complete:
-			unread[a.Endpoint] = true
-		}
-	}
-	if !ok {
-		return "", false
+		unread[a.Endpoint] = a.Complete && !a.HasRead
 	}
 	for id, v := range e.Serving {
 		if v != version && !unread[id] {
-			return "", false
+			return "", DoubtIncomplete
 		}
 	}
 	for _, d := range e.Departures {
 		if d.VersionUnknown || d.Version != version {
-			return "", false
+			return "", DoubtDeparted
+		}
+	}
+	return version, ""
+}
+
+// versionRead returns the only version of which an endpoint has read the part.
+func (e Evidence) versionRead() (version string, doubt Doubt) {
+	doubt = DoubtNotRead
+	for _, a := range e.Endpoints {
+		if a.HasRead && doubt == "" && a.Version != version {
+			return "", DoubtSeveral
+		}
+		if a.HasRead {
+			version, doubt = a.Version, ""
 		}
 	}
-	return version, true
+	return version, doubt
 }
--- a/origin/evidence_test.go
+++ b/origin/evidence_test.go
@@ -22,6 +22,7 @@
 		Known      bool
 		Departures []string
 		Want       string
+		Doubt      Doubt
 	}](t, "testdata/evidence.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			e := Evidence{
@@ -43,9 +44,10 @@
 					VersionUnknown: version == "?",
 				})
 			}
-			version, ok := e.Version()
+			version, doubt := e.Version()
 			assert.Equal(t, version, c.Want)
-			assert.Equal(t, ok, c.Want != "")
+			assert.Equal(t, doubt, c.Doubt)
+			assert.Equal(t, doubt == "", c.Want != "")
 		})
 	}
 }
--- a/site/evidence.go
+++ b/site/evidence.go
@@ -107,14 +107,14 @@
 	return nil
 }
 
-// deduce returns the software version that began a stream, if what the endpoints have read leaves
-// no doubt.
-func (e *evidence) deduce(ctx context.Context, q origin.Question) (version string, ok bool) {
+// deduce returns the software version that began a stream, or why what the endpoints have read
+// leaves a doubt.
+func (e *evidence) deduce(ctx context.Context, q origin.Question) (version string, doubt origin.Doubt) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, evidenceTimeout)
 	defer cancel()
 	listed, err := e.listed(timeoutCtx, q.Service)
 	if err != nil || e.node.isViewTooOld() {
-		return "", false
+		return "", origin.DoubtPast
 	}
 	found := e.ask(timeoutCtx, q, regionsWith(listed))
 	found.Serving = make(map[string]string, len(listed))
--- a/site/streams.go
+++ b/site/streams.go
@@ -222,7 +222,7 @@
 // While this VM has not run for longer than the stream, the others may have lost their records
 // too, so that it asks for both at once.
 func (s *streams) findElsewhere(ctx context.Context, c *call.Call, since time.Time) (origin.Origin, metrics.StreamOrigin) {
-	deduced := make(chan bool, 1)
+	deduced := make(chan origin.Doubt, 1)
 	o := origin.Origin{
 		Request:   c.Routed.Resumes,
 		Service:   c.Target(),
@@ -240,12 +240,12 @@
 	}
 	deduce := func() {
 		if len(prompt) == 0 {
-			deduced <- false
+			deduced <- origin.DoubtNotRead
 			return
 		}
-		version, ok := s.node.evidence.deduce(ctx, q)
+		version, doubt := s.node.evidence.deduce(ctx, q)
 		o.Version = version
-		deduced <- ok
+		deduced <- doubt
 	}
 	startedLate := s.node.startedAt.After(since)
 	if startedLate {
@@ -260,7 +260,8 @@
 	if !startedLate {
 		deduce()
 	}
-	if !<-deduced {
+	if doubt := <-deduced; doubt != "" {
+		c.Log.Add("stream_origin_unknown", slog.String("doubt", string(doubt)), slog.Int64("since_ms", s.node.now().Sub(since).Milliseconds()))
 		return origin.Origin{}, metrics.StreamOriginUnknown
 	}
 	s.register.Add(o, s.node.now())
--- a/testscripts/emulator/stream_evidence.go
+++ b/testscripts/emulator/stream_evidence.go
@@ -58,7 +58,8 @@
 				return
 			}
 			done = true
-			then(found.Version())
+			version, doubt := found.Version()
+			then(version, doubt == "")
 		})
 	}
 	for region := range w.topology.regions {
