Endpoint: the last try of a call takes a new connection

Callers got 503 (2026, the endpoint was not reached) for an endpoint that serves: a refusal without a body leaves its spoiled connection in the pool for a moment, and a call gave up after eight of them in a row.

That it failed for this cause is likely and not shown.

--- a/endpoint/connection_test.go
+++ b/endpoint/connection_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,6 +48,54 @@
 	wg.Wait()
 }
 
+// TestSpoiledIdleConnectionsKeepNoCallBack guards against a call that is not sent, as the pool holds
+// more spoiled connections than the call tries.
+func TestSpoiledIdleConnectionsKeepNoCallBack(t *testing.T) {
+	const conns = maxConnTries + 2
+	var arrived sync.WaitGroup
+	arrived.Add(conns)
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) <= conns {
+			arrived.Done()
+			arrived.Wait()
+		}
+		w.Header().Set("Attempt", "attempt-1")
+		w.Header().Set("Signed", "s")
+	}))
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	client := New(Options{
+		Client: &http.Client{
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: conns,
+			},
+		},
+		Dialect: testDialect,
+	})
+	send := func() Outcome {
+		return client.Send(t.Context(), routedCall(addr, ""), Sink{
+			Head:  func(int, http.Header) error { return nil },
+			Chunk: func([]byte) error { return nil },
+		})
+	}
+	var calls sync.WaitGroup
+	for range conns {
+		calls.Go(func() { assert.Check(t, send().Code == result.Done) })
+	}
+	calls.Wait()
+	client.open.mu.Lock()
+	spoiled := slices.Clone(client.open.byAddr[addr])
+	client.open.mu.Unlock()
+	assert.Equal(t, len(spoiled), conns)
+	for _, conn := range spoiled {
+		conn.tainted.Store(true)
+	}
+	out := send()
+	assert.Equal(t, out.Code, result.Done, "%v: %v", out.Err, errors.Unwrap(out.Err))
+	assert.Equal(t, requests.Load(), int64(conns+1))
+}
+
 // TestTaintedConnection guards against requests and proofs on a connection that an earlier
 // attempt found to be shifted after the transport had handed it on.
 func TestTaintedConnection(t *testing.T) {
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -68,7 +68,7 @@
 }
 
 // roundTrip sends the request once. If a reused connection breaks before any byte
-// is written, it tries another connection.
+// is written, it tries another connection, and at last a new one.
 func (x *exchange) roundTrip() (*http.Response, *result.Refusal) {
 	transport := x.transport()
 	for tries := 1; ; tries++ {
@@ -82,6 +82,9 @@
 			return resp, nil
 		}
 		if x.conn.brokeBeforeSend() && tries < maxConnTries && x.ctx.Err() == nil {
+			if tries == maxConnTries-1 {
+				transport = x.client.unpooled
+			}
 			continue
 		}
 		return nil, x.transportRefusal(transport, err)
