Stand-in caller: say why a call was given up before it was sent

A call whose VM sends no 100 Continue within 5 s ended with "context canceled", which doesn't tell a VM that was slow from a connection that never came. The error names the timeout and whether there was a connection.

--- a/standin/caller/attempt.go
+++ b/standin/caller/attempt.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -40,6 +42,12 @@
 func (c *Caller) attempt(ctx context.Context, vm Entry, q *request) attemptResult {
 	ctx, cancel := q.withDeadline(ctx)
 	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	a := attemptResult{
 		Result: Result{
 			VM:     vm.VM,
@@ -56,7 +64,7 @@
 	}
 	continueTimer := time.AfterFunc(continueTimeout, func() {
 		if len(q.body) > 0 && sending.revoke() {
-			cancel()
+			giveUp(fmt.Errorf("%w, connected: %t", errRevoked, connected.Load()))
 		}
 	})
 	response, err := c.client.Do(r)
