Placement: streams that go on in time do not pause for an earlier end

Callers whose stream went on at another endpoint could see a longer pause: of regions that end the answer in time, a resumed stream went to the one with the earliest end since, also where its next event came much later there. That holds for streams which a VM goes on with in one answer too, whose pause still counts.

The share of the objective, 1 at the most, counts beside that of the deadline again.

--- a/placement/placement.go
+++ b/placement/placement.go
@@ -206,8 +206,8 @@
 }
 
 // shareUsed returns the larger of the shares of the times to the objective and to the deadline
-// that the call would take in a region. A resumed stream has met its objective; where its answer
-// can't end in time, its next event counts, with a share above 1.
+// that the call would take in a region. A resumed stream that can end in time goes where it does;
+// else its next event counts, with a share above 1.
 func (r Request) shareUsed(l Load, now time.Time) float64 {
 	first, completion := r.timeUsed(l, now)
 	switch {
@@ -216,7 +216,7 @@
 	case completion > 1:
 		return 1 + shareOfTime(l.TTFT+l.RoundTrip, r.Deadline, now)
 	default:
-		return completion
+		return max(min(first, 1), completion)
 	}
 }
 
