Streams: doubts are named by what they say

A request without parts of a prompt was logged as not_read, as if endpoints had been asked; it is no_prompt now.

--- a/origin/evidence.go
+++ b/origin/evidence.go
@@ -41,13 +41,14 @@
 // empty means that it does.
 type Doubt string
 
-// The doubts, in the order in which they are checked.
+// The values of Doubt.
 const (
-	DoubtPast       Doubt = "departures_unknown"
-	DoubtSeveral    Doubt = "read_at_several_versions"
-	DoubtNotRead    Doubt = "not_read"
-	DoubtIncomplete Doubt = "endpoint_incomplete"
-	DoubtDeparted   Doubt = "endpoint_departed"
+	DoubtNoPrompt           Doubt = "no_prompt"
+	DoubtDeparturesUnknown  Doubt = "departures_unknown"
+	DoubtNotRead            Doubt = "not_read"
+	DoubtSeveralVersions    Doubt = "read_at_several_versions"
+	DoubtEndpointIncomplete Doubt = "endpoint_incomplete"
+	DoubtEndpointDeparted   Doubt = "endpoint_departed"
 )
 
 // Version returns the software version that began the stream: the only one of which an
@@ -55,7 +56,7 @@
 // those must say that it has not read the part, and none may have left since the stream began.
 func (e Evidence) Version() (version string, doubt Doubt) {
 	if !e.DeparturesKnown {
-		return "", DoubtPast
+		return "", DoubtDeparturesUnknown
 	}
 	version, doubt = e.versionRead()
 	if doubt != "" {
@@ -63,16 +64,18 @@
 	}
 	unread := make(map[string]bool)
 	for _, a := range e.Endpoints {
-		unread[a.Endpoint] = a.Complete && !a.HasRead
+		if a.Complete && !a.HasRead {
+			unread[a.Endpoint] = true
+		}
 	}
 	for id, v := range e.Serving {
 		if v != version && !unread[id] {
-			return "", DoubtIncomplete
+			return "", DoubtEndpointIncomplete
 		}
 	}
 	for _, d := range e.Departures {
 		if d.VersionUnknown || d.Version != version {
-			return "", DoubtDeparted
+			return "", DoubtEndpointDeparted
 		}
 	}
 	return version, ""
@@ -83,7 +86,7 @@
 	doubt = DoubtNotRead
 	for _, a := range e.Endpoints {
 		if a.HasRead && doubt == "" && a.Version != version {
-			return "", DoubtSeveral
+			return "", DoubtSeveralVersions
 		}
 		if a.HasRead {
 			version, doubt = a.Version, ""
--- a/site/evidence.go
+++ b/site/evidence.go
@@ -114,7 +114,7 @@
 	defer cancel()
 	listed, err := e.listed(timeoutCtx, q.Service)
 	if err != nil || e.node.isViewTooOld() {
-		return "", origin.DoubtPast
+		return "", origin.DoubtDeparturesUnknown
 	}
 	found := e.ask(timeoutCtx, q, regionsWith(listed))
 	found.Serving = make(map[string]string, len(listed))
--- a/site/streams.go
+++ b/site/streams.go
@@ -240,7 +240,7 @@
 	}
 	deduce := func() {
 		if len(prompt) == 0 {
-			deduced <- origin.DoubtNotRead
+			deduced <- origin.DoubtNoPrompt
 			return
 		}
 		version, doubt := s.node.evidence.deduce(ctx, q)
