--- a/endpoint/reset_test.go
+++ b/endpoint/reset_test.go
@@ -19,7 +19,7 @@
 // resetDelay is the time from an answer to the reset of its connection.
 const resetDelay = 10 * time.Millisecond
 
-// readDelay is longer than a write takes to report a reset.
+// readDelay is longer than a write takes to report the reset.
 const readDelay = 20 * time.Millisecond
 
 // TestResetDuringLongBody guards against a body without a length that passes for whole because a
@@ -32,9 +32,21 @@
 		pause      time.Duration // before the body is read
 		code       result.Code
 	}{
-		{"reset within the answer", false, 0, result.EndpointCut},
-		{"reset after the end of the answer", true, 0, result.Done},
-		{"reset after the end of the answer, which is read later", true, resetDelay + readDelay, result.Done},
+		{
+			name: "reset within the answer",
+			code: result.EndpointCut,
+		},
+		{
+			name:       "reset after the end of the answer",
+			endsAnswer: true,
+			code:       result.Done,
+		},
+		{
+			name:       "reset after the end of the answer, which is read later",
+			endsAnswer: true,
+			pause:      resetDelay + readDelay,
+			code:       result.Done,
+		},
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/site/freshness_test.go
+++ b/site/freshness_test.go
@@ -82,10 +82,24 @@
 		age    time.Duration
 		tooOld bool
 	}{
-		{smallFleet, 3500 * time.Millisecond, false},
-		{smallFleet, 5 * time.Second, true},
-		{largeFleet, 5500 * time.Millisecond, false},
-		{largeFleet, 8 * time.Second, true},
+		{
+			size: smallFleet,
+			age:  3500 * time.Millisecond,
+		},
+		{
+			size:   smallFleet,
+			age:    5 * time.Second,
+			tooOld: true,
+		},
+		{
+			size: largeFleet,
+			age:  5500 * time.Millisecond,
+		},
+		{
+			size:   largeFleet,
+			age:    8 * time.Second,
+			tooOld: true,
+		},
 	} {
 		now := time.Unix(1e9, 0)
 		n := newFleetNode(row.size, func() time.Time { return now })
