Stops: the line of a stop counts answers that their callers had not acknowledged

What callers saw: no whole answer though their VM ended by itself with nothing in flight. Logs could not tell an answer that its caller got from one that lay in the kernel as its connection was closed, nor whether lines were missing. Change: `stopped` has `undelivered` and `lines_dropped`. Tests of site and tcp pass.

--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -63,6 +63,23 @@
 	return len(l.conns)
 }
 
+// Undelivered returns the number of connections that were closed before the client had
+// acknowledged everything sent to it.
+func (l *StoppableListener) Undelivered() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.undelivered
+}
+
+func (l *StoppableListener) forget(c *stoppableConn, undelivered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+	if undelivered {
+		l.undelivered++
+	}
+}
+
 // EndIdle ends connections that are idle now or later. A request that has arrived is still
 // read, and the connection ends after its response.
 func (l *StoppableListener) EndIdle() {
@@ -180,8 +197,6 @@
 
 // Close closes the connection.
 func (c *stoppableConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
+	c.listener.forget(c, tcp.Unacknowledged(c.Conn) > 0)
 	return c.Conn.Close()
 }
--- a/common/listen/stopping.go
+++ b/common/listen/stopping.go
@@ -35,6 +35,8 @@
 	mu         sync.Mutex
 	conns      map[*stoppableConn]struct{}
 	endingIdle bool
+	// undelivered counts the connections that were closed with unacknowledged bytes.
+	undelivered int
 }
 
 // NewStoppableListener returns a StoppableListener that accepts from ln.
--- a/site/gauges.go
+++ b/site/gauges.go
@@ -37,10 +37,8 @@
 	if at := n.inSyncAt.Load(); at > 0 {
 		n.metrics.SetPublishedAge(n.now().Sub(time.Unix(0, at)))
 	}
-	if n.droppedLines != nil {
-		dropped := n.droppedLines()
-		n.metrics.LinesDropped(dropped - n.droppedReported.Swap(dropped))
-	}
+	dropped := n.linesDropped()
+	n.metrics.LinesDropped(dropped - n.droppedReported.Swap(dropped))
 }
 
 // markInSync records that this VM has the revision of the store or of its reader.
--- a/site/stop.go
+++ b/site/stop.go
@@ -65,6 +65,7 @@
 		CallersGoneAt: callersGoneAt,
 	})
 	n.draining.Store(true)
+	undeliveredBefore := n.callerListener.Load().Undelivered()
 	n.log.Info("stopping", "in_flight", n.serving.InFlight())
 	n.control.send(ctx, func(c *control, _ time.Time) {
 		c.roster.Leave()
@@ -81,7 +82,20 @@
 		Cutoff: n.now(),
 	})
 	n.await(ctx, n.allAnswered)
-	n.log.Info("stopped", "in_flight", n.serving.InFlight(), "cut", cut, "refused", n.stopState.refusals.Load())
+	n.log.Info("stopped",
+		"in_flight", n.serving.InFlight(),
+		"cut", cut,
+		"refused", n.stopState.refusals.Load(),
+		"undelivered", n.callerListener.Load().Undelivered()-undeliveredBefore,
+		"lines_dropped", n.linesDropped(),
+	)
+}
+
+func (n *Node) linesDropped() int64 {
+	if n.droppedLines == nil {
+		return 0
+	}
+	return n.droppedLines()
 }
 
 // allAnswered reports whether no call is in flight, of callers or forwarded by other VMs, and
