Stops: an answer counts as given once its caller has acknowledged it

What callers saw: no whole answer around the SIGTERM of their VM, which ended by itself with nothing in flight and no line of the call. Cause: an answer was taken for given once it was written to the kernel; its connection was closed right after, and the process ended with the last connection. Bytes of the caller that lie unread then, or arrive later, such as its next request, make the kernel reset the connection and drop what it has not sent, and a machine that ends with its process takes the rest along. Class: what was handed to the kernel is taken for delivered.

Change: a connection is ended in the direction of the caller, and closed once the caller has acknowledged everything: within 5 s, during a stop until its end. It counts as open until then, so that the process does not end before.

--- /dev/null
+++ b/common/listen/delivery.go
@@ -0,0 +1,62 @@
+package listen
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"github.com/fuchsianotch/fuchsianotch/common/tcp"
+)
+
+const (
+	// deliveryTimeout bounds how long a closed connection stays open if no stop bounds it.
+	deliveryTimeout = 5 * time.Second
+	// maxDiscardedBytes bounds what is read of such a connection meanwhile.
+	maxDiscardedBytes    = 256 << 10
+	deliveryPollInterval = 5 * time.Millisecond
+	discardBufferBytes   = 512
+)
+
+// DeliverBy bounds the time for which closed connections stay open until the client has
+// acknowledged everything.
+func (l *StoppableListener) DeliverBy(by time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.deliverBy = by
+}
+
+func (l *StoppableListener) deliveryDeadline() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.deliverBy.IsZero() {
+		return time.Now().Add(deliveryTimeout)
+	}
+	return l.deliverBy
+}
+
+// closeOnceDelivered closes a connection that has ended in the direction of the client, as soon
+// as the client has acknowledged what was sent to it. If bytes of the client lie unread as a
+// connection is closed, or arrive later, the kernel resets it and drops what is unsent.
+func (c *stoppableConn) closeOnceDelivered(by time.Time) {
+	delivered := c.awaitDelivery(by)
+	_ = c.Conn.Close()
+	c.listener.forget(c, !delivered)
+}
+
+func (c *stoppableConn) awaitDelivery(by time.Time) bool {
+	discarded := 0
+	buffer := make([]byte, discardBufferBytes)
+	for tcp.Unacknowledged(c.Conn) > 0 {
+		now := time.Now()
+		if discarded > maxDiscardedBytes || !now.Before(by) {
+			return false
+		}
+		_ = c.Conn.SetReadDeadline(now.Add(deliveryPollInterval))
+		n, err := c.Conn.Read(buffer)
+		discarded += n
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			time.Sleep(deliveryPollInterval)
+		}
+	}
+	return true
+}
--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -23,6 +23,7 @@
 	// ending is set if the connection ends once it is idle, aborted if reads fail.
 	ending  bool
 	aborted bool
+	closing sync.Once
 }
 
 func (l *StoppableListener) track(conn net.Conn) *stoppableConn {
@@ -56,7 +57,8 @@
 	}
 }
 
-// OpenConns returns the number of open connections.
+// OpenConns returns the number of open connections, those with responses that their clients have
+// not acknowledged included.
 func (l *StoppableListener) OpenConns() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -195,8 +197,21 @@
 	return c.Conn
 }
 
-// Close closes the connection.
+// Close ends the connection. It counts as open until the client has acknowledged the last
+// response.
 func (c *stoppableConn) Close() error {
-	c.listener.forget(c, tcp.Unacknowledged(c.Conn) > 0)
+	err := net.ErrClosed
+	c.closing.Do(func() { err = c.close() })
+	return err
+}
+
+func (c *stoppableConn) close() error {
+	by := c.listener.deliveryDeadline()
+	isDelivered := tcp.Unacknowledged(c.Conn) == 0
+	if !isDelivered && time.Now().Before(by) && c.CloseWrite() == nil {
+		go c.closeOnceDelivered(by)
+		return nil
+	}
+	c.listener.forget(c, !isDelivered)
 	return c.Conn.Close()
 }
--- a/common/listen/stopping.go
+++ b/common/listen/stopping.go
@@ -35,6 +35,8 @@
 	mu         sync.Mutex
 	conns      map[*stoppableConn]struct{}
 	endingIdle bool
+	// deliverBy is the time that DeliverBy sets; zero means deliveryTimeout.
+	deliverBy time.Time
 	// undelivered counts the connections that were closed with unacknowledged bytes.
 	undelivered int
 }
--- a/site/stop.go
+++ b/site/stop.go
@@ -65,7 +65,9 @@
 		CallersGoneAt: callersGoneAt,
 	})
 	n.draining.Store(true)
-	undeliveredBefore := n.callerListener.Load().Undelivered()
+	listener := n.callerListener.Load()
+	listener.DeliverBy(time.Now().Add(deadline.Add(cutoffGrace).Sub(startedAt)))
+	undeliveredBefore := listener.Undelivered()
 	n.log.Info("stopping", "in_flight", n.serving.InFlight())
 	n.control.send(ctx, func(c *control, _ time.Time) {
 		c.roster.Leave()
@@ -86,7 +88,7 @@
 		"in_flight", n.serving.InFlight(),
 		"cut", cut,
 		"refused", n.stopState.refusals.Load(),
-		"undelivered", n.callerListener.Load().Undelivered()-undeliveredBefore,
+		"undelivered", listener.Undelivered()-undeliveredBefore,
 		"lines_dropped", n.linesDropped(),
 	)
 }
--- a/site/stop_test.go
+++ b/site/stop_test.go
@@ -34,6 +34,9 @@
 	At, Runs, Deadline int
 	// BodyAt is when the second half of the body is sent; zero sends it at once.
 	BodyAt int
+	// Bytes is the length of a large answer, of which the caller reads the head at ReadAt, after it
+	// has sent its next request.
+	Bytes, ReadAt int
 	// Forwarded sends the call from another VM.
 	Forwarded bool
 	// Want is the status of the answer; zero means that the connection ends without one.
@@ -113,6 +116,11 @@
 		case <-time.After(time.Duration(ms) * time.Millisecond):
 		case <-r.Context().Done():
 		}
+		if large, _ := strconv.Atoi(r.URL.Query().Get("bytes")); large > 0 {
+			w.Header().Set("Content-Length", strconv.Itoa(large))
+			_, _ = w.Write(make([]byte, large))
+			return
+		}
 		_, _ = io.WriteString(w, "whole")
 	}))
 	t.Cleanup(server.Close)
@@ -176,9 +184,13 @@
 // send sends a request and returns the status of its whole answer, or zero.
 func (s *stoppingVM) send(conn net.Conn, c stopCall) int {
 	body := strings.Repeat("b", 64)
-	_, err := fmt.Fprintf(conn, "POST %sx?ms=%d HTTP/1.1\r\nHost: h\r\nX-Fuchsianotch-Attempt-Id: a\r\nX-Fuchsianotch-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s",
-		c.Path, c.Runs, c.Deadline, len(body), body[:len(body)/2])
-	if err != nil {
+	head := fmt.Sprintf("POST %sx?ms=%d&bytes=%d HTTP/1.1\r\nHost: h\r\nX-Fuchsianotch-Attempt-Id: a\r\nX-Fuchsianotch-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
+		c.Path, c.Runs, c.Bytes, c.Deadline, len(body))
+	if c.Bytes > 0 {
+		// The kernel of the caller holds a part of the answer only.
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	}
+	if _, err := io.WriteString(conn, head+body[:len(body)/2]); err != nil {
 		return 0
 	}
 	if c.BodyAt > 0 {
@@ -186,6 +198,10 @@
 	}
 	// A failure shows in the answer.
 	_, _ = io.WriteString(conn, body[len(body)/2:])
+	if c.Bytes > 0 {
+		time.Sleep(time.Duration(c.ReadAt-c.At) * time.Millisecond)
+		_, _ = io.WriteString(conn, head+body)
+	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0
