Stops: calls sent once callers have gone begin only if they surely end

What callers saw: a call that was sent 3.0 to 3.4 s after SIGTERM was begun and cut off at 7.6 s.

Cause: until 3.4 s, when idle connections may end, a call began if it was expected to end in time: nine in ten of its route that may be repeated, 99 in a hundred of those that run once. The same point in time served both, though callers that follow the directory leave by 3.0 s.

Change: the stop has a point of its own from which only calls that end by their own deadline begin: three times the time to live of addresses, less 250 ms for a signal that a throttled process handles late. Later arrival of a request makes the VM stricter, so that it needs no margin.

--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -8,8 +8,8 @@
 type Stop struct {
 	// Cutoff is when the calls that are still in flight are cut off.
 	Cutoff time.Time
-	// CallersGoneAt is when callers that follow the directory have stopped using the VM.
-	CallersGoneAt time.Time
+	// DeadlineOnlyAt is when only calls that end by their own deadline may still begin.
+	DeadlineOnlyAt time.Time
 }
 
 // Call is a call that arrives at a stopping VM.
@@ -23,16 +23,15 @@
 	Repeatable bool
 }
 
-// Admits reports whether a call that arrives now may begin. Once callers have gone, only
-// calls that end by their own deadline may, so that the stop is not drawn out. A call that
-// runs once may not begin if nothing is known of its duration.
+// Admits reports whether a call that arrives now may begin. A call that runs once may not begin
+// if nothing is known of its duration.
 func (s Stop) Admits(c Call, now time.Time) bool {
 	switch {
 	case !now.Before(s.Cutoff):
 		return false
 	case !c.Deadline.IsZero() && !c.Deadline.After(s.Cutoff):
 		return true
-	case !now.Before(s.CallersGoneAt):
+	case !now.Before(s.DeadlineOnlyAt):
 		return false
 	case !c.Known:
 		return c.Repeatable
--- a/shutdown/shutdown_test.go
+++ b/shutdown/shutdown_test.go
@@ -11,7 +11,7 @@
 
 // TestAdmits guards against a stopping VM that begins calls which it will cut off, and against
 // one that refuses calls which end in time. Times are in milliseconds, from the start of a stop
-// that cuts calls off at 7,600, with callers gone at 3,400.
+// that cuts calls off at 7,600 and from 2,750 on begins only calls that end by their deadline.
 func TestAdmits(t *testing.T) {
 	start := time.Unix(1e9, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
@@ -40,8 +40,8 @@
 		}
 		c.Expected, c.Known = durations.Expected("r", row.Repeatable)
 		s := Stop{
-			Cutoff:        at(7600),
-			CallersGoneAt: at(3400),
+			Cutoff:         at(7600),
+			DeadlineOnlyAt: at(2750),
 		}
 		assert.Equal(t, s.Admits(c, at(row.At)), row.Want, row.Name)
 	}
--- a/site/stop.go
+++ b/site/stop.go
@@ -22,6 +22,11 @@
 	// cutoffGrace is the part of it for answers to the calls that are cut off, and how long before
 	// them idle connections end, so that what has arrived there is read and answered.
 	cutoffGrace = 100 * time.Millisecond
+	// cachedAddrTime is how long callers may keep using a cached address: three times its TTL.
+	cachedAddrTime = 3 * maxEntriesTTL
+	// signalDelay bounds the time from the signal to the start of the shutdown in a process that
+	// its CPU quota throttles. A call that is sent once callers have gone must not be cut off.
+	signalDelay = 250 * time.Millisecond
 	// stoppingRetryAfter is when callers may retry elsewhere.
 	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultStopTimeout applies if the platform configures none.
@@ -61,8 +66,8 @@
 	defer cancel()
 	callersGoneAt := startedAt.Add(min(idleConnGrace, timeout/2))
 	n.stopState.planned.Store(&shutdown.Stop{
-		Cutoff:        deadline,
-		CallersGoneAt: callersGoneAt,
+		Cutoff:         deadline,
+		DeadlineOnlyAt: startedAt.Add(min(cachedAddrTime, timeout/2) - signalDelay),
 	})
 	n.draining.Store(true)
 	listener := n.callerListener.Load()
@@ -178,10 +183,9 @@
 	return c.Target()
 }
 
-// idleConnGrace is how long idle connections stay open after the start of a shutdown.
-// Callers may keep using a cached address for three times its TTL, and a request sent on
-// a connection that is being closed is lost.
-const idleConnGrace = 3*maxEntriesTTL + 400*time.Millisecond
+// idleConnGrace is how long idle connections stay open after the start of a shutdown, as a
+// request sent on a connection that is being closed is lost.
+const idleConnGrace = cachedAddrTime + 400*time.Millisecond
 
 // drainConnections stops accepting connections, serves the open ones, and ends them once
 // callers no longer use them and no call is in flight, for which the process goes on anyway, at
