Stops: a call that another VM forwards begins only if it surely ends

What callers saw: calls, among them such as may be repeated, that another VM had forwarded to a stopping one broke off at the end of that stop.

Cause: a forwarded call was admitted like a caller's: one that may be repeated if nothing was known of its route, or if it was likely enough to end. But the VM that forwards can place a refused call elsewhere, for a round trip that its caller hardly notices, and can do little for one that is cut off.

Change: a forwarded call begins under the terms of a call that runs once.

How many forwarded calls reach a stopping VM was not measured.

--- a/site/stop.go
+++ b/site/stop.go
@@ -129,12 +129,14 @@
 		return nil
 	}
 	now := n.now()
-	expected, known := n.expectedDuration(c, now)
+	// The VM that forwards a call can place it elsewhere, which costs a round trip.
+	mayBeCut := c.Idempotent && !c.Forwarded
+	expected, known := n.expectedDuration(c, mayBeCut, now)
 	if stop.Admits(shutdown.Call{
 		Deadline:   c.Deadline,
 		Expected:   expected,
 		Known:      known,
-		Repeatable: c.Idempotent,
+		Repeatable: mayBeCut,
 	}, now) {
 		return nil
 	}
@@ -147,9 +149,10 @@
 }
 
 // expectedDuration returns how long a call is expected to take: by the calls of its route that
-// have ended here, and by the length of its answer where that can be estimated.
-func (n *Node) expectedDuration(c *call.Call, now time.Time) (expected time.Duration, known bool) {
-	past, known := n.stopState.durations.Expected(durationKey(c), c.Idempotent)
+// have ended here, and by the length of its answer where that can be estimated. mayBeCut is set if
+// the call loses little when it is cut off.
+func (n *Node) expectedDuration(c *call.Call, mayBeCut bool, now time.Time) (expected time.Duration, known bool) {
+	past, known := n.stopState.durations.Expected(durationKey(c), mayBeCut)
 	if c.MaxTokens == 0 {
 		return past, known
 	}
@@ -162,7 +165,7 @@
 		Likely:  load.TotalTimeP90,
 		Longest: load.TTFT + time.Duration(float64(c.MaxTokens)/load.AnswerTokensP90*float64(generation)),
 	}
-	return answer.Expected(past, known, c.Idempotent), true
+	return answer.Expected(past, known, mayBeCut), true
 }
 
 // recordDuration records how long a call took. One that ran into its deadline took at least
--- a/site/stop_test.go
+++ b/site/stop_test.go
@@ -26,7 +26,8 @@
 )
 
 // stopCall is a request on a connection that is open before the VM is told to stop. Times are
-// in milliseconds, from the start of the stop where they are points in time.
+// in milliseconds, from the start of the stop where they are points in time; those of calls that
+// are in flight by then are negative.
 type stopCall struct {
 	Path string
 	// At is when the request is sent, Runs how long its endpoint takes, Deadline how long its
@@ -73,8 +74,7 @@
 			for i := range row.Calls {
 				conns[i] = s.dial(t)
 			}
-			startedAt := time.Now()
-			s.stop()
+			startedAt := time.Now().Add(callsBeforeStop)
 			for i, c := range row.Calls {
 				calls.Go(func() {
 					time.Sleep(time.Until(startedAt.Add(time.Duration(c.At) * time.Millisecond)))
@@ -85,6 +85,8 @@
 					got[i] = s.send(conns[i], c)
 				})
 			}
+			time.Sleep(time.Until(startedAt))
+			s.stop()
 			calls.Wait()
 			for i, c := range row.Calls {
 				assert.Check(t, got[i] == c.Want, "call %d: %+v got %d", i, c, got[i])
@@ -102,6 +104,9 @@
 	ended chan error
 }
 
+// callsBeforeStop is how long before the stop the first calls may be sent.
+const callsBeforeStop = 200 * time.Millisecond
+
 // stopGrace is the time from the start of the stop to the end of the process.
 const stopGrace = 2 * time.Second
 
