--- a/site/stop.go
+++ b/site/stop.go
@@ -22,6 +22,11 @@
 	// cutoffGrace is the part of it for answers to the calls that are cut off, and how long before
 	// them idle connections end, so that what has arrived there is read and answered.
 	cutoffGrace = 100 * time.Millisecond
+	// cachedAddrTime is how long callers may keep using a cached address: three times its TTL.
+	cachedAddrTime = 3 * maxEntriesTTL
+	// signalDelay bounds the time from the signal to the start of the shutdown in a process that
+	// its CPU quota throttles. A call that is sent once callers have gone must not be cut off.
+	signalDelay = 250 * time.Millisecond
 	// stoppingRetryAfter is when callers may retry elsewhere.
 	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultStopTimeout applies if the platform configures none.
@@ -61,8 +66,8 @@
 	defer cancel()
 	callersGoneAt := startedAt.Add(min(idleConnGrace, timeout/2))
 	n.stopState.planned.Store(&shutdown.Stop{
-		Cutoff:        deadline,
-		CallersGoneAt: callersGoneAt,
+		Cutoff:         deadline,
+		DeadlineOnlyAt: startedAt.Add(min(cachedAddrTime, timeout/2) - signalDelay),
 	})
 	n.draining.Store(true)
 	listener := n.callerListener.Load()
@@ -124,12 +129,14 @@
 		return nil
 	}
 	now := n.now()
-	expected, known := n.expectedDuration(c, now)
+	// The VM that forwards a call can place it elsewhere, which costs a round trip.
+	mayBeCut := c.Idempotent && !c.Forwarded
+	expected, known := n.expectedDuration(c, mayBeCut, now)
 	if stop.Admits(shutdown.Call{
 		Deadline:   c.Deadline,
 		Expected:   expected,
 		Known:      known,
-		Repeatable: c.Idempotent,
+		Repeatable: mayBeCut,
 	}, now) {
 		return nil
 	}
@@ -141,23 +148,24 @@
 	return result.Refuse(result.Stopping, "VM %s is stopping", n.deployment.VM).WithRetryAt(n.now().Add(stoppingRetryAfter))
 }
 
-// expectedDuration returns how long a call is expected to take: by the length of its answer
-// where that can be estimated, and by the calls of its route that have ended here. A call that
-// may be repeated needs no more than the first.
-func (n *Node) expectedDuration(c *call.Call, now time.Time) (expected time.Duration, known bool) {
-	past, known := n.stopState.durations.Expected(durationKey(c), c.Idempotent)
+// expectedDuration returns how long a call is expected to take: by the calls of its route that
+// have ended here, and by the length of its answer where that can be estimated. mayBeCut is set if
+// the call loses little when it is cut off.
+func (n *Node) expectedDuration(c *call.Call, mayBeCut bool, now time.Time) (expected time.Duration, known bool) {
+	past, known := n.stopState.durations.Expected(durationKey(c), mayBeCut)
 	if c.MaxTokens == 0 {
 		return past, known
 	}
 	load := n.localLoad(c, now)
-	switch {
-	case load.TotalTimeP90 <= load.TTFT:
+	generation := load.TotalTimeP90 - load.TTFT
+	if generation <= 0 {
 		return past, known
-	case c.Idempotent:
-		return load.TotalTimeP90, true
-	default:
-		return max(load.TotalTimeP90, past), true
 	}
+	answer := shutdown.Answer{
+		Likely:  load.TotalTimeP90,
+		Longest: load.TTFT + time.Duration(float64(c.MaxTokens)/load.AnswerTokensP90*float64(generation)),
+	}
+	return answer.Expected(past, known, mayBeCut), true
 }
 
 // recordDuration records how long a call took. One that ran into its deadline took at least
@@ -178,10 +186,9 @@
 	return c.Target()
 }
 
-// idleConnGrace is how long idle connections stay open after the start of a shutdown.
-// Callers may keep using a cached address for three times its TTL, and a request sent on
-// a connection that is being closed is lost.
-const idleConnGrace = 3*maxEntriesTTL + 400*time.Millisecond
+// idleConnGrace is how long idle connections stay open after the start of a shutdown, as a
+// request sent on a connection that is being closed is lost.
+const idleConnGrace = cachedAddrTime + 400*time.Millisecond
 
 // drainConnections stops accepting connections, serves the open ones, and ends them once
 // callers no longer use them and no call is in flight, for which the process goes on anyway, at
