Logs: lines of a forwarded call name the VM that had it

What operators saw: call_ended of a call that ended at another VM has an empty endpoint and names no VM, so that a record doesn't tell where the call ended. Cause: the outcome of a forwarded call didn't keep the VM, and the VM that forwarded wrote nothing of places that it tried before the last. Change: call_ended has peer, and each place that failed gets an attempt_failed with peer, endpoint, code and the reason; a place that did not run the call is written only with a call that fails.

--- a/call/answer.go
+++ b/call/answer.go
@@ -27,6 +27,9 @@
 	FirstChunkAt time.Time
 	// Endpoint is the id of the endpoint that responded.
 	Endpoint string
+	// VM is the id of the VM to which a routed call was forwarded; empty if it was served by the
+	// VM that took it.
+	VM string
 	// EndpointsRun is the number of endpoints that may have run the call.
 	EndpointsRun int
 	// Sent is set if an attempt may have reached an endpoint, whether that ran it or not.
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -122,5 +122,8 @@
 	})
 	traceOverflow(c, vm)
 	s.options.Metrics.CountCrossRegionCall(vm.Region)
-	return s.options.Forward(ctx, vm, c, sink)
+	outcome := s.options.Forward(ctx, vm, c, sink)
+	outcome.VM = vm.ID
+	traceForward(c, outcome)
+	return outcome
 }
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -122,6 +122,27 @@
 	)
 }
 
+// traceForward logs that a call failed at the VM to which it was forwarded.
+func traceForward(c *call.Call, o call.Outcome) {
+	if o.Refusal == nil {
+		return
+	}
+	attrs := []slog.Attr{
+		slog.String("peer", o.VM),
+		slog.String("endpoint", o.Endpoint),
+		slog.Int("code", int(o.Code)),
+		slog.Bool("sent", o.Sent),
+		slog.Int("ran", o.EndpointsRun),
+		slog.String("reason", o.Refusal.Message),
+		slog.String("cause", causeOf(o.Refusal)),
+	}
+	if o.Code.Class() == result.ClassNotRun {
+		c.Log.Add("attempt_failed", attrs...)
+		return
+	}
+	c.Log.Fail("attempt_failed", attrs...)
+}
+
 // causeOf returns the text of the error that a refusal wraps, such as a connection error.
 func causeOf(err error) string {
 	return errorText(errors.Unwrap(err))
@@ -167,8 +188,11 @@
 	attrs := []slog.Attr{
 		slog.Int("code", int(o.Code)),
 		slog.String("endpoint", o.Endpoint),
-		milliseconds("took_ms", now.Sub(arrivedAt)),
 	}
+	if o.VM != "" {
+		attrs = append(attrs, slog.String("peer", o.VM))
+	}
+	attrs = append(attrs, milliseconds("took_ms", now.Sub(arrivedAt)))
 	if !o.FirstChunkAt.IsZero() {
 		attrs = append(attrs, milliseconds("first_ms", o.FirstChunkAt.Sub(arrivedAt)))
 	}
