Stops: a forwarded call goes on elsewhere as the VM that serves it stops

What callers saw: streams that can be resumed broke off, and calls that may run again got 504, at the moment at which another VM reached the end of its stop, though time and an attempt were left elsewhere. Calls that may run once got 504 endpoint_timeout seconds before their deadline.

Cause: the end of a stop cancels the contexts of calls, and an attempt whose context has ended counted as one that ran into its deadline (3002), which is final for the VM that forwarded. That VM also recorded the time until then as the duration of a call that ran into its deadline, which makes calls of the route look shorter than they are. Class: an end of a VM's own making under the name of the deadline.

Change: the contexts are cancelled with the cause call.ErrStopping, and an attempt that ends by it has the code 3006 vm_stopped. To the VM that forwarded it is 3011 peer_lost with the number of runs, which builds without the new code know, and after which a call goes on elsewhere if it may run again and its caller can be given the rest. A VM that is cut off while another one has the call ends it with 3006 too. The status of calls that are cut off at their own VM stays 504.

--- a/call/answer.go
+++ b/call/answer.go
@@ -1,12 +1,16 @@
 package call
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
+// ErrStopping is the cause with which a VM that stops ends the contexts of its calls.
+var ErrStopping = errors.New("the VM is stopping")
+
 // Sink receives a response: the head, then chunks. An error from either means that
 // the caller has disconnected.
 type Sink struct {
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -157,6 +157,9 @@
 
 // readRefusal classifies an error after the request was sent.
 func (x *exchange) readRefusal(err error) *result.Refusal {
+	if cause := context.Cause(x.ctx); errors.Is(cause, call.ErrStopping) {
+		return result.Refuse(result.VMStopped, "the VM stopped before the answer had ended").WithCause(cause)
+	}
 	if x.ctx.Err() != nil {
 		return result.Refuse(result.EndpointTimeout, "the answer did not end in time").WithCause(x.ctx.Err())
 	}
--- a/result/result.go
+++ b/result/result.go
@@ -75,6 +75,7 @@
 	AnswerCrossed   Code = 3003
 	EndpointFailed  Code = 3004
 	RefusalUnproven Code = 3005
+	VMStopped       Code = 3006
 	ExecutorGone    Code = 3010
 	PeerLost        Code = 3011
 	RecordLost      Code = 3012
@@ -155,8 +156,9 @@
 	row(AnswerCrossed, "answer_crossed", ClassUnknown, http.StatusBadGateway, "The endpoint answered with another call's answer.", "The call may have run; check before retrying."),
 	row(EndpointFailed, "endpoint_failed", ClassUnknown, http.StatusBadGateway, "The endpoint failed after the call was sent.", "The call may have run; check before retrying."),
 	row(RefusalUnproven, "refusal_unproven", ClassUnknown, http.StatusBadGateway, "A refusal without the call's id came on a connection that was used before; it may be another call's.", "The call may have run; check before retrying."),
+	row(VMStopped, "vm_stopped", ClassUnknown, http.StatusGatewayTimeout, "This VM stopped before the answer had ended.", "The call may have run; check before retrying."),
 	row(ExecutorGone, "executor_gone", ClassUnknown, http.StatusBadGateway, "The ticket's executor is gone, or could not be asked.", "Retry with the same ticket; if that does not help, check before retrying."),
-	row(PeerLost, "peer_lost", ClassUnknown, http.StatusBadGateway, "The VM that had the call was lost.", "Retry with the same ticket; without one, check first."),
+	row(PeerLost, "peer_lost", ClassUnknown, http.StatusBadGateway, "The VM that had the call was lost, or stopped.", "Retry with the same ticket; without one, check first."),
 	row(RecordLost, "record_lost", ClassUnknown, http.StatusBadGateway, "The call ran or may have run, and its answer is no longer held.", "The call may have run; check before retrying."),
 
 	row(DocumentSyntax, "document_syntax", ClassRefused, 0, "The document is not JSON with comments.", "Correct the reported location."),
--- a/site/forward.go
+++ b/site/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -32,9 +33,12 @@
 		Call:     peer.CallToProto(n.withRemoteObjective(c, vm), n.now()),
 		RunGrant: runGrant,
 	}, sink, func(uint64) {})
-	if granted := n.runGrants.Close(runGrant); outcome.Code == result.PeerLost {
+	if granted := n.runGrants.Close(runGrant); outcome.Code == result.PeerLost && outcome.EndpointsRun == 0 {
 		outcome.EndpointsRun = granted
 	}
+	if cause := context.Cause(ctx); errors.Is(cause, call.ErrStopping) && outcome.Code == result.PeerLost {
+		return call.Refused(result.Refuse(result.VMStopped, "VM %s stopped while VM %s had the call", n.deployment.VM, vm.ID).WithCause(cause))
+	}
 	if ctx.Err() != nil && outcome.Code == result.PeerLost {
 		return call.Refused(result.Refuse(result.EndpointTimeout, "VM %s had the call as its time ended or the caller left", vm.ID).WithCause(ctx.Err()))
 	}
@@ -108,10 +112,19 @@
 	}
 	ctx, cancel := clock.WithDeadline(ctx, n.now(), c.Deadline)
 	defer cancel()
-	defer context.AfterFunc(n.stopState.callsCtx, cancel)()
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
+	callsCtx := n.stopState.callsCtx
+	defer context.AfterFunc(callsCtx, func() { cancelCause(context.Cause(callsCtx)) })()
 	c.Routed.RequestRun = func(ctx context.Context) bool { return n.requestRun(ctx, from.GetVm(), c) }
 	c.Routed.MissesObjective = n.isLate(c)
-	return n.serve(ctx, c, sink)
+	outcome := n.serve(ctx, c, sink)
+	if outcome.Code == result.VMStopped {
+		// To the sender a VM that stops is one that is lost, also in builds without VMStopped.
+		outcome.Code = result.PeerLost
+		outcome.Refusal = result.Refuse(result.PeerLost, "VM %s stopped before the call had ended", n.deployment.VM).WithCause(outcome.Refusal)
+	}
+	return outcome
 }
 
 // runRequestTimeout bounds the request for a further run: a round trip between the most
--- /dev/null
+++ b/site/forwarded_stop_test.go
@@ -0,0 +1,293 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+	"github.com/fuchsianotch/fuchsianotch/platform"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/roster"
+	"github.com/fuchsianotch/fuchsianotch/settings"
+)
+
+// TestForwardedCallOutlivesStop guards against a forwarded call that ends with the VM that serves
+// it, as if at its deadline, though another VM could go on with it.
+func TestForwardedCallOutlivesStop(t *testing.T) {
+	for _, row := range datatest.Read[[]struct {
+		Name string
+		Path string
+		// Runs is how long an endpoint takes for the whole answer.
+		Runs int
+		// Stop says when VMs are told to stop, in milliseconds after the call has reached an
+		// endpoint through VM b.
+		Stop map[string]int
+		// Want is the answer: its status, and whether its caller has the whole of it.
+		Want     string
+		WantRuns int64 `json:"want_runs"`
+		// WantCode and WantPeer are in the last line of the call at VM a, which took it.
+		WantCode result.Code `json:"want_code"`
+		WantPeer string      `json:"want_peer"`
+	}](t, "testdata/forwarded_stop.json") {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			f := startForwardingVMs(t)
+			answer := make(chan string, 1)
+			go func() { answer <- f.send(row.Path, row.Runs) }()
+			waitFor(t, func() bool { return f.runs.Load() == 1 })
+			f.introduce("c")
+			waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().members.AcceptingVMs("r1")) == 2 })
+			for id, ms := range row.Stop {
+				time.AfterFunc(time.Duration(ms)*time.Millisecond, f.vms[id].stop)
+			}
+			assert.Equal(t, <-answer, row.Want)
+			assert.Equal(t, f.runs.Load(), row.WantRuns)
+			var end struct {
+				Code result.Code
+				Peer string
+			}
+			waitFor(t, func() bool {
+				line := f.vms["a"].log.find("call_ended")
+				return line != nil && json.Unmarshal(line, &end) == nil
+			})
+			assert.Equal(t, end.Code, row.WantCode)
+			assert.Equal(t, end.Peer, row.WantPeer)
+			for id := range row.Stop {
+				assert.NilError(t, <-f.vms[id].ended)
+			}
+		})
+	}
+}
+
+// forwardingVMs are VM a, in a region without endpoints, and VMs b and c in one with them. Only a
+// knows others: b, and c once it is introduced.
+type forwardingVMs struct {
+	vms  map[string]*loggedVM
+	runs atomic.Int64
+}
+
+type loggedVM struct {
+	stoppingVM
+	log *lineLog
+}
+
+// lineLog holds the lines that a VM has written.
+type lineLog struct {
+	lines chan []byte
+	kept  [][]byte
+}
+
+func newLineLog() *lineLog {
+	return &lineLog{
+		lines: make(chan []byte, 4096),
+	}
+}
+
+// Write implements io.Writer.
+func (l *lineLog) Write(line []byte) (int, error) {
+	select {
+	case l.lines <- bytes.Clone(line):
+	default:
+	}
+	return len(line), nil
+}
+
+// find returns the last line with a message; nil if there is none.
+func (l *lineLog) find(message string) []byte {
+	for len(l.lines) > 0 {
+		l.kept = append(l.kept, <-l.lines)
+	}
+	var found []byte
+	for _, line := range l.kept {
+		if bytes.Contains(line, []byte(`"msg":"`+message+`"`)) {
+			found = line
+		}
+	}
+	return found
+}
+
+func startForwardingVMs(t *testing.T) *forwardingVMs {
+	t.Helper()
+	f := &forwardingVMs{
+		vms: make(map[string]*loggedVM),
+	}
+	server := httptest.NewServer(http.HandlerFunc(f.serve))
+	t.Cleanup(server.Close)
+	store := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(store.Close)
+	endpointAddr := strings.TrimPrefix(server.URL, "http://")
+	for id, region := range map[string]string{"a": "r0", "b": "r1", "c": "r1"} {
+		f.vms[id] = startLogged(t, id, region, store.URL, endpointAddr)
+	}
+	f.introduce("b")
+	waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().regionLoads["s"]) > 0 })
+	return f
+}
+
+func startLogged(t *testing.T, id, region, storeURL, endpointAddr string) *loggedVM {
+	t.Helper()
+	log := newLineLog()
+	n := New(Options{
+		Deployment: &platform.Deployment{
+			VM:            id,
+			Region:        region,
+			DataCentre:    region + "-a",
+			IP:            "127.0.0.1",
+			Regions:       map[string]string{"r0-a": "r0", "r1-a": "r1"},
+			StoreURL:      storeURL,
+			CallerAddr:    "127.0.0.1:0",
+			ReadyAddr:     "127.0.0.1:0",
+			PeerAddr:      freeAddr(t),
+			DirectoryAddr: "127.0.0.1:0",
+			Bounds: platform.Bounds{
+				StopTimeout: stopGrace,
+				RetrySlack:  30,
+				RetryWindow: 100 * time.Millisecond,
+			},
+		},
+		Logger: slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{
+			Level: slog.LevelDebug,
+		})),
+		Settings: &settings.Platform{
+			LogSampleEvery: 1,
+		},
+	})
+	n.control.applyItems([]discovery.Item{
+		{
+			Key:      "op/config",
+			Revision: 1,
+			Value: []byte(`{"Version":1,"Services":[{"Name":"s"}],"Routes":[
+				{"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","Service":"s","MaxAttempts":2,"TimeoutMs":9000},
+				{"Name":"repeat","Host":"h","PathPrefix":"/repeat/","Kind":"idempotent","Service":"s","MaxAttempts":2,"TimeoutMs":9000},
+				{"Name":"stream","Host":"h","PathPrefix":"/stream/","Kind":"streaming","Service":"s","MaxAttempts":2,"TimeoutMs":9000},
+				{"Name":"resumable","Host":"h","PathPrefix":"/resumable/","Kind":"streaming","Resumable":true,"Service":"s","MaxAttempts":2,"TimeoutMs":9000}]}`),
+		},
+		{
+			Key:      "servers/i-0",
+			Revision: 2,
+			Value:    fmt.Appendf(nil, `{"Service":"s","Addr":%q,"Zone":"r1-a","Version":"v1","Slots":64,"State":"ready","Seq":1}`, endpointAddr),
+		},
+	}, false, n.now())
+	n.control.publish(n.now())
+	ctx, cancel := context.WithCancel(context.Background())
+	vm := &loggedVM{
+		stoppingVM: stoppingVM{
+			node:  n,
+			stop:  cancel,
+			ended: make(chan error, 1),
+		},
+		log: log,
+	}
+	t.Cleanup(cancel)
+	go func() { vm.ended <- n.Run(ctx) }()
+	waitFor(t, func() bool { return n.callerListener.Load() != nil })
+	vm.addr = n.callerListener.Load().Addr().String()
+	return vm
+}
+
+// freeAddr returns an address at which nothing listens.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// introduce tells VM a of another one.
+func (f *forwardingVMs) introduce(id string) {
+	n := f.vms[id].node
+	f.vms["a"].node.control.send(context.Background(), func(c *control, now time.Time) {
+		c.roster.Receive(roster.Rumor{
+			VM:          n.self(),
+			Incarnation: n.incarnation,
+			Version:     1,
+			State:       roster.StateAlive,
+			Ready:       true,
+		}, nil, now)
+		c.publish(now)
+	})
+}
+
+// eventInterval is the time between two events of a stream.
+const eventInterval = 100 * time.Millisecond
+
+// serve answers as an endpoint does: whole bodies at the end, streams event by event behind the
+// last one that the caller has.
+func (f *forwardingVMs) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Fuchsianotch-Attempt-Id", r.Header.Get("X-Fuchsianotch-Attempt-Id"))
+	w.Header().Set("X-Fuchsianotch-Response-Stamp", "stamp")
+	_, _ = io.Copy(io.Discard, r.Body)
+	ms, err := strconv.Atoi(r.URL.Query().Get("ms"))
+	if err != nil {
+		return
+	}
+	f.runs.Add(1)
+	events := ms / int(eventInterval.Milliseconds())
+	isStream := strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resumable/")
+	if isStream {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	for id := after + 1; id <= events; id++ {
+		select {
+		case <-time.After(eventInterval):
+		case <-r.Context().Done():
+			return
+		}
+		if isStream {
+			_, _ = io.WriteString(w, event(id))
+			w.(http.Flusher).Flush()
+		}
+	}
+	if !isStream {
+		_, _ = io.WriteString(w, "whole")
+	}
+}
+
+func event(id int) string {
+	return fmt.Sprintf("id: %d\ndata: x\n\n", id)
+}
+
+// send sends a call to VM a and describes what its caller gets.
+func (f *forwardingVMs) send(path string, ms int) string {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, fmt.Sprintf("http://%s%sx?ms=%d", f.vms["a"].addr, path, ms), strings.NewReader("b"))
+	if err != nil {
+		return err.Error()
+	}
+	req.Host = "h"
+	req.Header.Set("X-Fuchsianotch-Attempt-Id", "a")
+	req.Header.Set("X-Fuchsianotch-Deadline-Ms", "9000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return "broken"
+	}
+	var events strings.Builder
+	for id := range ms / int(eventInterval.Milliseconds()) {
+		events.WriteString(event(id + 1))
+	}
+	if string(body) == "whole" || string(body) == events.String() {
+		return strconv.Itoa(resp.StatusCode) + " whole"
+	}
+	return strconv.Itoa(resp.StatusCode)
+}
--- a/site/stop.go
+++ b/site/stop.go
@@ -37,14 +37,14 @@
 	// callsCtx is the parent of the contexts of all calls; cancelCalls ends those that are in
 	// flight at the end of the stop.
 	callsCtx    context.Context
-	cancelCalls context.CancelFunc
+	cancelCalls context.CancelCauseFunc
 }
 
 func newStopState() *stopState {
 	s := &stopState{
 		durations: shutdown.NewDurations(),
 	}
-	s.callsCtx, s.cancelCalls = context.WithCancel(context.Background())
+	s.callsCtx, s.cancelCalls = context.WithCancelCause(context.Background())
 	return s
 }
 
@@ -110,7 +110,7 @@
 // they may have run, also if their bodies are incomplete.
 func (n *Node) cutOff() {
 	n.log.Warn("calls_cut_off", "in_flight", n.serving.InFlight(), "connections", n.callerListener.Load().OpenConns())
-	n.stopState.cancelCalls()
+	n.stopState.cancelCalls(call.ErrStopping)
 	n.callerListener.Load().AbortReads()
 	ctx, cancel := context.WithTimeout(context.Background(), cutoffGrace)
 	defer cancel()
