Stops: what waits at the end of a stop is refused as by a stopping VM

What callers saw: a caller that resumes a stream at a VM which is then cut off was told 2035 stream_unknown, to send the request anew, so that it gave up events that another VM could have gone on after; a call that waited for a permit or for another VM was told of its limit. Cause: a wait that the end of the stop cuts short ends with the code of what was waited for; only the code of the queue was replaced. Class: an end of a VM's own making under another name.

Change: every call that has not run is refused with 2032 stopping once the stop has cut off, and keeps whether an attempt was sent.

Measured: TestCutOffWaitIsRefusedAsStopping gets stream_unknown on the code before and passes now.

--- a/site/place.go
+++ b/site/place.go
@@ -44,8 +44,10 @@
 	out := n.serving.Serve(ctx, c, serving.Placement{
 		Kind: serving.PlaceHere,
 	}, sink)
-	if out.Code == result.DeadlinePassed && n.stopState.callsCtx.Err() != nil {
-		out = call.Refused(n.stoppingRefusal())
+	if out.Code.Class() == result.ClassNotRun && n.stopState.callsCtx.Err() != nil {
+		// Waits that the stop has cut short end with the codes of what they waited for.
+		out.Refusal = n.stoppingRefusal()
+		out.Code = out.Refusal.Code
 	}
 	n.recordDuration(ctx, c, out, startedAt)
 	n.recordServed(c, out)
