--- a/call/answer.go
+++ b/call/answer.go
@@ -1,12 +1,16 @@
 package call
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
+// ErrStopping is the cause with which a VM that stops ends the contexts of its calls.
+var ErrStopping = errors.New("the VM is stopping")
+
 // Sink receives a response: the head, then chunks. An error from either means that
 // the caller has disconnected.
 type Sink struct {
@@ -27,6 +31,9 @@
 	FirstChunkAt time.Time
 	// Endpoint is the id of the endpoint that responded.
 	Endpoint string
+	// VM is the id of the VM to which a routed call was forwarded; empty if it was served by the
+	// VM that took it.
+	VM string
 	// EndpointsRun is the number of endpoints that may have run the call.
 	EndpointsRun int
 	// Sent is set if an attempt may have reached an endpoint, whether that ran it or not.
