Soak: stops that overlap, under calls that last as long as a stop

Callers lost streams that had been sent to another region as the VM there stopped.

--overlapping-stops has regions without an endpoint of a service, streams of 2 s up to their deadline, bodies in chunks and in halves, answers that are read slowly, requests sent ahead, and VMs stopped 0.3 to 3 s apart. A cut is excused only at the deadline, or if the replica was at work in the last sixth of the grace period; the replica's end of work is now recorded. The most memory of each VM and the ends of processes are checked. Requests whose write failed are read on, as a refusal may lie in the socket.

TestStopAnswers and TestChecksCanFail pass.

--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -128,6 +128,8 @@
 	Fault func() Fault
 	// OnRequest is called for each request that runs or is shed. It must not be nil.
 	OnRequest func(Run)
+	// OnEnd is called as the work on a request ends; nil disables it.
+	OnEnd func(attempt string, at time.Time)
 	// OnProbe is called for each load report and health probe; nil disables it.
 	OnProbe func(id string)
 	// CrashOn returns how far the replica gets with a request before it crashes; nil means
@@ -359,7 +361,8 @@
 	id := run.id
 	ms, _ := strconv.Atoi(req.URL.Query().Get("ms"))
 	sleep(req.Context(), r.ProcessingTime+time.Duration(ms)*time.Millisecond)
-	body := Body(id)
+	padding, _ := strconv.Atoi(req.URL.Query().Get("bytes"))
+	body := Body(id) + strings.Repeat(".", padding)
 	switch fault {
 	case FaultReset:
 		panic(http.ErrAbortHandler)
@@ -428,6 +431,8 @@
 		return
 	}
 	flush := http.NewResponseController(w).Flush
+	ms, _ := strconv.Atoi(req.URL.Query().Get("ms"))
+	eventEvery := r.EventEvery + time.Duration(ms)*time.Millisecond/time.Duration(r.Events)
 	for number := from + 1; number <= r.Events; number++ {
 		if req.Context().Err() != nil {
 			return
@@ -446,7 +451,7 @@
 		r.countEvent(run)
 		_, _ = io.WriteString(w, event)
 		_ = flush()
-		sleep(req.Context(), r.EventEvery)
+		sleep(req.Context(), eventEvery)
 	}
 }
 
--- a/standin/replica/runs.go
+++ b/standin/replica/runs.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 )
 
 const (
@@ -66,6 +67,9 @@
 func (r *Replica) endRun(run *activeRun) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.OnEnd != nil {
+		r.OnEnd(run.id, time.Now())
+	}
 	r.runs = slices.DeleteFunc(r.runs, func(other *activeRun) bool { return other == run })
 }
 
--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -273,7 +273,7 @@
 		a.checkStream(data, err)
 	case err != nil:
 		a.connectionLost = true
-	case string(data) != replica.Body(a.id):
+	case string(data) != replica.Body(a.id)+strings.Repeat(".", a.padding):
 		a.failure = fmt.Sprintf("a body of another answer: %.60q", data)
 	default:
 		a.complete = true
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -46,6 +46,14 @@
 	connectionLost bool
 	// kept is set if the client uses its connection until it ends.
 	kept bool
+	// afterClose is set for a request that was sent ahead of an answer which ended its connection.
+	afterClose bool
+	// begunAt is when a kept connection began to send the request, sentAt when it had sent it.
+	begunAt time.Time
+	// deadlineAt is when the caller stops waiting; zero if the request states no deadline.
+	deadlineAt time.Time
+	// padding is the number of bytes that the answer has beside the usual ones.
+	padding int
 	// failure says how the response is wrong; empty if it isn't.
 	failure string
 	// held is the credential that the client presents.
@@ -111,7 +119,12 @@
 	// vmDisturbedAt is when each VM was restarted or resumed.
 	vmDisturbedAt map[string][]time.Time
 	// vmDown is when each VM was stopped, killed or suspended, until it ran again.
-	vmDown      map[string][]interval
+	vmDown map[string][]interval
+	// runEnds is when a replica last ended its work on an attempt.
+	runEnds map[string]time.Time
+	// ownEnds are the ends of VMs' processes that no signal explains, peakMB is their most memory.
+	ownEnds     []string
+	peakMB      map[string]int
 	faultCounts map[string]int
 	faultMarks  []faultMark
 }
@@ -126,8 +139,10 @@
 		vmDisturbedAt: make(map[string][]time.Time),
 		vmDown:        make(map[string][]interval),
 
-		limits: make(map[string][]limitInterval),
-		probes: make(map[string][]time.Time),
+		limits:  make(map[string][]limitInterval),
+		probes:  make(map[string][]time.Time),
+		runEnds: make(map[string]time.Time),
+		peakMB:  make(map[string]int),
 	}
 }
 
@@ -212,6 +227,8 @@
 		{name: "configuration", do: l.checkConfigurationVersions},
 		{name: "planned_stop", do: l.checkPlannedStops},
 		{name: "stop_answers", do: l.checkStopAnswers},
+		{name: "own_ends", do: func() []string { return l.ownEnds }},
+		{name: "memory", do: l.checkMemory},
 		{name: "unasked", do: l.checkUnsentRuns},
 		{name: "crashing_calls", do: l.checkCrashingCalls},
 		{name: "crashing_parts", do: l.checkCrashingParts},
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -38,6 +38,8 @@
 	versionJoins := app.Flag("version-joins", "Have engines of a later version join while half of the VMs stand still and streams break off, instead of random faults.").Bool()
 	crashTogether := app.Flag("crash-together", "Have a quarter of the engines crash and return cold at once, before the random faults.").Bool()
 	stops := app.Flag("stops", "Stop VMs in series that overlap, under clients that use connections until they end, instead of random faults.").Bool()
+	overlapping := app.Flag("overlapping-stops", "As --stops, with calls that are sent to other regions and last as long as a stop.").Bool()
+	onceLimit := app.Flag("once-limit", "The longest time of calls that may run once, with --overlapping-stops; 0 means up to their deadline.").Duration()
 	lateRefusals := app.Flag("late-refusals", "Have replicas send refusals twice, before the random faults.").Bool()
 	largeBodies := app.Flag("large-bodies", "Number of clients that send bodies of the largest size while their region is evacuated, before the random faults.").Int()
 	processingTime := app.Flag("processing-time", "How long replicas of the plain service take.").Default("10ms").Duration()
@@ -64,17 +66,19 @@
 		CrashingParts:  *crashingParts,
 		EndpointLimits: *limited,
 
-		EndpointNotices: *notices,
-		StoreRestores:   *restores,
-		StreamVersions:  *streams,
-		VersionJoins:    *versionJoins,
-		RetryBursts:     *retries,
-		LateRefusals:    *lateRefusals,
-		CrashTogether:   *crashTogether,
-		Stops:           *stops,
-		Versions:        *versions,
-		LargeBodies:     *largeBodies,
-		ProcessingTime:  *processingTime,
+		EndpointNotices:  *notices,
+		StoreRestores:    *restores,
+		StreamVersions:   *streams,
+		VersionJoins:     *versionJoins,
+		RetryBursts:      *retries,
+		LateRefusals:     *lateRefusals,
+		CrashTogether:    *crashTogether,
+		Stops:            *stops || *overlapping,
+		OverlappingStops: *overlapping,
+		OnceLimit:        *onceLimit,
+		Versions:         *versions,
+		LargeBodies:      *largeBodies,
+		ProcessingTime:   *processingTime,
 	})
 	stop()
 	app.FatalIfError(err, "build gateway")
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -61,6 +61,9 @@
 		Faults:     tb.ledger.faultCounts,
 		Violations: append(violations, tb.ledger.check()...),
 	}
+	for _, v := range report.Violations {
+		tb.logSchedule("%s: %s", v.Check, v.Detail)
+	}
 	streams := tb.ledger.countStreams()
 	report.Resumed = streams.resumed
 	report.GoneOn = streams.resumedOn
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -231,6 +231,22 @@
 	})
 }
 
+// TestOverlappingStops guards against calls that end with another VM's stop, against those that are
+// begun too late in a stop to end, and against VMs that exceed their memory or end by themselves.
+func TestOverlappingStops(t *testing.T) {
+	t.Parallel()
+	runScenario(t, runStops, Options{
+		Seed:             103,
+		Regions:          3,
+		VMs:              2,
+		Engines:          2,
+		Clients:          6,
+		FaultDuration:    20 * time.Second,
+		OverlappingStops: true,
+		OnceLimit:        7 * time.Second,
+	})
+}
+
 // runScenario runs a scenario and fails the test on any violation.
 func runScenario(t *testing.T, s scenario, o Options) {
 	t.Helper()
@@ -312,6 +328,27 @@
 			l.vmDown["v"] = []interval{{from: now}}
 			l.attempts = []attempt{{id: "a", path: slowPath, vm: "v", kept: true, connectionLost: true, sentAt: now.Add(3100 * time.Millisecond), endedAt: now.Add(7 * time.Second)}}
 		}},
+		{check: "stop_answers", make: func(l *ledger) {
+			l.vmDown["w"] = []interval{{from: now}}
+			l.attempts = []attempt{{id: "a", path: resumePath, vm: "v", kept: true, connectionLost: true, endedAt: now.Add(7600 * time.Millisecond), deadlineAt: now.Add(9 * time.Second)}}
+			l.runs = []replica.Run{ran("a", resumePath, "i", 0)}
+		}},
+		{check: "stop_answers", make: func(l *ledger) {
+			l.vmDown["v"] = []interval{{from: now}}
+			l.attempts = []attempt{{id: "a", path: "/get/x", vm: "v", kept: true, connectionLost: true, sentAt: now.Add(2 * time.Second), endedAt: now.Add(7 * time.Second)}}
+			l.runs = []replica.Run{ran("a", "/get/x", "i", 2*time.Second)}
+			l.recordRunEnd("a", now.Add(6*time.Second))
+		}},
+		{check: "stop_answers", make: func(l *ledger) {
+			l.attempts = []attempt{{id: "a", path: "/get/x", vm: "v", kept: true, connectionLost: true, afterClose: true, endedAt: now}}
+			l.runs = []replica.Run{ran("a", "/get/x", "i", 0)}
+		}},
+		{check: "own_ends", make: func(l *ledger) {
+			l.recordExit("v", &os.ProcessState{})
+		}},
+		{check: "memory", make: func(l *ledger) {
+			l.recordMemory("v", memoryMB+1)
+		}},
 		{check: "crashing_calls", make: func(l *ledger) {
 			path := "/stream/once" + crashPathMarker + "1"
 			for n := range 10 {
--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -30,6 +30,20 @@
 type keptCall struct {
 	path, query, service string
 	half                 time.Duration
+	// deadline is the time that the request states; zero for none.
+	deadline time.Duration
+	// padding is the number of bytes that the answer has beside the usual ones.
+	padding int
+	// chunked is set for a body in chunks, readsSlowly for a caller that reads slowly, ahead for
+	// one that sends its next request before it reads the answer.
+	chunked, readsSlowly, ahead bool
+}
+
+func (tb *testbed) randomCall() keptCall {
+	if tb.OverlappingStops {
+		return randomLongCall(tb.OnceLimit)
+	}
+	return randomKeptCall()
 }
 
 func randomKeptCall() keptCall {
@@ -66,9 +80,40 @@
 	}
 }
 
-// callOnce sends a call, records its outcome, and reports whether the connection stays open.
+// callOnce sends a call, or two ahead of the first answer, records the outcomes, and reports
+// whether the connection stays open.
 func (tb *testbed) callOnce(ctx context.Context, conn net.Conn, reader *bufio.Reader, v *vm, lastID *atomic.Int64) bool {
-	k := randomKeptCall()
+	first := tb.randomCall()
+	calls := []keptCall{first}
+	if first.ahead {
+		calls = append(calls, tb.randomCall())
+	}
+	var attempts []attempt
+	var err error
+	for _, k := range calls {
+		a := tb.newKeptAttempt(v, k, lastID)
+		if err == nil {
+			err = a.write(ctx, conn, k)
+		}
+		a.sentAt = time.Now()
+		attempts = append(attempts, a)
+	}
+	// A refusal may be sent before a request has been written.
+	open := true
+	for i, a := range attempts {
+		a.afterClose = !open
+		open = open && a.readAnswer(ctx, reader, calls[i])
+		a.connectionLost = a.connectionLost || a.status == 0
+		a.endedAt = time.Now()
+		if ctx.Err() != nil {
+			a.connectionLost = false
+		}
+		tb.ledger.recordAttempt(a)
+	}
+	return open
+}
+
+func (tb *testbed) newKeptAttempt(v *vm, k keptCall, lastID *atomic.Int64) attempt {
 	tb.mu.Lock()
 	// VMs that read the configuration early or late know this version's key.
 	version := max(tb.version-1, 1)
@@ -83,33 +128,53 @@
 		workspace:  workspaceUnlimited,
 		key:        workspaceKey(workspaceUnlimited, version),
 		keyVersion: version,
-		sentAt:     time.Now(),
+		padding:    k.padding,
+		begunAt:    time.Now(),
 	}
-	body := strings.Repeat("b", 512)
-	_, err := fmt.Fprintf(conn, "POST %s%s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
-		k.path, k.query, attemptHeader, a.id, a.key, len(body), body[:256])
-	if err == nil {
-		sleep(ctx, k.half)
-		_, err = conn.Write([]byte(body[256:]))
+	if k.deadline > 0 {
+		a.deadlineAt = a.begunAt.Add(k.deadline)
+	}
+	return a
+}
+
+// write sends an attempt's request, its body with a length or in chunks and in two halves.
+func (a *attempt) write(ctx context.Context, conn net.Conn, k keptCall) error {
+	body := strings.Repeat("b", 256)
+	parts := []string{fmt.Sprintf("Content-Length: %d\r\n\r\n%s", 2*len(body), body), body}
+	if k.chunked {
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		parts = []string{"Transfer-Encoding: chunked\r\n\r\n" + chunk, chunk + "0\r\n\r\n"}
 	}
-	a.sentAt = time.Now()
-	open := false
+	deadline := ""
+	if k.deadline > 0 {
+		deadline = fmt.Sprintf("X-Fuchsianotch-Deadline-Ms: %d\r\n", k.deadline.Milliseconds())
+	}
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: soak.example\r\n%s: %s\r\nAuthorization: Bearer %s\r\n%s%s",
+		a.target, attemptHeader, a.id, a.key, deadline, parts[0])
 	if err != nil {
-		a.connectionLost = true
-	} else if resp, err := http.ReadResponse(reader, nil); err != nil {
-		a.connectionLost = true
-	} else {
-		a.status = resp.StatusCode
-		(&client{}).checkResponse(&a, resp)
-		open = !resp.Close && a.complete
-		_ = resp.Body.Close()
-	}
-	a.endedAt = time.Now()
-	if ctx.Err() != nil {
-		a.connectionLost = false
-	}
-	tb.ledger.recordAttempt(a)
-	return open
+		return err
+	}
+	sleep(ctx, k.half)
+	_, err = conn.Write([]byte(parts[1]))
+	return err
+}
+
+// readAnswer reads the answer to an attempt and reports whether its connection stays open.
+func (a *attempt) readAnswer(ctx context.Context, reader *bufio.Reader, k keptCall) bool {
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return false
+	}
+	a.status = resp.StatusCode
+	if k.readsSlowly {
+		resp.Body = slowBody{
+			ReadCloser: resp.Body,
+			wait:       func() { sleep(ctx, slowReadPause) },
+		}
+	}
+	(&client{}).checkResponse(a, resp)
+	_ = resp.Body.Close()
+	return !resp.Close && !a.connectionLost && a.failure == ""
 }
 
 // runStops stops VMs in series that overlap, beside signals and changes of the configuration,
@@ -122,15 +187,23 @@
 			clients.Go(func() { tb.useConnection(clientCtx, v, &l.lastID) })
 		}
 	}
+	watched, unwatch := context.WithCancel(ctx)
+	clients.Go(func() { tb.watchMemory(watched) })
 	sleep(ctx, 2*time.Second)
 	end := time.Now().Add(tb.FaultDuration)
-	for time.Now().Before(end) && ctx.Err() == nil {
+	for number := 1; time.Now().Before(end) && ctx.Err() == nil; number++ {
 		d := faultParams{
 			vm:      tb.rand.IntN(len(tb.vms)),
 			variant: tb.rand.IntN(4),
 			long:    time.Duration(200+tb.rand.IntN(2300)) * time.Millisecond,
 		}
-		if !tb.vms[d.vm].isBusy() {
+		if tb.OverlappingStops {
+			d.long = time.Duration(300+tb.rand.IntN(2700)) * time.Millisecond
+			if number%stopsInSeries == 0 {
+				sleep(ctx, seriesPause)
+			}
+		}
+		if tb.mayStop(tb.vms[d.vm]) {
 			tb.logSchedule("stop %+v", d)
 			stops.Go(func() { _ = tb.stopAndStart(ctx, d) })
 			tb.disturbStop(ctx, d)
@@ -138,6 +211,7 @@
 		sleep(ctx, d.long)
 	}
 	stops.Wait()
+	unwatch()
 	endClients()
 	clients.Wait()
 	return nil
@@ -148,12 +222,15 @@
 func (tb *testbed) disturbStop(ctx context.Context, d faultParams) {
 	v := tb.vms[d.vm]
 	sleep(ctx, d.long/8)
-	switch d.variant {
-	case 0:
+	switch {
+	case d.variant == 0:
 		v.signal(syscall.SIGTERM)
-	case 1:
+	case d.variant == 1:
 		_ = tb.reloadSettings(ctx, d)
-	case 2:
+	case d.variant == 2 && tb.OverlappingStops:
+		d.vm = (d.vm + 1) % len(tb.vms)
+		_ = tb.reloadSettings(ctx, d)
+	case d.variant == 2:
 		for range 5 {
 			v.signal(syscall.SIGSTOP)
 			sleep(ctx, 90*time.Millisecond)
@@ -165,26 +242,31 @@
 	}
 }
 
-// checkStopAnswers checks that a call which a VM has accepted gets a whole answer though the
-// VM stops: one that was passed on, and one that did not cross the end of its connection. A
-// call may be cut off if its replica was still at work in the last sixth of the time to stop
-// and it was sent early.
+// checkStopAnswers checks that a call which a VM has accepted gets a whole answer though VMs
+// stop: one that was passed on, and one that did not cross the end of its connection.
 func (l *ledger) checkStopAnswers() (out []string) {
 	for _, a := range l.attempts {
 		if !a.kept || !a.connectionLost || l.isCutExcused(a) {
 			continue
 		}
-		if l.hasRun(a.id) || a.endedAt.Sub(a.sentAt) > lostSlack {
-			out = append(out, fmt.Sprintf("%s %s got no answer from %s for %v, run: %v, %v after SIGTERM",
-				a.id, a.path, a.vm, a.endedAt.Sub(a.sentAt), l.hasRun(a.id), a.sentAt.Sub(l.stoppedAt(a))))
+		run := l.hasRun(a.id)
+		if run || !a.afterClose && a.endedAt.Sub(a.sentAt) > lostSlack {
+			out = append(out, fmt.Sprintf("%s %s got no whole answer from %s, run: %v, status %d, %d events, sent for %v, cut %v later; since SIGTERMs: %s",
+				a.id, a.target, a.vm, run, a.status, len(a.versions), a.sentAt.Sub(a.begunAt), a.endedAt.Sub(a.sentAt), l.stopsAround(a)))
 		}
 	}
 	return out
 }
 
+// isCutExcused reports whether a call may be cut off: its deadline was reached, or its replica
+// was still at work in the last sixth of the time to stop and it was sent early.
 func (l *ledger) isCutExcused(a attempt) bool {
+	if !a.deadlineAt.IsZero() && !a.endedAt.Before(a.deadlineAt.Add(-deadlineSlack)) {
+		return true
+	}
 	stoppedAt := l.stoppedAt(a)
-	return !stoppedAt.IsZero() && a.sentAt.Sub(stoppedAt) <= lateRequest && a.endedAt.Sub(stoppedAt) >= stopGracePeriod*5/6
+	lastSixth := stoppedAt.Add(stopGracePeriod * 5 / 6)
+	return !stoppedAt.IsZero() && a.sentAt.Sub(stoppedAt) <= lateRequest && !a.endedAt.Before(lastSixth) && !l.runEnds[a.id].Before(lastSixth)
 }
 
 // stoppedAt returns when the VM of an attempt was last told to stop before the attempt ended.
@@ -200,12 +282,17 @@
 // stopCounts count the calls on kept connections to stopping VMs, by their outcome.
 type stopCounts struct {
 	stops, served, refused, failed, unread int
+	// peakMB is the most memory of a VM.
+	peakMB int
 }
 
 func (l *ledger) countStopCalls() (n stopCounts) {
 	for _, downs := range l.vmDown {
 		n.stops += len(downs)
 	}
+	for _, mb := range l.peakMB {
+		n.peakMB = max(n.peakMB, mb)
+	}
 	for _, a := range l.attempts {
 		stopping := slices.ContainsFunc(l.vmDown[a.vm], func(s interval) bool { return s.contains(a.sentAt) })
 		switch {
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -93,6 +93,10 @@
 	StoreRestores bool
 	// Stops has VMs stop in series that overlap, in place of random faults.
 	Stops bool
+	// OverlappingStops has, beside Stops, regions without endpoints of a service and calls that last
+	// as long as a stop. OnceLimit bounds calls that may run once; zero means their deadline.
+	OverlappingStops bool
+	OnceLimit        time.Duration
 	// LargeBodies is the number of clients that send bodies of the largest size while their region
 	// is evacuated, before the random faults. ProcessingTime is how long replicas of the plain
 	// service take; zero means a default.
@@ -168,11 +172,14 @@
 	tb.storeLn = ln
 	go func() { _ = tb.store.Serve(context.Background(), ln) }()
 	for r := range o.Regions {
-		for range o.Engines {
+		for range tb.enginesIn(r) {
 			if err := tb.addReplica(serviceEngine, regionName(r), 0); err != nil {
 				return nil, err
 			}
 		}
+		if o.OverlappingStops && r == regionWithoutPlain {
+			continue
+		}
 		if err := tb.addReplica(servicePlain, regionName(r), 0); err != nil {
 			return nil, err
 		}
@@ -299,6 +306,7 @@
 	v.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
+		tb.ledger.recordExit(v.name, cmd.ProcessState)
 		close(exited)
 	}()
 	return nil
@@ -391,6 +399,7 @@
 		ProcessingTime: cmp.Or(tb.ProcessingTime, defaultProcessingTime),
 		Fault:          tb.randomFault,
 		OnRequest:      tb.ledger.recordRun,
+		OnEnd:          tb.ledger.recordRunEnd,
 		OnProbe:        tb.ledger.recordProbe,
 		CrashOn:        crashPoint,
 		HarmfulPart:    harmfulPart,
@@ -450,6 +459,10 @@
 	}
 	routes[len(routes)-2]["TimeoutMs"] = 20000
 	routes[len(routes)-1]["Public"] = true
+	if tb.OverlappingStops {
+		routes[0]["TimeoutMs"] = 20000
+		routes[1]["TimeoutMs"] = 20000
+	}
 	_, err := tb.store.Put("op/config", map[string]any{
 		"Version": tb.version,
 		"Routes":  routes,
