--- a/testscripts/soak/overlapping_stops.go
+++ b/testscripts/soak/overlapping_stops.go
@@ -95,8 +95,8 @@
 	})
 }
 
-// watchMemory records the most memory of each VM until ctx ends.
-func (tb *testbed) watchMemory(ctx context.Context) {
+// recordPeakMemory records the most memory of each VM until ctx ends.
+func (tb *testbed) recordPeakMemory(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, v := range tb.vms {
 			tb.ledger.recordMemory(v.name, v.peakMB())
@@ -105,22 +105,6 @@
 	}
 }
 
-// peakMB returns the most resident memory that the VM's process has had, in MB; zero if it has
-// ended.
-func (v *vm) peakMB() (mb int) {
-	v.mu.Lock()
-	pid := v.cmd.Process.Pid
-	v.mu.Unlock()
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
-	_, rest, _ := strings.Cut(string(data), "VmHWM:")
-	var kb int
-	_, _ = fmt.Sscan(rest, &kb)
-	return kb >> 10
-}
-
 func (l *ledger) recordMemory(vm string, mb int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -188,7 +188,7 @@
 		}
 	}
 	watched, unwatch := context.WithCancel(ctx)
-	clients.Go(func() { tb.watchMemory(watched) })
+	clients.Go(func() { tb.recordPeakMemory(watched) })
 	sleep(ctx, 2*time.Second)
 	end := time.Now().Add(tb.FaultDuration)
 	for number := 1; time.Now().Before(end) && ctx.Err() == nil; number++ {
