Soak: a cut call is named with the one ahead of it

Callers that send a request ahead lose it with the connection, and the finding did not say which answer it waited for. TestChecksCanFail passes.

--- a/testscripts/soak/attempt.go
+++ b/testscripts/soak/attempt.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"strings"
 	"time"
 )
@@ -32,7 +33,9 @@
 	connectionLost bool
 	// kept is set if the client uses its connection until it ends.
 	kept bool
-	// afterClose is set for a request that was sent ahead of an answer which ended its connection.
+	// behind is the attempt ahead of whose answer the request was sent; empty for none. afterClose
+	// is set if that answer ended the connection.
+	behind     string
 	afterClose bool
 	// begunAt is when a kept connection began to send the request, sentAt when it had sent it.
 	begunAt time.Time
@@ -56,6 +59,10 @@
 	versions []string
 }
 
+func (a attempt) describe() string {
+	return fmt.Sprintf("%s %s (status %d, %d events, complete %v)", a.id, a.target, a.status, len(a.versions), a.complete)
+}
+
 // runsAtMostOnce reports whether replicas may run the attempt at most once.
 func (a attempt) runsAtMostOnce() bool {
 	return strings.HasPrefix(a.path, "/post/") || strings.HasPrefix(a.path, slowPath) || strings.HasPrefix(a.path, "/stream/once/")
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -98,14 +98,19 @@
 	for _, seed := range seeds {
 		o.Seed = seed.Seed
 		o.ExcludedFaults = seed.ExcludedFaults
-		report, err := runSeed(ctx, logDir, o)
+		run := o
+		if seed.OverlappingStops {
+			run.Stops = true
+			run.OverlappingStops = true
+		}
+		report, err := runSeed(ctx, logDir, run)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return failed + 1, nil
 		}
 		fmt.Printf("seed %d: %d requests, %.3f served, %d of %d resumed streams went on, faults %v, %d violations\n",
 			report.Seed, report.Attempts, report.Served, report.GoneOn, report.Resumed, report.Faults, len(report.Violations))
-		if o.Stops {
+		if run.Stops {
 			fmt.Printf("  calls to stopping VMs: %+v\n", report.Stopping)
 		}
 		for _, v := range report.Violations[:min(len(report.Violations), 10)] {
@@ -134,6 +139,8 @@
 	// ExcludedFaults names faults added since the failure. Excluding them reproduces the
 	// schedule that failed.
 	ExcludedFaults []string `json:"without"`
+	// OverlappingStops is set for a seed of stops that overlap instead of random faults.
+	OverlappingStops bool `json:"overlapping_stops"`
 }
 
 //go:embed testdata/seeds.json
--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -102,12 +102,16 @@
 	open := true
 	for i, a := range attempts {
 		a.afterClose = !open
+		if i > 0 {
+			a.behind = attempts[i-1].describe()
+		}
 		open = open && a.readAnswer(ctx, reader, calls[i])
 		a.connectionLost = a.connectionLost || a.status == 0
 		a.endedAt = time.Now()
 		if ctx.Err() != nil {
 			a.connectionLost = false
 		}
+		attempts[i] = a
 		tb.ledger.recordAttempt(a)
 	}
 	return open
@@ -251,8 +255,8 @@
 		}
 		run := l.hasRun(a.id)
 		if run || !a.afterClose && a.endedAt.Sub(a.sentAt) > lostSlack {
-			out = append(out, fmt.Sprintf("%s %s got no whole answer from %s, run: %v, status %d, %d events, sent for %v, cut %v later; since SIGTERMs: %s",
-				a.id, a.target, a.vm, run, a.status, len(a.versions), a.sentAt.Sub(a.begunAt), a.endedAt.Sub(a.sentAt), l.stopsAround(a)))
+			out = append(out, fmt.Sprintf("%s got no whole answer from %s, run: %v, sent for %v, cut %v later; since SIGTERMs: %s; behind %s",
+				a.describe(), a.vm, run, a.sentAt.Sub(a.begunAt), a.endedAt.Sub(a.sentAt), l.stopsAround(a), a.behind))
 		}
 	}
 	return out
