Stops: a stopping VM passes no call on that it could not begin any more

What callers saw: a call that may run once, taken by a VM that stops, got 504 or a broken connection at the end of the stop after another VM had refused it, though it could have been refused with 503 and sent elsewhere by its caller. Cause: whether a call ends before the stop was asked once, as it arrived; each further VM got it without that question, however late.

Change: before a call that has not run is sent to the next place it is asked again. A call that may run again and may have run goes on, as it is not to be refused as not run.

--- a/site/place.go
+++ b/site/place.go
@@ -72,10 +72,15 @@
 	return every > 0 && rand.IntN(every) == 0
 }
 
-// place decides whether a call is served locally, on a VM of another region, or refused.
+// place decides whether a call is served locally, on a VM of another region, or refused. A
+// stopping VM sends a call that did not run at one VM to another only if it could still begin.
 func (n *Node) place(ctx context.Context, c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal) {
 	if len(tried) == 0 {
 		n.classifyShare(c, n.now())
+	} else if !c.Idempotent || !c.Routed.Retry {
+		if refusal := n.refuseIfStopping(c); refusal != nil {
+			return vm, false, refusal
+		}
 	}
 	res := n.evaluatePlacement(c, tried)
 	for res.decision.Refusal == placement.ReasonNoRegion && n.waitForMembers(ctx, c) {
--- a/site/stop_place_test.go
+++ b/site/stop_place_test.go
@@ -8,7 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
 	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/shutdown"
 )
 
 // TestCutOffWaitIsRefusedAsStopping guards against a stopping VM that tells the caller of a stream
@@ -38,3 +40,48 @@
 	})
 	assert.Equal(t, out.Code, result.Stopping, "%v", out.Refusal)
 }
+
+// TestStoppingVMPassesNoCallOn guards against a stopping VM that sends a call which did not run at
+// one VM to another one, though it is not expected to end before its own stop.
+func TestStoppingVMPassesNoCallOn(t *testing.T) {
+	for _, row := range datatest.Read[[]struct {
+		Name string
+		// Cutoff is the end of the stop, in milliseconds from now; zero without a stop.
+		Cutoff int
+		// Deadline is that of the call, Sent says that an endpoint may have had it.
+		Deadline   int
+		Sent       bool
+		Idempotent bool
+		Want       result.Code
+	}](t, "testdata/stop_place.json") {
+		t.Run(row.Name, func(t *testing.T) {
+			now := time.Unix(1e9, 0)
+			n := newFleetNode(fleetSize{vms: 3, engines: 4}, func() time.Time { return now })
+			if row.Cutoff > 0 {
+				cutoff := now.Add(time.Duration(row.Cutoff) * time.Millisecond)
+				n.stopState.planned.Store(&shutdown.Stop{
+					Cutoff:        cutoff,
+					CallersGoneAt: cutoff,
+				})
+			}
+			_, _, refusal := n.place(t.Context(), &call.Call{
+				Kind:       call.KindRouted,
+				Service:    "s",
+				Idempotent: row.Idempotent,
+				Deadline:   now.Add(time.Duration(row.Deadline) * time.Millisecond),
+				Routed: &call.Routed{
+					Host:        "h",
+					Route:       "once",
+					ArrivedAt:   now,
+					Retry:       row.Sent,
+					MaxAttempts: 2,
+				},
+			}, []string{"vm-1"})
+			got := result.Code(0)
+			if refusal != nil {
+				got = refusal.Code
+			}
+			assert.Equal(t, got, row.Want, "%v", refusal)
+		})
+	}
+}
