Logs: an attempt that a stop has cut off doesn't count its caller as gone

What operators saw: attempt_failed of a call that the stop of the VM cut off has caller_gone true, though its caller still waits. Cause: the field is that by which an endpoint is not blamed, which covers both. Change: caller_gone is false for 3006.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -168,8 +168,8 @@
 	// Resumable reports whether another endpoint can continue the call so that the
 	// caller still receives one complete response.
 	Resumable bool
-	// CallerDisconnected reports whether the caller's side ended the attempt, so that the
-	// endpoint is not at fault.
+	// CallerDisconnected reports whether the caller's side, or the stop of this VM, ended the
+	// attempt, so that the endpoint is not at fault.
 	CallerDisconnected bool
 	// LastEvent is the id of the last event that this attempt forwarded.
 	LastEvent string
--- a/serving/trace.go
+++ b/serving/trace.go
@@ -113,7 +113,7 @@
 		slog.Int("code", int(p.lastAttempt.Code)),
 		slog.Bool("sent", p.lastAttempt.Sent),
 		slog.Int("events", p.lastAttempt.Delivered),
-		slog.Bool("caller_gone", p.lastAttempt.CallerDisconnected),
+		slog.Bool("caller_gone", p.lastAttempt.CallerDisconnected && p.lastAttempt.Code != result.VMStopped),
 		slog.String("framing", string(p.lastAttempt.Framing)),
 		contentAttr(c),
 		partsAttr(c),
--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -67,6 +67,10 @@
 			})
 			assert.Equal(t, end.Code, row.WantCode)
 			assert.Equal(t, end.Peer, row.WantPeer)
+			if _, stops := row.Stop["b"]; stops {
+				line := string(f.vms["b"].log.find("attempt_failed"))
+				assert.Assert(t, strings.Contains(line, `"code":3006`) && strings.Contains(line, `"caller_gone":false`), line)
+			}
 			for id := range row.Stop {
 				assert.NilError(t, <-f.vms[id].ended)
 			}
