Stops: a call that has not run goes on to a further VM only if it ends in time

What callers saw: nothing so far; found by asking whether the rest of a call that a stopping VM forwards fits into its time.

Cause: a call was admitted once, when it arrived. One that another VM had refused, or whose VM was not reached, was placed again however late in the stop, and could then be cut off after it had begun.

Change: for each further VM, and for its own endpoints after another VM, the stopping VM asks again whether the call may begin, unless it may have run or its answer has begun.

--- a/site/place.go
+++ b/site/place.go
@@ -74,6 +74,11 @@
 func (n *Node) place(ctx context.Context, c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal) {
 	if len(tried) == 0 {
 		n.classifyShare(c, n.now())
+	} else if !c.Routed.Retry {
+		// The call has not run so far, so that it loses less by a refusal than by a cut.
+		if refusal := n.refuseIfStopping(c); refusal != nil {
+			return vm, false, refusal
+		}
 	}
 	res := n.evaluatePlacement(c, tried)
 	for res.decision.Refusal == placement.ReasonNoRegion && n.waitForMembers(ctx, c) {
--- a/site/stop_test.go
+++ b/site/stop_test.go
@@ -96,6 +96,40 @@
 	}
 }
 
+// TestStoppingVMPlacesNoCallAgainThatItWouldCutOff guards against a second VM that gets a call
+// which has not run so far, though too little time is left. Times are in milliseconds.
+func TestStoppingVMPlacesNoCallAgainThatItWouldCutOff(t *testing.T) {
+	for _, row := range datatest.Read[[]struct {
+		Name     string
+		Deadline int
+		// Tried are the VMs that have refused the call. Ran is set if it may have run there.
+		Tried []string
+		Ran   bool
+		Want  result.Code
+	}](t, "testdata/stop_place.json") {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			s := startStopping(t)
+			s.stop()
+			waitFor(t, func() bool { return s.node.stopState.planned.Load() != nil })
+			_, _, refusal := s.node.place(t.Context(), &call.Call{
+				Service:  "s",
+				Deadline: s.node.now().Add(time.Duration(row.Deadline) * time.Millisecond),
+				Routed: &call.Routed{
+					Route: "once",
+					Retry: row.Ran,
+				},
+			}, row.Tried)
+			code := result.Done
+			if refusal != nil {
+				code = refusal.Code
+			}
+			assert.Equal(t, code, row.Want)
+			assert.NilError(t, <-s.ended)
+		})
+	}
+}
+
 // stoppingVM is a VM with a real caller port and one endpoint.
 type stoppingVM struct {
 	node  *Node
