--- a/site/stop_place_test.go
+++ b/site/stop_place_test.go
@@ -48,6 +48,8 @@
 		Name string
 		// Cutoff is the end of the stop, in milliseconds from now; zero without a stop.
 		Cutoff int
+		// First is set if no VM had the call before.
+		First bool
 		// Deadline is that of the call, Sent says that an endpoint may have had it.
 		Deadline   int
 		Sent       bool
@@ -60,10 +62,14 @@
 			if row.Cutoff > 0 {
 				cutoff := now.Add(time.Duration(row.Cutoff) * time.Millisecond)
 				n.stopState.planned.Store(&shutdown.Stop{
-					Cutoff:        cutoff,
-					CallersGoneAt: cutoff,
+					Cutoff:         cutoff,
+					DeadlineOnlyAt: cutoff,
 				})
 			}
+			tried := []string{"vm-1"}
+			if row.First {
+				tried = nil
+			}
 			_, _, refusal := n.place(t.Context(), &call.Call{
 				Kind:       call.KindRouted,
 				Service:    "s",
@@ -76,7 +82,7 @@
 					Retry:       row.Sent,
 					MaxAttempts: 2,
 				},
-			}, []string{"vm-1"})
+			}, tried)
 			got := result.Code(0)
 			if refusal != nil {
 				got = refusal.Code
