Memory: buffers count until the collector has freed them

Endpoints that send without end made VMs exceed their memory: 148 and 159 MB of 144, 291 of 284, where the platform kills the process and all of its calls end.

The budget counted what messages hold. A buffer that grows leaves its predecessors, and a response that is broken off its buffer, as garbage; hundreds of megabytes a second of it are not collected in time on a busy machine, and the runtime's limit of memory (0.6) does not bind.

A budget now keeps weak pointers to the buffers that were allocated and bounds all of them that are not freed to 9/8 of itself. An allocation beyond waits for a collection. Single events, bodies of any framing, bodies of requests and their parts from other VMs are counted. A buffer near its largest size grows to it at once, an error answer is kept without a copy, and pools keep buffers up to 64 KiB instead of 256.

--- a/common/bounded/bounded.go
+++ b/common/bounded/bounded.go
@@ -18,6 +18,10 @@
 // freeBufferBytes is the size up to which a buffer needs no share of the budget.
 const freeBufferBytes = 16 << 10
 
+// nearMostDivisor is the part of its largest size to which a buffer grows at once, as it would be
+// copied for the rest.
+const nearMostDivisor = 8
+
 // connBufferBytes is what the connections of a message from and to other VMs, callers and
 // endpoints hold besides it.
 const connBufferBytes = 64 << 10
@@ -33,7 +37,8 @@
 // twice what it leaves free, so that one gets two thirds of the budget, n get 2/(2n+1) each,
 // and small ones have room whatever the others do.
 type Budget struct {
-	total int
+	total  int
+	memory *memory
 
 	mu      sync.Mutex
 	used    int
@@ -62,7 +67,8 @@
 // NewBudget returns a budget of so many bytes.
 func NewBudget(total int) *Budget {
 	return &Budget{
-		total: total,
+		total:  total,
+		memory: newMemory(total),
 	}
 }
 
@@ -229,16 +235,45 @@
 	}
 }
 
+// Allocate returns an empty buffer of a capacity, for which the message has reserved room. It waits
+// for a collection if buffers that are no longer in use fill the memory.
+func (s *Share) Allocate(capacity int) ([]byte, error) {
+	if capacity > freeBufferBytes {
+		return s.budget.memory.allocate(capacity)
+	}
+	return make([]byte, 0, capacity), nil
+}
+
+// Grow returns the data in a buffer with a capacity of at least the given size, which doubles up
+// to most. It makes room beside other bytes that the message holds.
+func (s *Share) Grow(data []byte, size, most, others int) ([]byte, error) {
+	if size <= cap(data) {
+		return data, nil
+	}
+	wanted := max(size, 2*cap(data), minBufferBytes)
+	if wanted > most-most/nearMostDivisor {
+		wanted = max(size, most)
+	}
+	if err := s.Reserve(others+wanted, others+most); err != nil {
+		return data, err
+	}
+	grown, err := s.Allocate(wanted)
+	if err != nil {
+		return data, err
+	}
+	return append(grown, data...), nil
+}
+
 // ReadAll appends a body to a buffer, at most one byte more than most.
 func (s *Share) ReadAll(to *bytes.Buffer, body io.Reader, most int) error {
 	limited := io.LimitReader(body, int64(most)+1)
-	for {
+	for to.Len() <= most {
 		if to.Available() < bytes.MinRead {
-			wanted := min(max(2*to.Cap(), minBufferBytes), most+bytes.MinRead)
-			if err := s.Reserve(wanted, most+bytes.MinRead); err != nil {
+			data, err := s.Grow(to.Bytes(), to.Len()+bytes.MinRead, most+bytes.MinRead, 0)
+			if err != nil {
 				return err
 			}
-			grow(to, max(wanted, to.Len()+bytes.MinRead))
+			*to = *bytes.NewBuffer(data)
 		}
 		space := to.AvailableBuffer()
 		n, err := limited.Read(space[:cap(space)])
@@ -250,11 +285,5 @@
 			return err
 		}
 	}
-}
-
-// grow makes the capacity of a buffer that bytes.Buffer.Grow would double.
-func grow(b *bytes.Buffer, capacity int) {
-	data := make([]byte, b.Len(), capacity)
-	copy(data, b.Bytes())
-	*b = *bytes.NewBuffer(data)
+	return nil
 }
--- a/endpoint/raw_event.go
+++ b/endpoint/raw_event.go
@@ -86,8 +86,9 @@
 		if heldBytes+len(r.data)+len(part) > maxBytes {
 			return rawEvent{}, errEventTooLarge
 		}
-		if err := room.Reserve(heldBytes+len(r.data)+len(part), maxBytes); err != nil {
-			return rawEvent{}, err
+		var full error
+		if r.data, full = room.Grow(r.data, len(r.data)+len(part), maxBytes-heldBytes, heldBytes); full != nil {
+			return rawEvent{}, full
 		}
 		r.data = append(r.data, part...)
 		if errors.Is(err, bufio.ErrBufferFull) {
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -98,9 +98,11 @@
 		x.outcome.ErrorResponse = &call.BufferedResponse{
 			Status: resp.StatusCode,
 			Header: header,
-			Body:   bytes.Clone(body.Bytes()),
+			Body:   body.Bytes(),
 			Free:   x.room.Release,
 		}
+		// The response keeps the buffer.
+		*body = bytes.Buffer{}
 		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
 	}
 	if refusal := x.forwardHead(resp.StatusCode, header); refusal != nil {
--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -25,8 +25,9 @@
 	headerRequestID,
 }
 
-// maxPooledBytes is the largest buffer that is returned to a pool.
-const maxPooledBytes = 256 << 10
+// maxPooledBytes is the largest buffer that is returned to a pool. Hundreds of pooled buffers of
+// endless responses stay in memory for two collections.
+const maxPooledBytes = 64 << 10
 
 var buffers = sync.Pool{
 	New: func() any { return new(bytes.Buffer) },
@@ -102,7 +103,11 @@
 			return x.readRefusal(err)
 		}
 		if size > body.Available() {
-			*body = *bytes.NewBuffer(make([]byte, 0, size))
+			data, err := x.room.Allocate(size)
+			if err != nil {
+				return x.readRefusal(err)
+			}
+			*body = *bytes.NewBuffer(data)
 		}
 	}
 	if err := x.room.ReadAll(body, resp.Body, x.client.maxResponseBytes); err != nil {
--- a/peer/body_parts.go
+++ b/peer/body_parts.go
@@ -111,6 +111,11 @@
 	if refusal := s.takeMemory(stream.Context(), &share, int(first.GetBodyBytes())); refusal != nil {
 		return s.sendEnd(stream, call.Refused(refusal))
 	}
+	body, err := share.Allocate(int(first.GetBodyBytes()))
+	if err != nil {
+		share.Release()
+		return s.sendEnd(stream, call.Refused(s.memoryRefusal(err)))
+	}
 	err = stream.Send(&peerpb.ForwardReply{
 		Step: &peerpb.ForwardReply_Proceed{
 			Proceed: &peerpb.Proceed{},
@@ -120,7 +125,7 @@
 		share.Release()
 		return err
 	}
-	body, err := s.receiveBody(stream, int(first.GetBodyBytes()), c.Deadline)
+	body, err = s.receiveBody(stream, body, c.Deadline)
 	if err != nil {
 		share.Release()
 		return err
@@ -129,14 +134,14 @@
 	return s.forward(stream.Context(), in.GetFrom(), c, stream)
 }
 
-// receiveBody joins the parts of a body. It ends the stream at the deadline, so that a sender that
+// receiveBody joins the parts of a body in a buffer of its length. It ends the stream at the deadline, so that a sender that
 // stalls doesn't keep the memory.
-func (s *service) receiveBody(stream peerpb.DRPCPeer_ForwardInPartsStream, length int, by time.Time) ([]byte, error) {
+func (s *service) receiveBody(stream peerpb.DRPCPeer_ForwardInPartsStream, body []byte, by time.Time) ([]byte, error) {
 	if !by.IsZero() {
 		timer := time.AfterFunc(by.Sub(s.handlers.Now()), func() { _ = stream.Close() })
 		defer timer.Stop()
 	}
-	body := make([]byte, 0, length)
+	length := cap(body)
 	for len(body) < length {
 		part, err := stream.Recv()
 		if err != nil {
@@ -159,11 +164,15 @@
 	waitCtx, cancel := clock.WithDeadline(ctx, now, now.Add(bodyMemoryWait))
 	defer cancel()
 	if err := share.Take(waitCtx, bytes); err != nil {
-		return result.Refuse(result.BodyMemoryFull, "the VM has no memory left for the body").WithRetryAt(s.handlers.Now().Add(bodyMemoryRetryAfter)).WithCause(err)
+		return s.memoryRefusal(err)
 	}
 	return nil
 }
 
+func (s *service) memoryRefusal(err error) *result.Refusal {
+	return result.Refuse(result.BodyMemoryFull, "the VM has no memory left for the body").WithRetryAt(s.handlers.Now().Add(bodyMemoryRetryAfter)).WithCause(err)
+}
+
 // unlimitedBodies returns shares of a budget that doesn't bind.
 func unlimitedBodies() func() bounded.Share {
 	return bounded.NewBudget(bounded.RoomFor(unlimitedBodyBytes) << 10).Share
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -139,6 +139,8 @@
 	// EndsWithConnection reports whether the response to a request has neither a length nor
 	// chunks; nil means that none does.
 	EndsWithConnection func(*http.Request) bool
+	// Endless is the answer to all requests; nil means answers that end.
+	Endless *EndlessAnswer
 }
 
 // Replica is a running fake endpoint.
@@ -263,6 +265,10 @@
 	}
 	active := r.startRun(req, id)
 	defer r.endRun(active)
+	if r.Endless != nil {
+		r.sendEndless(w, id, *r.Endless)
+		return
+	}
 	if fault != FaultUnsigned {
 		w.Header().Set(headerSignature, "stamp."+r.ID+"."+id)
 	}
--- a/testscripts/soak/client.go
+++ b/testscripts/soak/client.go
@@ -39,6 +39,8 @@
 	newPrompt func() prompt
 	// bodyBytes is the size of the bodies of all requests; zero means small ones.
 	bodyBytes int
+	// enginesOnly sends all requests to engines.
+	enginesOnly bool
 }
 
 func (tb *testbed) newClient(region string, number *atomic.Int64) *client {
@@ -64,6 +66,9 @@
 			if c.newPrompt != nil {
 				path, service, method = partPaths[rand.IntN(len(partPaths))], serviceEngine, http.MethodPost
 			}
+			if c.enginesOnly {
+				path, service, method = enginePaths[rand.IntN(len(enginePaths))], serviceEngine, http.MethodPost
+			}
 			if c.bodyBytes > 0 {
 				path, service, method = "/get/x", servicePlain, http.MethodPost
 			}
--- a/testscripts/soak/large_bodies.go
+++ b/testscripts/soak/large_bodies.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// maxBodyBytes is MaxBodyBytes of the configuration, memoryMB MemoryMb of the settings.
-	maxBodyBytes = 1 << 20
-	memoryMB     = 284
+	// maxBodyBytes is MaxBodyBytes of the configuration, defaultMemoryMB MemoryMb of the settings.
+	maxBodyBytes    = 1 << 20
+	defaultMemoryMB = 284
 	// memoryCheckInterval is how often the memory of the VMs is read.
 	memoryCheckInterval = 10 * time.Millisecond
 	// largeBodyTime is the time for large bodies before and during the evacuation.
@@ -26,11 +26,9 @@
 func runLargeBodies(ctx context.Context, tb *testbed, l *loadGenerator) (out []Violation) {
 	sleep(ctx, settleTime)
 	watched, stop := context.WithCancel(ctx)
-	highest := make([]int, len(tb.vms))
 	var group sync.WaitGroup
-	for i, v := range tb.vms {
-		group.Go(func() { highest[i] = v.highestMemory(watched) })
-	}
+	var memory []Violation
+	group.Go(func() { memory = tb.watchMemory(watched, tb.MemoryMB) })
 	for range tb.LargeBodies {
 		c := tb.newClient(regionName(0), &l.lastID)
 		c.bodyBytes = maxBodyBytes
@@ -42,15 +40,7 @@
 	}
 	stop()
 	group.Wait()
-	tb.logSchedule("most memory in MB: %v", highest)
-	for i, v := range tb.vms {
-		if highest[i] > memoryMB || v.waitExit(0) {
-			out = append(out, Violation{
-				Check:  "memory",
-				Detail: fmt.Sprintf("%s held %d MB of %d", v.name, highest[i], memoryMB),
-			})
-		}
-	}
+	out = append(out, memory...)
 	if served := tb.ledger.largeBodiesServed(); served < tb.LargeBodies {
 		out = append(out, Violation{
 			Check:  "memory",
@@ -61,12 +51,33 @@
 	return out
 }
 
+// watchMemory reads the memory of the VMs until ctx ends. None may hold more than mostMB.
+func (tb *testbed) watchMemory(ctx context.Context, mostMB int) (out []Violation) {
+	highest := make([]int, len(tb.vms))
+	var group sync.WaitGroup
+	for i, v := range tb.vms {
+		group.Go(func() { highest[i] = v.highestMemory(ctx, tb.MemoryMB) })
+	}
+	group.Wait()
+	tb.mostMemory = highest
+	tb.logSchedule("most memory in MB: %v", highest)
+	for i, v := range tb.vms {
+		if highest[i] > mostMB || v.waitExit(0) {
+			out = append(out, Violation{
+				Check:  "memory",
+				Detail: fmt.Sprintf("%s held %d MB of %d", v.name, highest[i], tb.MemoryMB),
+			})
+		}
+	}
+	return out
+}
+
 // highestMemory returns the most resident memory of the VM's process in MB until ctx ends. Like
 // the platform it kills a process that exceeds its limit.
-func (v *vm) highestMemory(ctx context.Context) (highest int) {
+func (v *vm) highestMemory(ctx context.Context, limitMB int) (highest int) {
 	for ctx.Err() == nil {
 		highest = max(highest, v.residentMB())
-		if highest > memoryMB {
+		if highest > limitMB {
 			v.signal(syscall.SIGKILL)
 			return highest
 		}
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -40,6 +40,9 @@
 	stops := app.Flag("stops", "Stop VMs in series that overlap, under clients that use connections until they end, instead of random faults.").Bool()
 	lateRefusals := app.Flag("late-refusals", "Have replicas send refusals twice, before the random faults.").Bool()
 	largeBodies := app.Flag("large-bodies", "Number of clients that send bodies of the largest size while their region is evacuated, before the random faults.").Int()
+	endless := app.Flag("endless", "Have half of the engines send answers without end of this kind, instead of random faults.").Enum(append([]string{""}, endlessNames()...)...)
+	endlessClients := app.Flag("endless-clients", "Number of clients that call only engines meanwhile.").Default("240").Int()
+	memory := app.Flag("memory", "Memory of each VM in MB.").Default("284").Int()
 	processingTime := app.Flag("processing-time", "How long replicas of the plain service take.").Default("10ms").Duration()
 	versions := app.Flag("versions", "Number of software versions of engines side by side.").Default("2").Int()
 	plotFile := app.Flag("plot", "Write an SVG plot of the last seed to this file.").String()
@@ -75,6 +78,9 @@
 		Versions:        *versions,
 		LargeBodies:     *largeBodies,
 		ProcessingTime:  *processingTime,
+		MemoryMB:        *memory,
+		EndlessAnswers:  *endless,
+		EndlessClients:  *endlessClients,
 	})
 	stop()
 	app.FatalIfError(err, "build gateway")
@@ -104,6 +110,9 @@
 		if o.Stops {
 			fmt.Printf("  calls to stopping VMs: %+v\n", report.Stopping)
 		}
+		if len(report.MostMemory) > 0 {
+			fmt.Printf("  most memory in MB: %v\n", report.MostMemory)
+		}
 		for _, v := range report.Violations[:min(len(report.Violations), 10)] {
 			fmt.Printf("  %s: %s\n", v.Check, v.Detail)
 		}
@@ -189,6 +198,8 @@
 		selected = runVersionJoins
 	case o.StreamVersions:
 		selected = runStreamVersions
+	case o.EndlessAnswers != "":
+		selected = runEndlessAnswers
 	case o.LargeBodies > 0:
 		selected = runLargeBodies
 	case o.StoreRestores:
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -33,6 +33,8 @@
 	Resumed, GoneOn int
 	// Stopping counts the calls to stopping VMs.
 	Stopping stopCounts
+	// MostMemory is the most memory of each VM in MB in scenarios that watch it.
+	MostMemory []int
 }
 
 // scenario drives a deployment under client load. It returns violations that the ledger's
@@ -64,6 +66,7 @@
 	streams := tb.ledger.countStreams()
 	report.Resumed = streams.resumed
 	report.GoneOn = streams.resumedOn
+	report.MostMemory = tb.mostMemory
 	report.Stopping = tb.ledger.countStopCalls()
 	if o.Plot != "" {
 		title := fmt.Sprintf("soak, seed %d", o.Seed)
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -160,6 +160,23 @@
 	})
 }
 
+// TestEndlessAnswersStayWithinTheMemory guards against a VM that is killed for its memory as
+// buffers of answers without end become garbage faster than they are collected.
+func TestEndlessAnswersStayWithinTheMemory(t *testing.T) {
+	t.Parallel()
+	runScenario(t, runEndlessAnswers, Options{
+		Seed:           31,
+		Regions:        2,
+		VMs:            1,
+		Engines:        2,
+		Clients:        8,
+		FaultDuration:  6 * time.Second,
+		MemoryMB:       144,
+		EndlessAnswers: "carriage-returns",
+		EndlessClients: 160,
+	})
+}
+
 // TestColdAgain guards against overloading a cold engine that restarts while the store
 // refuses reads.
 func TestColdAgain(t *testing.T) {
--- a/testscripts/soak/streams.go
+++ b/testscripts/soak/streams.go
@@ -120,6 +120,7 @@
 	text := string(data)
 	number := a.lastEvent
 	for {
+		text = trimComments(text)
 		prefix := fmt.Sprintf("id: %d\ndata: %s.%d ", number+1, a.id, number+1)
 		rest, found := strings.CutPrefix(text, prefix)
 		if !found {
@@ -147,6 +148,15 @@
 	}
 }
 
+// trimComments removes the comments before an event.
+func trimComments(text string) string {
+	for strings.HasPrefix(text, ":") {
+		_, text, _ = strings.Cut(text, "\n")
+		text = strings.TrimPrefix(text, "\n")
+	}
+	return text
+}
+
 // checkStreamVersions checks that streams, over all tries of their clients, hold events of one
 // version only.
 func (l *ledger) checkStreamVersions() (out []string) {
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -98,6 +98,12 @@
 	// service take; zero means a default.
 	LargeBodies    int
 	ProcessingTime time.Duration
+	// MemoryMB is the memory of each VM; zero means a default.
+	MemoryMB int
+	// EndlessAnswers is the name of the answers without end that half of the engines send; empty
+	// for none. EndlessClients is the number of clients that call only engines then.
+	EndlessAnswers string
+	EndlessClients int
 	// Plot is the path of an SVG plot of the run; empty disables it.
 	Plot string
 }
@@ -123,6 +129,8 @@
 	versionJoined bool
 	// errorRate is the share of requests that replicas run and answer with an error.
 	errorRate float64
+	// mostMemory is the most memory of each VM in MB while it was watched.
+	mostMemory []int
 }
 
 // vm is one gateway process and the proxies on its connections.
@@ -153,6 +161,7 @@
 func newTestbed(o Options) (*testbed, error) {
 	o.RetryRatio = cmp.Or(o.RetryRatio, defaultRetryRatio)
 	o.RetrySlack = cmp.Or(o.RetrySlack, defaultRetrySlack)
+	o.MemoryMB = cmp.Or(o.MemoryMB, defaultMemoryMB)
 	tb := &testbed{
 		Options: o,
 		rand:    rand.New(rand.NewPCG(o.Seed, o.Seed)),
@@ -265,7 +274,7 @@
 [Provider]
 Addr = %q
 `, v.name, v.ip, zoneOf(v.region), v.region, strings.Join(v.gossipSeeds, `", "`), zones.String(), v.ip, v.ip, v.ip, v.ip,
-		memoryMB, int(stopGracePeriod.Seconds()), tb.RetryRatio, int(retryWindow.Seconds()), tb.RetrySlack, quotaWindow.Seconds(), quotaOvershoot, quotaSlack, v.storeLink.addr())
+		tb.MemoryMB, int(stopGracePeriod.Seconds()), tb.RetryRatio, int(retryWindow.Seconds()), tb.RetrySlack, quotaWindow.Seconds(), quotaOvershoot, quotaSlack, v.storeLink.addr())
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -397,6 +406,8 @@
 
 		EndsWithConnection: endsWithConnection,
 
+		Endless: tb.endlessAnswer(id, service),
+
 		OnCrash: tb.replaceCrashed,
 	}, addr)
 	if err != nil {
