Endpoint: a stream of comments fails after 64 KiB without an event

A routed stream that sends comments, blank lines or blocks without data is at work by its bytes and silent by its events. Nothing bounded it: its call waited until the deadline, and where the caller left first the outcome was not counted against the endpoint.

The blocks between two events may now have 64 KiB. Then the attempt fails as an error of the endpoint (3004), which counts towards its back-off and not as a crash, and a stream that can be resumed goes on at another endpoint.

--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -173,7 +173,7 @@
 		x.outcome.AnsweredError = true
 		return result.Refuse(result.EndpointFailed, "no room is left for the answer").WithCause(err)
 	}
-	if errors.Is(err, errEventTooLarge) {
+	if errors.Is(err, errEventTooLarge) || errors.Is(err, errNoEvents) {
 		x.outcome.AnsweredError = true
 	}
 	return result.Refuse(result.EndpointFailed, "the answer is malformed").WithCause(err)
--- a/endpoint/raw_event.go
+++ b/endpoint/raw_event.go
@@ -13,6 +13,13 @@
 // errPartialEvent marks a stream that ended in the middle of an event.
 var errPartialEvent = errors.New("stream ended within an event")
 
+// errNoEvents marks a stream of comments.
+var errNoEvents = errors.New("event stream has no events")
+
+// maxIdleBytes bounds the comments and other blocks between two events. Servers send comments of
+// some bytes every few seconds while an event takes long.
+const maxIdleBytes = 64 << 10
+
 // byteOrderMark may stand before the first line of a stream.
 var byteOrderMark = []byte("\ufeff")
 
@@ -58,6 +65,8 @@
 	data   []byte
 	// begun is set once the first event was read.
 	begun bool
+	// idleBytes is the size of the blocks since the last event.
+	idleBytes int
 }
 
 var rawEventReaders = sync.Pool{
@@ -69,6 +78,7 @@
 func (r *rawEventReader) release() {
 	r.reader.Reset(nil)
 	r.begun = false
+	r.idleBytes = 0
 	if cap(r.data) <= maxPooledBytes {
 		rawEventReaders.Put(r)
 	}
@@ -76,7 +86,7 @@
 
 // next returns the next event, which is valid until the following call. It makes room for it
 // beside the bytes that are held back. The end of the body is io.EOF between two events and
-// errPartialEvent within one.
+// errPartialEvent within one. A stream without events fails with errNoEvents.
 func (r *rawEventReader) next(maxBytes, heldBytes int, room *bounded.Share) (rawEvent, error) {
 	r.data = r.data[:0]
 	event := rawEvent{}
@@ -105,12 +115,24 @@
 		if len(line) == 0 {
 			event.data = r.data
 			r.begun = true
-			return event, nil
+			return event, r.countIdle(event)
 		}
 		event.readLine(line)
 	}
 }
 
+// countIdle returns an error once there are too many blocks without an event.
+func (r *rawEventReader) countIdle(e rawEvent) error {
+	r.idleBytes += len(e.data)
+	if e.isEvent() {
+		r.idleBytes = 0
+	}
+	if r.idleBytes > maxIdleBytes {
+		return errNoEvents
+	}
+	return nil
+}
+
 func (r *rawEventReader) readError(err error) error {
 	if errors.Is(err, io.EOF) && len(r.data) > 0 {
 		return errPartialEvent
