Endpoint: comments before the first event don't count as its arrival

A stream that got comments while its call waited for the engine counted as begun with the first of them: the call left the queue of the engine in the VM's estimates, its time to the first token was that of the comment, and a call that broke off 2 s after a comment counted as run without harm.

The answer of a routed stream begins with its first event, or with its end if it has none. The head and comments are forwarded as before.

TestStreamsWithoutEvents fails without the change in four of five cases.

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -111,7 +111,7 @@
 	ResumeAfter string
 	// FetchFrom is the address of an engine that has cached more of the prompt.
 	FetchFrom string
-	// OnFirstByte, if set, is called when the first part of the response arrives.
+	// OnFirstByte, if set, is called at Outcome.FirstByteAt.
 	OnFirstByte func()
 	// OnEventGap, if set, receives the time between two events of a routed stream, the
 	// number of tokens in the later one, and Outcome.OpenAt as of now.
@@ -157,7 +157,8 @@
 	HeldEvents int
 	// Sent is false only if no byte of the request was written.
 	Sent bool
-	// FirstByteAt is when the first part of the response was forwarded.
+	// FirstByteAt is when the first part of the response was forwarded, for a routed stream its
+	// first event.
 	FirstByteAt time.Time
 	// Load is the endpoint's load according to the response headers; nil if absent.
 	Load *Load
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -240,16 +240,23 @@
 		return nil
 	}
 	x.headForwarded = true
-	x.outcome.FirstByteAt = x.client.now()
-	if x.attempt.OnFirstByte != nil {
-		x.attempt.OnFirstByte()
-	}
 	if x.attempt.ResumeFrom > 0 || x.attempt.ResumeAfter != "" {
 		return nil
 	}
 	return x.sinkRefusal(x.sink.Head(status, header))
 }
 
+// recordBegin records the first part of the answer that is forwarded.
+func (x *exchange) recordBegin() {
+	if !x.outcome.FirstByteAt.IsZero() {
+		return
+	}
+	x.outcome.FirstByteAt = x.client.now()
+	if x.attempt.OnFirstByte != nil {
+		x.attempt.OnFirstByte()
+	}
+}
+
 func (x *exchange) forwardChunk(data []byte) *result.Refusal {
 	return x.sinkRefusal(x.sink.Chunk(data))
 }
--- a/endpoint/idle_stream_test.go
+++ b/endpoint/idle_stream_test.go
@@ -13,7 +13,7 @@
 )
 
 // Guards against calls that wait until their deadline for an event of an endpoint that sends only
-// comments.
+// comments, and against comments that count as the first token.
 func TestStreamsWithoutEvents(t *testing.T) {
 	for _, c := range datatest.Read[[]struct {
 		Name string
@@ -24,6 +24,8 @@
 		Events int
 		Code   result.Code
 		Error  bool
+		// Begin is what was forwarded when the answer counted as begun; -1 if it never did.
+		Begin int
 	}](t, "testdata/idle_streams.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			answer := "HTTP/1.1 200 OK\r\nAttempt: attempt-1\r\nSigned: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
@@ -41,7 +43,8 @@
 			attempt.Call.Stream = true
 			attempt.Call.Idempotent = true
 			attempt.Call.Routed.Resumable = true
-			received := 0
+			received, receivedAtBegin := 0, -1
+			attempt.OnFirstByte = func() { receivedAtBegin = received }
 			out := newRelayClient(t).Send(t.Context(), attempt, Sink{
 				Head: func(int, http.Header) error { return nil },
 				Chunk: func(data []byte) error {
@@ -53,6 +56,8 @@
 			assert.Equal(t, out.AnsweredError, c.Error)
 			assert.Equal(t, out.Resumable, c.Error)
 			assert.Equal(t, out.Delivered, c.Events)
+			assert.Equal(t, out.FirstByteAt.IsZero(), c.Events == 0)
+			assert.Equal(t, receivedAtBegin, c.Begin)
 			assert.Assert(t, !c.Error || received <= maxIdleBytes+len("id: 1\ndata: x\n\n"), received)
 		})
 	}
--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -105,6 +105,7 @@
 		*body = bytes.Buffer{}
 		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
 	}
+	x.recordBegin()
 	if refusal := x.forwardHead(resp.StatusCode, header); refusal != nil {
 		return refusal
 	}
@@ -164,10 +165,14 @@
 }
 
 // forwardBlocks forwards blocks of a stream, if there are any, after the head if they are the first.
+// The answer begins with its first event: a call may get comments while it waits for the engine.
 func (x *exchange) forwardBlocks(resp *http.Response, blocks relayedBlocks) *result.Refusal {
 	if len(blocks.data) == 0 {
 		return nil
 	}
+	if blocks.events > 0 {
+		x.recordBegin()
+	}
 	if refusal := x.forwardHead(resp.StatusCode, streamHeader(resp.Header)); refusal != nil {
 		return refusal
 	}
@@ -202,6 +207,7 @@
 	if x.outcome.Framing == FramingConnection && x.outcome.Delivered == 0 && x.resumeAfter() == "" {
 		return result.Refuse(result.EndpointCut, "the stream ended before its first event")
 	}
+	x.recordBegin()
 	x.outcome.Usage.PromptTokens = x.attempt.Call.PromptTokens
 	x.outcome.Usage.GeneratedTokens = x.outcome.Delivered * x.attempt.Call.Routed.TokensPerEvent
 	return x.forwardHead(resp.StatusCode, streamHeader(resp.Header))
--- a/endpoint/response.go
+++ b/endpoint/response.go
@@ -72,6 +72,7 @@
 	if x.attempt.Call.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.Itoa(len(data)))
 	}
+	x.recordBegin()
 	if refusal := x.forwardHead(resp.StatusCode, header); refusal != nil {
 		return refusal
 	}
--- a/endpoint/stream.go
+++ b/endpoint/stream.go
@@ -211,6 +211,7 @@
 // flushPending forwards all buffered events in one call.
 func (x *exchange) flushPending(s *chatStream, resp *http.Response) *result.Refusal {
 	if !x.headForwarded {
+		x.recordBegin()
 		if refusal := x.forwardHead(resp.StatusCode, forwardedHeader(resp.Header)); refusal != nil {
 			return refusal
 		}
