Metrics: memory of bodies counts buffers that are not collected

Operators saw what bodies hold and not what their buffers take, and an answer that was refused as no collection made room for its buffer was not counted as refused.

body_memory_bytes has the kind allocated, and body_memory_refused_total and the lines of a full memory count these refusals.

--- a/common/bounded/bounded.go
+++ b/common/bounded/bounded.go
@@ -49,10 +49,12 @@
 }
 
 // Stats are the figures of a budget, in bytes, and the number of messages that had to wait or
-// found no room so far.
+// found no room so far. Allocated are the buffers that were not freed when they were last counted.
 type Stats struct {
-	Total   int
-	Used    int
+	Total     int
+	Used      int
+	Allocated int
+
 	Waited  int
 	Refused int
 }
@@ -99,6 +101,7 @@
 	s := b.stats
 	s.Total = b.total
 	s.Used = b.used
+	s.Allocated = b.memory.allocated()
 	return s
 }
 
@@ -124,6 +127,12 @@
 	return true
 }
 
+func (b *Budget) countRefused() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stats.Refused++
+}
+
 // take is grow for a message that waits for its room until ctx ends.
 func (b *Budget) take(ctx context.Context, s *Share, to int) error {
 	w := b.enqueue(s, to)
@@ -238,10 +247,14 @@
 // Allocate returns an empty buffer of a capacity, for which the message has reserved room. It waits
 // for a collection if buffers that are no longer in use fill the memory.
 func (s *Share) Allocate(capacity int) ([]byte, error) {
-	if capacity > freeBufferBytes {
-		return s.budget.memory.allocate(capacity)
+	if capacity <= freeBufferBytes {
+		return make([]byte, 0, capacity), nil
+	}
+	data, err := s.budget.memory.allocate(capacity)
+	if err != nil {
+		s.budget.countRefused()
 	}
-	return make([]byte, 0, capacity), nil
+	return data, err
 }
 
 // Grow returns the data in a buffer with a capacity of at least the given size, which doubles up
--- a/common/bounded/memory.go
+++ b/common/bounded/memory.go
@@ -92,6 +92,13 @@
 	return data[:0]
 }
 
+// allocated returns the bytes of buffers that count as not freed.
+func (m *memory) allocated() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.bytes
+}
+
 // startCollection starts a collection unless one runs, and returns a channel that is closed when
 // it has ended.
 func (m *memory) startCollection() <-chan struct{} {
--- a/metrics/metrics_test.go
+++ b/metrics/metrics_test.go
@@ -87,7 +87,7 @@
 	m.CountLimitRequest(false)
 	m.SetVMDelay(time.Second, 2*time.Second)
 	m.CountVMRefusal(2)
-	m.SetBodyMemory(bounded.Stats{Used: 5, Total: 6})
+	m.SetBodyMemory(bounded.Stats{Used: 5, Total: 6, Allocated: 8})
 	m.AddBodyMemoryRefusals(7)
 	m.SetPublishedAge(time.Second)
 	m.SetStoreEra(3)
@@ -149,6 +149,7 @@
 		"fuchsianotch_vm_refused_total 2":                      1,
 		"fuchsianotch_body_memory_bytes held":                  5,
 		"fuchsianotch_body_memory_bytes limit":                 6,
+		"fuchsianotch_body_memory_bytes allocated":             8,
 		"fuchsianotch_body_memory_refused_total ":              7,
 		"fuchsianotch_retry_budget_vms ":                       6,
 		"fuchsianotch_streams_resumed_total asked":             1,
--- a/metrics/vm.go
+++ b/metrics/vm.go
@@ -23,7 +23,7 @@
 		delay:   newGaugeVec("vm_delay_seconds", "How late this VM runs its goroutines, over the last second or so.", "stat"),
 		refused: newCounterVec("vm_refused_total", "Calls refused because this VM is short of CPU, by the standing of their priority.", "standing"),
 
-		bodyMemory:        newGaugeVec("body_memory_bytes", "Memory held by the bodies of requests and answers, and the most that they may hold.", "kind"),
+		bodyMemory:        newGaugeVec("body_memory_bytes", "Memory held by the bodies of requests and answers, their buffers with those that are not collected, and the most that bodies may hold.", "kind"),
 		bodyMemoryRefused: newCounter("body_memory_refused_total", "Bodies of requests and answers that found no memory in time."),
 	}
 	registry.MustRegister(m.delay, m.refused, m.bodyMemory, m.bodyMemoryRefused)
@@ -42,9 +42,10 @@
 	m.vm.refused.WithLabelValues(strconv.Itoa(standing)).Inc()
 }
 
-// SetBodyMemory sets the memory that bodies hold and may hold.
+// SetBodyMemory sets the memory that bodies hold, that of their buffers and what they may hold.
 func (m *Metrics) SetBodyMemory(s bounded.Stats) {
 	m.vm.bodyMemory.WithLabelValues("held").Set(float64(s.Used))
+	m.vm.bodyMemory.WithLabelValues("allocated").Set(float64(s.Allocated))
 	m.vm.bodyMemory.WithLabelValues("limit").Set(float64(s.Total))
 }
 
