--- a/standin/replica/endless.go
+++ b/standin/replica/endless.go
@@ -15,6 +15,8 @@
 	Header string
 	Begin  string
 	Repeat string
+	// Probes is set if load reports and health probes get the answer as well.
+	Probes bool
 }
 
 // endlessWriteBytes is the size of one write of an endless answer.
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -212,9 +212,14 @@
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	sendLate(req)
 	r.setNoticeHeaders(w)
-	if r.OnProbe != nil && (req.URL.Path == "/report" || req.URL.Path == "/health") {
+	isProbe := req.URL.Path == "/report" || req.URL.Path == "/health"
+	if isProbe && r.OnProbe != nil {
 		r.OnProbe(r.ID)
 	}
+	if isProbe && r.Endless != nil && r.Endless.Probes {
+		r.sendEndless(w, "", *r.Endless)
+		return
+	}
 	if req.URL.Path == "/report" {
 		r.serveReport(w)
 		return
