--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -176,7 +176,7 @@
 		x.outcome.AnsweredError = true
 		return result.Refuse(result.EndpointFailed, "no room is left for the answer").WithCause(err)
 	}
-	if errors.Is(err, errEventTooLarge) {
+	if errors.Is(err, errEventTooLarge) || errors.Is(err, errNoEvents) {
 		x.outcome.AnsweredError = true
 	}
 	return result.Refuse(result.EndpointFailed, "the answer is malformed").WithCause(err)
@@ -243,16 +243,23 @@
 		return nil
 	}
 	x.headForwarded = true
-	x.outcome.FirstByteAt = x.client.now()
-	if x.attempt.OnFirstByte != nil {
-		x.attempt.OnFirstByte()
-	}
 	if x.attempt.ResumeFrom > 0 || x.attempt.ResumeAfter != "" {
 		return nil
 	}
 	return x.sinkRefusal(x.sink.Head(status, header))
 }
 
+// recordBegin records the first part of the answer that is forwarded.
+func (x *exchange) recordBegin() {
+	if !x.outcome.FirstByteAt.IsZero() {
+		return
+	}
+	x.outcome.FirstByteAt = x.client.now()
+	if x.attempt.OnFirstByte != nil {
+		x.attempt.OnFirstByte()
+	}
+}
+
 func (x *exchange) forwardChunk(data []byte) *result.Refusal {
 	return x.sinkRefusal(x.sink.Chunk(data))
 }
--- a/standin/replica/replica.go
+++ b/standin/replica/replica.go
@@ -141,6 +141,8 @@
 	// EndsWithConnection reports whether the response to a request has neither a length nor
 	// chunks; nil means that none does.
 	EndsWithConnection func(*http.Request) bool
+	// Endless is the answer to all requests; nil means answers that end.
+	Endless *EndlessAnswer
 }
 
 // Replica is a running fake endpoint.
@@ -212,9 +214,14 @@
 func (r *Replica) serve(w http.ResponseWriter, req *http.Request) {
 	sendLate(req)
 	r.setNoticeHeaders(w)
-	if r.OnProbe != nil && (req.URL.Path == "/report" || req.URL.Path == "/health") {
+	isProbe := req.URL.Path == "/report" || req.URL.Path == "/health"
+	if isProbe && r.OnProbe != nil {
 		r.OnProbe(r.ID)
 	}
+	if isProbe && r.Endless != nil && r.Endless.Probes {
+		r.sendEndless(w, "", *r.Endless)
+		return
+	}
 	if req.URL.Path == "/report" {
 		r.serveReport(w)
 		return
@@ -265,6 +272,10 @@
 	}
 	active := r.startRun(req, id)
 	defer r.endRun(active)
+	if r.Endless != nil {
+		r.sendEndless(w, id, *r.Endless)
+		return
+	}
 	if fault != FaultUnsigned {
 		w.Header().Set(headerSignature, "stamp."+r.ID+"."+id)
 	}
--- a/testscripts/soak/checks_test.go
+++ b/testscripts/soak/checks_test.go
@@ -95,7 +95,7 @@
 			l.recordExit("v", &os.ProcessState{})
 		}},
 		{check: "memory", make: func(l *ledger) {
-			l.recordMemory("v", memoryMB+1)
+			l.recordMemory("v", defaultMemoryMB+1)
 		}},
 		{check: "crashing_calls", make: func(l *ledger) {
 			path := "/stream/once" + crashPathMarker + "1"
@@ -230,7 +230,7 @@
 		}},
 	} {
 		t.Run(c.check, func(t *testing.T) {
-			l := newLedger(defaultRetryRatio, defaultRetrySlack)
+			l := newLedger(defaultRetryRatio, defaultRetrySlack, defaultMemoryMB)
 			c.make(l)
 			got := l.check()
 			assert.Assert(t, len(got) == 1 && got[0].Check == c.check, "%v", got)
--- a/testscripts/soak/ledger.go
+++ b/testscripts/soak/ledger.go
@@ -57,16 +57,19 @@
 	// runEnds is when a replica last ended its work on an attempt.
 	runEnds map[string]time.Time
 	// ownEnds are the ends of VMs' processes that no signal explains, peakMB is their most memory.
-	ownEnds     []string
-	peakMB      map[string]int
+	ownEnds []string
+	peakMB  map[string]int
+	// memoryMB is the memory of each VM.
+	memoryMB    int
 	faultCounts map[string]int
 	faultMarks  []faultMark
 }
 
-func newLedger(retryRatio float64, retrySlack int) *ledger {
+func newLedger(retryRatio float64, retrySlack, memoryMB int) *ledger {
 	return &ledger{
 		retryRatio:    retryRatio,
 		retrySlack:    retrySlack,
+		memoryMB:      memoryMB,
 		drainingSince: make(map[string]time.Time),
 		coldPeriods:   make(map[string][]interval),
 		faultCounts:   make(map[string]int),
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -42,6 +42,9 @@
 	onceLimit := app.Flag("once-limit", "The longest time of calls that may run once, with --overlapping-stops; 0 means up to their deadline.").Duration()
 	lateRefusals := app.Flag("late-refusals", "Have replicas send refusals twice, before the random faults.").Bool()
 	largeBodies := app.Flag("large-bodies", "Number of clients that send bodies of the largest size while their region is evacuated, before the random faults.").Int()
+	endless := app.Flag("endless", "Have half of the engines send answers without end of this kind, instead of random faults.").Enum(append([]string{""}, endlessNames()...)...)
+	endlessClients := app.Flag("endless-clients", "Number of clients that call only engines meanwhile.").Default("240").Int()
+	memory := app.Flag("memory", "Memory of each VM in MB.").Default("284").Int()
 	processingTime := app.Flag("processing-time", "How long replicas of the plain service take.").Default("10ms").Duration()
 	versions := app.Flag("versions", "Number of software versions of engines side by side.").Default("2").Int()
 	plotFile := app.Flag("plot", "Write an SVG plot of the last seed to this file.").String()
@@ -79,6 +82,9 @@
 		Versions:         *versions,
 		LargeBodies:      *largeBodies,
 		ProcessingTime:   *processingTime,
+		MemoryMB:         *memory,
+		EndlessAnswers:   *endless,
+		EndlessClients:   *endlessClients,
 	})
 	stop()
 	app.FatalIfError(err, "build gateway")
@@ -113,6 +119,9 @@
 		if run.Stops {
 			fmt.Printf("  calls to stopping VMs: %+v\n", report.Stopping)
 		}
+		if len(report.MostMemory) > 0 {
+			fmt.Printf("  most memory in MB: %v\n", report.MostMemory)
+		}
 		for _, v := range report.Violations[:min(len(report.Violations), 10)] {
 			fmt.Printf("  %s: %s\n", v.Check, v.Detail)
 		}
@@ -200,6 +209,8 @@
 		selected = runVersionJoins
 	case o.StreamVersions:
 		selected = runStreamVersions
+	case o.EndlessAnswers != "":
+		selected = runEndlessAnswers
 	case o.LargeBodies > 0:
 		selected = runLargeBodies
 	case o.StoreRestores:
--- a/testscripts/soak/overlapping_stops.go
+++ b/testscripts/soak/overlapping_stops.go
@@ -114,8 +114,8 @@
 // checkMemory checks that no VM exceeds the memory of its machine.
 func (l *ledger) checkMemory() (out []string) {
 	for vm, mb := range l.peakMB {
-		if mb > memoryMB {
-			out = append(out, fmt.Sprintf("%s held %d MB of %d", vm, mb, memoryMB))
+		if mb > l.memoryMB {
+			out = append(out, fmt.Sprintf("%s held %d MB of %d", vm, mb, l.memoryMB))
 		}
 	}
 	return out
