Connections: those that wait for acknowledgement count towards the limits

A connection whose client doesn't read stays open for up to 5 s after it was closed, but the limits of open connections, in total and by address, counted it as closed at once, so that such clients could hold any number of descriptors. Change: a connection counts until its socket is closed.

--- a/common/listen/listen.go
+++ b/common/listen/listen.go
@@ -96,8 +96,11 @@
 	return c.Conn
 }
 
-// Close closes the connection and stops counting it towards the limits.
+// Close closes the connection, which counts towards the limits until its socket is closed.
 func (c *limitedConn) Close() error {
-	c.release()
+	if conn, ok := c.Conn.(*stoppableConn); ok {
+		return conn.closeThen(c.release)
+	}
+	defer c.release()
 	return c.Conn.Close()
 }
--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -200,18 +200,27 @@
 // Close ends the connection. It counts as open until the client has acknowledged the last
 // response.
 func (c *stoppableConn) Close() error {
+	return c.closeThen(func() {})
+}
+
+// closeThen is Close, and calls closed once the socket is closed.
+func (c *stoppableConn) closeThen(closed func()) error {
 	err := net.ErrClosed
-	c.closing.Do(func() { err = c.close() })
+	c.closing.Do(func() { err = c.close(closed) })
 	return err
 }
 
-func (c *stoppableConn) close() error {
+func (c *stoppableConn) close(closed func()) error {
 	by := c.listener.deliveryDeadline()
 	isDelivered := tcp.Unacknowledged(c.Conn) == 0
 	if !isDelivered && time.Now().Before(by) && c.CloseWrite() == nil {
-		go c.closeOnceDelivered(by)
+		go func() {
+			defer closed()
+			c.closeOnceDelivered(by)
+		}()
 		return nil
 	}
+	defer closed()
 	c.listener.forget(c, !isDelivered)
 	return c.Conn.Close()
 }
