Stops: an answer to a forwarded call is in flight until it is acknowledged

What callers saw: by reading, the loss of the rest of an answer whose VM ends within 20 ms after it was written to the kernel, if its machine goes with the process; the VM that forwarded takes the other one for lost. Class: what was handed to the kernel is taken for delivered; it was ended for callers only. Change: connections with unacknowledged bytes count as in flight, for a second after the last outcome, as they carry gossip too, and as the kernel drops them after a second without an acknowledgement.

--- a/peer/body_parts.go
+++ b/peer/body_parts.go
@@ -95,8 +95,8 @@
 
 // ForwardInParts implements peerpb.DRPCPeerServer.
 func (s *service) ForwardInParts(stream peerpb.DRPCPeer_ForwardInPartsStream) error {
-	s.forwards.Add(1)
-	defer s.forwards.Add(-1)
+	s.forwards.running.Add(1)
+	defer s.forwards.end()
 	first, err := stream.Recv()
 	if err != nil {
 		return err
--- a/peer/server.go
+++ b/peer/server.go
@@ -72,13 +72,35 @@
 type Server struct {
 	handlers Handlers
 	drpc     *drpcserver.Server
-	// forwards counts the forwarded calls whose outcome has not been sent.
-	forwards atomic.Int64
+	conns    openConns
+	forwards forwardCount
 }
 
-// InFlight returns the number of forwarded calls whose outcome has not been sent yet.
+// forwardCount counts the forwarded calls whose outcome has not been sent.
+type forwardCount struct {
+	running atomic.Int64
+	// endedAt is when the last outcome was sent, in nanoseconds since 1970.
+	endedAt atomic.Int64
+}
+
+func (f *forwardCount) end() {
+	f.endedAt.Store(time.Now().UnixNano())
+	f.running.Add(-1)
+}
+
+// outcomeTimeout is how long outcomes are waited for. After as long without an acknowledgement
+// the kernel drops the connection.
+const outcomeTimeout = time.Second
+
+// InFlight returns the number of forwarded calls whose outcome has not been sent yet, or may not
+// have been acknowledged. Connections carry other messages too, which is why it counts those with
+// unacknowledged bytes only for a while after the last outcome.
 func (s *Server) InFlight() int {
-	return int(s.forwards.Load())
+	running := int(s.forwards.running.Load())
+	if time.Since(time.Unix(0, s.forwards.endedAt.Load())) > outcomeTimeout {
+		return running
+	}
+	return running + s.conns.unacknowledged()
 }
 
 // NewServer returns a server. It fails only if the protocol cannot be registered.
@@ -94,6 +116,9 @@
 	}
 	s := &Server{
 		handlers: h,
+		conns: openConns{
+			conns: make(map[*acceptedConn]struct{}),
+		},
 	}
 	mux := drpcmux.New()
 	impl := &service{
@@ -113,6 +138,7 @@
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	ln = &countingListener{
 		Listener: ln,
+		conns:    &s.conns,
 		count:    s.handlers.CountBytes,
 	}
 	if s.handlers.TLS != nil {
@@ -123,6 +149,7 @@
 
 type countingListener struct {
 	net.Listener
+	conns *openConns
 	count func(sent, received int)
 }
 
@@ -132,13 +159,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return countBytes(conn, l.count), nil
+	return countBytes(l.conns.track(conn), l.count), nil
 }
 
 // service implements peerpb.DRPCPeerServer.
 type service struct {
 	handlers Handlers
-	forwards *atomic.Int64
+	forwards *forwardCount
 }
 
 // Heartbeat implements peerpb.DRPCPeerServer.
@@ -233,8 +260,8 @@
 
 // Forward implements peerpb.DRPCPeerServer.
 func (s *service) Forward(in *peerpb.ForwardRequest, stream peerpb.DRPCPeer_ForwardStream) error {
-	s.forwards.Add(1)
-	defer s.forwards.Add(-1)
+	s.forwards.running.Add(1)
+	defer s.forwards.end()
 	s.handlers.Witness(in.GetStamp())
 	c := s.callFrom(in)
 	share := s.handlers.BodyShare()
