Connections: a deadline set after Close doesn't keep the socket open

A handler that still runs as its server is closed may set the read deadline of a connection that waits for acknowledgement; without one the wait reads until the client ends the connection, past the bound, with its goroutine and descriptor. Change: a closed connection takes no deadlines.

--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -23,7 +23,7 @@
 	// ending is set if the connection ends once it is idle, aborted if reads fail.
 	ending  bool
 	aborted bool
-	closing sync.Once
+	closed  bool
 }
 
 func (l *StoppableListener) track(conn net.Conn) *stoppableConn {
@@ -136,6 +136,9 @@
 func (c *stoppableConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return net.ErrClosed
+	}
 	if c.aborted || c.ending && c.idle {
 		return nil
 	}
@@ -166,14 +169,14 @@
 func (c *stoppableConn) isEnding() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ending && c.idle && !c.aborted
+	return c.ending && c.idle && !c.aborted && !c.closed
 }
 
 // endsNow reports whether the connection ends; otherwise it allows to read what has arrived.
 func (c *stoppableConn) endsNow() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.ending || !c.idle || c.aborted {
+	if !c.ending || !c.idle || c.aborted || c.closed {
 		return false
 	}
 	if !tcp.IsReadable(c.Conn) {
@@ -205,9 +208,14 @@
 
 // closeThen is Close, and calls closed once the socket is closed.
 func (c *stoppableConn) closeThen(closed func()) error {
-	err := net.ErrClosed
-	c.closing.Do(func() { err = c.close(closed) })
-	return err
+	c.mu.Lock()
+	wasClosed := c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if wasClosed {
+		return net.ErrClosed
+	}
+	return c.close(closed)
 }
 
 func (c *stoppableConn) close(closed func()) error {
