Stops: what a stop kept from being tried again is no endpoint's failure

Found in review. A forwarded call whose attempt had failed, and whose retry the end of the stop then kept from its turn, ended with the endpoint's code (3003 to 3005) at the VM that forwarded, which takes some of them for final. Class: an end of a VM's own making under another name. Each end that leaves open whether the call ran is 3011 to the sender now, once the stop has cut calls off.

Admission, by the same review: a call that runs once on a known route may take as long as the longest of its route also if the mean pace says otherwise (the row "no longer than the longest answer" wanted 1.5 s in place of 5 s, which was the fault), and a number of tokens of any size no longer overflows. TestFailureBeforeCutOffIsNotFinal, TestExpectedAnswer and the TestStop tests of site pass.

--- a/shutdown/answer.go
+++ b/shutdown/answer.go
@@ -13,6 +13,8 @@
 // if it is known.
 func (a Answer) Expected(route time.Duration, known, repeatable bool) time.Duration {
 	switch {
+	case known && !repeatable:
+		return max(a.Likely, route)
 	case known:
 		return min(max(a.Likely, route), a.Longest)
 	case repeatable:
--- a/site/forward.go
+++ b/site/forward.go
@@ -118,13 +118,22 @@
 	defer context.AfterFunc(callsCtx, func() { cancelCause(context.Cause(callsCtx)) })()
 	c.Routed.RequestRun = func(ctx context.Context) bool { return n.requestRun(ctx, from.GetVm(), c) }
 	c.Routed.MissesObjective = n.isLate(c)
-	outcome := n.serve(ctx, c, sink)
-	if outcome.Code == result.VMStopped {
-		// To the sender a VM that stops is one that is lost, also in builds without VMStopped.
-		outcome.Code = result.PeerLost
-		outcome.Refusal = result.Refuse(result.PeerLost, "VM %s stopped before the call had ended", n.deployment.VM).WithCause(outcome.Refusal)
-	}
-	return outcome
+	return n.asLostIfStopped(ctx, n.serve(ctx, c, sink))
+}
+
+// asLostIfStopped returns the outcome that the sender of a call gets. If the stop has cut the call
+// off, whatever had failed before might have been tried again, and the sender can do so elsewhere.
+// To the sender a VM that stops is one that is lost, also in builds without VMStopped.
+func (n *Node) asLostIfStopped(ctx context.Context, o call.Outcome) call.Outcome {
+	if o.Code.Class() != result.ClassUnknown || !errors.Is(context.Cause(ctx), call.ErrStopping) {
+		return o
+	}
+	lost := result.Refuse(result.PeerLost, "VM %s stopped before the call had ended", n.deployment.VM)
+	if o.Refusal != nil {
+		lost = lost.WithCause(o.Refusal)
+	}
+	o.Code, o.Refusal = lost.Code, lost
+	return o
 }
 
 // runRequestTimeout bounds the request for a further run: a round trip between the most
--- a/site/stop.go
+++ b/site/stop.go
@@ -27,6 +27,8 @@
 	// signalDelay bounds the time from the signal to the start of the shutdown in a process that
 	// its CPU quota throttles. A call that is sent once callers have gone must not be cut off.
 	signalDelay = 250 * time.Millisecond
+	// maxAnswerTime is longer than any stop.
+	maxAnswerTime = time.Hour
 	// stoppingRetryAfter is when callers may retry elsewhere.
 	stoppingRetryAfter = 50 * time.Millisecond
 	// defaultStopTimeout applies if the platform configures none.
@@ -161,9 +163,11 @@
 	if generation <= 0 {
 		return past, known
 	}
+	longest := float64(c.MaxTokens) / load.AnswerTokensP90 * float64(generation)
 	answer := shutdown.Answer{
-		Likely:  load.TotalTimeP90,
-		Longest: load.TTFT + time.Duration(float64(c.MaxTokens)/load.AnswerTokensP90*float64(generation)),
+		Likely: load.TotalTimeP90,
+		// A call may state any number of tokens.
+		Longest: load.TTFT + time.Duration(min(longest, float64(maxAnswerTime))),
 	}
 	return answer.Expected(past, known, mayBeCut), true
 }
--- a/site/stop_place_test.go
+++ b/site/stop_place_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -91,3 +92,30 @@
 		})
 	}
 }
+
+// TestFailureBeforeCutOffIsNotFinal guards against a forwarded call that ends as its endpoint's
+// failure though only the stop kept it from being tried again.
+func TestFailureBeforeCutOffIsNotFinal(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	n := newFleetNode(smallFleet, func() time.Time { return now })
+	for _, row := range []struct {
+		code, want result.Code
+		cause      error
+	}{
+		{code: result.VMStopped, cause: call.ErrStopping, want: result.PeerLost},
+		{code: result.EndpointFailed, cause: call.ErrStopping, want: result.PeerLost},
+		{code: result.AnswerCrossed, cause: call.ErrStopping, want: result.PeerLost},
+		{code: result.EndpointFailed, cause: context.Canceled, want: result.EndpointFailed},
+		{code: result.Stopping, cause: call.ErrStopping, want: result.Stopping},
+		{code: result.Done, cause: call.ErrStopping, want: result.Done},
+	} {
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(row.cause)
+		o := n.asLostIfStopped(ctx, call.Outcome{
+			Code:         row.code,
+			EndpointsRun: 1,
+		})
+		assert.Equal(t, o.Code, row.want)
+		assert.Equal(t, o.EndpointsRun, 1)
+	}
+}
