Ingress: an answer that is broken off doesn't look whole to a caller of HTTP/1.0

Found in review: a stream that a stop breaks off ended with a plain end of its connection, which is the end of a whole answer where the caller knows no chunks. Cause: the connection of an incomplete answer is closed, and only chunks or a length tell that from the end. Change: such a connection is reset.

--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -206,6 +206,18 @@
 	return c.closeThen(func() {})
 }
 
+// Reset closes the connection at once, and has the kernel reset it.
+func (c *stoppableConn) Reset() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = socket.SetLinger(0)
+	}
+	c.listener.forget(c, false)
+	return c.Conn.Close()
+}
+
 // closeThen is Close, and calls closed once the socket is closed.
 func (c *stoppableConn) closeThen(closed func()) error {
 	c.mu.Lock()
