--- a/common/listen/delivery_test.go
+++ b/common/listen/delivery_test.go
@@ -15,7 +15,7 @@
 )
 
 // slowReader is a connection of a client whose kernel holds little of a response, as on a link
-// with delay. gate is closed once the client reads.
+// with delay.
 func slowReader(t *testing.T, addr string) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", addr)
--- a/peer/body_parts.go
+++ b/peer/body_parts.go
@@ -136,8 +136,8 @@
 	return s.forward(stream.Context(), in.GetFrom(), c, stream)
 }
 
-// receiveBody joins the parts of a body in a buffer of its length. It ends the stream at the deadline, so that a sender that
-// stalls doesn't keep the memory.
+// receiveBody joins the parts of a body in a buffer of its length. It ends the stream at the
+// deadline, so that a sender that stalls doesn't keep the memory.
 func (s *service) receiveBody(stream peerpb.DRPCPeer_ForwardInPartsStream, body []byte, by time.Time) ([]byte, error) {
 	if !by.IsZero() {
 		timer := time.AfterFunc(by.Sub(s.handlers.Now()), func() { _ = stream.Close() })
