Site: calls that a stop has cut off wait for a VM that restarts

Callers got a broken stream, or 502, for calls that may run again or be resumed, where all VMs of the only regions that may serve them stopped at a time, though one was back a second later.

Cause: VMs counted as tried by name, so that a restarted one could not get the call, and a call without a place ended at once.

--- a/call/answer.go
+++ b/call/answer.go
@@ -34,6 +34,8 @@
 	// VM is the id of the VM to which a routed call was forwarded; empty if it was served by the
 	// VM that took it.
 	VM string
+	// VMStopped is set if that VM reported that its stop has cut the call off.
+	VMStopped bool
 	// EndpointsRun is the number of endpoints that may have run the call.
 	EndpointsRun int
 	// Sent is set if an attempt may have reached an endpoint, whether that ran it or not.
--- a/call/routed.go
+++ b/call/routed.go
@@ -77,6 +77,9 @@
 	RequestRun func(ctx context.Context) bool
 	// Retry is set when another VM already attempted the call.
 	Retry bool
+	// CutOff is set when the stop of another VM has cut the call off and every VM that was
+	// tried since then was stopping or gone.
+	CutOff bool
 }
 
 // FairShare says whether a call is within the fair share of its workspace.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -29,6 +29,13 @@
 	// both, and no list has them.
 	Millicores uint32 `json:"-"`
 	Saturated  bool   `json:"-"`
+	// Incarnation is that of its process. It is set on members of a roster snapshot only.
+	Incarnation uint64 `json:"-"`
+}
+
+// IsSameProcess reports whether other is the same process and not a restart under the same ID.
+func (vm VM) IsSameProcess(other VM) bool {
+	return vm.ID == other.ID && vm.Incarnation == other.Incarnation
 }
 
 // Endpoint is a replica of a model or plain service in the platform's list.
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -170,6 +170,8 @@
 		Endpoint:     end.GetEndpoint(),
 		EndpointsRun: int(end.GetRan()),
 		Sent:         end.GetSent(),
+		// A VM that is lost in another way can't report it.
+		VMStopped: result.Code(end.GetCode()) == result.PeerLost,
 	}
 	if o.Code.Class() != result.ClassDone {
 		o.Refusal = result.Refuse(o.Code, "%s", end.GetMessage()).WithRetryAt(deadlineAfter(end.GetComeBackInMs(), now))
--- a/roster/member_index.go
+++ b/roster/member_index.go
@@ -71,11 +71,11 @@
 func (r *Roster) show(rumor Rumor, misses int, before *Member) *Member {
 	shown := Member{
 		VM:              rumor.VM,
-		Incarnation:     rumor.Incarnation,
 		Reachable:       rumor.State == StateAlive && misses < missesToSuspect,
 		Ready:           rumor.Ready,
 		StoreUnreadable: rumor.StoreUnreadable,
 	}
+	shown.VM.Incarnation = rumor.Incarnation
 	if before != nil && *before == shown {
 		return before
 	}
--- a/roster/snapshot.go
+++ b/roster/snapshot.go
@@ -12,8 +12,7 @@
 
 // Member is a VM as shown by a Snapshot.
 type Member struct {
-	VM          fleet.VM
-	Incarnation uint64
+	VM fleet.VM
 	// Reachable is also false for suspected members.
 	Reachable       bool
 	Ready           bool
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -59,9 +59,10 @@
 
 // serveWithFailover tries places in turn until one serves the call.
 func (s *Server) serveWithFailover(ctx context.Context, c *call.Call, tracker *answerTracker) call.Outcome {
-	var tried []string
+	var tried []fleet.VM
 	var outcome call.Outcome
 	var ambiguous ambiguity
+	cutOff := false
 	for len(tried) < retry.MaxVMsPerCall {
 		vm, remote, refusal := s.options.PlaceRouted(ctx, c, tried)
 		if refusal != nil {
@@ -75,18 +76,25 @@
 		} else {
 			outcome = s.forwardToRegion(ctx, c, vm, tracker.wrappedSink())
 		}
-		tried = append(tried, vm.ID)
+		tried = append(tried, vm)
 		attemptsLeft := tracker.placeResult(c, outcome).RemainingRuns(c.Routed.MaxAttempts)
+		cutOff = outcome.VMStopped || cutOff && isVMGone(outcome.Code)
 		outcome = ambiguous.resolve(outcome)
 		current := tracker.placeResult(c, outcome)
 		if ctx.Err() != nil || attemptsLeft < 1 || c.BodyReleased() || !current.MayForwardElsewhere() {
 			return outcome
 		}
 		c = tracker.nextCall(c, current, attemptsLeft)
+		c.Routed.CutOff = cutOff
 	}
 	return outcome
 }
 
+// isVMGone reports whether a VM had no part in a call because it was stopping or had ended.
+func isVMGone(code result.Code) bool {
+	return code == result.Stopping || code == result.PeerUnreachable
+}
+
 // ambiguity keeps the first outcome that leaves open whether the call ran. A later
 // "not run" outcome must not replace it.
 type ambiguity struct {
@@ -108,7 +116,7 @@
 }
 
 // refusedUnlessTried returns the last outcome, or the refusal if no place was tried.
-func refusedUnlessTried(o call.Outcome, tried []string, r *result.Refusal) call.Outcome {
+func refusedUnlessTried(o call.Outcome, tried []fleet.VM, r *result.Refusal) call.Outcome {
 	if len(tried) == 0 {
 		return call.Refused(r)
 	}
--- a/serving/routed_test.go
+++ b/serving/routed_test.go
@@ -65,7 +65,7 @@
 			s := New(Options{
 				Now: time.Now,
 				VM:  "a",
-				PlaceRouted: func(_ context.Context, _ *call.Call, tried []string) (fleet.VM, bool, *result.Refusal) {
+				PlaceRouted: func(_ context.Context, _ *call.Call, tried []fleet.VM) (fleet.VM, bool, *result.Refusal) {
 					if len(tried) >= len(c.Places) {
 						return fleet.VM{}, false, result.Refuse(result.NoEndpoint, "none")
 					}
@@ -189,7 +189,7 @@
 		t.Run(c.Name, func(t *testing.T) {
 			s := New(Options{
 				Now: time.Now,
-				PlaceRouted: func(context.Context, *call.Call, []string) (fleet.VM, bool, *result.Refusal) {
+				PlaceRouted: func(context.Context, *call.Call, []fleet.VM) (fleet.VM, bool, *result.Refusal) {
 					return fleet.VM{ID: "b", Region: "r"}, true, nil
 				},
 				Forward: func(_ context.Context, _ fleet.VM, sent *call.Call, _ call.Sink) call.Outcome {
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -100,7 +100,7 @@
 // PlaceRouted chooses where a routed call is served: on vm in another region if
 // remote is true, otherwise on this VM. A refusal means that no place is left. tried
 // lists the VMs that were tried already.
-type PlaceRouted func(ctx context.Context, c *call.Call, tried []string) (vm fleet.VM, remote bool, refusal *result.Refusal)
+type PlaceRouted func(ctx context.Context, c *call.Call, tried []fleet.VM) (vm fleet.VM, remote bool, refusal *result.Refusal)
 
 // Options configures a Server. All fields are required, except those used only for
 // calls under contracts or only for routed calls.
--- a/serving/stream_body_test.go
+++ b/serving/stream_body_test.go
@@ -50,7 +50,7 @@
 		Pool:     poolOf(3, server.Listener.Addr().String()),
 		Endpoint: endpoint.New(endpoint.Options{Dialect: platform.Dialect()}),
 		Budget:   budgetOf(retry.NewBudget(1)),
-		PlaceRouted: func(_ context.Context, _ *call.Call, tried []string) (fleet.VM, bool, *result.Refusal) {
+		PlaceRouted: func(_ context.Context, _ *call.Call, tried []fleet.VM) (fleet.VM, bool, *result.Refusal) {
 			return fleet.VM{ID: "a"}, len(tried) > 0, nil
 		},
 		Forward: func(_ context.Context, _ fleet.VM, _ *call.Call, _ call.Sink) call.Outcome {
--- a/serving/trace_test.go
+++ b/serving/trace_test.go
@@ -24,7 +24,7 @@
 	s := New(Options{
 		Now: time.Now,
 		VM:  "a",
-		PlaceRouted: func(_ context.Context, _ *call.Call, tried []string) (fleet.VM, bool, *result.Refusal) {
+		PlaceRouted: func(_ context.Context, _ *call.Call, tried []fleet.VM) (fleet.VM, bool, *result.Refusal) {
 			return fleet.VM{ID: []string{"b", "c"}[len(tried)], Region: "r"}, true, nil
 		},
 		Forward: func(_ context.Context, vm fleet.VM, _ *call.Call, _ call.Sink) call.Outcome {
--- a/site/control.go
+++ b/site/control.go
@@ -233,11 +233,11 @@
 		changed := true
 		if len(before) > 0 && before[0].VM.ID == m.VM.ID {
 			previous := before[0]
-			changed = previous.Reachable != m.Reachable || previous.Ready != m.Ready || previous.Incarnation != m.Incarnation
+			changed = previous.Reachable != m.Reachable || previous.Ready != m.Ready || previous.VM.Incarnation != m.VM.Incarnation
 			before = before[1:]
 		}
 		if changed {
-			c.node.log.Info("member_changed", "peer", m.VM.ID, "incarnation", m.Incarnation, "reachable", m.Reachable, "ready", m.Ready)
+			c.node.log.Info("member_changed", "peer", m.VM.ID, "incarnation", m.VM.Incarnation, "reachable", m.Reachable, "ready", m.Ready)
 		}
 	}
 	for _, m := range before {
@@ -246,7 +246,7 @@
 }
 
 func (c *control) logMemberLost(m *roster.Member) {
-	c.node.log.Info("member_lost", "peer", m.VM.ID, "incarnation", m.Incarnation)
+	c.node.log.Info("member_lost", "peer", m.VM.ID, "incarnation", m.VM.Incarnation)
 }
 
 // applyItems applies store changes, whether read from the store or pulled from a peer.
--- a/site/entry_weights_test.go
+++ b/site/entry_weights_test.go
@@ -68,6 +68,7 @@
 		n.control.publish(time.Now())
 		heard := rumorFromMessage(n.control.urgentMessage("r0", time.Now()).GetFrom())
 		assert.Equal(t, heard.VM.Saturated, saturated)
+		heard.VM.Incarnation = heard.Incarnation
 		assert.DeepEqual(t, n.control.snapshot().members.AcceptingVMs("r0"), []fleet.VM{heard.VM})
 	}
 }
--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -37,6 +38,10 @@
 		// Stop says when VMs are told to stop, in milliseconds after the call has reached an
 		// endpoint through VM b.
 		Stop map[string]int
+		// Alone is set if no other VM of the region can take calls. Restart is when VM b starts
+		// again, in milliseconds after its end; zero means that it does not.
+		Alone   bool
+		Restart int
 		// Want is the answer: its status, and whether its caller has the whole of it.
 		Want     string
 		WantRuns int64 `json:"want_runs"`
@@ -50,11 +55,26 @@
 			answer := make(chan string, 1)
 			go func() { answer <- f.send(row.Path, row.Runs) }()
 			waitFor(t, func() bool { return f.runs.Load() == 1 })
-			f.introduce("c")
-			waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().members.AcceptingVMs("r1")) == 2 })
+			if !row.Alone {
+				f.introduce("c", "a")
+				waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().members.AcceptingVMs("r1")) == 2 })
+			}
+			stopped := maps.Clone(f.vms)
 			for id, ms := range row.Stop {
 				time.AfterFunc(time.Duration(ms)*time.Millisecond, f.vms[id].stop)
 			}
+			if row.Restart > 0 {
+				assert.NilError(t, <-stopped["b"].ended)
+				close(stopped["b"].ended)
+				time.Sleep(time.Duration(row.Restart) * time.Millisecond)
+				f.start(t, "b", "r1", stopped["b"].node.deployment.PeerAddr)
+				f.introduce("a", "b")
+				restarted := f.vms["b"].node
+				waitFor(t, func() bool {
+					return restarted.control.snapshot().members.FleetSize > 0 && time.Since(restarted.startedAt) > retryWindow
+				})
+				f.introduce("b", "a")
+			}
 			assert.Equal(t, <-answer, row.Want)
 			assert.Equal(t, f.runs.Load(), row.WantRuns)
 			var end struct {
@@ -68,21 +88,25 @@
 			assert.Equal(t, end.Code, row.WantCode)
 			assert.Equal(t, end.Peer, row.WantPeer)
 			if _, stops := row.Stop["b"]; stops {
-				line := string(f.vms["b"].log.find("attempt_failed"))
+				line := string(stopped["b"].log.find("attempt_failed"))
 				assert.Assert(t, strings.Contains(line, `"code":3006`) && strings.Contains(line, `"caller_gone":false`), line)
 			}
 			for id := range row.Stop {
-				assert.NilError(t, <-f.vms[id].ended)
+				assert.NilError(t, <-stopped[id].ended)
 			}
 		})
 	}
 }
 
+// retryWindow is how long a VM that has started makes no retries.
+const retryWindow = 100 * time.Millisecond
+
 // forwardingVMs are VM a, in a region without endpoints, and VMs b and c in one with them. Only a
-// knows others: b, and c once it is introduced.
+// knows others at first: b, and c once it is introduced.
 type forwardingVMs struct {
-	vms  map[string]*loggedVM
-	runs atomic.Int64
+	vms                    map[string]*loggedVM
+	runs                   atomic.Int64
+	storeURL, endpointAddr string
 }
 
 type loggedVM struct {
@@ -134,16 +158,18 @@
 	t.Cleanup(server.Close)
 	store := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(store.Close)
-	endpointAddr := strings.TrimPrefix(server.URL, "http://")
+	f.storeURL = store.URL
+	f.endpointAddr = strings.TrimPrefix(server.URL, "http://")
 	for id, region := range map[string]string{"a": "r0", "b": "r1", "c": "r1"} {
-		f.vms[id] = startLogged(t, id, region, store.URL, endpointAddr)
+		f.start(t, id, region, freeAddr(t))
 	}
-	f.introduce("b")
+	f.introduce("b", "a")
 	waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().regionLoads["s"]) > 0 })
 	return f
 }
 
-func startLogged(t *testing.T, id, region, storeURL, endpointAddr string) *loggedVM {
+// start starts a VM at an address for other VMs.
+func (f *forwardingVMs) start(t *testing.T, id, region, peerAddr string) {
 	t.Helper()
 	log := newLineLog()
 	n := New(Options{
@@ -153,15 +179,15 @@
 			DataCentre:    region + "-a",
 			IP:            "127.0.0.1",
 			Regions:       map[string]string{"r0-a": "r0", "r1-a": "r1"},
-			StoreURL:      storeURL,
+			StoreURL:      f.storeURL,
 			CallerAddr:    "127.0.0.1:0",
 			ReadyAddr:     "127.0.0.1:0",
-			PeerAddr:      freeAddr(t),
+			PeerAddr:      peerAddr,
 			DirectoryAddr: "127.0.0.1:0",
 			Bounds: platform.Bounds{
 				StopTimeout: stopGrace,
 				RetrySlack:  30,
-				RetryWindow: 100 * time.Millisecond,
+				RetryWindow: retryWindow,
 			},
 		},
 		Logger: slog.New(slog.NewJSONHandler(log, &slog.HandlerOptions{
@@ -184,7 +210,7 @@
 		{
 			Key:      "servers/i-0",
 			Revision: 2,
-			Value:    fmt.Appendf(nil, `{"Service":"s","Addr":%q,"Zone":"r1-a","Version":"v1","Slots":64,"State":"ready","Seq":1}`, endpointAddr),
+			Value:    fmt.Appendf(nil, `{"Service":"s","Addr":%q,"Zone":"r1-a","Version":"v1","Slots":64,"State":"ready","Seq":1}`, f.endpointAddr),
 		},
 	}, false, n.now())
 	n.control.publish(n.now())
@@ -201,7 +227,7 @@
 	go func() { vm.ended <- n.Run(ctx) }()
 	waitFor(t, func() bool { return n.callerListener.Load() != nil })
 	vm.addr = n.callerListener.Load().Addr().String()
-	return vm
+	f.vms[id] = vm
 }
 
 // freeAddr returns an address at which nothing listens.
@@ -213,10 +239,10 @@
 	return ln.Addr().String()
 }
 
-// introduce tells VM a of another one.
-func (f *forwardingVMs) introduce(id string) {
+// introduce tells a VM of another one.
+func (f *forwardingVMs) introduce(id, to string) {
 	n := f.vms[id].node
-	f.vms["a"].node.control.send(context.Background(), func(c *control, now time.Time) {
+	f.vms[to].node.control.send(context.Background(), func(c *control, now time.Time) {
 		c.roster.Receive(roster.Rumor{
 			VM:          n.self(),
 			Incarnation: n.incarnation,
--- a/site/place.go
+++ b/site/place.go
@@ -74,7 +74,7 @@
 
 // place decides whether a call is served locally, on a VM of another region, or refused. A
 // stopping VM sends a call that did not run at one VM to another only if it could still begin.
-func (n *Node) place(ctx context.Context, c *call.Call, tried []string) (vm fleet.VM, away bool, refusal *result.Refusal) {
+func (n *Node) place(ctx context.Context, c *call.Call, tried []fleet.VM) (vm fleet.VM, away bool, refusal *result.Refusal) {
 	if len(tried) == 0 {
 		n.classifyShare(c, n.now())
 	} else if !c.Idempotent || !c.Routed.Retry {
@@ -82,8 +82,9 @@
 			return vm, false, refusal
 		}
 	}
+	waitUntil := n.restartDeadline(c)
 	res := n.evaluatePlacement(c, tried)
-	for res.decision.Refusal == placement.ReasonNoRegion && n.waitForMembers(ctx, c) {
+	for res.decision.Refusal == placement.ReasonNoRegion && (n.waitForMembers(ctx, c) || n.waitForRestart(ctx, waitUntil)) {
 		res = n.evaluatePlacement(c, tried)
 	}
 	res = n.evaluateYielding(c, tried, res)
@@ -116,7 +117,7 @@
 	vm fleet.VM
 }
 
-func (n *Node) evaluatePlacement(c *call.Call, tried []string) placementResult {
+func (n *Node) evaluatePlacement(c *call.Call, tried []fleet.VM) placementResult {
 	n.saturation.acquire()
 	defer n.saturation.release()
 	now := n.now()
@@ -137,13 +138,13 @@
 }
 
 // placementRequest returns the request for a call, without the random numbers.
-func (n *Node) placementRequest(c *call.Call, snap *snapshot, tried []string, local placement.Load, now time.Time) placement.Request {
+func (n *Node) placementRequest(c *call.Call, snap *snapshot, tried []fleet.VM, local placement.Load, now time.Time) placement.Request {
 	if c.Routed.AnswerTokens == 0 {
 		local.AnswerTokens = max(local.AnswerTokens, minAnswerRatio*float64(c.MaxTokens))
 	}
 	return placement.Request{
 		Local:              local,
-		LocalAllowed:       c.Routed.Allows(n.deployment.Region) && !slices.Contains(tried, n.deployment.VM),
+		LocalAllowed:       c.Routed.Allows(n.deployment.Region) && !slices.ContainsFunc(tried, n.isSelf),
 		Remote:             n.remoteLoads(c, snap, tried, local),
 		Forwarded:          len(tried) > 0,
 		Resumed:            c.Routed.ResumeAfter != "",
@@ -164,14 +165,20 @@
 	return int(snap.table.Standing(rank))
 }
 
-// pickVM returns a random VM that was not tried yet, or false if there is none.
-func pickVM(vms []fleet.VM, tried []string) (fleet.VM, bool) {
+// isSelf reports whether a VM is this one.
+func (n *Node) isSelf(vm fleet.VM) bool {
+	return vm.ID == n.deployment.VM
+}
+
+// pickVM returns a random VM that was not tried yet, or false if there is none. One that has
+// restarted since then was not.
+func pickVM(vms []fleet.VM, tried []fleet.VM) (fleet.VM, bool) {
 	if len(vms) == 0 {
 		return fleet.VM{}, false
 	}
 	start := rand.IntN(len(vms))
 	for i := range vms {
-		if vm := vms[(start+i)%len(vms)]; !slices.Contains(tried, vm.ID) {
+		if vm := vms[(start+i)%len(vms)]; !slices.ContainsFunc(tried, vm.IsSameProcess) {
 			return vm, true
 		}
 	}
@@ -300,7 +307,7 @@
 
 // remoteLoads estimates how other regions would serve the call, for those that are
 // allowed and have a reachable VM. local supplies the expected answer length.
-func (n *Node) remoteLoads(c *call.Call, snap *snapshot, tried []string, local placement.Load) []placement.Load {
+func (n *Node) remoteLoads(c *call.Call, snap *snapshot, tried []fleet.VM, local placement.Load) []placement.Load {
 	if !n.settings.Enabled(settings.Borrowing) && local.Endpoints > 0 && c.Routed.Allows(n.deployment.Region) {
 		return nil
 	}
--- a/site/quarantine.go
+++ b/site/quarantine.go
@@ -39,7 +39,7 @@
 		if m.Reachable || m.VM.ID == n.deployment.VM {
 			vms = append(vms, quarantine.Peer{
 				VM:          m.VM,
-				Incarnation: m.Incarnation,
+				Incarnation: m.VM.Incarnation,
 			})
 		}
 	}
--- a/site/stop_place_test.go
+++ b/site/stop_place_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/fuchsianotch/fuchsianotch/call"
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 	"github.com/fuchsianotch/fuchsianotch/shutdown"
 )
@@ -67,7 +68,7 @@
 					DeadlineOnlyAt: cutoff,
 				})
 			}
-			tried := []string{"vm-1"}
+			tried := []fleet.VM{{ID: "vm-1", Incarnation: 1}}
 			if row.First {
 				tried = nil
 			}
@@ -119,3 +120,28 @@
 		assert.Equal(t, o.EndpointsRun, 1)
 	}
 }
+
+// TestRestartedVMMayServe guards against a call that finds no place because the only VM of a region
+// has restarted under its name, and against one that goes to the same process twice.
+func TestRestartedVMMayServe(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	n := newFleetNode(smallFleet, func() time.Time { return now })
+	for _, row := range []struct {
+		restarted bool
+		want      bool
+	}{
+		{restarted: false, want: false},
+		{restarted: true, want: true},
+	} {
+		var tried []fleet.VM
+		for _, vm := range n.control.snapshot().members.AcceptingVMs("r1") {
+			if row.restarted {
+				vm.Incarnation--
+			}
+			tried = append(tried, vm)
+		}
+		vm, found := pickVM(n.control.snapshot().members.AcceptingVMs("r1"), tried)
+		assert.Equal(t, found, row.want)
+		assert.Equal(t, vm.Incarnation > 0, row.want)
+	}
+}
--- a/site/yielding.go
+++ b/site/yielding.go
@@ -2,13 +2,14 @@
 
 import (
 	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
 // evaluateYielding decides again for a call that yields, as it waits for all calls that
 // are still on time and so ends later than first was expected.
-func (n *Node) evaluateYielding(c *call.Call, tried []string, first placementResult) placementResult {
+func (n *Node) evaluateYielding(c *call.Call, tried []fleet.VM, first placementResult) placementResult {
 	d := first.decision
 	if !d.Late || d.Refusal != "" || d.Region != n.deployment.Region || !n.settings.Enabled(settings.DeadlineRefusal) {
 		return first
