Site, serving: the sender's budget grants what a stop has cut off

A VM has no part of the slack of retries in its first window, since it doesn't know those before its start.

The VM that forwards a call which a stop has cut off takes the retry from its own budget and says so (retry_granted of ForwardRequest); the receiver then takes none. If the sender has none left, or the receiver has a build without the field, the receiver's budget decides as before. The bound of the fleet is the same: each process still makes its own part at most. VMs have a budget also for services without endpoints in their region, of which they used nothing so far. A call that was not sent gives it back.

--- a/call/routed.go
+++ b/call/routed.go
@@ -77,6 +77,9 @@
 	RequestRun func(ctx context.Context) bool
 	// Retry is set when another VM already attempted the call.
 	Retry bool
+	// RetryGranted is set if the VM that sent the call here has taken its first attempt from its
+	// own retry budget.
+	RetryGranted bool
 	// CutOff is set when the stop of another VM has cut the call off and every VM that was
 	// tried since then was stopping or gone.
 	CutOff bool
--- a/peer/server.go
+++ b/peer/server.go
@@ -280,6 +280,7 @@
 	c := callFromProto(in.GetCall(), sentAt)
 	if c.Routed != nil {
 		c.Routed.RunGrant = in.GetRunGrant()
+		c.Routed.RetryGranted = in.GetRetryGranted()
 	}
 	return c
 }
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -130,7 +130,14 @@
 	})
 	traceOverflow(c, vm)
 	s.options.Metrics.CountCrossRegionCall(vm.Region)
+	budget := s.options.Budget
+	grantedAt := s.options.Now()
+	// A VM that has just started can't grant it: it doesn't know the retries before its start.
+	c.Routed.RetryGranted = c.Routed.CutOff && budget.Allow(c.Target())
 	outcome := s.options.Forward(ctx, vm, c, sink)
+	if c.Routed.RetryGranted && !outcome.Sent && outcome.Code.Class() == result.ClassNotRun && budget.Return != nil {
+		budget.Return(c.Target(), grantedAt)
+	}
 	outcome.VM = vm.ID
 	traceForward(c, outcome)
 	return outcome
--- a/serving/run.go
+++ b/serving/run.go
@@ -79,7 +79,8 @@
 		budget: s.newCallBudget(c),
 	}
 	defer func() { p.lastAttempt.ErrorResponse.Release() }()
-	if !p.budget.Begin() {
+	isGranted := c.Forwarded && c.Routed != nil && c.Routed.RetryGranted
+	if !isGranted && !p.budget.Begin() {
 		c.Log.Fail("repeat_refused", slog.String("service", c.Target()))
 		return call.Refused(result.Refuse(result.RetryBudget, "the retry budget is spent").WithRetryAt(s.options.Now().Add(defaultRetryAfter)))
 	}
--- a/site/forward.go
+++ b/site/forward.go
@@ -32,6 +32,8 @@
 		From:     n.identity(),
 		Call:     peer.CallToProto(n.withRemoteObjective(c, vm), n.now()),
 		RunGrant: runGrant,
+
+		RetryGranted: c.Routed.RetryGranted,
 	}, sink, func(uint64) {})
 	if granted := n.runGrants.Close(runGrant); outcome.Code == result.PeerLost && outcome.EndpointsRun == 0 {
 		outcome.EndpointsRun = granted
--- a/site/pools.go
+++ b/site/pools.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,11 +31,12 @@
 	// goroutine accesses it.
 	inUse map[string]bool
 	lives *endpointLives
+	// budgets holds a *retryBudget by service.
+	budgets sync.Map
 }
 
 type pool struct {
 	serving.Pool
-	budget *retryBudget
 }
 
 func newPools(n *Node) *pools {
@@ -171,7 +173,6 @@
 				Now:    p.node.now,
 			}, endpoints),
 		},
-		budget: newRetryBudget(p.node, service),
 	}
 	p.setMembers(created, snap)
 	pools := maps.Clone(p.all())
--- a/site/retry_budget.go
+++ b/site/retry_budget.go
@@ -83,25 +83,21 @@
 	)
 }
 
+// budgetOf returns the retry budget of a service. A VM also has one for services without endpoints
+// in its region, for the calls that it sends to others.
+func (p *pools) budgetOf(service string) *retryBudget {
+	if b, ok := p.budgets.Load(service); ok {
+		return b.(*retryBudget)
+	}
+	b, _ := p.budgets.LoadOrStore(service, newRetryBudget(p.node, service))
+	return b.(*retryBudget)
+}
+
 // retryBudget limits the retries to each service.
 func (p *pools) retryBudget() serving.Budget {
 	return serving.Budget{
-		OnRequest: func(service string) {
-			if pool := p.all()[service]; pool != nil {
-				pool.budget.onRequest()
-			}
-		},
-		Allow: func(service string) bool {
-			if pool := p.all()[service]; pool != nil {
-				return pool.budget.allow()
-			}
-			p.node.metrics.CountRetryBudget(metrics.RetryBudgetRefused, service)
-			return false
-		},
-		Return: func(service string, grantedAt time.Time) {
-			if pool := p.all()[service]; pool != nil {
-				pool.budget.giveBack(grantedAt)
-			}
-		},
+		OnRequest: func(service string) { p.budgetOf(service).onRequest() },
+		Allow:     func(service string) bool { return p.budgetOf(service).allow() },
+		Return:    func(service string, grantedAt time.Time) { p.budgetOf(service).giveBack(grantedAt) },
 	}
 }
