Serving: tests of retries that the sender's budget grants

TestSenderGrantsRetry and TestGrantedRetryTakesNone guard the two ends of retry_granted. Budgets by service are in a map with a mutex, as the linter asks.

--- /dev/null
+++ b/serving/granted_retry_test.go
@@ -0,0 +1,94 @@
+package serving
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/call"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
+	"github.com/fuchsianotch/fuchsianotch/metrics"
+	"github.com/fuchsianotch/fuchsianotch/result"
+	"github.com/fuchsianotch/fuchsianotch/timeline"
+)
+
+// TestSenderGrantsRetry guards against a call that a stop has cut off and that a VM which has just
+// started refuses, against retries that no budget has granted, and against those that a call which
+// was not sent keeps.
+func TestSenderGrantsRetry(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		stopped bool
+		left    bool
+		sent    bool
+		// want says that the second VM need not grant the retry, kept that the sender's is used.
+		want, kept bool
+	}{
+		{name: "cut off by a stop", stopped: true, left: true, sent: true, want: true, kept: true},
+		{name: "refused by the next VM", stopped: true, left: true, want: true},
+		{name: "nothing left", stopped: true, sent: true},
+		{name: "lost with its VM", left: true, sent: true},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			granted, returned, places := 0, 0, 0
+			s := New(Options{
+				Now: time.Now,
+				VM:  "a",
+				Budget: Budget{
+					Allow: func(string) bool {
+						if row.left {
+							granted++
+						}
+						return row.left
+					},
+					Return: func(string, time.Time) { returned++ },
+				},
+				PlaceRouted: func(_ context.Context, _ *call.Call, tried []fleet.VM) (fleet.VM, bool, *result.Refusal) {
+					if len(tried) == 2 {
+						return fleet.VM{}, false, result.Refuse(result.NoEndpoint, "none")
+					}
+					return fleet.VM{ID: "b", Incarnation: uint64(len(tried)), Region: "r"}, true, nil
+				},
+				Forward: func(_ context.Context, _ fleet.VM, c *call.Call, _ call.Sink) call.Outcome {
+					places++
+					if places == 1 {
+						assert.Assert(t, !c.Routed.RetryGranted)
+						o := call.Refused(result.Refuse(result.PeerLost, "stopped"))
+						o.VMStopped = row.stopped
+						return o
+					}
+					assert.Equal(t, c.Routed.RetryGranted, row.want)
+					if !row.sent {
+						return call.Refused(result.Refuse(result.Stopping, "stopping"))
+					}
+					return call.Outcome{Code: result.Done, Sent: true}
+				},
+				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
+				Metrics:  metrics.New(),
+			})
+			s.Serve(t.Context(), routedTestCall(routedCase{Idempotent: true}), Placement{Kind: PlaceHere}, call.Sink{})
+			assert.Equal(t, places, 2)
+			assert.Equal(t, granted-returned == 1, row.kept)
+		})
+	}
+}
+
+// TestGrantedRetryTakesNone guards against a call that takes a retry from the budgets of two VMs.
+func TestGrantedRetryTakesNone(t *testing.T) {
+	s := New(Options{
+		Now:      time.Now,
+		VM:       "b",
+		Budget:   Budget{Allow: func(string) bool { return false }},
+		Pool:     func(string) (*Pool, bool) { return nil, false },
+		Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
+		Metrics:  metrics.New(),
+	})
+	c := routedTestCall(routedCase{Idempotent: true})
+	c.Forwarded = true
+	c.Routed.Retry = true
+	c.Routed.RetryGranted = true
+	out := s.Serve(t.Context(), c, Placement{Kind: PlaceHere}, call.Sink{})
+	assert.Equal(t, out.Code, result.NoEndpoint)
+}
--- a/site/pools.go
+++ b/site/pools.go
@@ -31,8 +31,10 @@
 	// goroutine accesses it.
 	inUse map[string]bool
 	lives *endpointLives
-	// budgets holds a *retryBudget by service.
-	budgets sync.Map
+
+	budgetsMu sync.Mutex
+	// budgets holds the retry budgets by service.
+	budgets map[string]*retryBudget
 }
 
 type pool struct {
@@ -45,6 +47,8 @@
 		index: newEndpointIndex(n.deployment.Region),
 		inUse: make(map[string]bool),
 		lives: newEndpointLives(n.deployment.Region),
+
+		budgets: make(map[string]*retryBudget),
 	}
 	p.reports.latest = make(map[string]loadReport)
 	p.reports.coldProbedAt = make(map[string]time.Time)
--- a/site/retry_budget.go
+++ b/site/retry_budget.go
@@ -86,11 +86,14 @@
 // budgetOf returns the retry budget of a service. A VM also has one for services without endpoints
 // in its region, for the calls that it sends to others.
 func (p *pools) budgetOf(service string) *retryBudget {
-	if b, ok := p.budgets.Load(service); ok {
-		return b.(*retryBudget)
+	p.budgetsMu.Lock()
+	defer p.budgetsMu.Unlock()
+	b, known := p.budgets[service]
+	if !known {
+		b = newRetryBudget(p.node, service)
+		p.budgets[service] = b
 	}
-	b, _ := p.budgets.LoadOrStore(service, newRetryBudget(p.node, service))
-	return b.(*retryBudget)
+	return b
 }
 
 // retryBudget limits the retries to each service.
--- a/testscripts/emulator/crash_tracker.go
+++ b/testscripts/emulator/crash_tracker.go
@@ -76,7 +76,7 @@
 		if m.Reachable || m.VM.ID == v.member.ID {
 			vms = append(vms, quarantine.Peer{
 				VM:          m.VM,
-				Incarnation: m.Incarnation,
+				Incarnation: m.VM.Incarnation,
 			})
 		}
 	}
