--- a/site/pools.go
+++ b/site/pools.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,11 +31,14 @@
 	// goroutine accesses it.
 	inUse map[string]bool
 	lives *endpointLives
+
+	budgetsMu sync.Mutex
+	// budgets holds the retry budgets by service.
+	budgets map[string]*retryBudget
 }
 
 type pool struct {
 	serving.Pool
-	budget *retryBudget
 }
 
 func newPools(n *Node) *pools {
@@ -43,6 +47,8 @@
 		index: newEndpointIndex(n.deployment.Region),
 		inUse: make(map[string]bool),
 		lives: newEndpointLives(n.deployment.Region),
+
+		budgets: make(map[string]*retryBudget),
 	}
 	p.reports.latest = make(map[string]loadReport)
 	p.reports.coldProbedAt = make(map[string]time.Time)
@@ -171,7 +177,6 @@
 				Now:    p.node.now,
 			}, endpoints),
 		},
-		budget: newRetryBudget(p.node, service),
 	}
 	p.setMembers(created, snap)
 	pools := maps.Clone(p.all())
