Soak: tell requests sent after the end of their connection from those that cross it

What callers saw: nothing.

Cause: its clients pause between calls without reading, and then write to a connection whose end arrived seconds ago; such a request, one sent ahead of an answer that ended the connection, and one that was cut off counted alike.

Change: clients read while they pause and know when the end arrived; they go on using the connection as before. The counts tell the four apart. A new check: no idle connection ends within 3 s of the SIGTERM of its VM.

Result: TestCountStopCalls, and a row of TestChecksCanFail, which no check reports without the new one.

--- a/testscripts/soak/attempt.go
+++ b/testscripts/soak/attempt.go
@@ -37,6 +37,9 @@
 	// is set if that answer ended the connection.
 	behind     string
 	afterClose bool
+	// endArrivedAt is when the end of its connection arrived, if that was before the client began
+	// to send.
+	endArrivedAt time.Time
 	// begunAt is when a kept connection began to send the request, sentAt when it had sent it.
 	begunAt time.Time
 	// deadlineAt is when the caller stops waiting; zero if the request states no deadline.
--- a/testscripts/soak/checks_test.go
+++ b/testscripts/soak/checks_test.go
@@ -72,6 +72,10 @@
 			l.attempts = []attempt{{id: "a", path: "/get/x", connectionLost: true, sentAt: now.Add(time.Second), endedAt: now.Add(2 * time.Second)}}
 			l.runs = []replica.Run{ran("a", "/get/x", "i", 0)}
 		}},
+		{check: "stop_answers", make: func(l *ledger) {
+			l.vmDown["v"] = []interval{{from: now, to: now.Add(4 * time.Second)}}
+			l.attempts = []attempt{{id: "a", path: "/slow/x", vm: "v", kept: true, connectionLost: true, endArrivedAt: now.Add(2900 * time.Millisecond)}}
+		}},
 		{check: "stop_answers", make: func(l *ledger) {
 			l.vmDown["v"] = []interval{{from: now}}
 			l.attempts = []attempt{{id: "a", path: slowPath, vm: "v", kept: true, connectionLost: true, sentAt: now.Add(3100 * time.Millisecond), endedAt: now.Add(7 * time.Second)}}
@@ -238,6 +242,40 @@
 	}
 }
 
+// TestCountStopCalls guards against counting requests that no VM could read, or that it had
+// read, among those that cross the end of their connection.
+func TestCountStopCalls(t *testing.T) {
+	sentAt := time.Now()
+	l := newLedger(defaultRetryRatio, defaultRetrySlack, defaultMemoryMB)
+	l.vmDown["v"] = []interval{{from: sentAt.Add(-time.Second)}}
+	l.runs = []replica.Run{{Attempt: "run"}}
+	for _, a := range []attempt{
+		{id: "served", complete: true, status: 200},
+		{id: "refused", status: 503},
+		{id: "failed", status: 504},
+		{id: "run", connectionLost: true},
+		{id: "broken", connectionLost: true, status: 200},
+		{id: "ended", connectionLost: true, endArrivedAt: sentAt},
+		{id: "behind", connectionLost: true, afterClose: true},
+		{id: "crossed", connectionLost: true},
+	} {
+		a.kept = true
+		a.vm = "v"
+		a.sentAt = sentAt
+		l.attempts = append(l.attempts, a)
+	}
+	assert.Equal(t, l.countStopCalls(), stopCounts{
+		stops:       1,
+		served:      1,
+		refused:     1,
+		failed:      1,
+		cut:         2,
+		afterEnd:    1,
+		behindClose: 1,
+		unread:      1,
+	})
+}
+
 // TestExplanationFault checks that wrong explanations are found.
 func TestExplanationFault(t *testing.T) {
 	cold := []*trackedReplica{{Replica: &replica.Replica{Options: replica.Options{ID: "i-1"}}, region: "r0"}}
--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -72,17 +74,30 @@
 		reader := bufio.NewReader(conn)
 		for open := true; open && ctx.Err() == nil; {
 			// Some connections are idle from before a stop until after it.
-			sleep(ctx, time.Duration(rand.ExpFloat64()*float64(time.Second)))
-			open = tb.callOnce(ctx, conn, reader, v, lastID)
+			endArrivedAt := idle(ctx, conn, reader, time.Duration(rand.ExpFloat64()*float64(time.Second)))
+			open = tb.callOnce(ctx, conn, reader, v, lastID, endArrivedAt)
 		}
 		unblock()
 		_ = conn.Close()
 	}
 }
 
+// idle waits, and returns when the end of the connection arrived meanwhile; zero if it didn't.
+func idle(ctx context.Context, conn net.Conn, reader *bufio.Reader, wait time.Duration) (endArrivedAt time.Time) {
+	until := time.Now().Add(wait)
+	_ = conn.SetReadDeadline(until)
+	_, err := reader.Peek(1)
+	_ = conn.SetReadDeadline(time.Time{})
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		endArrivedAt = time.Now()
+	}
+	sleep(ctx, time.Until(until))
+	return endArrivedAt
+}
+
 // callOnce sends a call, or two ahead of the first answer, records the outcomes, and reports
 // whether the connection stays open.
-func (tb *testbed) callOnce(ctx context.Context, conn net.Conn, reader *bufio.Reader, v *vm, lastID *atomic.Int64) bool {
+func (tb *testbed) callOnce(ctx context.Context, conn net.Conn, reader *bufio.Reader, v *vm, lastID *atomic.Int64, endArrivedAt time.Time) bool {
 	first := tb.randomCall()
 	calls := []keptCall{first}
 	if first.ahead {
@@ -92,6 +107,7 @@
 	var err error
 	for _, k := range calls {
 		a := tb.newKeptAttempt(v, k, lastID)
+		a.endArrivedAt = endArrivedAt
 		if err == nil {
 			err = a.write(ctx, conn, k)
 		}
@@ -251,9 +267,15 @@
 }
 
 // checkStopAnswers checks that a call which a VM has accepted gets a whole answer though VMs
-// stop: one that was passed on, and one that did not cross the end of its connection.
+// stop: one that was passed on, and one that did not cross the end of its connection; and that no
+// idle connection ends while callers may still use it.
 func (l *ledger) checkStopAnswers() (out []string) {
 	for _, a := range l.attempts {
+		for _, down := range l.vmDown[a.vm] {
+			if down.contains(a.endArrivedAt) && a.endArrivedAt.Sub(down.from) < lateRequest {
+				out = append(out, fmt.Sprintf("an idle connection of %s ended %v after its SIGTERM", a.vm, a.endArrivedAt.Sub(down.from)))
+			}
+		}
 		if !a.kept || !a.connectionLost || l.isCutExcused(a) {
 			continue
 		}
@@ -289,7 +311,13 @@
 
 // stopCounts count the calls on kept connections to stopping VMs, by their outcome.
 type stopCounts struct {
-	stops, served, refused, failed, unread int
+	stops, served, refused, failed int
+	// cut counts calls whose connection ended after they had begun to run or to be answered.
+	cut int
+	// afterEnd counts requests that were sent though the end of their connection had arrived,
+	// behindClose those that were sent ahead of an answer that ended it, and unread all others
+	// whose connection ended without an answer.
+	afterEnd, behindClose, unread int
 	// peakMB is the most memory of a VM.
 	peakMB int
 }
@@ -309,10 +337,17 @@
 			n.served++
 		case a.reportedNotRun():
 			n.refused++
-		case a.connectionLost:
-			n.unread++
-		case a.status > 0:
+		case !a.connectionLost && a.status > 0:
 			n.failed++
+		case !a.connectionLost:
+		case a.status > 0 || l.hasRun(a.id):
+			n.cut++
+		case !a.endArrivedAt.IsZero():
+			n.afterEnd++
+		case a.afterClose:
+			n.behindClose++
+		default:
+			n.unread++
 		}
 	}
 	return n
