Connections: count those that are closed with bytes of the client unread

What callers saw: a request that crosses the end of its connection gets no answer, and no line of the VM told how many did at a stop.

Change: `unread` in `stopped` counts connections that were closed with bytes in their socket, or that got some while they were half-closed.

Result: TestUnreadBytesCutNoResponse expects one, and TestStopWaitsForAcknowledgement none. go test ./common/..., and ./site for its tests of stops, pass.

--- a/common/listen/delivery.go
+++ b/common/listen/delivery.go
@@ -40,19 +40,22 @@
 // as the client has acknowledged what was sent to it. If bytes of the client lie unread as a
 // connection is closed, or arrive later, the kernel resets it and drops what is unsent.
 func (c *stoppableConn) closeOnceDelivered(by time.Time) {
-	delivered := c.awaitDelivery(by)
+	delivered, discarded := c.awaitDelivery(by)
+	loss := connLoss{
+		undelivered: !delivered,
+		unread:      discarded > 0 || tcp.Unread(c.Conn) > 0,
+	}
 	_ = c.Conn.Close()
-	c.listener.forget(c, !delivered)
+	c.listener.forget(c, loss)
 }
 
-func (c *stoppableConn) awaitDelivery(by time.Time) bool {
-	discarded := 0
+func (c *stoppableConn) awaitDelivery(by time.Time) (delivered bool, discarded int) {
 	buffer := make([]byte, discardBufferBytes)
 	interval := minDeliveryPollInterval
 	for tcp.Unacknowledged(c.Conn) > 0 {
 		now := time.Now()
 		if discarded > maxDiscardedBytes || !now.Before(by) {
-			return false
+			return false, discarded
 		}
 		wait := min(interval, by.Sub(now))
 		interval = min(2*interval, maxDeliveryPollInterval)
@@ -63,5 +66,5 @@
 			time.Sleep(wait)
 		}
 	}
-	return true
+	return true, discarded
 }
--- a/common/listen/delivery_test.go
+++ b/common/listen/delivery_test.go
@@ -69,6 +69,12 @@
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
 	assert.Equal(t, len(got), len(body))
+	for ln.OpenConns() > 0 {
+		assert.NilError(t, t.Context().Err())
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, ln.Unread(), 1)
+	assert.Equal(t, ln.Undelivered(), 0)
 }
 
 // TestStopWaitsForAcknowledgement guards against a process that ends, as no connection is open,
@@ -94,4 +100,5 @@
 		time.Sleep(time.Millisecond)
 	}
 	assert.Equal(t, ln.Undelivered(), 0)
+	assert.Equal(t, ln.Unread(), 0)
 }
--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -73,13 +73,29 @@
 	return l.undelivered
 }
 
-func (l *StoppableListener) forget(c *stoppableConn, undelivered bool) {
+// Unread returns the number of connections that were closed with bytes of the client which the
+// server had not read: requests that crossed the end, or the rest of a body that was refused.
+func (l *StoppableListener) Unread() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unread
+}
+
+// connLoss is what is lost as a connection is closed.
+type connLoss struct {
+	undelivered, unread bool
+}
+
+func (l *StoppableListener) forget(c *stoppableConn, loss connLoss) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
-	if undelivered {
+	if loss.undelivered {
 		l.undelivered++
 	}
+	if loss.unread {
+		l.unread++
+	}
 }
 
 // EndIdle ends connections that are idle now or later. A request that has arrived is still
@@ -214,7 +230,9 @@
 	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = socket.SetLinger(0)
 	}
-	c.listener.forget(c, false)
+	c.listener.forget(c, connLoss{
+		unread: tcp.Unread(c.Conn) > 0,
+	})
 	return c.Conn.Close()
 }
 
@@ -241,6 +259,9 @@
 		return nil
 	}
 	defer closed()
-	c.listener.forget(c, !isDelivered)
+	c.listener.forget(c, connLoss{
+		undelivered: !isDelivered,
+		unread:      tcp.Unread(c.Conn) > 0,
+	})
 	return c.Conn.Close()
 }
--- a/common/listen/stopping.go
+++ b/common/listen/stopping.go
@@ -39,6 +39,8 @@
 	deliverBy time.Time
 	// undelivered counts the connections that were closed with unacknowledged bytes.
 	undelivered int
+	// unread counts those that were closed with bytes of the client that the server hadn't read.
+	unread int
 }
 
 // NewStoppableListener returns a StoppableListener that accepts from ln.
--- a/common/tcp/unacknowledged_linux.go
+++ b/common/tcp/unacknowledged_linux.go
@@ -31,6 +31,29 @@
 	return unacknowledged
 }
 
+// Unread returns the number of bytes that have arrived on a connection and were not read. It is
+// zero for what is no open socket.
+func Unread(conn any) int {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) {
+		if n, ioctlErr := unix.IoctlGetInt(int(fd), unix.SIOCINQ); ioctlErr == nil {
+			unread = n
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return unread
+}
+
 // stateClosed is TCP_CLOSE of the kernel.
 const stateClosed = 7
 
--- a/common/tcp/unacknowledged_other.go
+++ b/common/tcp/unacknowledged_other.go
@@ -6,3 +6,8 @@
 func Unacknowledged(any) int {
 	return 0
 }
+
+// Unread is zero, as what a socket holds is known only once it was read.
+func Unread(any) int {
+	return 0
+}
--- a/site/stop.go
+++ b/site/stop.go
@@ -74,7 +74,7 @@
 	n.draining.Store(true)
 	listener := n.callerListener.Load()
 	listener.DeliverBy(time.Now().Add(deadline.Add(cutoffGrace).Sub(startedAt)))
-	undeliveredBefore := listener.Undelivered()
+	undeliveredBefore, unreadBefore := listener.Undelivered(), listener.Unread()
 	n.log.Info("stopping", "in_flight", n.serving.InFlight())
 	n.control.send(ctx, func(c *control, _ time.Time) {
 		c.roster.Leave()
@@ -96,6 +96,7 @@
 		"cut", cut,
 		"refused", n.stopState.refusals.Load(),
 		"undelivered", listener.Undelivered()-undeliveredBefore,
+		"unread", listener.Unread()-unreadBefore,
 		"lines_dropped", n.linesDropped(),
 	)
 }
