Stops: cut in the line of a stop tells of calls only

What callers saw: nothing. To operators a caller that had vanished, or read its whole answer slowly, looked like a call that the stop had cut off: calls_cut_off with in_flight 0, and stopped with cut true.

Cause: cut meant that some connection was open at the end of the stop, and connections count as open until their answers are acknowledged.

Change: cut, and the line calls_cut_off, tell that a call had no whole answer or a request was incomplete. The stop still waits as long for connections that only await acknowledgement, which `undelivered` counts.

Result: TestStopLogsCutCalls, its row of a caller that reads no more, failed before and passes; the other three rows passed before too. go test -race ./common/listen ./peer, and ./site for its tests of stops and forwarded calls, pass.

--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -65,6 +65,17 @@
 	return len(l.conns)
 }
 
+// ActiveConns returns the number of open connections with a request that has not been answered.
+func (l *StoppableListener) ActiveConns() int {
+	active := 0
+	for _, c := range l.openConns(func() {}) {
+		if c.isActive() {
+			active++
+		}
+	}
+	return active
+}
+
 // Undelivered returns the number of connections that were closed before the client had
 // acknowledged everything sent to it.
 func (l *StoppableListener) Undelivered() int {
@@ -131,6 +142,12 @@
 	c.idle = idle
 }
 
+func (c *stoppableConn) isActive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idle && !c.closed
+}
+
 func (c *stoppableConn) endOnceIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/peer/server.go
+++ b/peer/server.go
@@ -96,13 +96,18 @@
 // have been acknowledged. Connections carry other messages too, which is why it counts those with
 // unacknowledged bytes only for a while after the last outcome.
 func (s *Server) InFlight() int {
-	running := int(s.forwards.running.Load())
+	running := s.Running()
 	if time.Since(time.Unix(0, s.forwards.endedAt.Load())) > outcomeTimeout {
 		return running
 	}
 	return running + s.conns.unacknowledged()
 }
 
+// Running returns the number of forwarded calls whose outcome has not been sent yet.
+func (s *Server) Running() int {
+	return int(s.forwards.running.Load())
+}
+
 // NewServer returns a server. It fails only if the protocol cannot be registered.
 func NewServer(h Handlers) (*Server, error) {
 	if h.Now == nil {
--- a/site/stop.go
+++ b/site/stop.go
@@ -82,10 +82,11 @@
 	worker.SleepUntil(ctx, n.now(), n.now().Add(acceptGrace))
 	n.drainConnections(ctx, callersGoneAt, deadline.Add(-cutoffGrace))
 	n.await(ctx, n.allAnswered)
-	cut := !n.allAnswered()
+	cut := n.hasUnansweredCalls()
 	if cut {
 		n.cutOff()
 	}
+	n.awaitDelivery()
 	// A call that another VM forwards from now on is refused.
 	n.stopState.planned.Store(&shutdown.Stop{
 		Cutoff: n.now(),
@@ -114,13 +115,24 @@
 	return n.callerListener.Load().OpenConns() == 0 && n.serving.InFlight() == 0 && n.peerServer.InFlight() == 0
 }
 
+// hasUnansweredCalls reports whether a call has no whole answer yet, of callers or forwarded by
+// other VMs, or a request is incomplete.
+func (n *Node) hasUnansweredCalls() bool {
+	return n.callerListener.Load().ActiveConns() > 0 || n.serving.InFlight() > 0 || n.peerServer.Running() > 0
+}
+
 // cutOff ends the remaining calls. Those without an answer so far get one that says whether
 // they may have run, also if their bodies are incomplete.
 func (n *Node) cutOff() {
 	n.log.Warn("calls_cut_off", "in_flight", n.serving.InFlight(), "connections", n.callerListener.Load().OpenConns())
 	n.stopState.cancelCalls(call.ErrStopping)
 	n.callerListener.Load().AbortReads()
-	ctx, cancel := context.WithTimeout(context.Background(), cutoffGrace)
+}
+
+// awaitDelivery waits for the answers to calls that were cut off, and for those that callers have
+// not acknowledged, until the listener closes their connections.
+func (n *Node) awaitDelivery() {
+	ctx, cancel := context.WithTimeout(context.Background(), cutoffGrace+2*drainPollInterval)
 	defer cancel()
 	n.await(ctx, n.allAnswered)
 }
--- a/site/stop_test.go
+++ b/site/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -96,6 +98,48 @@
 	}
 }
 
+// TestStopLogsCutCalls guards against a line that tells of calls that were cut off as only the
+// answer to a caller that has gone was not acknowledged.
+func TestStopLogsCutCalls(t *testing.T) {
+	for _, row := range []struct {
+		name        string
+		call        stopCall
+		cut         bool
+		undelivered int
+	}{
+		{name: "a caller that reads no more", call: stopCall{Path: "/repeat/", Runs: 20, Deadline: 9000, Bytes: 64 << 10, ReadAt: 10000}, undelivered: 1},
+		{name: "a call in flight", call: stopCall{Path: "/repeat/", Runs: 5000, Deadline: 9000}, cut: true},
+		{name: "a body that is incomplete", call: stopCall{Path: "/repeat/", Runs: 20, Deadline: 9000, BodyAt: 5000}, cut: true},
+		{name: "a call that ends", call: stopCall{Path: "/repeat/", Runs: 1200, Deadline: 9000}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			var lines bytes.Buffer
+			s := startStoppingWithLog(t, slog.New(slog.NewJSONHandler(&lines, nil)))
+			conn := s.dial(t)
+			go func() { s.send(conn, row.call) }()
+			time.Sleep(callsBeforeStop)
+			s.stop()
+			assert.NilError(t, <-s.ended)
+			stopped := struct {
+				Cut         bool `json:"cut"`
+				Undelivered int  `json:"undelivered"`
+			}{}
+			found := false
+			for line := range strings.Lines(lines.String()) {
+				if strings.Contains(line, `"msg":"stopped"`) {
+					found = true
+					assert.NilError(t, json.Unmarshal([]byte(line), &stopped))
+				}
+			}
+			assert.Assert(t, found, lines.String())
+			assert.Equal(t, stopped.Cut, row.cut, lines.String())
+			assert.Equal(t, stopped.Undelivered, row.undelivered, lines.String())
+			assert.Equal(t, strings.Contains(lines.String(), "calls_cut_off"), row.cut)
+		})
+	}
+}
+
 // stoppingVM is a VM with a real caller port and one endpoint.
 type stoppingVM struct {
 	node  *Node
@@ -111,6 +155,11 @@
 const stopGrace = 2 * time.Second
 
 func startStopping(t *testing.T) *stoppingVM {
+	t.Helper()
+	return startStoppingWithLog(t, slog.New(slog.DiscardHandler))
+}
+
+func startStoppingWithLog(t *testing.T, logger *slog.Logger) *stoppingVM {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Fuchsianotch-Attempt-Id", r.Header.Get("X-Fuchsianotch-Attempt-Id"))
@@ -147,7 +196,7 @@
 				StopTimeout: stopGrace,
 			},
 		},
-		Logger:   slog.New(slog.DiscardHandler),
+		Logger:   logger,
 		Settings: &settings.Platform{},
 	})
 	n.control.applyItems([]discovery.Item{
