Soak: a connection that was never used may end before its VM's callers have left

Cause: not the stop. All four lie 5.0 to 5.1 s after the clients of the run had opened their first connections, and a VM waits 5 s (site readHeaderTimeout) for the first request on a connection.

Change: the check leaves out connections that were unused for that long, and only them; a row has one that ended sooner. The line names the attempt, and calls that cross the end of their connection are written out.

--- a/testscripts/soak/attempt.go
+++ b/testscripts/soak/attempt.go
@@ -37,9 +37,8 @@
 	// is set if that answer ended the connection.
 	behind     string
 	afterClose bool
-	// endArrivedAt is when the end of its connection arrived, if that was before the client began
-	// to send.
-	endArrivedAt time.Time
+	// before is the state of its connection before the client began to send.
+	before idleConn
 	// begunAt is when a kept connection began to send the request, sentAt when it had sent it.
 	begunAt time.Time
 	// deadlineAt is when the caller stops waiting; zero if the request states no deadline.
@@ -62,6 +61,23 @@
 	versions []string
 }
 
+// idleConn is what a client knows of a connection on which it waits for no answer.
+type idleConn struct {
+	// endArrivedAt is when the end of the connection arrived; zero if it has not.
+	endArrivedAt time.Time
+	// unusedSince is when the connection was opened, if no request was sent on it so far.
+	unusedSince time.Time
+}
+
+// endedEarly reports whether the connection has ended, and not because its first request had not
+// been sent in time.
+func (c idleConn) endedEarly() bool {
+	if c.endArrivedAt.IsZero() {
+		return false
+	}
+	return c.unusedSince.IsZero() || c.endArrivedAt.Sub(c.unusedSince) < firstRequestTimeout-lostSlack
+}
+
 func (a attempt) describe() string {
 	return fmt.Sprintf("%s %s (status %d, %d events, complete %v)", a.id, a.target, a.status, len(a.versions), a.complete)
 }
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -118,6 +118,9 @@
 			report.Seed, report.Attempts, report.Served, report.GoneOn, report.Resumed, report.Faults, len(report.Violations))
 		if run.Stops {
 			fmt.Printf("  calls to stopping VMs: %+v\n", report.Stopping)
+			for _, line := range report.Unread {
+				fmt.Printf("  crossed the end of its connection: %s\n", line)
+			}
 		}
 		if len(report.MostMemory) > 0 {
 			fmt.Printf("  most memory in MB: %v\n", report.MostMemory)
--- a/testscripts/soak/soak.go
+++ b/testscripts/soak/soak.go
@@ -33,6 +33,8 @@
 	Resumed, GoneOn int
 	// Stopping counts the calls to stopping VMs.
 	Stopping stopCounts
+	// Unread describes those that crossed the end of their connection.
+	Unread []string
 	// MostMemory is the most memory of each VM in MB in scenarios that watch it.
 	MostMemory []int
 }
@@ -71,6 +73,7 @@
 	report.GoneOn = streams.resumedOn
 	report.MostMemory = tb.mostMemory
 	report.Stopping = tb.ledger.countStopCalls()
+	report.Unread = tb.ledger.describeUnreadCalls()
 	if o.Plot != "" {
 		title := fmt.Sprintf("soak, seed %d", o.Seed)
 		if err := tb.ledger.writePlot(o.Plot, title, tb.start); err != nil {
--- a/testscripts/soak/stops.go
+++ b/testscripts/soak/stops.go
@@ -24,6 +24,8 @@
 	keptConnsPerVM = 24
 	// lostSlack is how long after its last byte a request may cross the end of a connection.
 	lostSlack = 200 * time.Millisecond
+	// firstRequestTimeout is how long VMs wait on a new connection for the head of the first request.
+	firstRequestTimeout = 5 * time.Second
 	// lateRequest is how long after SIGTERM a request counts as one that the VM could refuse.
 	lateRequest = 3 * time.Second
 )
@@ -72,10 +74,14 @@
 		}
 		unblock := context.AfterFunc(ctx, func() { _ = conn.Close() })
 		reader := bufio.NewReader(conn)
+		before := idleConn{
+			unusedSince: time.Now(),
+		}
 		for open := true; open && ctx.Err() == nil; {
 			// Some connections are idle from before a stop until after it.
-			endArrivedAt := idle(ctx, conn, reader, time.Duration(rand.ExpFloat64()*float64(time.Second)))
-			open = tb.callOnce(ctx, conn, reader, v, lastID, endArrivedAt)
+			before.endArrivedAt = idle(ctx, conn, reader, time.Duration(rand.ExpFloat64()*float64(time.Second)))
+			open = tb.callOnce(ctx, conn, reader, v, lastID, before)
+			before = idleConn{}
 		}
 		unblock()
 		_ = conn.Close()
@@ -97,7 +103,7 @@
 
 // callOnce sends a call, or two ahead of the first answer, records the outcomes, and reports
 // whether the connection stays open.
-func (tb *testbed) callOnce(ctx context.Context, conn net.Conn, reader *bufio.Reader, v *vm, lastID *atomic.Int64, endArrivedAt time.Time) bool {
+func (tb *testbed) callOnce(ctx context.Context, conn net.Conn, reader *bufio.Reader, v *vm, lastID *atomic.Int64, before idleConn) bool {
 	first := tb.randomCall()
 	calls := []keptCall{first}
 	if first.ahead {
@@ -107,7 +113,7 @@
 	var err error
 	for _, k := range calls {
 		a := tb.newKeptAttempt(v, k, lastID)
-		a.endArrivedAt = endArrivedAt
+		a.before = before
 		if err == nil {
 			err = a.write(ctx, conn, k)
 		}
@@ -271,9 +277,11 @@
 // idle connection ends while callers may still use it.
 func (l *ledger) checkStopAnswers() (out []string) {
 	for _, a := range l.attempts {
-		for _, down := range l.vmDown[a.vm] {
-			if down.contains(a.endArrivedAt) && a.endArrivedAt.Sub(down.from) < lateRequest {
-				out = append(out, fmt.Sprintf("an idle connection of %s ended %v after its SIGTERM", a.vm, a.endArrivedAt.Sub(down.from)))
+		if at := a.before.endArrivedAt; a.before.endedEarly() {
+			for _, down := range l.vmDown[a.vm] {
+				if down.contains(at) && at.Sub(down.from) < lateRequest {
+					out = append(out, fmt.Sprintf("the idle connection of %s to %s ended %v after its SIGTERM", a.describe(), a.vm, at.Sub(down.from)))
+				}
 			}
 		}
 		if !a.kept || !a.connectionLost || l.isCutExcused(a) {
@@ -330,9 +338,8 @@
 		n.peakMB = max(n.peakMB, mb)
 	}
 	for _, a := range l.attempts {
-		stopping := slices.ContainsFunc(l.vmDown[a.vm], func(s interval) bool { return s.contains(a.sentAt) })
 		switch {
-		case !a.kept || !stopping:
+		case !l.sentToStopping(a):
 		case a.complete:
 			n.served++
 		case a.reportedNotRun():
@@ -342,13 +349,37 @@
 		case !a.connectionLost:
 		case a.status > 0 || l.hasRun(a.id):
 			n.cut++
-		case !a.endArrivedAt.IsZero():
+		case !a.before.endArrivedAt.IsZero():
 			n.afterEnd++
 		case a.afterClose:
 			n.behindClose++
-		default:
-			n.unread++
 		}
 	}
+	n.unread = len(l.unreadCalls())
 	return n
 }
+
+func (l *ledger) sentToStopping(a attempt) bool {
+	return a.kept && slices.ContainsFunc(l.vmDown[a.vm], func(s interval) bool { return s.contains(a.sentAt) })
+}
+
+// unreadCalls returns the calls to stopping VMs that crossed the end of their connection.
+func (l *ledger) unreadCalls() (out []attempt) {
+	for _, a := range l.attempts {
+		gotNothing := a.connectionLost && a.status == 0 && !l.hasRun(a.id)
+		if gotNothing && l.sentToStopping(a) && a.before.endArrivedAt.IsZero() && !a.afterClose {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// describeUnreadCalls tells when each of unreadCalls was sent and its connection ended.
+func (l *ledger) describeUnreadCalls() (lines []string) {
+	for _, a := range l.unreadCalls() {
+		stoppedAt := l.stoppedAt(a)
+		lines = append(lines, fmt.Sprintf("%s to %s, sent %v to %v after SIGTERM, ended %v after; behind %s",
+			a.describe(), a.vm, a.begunAt.Sub(stoppedAt), a.sentAt.Sub(stoppedAt), a.endedAt.Sub(stoppedAt), a.behind))
+	}
+	return lines
+}
