Connections: a request that the server has read in part is read to its end

What callers saw: at the end of a stop, a request sent ahead of another answer, whose head the server had read with the request before and whose body was still on the way, failed as if its caller had sent half a body. Found by asking which requests on connections that end a VM could have read.

Cause: the end of idle connections lets their reads fail at once, and the deadline was taken back only by a read that found bytes. A connection counts as idle until the server has parsed a head that it holds already, and deadlines that the server sets meanwhile are ignored.

Change: the deadline is taken back when the server turns to a request.

--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -139,6 +139,10 @@
 func (c *stoppableConn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.idle && !idle && c.ending && !c.aborted {
+		// The server has the beginning of a request; endOnceIdle has let reads fail.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
 	c.idle = idle
 }
 
--- a/common/listen/stopping_test.go
+++ b/common/listen/stopping_test.go
@@ -132,3 +132,54 @@
 		assert.NilError(t, unused.Close())
 	}
 }
+
+// TestRequestSentAheadIsRead guards against a read that fails in the middle of a request, as
+// idle connections end while the server turns to a request that it has read in part.
+func TestRequestSentAheadIsRead(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ln := NewStoppableListener(inner)
+	server := &http.Server{
+		ReadHeaderTimeout: time.Minute,
+		IdleTimeout:       time.Minute,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, readErr := io.ReadAll(r.Body)
+			if readErr != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			_, _ = w.Write(body)
+		}),
+		ConnState: func(conn net.Conn, state http.ConnState) {
+			ln.OnState(conn, state)
+			if state == http.StateIdle {
+				ln.EndIdle()
+			}
+		},
+	}
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	const head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n\r\n"
+	_, err = io.WriteString(conn, head+"complete"+head+"half")
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	for i, want := range []string{"complete", "halfhalf"} {
+		resp, readErr := http.ReadResponse(reader, nil)
+		assert.NilError(t, readErr)
+		if i == 0 {
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(conn, "half")
+			assert.NilError(t, err)
+		}
+		body, readErr := io.ReadAll(resp.Body)
+		assert.NilError(t, readErr)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, string(body), want)
+	}
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
