--- a/common/listen/stoppable_conn.go
+++ b/common/listen/stoppable_conn.go
@@ -65,6 +65,17 @@
 	return len(l.conns)
 }
 
+// ActiveConns returns the number of open connections with a request that has not been answered.
+func (l *StoppableListener) ActiveConns() int {
+	active := 0
+	for _, c := range l.openConns(func() {}) {
+		if c.isActive() {
+			active++
+		}
+	}
+	return active
+}
+
 // Undelivered returns the number of connections that were closed before the client had
 // acknowledged everything sent to it.
 func (l *StoppableListener) Undelivered() int {
@@ -73,13 +84,29 @@
 	return l.undelivered
 }
 
-func (l *StoppableListener) forget(c *stoppableConn, undelivered bool) {
+// Unread returns the number of connections that were closed with bytes of the client which the
+// server had not read: requests that crossed the end, or the rest of a body that was refused.
+func (l *StoppableListener) Unread() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unread
+}
+
+// connLoss is what is lost as a connection is closed.
+type connLoss struct {
+	undelivered, unread bool
+}
+
+func (l *StoppableListener) forget(c *stoppableConn, loss connLoss) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.conns, c)
-	if undelivered {
+	if loss.undelivered {
 		l.undelivered++
 	}
+	if loss.unread {
+		l.unread++
+	}
 }
 
 // EndIdle ends connections that are idle now or later. A request that has arrived is still
@@ -112,9 +139,19 @@
 func (c *stoppableConn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.idle && !idle && c.ending && !c.aborted {
+		// The server has the beginning of a request; endOnceIdle has let reads fail.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
 	c.idle = idle
 }
 
+func (c *stoppableConn) isActive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.idle && !c.closed
+}
+
 func (c *stoppableConn) endOnceIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -214,7 +251,9 @@
 	if socket, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
 		_ = socket.SetLinger(0)
 	}
-	c.listener.forget(c, false)
+	c.listener.forget(c, connLoss{
+		unread: tcp.Unread(c.Conn) > 0,
+	})
 	return c.Conn.Close()
 }
 
@@ -241,6 +280,9 @@
 		return nil
 	}
 	defer closed()
-	c.listener.forget(c, !isDelivered)
+	c.listener.forget(c, connLoss{
+		undelivered: !isDelivered,
+		unread:      tcp.Unread(c.Conn) > 0,
+	})
 	return c.Conn.Close()
 }
