Stand-in caller: a call without 100 Continue names how far it got

Results have the times of the connection and of 100 Continue, and the streams command prints the longest of each.

--- a/standin/caller/attempt.go
+++ b/standin/caller/attempt.go
@@ -11,7 +11,6 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/result"
@@ -44,10 +43,8 @@
 	defer cancel()
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	sent := newSendTrace()
+	ctx = httptrace.WithClientTrace(ctx, sent.clientTrace())
 	a := attemptResult{
 		Result: Result{
 			VM:     vm.VM,
@@ -64,11 +61,12 @@
 	}
 	continueTimer := time.AfterFunc(continueTimeout, func() {
 		if len(q.body) > 0 && sending.revoke() {
-			giveUp(fmt.Errorf("%w, connected: %t", errRevoked, connected.Load()))
+			giveUp(fmt.Errorf("%w, %s", errRevoked, sent))
 		}
 	})
 	response, err := c.client.Do(r)
 	continueTimer.Stop()
+	a.ConnectedAt, a.ContinuedAt = sent.times()
 	if err != nil {
 		a.Result = a.withError(err, mayHaveRun(err, q, sending))
 		return a
--- a/standin/caller/result.go
+++ b/standin/caller/result.go
@@ -24,8 +24,12 @@
 	StartedAt time.Time `json:"started_at"`
 	FirstAt   time.Time `json:"first_at,omitzero"`
 	DoneAt    time.Time `json:"done_at"`
-	VM        string    `json:"vm"`
-	RequestID string    `json:"request_id"`
+	// ConnectedAt is when the last attempt had a connection, and ContinuedAt when the VM asked
+	// for its body.
+	ConnectedAt time.Time `json:"connected_at,omitzero"`
+	ContinuedAt time.Time `json:"continued_at,omitzero"`
+	VM          string    `json:"vm"`
+	RequestID   string    `json:"request_id"`
 	// Attempts counts the attempts, including those that failed to get entries.
 	Attempts int `json:"tries"`
 	// Ticket is the ticket that the call was sent with.
--- a/testscripts/scenario/streams.go
+++ b/testscripts/scenario/streams.go
@@ -31,6 +31,10 @@
 	lines []string
 	// codes counts errors by result code.
 	codes map[result.Code]int
+	// connected and continued are the longest times until a stream had a connection, and until
+	// the VM asked for its body.
+	connected time.Duration
+	continued time.Duration
 }
 
 // streams WORKSPACES N [tokens=N] [vm=LIST] [stream=false] [bare=ENDPOINT]
@@ -61,6 +65,7 @@
 		ts.Logf("%s", line)
 	}
 	ts.Logf("explicit errors by code: %v", c.codes)
+	ts.Logf("longest until connected: %s, until 100 Continue: %s", c.connected, c.continued)
 	printf(ts, "whole=%d errors=%d silent=%d wrong=%d sum=%d\n", c.whole, c.errors, c.silent, c.wrong, c.whole+c.errors+c.silent+c.wrong)
 }
 
@@ -94,6 +99,8 @@
 func (c *streamResults) record(r caller.Result, own, want string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.connected = max(c.connected, r.ConnectedAt.Sub(r.StartedAt))
+	c.continued = max(c.continued, r.ContinuedAt.Sub(r.StartedAt))
 	switch {
 	case r.Class == result.ClassDone && r.Text == want:
 		c.whole++
