Stand-in caller: time in which the caller doesn't run isn't the VM's

The 5 s were a timer of the wall clock: a caller whose process gets no processor time reads no response, and as it runs again the timer comes first.

The wait is counted in ten steps, each no longer than it should be, and a call isn't given up while its connection has unread bytes. A VM that doesn't ask for the body has 5 s as before, from the same moment. The transport's own timeout, after which it would send the body unasked, is far beyond that now, as it counts the wall clock.

--- a/standin/caller/attempt.go
+++ b/standin/caller/attempt.go
@@ -59,13 +59,13 @@
 		a.Result = a.withError(err, false)
 		return a
 	}
-	continueTimer := time.AfterFunc(continueTimeout, func() {
+	wait := startContinueWait(sent.hasResponse, func() {
 		if len(q.body) > 0 && sending.revoke() {
 			giveUp(fmt.Errorf("%w, %s", errRevoked, sent))
 		}
 	})
 	response, err := c.client.Do(r)
-	continueTimer.Stop()
+	wait.stop()
 	a.ConnectedAt, a.ContinuedAt = sent.times()
 	if err != nil {
 		a.Result = a.withError(err, mayHaveRun(err, q, sending))
--- a/standin/caller/send_trace.go
+++ b/standin/caller/send_trace.go
@@ -58,6 +58,13 @@
 	return t.connectedAt, t.continuedAt
 }
 
+// hasResponse reports whether the VM asked for the body, or the connection has unread bytes.
+func (t *sendTrace) hasResponse() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.continuedAt.IsZero() || tcp.IsReadable(t.conn)
+}
+
 // String describes the progress. Bytes that the VM's kernel has not acknowledged tell a kernel
 // that drops packets from a process that does not read them.
 func (t *sendTrace) String() string {
