Admission: refusals of late calls name how long the call has waited

The message has the time that is left or has passed, and the time since the call was queued. The load command of the scripts prints the codes of all calls that aren't done, where it showed the first 20 calls alone.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -316,5 +317,25 @@
 }
 
 func newRefusal(a Action) *result.Refusal {
-	return result.Refuse(a.Code, "%s", refusalTexts[a.Code]).WithRetryAt(a.RetryAt)
+	text := refusalTexts[a.Code]
+	if a.Late != nil {
+		text += ", " + a.Late.String()
+	}
+	return result.Refuse(a.Code, "%s", text).WithRetryAt(a.RetryAt)
+}
+
+// String tells a call that was late when it was queued from one that has waited for a slot.
+func (l *Lateness) String() string {
+	if !l.QueuedAt.Before(l.DueAt) {
+		return fmt.Sprintf("%s before the call was queued", milliseconds(l.QueuedAt.Sub(l.DueAt)))
+	}
+	waited := milliseconds(l.RefusedAt.Sub(l.QueuedAt))
+	if !l.RefusedAt.Before(l.DueAt) {
+		return fmt.Sprintf("%s ago, %s after the call was queued", milliseconds(l.RefusedAt.Sub(l.DueAt)), waited)
+	}
+	return fmt.Sprintf("%s are left, %s after the call was queued", milliseconds(l.DueAt.Sub(l.RefusedAt)), waited)
+}
+
+func milliseconds(d time.Duration) time.Duration {
+	return d.Round(time.Millisecond)
 }
--- a/admission/state.go
+++ b/admission/state.go
@@ -48,6 +48,17 @@
 	// Code and RetryAt are set on ActionRefuse.
 	Code    result.Code
 	RetryAt time.Time
+	// Late is set if the call cannot meet its deadline.
+	Late *Lateness
+}
+
+// Lateness is how a call that cannot meet its deadline has spent its time.
+type Lateness struct {
+	QueuedAt  time.Time
+	RefusedAt time.Time
+	// DueAt is the deadline of the first token, or of the whole answer if that is earlier or the
+	// only one.
+	DueAt time.Time
 }
 
 const (
@@ -187,6 +198,19 @@
 		code = result.DeadlinePassed
 	}
 	s.refuse(e.id, code, s.retryTime(e, supply, now))
+	s.actions[len(s.actions)-1].Late = &Lateness{
+		QueuedAt:  e.arrivedAt,
+		RefusedAt: now,
+		DueAt:     e.request.dueAt(),
+	}
+}
+
+// dueAt returns the earlier of the call's deadlines.
+func (r Request) dueAt() time.Time {
+	if r.FirstTokenDeadline.IsZero() || !r.Deadline.IsZero() && r.Deadline.Before(r.FirstTokenDeadline) {
+		return r.Deadline
+	}
+	return r.FirstTokenDeadline
 }
 
 // retryTime returns when a call with as much time as e had on arrival could be
--- a/testscripts/scenario/load.go
+++ b/testscripts/scenario/load.go
@@ -25,6 +25,8 @@
 	counts  loadCounts
 	results []bookedCall
 	wrong   []string
+	// codes counts the calls that are not done by result code.
+	codes map[result.Code]int
 }
 
 // loadCounts counts the calls of a load by outcome.
@@ -56,6 +58,7 @@
 		kind:       args[1],
 		tokens:     number(ts, args, "tokens", "8"),
 		cancel:     cancel,
+		codes:      make(map[result.Code]int),
 	}
 	w.loads[args[0]] = l
 	ts.Defer(cancel)
@@ -120,6 +123,7 @@
 		l.counts.Retried++
 	}
 	if r.Class != result.ClassDone {
+		l.codes[r.Code]++
 		l.wrong = append(l.wrong, fmt.Sprintf("%s: %d %s %s (tries %d, vm %s)", mark, r.Code, r.Class, r.Message, r.Attempts, r.VM))
 	}
 	if l.kind == "book" {
@@ -146,6 +150,7 @@
 	for _, line := range l.wrong[:min(len(l.wrong), 20)] {
 		ts.Logf("%s", line)
 	}
+	ts.Logf("calls not done by code: %v", l.codes)
 	if l.kind == "book" {
 		l.checkRuns(ts)
 	}
