Endpoint: a slow dial leaves time for another endpoint

Chats ended 2023, never sent and without a time to come back, though other endpoints of their region had free slots. The connection to one endpoint may take 2 s, as long as the example contracts give a chat to its first token; then the endpoint counts as not reached, and the second try is late before it is queued.

A dial of a call under a contract has half of the time that is left until the first token is due, so that others can be tried within it. Where the first token is due with the whole answer, 2 s bind as before. Routed calls are unchanged.

The tests of endpoint and serving pass with -race. How often engines that are slow to accept are given up now was not measured.

--- a/endpoint/connection.go
+++ b/endpoint/connection.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fuchsianotch/fuchsianotch/common/clock"
 	"github.com/fuchsianotch/fuchsianotch/common/tcp"
 )
 
@@ -57,6 +58,11 @@
 		dial = tcp.Dialer(dialTimeout).DialContext
 	}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if by, ok := dialDeadline(ctx); ok {
+			bounded, cancel := clock.WithDeadline(ctx, now(), by)
+			defer cancel()
+			ctx = bounded
+		}
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -72,7 +72,7 @@
 func (x *exchange) roundTrip() (*http.Response, *result.Refusal) {
 	transport := x.transport()
 	for tries := 1; ; tries++ {
-		req, refusal := x.client.newRequest(x.conn.withTrace(x.ctx), x.attempt)
+		req, refusal := x.client.newRequest(x.withDialDeadline(x.conn.withTrace(x.ctx)), x.attempt)
 		if refusal != nil {
 			return nil, refusal
 		}
