--- a/standin/caller/paused_test.go
+++ b/standin/caller/paused_test.go
@@ -76,8 +76,13 @@
 	out, err := cmd.StdoutPipe()
 	assert.NilError(t, err)
 	assert.NilError(t, cmd.Start())
+	timeout := time.After(continueTimeout)
 	for range pausedCalls {
-		<-heads
+		select {
+		case <-heads:
+		case <-timeout:
+			t.Fatal("the caller sent too few calls")
+		}
 	}
 	assert.NilError(t, cmd.Process.Signal(syscall.SIGSTOP))
 	close(answer)
