Soak: odd entries among those of the engines, before real VMs

Only tests of the decoder and of one VM's view held that; with real processes, the random faults wrote four of their seven kinds alone, as the number that chooses the kind is below four. So entries with a port out of range, with the largest numbers and with deep nesting were never put.

Random faults choose among all seven kinds.

--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -73,6 +73,11 @@
 	if err != nil {
 		return 0, err
 	}
+	return s.PutBytes(key, data), nil
+}
+
+// PutBytes writes a value of any bytes and returns its revision.
+func (s *Store) PutBytes(key string, value []byte) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	created := s.revision + 1
@@ -81,9 +86,9 @@
 	}
 	return s.write(Item{
 		Key:     key,
-		Value:   base64.StdEncoding.EncodeToString(data),
+		Value:   base64.StdEncoding.EncodeToString(value),
 		Created: created,
-	}), nil
+	})
 }
 
 // Remove deletes a key if it exists, and returns the store's revision.
--- a/testscripts/soak/crash_together.go
+++ b/testscripts/soak/crash_together.go
@@ -57,18 +57,9 @@
 // checkExplanations asks all VMs where a request would go, while the engines that returned are
 // cold: it must not go there, and the VMs of their region must name the reason.
 func (tb *testbed) checkExplanations(ctx context.Context, cold []*trackedReplica) (out []Violation) {
-	client := console.New(console.Options{
-		HTTP: &http.Client{
-			Timeout: explanationTimeout,
-		},
-	})
+	client := newConsole()
 	for _, v := range tb.vms {
-		explained, err := client.Route(ctx, net.JoinHostPort(v.ip, strconv.Itoa(metricsPort)), operator.RouteQuery{
-			Host:         "soak.example",
-			Path:         "/stream/once/x",
-			Workspace:    workspaceUnlimited,
-			PromptTokens: 1000,
-		})
+		explained, err := explainEngineRoute(ctx, client, v)
 		var detail string
 		if err != nil {
 			detail = err.Error()
@@ -85,6 +76,24 @@
 	return out
 }
 
+func newConsole() *console.Client {
+	return console.New(console.Options{
+		HTTP: &http.Client{
+			Timeout: explanationTimeout,
+		},
+	})
+}
+
+// explainEngineRoute asks a VM where a request for the engines would go.
+func explainEngineRoute(ctx context.Context, client *console.Client, v *vm) (*console.Route, error) {
+	return client.Route(ctx, net.JoinHostPort(v.ip, strconv.Itoa(metricsPort)), operator.RouteQuery{
+		Host:         "soak.example",
+		Path:         "/stream/once/x",
+		Workspace:    workspaceUnlimited,
+		PromptTokens: 1000,
+	})
+}
+
 // explanationFault returns what is wrong with the explanation of a VM while engines are cold.
 func explanationFault(explained *console.Route, region string, cold []*trackedReplica) string {
 	if d := explained.Decision; d.Code != 0 || d.Region == region && d.Endpoint == "" {
--- a/testscripts/soak/faults.go
+++ b/testscripts/soak/faults.go
@@ -247,7 +247,7 @@
 // writeForeignEntry writes an unusable entry under a new key, or over an engine's entry,
 // which the engine rewrites later.
 func (tb *testbed) writeForeignEntry(ctx context.Context, d faultParams) error {
-	entry := foreignEntries[d.variant%len(foreignEntries)]
+	entry := foreignEntries[d.replica/2%len(foreignEntries)]
 	if d.replica%2 == 0 {
 		_, err := tb.store.Put(fmt.Sprintf("servers/x-%d", d.replica), entry)
 		return err
--- a/testscripts/soak/main.go
+++ b/testscripts/soak/main.go
@@ -36,6 +36,7 @@
 	retries := app.Flag("retries", "Have all replicas fail in two bursts with all VMs killed between, before the random faults.").Bool()
 	streams := app.Flag("streams", "Have engines of several versions and VMs end while streams are under way, before the random faults.").Bool()
 	versionJoins := app.Flag("version-joins", "Have engines of a later version join while half of the VMs stand still and streams break off, instead of random faults.").Bool()
+	oddEntries := app.Flag("odd-entries", "Write odd entries among those of the engines, instead of random faults.").Bool()
 	crashTogether := app.Flag("crash-together", "Have a quarter of the engines crash and return cold at once, before the random faults.").Bool()
 	stops := app.Flag("stops", "Stop VMs in series that overlap, under clients that use connections until they end, instead of random faults.").Bool()
 	overlapping := app.Flag("overlapping-stops", "As --stops, with calls that are sent to other regions and last as long as a stop.").Bool()
@@ -73,6 +74,7 @@
 		StoreRestores:    *restores,
 		StreamVersions:   *streams,
 		VersionJoins:     *versionJoins,
+		OddEntries:       *oddEntries,
 		RetryBursts:      *retries,
 		LateRefusals:     *lateRefusals,
 		CrashTogether:    *crashTogether,
@@ -207,6 +209,8 @@
 		selected = runRetryBursts
 	case o.VersionJoins:
 		selected = runVersionJoins
+	case o.OddEntries:
+		selected = runOddEntries
 	case o.StreamVersions:
 		selected = runStreamVersions
 	case o.EndlessAnswers != "":
--- a/testscripts/soak/soak_test.go
+++ b/testscripts/soak/soak_test.go
@@ -216,6 +216,19 @@
 	})
 }
 
+// TestOddEntries guards against VMs that end at an odd entry among those of the engines, or no
+// longer follow the others.
+func TestOddEntries(t *testing.T) {
+	t.Parallel()
+	runScenario(t, runOddEntries, Options{
+		Seed:    13,
+		Regions: 1,
+		VMs:     3,
+		Engines: 3,
+		Clients: 6,
+	})
+}
+
 // TestCrashTogether guards against calls that reach engines which return cold all at once, and
 // against callers who are refused though other engines have room.
 func TestCrashTogether(t *testing.T) {
--- a/testscripts/soak/testbed.go
+++ b/testscripts/soak/testbed.go
@@ -85,6 +85,8 @@
 	CrashTogether bool
 	// VersionJoins has engines of a later version join while VMs stand still.
 	VersionJoins bool
+	// OddEntries has odd entries written among those of the engines.
+	OddEntries bool
 	// StreamVersions has engines and VMs end while streams are under way, before the random
 	// faults.
 	StreamVersions bool
