Peers: a stream goes on past an answer that doesn't continue it

Callers of a resumable stream got a broken answer, logged as 3002 "the caller went away", when the endpoint that was to resume it on another VM answered with something else (a failure, or a body with a length), although a third VM could have gone on and the caller was still there.

Cause: since every error of the sink of a forwarded call ends the call as that of a caller that has left.

Such a head ends with peer_lost again, so that the call goes on elsewhere within its attempts; every other error of the sink is still a caller that has left.

The tests of call, peer, serving and endpoint pass.

--- a/call/answer.go
+++ b/call/answer.go
@@ -11,8 +11,12 @@
 // ErrStopping is the cause with which a VM that stops ends the contexts of its calls.
 var ErrStopping = errors.New("the VM is stopping")
 
+// ErrNotContinuation is the error of a Sink for a response that cannot continue what the caller
+// received.
+var ErrNotContinuation = errors.New("the answer does not continue the stream")
+
 // Sink receives a response: the head, then chunks. An error from either means that
-// the caller has disconnected.
+// the caller has disconnected, unless it is ErrNotContinuation.
 type Sink struct {
 	// Version receives the software version of the endpoint whose response follows, before
 	// the head; nil means that it is not needed.
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -86,12 +86,20 @@
 		}
 		headReceived = headReceived || reply.GetHead() != nil
 		if err := writeReply(reply, sink); err != nil {
-			// Not PeerLost: the call must not go on elsewhere, and the VM is sound.
-			return call.Refused(result.Refuse(result.EndpointTimeout, "the caller went away").WithCause(err))
+			return call.Refused(sinkFailure(vm, err))
 		}
 	}
 }
 
+// sinkFailure returns the outcome of a call whose response was not taken. That of a caller that has
+// left isn't PeerLost, as the call must not go on elsewhere; another VM may continue a stream.
+func sinkFailure(vm fleet.VM, err error) *result.Refusal {
+	if errors.Is(err, call.ErrNotContinuation) {
+		return result.Refuse(result.PeerLost, "VM %s did not continue the stream", vm.ID).WithCause(err)
+	}
+	return result.Refuse(result.EndpointTimeout, "the caller went away").WithCause(err)
+}
+
 func writeReply(reply *peerpb.ForwardReply, sink call.Sink) error {
 	if head := reply.GetHead(); head != nil {
 		if head.SoftwareVersion != nil && sink.Version != nil {
--- a/serving/answer_tracker.go
+++ b/serving/answer_tracker.go
@@ -1,7 +1,6 @@
 package serving
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
@@ -73,13 +72,10 @@
 	t.lastChunkAt = now
 }
 
-// errNotContinuation reports a response that cannot continue what the caller received.
-var errNotContinuation = errors.New("the answer does not continue the stream")
-
 // checkContinuation rejects any response after the first that is not a continued stream.
 func (t *answerTracker) checkContinuation(status int, header http.Header) error {
 	if status != http.StatusOK || header.Get("Content-Length") != "" {
-		return errNotContinuation
+		return call.ErrNotContinuation
 	}
 	return nil
 }
--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -141,6 +141,8 @@
 	vms                    map[string]*loggedVM
 	runs                   atomic.Int64
 	storeURL, endpointAddr string
+	// refuseResume lets the endpoint answer the next request to resume a stream with a failure.
+	refuseResume atomic.Bool
 }
 
 type loggedVM struct {
@@ -302,6 +304,10 @@
 		return
 	}
 	f.runs.Add(1)
+	if r.Header.Get("Last-Event-Id") != "" && f.refuseResume.CompareAndSwap(true, false) {
+		http.Error(w, "unknown event", http.StatusBadRequest)
+		return
+	}
 	events := ms / int(eventInterval.Milliseconds())
 	isStream := strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resumable/")
 	if isStream {
