Serving: tests of a sender's grant that the receiver has used

A grant that is given back although the receiver has sent the call lets the fleet make more retries than its budget. The two conditions that prevent it, that the call was not sent and that its outcome says so, had no test: with either removed from forwardToRegion all tests of serving passed.

Two rows of TestSenderGrantsRetry fail without them: a call that an endpoint of the second VM has refused, and one that was lost with that VM.

--- a/serving/granted_retry_test.go
+++ b/serving/granted_retry_test.go
@@ -23,11 +23,15 @@
 		stopped bool
 		left    bool
 		sent    bool
+		// code is that of the second VM; zero means done if the call was sent and stopping otherwise.
+		code result.Code
 		// want says that the second VM need not grant the retry, kept that the sender's is used.
 		want, kept bool
 	}{
 		{name: "cut off by a stop", stopped: true, left: true, sent: true, want: true, kept: true},
 		{name: "refused by the next VM", stopped: true, left: true, want: true},
+		{name: "sent there and refused by an endpoint", stopped: true, left: true, sent: true, code: result.EndpointRefused, want: true, kept: true},
+		{name: "lost with the next VM, which may have sent it", stopped: true, left: true, code: result.PeerLost, want: true, kept: true},
 		{name: "nothing left", stopped: true, sent: true},
 		{name: "lost with its VM", left: true, sent: true},
 	} {
@@ -60,6 +64,11 @@
 						return o
 					}
 					assert.Equal(t, c.Routed.RetryGranted, row.want)
+					if row.code != 0 {
+						o := call.Refused(result.Refuse(row.code, "at the second VM"))
+						o.Sent = row.sent
+						return o
+					}
 					if !row.sent {
 						return call.Refused(result.Refuse(result.Stopping, "stopping"))
 					}
