Serving: a test of which calls count as cut off by a stop

A call whose next VM was up and refused it, or was lost, would wait up to 4 s for a VM that restarts and take a retry from the sender's budget.

--- a/serving/granted_retry_test.go
+++ b/serving/granted_retry_test.go
@@ -101,3 +101,57 @@
 	out := s.Serve(t.Context(), c, Placement{Kind: PlaceHere}, call.Sink{})
 	assert.Equal(t, out.Code, result.NoEndpoint)
 }
+
+// TestCutOffEndsWithOtherFailure guards against a call that waits for a VM that restarts although
+// one that was up has refused it, or was lost without a stop.
+func TestCutOffEndsWithOtherFailure(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		stopped bool
+		second  result.Code
+		want    bool
+	}{
+		{name: "the next VM is stopping", stopped: true, second: result.Stopping, want: true},
+		{name: "the next VM is gone", stopped: true, second: result.PeerUnreachable, want: true},
+		{name: "the next VM has no room", stopped: true, second: result.QueueFull},
+		{name: "an endpoint of the next VM refuses", stopped: true, second: result.EndpointRefused},
+		{name: "the next VM is lost", stopped: true, second: result.PeerLost},
+		{name: "the first VM was lost", second: result.Stopping},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			places, cutOff := 0, false
+			s := New(Options{
+				Now: time.Now,
+				VM:  "a",
+				Budget: Budget{
+					Allow: func(string) bool { return false },
+				},
+				PlaceRouted: func(_ context.Context, c *call.Call, tried []fleet.VM) (fleet.VM, bool, *result.Refusal) {
+					if len(tried) == 2 {
+						cutOff = c.Routed.CutOff
+						return fleet.VM{}, false, result.Refuse(result.NoEndpoint, "none")
+					}
+					return fleet.VM{ID: "b", Incarnation: uint64(len(tried)), Region: "r"}, true, nil
+				},
+				Forward: func(context.Context, fleet.VM, *call.Call, call.Sink) call.Outcome {
+					places++
+					if places == 1 {
+						o := call.Refused(result.Refuse(result.PeerLost, "stopped"))
+						o.VMStopped = row.stopped
+						return o
+					}
+					return call.Refused(result.Refuse(row.second, "at the second VM"))
+				},
+				Timeline: timeline.New(timeline.Options{Capacity: 16, Now: time.Now}),
+				Metrics:  metrics.New(),
+			})
+			c := routedTestCall(routedCase{Idempotent: true})
+			c.Routed.MaxAttempts = 4
+			out := s.Serve(t.Context(), c, Placement{Kind: PlaceHere}, call.Sink{})
+			assert.Equal(t, places, 2)
+			assert.Equal(t, cutOff, row.want)
+			// It may have run at the first VM.
+			assert.Equal(t, out.Code, result.PeerLost)
+		})
+	}
+}
