Site: test VMs have addresses that nothing else takes

Eight at a time with their output kept, TestForwardedCallOutlivesStop failed in most of them: "listen tcp 127.0.0.1:42791: bind: address already in use". A test VM listens at a port that had been free a moment before, and a connection of another test or process had taken it since. No VM did anything wrong; the rows with a restart made it more frequent, as they start more VMs.

The address has an IP of its own now, 127.x.y.1 by process and VM, from which nothing connects. No check has changed.

--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -266,10 +267,15 @@
 	f.vms[id] = vm
 }
 
-// freeAddr returns an address at which nothing listens.
+// freeAddrs counts the addresses that freeAddr has returned.
+var freeAddrs atomic.Uint32
+
+// freeAddr returns an address at which nothing listens. Its IP is used for nothing else, so that no
+// connection of another test or process takes the port meanwhile.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := fmt.Sprintf("127.%d.%d.1", 2+os.Getpid()%250, freeAddrs.Add(1)%256)
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	assert.NilError(t, err)
 	defer func() { _ = ln.Close() }()
 	return ln.Addr().String()
