review: no process outlives a script

Cause: a machine that was to start again could start after a script had ended its processes. Change: nothing starts once a script ends; two unused functions are gone.

--- a/review/_rig/roll.go
+++ b/review/_rig/roll.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -21,8 +22,6 @@
 	rollDeadline = 10 * time.Second
 	chatPrefix   = "/chat/"
 	graceTime    = 8 * time.Second
-	// stopSlack is how long after GraceS a loss still counts.
-	stopSlack = time.Second
 )
 
 // chatConfiguration has one route of streams that can't be resumed.
@@ -90,6 +89,9 @@
 		}
 	}
 	asked.Wait()
+	if t.runCount() < rollStreams {
+		return errors.New("streams have not begun")
+	}
 	return nil
 }
 
--- a/review/_rig/stale.go
+++ b/review/_rig/stale.go
@@ -7,16 +7,16 @@
 
 func init() { cases["stale"] = staleMachine }
 
-// Figures of staleMachine. staleFreeze is that of node_freeze in the site files, staleConfigMs the
+// Figures of staleMachine. staleFreeze is that of node_freeze in the site files, staleConfig the
 // ConfigMs of the settings.
 const (
 	staleFreeze   = 4 * time.Second
 	staleRequests = 400
 	// The machines of the first region stand still one after the other.
-	staleRounds    = 2
-	staleRest      = 3 * time.Second
-	staleConfigMs  = 3 * time.Second
-	staleContactMs = 5 * time.Second
+	staleRounds  = 2
+	staleRest    = 3 * time.Second
+	staleConfig  = 3 * time.Second
+	staleContact = 5 * time.Second
 	// staleMargin is how long after ConfigMs the requests are sent.
 	staleMargin = 300 * time.Millisecond
 )
@@ -25,7 +25,7 @@
 // once. Clients send such requests to it later than ConfigMs after the acknowledgement.
 func staleMachine(t *trial) error {
 	t.regions = []string{"east", "west"}
-	t.contact, t.config = staleContactMs, staleConfigMs
+	t.contact, t.config = staleContact, staleConfig
 	for n := range 4 {
 		o := replicaOptions{service: "lookup", pieces: 3, pause: workTime, errorOne: errorOne}
 		if _, err := t.addReplica(o, n%2); err != nil {
@@ -69,7 +69,7 @@
 		return err
 	}
 	t.note("the store has acknowledged version %d", version)
-	time.Sleep(time.Until(frozenAt.Add(staleConfigMs + staleMargin)))
+	time.Sleep(time.Until(frozenAt.Add(staleConfig + staleMargin)))
 	var sent []request
 	for n, c := range clients {
 		r := confirmation(version, version*staleRequests+n)
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -128,13 +128,6 @@
 	return nil
 }
 
-func (s *store) remove(key string) {
-	s.write(item{
-		Key:     key,
-		Removed: true,
-	})
-}
-
 func (s *store) write(i item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/_rig/trial.go
+++ b/review/_rig/trial.go
@@ -76,6 +76,8 @@
 	runs       []string
 	stopped    chan struct{}
 	closeOnce  sync.Once
+	// starting is held while a process is started, so that none starts once stopped is closed.
+	starting sync.Mutex
 }
 
 func newTrial(folder string, trouble bool) (*trial, error) {
@@ -128,6 +130,13 @@
 	}
 }
 
+// runCount returns the number of runs so far.
+func (t *trial) runCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.runs)
+}
+
 // violate notes that the rule was broken.
 func (t *trial) violate(format string, args ...any) {
 	t.mu.Lock()
@@ -192,7 +201,7 @@
 	if err != nil {
 		return err
 	}
-	if err := cmd.Start(); err != nil {
+	if err := t.launchReplica(m, cmd); err != nil {
 		return err
 	}
 	go func() {
@@ -201,14 +210,6 @@
 			t.writeLine(lines.Text())
 		}
 	}()
-	exited := make(chan struct{})
-	m.mu.Lock()
-	m.process, m.exited = cmd.Process, exited
-	m.mu.Unlock()
-	go func() {
-		_ = cmd.Wait()
-		close(exited)
-	}()
 	for end := time.Now().Add(startTimeout); ; time.Sleep(2 * time.Millisecond) {
 		born, err := askBorn(m.listen)
 		if err == nil {
@@ -223,6 +224,26 @@
 	}
 }
 
+func (t *trial) launchReplica(m *member, cmd *exec.Cmd) error {
+	t.starting.Lock()
+	defer t.starting.Unlock()
+	if t.hasStopped() {
+		return errStopped
+	}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	m.mu.Lock()
+	m.process, m.exited = cmd.Process, exited
+	m.mu.Unlock()
+	go func() {
+		_ = cmd.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
 func (t *trial) writeEntry(m *member) error {
 	m.mu.Lock()
 	m.seq++
@@ -252,6 +273,15 @@
 	}
 }
 
+func (t *trial) hasStopped() bool {
+	select {
+	case <-t.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
 // crash kills a replica's process.
 func (m *member) crash() {
 	m.mu.Lock()
@@ -355,7 +385,15 @@
 `, v.name, v.ip, zone, v.region, seeds, heartbeat.Milliseconds(), zones, v.ip, v.ip, v.ip, v.ip, v.memoryMB, t.contact.Milliseconds(), t.config.Milliseconds(), v.store.addr())
 }
 
+// errStopped means that the case has ended.
+var errStopped = errors.New("the case has ended")
+
 func (t *trial) startVM(v *vm) error {
+	t.starting.Lock()
+	defer t.starting.Unlock()
+	if t.hasStopped() {
+		return errStopped
+	}
 	log, err := os.OpenFile(filepath.Join(t.dir, v.name+".log"), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
@@ -395,16 +433,6 @@
 	_ = v.process.Signal(s)
 }
 
-// isRunning reports whether a machine's process has not ended.
-func (v *vm) isRunning() bool {
-	select {
-	case <-v.exited:
-		return false
-	default:
-		return true
-	}
-}
-
 // closeOnSignal ends all processes if the case is to stop early, or takes too long.
 func (t *trial) closeOnSignal() {
 	signals := make(chan os.Signal, 1)
@@ -423,6 +451,8 @@
 // close ends all processes. RIG_KEEP keeps their logs.
 func (t *trial) close() {
 	t.closeOnce.Do(func() {
+		t.starting.Lock()
+		defer t.starting.Unlock()
 		close(t.stopped)
 		for _, v := range t.vms {
 			if v.process != nil {
