--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 )
 
 // Exit codes of a case.
@@ -46,11 +47,13 @@
 	if len(t.violations) > 0 {
 		for _, v := range t.violations {
 			t.note("broken: %s", v)
-			fmt.Println("broken:", v)
 		}
+		t.close()
+		fmt.Println(strings.Join(t.violations, "\n"))
 		return exitBroken
 	}
 	t.note("held")
+	t.close()
 	fmt.Println("held")
 	return exitHeld
 }
--- a/review/_rig/trial.go
+++ b/review/_rig/trial.go
@@ -76,6 +76,7 @@
 	runs       []string
 	stopped    chan struct{}
 	closeOnce  sync.Once
+	launcher   *launcher
 	// starting is held while a process is started, so that none starts once stopped is closed.
 	starting sync.Mutex
 }
@@ -96,6 +97,8 @@
 		contact: 6 * time.Second,
 		config:  4 * time.Second,
 		stopped: make(chan struct{}),
+
+		launcher: newLauncher(),
 	}
 	if t.block, err = freeBlock(); err != nil {
 		return nil, err
@@ -230,7 +233,7 @@
 	if t.hasStopped() {
 		return errStopped
 	}
-	if err := cmd.Start(); err != nil {
+	if err := t.launcher.start(cmd); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
@@ -401,7 +404,7 @@
 	cmd := exec.Command(gatewayPath, strings.Fields(gatewayArgs)...)
 	cmd.Env = append(os.Environ(), "FUCHSIANOTCH_NODE_FILE="+v.settings)
 	cmd.Stdout, cmd.Stderr = log, log
-	if err := cmd.Start(); err != nil {
+	if err := t.launcher.start(cmd); err != nil {
 		return err
 	}
 	exited := make(chan struct{})
