--- a/review/_rig/stale.go
+++ b/review/_rig/stale.go
@@ -12,8 +12,8 @@
 const (
 	staleFreeze   = 4 * time.Second
 	staleRequests = 400
-	// The machines of the first region stand still one after the other.
-	staleRounds  = 2
+	// All machines stand still one after the other.
+	staleRounds  = 4
 	staleRest    = 3 * time.Second
 	staleConfig  = 3 * time.Second
 	staleContact = 5 * time.Second
