Logs: a call that is admitted again under a newer table

The lines of such a call at the VM that served it showed a service of the newer version beside the route, version and idempotence of the older one, and nothing said where each came from.

call_readmitted tells the versions, services and routes before and after, and whether the call might run again before and what kind its route has after; repeat_decided tells whether the call may run again. No behaviour changes.

--- a/serving/trace.go
+++ b/serving/trace.go
@@ -158,6 +158,7 @@
 func traceVerdict(c *call.Call, a retry.Attempt, verdict retry.Verdict) {
 	c.Log.Add("repeat_decided",
 		slog.String("verdict", string(verdict)),
+		slog.Bool("idempotent", a.Idempotent),
 		slog.Int("attempts", a.Attempts),
 		slog.Int("most", a.MaxAttempts),
 	)
--- a/site/forward.go
+++ b/site/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -104,6 +105,7 @@
 	if c.Kind != call.KindRouted || table == nil {
 		return call.Refused(n.notServed())
 	}
+	c.Log = n.newCallLog(c)
 	if table.Version > c.Routed.Version {
 		if refusal := n.readmit(c, table); refusal != nil {
 			return call.Refused(refusal)
@@ -183,6 +185,16 @@
 	if service == "" {
 		return result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM)
 	}
+	c.Log.Add("call_readmitted",
+		slog.Uint64("from_version", c.Routed.Version),
+		slog.Uint64("to_version", table.Version),
+		slog.String("from_service", c.Service),
+		slog.String("to_service", service),
+		slog.String("from_route", c.Routed.Route),
+		slog.String("to_route", terms.Route.Name),
+		slog.Bool("was_idempotent", c.Idempotent),
+		slog.String("to_kind", string(terms.Route.Kind)),
+	)
 	c.Service = service
 	c.Routed.Homes = terms.Homes
 	c.Routed.Rank = terms.Rank
--- a/site/place.go
+++ b/site/place.go
@@ -24,8 +24,9 @@
 
 // serve runs a call, received from a caller or from another VM.
 func (n *Node) serve(ctx context.Context, c *call.Call, sink call.Sink) call.Outcome {
-	c.Log = logs.NewRequestLog(n.log, c.ID, n.sampleLog())
-	c.Log.LimitRefusals(n.saturation.mayLogRefusal)
+	if c.Log == nil {
+		c.Log = n.newCallLog(c)
+	}
 	if !n.settings.Enabled(settings.RankOrder) {
 		c.Routed.Rank = 0
 	}
@@ -58,6 +59,13 @@
 	return out
 }
 
+// newCallLog returns the log of a call.
+func (n *Node) newCallLog(c *call.Call) *logs.RequestLog {
+	log := logs.NewRequestLog(n.log, c.ID, n.sampleLog())
+	log.LimitRefusals(n.saturation.mayLogRefusal)
+	return log
+}
+
 func lateGroup(c *call.Call) placement.CallGroup {
 	return placement.CallGroup{
 		Service:    c.Target(),
