Site: a call that is admitted again follows the newer version alone

A valid key got 401 where the sender's version had the route as public or asked for no keys.

Cause: a VM with a newer table than the sender of a call took service, homes, rank and workspace from its own table and kept kind, resumability, attempts, timeout, objective, pause and priority of the sender's. The trace (call_readmitted): from_version 4 to 5, service lookup to booking, was_idempotent true, to_kind non_idempotent, then repeat_decided retry.

What may run once under either version runs once; the limit of attempts isn't raised; a call that may have run before and may not run again by the newer version is refused (2039). The digest of a key goes along also where the sender's version needs none. Deadlines follow from the time of arrival, which goes along. A stream that has begun stays at its service.

--- a/call/routed.go
+++ b/call/routed.go
@@ -27,7 +27,8 @@
 	// Route is the route's name, Version the version of its route table.
 	Route   string
 	Version uint64
-	// Key is the digest of the caller's API key; zero if the route requires none.
+	// Key is the digest of the caller's API key, also if the route requires none; zero if there is
+	// none.
 	Key apikey.Digest
 	// Cost is charged against the workspace's limit, in the limit's unit.
 	Cost float64
@@ -42,8 +43,10 @@
 	// PromptParts are the segments of the prompt in order. The last one is not shared with
 	// other calls.
 	PromptParts []PromptPart
-	// ArrivedAt is when the call arrived at this VM.
-	ArrivedAt time.Time
+	// ArrivedAt is when the call arrived at the VM that took it from its caller, ObjectiveFrom is
+	// from when its objective counts; zero if they are not known.
+	ArrivedAt     time.Time
+	ObjectiveFrom time.Time
 	// CallerDeadline is when the caller stops waiting; Deadline may be earlier.
 	CallerDeadline time.Time
 	// CallerWait is how long the caller has waited before this attempt. FirstTokenDeadline is
--- a/peer/delay_estimator_test.go
+++ b/peer/delay_estimator_test.go
@@ -173,7 +173,10 @@
 	forward := func(id string) { forwardRouted(t, client, clock, id) }
 
 	forward("first-call")
-	assert.Equal(t, (<-received).Deadline, epoch.Add(2400*time.Millisecond))
+	prompt := <-received
+	assert.Equal(t, prompt.Deadline, epoch.Add(2400*time.Millisecond))
+	assert.Equal(t, prompt.Routed.ArrivedAt, epoch.Add(-300*time.Millisecond))
+	assert.Equal(t, prompt.Routed.ObjectiveFrom, epoch.Add(-500*time.Millisecond))
 
 	link.setBlocked(true)
 	done := make(chan struct{})
@@ -219,6 +222,8 @@
 		Kind:     call.KindRouted,
 		Deadline: now.Add(2400 * time.Millisecond),
 		Routed: &call.Routed{
+			ArrivedAt:      now.Add(-300 * time.Millisecond),
+			ObjectiveFrom:  now.Add(-500 * time.Millisecond),
 			CallerDeadline: now.Add(2400 * time.Millisecond),
 		},
 	}
--- a/peer/routed.go
+++ b/peer/routed.go
@@ -28,6 +28,8 @@
 	m.FirstInMs = remainingMillis(c.FirstTokenDeadline, now)
 	m.WholeInMs = remainingMillis(c.Deadline, now)
 	m.CallerInMs = remainingMillis(r.CallerDeadline, now)
+	m.ArrivedMs = elapsedMillis(r.ArrivedAt, now)
+	m.ObjectiveMs = elapsedMillis(r.ObjectiveFrom, now)
 	m.ResumeAfter = []byte(r.ResumeAfter)
 	if r.Pin.Set {
 		m.Pin = &r.Pin.Version
@@ -52,6 +54,14 @@
 	return uint32(max(by.Sub(now).Milliseconds(), 1))
 }
 
+// elapsedMillis returns the time since another, at least 1 ms; 0 means that it is not known.
+func elapsedMillis(since, now time.Time) uint32 {
+	if since.IsZero() {
+		return 0
+	}
+	return uint32(max(now.Sub(since).Milliseconds(), 1))
+}
+
 func readRoutedFields(c *call.Call, m *peerpb.Call, sentAt time.Time) {
 	c.FirstTokenDeadline = deadlineAfter(m.GetFirstInMs(), sentAt)
 	c.Deadline = deadlineAfter(m.GetWholeInMs(), sentAt)
@@ -64,6 +74,8 @@
 		Resumable:      m.GetResumable(),
 		Homes:          m.GetHomes(),
 		CallerDeadline: deadlineAfter(m.GetCallerInMs(), sentAt),
+		ArrivedAt:      timeBefore(m.GetArrivedMs(), sentAt),
+		ObjectiveFrom:  timeBefore(m.GetObjectiveMs(), sentAt),
 		ResumeAfter:    string(m.GetResumeAfter()),
 		Retry:          m.GetRepeatedBefore(),
 		TokensPerEvent: int(m.GetEventTokens()),
@@ -91,3 +103,10 @@
 	}
 	return now.Add(time.Duration(ms) * time.Millisecond)
 }
+
+func timeBefore(ms uint32, now time.Time) time.Time {
+	if ms == 0 {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
--- a/result/result.go
+++ b/result/result.go
@@ -61,6 +61,7 @@
 	StreamUnknown      Code = 2035
 	VMSaturated        Code = 2036
 	BodyMemoryFull     Code = 2038
+	RepeatForbidden    Code = 2039
 	TicketRequired     Code = 2040
 	TicketInvalid      Code = 2041
 	TicketExpired      Code = 2042
@@ -145,6 +146,7 @@
 	row(StreamUnknown, "stream_unknown", ClassNotRun, http.StatusServiceUnavailable, "Which software version began the stream to resume is not known, and another one's events would not fit.", "Send the request anew, without the last event."),
 	row(VMSaturated, "vm_saturated", ClassNotRun, http.StatusServiceUnavailable, "This VM is short of CPU; the body was not read.", "Retry at the given time, at another VM if possible."),
 	row(BodyMemoryFull, "body_memory_full", ClassNotRun, http.StatusServiceUnavailable, "Other bodies hold the memory of this VM that is set aside for them; the body was not kept.", "Retry at the given time, at another VM if possible."),
+	row(RepeatForbidden, "repeat_forbidden", ClassNotRun, http.StatusServiceUnavailable, "The call may have run under an older configuration, and the current one lets it run once; it was not sent again.", "No action needed."),
 	row(TicketRequired, "ticket_required", ClassNotRun, http.StatusPreconditionRequired, "A non-idempotent call needs a ticket; one is enclosed.", "Retry with the ticket."),
 	row(TicketInvalid, "ticket_invalid", ClassNotRun, http.StatusBadRequest, "The ticket is malformed or not genuine.", "Request a new ticket."),
 	row(TicketExpired, "ticket_expired", ClassNotRun, http.StatusGone, "The ticket's time is over and it was never used.", "Request a new ticket."),
--- a/route/route.go
+++ b/route/route.go
@@ -173,6 +173,11 @@
 	return t.streamTimeout
 }
 
+// MayRepeat reports whether a request may run more than once.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == KindIdempotent || r.Kind == KindStream && r.Resumable
+}
+
 // Serves reports whether a part of the route's requests goes to a service.
 func (r *Route) Serves(service string) bool {
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
--- a/site/caller_wait.go
+++ b/site/caller_wait.go
@@ -40,8 +40,16 @@
 	if c.Forwarded || c.Routed.ResumeAfter != "" {
 		c.Routed.CallerWait = callerwait.Wait{}
 	}
+	countObjectiveFrom(c, -c.Routed.CallerWait.Time)
+}
+
+// countObjectiveFrom moves the time from which the objective of a call counts.
+func countObjectiveFrom(c *call.Call, by time.Duration) {
 	if !c.FirstTokenDeadline.IsZero() {
-		c.FirstTokenDeadline = c.FirstTokenDeadline.Add(-c.Routed.CallerWait.Time)
+		c.FirstTokenDeadline = c.FirstTokenDeadline.Add(by)
+	}
+	if !c.Routed.ObjectiveFrom.IsZero() {
+		c.Routed.ObjectiveFrom = c.Routed.ObjectiveFrom.Add(by)
 	}
 }
 
--- a/site/forward.go
+++ b/site/forward.go
@@ -57,11 +57,9 @@
 // its time to first token, as the remote VM measures deadlines without network latency.
 // Otherwise calls that are expected to be on time there are late here.
 func (n *Node) withRemoteObjective(c *call.Call, vm fleet.VM) *call.Call {
-	if c.FirstTokenDeadline.IsZero() {
-		return c
-	}
-	remote := *c
-	remote.FirstTokenDeadline = c.FirstTokenDeadline.Add(-n.control.snapshot().rttTo(c.Target(), vm.Region))
+	remote, routed := *c, *c.Routed
+	remote.Routed = &routed
+	countObjectiveFrom(&remote, -n.control.snapshot().rttTo(c.Target(), vm.Region))
 	return &remote
 }
 
@@ -166,8 +164,8 @@
 	return result.Refuse(result.NotReady, "VM %s does not serve the call", n.deployment.VM)
 }
 
-// readmit repeats admission under a newer table than the sender's: the key may have been
-// revoked, or the route may lead to another service.
+// readmit repeats admission under a newer table than the one that admitted the call: the key may
+// have been revoked, or the route may lead to another service or forbid that the call runs again.
 func (n *Node) readmit(c *call.Call, table *route.Table) *result.Refusal {
 	path, _, _ := strings.Cut(c.Path, "?")
 	terms, refusal := table.Admit(route.AdmitRequest{
@@ -180,11 +178,14 @@
 	}
 	service := ""
 	if refusal == nil {
-		service = terms.Route.PickService(rand.Uint64())
+		service = readmittedService(c, terms.Route)
 	}
 	if service == "" {
 		return result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM)
 	}
+	if c.Routed.Retry && c.Idempotent && !terms.Route.MayRepeat() {
+		return result.Refuse(result.RepeatForbidden, "VM %s has a newer table by which the call may run once", n.deployment.VM)
+	}
 	c.Log.Add("call_readmitted",
 		slog.Uint64("from_version", c.Routed.Version),
 		slog.Uint64("to_version", table.Version),
@@ -195,16 +196,23 @@
 		slog.Bool("was_idempotent", c.Idempotent),
 		slog.String("to_kind", string(terms.Route.Kind)),
 	)
-	c.Service = service
-	c.Routed.Homes = terms.Homes
-	c.Routed.Rank = terms.Rank
-	c.Workspace = ""
-	if terms.Workspace != nil {
-		c.Workspace = terms.Workspace.Name
-	}
+	c.ReplaceTerms(terms, service)
 	return nil
 }
 
+// readmittedService returns the service to which a call goes under another route, empty if there
+// is none. A stream that another endpoint has begun goes on at the same service.
+func readmittedService(c *call.Call, found *route.Route) string {
+	switch {
+	case found.Serves(c.Service):
+		return c.Service
+	case c.Routed.Pin.Set:
+		return ""
+	default:
+		return found.PickService(rand.Uint64())
+	}
+}
+
 // isLate reports whether a forwarded call can no longer meet its deadline here. The
 // receiver decides because its view of the local engines is newer than the sender's. A call
 // whose objective passed before it came shows no shortage here.
--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -314,6 +314,14 @@
 		http.Error(w, "unknown event", http.StatusBadRequest)
 		return
 	}
+	fail := r.URL.Query().Get("fail")
+	switch fail {
+	case "status":
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	case "cut":
+		panic(http.ErrAbortHandler)
+	}
 	events := ms / int(eventInterval.Milliseconds())
 	isStream := strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resumable/")
 	if isStream {
@@ -329,6 +337,9 @@
 		if isStream {
 			_, _ = io.WriteString(w, event(id))
 			w.(http.Flusher).Flush()
+			if fail == "after_event" {
+				panic(http.ErrAbortHandler)
+			}
 		}
 	}
 	if !isStream {
--- /dev/null
+++ b/site/readmitted_test.go
@@ -0,0 +1,94 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/discovery"
+)
+
+// TestCallFollowsOneVersion guards against a forwarded call that runs twice, or is refused, as the
+// VMs that it visits hold different versions of the routing table.
+func TestCallFollowsOneVersion(t *testing.T) {
+	for _, row := range datatest.Read[[]struct {
+		Name string
+		// Versions holds the configuration of each VM; those without one have the first version.
+		Versions map[string]json.RawMessage
+		// Fail is how the endpoint fails each run: with a status, or by ending the connection,
+		// after events or before an answer.
+		Fail string
+		Path string
+		Want string
+		// WantRuns counts the runs that reached the endpoint.
+		WantRuns int64 `json:"want_runs"`
+	}](t, "testdata/one_version.json") {
+		t.Run(row.Name, func(t *testing.T) {
+			t.Parallel()
+			f := startForwardingVMs(t)
+			f.introduce("c")
+			for id, config := range row.Versions {
+				f.publish(t, id, config)
+			}
+			waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().members.AcceptingVMs("r1")) == 2 })
+			f.awaitRetries(t)
+			assert.Equal(t, f.sendOnce(t, row.Path, row.Fail), row.Want)
+			assert.Equal(t, f.runs.Load(), row.WantRuns)
+		})
+	}
+}
+
+// publish gives a VM another version of the configuration.
+func (f *forwardingVMs) publish(t *testing.T, id string, config []byte) {
+	t.Helper()
+	n := f.vms[id].node
+	n.control.send(context.Background(), func(c *control, now time.Time) {
+		c.applyItems([]discovery.Item{{
+			Key:      "op/config",
+			Revision: 3,
+			Value:    config,
+		}}, false, now)
+		c.publish(now)
+	})
+	waitFor(t, func() bool { return n.control.snapshot().table.Version > 1 })
+}
+
+// awaitRetries waits until all VMs may retry calls of VM a.
+func (f *forwardingVMs) awaitRetries(t *testing.T) {
+	t.Helper()
+	for _, vm := range f.vms {
+		n := vm.node
+		waitFor(t, func() bool {
+			_, known := n.control.snapshot().members.Find("a")
+			return known && n.now().Sub(n.startedAt) > 2*n.bounds.Load().RetryWindow
+		})
+	}
+}
+
+// sendOnce sends a call with a key to VM a and describes what its caller gets.
+func (f *forwardingVMs) sendOnce(t *testing.T, path, fail string) string {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://%s%sx?ms=200&fail=%s", f.vms["a"].addr, path, fail), strings.NewReader("b"))
+	assert.NilError(t, err)
+	req.Host = "h"
+	req.Header.Set("X-Fuchsianotch-Attempt-Id", "a")
+	req.Header.Set("X-Fuchsianotch-Deadline-Ms", "9000")
+	req.Header.Set("Authorization", "Bearer key-of-w")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "none"
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return "broken"
+	}
+	return resp.Status[:3]
+}
