Site, peer: the sender of a call learns that it may run once at the receiver

What callers saw: a forwarded call that may run once by the version of the VM that served it ran again at another VM, as the VM that took it from its caller had an older version by which it may be repeated.

Change: before a VM lets an endpoint run a call that may run again by its sender's version and once by its own, it asks the sender to send it nowhere else once it may have run (RunRequest.once). The question is asked for such calls alone.

--- a/call/answer.go
+++ b/call/answer.go
@@ -40,6 +40,8 @@
 	VM string
 	// VMStopped is set if that VM reported that its stop has cut the call off.
 	VMStopped bool
+	// RunsOnce is set if that VM has a newer routing table by which the call may run once.
+	RunsOnce bool
 	// EndpointsRun is the number of endpoints that may have run the call.
 	EndpointsRun int
 	// Sent is set if an attempt may have reached an endpoint, whether that ran it or not.
--- a/peer/forward.go
+++ b/peer/forward.go
@@ -49,11 +49,29 @@
 	return reply.GetGranted(), nil
 }
 
+// RunOnce asks the VM that sent a call to send it to no other VM once it may have run. It is refused
+// by builds that don't know of it.
+func (c *Client) RunOnce(ctx context.Context, vm fleet.VM, runGrant uint64) (granted bool, err error) {
+	reply, err := c.client(ctx, vm).Run(ctx, &peerpb.RunRequest{
+		RunGrant: runGrant,
+		Once:     true,
+	})
+	if err != nil {
+		return false, err
+	}
+	return reply.GetOnce(), nil
+}
+
 // Run implements peerpb.DRPCPeerServer.
 func (s *service) Run(_ context.Context, in *peerpb.RunRequest) (*peerpb.RunReply, error) {
 	if s.handlers.Run == nil {
 		return nil, errUnsupported
 	}
+	if in.GetOnce() {
+		return &peerpb.RunReply{
+			Once: s.handlers.RunOnce != nil && s.handlers.RunOnce(in.GetRunGrant()),
+		}, nil
+	}
 	return &peerpb.RunReply{
 		Granted: s.handlers.Run(in.GetRunGrant()),
 	}, nil
--- a/peer/server.go
+++ b/peer/server.go
@@ -50,6 +50,9 @@
 	Evidence func(ctx context.Context, q origin.Question) origin.Evidence
 	// Run decides whether one more endpoint may run a call that this VM has forwarded.
 	Run func(runGrant uint64) bool
+	// RunOnce lets no further endpoint run a call that this VM has sent away, and reports whether
+	// that binds this VM.
+	RunOnce func(runGrant uint64) bool
 	// Forward runs a call; it must not forward it again.
 	Forward func(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome
 	// BodyShare returns the share of a forwarded body in the memory of the VM; nil means that
--- a/retry/run_grants.go
+++ b/retry/run_grants.go
@@ -17,6 +17,15 @@
 
 type runGrant struct {
 	granted, limit int
+	once           bool
+}
+
+// GrantedRuns is what became of a call's grants.
+type GrantedRuns struct {
+	// Runs is the number of endpoints that may have run the call.
+	Runs int
+	// Once is set if the call must not be sent to a further endpoint.
+	Once bool
 }
 
 // NewRunGrants returns a RunGrants without calls. Its ids differ from those of an earlier
@@ -52,14 +61,31 @@
 	return true
 }
 
-// Close ends a call and returns how many endpoints may have run it.
-func (g *RunGrants) Close(id uint64) (granted int) {
+// Restrict lets no further endpoint run a call, and reports whether that binds this VM. It doesn't
+// if the call is closed.
+func (g *RunGrants) Restrict(id uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.calls[id]
+	if c == nil {
+		return false
+	}
+	c.limit = c.granted
+	c.once = true
+	return true
+}
+
+// Close ends a call.
+func (g *RunGrants) Close(id uint64) GrantedRuns {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c := g.calls[id]
 	if c == nil {
-		return 0
+		return GrantedRuns{}
 	}
 	delete(g.calls, id)
-	return c.granted
+	return GrantedRuns{
+		Runs: c.granted,
+		Once: c.once,
+	}
 }
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -77,6 +77,9 @@
 			outcome = s.forwardToRegion(ctx, c, vm, tracker.wrappedSink())
 		}
 		tried = append(tried, vm)
+		if outcome.RunsOnce {
+			c.RunOnce()
+		}
 		attemptsLeft := tracker.placeResult(c, outcome).RemainingRuns(c.Routed.MaxAttempts)
 		cutOff = outcome.VMStopped || cutOff && isVMGone(outcome.Code)
 		outcome = ambiguous.resolve(outcome)
--- a/site/forward.go
+++ b/site/forward.go
@@ -36,8 +36,10 @@
 
 		RetryGranted: c.Routed.RetryGranted,
 	}, sink, func(uint64) {})
-	if granted := n.runGrants.Close(runGrant); outcome.Code == result.PeerLost && outcome.EndpointsRun == 0 {
-		outcome.EndpointsRun = granted
+	granted := n.runGrants.Close(runGrant)
+	outcome.RunsOnce = granted.Once
+	if outcome.Code == result.PeerLost && outcome.EndpointsRun == 0 {
+		outcome.EndpointsRun = granted.Runs
 	}
 	if cause := context.Cause(ctx); errors.Is(cause, call.ErrStopping) && outcome.Code == result.PeerLost {
 		return call.Refused(result.Refuse(result.VMStopped, "VM %s stopped while VM %s had the call", n.deployment.VM, vm.ID).WithCause(cause))
@@ -85,6 +87,7 @@
 		Origin:    n.streams.answer,
 		Evidence:  n.evidence.answer,
 		Run:       n.runGrants.Grant,
+		RunOnce:   n.runGrants.Restrict,
 		Forward:   n.serveForwarded,
 		Stamp:     func() uint64 { return 0 },
 		Witness:   func(uint64) {},
@@ -105,9 +108,13 @@
 	}
 	c.Log = n.newCallLog(c)
 	if table.Version > c.Routed.Version {
+		mayRepeat := c.Idempotent
 		if refusal := n.readmit(c, table); refusal != nil {
 			return call.Refused(refusal)
 		}
+		if mayRepeat && !c.Idempotent && !n.requestOnce(ctx, from.GetVm(), c) {
+			return call.Refused(result.Refuse(result.NotReady, "VM %s has an older table by which the call may run again", from.GetVm()))
+		}
 	}
 	if !c.Routed.Allows(n.deployment.Region) {
 		return call.Refused(n.notServed())
@@ -138,22 +145,28 @@
 	return o
 }
 
-// runRequestTimeout bounds the request for a further run: a round trip between the most
+// runRequestTimeout bounds a question about the runs of a call: a round trip between the most
 // distant regions and one lost packet.
 const runRequestTimeout = 400 * time.Millisecond
 
 // requestRun asks the VM that sent a call whether one more endpoint may run it.
 func (n *Node) requestRun(ctx context.Context, vmID string, c *call.Call) bool {
-	if c.Routed.RunGrant == 0 {
-		return true
-	}
+	return c.Routed.RunGrant == 0 || n.askSender(ctx, vmID, c, n.peers.Run)
+}
+
+// requestOnce asks the VM that sent a call not to send it to another VM once it may have run.
+func (n *Node) requestOnce(ctx context.Context, vmID string, c *call.Call) bool {
+	return n.askSender(ctx, vmID, c, n.peers.RunOnce)
+}
+
+func (n *Node) askSender(ctx context.Context, vmID string, c *call.Call, ask func(context.Context, fleet.VM, uint64) (bool, error)) bool {
 	vm, known := n.control.snapshot().members.Find(vmID)
 	if !known {
 		return false
 	}
 	timeoutCtx, cancel := context.WithTimeout(ctx, runRequestTimeout)
 	defer cancel()
-	granted, err := n.peers.Run(timeoutCtx, vm, c.Routed.RunGrant)
+	granted, err := ask(timeoutCtx, vm, c.Routed.RunGrant)
 	if err != nil {
 		n.log.Debug("run_not_asked", "peer", vmID, "reason", err.Error())
 	}
--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -282,9 +282,12 @@
 }
 
 // introduce tells VM a of another one.
-func (f *forwardingVMs) introduce(id string) {
+func (f *forwardingVMs) introduce(id string) { f.introduceTo("a", id) }
+
+// introduceTo tells a VM of another one.
+func (f *forwardingVMs) introduceTo(to, id string) {
 	n := f.vms[id].node
-	f.vms["a"].node.control.send(context.Background(), func(c *control, now time.Time) {
+	f.vms[to].node.control.send(context.Background(), func(c *control, now time.Time) {
 		c.roster.Receive(roster.Rumor{
 			VM:          n.self(),
 			Incarnation: n.incarnation,
@@ -296,6 +299,9 @@
 	})
 }
 
+// failAfter is how long an endpoint works on a call before it cuts it off.
+const failAfter = 300 * time.Millisecond
+
 // eventInterval is the time between two events of a stream.
 const eventInterval = 100 * time.Millisecond
 
@@ -320,6 +326,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	case "cut":
+		time.Sleep(failAfter)
 		panic(http.ErrAbortHandler)
 	}
 	events := ms / int(eventInterval.Milliseconds())
@@ -338,6 +345,7 @@
 			_, _ = io.WriteString(w, event(id))
 			w.(http.Flusher).Flush()
 			if fail == "after_event" {
+				time.Sleep(failAfter)
 				panic(http.ErrAbortHandler)
 			}
 		}
--- a/site/readmitted_test.go
+++ b/site/readmitted_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +28,8 @@
 		// after events or before an answer.
 		Fail string
 		Path string
+		// Late is set if VM c can take calls only once the first run has begun.
+		Late bool
 		Want string
 		// WantRuns counts the runs that reached the endpoint.
 		WantRuns int64 `json:"want_runs"`
@@ -34,13 +37,23 @@
 		t.Run(row.Name, func(t *testing.T) {
 			t.Parallel()
 			f := startForwardingVMs(t)
-			f.introduce("c")
+			if !row.Late {
+				f.introduce("c")
+				f.awaitVMs(t, 2)
+			}
 			for id, config := range row.Versions {
 				f.publish(t, id, config)
 			}
-			waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().members.AcceptingVMs("r1")) == 2 })
-			f.awaitRetries(t)
-			assert.Equal(t, f.sendOnce(t, row.Path, row.Fail), row.Want)
+			f.awaitRetries(t, row.Late)
+			answer := make(chan string, 1)
+			go func() { answer <- f.sendOnce(row.Path, row.Fail) }()
+			if row.Late {
+				waitFor(t, func() bool { return f.runs.Load() == 1 })
+				f.introduce("c")
+				f.introduceTo("c", "a")
+				f.awaitVMs(t, 2)
+			}
+			assert.Equal(t, <-answer, row.Want)
 			assert.Equal(t, f.runs.Load(), row.WantRuns)
 		})
 	}
@@ -61,23 +74,30 @@
 	waitFor(t, func() bool { return n.control.snapshot().table.Version > 1 })
 }
 
-// awaitRetries waits until all VMs may retry calls of VM a.
-func (f *forwardingVMs) awaitRetries(t *testing.T) {
+// awaitVMs waits until VM a knows a number of VMs that take calls in the region of VM b.
+func (f *forwardingVMs) awaitVMs(t *testing.T, count int) {
+	t.Helper()
+	waitFor(t, func() bool { return len(f.vms["a"].node.control.snapshot().members.AcceptingVMs("r1")) == count })
+}
+
+// awaitRetries waits until all VMs may retry calls of VM a, which VM c need not know.
+func (f *forwardingVMs) awaitRetries(t *testing.T, withoutC bool) {
 	t.Helper()
-	for _, vm := range f.vms {
+	for id, vm := range f.vms {
 		n := vm.node
 		waitFor(t, func() bool {
 			_, known := n.control.snapshot().members.Find("a")
-			return known && n.now().Sub(n.startedAt) > 2*n.bounds.Load().RetryWindow
+			return (known || id == "c" && withoutC) && n.now().Sub(n.startedAt) > 2*n.bounds.Load().RetryWindow
 		})
 	}
 }
 
 // sendOnce sends a call with a key to VM a and describes what its caller gets.
-func (f *forwardingVMs) sendOnce(t *testing.T, path, fail string) string {
-	t.Helper()
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, fmt.Sprintf("http://%s%sx?ms=200&fail=%s", f.vms["a"].addr, path, fail), strings.NewReader("b"))
-	assert.NilError(t, err)
+func (f *forwardingVMs) sendOnce(path, fail string) string {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, fmt.Sprintf("http://%s%sx?ms=200&fail=%s", f.vms["a"].addr, path, fail), strings.NewReader("b"))
+	if err != nil {
+		return err.Error()
+	}
 	req.Host = "h"
 	req.Header.Set("X-Fuchsianotch-Attempt-Id", "a")
 	req.Header.Set("X-Fuchsianotch-Deadline-Ms", "9000")
@@ -90,5 +110,5 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return "broken"
 	}
-	return resp.Status[:3]
+	return strconv.Itoa(resp.StatusCode)
 }
--- a/testscripts/emulator/routed_request.go
+++ b/testscripts/emulator/routed_request.go
@@ -135,7 +135,7 @@
 		if !answered {
 			answered = true
 			if granted := s.vm.runGrants.Close(grant); o.code == result.PeerLost {
-				o.ran = granted
+				o.ran = granted.Runs
 			}
 			s.vm.run(s.incarnation, func() { s.applyResult(o) })
 		}
