Serving, site: a call that may have run isn't repeated if a newer version forbids it

What callers saw: a request that had run and failed was sent again though the routing table that its VM had by then lets it run once. Found by reading for related paths.

Change: before a routed call that may have run is sent again, here or elsewhere, its route is looked up in the table of now, and it runs once if that says so (Options.MayRepeat). A call that waits while a newer version comes in is admitted again before it is served, like a forwarded one; one whose route was removed meanwhile goes on as it was admitted.

--- a/call/routed.go
+++ b/call/routed.go
@@ -78,6 +78,9 @@
 	// asks that VM for a run beyond the first; nil means that none need be asked for.
 	RunGrant   uint64
 	RequestRun func(ctx context.Context) bool
+	// RequestOnce asks that VM to send the call to no other VM once it may have run; nil if no VM
+	// sent it here.
+	RequestOnce func(ctx context.Context) bool
 	// Retry is set when another VM already attempted the call.
 	Retry bool
 	// RetryGranted is set if the VM that sent the call here has taken its first attempt from its
--- a/serving/routed.go
+++ b/serving/routed.go
@@ -80,6 +80,7 @@
 		if outcome.RunsOnce {
 			c.RunOnce()
 		}
+		s.restrictRuns(ctx, c, outcome.Code)
 		attemptsLeft := tracker.placeResult(c, outcome).RemainingRuns(c.Routed.MaxAttempts)
 		cutOff = outcome.VMStopped || cutOff && isVMGone(outcome.Code)
 		outcome = ambiguous.resolve(outcome)
@@ -93,6 +94,13 @@
 	return outcome
 }
 
+// restrictRuns forbids further runs of a call that may have run, if it may no longer run again.
+func (s *Server) restrictRuns(ctx context.Context, c *call.Call, code result.Code) {
+	if c.Idempotent && s.options.MayRepeat != nil && code.Class() == result.ClassUnknown && !s.options.MayRepeat(ctx, c) {
+		c.RunOnce()
+	}
+}
+
 // isVMGone reports whether a VM had no part in a call because it was stopping or had ended.
 func isVMGone(code result.Code) bool {
 	return code == result.Stopping || code == result.PeerUnreachable
--- a/serving/routed_test.go
+++ b/serving/routed_test.go
@@ -237,6 +237,6 @@
 		}
 		c := routedTestCall(routedCase{Idempotent: true, Resumable: row.resumable})
 		s := New(Options{Now: time.Now})
-		assert.Equal(t, s.shouldRetry(c, &p), row.want, "%+v", row)
+		assert.Equal(t, s.shouldRetry(t.Context(), c, &p), row.want, "%+v", row)
 	}
 }
--- a/serving/run.go
+++ b/serving/run.go
@@ -89,7 +89,7 @@
 			p.budget.End(false)
 			return s.finish(&p, sink, p.outcomeOnRefusal(refusal))
 		}
-		if p.lastAttempt.Code.Class() == result.ClassDone || !s.shouldRetry(c, &p) {
+		if p.lastAttempt.Code.Class() == result.ClassDone || !s.shouldRetry(ctx, c, &p) {
 			p.budget.End(p.lastAttempt.Sent)
 			return s.finish(&p, sink, p.outcome)
 		}
@@ -261,10 +261,13 @@
 	})
 }
 
-func (s *Server) shouldRetry(c *call.Call, p *progress) bool {
+func (s *Server) shouldRetry(ctx context.Context, c *call.Call, p *progress) bool {
 	if p.lastAttempt.CallerDisconnected {
 		return false
 	}
+	if c.Kind == call.KindRouted && p.lastAttempt.Sent {
+		s.restrictRuns(ctx, c, p.lastAttempt.Code)
+	}
 	a := retry.Attempt{
 		Code:       p.lastAttempt.Code,
 		Sent:       p.lastAttempt.Sent,
--- a/serving/serving.go
+++ b/serving/serving.go
@@ -124,6 +124,9 @@
 	AcceptOverflow func(c *call.Call) (done func(), refusal *result.Refusal)
 	// PlaceRouted is required for routed calls only.
 	PlaceRouted PlaceRouted
+	// MayRepeat reports whether a routed call that may have run may still run again; nil means
+	// that its terms don't change.
+	MayRepeat func(ctx context.Context, c *call.Call) bool
 
 	Ledger   *limit.Ledger
 	Tickets  *ticket.Registry
--- a/site/forward.go
+++ b/site/forward.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
-	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/fuchsianotch/fuchsianotch/call"
@@ -15,7 +12,6 @@
 	"github.com/fuchsianotch/fuchsianotch/peer/peerpb"
 	"github.com/fuchsianotch/fuchsianotch/placement"
 	"github.com/fuchsianotch/fuchsianotch/result"
-	"github.com/fuchsianotch/fuchsianotch/route"
 	"github.com/fuchsianotch/fuchsianotch/settings"
 )
 
@@ -102,22 +98,14 @@
 // serveForwarded runs a call that another VM sent. If this VM has a newer routing table
 // than the sender, the call is admitted again under that table.
 func (n *Node) serveForwarded(ctx context.Context, from *peerpb.Identity, c *call.Call, sink call.Sink) call.Outcome {
-	table := n.control.snapshot().table
-	if c.Kind != call.KindRouted || table == nil {
+	if c.Kind != call.KindRouted || n.control.snapshot().table == nil {
 		return call.Refused(n.notServed())
 	}
 	c.Log = n.newCallLog(c)
-	if table.Version > c.Routed.Version {
-		mayRepeat := c.Idempotent
-		if refusal := n.readmit(c, table); refusal != nil {
-			return call.Refused(refusal)
-		}
-		if mayRepeat && !c.Idempotent && !n.requestOnce(ctx, from.GetVm(), c) {
-			return call.Refused(result.Refuse(result.NotReady, "VM %s has an older table by which the call may run again", from.GetVm()))
-		}
-	}
-	if !c.Routed.Allows(n.deployment.Region) {
-		return call.Refused(n.notServed())
+	c.Routed.RequestRun = func(ctx context.Context) bool { return n.requestRun(ctx, from.GetVm(), c) }
+	c.Routed.RequestOnce = func(ctx context.Context) bool { return n.requestOnce(ctx, from.GetVm(), c) }
+	if refusal := n.updateTerms(ctx, c); refusal != nil {
+		return call.Refused(refusal)
 	}
 	ctx, cancel := clock.WithDeadline(ctx, n.now(), c.Deadline)
 	defer cancel()
@@ -125,7 +113,6 @@
 	defer cancelCause(nil)
 	callsCtx := n.stopState.callsCtx
 	defer context.AfterFunc(callsCtx, func() { cancelCause(context.Cause(callsCtx)) })()
-	c.Routed.RequestRun = func(ctx context.Context) bool { return n.requestRun(ctx, from.GetVm(), c) }
 	c.Routed.MissesObjective = n.isLate(c)
 	return n.asLostIfStopped(ctx, n.serve(ctx, c, sink))
 }
@@ -177,55 +164,6 @@
 	return result.Refuse(result.NotReady, "VM %s does not serve the call", n.deployment.VM)
 }
 
-// readmit repeats admission under a newer table than the one that admitted the call: the key may
-// have been revoked, or the route may lead to another service or forbid that the call runs again.
-func (n *Node) readmit(c *call.Call, table *route.Table) *result.Refusal {
-	path, _, _ := strings.Cut(c.Path, "?")
-	terms, refusal := table.Admit(route.AdmitRequest{
-		Host: c.Routed.Host,
-		Path: path,
-		Key:  c.Routed.Key,
-	})
-	if refusal != nil && refusal.Code != result.UnknownRoute {
-		return refusal
-	}
-	service := ""
-	if refusal == nil {
-		service = readmittedService(c, terms.Route)
-	}
-	if service == "" {
-		return result.Refuse(result.NotReady, "VM %s has a newer table without the route", n.deployment.VM)
-	}
-	if c.Routed.Retry && c.Idempotent && !terms.Route.MayRepeat() {
-		return result.Refuse(result.RepeatForbidden, "VM %s has a newer table by which the call may run once", n.deployment.VM)
-	}
-	c.Log.Add("call_readmitted",
-		slog.Uint64("from_version", c.Routed.Version),
-		slog.Uint64("to_version", table.Version),
-		slog.String("from_service", c.Service),
-		slog.String("to_service", service),
-		slog.String("from_route", c.Routed.Route),
-		slog.String("to_route", terms.Route.Name),
-		slog.Bool("was_idempotent", c.Idempotent),
-		slog.String("to_kind", string(terms.Route.Kind)),
-	)
-	c.ReplaceTerms(terms, service)
-	return nil
-}
-
-// readmittedService returns the service to which a call goes under another route, empty if there
-// is none. A stream that another endpoint has begun goes on at the same service.
-func readmittedService(c *call.Call, found *route.Route) string {
-	switch {
-	case found.Serves(c.Service):
-		return c.Service
-	case c.Routed.Pin.Set:
-		return ""
-	default:
-		return found.PickService(rand.Uint64())
-	}
-}
-
 // isLate reports whether a forwarded call can no longer meet its deadline here. The
 // receiver decides because its view of the local engines is newer than the sender's. A call
 // whose objective passed before it came shows no shortage here.
--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -323,6 +323,7 @@
 	fail := r.URL.Query().Get("fail")
 	switch fail {
 	case "status":
+		time.Sleep(failAfter)
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	case "cut":
--- a/site/keys_test.go
+++ b/site/keys_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"fmt"
 	"strings"
 	"testing"
@@ -20,11 +21,14 @@
 // readmitCase is a call admitted by another VM under an older table, and its outcome
 // under the newer one.
 type readmitCase struct {
-	Name       string
-	Keys       []string
-	Key        string
-	Path       string
-	Public     bool
+	Name      string
+	Keys      []string
+	Key       string
+	Path      string
+	Public    bool
+	Forwarded bool
+	// Service is that of the call afterwards, of the newer table if it is empty.
+	Service    string
 	Homes      []string
 	RouteHomes []string `json:"route_homes"`
 	Code       result.Code
@@ -43,6 +47,8 @@
 			if c.Path != "" {
 				forwarded.Path = c.Path
 			}
+			forwarded.Forwarded = c.Forwarded
+			forwarded.Service = "before"
 			refusal := n.readmit(forwarded, c.table())
 			if c.Code != 0 {
 				assert.Assert(t, refusal != nil)
@@ -52,7 +58,7 @@
 			assert.Assert(t, refusal == nil, "%v", refusal)
 			assert.Equal(t, forwarded.Workspace, c.Workspace)
 			assert.Equal(t, forwarded.Routed.Rank, c.Rank)
-			assert.Equal(t, forwarded.Service, "s")
+			assert.Equal(t, forwarded.Service, cmp.Or(c.Service, "s"))
 		})
 	}
 }
--- a/site/place.go
+++ b/site/place.go
@@ -34,6 +34,9 @@
 	n.streams.observe(c)
 	startedAt := n.now()
 	refusal := n.awaitFreshState(ctx)
+	if refusal == nil {
+		refusal = n.updateTerms(ctx, c)
+	}
 	if refusal == nil {
 		refusal = n.refuseIfStopping(c)
 	}
--- a/site/readmitted_test.go
+++ b/site/readmitted_test.go
@@ -23,7 +23,9 @@
 	for _, row := range datatest.Read[[]struct {
 		Name string
 		// Versions holds the configuration of each VM; those without one have the first version.
+		// Then holds the configurations that VMs get once the first run has begun.
 		Versions map[string]json.RawMessage
+		Then     map[string]json.RawMessage
 		// Fail is how the endpoint fails each run: with a status, or by ending the connection,
 		// after events or before an answer.
 		Fail string
@@ -47,8 +49,13 @@
 			f.awaitRetries(t, row.Late)
 			answer := make(chan string, 1)
 			go func() { answer <- f.sendOnce(row.Path, row.Fail) }()
-			if row.Late {
+			if row.Late || row.Then != nil {
 				waitFor(t, func() bool { return f.runs.Load() == 1 })
+			}
+			for id, config := range row.Then {
+				f.publish(t, id, config)
+			}
+			if row.Late {
 				f.introduce("c")
 				f.introduceTo("c", "a")
 				f.awaitVMs(t, 2)
--- a/site/site.go
+++ b/site/site.go
@@ -259,8 +259,10 @@
 		Pool:        n.pools.find,
 		Forward:     n.forward,
 		PlaceRouted: n.place,
-		Endpoint:    n.endpointClient,
-		Budget:      n.pools.retryBudget(),
+		MayRepeat:   n.mayRepeat,
+
+		Endpoint: n.endpointClient,
+		Budget:   n.pools.retryBudget(),
 		Quarantine: serving.Quarantine{
 			Admit:          n.quarantine.Admit,
 			ConnectionLost: n.quarantine.ConnectionLost,
