Endpoint: an answer whose status is none proves nothing

What callers saw: nothing so far; found while status 000 was checked on all kinds of calls. An answer whose status lies under 200 and that says that the request did not run was taken for a refusal, so that a request that may run once went to another endpoint, or was refused as not run, on the word of an endpoint that speaks no protocol.

Change: the status is judged before anything else of an answer; one under 200 ends the attempt as one that may have run (3004), without a notice of the endpoint being read from it.

Evidence: the new row of TestRelay fails before (2026 for 3004) and holds with it.

--- a/endpoint/relay.go
+++ b/endpoint/relay.go
@@ -28,6 +28,10 @@
 
 // handleRoutedResponse verifies the response to a routed call and forwards it unchanged.
 func (x *exchange) handleRoutedResponse(resp *http.Response) *result.Refusal {
+	if resp.StatusCode < http.StatusOK {
+		x.conn.discard()
+		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
+	}
 	head := x.client.dialect.ReadResponseHead(resp.StatusCode, resp.Header, x.client.now())
 	x.outcome.ClosesConnection = head.ClosesConnection
 	if head.ID != "" && head.ID != x.attempt.ID {
@@ -41,10 +45,6 @@
 	if head.NotRun {
 		return x.handleRefusal(resp, head)
 	}
-	if resp.StatusCode < http.StatusOK {
-		x.conn.discard()
-		return result.Refuse(result.EndpointFailed, "the endpoint answered status %d", resp.StatusCode)
-	}
 	if !head.Signed || head.ID == "" {
 		x.conn.discard()
 		return result.Refuse(result.EndpointFailed, "the answer with status %d is not signed", resp.StatusCode)
