Tests: early answers that are reset, and status 000, on all kinds of calls

Neither could be brought about here; nothing is changed in the product.

The first holds by common/tcp.WithResets, by which a read behind a failed write does not pass for an ordinary end.

TestEarlyAnswerIsNotWhole plays both through VMs with bodies of 3 MiB: calls that run once, that may run again, streams, and streams that go on by the VM or by their caller; served by the VM that took them and forwarded. Callers get 502 or a broken answer, or the whole answer of the next run.

--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -242,6 +242,7 @@
 				{"Name":"once","Host":"h","PathPrefix":"/once/","Kind":"non_idempotent","Service":"s","MaxAttempts":2,"TimeoutMs":9000},
 				{"Name":"repeat","Host":"h","PathPrefix":"/repeat/","Kind":"idempotent","Service":"s","MaxAttempts":2,"TimeoutMs":9000},
 				{"Name":"stream","Host":"h","PathPrefix":"/stream/","Kind":"streaming","Service":"s","MaxAttempts":2,"TimeoutMs":9000},
+				{"Name":"resumable-once","Host":"h","PathPrefix":"/resumable/once/","Kind":"streaming","Resumable":true,"Service":"s","MaxAttempts":1,"TimeoutMs":9000},
 				{"Name":"resumable","Host":"h","PathPrefix":"/resumable/","Kind":"streaming","Resumable":true,"Service":"s","MaxAttempts":2,"TimeoutMs":9000}]}`),
 		},
 		{
@@ -299,6 +300,41 @@
 	})
 }
 
+// answerEarly fails a run with an answer that begins before the request is read, if that is how the
+// run fails: half of a body without a length and a reset, or a whole answer with a status.
+func (f *forwardingVMs) answerEarly(w http.ResponseWriter, r *http.Request, fails []string) bool {
+	kind, status, _ := strings.Cut(fails[min(int(f.runs.Load()), len(fails)-1)], "-")
+	if kind != "half" && kind != "raw" {
+		return false
+	}
+	f.runs.Add(1)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return true
+	}
+	defer func() { _ = conn.Close() }()
+	head := "HTTP/1.1 " + status + " x\r\n"
+	for name, values := range w.Header() {
+		head += name + ": " + values[0] + "\r\n"
+	}
+	contentType := "text/plain"
+	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/resumable/") {
+		contentType = "text/event-stream"
+	}
+	if kind == "raw" {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(conn, head+"Content-Type: "+contentType+"\r\nContent-Length: 5\r\n\r\nwhole")
+		return true
+	}
+	_, _ = io.WriteString(conn, head+"Content-Type: "+contentType+"\r\n\r\nid: 2\ndata: x\n\n")
+	time.Sleep(resetAfter)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	return true
+}
+
+// resetAfter is how long after its answer an endpoint resets the connection.
+const resetAfter = 20 * time.Millisecond
+
 // failAfter is how long an endpoint works on a call before it cuts it off.
 const failAfter = 300 * time.Millisecond
 
@@ -310,17 +346,21 @@
 func (f *forwardingVMs) serve(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("X-Fuchsianotch-Attempt-Id", r.Header.Get("X-Fuchsianotch-Attempt-Id"))
 	w.Header().Set("X-Fuchsianotch-Response-Stamp", "stamp")
+	fails := strings.Split(r.URL.Query().Get("fail"), ",")
+	if f.answerEarly(w, r, fails) {
+		return
+	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	ms, err := strconv.Atoi(r.URL.Query().Get("ms"))
 	if err != nil {
 		return
 	}
-	f.runs.Add(1)
+	run := f.runs.Add(1)
 	if r.Header.Get("Last-Event-Id") != "" && f.refuseResume.CompareAndSwap(true, false) {
 		http.Error(w, "unknown event", http.StatusBadRequest)
 		return
 	}
-	fail := r.URL.Query().Get("fail")
+	fail := fails[min(int(run), len(fails))-1]
 	switch fail {
 	case "status":
 		time.Sleep(failAfter)
