Endpoint: the end of an answer without a length is confirmed by the endpoint's life

Cause: confirmEnd took the end for the endpoint's own if its connection had been open a moment before and something listened at its address. Behind a cut the connection looks open for as long as the cut lasts, whatever became of the process, and the next process listens by the time the end comes through. No clock and no other connection of this side tells that apart.

Change: an endpoint of which the VM knows the life (born, in its entry) is asked for it when such an answer ends, by a load report. Another life is a cut. The same one is whole, also where the end was read too late for the old check, which cost a whole answer. Endpoints that don't tell are judged as before.

--- a/endpoint/framing.go
+++ b/endpoint/framing.go
@@ -43,12 +43,19 @@
 }
 
 // confirmEnd checks that a body that ended with its connection is whole. The connections of
-// a crashed endpoint end in the same way, but then nothing listens at its address until it
-// has restarted, and its other connections have ended too.
+// a crashed endpoint end in the same way, but then it is in another life afterwards. If it doesn't
+// tell its life, nothing listens at its address until it has restarted, and its other connections
+// have ended too; behind a cut of the network both go unseen.
 func (x *exchange) confirmEnd() *result.Refusal {
 	if x.outcome.Framing != FramingConnection {
 		return nil
 	}
+	if life := x.fetchLife(); life != 0 {
+		if life != x.attempt.Endpoint.Incarnation {
+			return result.Refuse(result.EndpointCut, "the endpoint has restarted since the call was sent")
+		}
+		return nil
+	}
 	mayHaveRestarted := x.client.now().Sub(x.outcome.OpenAt) >= minRestartTime
 	if refusal := x.confirmListening(); refusal != nil {
 		return refusal
@@ -59,6 +66,21 @@
 	return nil
 }
 
+// fetchLife asks the endpoint which life it is in, if the one that the call was sent to is known;
+// zero if it doesn't tell.
+func (x *exchange) fetchLife() int64 {
+	if x.attempt.Endpoint.Incarnation == 0 {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, endCheckTimeout)
+	defer cancel()
+	load, _, err := x.client.FetchLoad(ctx, x.attempt.Endpoint)
+	if err != nil {
+		return 0
+	}
+	return load.Incarnation
+}
+
 // confirmListening checks that a process listens at the endpoint's address.
 func (x *exchange) confirmListening() *result.Refusal {
 	var err error
--- a/endpoint/framing_test.go
+++ b/endpoint/framing_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -27,7 +29,9 @@
 	StallSeconds float64 `json:"stall_seconds"`
 	// Kept is set if the client has another connection to the endpoint.
 	Kept bool
-	Code result.Code
+	// TellsLife is set if the endpoint tells which life it is in.
+	TellsLife bool `json:"tells_life"`
+	Code      result.Code
 }
 
 // vmPause is how long the VM is paused.
@@ -42,12 +46,16 @@
 }
 
 func (row endRow) run(t *testing.T) {
-	e := newStreamEndpoint(t)
+	life := 0
+	if row.TellsLife {
+		life = 1
+	}
+	e := newStreamEndpointAt(t, "127.0.0.1:0", life)
 	var elapsed time.Duration
 	started, delivered := time.Now(), false
 	client := New(Options{
 		Client:  &http.Client{Transport: &http.Transport{}},
-		Dialect: testDialect,
+		Dialect: reportingDialect(),
 		Now:     func() time.Time { return started.Add(elapsed) },
 		Paused: func() bool {
 			paused := row.Pause && delivered
@@ -65,12 +73,13 @@
 	}
 	attempt := routedCall(e.addr, "")
 	attempt.Call.Deadline = started.Add(time.Minute)
+	attempt.Endpoint.Incarnation = int64(life)
 	out := client.Send(t.Context(), attempt, Sink{
 		Head: func(int, http.Header) error { return nil },
 		Chunk: func([]byte) error {
 			e.end(row.Crash)
 			if row.Restart {
-				newStreamEndpointAt(t, e.addr)
+				newStreamEndpointAt(t, e.addr, 2*life)
 			}
 			delivered = true
 			elapsed += time.Duration(row.StallSeconds * float64(time.Second))
@@ -80,10 +89,23 @@
 	assert.Equal(t, out.Code, row.Code, "%v", out.Err)
 }
 
-// streamEndpoint answers every request with one event of a stream without a length or chunks.
+// reportingDialect is testDialect with load reports that tell an endpoint's life.
+func reportingDialect() Dialect {
+	d := testDialect
+	d.ReportPath = reportPath
+	d.DecodeReport = func(data []byte, _ time.Time) (load Load, err error) {
+		load.Incarnation, err = strconv.ParseInt(string(data), 10, 64)
+		return load, err
+	}
+	return d
+}
+
+// streamEndpoint answers every request with one event of a stream without a length or chunks, and
+// questions for its load with its life, if that is not zero.
 type streamEndpoint struct {
 	addr string
 	ln   net.Listener
+	life int
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -91,11 +113,7 @@
 	answering net.Conn
 }
 
-func newStreamEndpoint(t *testing.T) *streamEndpoint {
-	return newStreamEndpointAt(t, "127.0.0.1:0")
-}
-
-func newStreamEndpointAt(t *testing.T, addr string) *streamEndpoint {
+func newStreamEndpointAt(t *testing.T, addr string, life int) *streamEndpoint {
 	t.Helper()
 	ln, err := net.Listen("tcp", addr)
 	assert.NilError(t, err)
@@ -103,6 +121,7 @@
 	e := &streamEndpoint{
 		addr: ln.Addr().String(),
 		ln:   ln,
+		life: life,
 	}
 	go e.serve()
 	return e
@@ -127,6 +146,11 @@
 		return
 	}
 	_, _ = req.Body.Read(make([]byte, 1024))
+	if req.URL.Path == reportPath && e.life > 0 {
+		life := strconv.Itoa(e.life)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(life))+"\r\n\r\n"+life)
+		return
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answering = conn
