Site: a VM that stood still brings its configuration up to date before it repeats calls

Cause: after a pause calls waited for fresh state of the endpoints alone. Requests that had come in meanwhile were admitted by the table from before the pause, and repeated by it.

Change: with the probes after a pause the VM reads the store once, also where others usually read it, and calls wait for both, 250 ms at the most. Until the store or another VM has confirmed the configuration, no call that may have run is repeated.

--- a/site/control.go
+++ b/site/control.go
@@ -145,7 +145,7 @@
 		}
 		now := c.node.now()
 		c.startExchanges(ctx, c.roster.Step(now), now)
-		c.probeAfterPause(ctx, now)
+		c.refreshAfterPause(ctx, now)
 		c.publish(now)
 		timer.Reset(max(c.nextDeadline(now).Sub(now), time.Millisecond))
 	}
--- a/site/forwarded_stop_test.go
+++ b/site/forwarded_stop_test.go
@@ -142,6 +142,8 @@
 	vms                    map[string]*loggedVM
 	runs                   atomic.Int64
 	storeURL, endpointAddr string
+	// now is the clock of VMs that are started; nil means their own.
+	now func() time.Time
 	// refuseResume lets the endpoint answer the next request to resume a stream with a failure.
 	refuseResume atomic.Bool
 }
@@ -233,6 +235,7 @@
 		Settings: &settings.Platform{
 			LogSampleEvery: 1,
 		},
+		Now: f.now,
 	})
 	n.control.applyItems([]discovery.Item{
 		{
--- a/site/readmitted_test.go
+++ b/site/readmitted_test.go
@@ -100,8 +100,11 @@
 }
 
 // sendOnce sends a call with a key to VM a and describes what its caller gets.
-func (f *forwardingVMs) sendOnce(path, fail string) string {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, fmt.Sprintf("http://%s%sx?ms=200&fail=%s", f.vms["a"].addr, path, fail), strings.NewReader("b"))
+func (f *forwardingVMs) sendOnce(path, fail string) string { return f.sendOnceTo("a", path, fail) }
+
+// sendOnceTo is sendOnce to any VM.
+func (f *forwardingVMs) sendOnceTo(vm, path, fail string) string {
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, fmt.Sprintf("http://%s%sx?ms=200&fail=%s", f.vms[vm].addr, path, fail), strings.NewReader("b"))
 	if err != nil {
 		return err.Error()
 	}
--- a/site/resume.go
+++ b/site/resume.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// resumeTimeout bounds the wait of a call for fresh endpoint state after a process
-	// pause. Endpoints answer within milliseconds unless they are full.
+	// resumeTimeout bounds the wait of a call for fresh state after a process pause. The store
+	// and endpoints answer within milliseconds unless they are full.
 	resumeTimeout      = 250 * time.Millisecond
 	resumePollInterval = 5 * time.Millisecond
 	// maxResumeProbes bounds the endpoints of a service that are probed after a pause. The
@@ -31,23 +31,32 @@
 	n.control.send(context.Background(), func(*control, time.Time) {})
 }
 
-// probeAfterPause probes endpoints of the region once after each process pause. Other VMs
-// may have been paused too, pollers included.
-func (c *control) probeAfterPause(ctx context.Context, now time.Time) {
+// refreshAfterPause probes endpoints of the region and reads the store once after each process
+// pause. Other VMs may have been paused too, pollers and readers included.
+func (c *control) refreshAfterPause(ctx context.Context, now time.Time) {
 	resuming := c.roster.Resuming()
 	if resuming && !c.resuming {
-		go c.node.pools.probeAllCold(ctx, now)
+		c.node.resumedAt.Store(now.UnixNano())
+		go c.node.refresh(ctx, now)
 		c.node.streams.register.Restart(now)
 	}
 	c.resuming = resuming
 }
 
-// probeAllCold probes the available endpoints and marks the endpoint state as fresh. Of a
-// large service it probes some and holds back the others, as probing thousands would pause
-// the VM again.
-func (p *pools) probeAllCold(ctx context.Context, startedAt time.Time) {
+// refresh brings the state up to date that dates from before a pause, and marks it as fresh.
+func (n *Node) refresh(ctx context.Context, startedAt time.Time) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, resumeTimeout)
 	defer cancel()
+	var group sync.WaitGroup
+	group.Go(func() { n.pools.probeAllCold(timeoutCtx, startedAt) })
+	group.Go(func() { n.readAfterPause(timeoutCtx) })
+	group.Wait()
+	n.control.send(ctx, func(c *control, _ time.Time) { c.roster.RecordProbe(startedAt) })
+}
+
+// probeAllCold probes the available endpoints. Of a large service it probes some and holds back the
+// others, as probing thousands would pause the VM again.
+func (p *pools) probeAllCold(ctx context.Context, startedAt time.Time) {
 	probed, held := splitResumeProbes(p.warmEndpoints())
 	for _, e := range held {
 		if pool := p.all()[e.Service]; pool != nil {
@@ -56,10 +65,30 @@
 	}
 	var probes sync.WaitGroup
 	for _, e := range probed {
-		probes.Go(func() { _ = p.probeCold(timeoutCtx, e) })
+		probes.Go(func() { _ = p.probeCold(ctx, e) })
 	}
 	probes.Wait()
-	p.node.control.send(ctx, func(c *control, _ time.Time) { c.roster.RecordProbe(startedAt) })
+}
+
+// readAfterPause reads what has changed in the store, also on a VM that usually gets it from others.
+// Without a reply the regular reads, or other VMs, bring it later.
+func (n *Node) readAfterPause(ctx context.Context) {
+	held := n.control.snapshot().position
+	if held.IsZero() {
+		return
+	}
+	read, err := n.readChanges(ctx, held, n.now())
+	n.metrics.PlatformRead(err)
+	if err != nil {
+		n.log.Info("store_not_read", "reason", err.Error())
+		return
+	}
+	n.applyRead(ctx, read)
+}
+
+// isConfigurationFresh reports whether this VM's configuration was confirmed after the last pause.
+func (n *Node) isConfigurationFresh() bool {
+	return n.freshAsOf.Load() >= n.resumedAt.Load()
 }
 
 // splitResumeProbes selects the endpoints to probe after a pause, maxResumeProbes random
@@ -88,9 +117,9 @@
 	})
 }
 
-// awaitFreshState blocks until the endpoint state is newer than the last process pause.
-// Otherwise all calls that queued up during the pause could go to endpoints that have
-// become cold.
+// awaitFreshState blocks until the state is newer than the last process pause. Otherwise all calls
+// that queued up during the pause could go to endpoints that have become cold, by a configuration
+// that is no longer in force.
 func (n *Node) awaitFreshState(ctx context.Context) *result.Refusal {
 	deadline := n.now().Add(resumeTimeout)
 	for now := n.now(); !n.control.snapshot().members.Fresh(now); now = n.now() {
--- a/site/site.go
+++ b/site/site.go
@@ -130,6 +130,9 @@
 	// freshAsOf is the latest time at which this VM is known to have held all contents of
 	// the store, in nanoseconds since the epoch.
 	freshAsOf atomic.Int64
+	// resumedAt is when this VM went on after its last pause, in nanoseconds since the epoch; zero
+	// if it had none.
+	resumedAt atomic.Int64
 	// stopped is closed at the end of a graceful shutdown.
 	stopped chan struct{}
 }
--- a/site/store.go
+++ b/site/store.go
@@ -107,7 +107,12 @@
 			freshAsOf: startedAt,
 		}, err
 	}
-	deadline := startedAt.Add(n.watchTimeout())
+	return n.readChanges(ctx, held, startedAt.Add(n.watchTimeout()))
+}
+
+// readChanges reads what has changed after a position, and waits for changes until a deadline.
+func (n *Node) readChanges(ctx context.Context, held discovery.Position, deadline time.Time) (storeRead, error) {
+	startedAt := n.now()
 	items, position, err := n.store.Changes(ctx, platform.AllKeysPrefix, held, deadline)
 	if err == nil && position.Era != held.Era {
 		// The store came back from an older copy; its changes continue another history.
--- a/site/terms.go
+++ b/site/terms.go
@@ -30,8 +30,12 @@
 	return nil
 }
 
-// mayRepeat reports whether a call that may have run may run again by the routing table of now.
-func (n *Node) mayRepeat(_ context.Context, c *call.Call) bool {
+// mayRepeat reports whether a call that may have run may run again by the routing table of now. After
+// a pause the table may be out of date until the store, or another VM, has confirmed it.
+func (n *Node) mayRepeat(ctx context.Context, c *call.Call) bool {
+	if n.awaitFreshState(ctx) != nil || !n.isConfigurationFresh() {
+		return false
+	}
 	table := n.control.snapshot().table
 	if table == nil || table.Version <= c.Routed.Version {
 		return true
