Site: a VM that stood still refuses no route or key for good by an old configuration

What callers saw: by a test; a request of a route that was added while the VM stood still got 404, which callers don't retry.

Cause: admission looks only into the table that the VM holds, which is from before the pause.

Change: before a refusal of a route or a key the VM waits for fresh state, as calls do, and looks again. While its configuration is not confirmed after a pause it answers 503 with a time to come back.

Evidence: two more rows of TestPausedVMFollowsNewVersion fail before (404 for 200 in two, for 503 in three of three runs; once the table came in time) and hold in three of three runs with the change.

--- a/site/paused_vm_test.go
+++ b/site/paused_vm_test.go
@@ -24,6 +24,9 @@
 func TestPausedVMFollowsNewVersion(t *testing.T) {
 	for _, row := range datatest.Read[[]struct {
 		Name string
+		// Path is the call's, Fail how the endpoint fails its runs.
+		Path string
+		Fail string
 		// Config is published while the VM stands still; none if it is empty.
 		Config json.RawMessage
 		// StoreFails is set if the store turns the VM away when it goes on.
@@ -61,7 +64,7 @@
 			if !row.During {
 				standStill()
 			}
-			go func() { answer <- f.sendOnceTo("d", "/repeat/x/", "status") }()
+			go func() { answer <- f.sendOnceTo("d", row.Path, row.Fail) }()
 			if row.During {
 				waitFor(t, func() bool { return f.runs.Load() == 1 })
 				standStill()
--- a/site/site.go
+++ b/site/site.go
@@ -317,8 +317,29 @@
 	return server
 }
 
-// admit looks up a request in the current routing table.
+// admit looks up a request in the current routing table. What a table from before a pause does not
+// allow may be allowed by now.
 func (n *Node) admit(a route.AdmitRequest) (route.Admission, *result.Refusal) {
+	admission, refusal := n.admitNow(a)
+	if refusal == nil || !isFinalRefusal(refusal) {
+		return admission, refusal
+	}
+	if waitRefusal := n.awaitFreshState(n.stopState.callsCtx); waitRefusal != nil {
+		return admission, waitRefusal
+	}
+	if !n.isConfigurationFresh() {
+		return admission, result.Refuse(result.NotReady, "VM %s has paused and its configuration is not confirmed yet", n.deployment.VM).WithRetryAt(n.now().Add(notReadyRetryAfter))
+	}
+	return n.admitNow(a)
+}
+
+// isFinalRefusal reports whether callers do not retry after a refusal.
+func isFinalRefusal(r *result.Refusal) bool {
+	return r.Code == result.UnknownRoute || r.Code == result.Unauthenticated
+}
+
+// admitNow looks up a request without waiting.
+func (n *Node) admitNow(a route.AdmitRequest) (route.Admission, *result.Refusal) {
 	table := n.control.snapshot().table
 	if table == nil {
 		return route.Admission{}, result.Refuse(result.NotReady, "no configuration is known yet").WithRetryAt(n.now().Add(notReadyRetryAfter))
