Site: a stopping VM serves calls of others that may run once to the end of its time

Cause: a stop cuts all calls off at the same time, so that what remains is enough for answers that say so. For a call of another VM that may run once that answer is worth nothing: it can't go on elsewhere, and its end without an answer tells its sender the same.

Change: such calls are cut off 0.1 s before the end of the stop instead of 0.4 s. Those that may run again are cut off as before, so that they can go on elsewhere in time.

--- a/site/forward.go
+++ b/site/forward.go
@@ -111,7 +111,7 @@
 	defer cancel()
 	ctx, cancelCause := context.WithCancelCause(ctx)
 	defer cancelCause(nil)
-	callsCtx := n.stopState.callsCtx
+	callsCtx := n.stopState.contextOf(c)
 	defer context.AfterFunc(callsCtx, func() { cancelCause(context.Cause(callsCtx)) })()
 	c.Routed.MissesObjective = n.isLate(c)
 	return n.asLostIfStopped(ctx, n.serve(ctx, c, sink))
--- a/site/stop.go
+++ b/site/stop.go
@@ -22,6 +22,10 @@
 	// cutoffGrace is the part of it for answers to the calls that are cut off, and how long before
 	// them idle connections end, so that what has arrived there is read and answered.
 	cutoffGrace = 100 * time.Millisecond
+	// forwardedMargin is the time reserved after calls of other VMs that may run once are cut off.
+	// Their answers are lost with the cut, so that it need not wait for anything but the last bytes
+	// of those that have ended.
+	forwardedMargin = 100 * time.Millisecond
 	// cachedAddrTime is how long callers may keep using a cached address: three times its TTL.
 	cachedAddrTime = 3 * maxEntriesTTL
 	// signalDelay bounds the time from the signal to the start of the shutdown in a process that
@@ -45,6 +49,10 @@
 	// flight at the end of the stop.
 	callsCtx    context.Context
 	cancelCalls context.CancelCauseFunc
+	// forwardedCtx and cancelForwarded are those of calls of other VMs that may run once, which end
+	// last.
+	forwardedCtx    context.Context
+	cancelForwarded context.CancelCauseFunc
 }
 
 func newStopState() *stopState {
@@ -52,9 +60,19 @@
 		durations: shutdown.NewDurations(),
 	}
 	s.callsCtx, s.cancelCalls = context.WithCancelCause(context.Background())
+	s.forwardedCtx, s.cancelForwarded = context.WithCancelCause(context.Background())
 	return s
 }
 
+// contextOf returns the context whose end cuts off a forwarded call. One that may run again goes on
+// at another VM, so that it is cut off while its sender has time for that.
+func (s *stopState) contextOf(c *call.Call) context.Context {
+	if c.Idempotent {
+		return s.callsCtx
+	}
+	return s.forwardedCtx
+}
+
 // stop shuts the process down gracefully: it announces the shutdown to peers and callers
 // and waits for calls in flight.
 func (n *Node) stop() {
@@ -87,6 +105,7 @@
 		n.cutOff()
 	}
 	n.awaitDelivery()
+	n.endForwarded(startedAt.Add(timeout - forwardedMargin))
 	// A call that another VM forwards from now on is refused.
 	n.stopState.planned.Store(&shutdown.Stop{
 		Cutoff: n.now(),
@@ -137,6 +156,17 @@
 	n.await(ctx, n.allAnswered)
 }
 
+// endForwarded waits for the calls of other VMs that may run once, and cuts them off at a time.
+func (n *Node) endForwarded(by time.Time) {
+	ctx, cancel := clock.WithDeadline(context.Background(), n.now(), by)
+	defer cancel()
+	n.await(ctx, func() bool { return n.peerServer.InFlight() == 0 })
+	n.stopState.cancelForwarded(call.ErrStopping)
+	ctx, cancel = context.WithTimeout(context.Background(), forwardedMargin/2)
+	defer cancel()
+	n.await(ctx, func() bool { return n.peerServer.InFlight() == 0 })
+}
+
 // refuseIfStopping refuses a call that this VM is not expected to end before it stops.
 func (n *Node) refuseIfStopping(c *call.Call) *result.Refusal {
 	stop := n.stopState.planned.Load()
