Endpoint: services without load reports aren't asked for one

An endpoint of which the VM knows the life was asked for a load report when an answer without a length ended, also one of a service that is no engine, which nothing else asks. Such a service may take the question for a request.

Change: the life is taken from the latest entry, and from a report of engines alone (Options.Life).

--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -41,6 +41,9 @@
 	Dialect Dialect
 	// Dial opens and closes a connection to an address; nil means tcp.Probe.
 	Dial func(ctx context.Context, addr string) error
+	// Life returns the life that an endpoint is in by its latest entry, as fleet.Endpoint.Incarnation,
+	// and whether it has load reports that tell it too; nil means that neither is known.
+	Life func(e fleet.Endpoint) (life int64, isReported bool)
 	// Paused reports whether the process has just been paused; nil means never.
 	Paused func() bool
 }
@@ -55,6 +58,7 @@
 	maxResponseBytes int
 	dialect          Dialect
 	dial             func(ctx context.Context, addr string) error
+	life             func(e fleet.Endpoint) (life int64, isReported bool)
 	paused           func() bool
 	open             *openConns
 	anonymous        *anonymousRefusals
@@ -69,6 +73,7 @@
 		maxResponseBytes: o.MaxResponseBytes,
 		dialect:          o.Dialect,
 		dial:             o.Dial,
+		life:             o.Life,
 		paused:           o.Paused,
 	}
 	if c.now == nil {
@@ -77,6 +82,9 @@
 	if c.dial == nil {
 		c.dial = tcp.Probe
 	}
+	if c.life == nil {
+		c.life = func(fleet.Endpoint) (int64, bool) { return 0, false }
+	}
 	if c.paused == nil {
 		c.paused = func() bool { return false }
 	}
--- a/endpoint/framing.go
+++ b/endpoint/framing.go
@@ -43,18 +43,21 @@
 }
 
 // confirmEnd checks that a body that ended with its connection is whole. The connections of
-// a crashed endpoint end in the same way, but then it is in another life afterwards. If it doesn't
-// tell its life, nothing listens at its address until it has restarted, and its other connections
+// a crashed endpoint end in the same way, but then it is in another life afterwards. If that
+// is not known, nothing listens at its address until it has restarted, and its other connections
 // have ended too; behind a cut of the network both go unseen.
 func (x *exchange) confirmEnd() *result.Refusal {
 	if x.outcome.Framing != FramingConnection {
 		return nil
 	}
-	if life := x.fetchLife(); life != 0 {
-		if life != x.attempt.Endpoint.Incarnation {
+	if before := x.attempt.Endpoint.Incarnation; before != 0 {
+		life, isReported := x.currentLife()
+		if life != 0 && life != before {
 			return result.Refuse(result.EndpointCut, "the endpoint has restarted since the call was sent")
 		}
-		return nil
+		if isReported {
+			return nil
+		}
 	}
 	mayHaveRestarted := x.client.now().Sub(x.outcome.OpenAt) >= minRestartTime
 	if refusal := x.confirmListening(); refusal != nil {
@@ -66,19 +69,21 @@
 	return nil
 }
 
-// fetchLife asks the endpoint which life it is in, if the one that the call was sent to is known;
-// zero if it doesn't tell.
-func (x *exchange) fetchLife() int64 {
-	if x.attempt.Endpoint.Incarnation == 0 {
-		return 0
+// currentLife returns the life that the endpoint is in, by its own load report if isReported is set
+// and by its entry otherwise; zero if it is not known. Endpoints without load reports are not asked.
+func (x *exchange) currentLife() (life int64, isReported bool) {
+	e := x.attempt.Endpoint
+	life, isReported = x.client.life(e)
+	if !isReported || life != 0 && life != e.Incarnation {
+		return life, false
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, endCheckTimeout)
 	defer cancel()
-	load, _, err := x.client.FetchLoad(ctx, x.attempt.Endpoint)
-	if err != nil {
-		return 0
+	load, _, err := x.client.FetchLoad(ctx, e)
+	if err != nil || load.Incarnation == 0 {
+		return life, false
 	}
-	return load.Incarnation
+	return load.Incarnation, true
 }
 
 // confirmListening checks that a process listens at the endpoint's address.
--- a/endpoint/framing_test.go
+++ b/endpoint/framing_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/fuchsianotch/fuchsianotch/common/datatest"
+	"github.com/fuchsianotch/fuchsianotch/fleet"
 	"github.com/fuchsianotch/fuchsianotch/result"
 )
 
@@ -29,8 +31,11 @@
 	StallSeconds float64 `json:"stall_seconds"`
 	// Kept is set if the client has another connection to the endpoint.
 	Kept bool
-	// TellsLife is set if the endpoint tells which life it is in.
+	// Lives is set if the endpoint's entry tells its life, TellsLife if its load reports do so too.
+	// NewEntry is set if the entry of the next life is known when the end is read.
+	Lives     bool
 	TellsLife bool `json:"tells_life"`
+	NewEntry  bool `json:"new_entry"`
 	Code      result.Code
 }
 
@@ -47,7 +52,7 @@
 
 func (row endRow) run(t *testing.T) {
 	life := 0
-	if row.TellsLife {
+	if row.Lives || row.TellsLife {
 		life = 1
 	}
 	e := newStreamEndpointAt(t, "127.0.0.1:0", life)
@@ -56,7 +61,13 @@
 	client := New(Options{
 		Client:  &http.Client{Transport: &http.Transport{}},
 		Dialect: reportingDialect(),
-		Now:     func() time.Time { return started.Add(elapsed) },
+		Life: func(fleet.Endpoint) (int64, bool) {
+			if row.NewEntry {
+				return int64(life) + 1, row.TellsLife
+			}
+			return int64(life), row.TellsLife
+		},
+		Now: func() time.Time { return started.Add(elapsed) },
 		Paused: func() bool {
 			paused := row.Pause && delivered
 			if paused {
@@ -87,6 +98,7 @@
 		},
 	})
 	assert.Equal(t, out.Code, row.Code, "%v", out.Err)
+	assert.Assert(t, row.TellsLife || e.reports.Load() == 0, "an endpoint without load reports is asked for one")
 }
 
 // reportingDialect is testDialect with load reports that tell an endpoint's life.
@@ -101,12 +113,14 @@
 }
 
 // streamEndpoint answers every request with one event of a stream without a length or chunks, and
-// questions for its load with its life, if that is not zero.
+// questions for its load with its life.
 type streamEndpoint struct {
 	addr string
 	ln   net.Listener
 	life int
 
+	reports atomic.Int64
+
 	mu    sync.Mutex
 	conns []net.Conn
 	// answering is the connection of the last answer.
@@ -146,7 +160,8 @@
 		return
 	}
 	_, _ = req.Body.Read(make([]byte, 1024))
-	if req.URL.Path == reportPath && e.life > 0 {
+	if req.URL.Path == reportPath {
+		e.reports.Add(1)
 		life := strconv.Itoa(e.life)
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: "+strconv.Itoa(len(life))+"\r\n\r\n"+life)
 		return
--- a/site/endpoints.go
+++ b/site/endpoints.go
@@ -133,6 +133,14 @@
 	return false
 }
 
+// lifeOf returns the incarnation of an endpoint by its entry; zero if it is not known.
+func (x *endpointIndex) lifeOf(id string) int64 {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	e, _ := x.find(id)
+	return e.Incarnation
+}
+
 // contains reports whether an incarnation of an endpoint accepts calls.
 func (x *endpointIndex) contains(id string, incarnation int64) bool {
 	x.mu.RLock()
--- a/site/site.go
+++ b/site/site.go
@@ -190,6 +190,7 @@
 		Now:     n.now,
 		Dialect: platform.Dialect(),
 		Buffers: n.bodies.budget,
+		Life:    n.endpointLife,
 		Paused:  func() bool { return !n.control.snapshot().members.Fresh(n.now()) },
 	})
 	n.puller = &puller{
@@ -219,6 +220,13 @@
 	return n
 }
 
+// endpointLife returns the life that an endpoint is in by its entry, and whether its load reports tell
+// it too, as those of engines do.
+func (n *Node) endpointLife(e fleet.Endpoint) (life int64, isReported bool) {
+	service, _ := n.control.snapshot().service(e.Service)
+	return n.pools.index.lifeOf(e.ID), service.IsEngine
+}
+
 // countPeerBytes counts the bytes on connections between VMs.
 func (n *Node) countPeerBytes(sent, received int) {
 	n.metrics.AddControlBytes(metrics.DirectionOut, sent)
