Tests: the VMs of the forwarding tests have a file of their own

The stand-in endpoint and the VMs that four tests use stood in the file of one of them; two tests built the same request. Moved and joined; no check is changed.

--- a/site/early_answer_test.go
+++ b/site/early_answer_test.go
@@ -1,8 +1,6 @@
 package site
 
 import (
-	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -57,14 +55,10 @@
 // upload sends a call with a long body to a VM and describes what its caller gets. The call resumes
 // an earlier one behind an event, if there is one.
 func (f *forwardingVMs) upload(vm, path, fail, after string) string {
-	target := fmt.Sprintf("http://%s%sx?ms=300&fail=%s", f.vms[vm].addr, path, fail)
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, target, bytes.NewReader(make([]byte, uploadBytes)))
+	req, err := f.newRequest(vm, path, fail, make([]byte, uploadBytes))
 	if err != nil {
 		return err.Error()
 	}
-	req.Host = "h"
-	req.Header.Set("X-Fuchsianotch-Attempt-Id", "a")
-	req.Header.Set("X-Fuchsianotch-Deadline-Ms", "9000")
 	if after != "" {
 		req.Header.Set("X-Fuchsianotch-Attempt-Id", "b")
 		req.Header.Set("Last-Event-Id", after)
--- a/site/readmitted_test.go
+++ b/site/readmitted_test.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -104,14 +102,10 @@
 
 // sendOnceTo is sendOnce to any VM.
 func (f *forwardingVMs) sendOnceTo(vm, path, fail string) string {
-	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, fmt.Sprintf("http://%s%sx?ms=200&fail=%s", f.vms[vm].addr, path, fail), strings.NewReader("b"))
+	req, err := f.newRequest(vm, path, fail, []byte("b"))
 	if err != nil {
 		return err.Error()
 	}
-	req.Host = "h"
-	req.Header.Set("X-Fuchsianotch-Attempt-Id", "a")
-	req.Header.Set("X-Fuchsianotch-Deadline-Ms", "9000")
-	req.Header.Set("Authorization", "Bearer key-of-w")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return "none"
